Set up the workspace, identifiers, result codes and the INI catalogue

Cause: the repository is empty; every package needs shared names first. Change: seven packages, newtypes for ids and sizes, the table of result codes, INI with line numbers, the checked catalogue text, the protocols page. Before: nothing. Conclusion: the base for the thin path.

--- /dev/null
+++ b/crates/vanillafold-types/src/catalogue/mod.rs
@@ -0,0 +1,9 @@
+//! What operators publish: pools, teams, queues and keys, each with owner, class and limits.
+
+mod class;
+mod entry;
+mod text;
+
+pub use class::Class;
+pub use entry::{EntryName, Key, MAX_DEADLINE, Pool, Queue, Team, WILDCARD_TEAMS};
+pub use text::CatalogueText;
--- /dev/null
+++ b/crates/vanillafold-types/src/catalogue/text.rs
@@ -0,0 +1,249 @@
+//! The catalogue as operators write it.
+
+use std::str::FromStr;
+
+use crate::{
+    ByteSize, Class, Connections, Document, MAX_DEADLINE, Millis, Percent, Pool, Problem, Queue,
+    Reader, Share, SizeError, Slots, Team, WILDCARD_TEAMS, nearest_name,
+};
+
+const KINDS: [&str; 3] = ["pool", "queue", "team"];
+const DEFAULT_DEADLINE: Millis = Millis::new(10_000);
+const DEFAULT_MAX_WAITING: u32 = 1_000;
+const DEFAULT_RETRY_PERCENT: Percent = Percent::new(10);
+const DEFAULT_MAX_BODY: ByteSize = ByteSize::new(16 << 20);
+
+/// The pools, teams and queues of a catalogue file, checked as a whole. Keys are given
+/// one by one, since their secrets never stand in a file.
+///
+/// # Examples
+///
+/// ```
+/// use vanillafold_types::CatalogueText;
+///
+/// let text = "[pool quotes]\nowner = ops\nclass = urgent\n";
+/// let catalogue = CatalogueText::parse("catalogue.ini", text).unwrap();
+/// assert_eq!(catalogue.pools[0].slots_per_vm.get(), 8);
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct CatalogueText {
+    /// Pools, sorted by id.
+    pub pools: Vec<Pool>,
+    /// Teams, sorted by id.
+    pub teams: Vec<Team>,
+    /// Queues, sorted by id.
+    pub queues: Vec<Queue>,
+}
+
+impl CatalogueText {
+    /// Parses and checks `text`; `file` is the name that problems carry.
+    ///
+    /// # Errors
+    ///
+    /// Every [`Problem`] of the text, in the order of its lines.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Vec<Problem>> {
+        let document = Document::parse(file, text).map_err(|problem| vec![problem])?;
+        let mut problems = Vec::new();
+        let catalogue = Self::read(&document, &mut problems);
+        if problems.is_empty() {
+            return Ok(catalogue);
+        }
+        problems.sort();
+        Err(problems)
+    }
+
+    fn read(document: &Document, problems: &mut Vec<Problem>) -> Self {
+        let mut catalogue = Self::default();
+        for section in document.sections() {
+            let reader = Reader::new(document, section, problems);
+            match section.kind.as_str() {
+                "pool" => catalogue.pools.extend(read_pool(reader)),
+                "team" => catalogue.teams.extend(read_team(reader)),
+                "queue" => catalogue.queues.extend(read_queue(reader)),
+                other => problems.push(Problem {
+                    file: document.file().to_owned(),
+                    line: section.line,
+                    message: unknown_kind(other),
+                }),
+            }
+        }
+        catalogue.check_names(document, problems);
+        catalogue.pools.sort_by(|a, b| a.id.cmp(&b.id));
+        catalogue.teams.sort_by(|a, b| a.id.cmp(&b.id));
+        catalogue.queues.sort_by(|a, b| a.id.cmp(&b.id));
+        catalogue
+    }
+
+    /// Reports entries given twice and names that no entry has.
+    fn check_names(&self, document: &Document, problems: &mut Vec<Problem>) {
+        for (index, section) in document.sections().iter().enumerate() {
+            let twice = document.sections()[..index]
+                .iter()
+                .any(|earlier| earlier.kind == section.kind && earlier.name == section.name);
+            let mut reader = Reader::new(document, section, problems);
+            if twice {
+                reader.problem_at("", "this entry is given twice: keep one of them");
+            }
+            if section.kind != "queue" {
+                continue;
+            }
+            let name = section.name.as_deref().unwrap_or_default();
+            let Some(queue) = self.queues.iter().find(|queue| queue.id.as_str() == name) else {
+                continue;
+            };
+            if !self.pools.iter().any(|pool| pool.id == queue.pool) {
+                let known = self.pools.iter().map(|pool| pool.id.as_str());
+                reader.problem_at("pool", unknown_name("pool", queue.pool.as_str(), known));
+            }
+            for team in &queue.teams {
+                if !self.teams.iter().any(|known| known.id == *team) {
+                    let known = self.teams.iter().map(|team| team.id.as_str());
+                    reader.problem_at("teams", unknown_name("team", team.as_str(), known));
+                }
+            }
+        }
+    }
+}
+
+fn unknown_kind(kind: &str) -> String {
+    match nearest_name(kind, KINDS) {
+        Some(nearest) => format!("unknown section [{kind}]: did you mean [{nearest} NAME]?"),
+        None => {
+            format!("unknown section [{kind}]: expected [pool NAME], [queue NAME] or [team NAME]")
+        }
+    }
+}
+
+fn unknown_name<'a>(kind: &str, name: &str, known: impl Iterator<Item = &'a str>) -> String {
+    match nearest_name(name, known) {
+        Some(nearest) => format!("no {kind} is called {name}: did you mean {nearest}?"),
+        None => format!("no {kind} is called {name}: add [{kind} {name}]"),
+    }
+}
+
+fn read_pool(mut reader: Reader<'_>) -> Option<Pool> {
+    let id = reader.name();
+    let owner = reader.required("owner");
+    let class = reader.required("class");
+    let min_available_percent = reader.ranged(
+        "min_available_percent",
+        Percent::new(70),
+        Percent::ZERO..=Percent::new(100),
+    );
+    let slots_per_vm = reader.ranged(
+        "slots_per_vm",
+        Slots::new(8),
+        Slots::new(1)..=Slots::new(10_000),
+    );
+    let connections_per_vm = reader.ranged(
+        "connections_per_vm",
+        Connections::new(64),
+        Connections::new(1)..=Connections::new(100_000),
+    );
+    if connections_per_vm.get() < slots_per_vm.get() {
+        reader.problem_at(
+            "connections_per_vm",
+            format!("connections_per_vm: expected at least slots_per_vm ({slots_per_vm}), found {connections_per_vm}"),
+        );
+    }
+    reader.finish();
+    Some(Pool {
+        id: id?,
+        owner: owner?,
+        class: class?,
+        min_available_percent,
+        slots_per_vm,
+        connections_per_vm,
+    })
+}
+
+fn read_team(mut reader: Reader<'_>) -> Option<Team> {
+    let id = reader.name();
+    let owner = reader.required("owner");
+    let class = reader.or("class", Class::Normal);
+    let share = reader.ranged(
+        "share",
+        Share::new(1),
+        Share::new(1)..=Share::new(1_000_000),
+    );
+    let limit = reader.required("limit");
+    reader.finish();
+    Some(Team {
+        id: id?,
+        owner: owner?,
+        class,
+        share,
+        limit: limit?,
+    })
+}
+
+fn read_queue(mut reader: Reader<'_>) -> Option<Queue> {
+    let id = reader.name();
+    let owner = reader.required("owner");
+    let class = reader.required("class");
+    let pool = reader.required("pool");
+    let YesNo(open) = reader.or("open", YesNo(false));
+    let teams = match reader.optional::<String>("teams").as_deref() {
+        Some(WILDCARD_TEAMS) => Vec::new(),
+        _ => reader.list("teams"),
+    };
+    let deadline_ms = reader.ranged(
+        "deadline_ms",
+        DEFAULT_DEADLINE,
+        Millis::new(1)..=MAX_DEADLINE,
+    );
+    let max_deadline_ms = reader.ranged(
+        "max_deadline_ms",
+        deadline_ms.max(DEFAULT_DEADLINE),
+        Millis::new(1)..=MAX_DEADLINE,
+    );
+    if max_deadline_ms < deadline_ms {
+        reader.problem_at(
+            "max_deadline_ms",
+            format!("max_deadline_ms: expected at least deadline_ms ({deadline_ms}), found {max_deadline_ms}"),
+        );
+    }
+    let max_waiting = reader.ranged("max_waiting", DEFAULT_MAX_WAITING, 0..=100_000);
+    let retry_percent = reader.ranged(
+        "retry_percent",
+        DEFAULT_RETRY_PERCENT,
+        Percent::ZERO..=Percent::new(100),
+    );
+    let max_body = reader.ranged(
+        "max_body",
+        DEFAULT_MAX_BODY,
+        ByteSize::new(0)..=ByteSize::new(1 << 40),
+    );
+    reader.finish();
+    Some(Queue {
+        id: id?,
+        owner: owner?,
+        class: class?,
+        pool: pool?,
+        open,
+        teams,
+        deadline_ms,
+        max_deadline_ms,
+        max_waiting,
+        retry_percent,
+        max_body,
+    })
+}
+
+/// A switch as the catalogue writes it.
+struct YesNo(bool);
+
+impl FromStr for YesNo {
+    type Err = SizeError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "yes" => Ok(Self(true)),
+            "no" => Ok(Self(false)),
+            _ => Err(SizeError {
+                expected: "yes or no".to_owned(),
+                found: text.to_owned(),
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-types/src/code/outcome.rs
@@ -0,0 +1,56 @@
+//! The three ends that a request can have.
+
+use std::fmt;
+use std::str::FromStr;
+
+/// How a request ended. There is no fourth end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Outcome {
+    /// The target's whole answer.
+    Answer,
+    /// The work did not run and will not run.
+    NotRun,
+    /// The work may have run, or may still be running.
+    MayHaveRun,
+}
+
+/// The text names no [`Outcome`].
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("expected answer, not-run or may-have-run, found {found:?}")]
+pub struct ParseOutcomeError {
+    /// What was there.
+    pub found: String,
+}
+
+impl Outcome {
+    /// The outcome as the `Vf-Outcome` header carries it.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Answer => "answer",
+            Self::NotRun => "not-run",
+            Self::MayHaveRun => "may-have-run",
+        }
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl FromStr for Outcome {
+    type Err = ParseOutcomeError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "answer" => Ok(Self::Answer),
+            "not-run" => Ok(Self::NotRun),
+            "may-have-run" => Ok(Self::MayHaveRun),
+            _ => Err(ParseOutcomeError {
+                found: text.to_owned(),
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-types/src/ini/reader.rs
@@ -0,0 +1,210 @@
+//! Typed reading of a section, which collects every problem instead of stopping at the first.
+
+use std::fmt::Display;
+use std::ops::RangeInclusive;
+use std::str::FromStr;
+
+use super::document::{Document, Entry, Section};
+use super::{Problem, nearest_name};
+
+/// Reads the keys of one section and notes what is wrong.
+///
+/// Call [`Reader::finish`] last: it reports the keys that nobody asked for.
+#[derive(Debug)]
+pub struct Reader<'a> {
+    file: &'a str,
+    section: &'a Section,
+    asked: Vec<&'static str>,
+    problems: &'a mut Vec<Problem>,
+}
+
+impl<'a> Reader<'a> {
+    /// Starts reading `section` of `document`.
+    pub fn new(
+        document: &'a Document,
+        section: &'a Section,
+        problems: &'a mut Vec<Problem>,
+    ) -> Self {
+        Self {
+            file: document.file(),
+            section,
+            asked: Vec::new(),
+            problems,
+        }
+    }
+
+    /// The section's name, parsed; a problem if there is none or it is wrong.
+    pub fn name<T>(&mut self) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let kind = &self.section.kind;
+        match self.section.name.as_deref().map(str::parse::<T>) {
+            Some(Ok(name)) => Some(name),
+            Some(Err(error)) => {
+                self.problem(self.section.line, format!("the name of [{kind}]: {error}"));
+                None
+            }
+            None => {
+                let message = format!("[{kind}] has no name: expected [{kind} NAME]");
+                self.problem(self.section.line, message);
+                None
+            }
+        }
+    }
+
+    /// A key that must be there.
+    pub fn required<T>(&mut self, key: &'static str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        match self.value(key) {
+            Some(entry) => self.parse(&entry),
+            None => {
+                let message = format!("[{}] lacks {key}: expected `{key} = ...`", self.title());
+                self.problem(self.section.line, message);
+                None
+            }
+        }
+    }
+
+    /// A key that may be left out.
+    pub fn optional<T>(&mut self, key: &'static str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let entry = self.value(key)?;
+        self.parse(&entry)
+    }
+
+    /// A key that may be left out, with its default.
+    pub fn or<T>(&mut self, key: &'static str, default: T) -> T
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        self.optional(key).unwrap_or(default)
+    }
+
+    /// A key that may be left out, with its default and the range it must lie in.
+    pub fn ranged<T>(&mut self, key: &'static str, default: T, range: RangeInclusive<T>) -> T
+    where
+        T: FromStr + PartialOrd + Display,
+        T::Err: Display,
+    {
+        let Some(entry) = self.value(key) else {
+            return default;
+        };
+        match self.parse::<T>(&entry) {
+            Some(value) if range.contains(&value) => value,
+            Some(value) => {
+                let (least, most) = range.into_inner();
+                let message = format!("{key}: expected {least} to {most}, found {value}");
+                self.problem(entry.line, message);
+                default
+            }
+            None => default,
+        }
+    }
+
+    /// A comma-separated list that may be left out.
+    pub fn list<T>(&mut self, key: &'static str) -> Vec<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let Some(entry) = self.value(key) else {
+            return Vec::new();
+        };
+        entry
+            .value
+            .split(',')
+            .map(str::trim)
+            .filter(|item| !item.is_empty())
+            .filter_map(|item| {
+                self.parse(&Entry {
+                    value: item.to_owned(),
+                    ..entry.clone()
+                })
+            })
+            .collect()
+    }
+
+    /// Notes a problem at the line of `key`, or of the section if the key is not there.
+    pub fn problem_at(&mut self, key: &str, message: impl Into<String>) {
+        let line = self
+            .section
+            .entries
+            .iter()
+            .find(|entry| entry.key == key)
+            .map_or(self.section.line, |entry| entry.line);
+        self.problem(line, message.into());
+    }
+
+    /// Reports keys that nobody asked for and keys given twice.
+    pub fn finish(self) {
+        let known = self.asked.join(", ");
+        for (index, entry) in self.section.entries.iter().enumerate() {
+            let key = entry.key.as_str();
+            let message = if !self.asked.contains(&key) {
+                match nearest_name(key, self.asked.iter().copied()) {
+                    Some(nearest) => format!("unknown key {key}: did you mean {nearest}?"),
+                    None => format!("unknown key {key}: expected one of {known}"),
+                }
+            } else if self.section.entries[..index]
+                .iter()
+                .any(|earlier| earlier.key == key)
+            {
+                format!("{key} is given twice: keep one of them")
+            } else {
+                continue;
+            };
+            self.problems.push(Problem {
+                file: self.file.to_owned(),
+                line: entry.line,
+                message,
+            });
+        }
+    }
+
+    fn title(&self) -> String {
+        match &self.section.name {
+            Some(name) => format!("{} {name}", self.section.kind),
+            None => self.section.kind.clone(),
+        }
+    }
+
+    fn value(&mut self, key: &'static str) -> Option<Entry> {
+        self.asked.push(key);
+        self.section
+            .entries
+            .iter()
+            .find(|entry| entry.key == key)
+            .cloned()
+    }
+
+    fn parse<T>(&mut self, entry: &Entry) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        match entry.value.parse() {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.problem(entry.line, format!("{}: {error}", entry.key));
+                None
+            }
+        }
+    }
+
+    fn problem(&mut self, line: usize, message: String) {
+        self.problems.push(Problem {
+            file: self.file.to_owned(),
+            line,
+            message,
+        });
+    }
+}
--- /dev/null
+++ b/crates/vanillafold/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/vanillafold/src/main.rs
@@ -0,0 +1,3 @@
+//! The daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/vanillafoldctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators tool.
+
+fn main() {}
