Read and write HTTP/1.1 with bounded memory; name the platform's edges

Cause: the path needs HTTP on both sides; monoio-http's body decoders hold a whole fixed body or chunk in memory and its framing lets Transfer-Encoding win over Content-Length, which invites request smuggling. Ruled out: monoio-http's ServerCodec and GenericEncoder for bodies (a body of 1 GiB would be held whole). Change: heads are parsed by monoio-http, framing and bodies by our own reader in pieces of 64 KiB; strict framing; an idle connection keeps 1 KiB; a small client and server for administration; the platform's traits. Before: nothing. Conclusion: base for daemon and stand-ins.

--- /dev/null
+++ b/crates/vanillafold-wire/src/http/client.rs
@@ -0,0 +1,154 @@
+//! A plain client of small messages: the platform, probes and the operators' tool.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Response};
+use monoio::net::TcpStream;
+use monoio::time::timeout;
+
+use super::server::collect;
+use super::{
+    BodyError, Framing, FramingError, HeadError, HttpReader, HttpWriter, encode_request_head,
+    response_framing, split,
+};
+
+/// The largest answer that a [`Client`] takes, in bytes.
+const MAX_ANSWER: usize = 8 << 20;
+
+/// Why a request got no answer.
+#[derive(Debug, thiserror::Error)]
+#[non_exhaustive]
+pub enum ClientError {
+    /// No connection could be opened: the request did not leave.
+    #[error("no connection to {address}: {source}")]
+    Connect {
+        /// Who was called.
+        address: SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The connection broke while the request was written.
+    #[error("the connection broke: {0}")]
+    Write(io::Error),
+    /// No answer came in time.
+    #[error("no answer within {0:?}")]
+    TimedOut(Duration),
+    /// The answer's head is missing or wrong.
+    #[error("no valid answer: {0}")]
+    Head(#[from] HeadError),
+    /// The answer's length is doubtful.
+    #[error("no valid answer: {0}")]
+    Framing(#[from] FramingError),
+    /// The answer's body is cut short or wrong.
+    #[error("no whole answer: {0}")]
+    Body(#[from] BodyError),
+    /// The answer is too large.
+    #[error("the answer is larger than {MAX_ANSWER} bytes")]
+    TooLarge,
+}
+
+/// A client of one address that keeps its connection open between requests.
+#[derive(Debug)]
+pub struct Client {
+    address: SocketAddr,
+    timeout: Duration,
+    connection: Option<(HttpReader, HttpWriter)>,
+}
+
+impl Client {
+    /// A client of `address` that waits at most `timeout` for each answer.
+    #[must_use]
+    pub const fn new(address: SocketAddr, timeout: Duration) -> Self {
+        Self {
+            address,
+            timeout,
+            connection: None,
+        }
+    }
+
+    /// The address that is called.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Waits at most `timeout` for each answer from now on.
+    #[must_use]
+    pub const fn with_timeout(mut self, timeout: Duration) -> Self {
+        self.timeout = timeout;
+        self
+    }
+
+    /// Sends a request and waits for the whole answer. Nothing is repeated.
+    ///
+    /// # Errors
+    ///
+    /// [`ClientError`]; after any but [`ClientError::Connect`] the request may have had its effect.
+    pub async fn request(
+        &mut self,
+        method: Method,
+        path: &str,
+        headers: &HeaderMap,
+        body: Bytes,
+    ) -> Result<Response<Bytes>, ClientError> {
+        let limit = self.timeout;
+        // Taken out, so that a request given up in the middle leaves no half-read connection.
+        let kept = self.connection.take();
+        let exchange = async {
+            let mut connection = match reuse(kept).await {
+                Some(connection) => connection,
+                None => self.connect().await?,
+            };
+            let response = exchange(&mut connection, method, path, headers, body).await?;
+            Ok::<_, ClientError>((connection, response))
+        };
+        let (connection, response) = timeout(limit, exchange)
+            .await
+            .map_err(|_| ClientError::TimedOut(limit))??;
+        self.connection = Some(connection);
+        Ok(response)
+    }
+
+    async fn connect(&self) -> Result<(HttpReader, HttpWriter), ClientError> {
+        let stream = TcpStream::connect_addr(self.address)
+            .await
+            .map_err(|source| ClientError::Connect {
+                address: self.address,
+                source,
+            })?;
+        Ok(split(stream))
+    }
+}
+
+async fn reuse(kept: Option<(HttpReader, HttpWriter)>) -> Option<(HttpReader, HttpWriter)> {
+    let (mut reader, writer) = kept?;
+    reader.is_quiet().await.then_some((reader, writer))
+}
+
+async fn exchange(
+    (reader, writer): &mut (HttpReader, HttpWriter),
+    method: Method,
+    path: &str,
+    headers: &HeaderMap,
+    body: Bytes,
+) -> Result<Response<Bytes>, ClientError> {
+    let framing = match body.len() {
+        0 => Framing::Empty,
+        length => Framing::Length(length as u64),
+    };
+    encode_request_head(writer.buffer(), &method, path, headers.iter(), framing);
+    writer
+        .body_piece(framing, body)
+        .await
+        .map_err(ClientError::Write)?;
+    writer.flush().await.map_err(ClientError::Write)?;
+    let head = reader.response_head().await?;
+    let framing = response_framing(&method, head.status, &head.headers)?;
+    let body = collect(reader, framing, MAX_ANSWER)
+        .await?
+        .ok_or(ClientError::TooLarge)?;
+    Ok(Response::from_parts(head, body))
+}
--- /dev/null
+++ b/crates/vanillafold-wire/src/http/framing.rs
@@ -0,0 +1,81 @@
+//! How long a message is, decided strictly (RFC 9112, section 6.3): whatever two programs
+//! could read in two ways is refused.
+
+use http::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
+use http::{Method, StatusCode};
+
+use super::FramingError;
+
+/// How the end of a body is found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// There is no body.
+    Empty,
+    /// The body has this many bytes.
+    Length(u64),
+    /// The body comes in chunks.
+    Chunked,
+}
+
+/// The framing of a request.
+///
+/// # Errors
+///
+/// Whatever makes its end doubtful.
+pub fn request_framing(headers: &HeaderMap) -> Result<Framing, FramingError> {
+    Ok(declared(headers)?.unwrap_or(Framing::Empty))
+}
+
+/// The framing of the answer to a request of method `method`.
+///
+/// # Errors
+///
+/// Whatever makes its end doubtful, an end marked only by the connection's end included.
+pub fn response_framing(
+    method: &Method,
+    status: StatusCode,
+    headers: &HeaderMap,
+) -> Result<Framing, FramingError> {
+    let declared = declared(headers)?;
+    let bodyless = *method == Method::HEAD
+        || status == StatusCode::NO_CONTENT
+        || status == StatusCode::NOT_MODIFIED;
+    match declared {
+        _ if bodyless => Ok(Framing::Empty),
+        Some(framing) => Ok(framing),
+        None => Err(FramingError::Unmarked),
+    }
+}
+
+fn declared(headers: &HeaderMap) -> Result<Option<Framing>, FramingError> {
+    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+    let mut encodings = headers.get_all(TRANSFER_ENCODING).iter();
+    let length = lengths.next();
+    let encoding = encodings.next();
+    if lengths.next().is_some() || encodings.next().is_some() {
+        return Err(FramingError::Repeated);
+    }
+    match (length, encoding) {
+        (Some(_), Some(_)) => Err(FramingError::Both),
+        (Some(length), None) => parse_length(length.as_bytes()).map(Some),
+        (None, Some(encoding)) if encoding.as_bytes().eq_ignore_ascii_case(b"chunked") => {
+            Ok(Some(Framing::Chunked))
+        }
+        (None, Some(_)) => Err(FramingError::BadEncoding),
+        (None, None) => Ok(None),
+    }
+}
+
+fn parse_length(text: &[u8]) -> Result<Framing, FramingError> {
+    if text.is_empty() || !text.iter().all(u8::is_ascii_digit) {
+        return Err(FramingError::BadLength);
+    }
+    let length = std::str::from_utf8(text)
+        .ok()
+        .and_then(|digits| digits.parse::<u64>().ok())
+        .ok_or(FramingError::BadLength)?;
+    match length {
+        0 => Ok(Framing::Empty),
+        length => Ok(Framing::Length(length)),
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-wire/src/http/header.rs
@@ -0,0 +1,38 @@
+//! Headers that belong to one connection and are never passed on.
+
+use http::header::{
+    CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
+    TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
+
+const KEEP_ALIVE: &str = "keep-alive";
+const PROXY_CONNECTION: &str = "proxy-connection";
+
+/// Whether `name` belongs to one connection only (RFC 9110, section 7.6.1), its framing
+/// and what its `Connection` header names included.
+#[must_use]
+pub fn is_hop_by_hop(name: &HeaderName, headers: &HeaderMap) -> bool {
+    let fixed = [
+        CONNECTION,
+        CONTENT_LENGTH,
+        PROXY_AUTHENTICATE,
+        PROXY_AUTHORIZATION,
+        TE,
+        TRAILER,
+        TRANSFER_ENCODING,
+        UPGRADE,
+    ];
+    fixed.contains(name)
+        || name.as_str() == KEEP_ALIVE
+        || name.as_str() == PROXY_CONNECTION
+        || named_by_connection(name, headers)
+}
+
+fn named_by_connection(name: &HeaderName, headers: &HeaderMap) -> bool {
+    headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .any(|token| token.trim().eq_ignore_ascii_case(name.as_str()))
+}
