--- a/crates/vanillafold-wire/src/http/reader.rs
+++ b/crates/vanillafold-wire/src/http/reader.rs
@@ -162,6 +162,14 @@
         std::future::pending::<()>().await;
     }
 
+    /// Reads over what the peer still sends, until it closes.
+    pub async fn skip_to_end(&mut self) {
+        self.buffer.clear();
+        while matches!(self.fill(MAX_HEAD).await, Ok(length) if length > 0) {
+            self.buffer.clear();
+        }
+    }
+
     /// Frees the buffer if nothing is left in it.
     pub fn shrink(&mut self) {
         if self.buffer.is_empty() {
--- /dev/null
+++ b/crates/vanillafold/src/caller/connection.rs
@@ -0,0 +1,217 @@
+//! One caller connection: a request after the other.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use monoio::time::{Instant, timeout};
+use vanillafold_types::ResultCode;
+use vanillafold_wire::http::{
+    BodyReader, Framing, HeadError, HttpReader, HttpWriter, RequestHead,
+};
+
+use super::request::BadRequest;
+use super::{CallerRequest, PreparedBody, Refusal};
+use crate::dispatch::{Delivered, Dispatch};
+use crate::node::Node;
+
+/// The longest body that is read over after a refusal, to keep the connection, in bytes.
+const MAX_SKIPPED_BODY: u64 = 64 * 1024;
+
+/// How long a refused caller's remaining bytes are read over before its connection is closed.
+const CLOSE_GRACE: Duration = Duration::from_millis(500);
+
+const CONTINUE_HEAD: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// What becomes of a connection after a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Next {
+    /// Another request may follow.
+    KeepAlive,
+    /// The caller is told and the connection ends.
+    Close,
+    /// The connection ends at once: an answer on it was cut short.
+    Abort,
+}
+
+/// Counts a connection for as long as it is open.
+struct OpenConnection(Rc<Node>);
+
+impl OpenConnection {
+    fn new(node: &Rc<Node>) -> Self {
+        node.open_connections.set(node.open_connections.get() + 1);
+        node.counters.connections_open.increment(1.0);
+        Self(Rc::clone(node))
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.open_connections.set(self.0.open_connections.get() - 1);
+        self.0.counters.connections_open.decrement(1.0);
+    }
+}
+
+/// Serves a caller connection until it ends or the daemon stops.
+pub(crate) async fn serve_connection(
+    node: Rc<Node>,
+    mut reader: HttpReader,
+    mut writer: HttpWriter,
+) {
+    let _open = OpenConnection::new(&node);
+    while let Some(()) = wait_request(&node, &mut reader, &mut writer).await {
+        // Boxed, so that an idle connection does not hold the space of a request's future.
+        let serving = Box::pin(serve_request(&node, &mut reader, &mut writer));
+        match serving.await {
+            Next::KeepAlive => {}
+            Next::Close => {
+                writer.close().await;
+                let _ = timeout(CLOSE_GRACE, reader.skip_to_end()).await;
+                return;
+            }
+            Next::Abort => return,
+        }
+    }
+    writer.close().await;
+}
+
+/// Waits for a request's first byte; `None` if the connection should end.
+async fn wait_request(
+    node: &Rc<Node>,
+    reader: &mut HttpReader,
+    writer: &mut HttpWriter,
+) -> Option<()> {
+    reader.shrink();
+    writer.shrink();
+    let idle = node.settings.timeouts.idle_ms.duration();
+    monoio::select! {
+        biased;
+        waited = timeout(idle, reader.wait_message()) => match waited {
+            Ok(Ok(())) => Some(()),
+            Ok(Err(_)) | Err(_) => None,
+        },
+        () = node.shutdown.ordered() => None,
+    }
+}
+
+async fn serve_request(node: &Rc<Node>, reader: &mut HttpReader, writer: &mut HttpWriter) -> Next {
+    let _served = node.in_flight();
+    let head = match read_head(node, reader).await {
+        Ok(head) => head,
+        Err(Some(code)) => return refuse(node, writer, &Refusal::unnamed(code), Next::Close).await,
+        Err(None) => return Next::Abort,
+    };
+    let arrived = Instant::now();
+    match CallerRequest::from_head(node, head, arrived) {
+        Ok(request) => serve_checked(node, reader, writer, request, arrived).await,
+        Err(bad) => refuse_bad(node, reader, writer, bad).await,
+    }
+}
+
+async fn read_head(
+    node: &Node,
+    reader: &mut HttpReader,
+) -> Result<RequestHead, Option<ResultCode>> {
+    let limit = node.settings.timeouts.head_ms.duration();
+    match timeout(limit, reader.request_head()).await {
+        Ok(Ok(head)) => Ok(head),
+        Ok(Err(HeadError::TooLarge { .. })) => Err(Some(ResultCode::OversizedHead)),
+        Ok(Err(HeadError::Malformed(_))) => Err(Some(ResultCode::MalformedHead)),
+        Ok(Err(_)) => Err(None),
+        Err(_) => Err(Some(ResultCode::SlowHead)),
+    }
+}
+
+async fn serve_checked(
+    node: &Rc<Node>,
+    reader: &mut HttpReader,
+    writer: &mut HttpWriter,
+    request: CallerRequest,
+    arrived: Instant,
+) -> Next {
+    if request.expects_continue {
+        writer.buffer().extend_from_slice(CONTINUE_HEAD);
+        if writer.flush().await.is_err() {
+            return Next::Abort;
+        }
+    }
+    let piece_ms = node.settings.timeouts.body_ms;
+    let body = PreparedBody::read(reader, request.framing, piece_ms, request.deadline).await;
+    let body = match body {
+        Ok(body) => body,
+        Err(code) => {
+            let refusal = Refusal {
+                code,
+                request: Some(request.id),
+            };
+            return refuse(node, writer, &refusal, Next::Close).await;
+        }
+    };
+    let dispatch = Dispatch::new(node, &request, body);
+    let next = match dispatch.run(reader, writer).await {
+        Delivered::Whole => {
+            node.counters.result(ResultCode::Answered);
+            Next::KeepAlive
+        }
+        Delivered::Cut => {
+            node.counters.answers_cut.increment(1);
+            Next::Abort
+        }
+        Delivered::CallerGone => {
+            node.counters.callers_gone.increment(1);
+            Next::Abort
+        }
+        Delivered::Refused { code, body_read } => {
+            let refusal = Refusal {
+                code,
+                request: Some(request.id),
+            };
+            let next = match body_read {
+                true => Next::KeepAlive,
+                false => Next::Close,
+            };
+            refuse(node, writer, &refusal, next).await
+        }
+    };
+    node.counters.answer_seconds.record(arrived.elapsed());
+    next
+}
+
+async fn refuse_bad(
+    node: &Node,
+    reader: &mut HttpReader,
+    writer: &mut HttpWriter,
+    bad: BadRequest,
+) -> Next {
+    let next = match bad.framing {
+        Some(framing) if skip_body(node, reader, framing).await => Next::KeepAlive,
+        _ => Next::Close,
+    };
+    refuse(node, writer, &bad.refusal, next).await
+}
+
+/// Reads over the body of a refused request, if it is small and comes at once.
+async fn skip_body(node: &Node, reader: &mut HttpReader, framing: Framing) -> bool {
+    if matches!(framing, Framing::Length(length) if length > MAX_SKIPPED_BODY) {
+        return false;
+    }
+    let mut body = BodyReader::new(framing);
+    let skipping = async {
+        while let Ok(Some(_)) = body.next(reader).await {
+            if body.received_bytes() > MAX_SKIPPED_BODY {
+                return;
+            }
+        }
+    };
+    let _ = timeout(node.settings.timeouts.body_ms.duration(), skipping).await;
+    body.is_done()
+}
+
+async fn refuse(node: &Node, writer: &mut HttpWriter, refusal: &Refusal, next: Next) -> Next {
+    node.counters.result(refusal.code);
+    let close = next != Next::KeepAlive || node.shutdown.is_ordered();
+    match refusal.write(writer, &node.daemon_header, close).await {
+        Ok(()) if close => Next::Close,
+        Ok(()) => next,
+        Err(_) => Next::Abort,
+    }
+}
--- /dev/null
+++ b/crates/vanillafold/src/caller/refusal.rs
@@ -0,0 +1,69 @@
+//! A refusal: a numbered code, and what happens to the connection.
+
+use http::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
+use http::StatusCode;
+use vanillafold_types::{Outcome, RequestId, ResultCode};
+use vanillafold_wire::http::{Framing, HttpWriter, encode_response_head};
+
+const OUTCOME: HeaderName = HeaderName::from_static("vf-outcome");
+const REQUEST_ID: HeaderName = HeaderName::from_static("vf-request-id");
+const RESULT_CODE: HeaderName = HeaderName::from_static("vf-result-code");
+const DAEMON: HeaderName = HeaderName::from_static("vf-daemon");
+
+/// A request that gets no answer of a target.
+#[derive(Debug, Clone)]
+pub(crate) struct Refusal {
+    /// Why.
+    pub(crate) code: ResultCode,
+    /// The request's id, once it is known.
+    pub(crate) request: Option<RequestId>,
+}
+
+impl Refusal {
+    /// A refusal of a request whose id is not known.
+    pub(crate) const fn unnamed(code: ResultCode) -> Self {
+        Self {
+            code,
+            request: None,
+        }
+    }
+
+    /// Encodes the refusal; `close` says that the connection ends with it.
+    pub(crate) async fn write(
+        &self,
+        writer: &mut HttpWriter,
+        daemon: &HeaderValue,
+        close: bool,
+    ) -> std::io::Result<()> {
+        let mut headers = HeaderMap::new();
+        answer_headers(&mut headers, self.request.as_ref(), self.code, daemon);
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        if close {
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        let body = format!("{}\n", self.code);
+        let framing = Framing::Length(body.len() as u64);
+        let status = StatusCode::from_u16(self.code.status())
+            .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        encode_response_head(writer.buffer(), status, headers.iter(), framing);
+        writer.body_piece(framing, body.into()).await?;
+        writer.flush().await
+    }
+}
+
+/// Sets the headers that every answer to a caller carries.
+pub(crate) fn answer_headers(
+    headers: &mut HeaderMap,
+    request: Option<&RequestId>,
+    code: ResultCode,
+    daemon: &HeaderValue,
+) {
+    let outcome: Outcome = code.outcome();
+    headers.insert(OUTCOME, HeaderValue::from_static(outcome.as_str()));
+    headers.insert(RESULT_CODE, HeaderValue::from(code.number()));
+    headers.insert(DAEMON, daemon.clone());
+    // An id holds only letters, digits and - _ . so it is always a header's value.
+    if let Some(Ok(value)) = request.map(|id| HeaderValue::from_str(id.as_str())) {
+        headers.insert(REQUEST_ID, value);
+    }
+}
--- /dev/null
+++ b/crates/vanillafold/src/counter/counters.rs
@@ -0,0 +1,74 @@
+//! The counters that the request path touches, looked up once.
+
+use metrics::{Counter, Gauge, Histogram, counter, gauge, histogram};
+use vanillafold_types::ResultCode;
+
+/// Handles of the daemon's counters.
+#[derive(Clone)]
+pub struct Counters {
+    results: Vec<Counter>,
+    /// Caller connections accepted.
+    pub connections_accepted: Counter,
+    /// Caller connections open now.
+    pub connections_open: Gauge,
+    /// Sends to targets, first ones and retries.
+    pub sends: Counter,
+    /// Answers that were cut short after their head was passed on.
+    pub answers_cut: Counter,
+    /// Callers that went away before their request was sent.
+    pub callers_gone: Counter,
+    /// Work that was given up on and may still run at its target.
+    pub lingering: Gauge,
+    /// From a request's head to the end of its answer, in seconds.
+    pub answer_seconds: Histogram,
+}
+
+impl Counters {
+    /// Registers the counters with the recorder that is installed.
+    #[must_use]
+    pub fn register() -> Self {
+        let results = ResultCode::ALL
+            .iter()
+            .map(|code| {
+                counter!(
+                    "vanillafold_results_total",
+                    "code" => code.number().to_string(),
+                    "result" => code.label(),
+                    "outcome" => code.outcome().as_str()
+                )
+            })
+            .collect();
+        Self {
+            results,
+            connections_accepted: counter!("vanillafold_connections_accepted_total"),
+            connections_open: gauge!("vanillafold_connections_open"),
+            sends: counter!("vanillafold_sends_total"),
+            answers_cut: counter!("vanillafold_answers_cut_total"),
+            callers_gone: counter!("vanillafold_callers_gone_total"),
+            lingering: gauge!("vanillafold_lingering"),
+            answer_seconds: histogram!("vanillafold_answer_seconds"),
+        }
+    }
+
+    /// Counts a result.
+    pub fn result(&self, code: ResultCode) {
+        if let Ok(index) = ResultCode::ALL.binary_search(&code) {
+            self.results[index].increment(1);
+        }
+    }
+
+    /// Counts a retry for `reason`.
+    pub fn retry(&self, reason: &'static str) {
+        counter!("vanillafold_retries_total", "reason" => reason).increment(1);
+    }
+
+    /// Counts a retry that was not made for `reason`.
+    pub fn retry_refused(&self, reason: &'static str) {
+        counter!("vanillafold_retries_refused_total", "reason" => reason).increment(1);
+    }
+
+    /// Counts something of the control side that went wrong.
+    pub fn control_failure(&self, what: &'static str) {
+        counter!("vanillafold_control_failures_total", "what" => what).increment(1);
+    }
+}
--- /dev/null
+++ b/crates/vanillafold/src/counter/mod.rs
@@ -0,0 +1,5 @@
+//! Counters: one for each result, refusal and retry reason.
+
+mod counters;
+
+pub use counters::Counters;
--- /dev/null
+++ b/crates/vanillafold/src/logging/mod.rs
@@ -0,0 +1,5 @@
+//! Logs: a JSON object a line on standard error.
+
+mod logger;
+
+pub use logger::{LoggingError, start_logging};
--- /dev/null
+++ b/crates/vanillafold/src/settings/mod.rs
@@ -0,0 +1,7 @@
+//! The daemon's settings: INI, checked as a whole before anything starts.
+
+mod daemon;
+mod secret;
+
+pub use daemon::{PeerSettings, PlatformSettings, Settings, SettingsError, Timeouts};
+pub use secret::{Secret, SecretError};
