Add the routing and retry decisions, first cut

Cause: the daemon needs a table of targets and a retry decision to build on, both without I/O and without a clock so that a run can be repeated from its inputs.

Change: TargetTable (pick, started, finished, connections, health checks), the split of a VM's connections between daemons, RequestAttempts with its typed decisions, RetryBudget, and the baselines to measure against. A pick is a token that finishing consumes, so that a send can't end twice.

--- /dev/null
+++ b/crates/vanillafold-policy/src/baseline/route.rs
@@ -0,0 +1,52 @@
+//! What a routing decision has to do to be measured.
+
+use crate::{
+    Finish, Member, MonotonicMillis, PickOptions, PickRefusal, PickedTarget, SplitMix, TargetTable,
+};
+
+/// A way of choosing targets.
+pub trait Route {
+    /// Takes the membership list.
+    fn set_members(&mut self, members: Vec<Member>);
+
+    /// Picks a target for one send.
+    ///
+    /// # Errors
+    ///
+    /// Why none was picked.
+    fn pick(
+        &mut self,
+        now: MonotonicMillis,
+        rng: &mut SplitMix,
+        options: PickOptions<'_>,
+    ) -> Result<PickedTarget, PickRefusal>;
+
+    /// Counts a send as outstanding.
+    fn started(&mut self, picked: &PickedTarget);
+
+    /// Counts a send as ended.
+    fn finished(&mut self, picked: PickedTarget, now: MonotonicMillis, finish: Finish);
+}
+
+impl Route for TargetTable {
+    fn set_members(&mut self, members: Vec<Member>) {
+        Self::set_members(self, members);
+    }
+
+    fn pick(
+        &mut self,
+        now: MonotonicMillis,
+        rng: &mut SplitMix,
+        options: PickOptions<'_>,
+    ) -> Result<PickedTarget, PickRefusal> {
+        Self::pick(self, now, rng, options)
+    }
+
+    fn started(&mut self, picked: &PickedTarget) {
+        Self::started(self, picked);
+    }
+
+    fn finished(&mut self, picked: PickedTarget, now: MonotonicMillis, finish: Finish) {
+        Self::finished(self, picked, now, finish);
+    }
+}
--- a/crates/vanillafold-policy/src/lib.rs
+++ b/crates/vanillafold-policy/src/lib.rs
@@ -1,1 +1,30 @@
-//! Placeholder.
+//! The decisions of vanillafold: routing and retries.
+//!
+//! | to choose a target | [`TargetTable`], [`PickOptions`], [`PickedTarget`], [`PickRefusal`] |
+//! |---|---|
+//! | to tell how a send ended | [`Finish`], [`FailureKind`], [`NotRunReason`] |
+//! | to split connections | [`connections_allowed`], [`connection_share`], [`reaches`] |
+//! | to decide on a retry | [`RequestAttempts`], [`AttemptFailure`], [`Decision`], [`RetryBudget`] |
+//! | to measure against | [`baseline`] |
+//!
+//! Plain data and plain functions: no I/O and no clock. Times come in as [`MonotonicMillis`],
+//! random numbers as [`SplitMix`], so that a run with the same inputs gives the same decisions.
+
+pub mod baseline;
+mod random;
+mod retry;
+mod routing;
+mod time;
+
+pub use random::SplitMix;
+pub use retry::{
+    AttemptFailure, Decision, MAX_REROUTES, MAX_SENDS, MIN_RETRIES_PER_SECOND, MIN_RETRY_REMAINING,
+    RETRY_BURST, RequestAttempts, RequestTerms, RetryAllowance, RetryBudget, RetryReason,
+    StopReason,
+};
+pub use routing::{
+    DaemonMember, FailureKind, Finish, HealthAnswer, HealthCheck, Member, MemberState,
+    NotRunReason, PANIC_PERCENT, PickOptions, PickRefusal, PickedTarget, SAMPLED_TARGETS, Standing,
+    TargetLimits, TargetTable, TargetView, connection_share, connections_allowed, reaches,
+};
+pub use time::MonotonicMillis;
--- /dev/null
+++ b/crates/vanillafold-policy/src/routing/health.rs
@@ -0,0 +1,255 @@
+//! Outlier ejection: a failing target is set aside and comes back by probes.
+//!
+//! The shape is the usual one of a circuit breaker (Nygard: Release It!, 2007) with two
+//! additions. A target is set aside only if it fails distinctly more than the others of its
+//! pool, so requests that fail everywhere empty no pool. And a failure adds a penalty to the
+//! load estimate, so a target that fails fast doesn't look idle before it is set aside.
+
+use vanillafold_types::{Millis, VmId};
+
+use super::decayed::Decayed;
+use crate::MonotonicMillis;
+use crate::random::{hash_text, mix};
+
+/// Failures in a row that set a target aside.
+pub(crate) const FAILURE_RUN: u32 = 5;
+/// Recent failure rate that sets a target aside.
+pub(crate) const FAILURE_RATE: f64 = 0.5;
+/// Recent sends, decayed, below which the rate says nothing.
+pub(crate) const RATE_MIN_SENDS: f64 = 10.0;
+/// How far a target's failure rate must lie above that of the others of its pool.
+pub(crate) const OUTLIER_MARGIN: f64 = 0.3;
+/// Half-life of the counts behind the recent failure rate.
+const RATE_HALF_LIFE: Millis = Millis::new(5_000);
+
+/// Load, in slots, that each failure adds to the estimate.
+const FAILURE_PENALTY_SLOTS: f64 = 4.0;
+/// The largest penalty, in slots.
+const MAX_PENALTY_SLOTS: f64 = 64.0;
+/// Half-life of the penalty.
+const PENALTY_HALF_LIFE: Millis = Millis::new(2_000);
+
+/// The first time aside.
+const MIN_ASIDE: Millis = Millis::new(1_000);
+/// The longest time aside, without its jitter.
+const MAX_ASIDE: Millis = Millis::new(30_000);
+/// Jitter as a part of the time aside: up to 1 / `JITTER_DIVISOR` is added.
+const JITTER_DIVISOR: u64 = 4;
+/// Time without an ejection after which the time aside starts again at [`MIN_ASIDE`].
+const FORGIVE_AFTER: Millis = Millis::new(120_000);
+/// Successful probes that bring a target back.
+const PROBE_SUCCESSES: u32 = 3;
+/// Time over which a target that came back gets its full share again.
+const SLOW_START: Millis = Millis::new(10_000);
+/// The part of its share that it starts with.
+const SLOW_START_FLOOR: f64 = 0.1;
+
+/// Share of a pool, in percent, above which set-aside targets are probed early: so many at once
+/// are more likely to be judged wrongly, or to recover together.
+pub const PANIC_PERCENT: usize = 50;
+/// The time aside under panic.
+const PANIC_ASIDE: Millis = Millis::new(200);
+/// How long a probe waits for an idempotent request before it takes any.
+const PROBE_PATIENCE: Millis = Millis::new(2_000);
+
+/// Whether a target may be tried.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Trust {
+    Full,
+    /// One request may probe it.
+    Probe,
+    /// A probe is under way.
+    Probing,
+    /// Set aside until then.
+    Aside(MonotonicMillis),
+}
+
+/// Recent sends of one target or of several.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct RecentSends {
+    pub(crate) sent: f64,
+    pub(crate) failed: f64,
+}
+
+impl RecentSends {
+    fn rate(&self) -> f64 {
+        match self.sent {
+            sent if sent > 0.0 => self.failed / sent,
+            _ => 0.0,
+        }
+    }
+
+    pub(crate) fn plus(self, other: Self) -> Self {
+        Self {
+            sent: self.sent + other.sent,
+            failed: self.failed + other.failed,
+        }
+    }
+}
+
+/// A target's time aside.
+#[derive(Debug, Clone, Copy)]
+struct Aside {
+    since: MonotonicMillis,
+    until: MonotonicMillis,
+    probing: bool,
+    successes: u32,
+}
+
+/// What is known of a target's health.
+#[derive(Debug)]
+pub(crate) struct Health {
+    jitter_seed: u64,
+    run: u32,
+    sent: Decayed,
+    failed: Decayed,
+    penalty: Decayed,
+    aside: Option<Aside>,
+    ejections: u32,
+    ejected_at: MonotonicMillis,
+    returned_at: Option<MonotonicMillis>,
+}
+
+impl Health {
+    /// `salt` makes the jitter of two daemons differ.
+    pub(crate) fn new(vm: &VmId, salt: u64) -> Self {
+        Self {
+            jitter_seed: mix(hash_text(vm.as_str()) ^ salt),
+            run: 0,
+            sent: Decayed::new(RATE_HALF_LIFE),
+            failed: Decayed::new(RATE_HALF_LIFE),
+            penalty: Decayed::new(PENALTY_HALF_LIFE),
+            aside: None,
+            ejections: 0,
+            ejected_at: MonotonicMillis::ZERO,
+            returned_at: None,
+        }
+    }
+
+    pub(crate) fn is_aside(&self) -> bool {
+        self.aside.is_some()
+    }
+
+    pub(crate) fn recent(&self, now: MonotonicMillis) -> RecentSends {
+        RecentSends {
+            sent: self.sent.get(now),
+            failed: self.failed.get(now),
+        }
+    }
+
+    pub(crate) fn trust(&self, now: MonotonicMillis, panic: bool, idempotent: bool) -> Trust {
+        let Some(aside) = self.aside else {
+            return Trust::Full;
+        };
+        let until = match panic {
+            true => aside.until.min(aside.since.after(PANIC_ASIDE)),
+            false => aside.until,
+        };
+        let ripe = match idempotent || panic {
+            true => until,
+            false => until.after(PROBE_PATIENCE),
+        };
+        match now {
+            _ if aside.probing => Trust::Probing,
+            now if now >= ripe => Trust::Probe,
+            _ => Trust::Aside(ripe),
+        }
+    }
+
+    /// The end of the time aside, if the target is set aside.
+    pub(crate) fn aside_until(&self) -> Option<MonotonicMillis> {
+        self.aside.map(|aside| aside.until)
+    }
+
+    pub(crate) fn penalty(&self, now: MonotonicMillis) -> f64 {
+        self.penalty.get(now)
+    }
+
+    /// The part of its full share that a target that came back gets, up to 1.
+    pub(crate) fn slow_start(&self, now: MonotonicMillis) -> f64 {
+        let Some(returned_at) = self.returned_at else {
+            return 1.0;
+        };
+        let part = now.since(returned_at).get() as f64 / SLOW_START.get() as f64;
+        part.clamp(SLOW_START_FLOOR, 1.0)
+    }
+
+    pub(crate) fn probe_started(&mut self) {
+        if let Some(aside) = &mut self.aside {
+            aside.probing = true;
+        }
+    }
+
+    /// Ends a probe that taught nothing.
+    pub(crate) fn probe_ended(&mut self) {
+        if let Some(aside) = &mut self.aside {
+            aside.probing = false;
+        }
+    }
+
+    pub(crate) fn succeeded(&mut self, now: MonotonicMillis, probe: bool) {
+        self.run = 0;
+        self.sent.add(now, 1.0);
+        if !probe {
+            return;
+        }
+        self.probe_ended();
+        let Some(aside) = &mut self.aside else {
+            return;
+        };
+        aside.successes += 1;
+        if aside.successes >= PROBE_SUCCESSES {
+            self.come_back(now);
+        }
+    }
+
+    /// Notes a failure; `others` are the sends of the other targets in use.
+    pub(crate) fn failed(&mut self, now: MonotonicMillis, probe: bool, others: RecentSends) {
+        self.run += 1;
+        self.sent.add(now, 1.0);
+        self.failed.add(now, 1.0);
+        let penalty = self.penalty.get(now) + FAILURE_PENALTY_SLOTS;
+        self.penalty.set(now, penalty.min(MAX_PENALTY_SLOTS));
+        match self.aside {
+            Some(_) if probe => self.set_aside(now),
+            None if self.is_outlier(now, others) => self.set_aside(now),
+            _ => {}
+        }
+    }
+
+    /// Starts a time aside, twice as long as the one before.
+    pub(crate) fn set_aside(&mut self, now: MonotonicMillis) {
+        if now.since(self.ejected_at) > FORGIVE_AFTER {
+            self.ejections = 0;
+        }
+        let doubled = MIN_ASIDE.get() << self.ejections.min(16);
+        let aside_ms = doubled.min(MAX_ASIDE.get());
+        let jitter_ms =
+            mix(self.jitter_seed ^ u64::from(self.ejections)) % (aside_ms / JITTER_DIVISOR);
+        self.ejections += 1;
+        self.ejected_at = now;
+        self.aside = Some(Aside {
+            since: now,
+            until: now.after(Millis::new(aside_ms + jitter_ms)),
+            probing: false,
+            successes: 0,
+        });
+    }
+
+    fn is_outlier(&self, now: MonotonicMillis, others: RecentSends) -> bool {
+        let own = self.recent(now);
+        let by_run = self.run >= FAILURE_RUN;
+        let by_rate = own.sent >= RATE_MIN_SENDS && own.rate() >= FAILURE_RATE;
+        let beyond_others = own.rate() >= others.rate() + OUTLIER_MARGIN;
+        (by_run || by_rate) && beyond_others
+    }
+
+    fn come_back(&mut self, now: MonotonicMillis) {
+        self.aside = None;
+        self.run = 0;
+        self.sent.set(now, 0.0);
+        self.failed.set(now, 0.0);
+        self.penalty.set(now, 0.0);
+        self.returned_at = Some(now);
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-policy/src/routing/mod.rs
@@ -0,0 +1,18 @@
+//! Which target gets a request: load, health and connections of each target of one pool.
+
+mod connections;
+mod decayed;
+mod finish;
+mod health;
+mod load;
+mod member;
+mod pick;
+mod table;
+mod target;
+
+pub use connections::{connection_share, connections_allowed, reaches};
+pub use finish::{FailureKind, Finish, HealthAnswer, NotRunReason};
+pub use health::PANIC_PERCENT;
+pub use member::{DaemonMember, Member, MemberState, TargetLimits};
+pub use pick::{HealthCheck, PickOptions, PickRefusal, PickedTarget, Standing, TargetView};
+pub use table::{SAMPLED_TARGETS, TargetTable};
--- /dev/null
+++ b/crates/vanillafold-policy/src/routing/table.rs
@@ -0,0 +1,463 @@
+//! The targets of one pool, as one daemon sees them.
+
+use vanillafold_types::{Connections, Millis, Slots, VmId};
+
+use super::health::RecentSends;
+use super::target::{LATENCY_GAIN, PickContext, Target, Use};
+use super::{
+    DaemonMember, Finish, HealthAnswer, HealthCheck, Member, MemberState, NotRunReason,
+    PANIC_PERCENT, PickOptions, PickRefusal, PickedTarget, Standing, TargetLimits, TargetView,
+    connections_allowed,
+};
+use crate::random::hash_text;
+use crate::{MonotonicMillis, SplitMix};
+
+/// Targets that are compared for one pick.
+///
+/// Two already avoid the worst of a random choice (Mitzenmacher: The power of two choices in
+/// randomized load balancing, 2001); the third makes a pick of only suspect targets rare.
+pub const SAMPLED_TARGETS: usize = 3;
+
+/// Time between two health checks of one target.
+const HEALTH_CHECK_INTERVAL: Millis = Millis::new(5_000);
+/// How long before the end of its time aside a target's health is checked.
+const HEALTH_CHECK_LEAD: Millis = Millis::new(500);
+
+/// The targets of one pool, as one daemon sees them: membership, load, health, connections.
+#[derive(Debug)]
+pub struct TargetTable {
+    own: DaemonMember,
+    salt: u64,
+    limits: TargetLimits,
+    daemons: Vec<DaemonMember>,
+    // Sorted by VM.
+    targets: Vec<Target>,
+    latency_ms: Option<f64>,
+}
+
+impl TargetTable {
+    /// An empty table of the daemon `own`.
+    #[must_use]
+    pub fn new(own: DaemonMember, limits: TargetLimits) -> Self {
+        Self {
+            salt: hash_text(own.daemon.as_str()),
+            daemons: vec![own.clone()],
+            own,
+            limits,
+            targets: Vec::new(),
+            latency_ms: None,
+        }
+    }
+
+    /// Takes the pool's limits from the catalogue.
+    pub fn set_limits(&mut self, limits: TargetLimits) {
+        self.limits = limits;
+        self.split_connections();
+    }
+
+    /// Takes the daemons that send to the pool; this one is added if it is missing.
+    pub fn set_daemons(&mut self, mut daemons: Vec<DaemonMember>) {
+        if daemons
+            .iter()
+            .all(|member| member.daemon != self.own.daemon)
+        {
+            daemons.push(self.own.clone());
+        }
+        daemons.sort_by(|a, b| a.daemon.cmp(&b.daemon));
+        daemons.dedup_by(|a, b| a.daemon == b.daemon);
+        self.daemons = daemons;
+        self.split_connections();
+    }
+
+    /// Takes the membership list. Targets that stay keep their counters; those that are gone
+    /// from it get no new work at once and are forgotten when their last send has ended.
+    pub fn set_members(&mut self, members: Vec<Member>) {
+        for target in &mut self.targets {
+            let listed = members.iter().any(|member| member.vm == *target.vm());
+            target.removed |= !listed;
+        }
+        for member in members {
+            match self.position(&member.vm) {
+                Ok(index) => self.targets[index].update(member, self.salt),
+                Err(index) => self.targets.insert(index, Target::new(member, self.salt)),
+            }
+        }
+        self.forget_spent();
+        self.split_connections();
+    }
+
+    /// Picks a target for one send.
+    ///
+    /// Targets of the own zone come first; others are used only when each of those is full,
+    /// leaving or set aside. Of [`SAMPLED_TARGETS`] sampled ones, the least loaded is picked.
+    ///
+    /// # Errors
+    ///
+    /// Why none was picked, and when to pick again.
+    pub fn pick(
+        &self,
+        now: MonotonicMillis,
+        rng: &mut SplitMix,
+        options: PickOptions<'_>,
+    ) -> Result<PickedTarget, PickRefusal> {
+        let context = PickContext {
+            now,
+            slots: self.limits.slots_per_vm.get(),
+            panic: self.is_panic(),
+            idempotent: options.idempotent,
+        };
+        let mut refusals = Refusals::default();
+        for near in [true, false] {
+            let ring = self
+                .targets
+                .iter()
+                .filter(|target| self.is_near(target) == near);
+            let mut sample = Sample::default();
+            for target in ring {
+                match target.usability(&context) {
+                    Use::Closed => {}
+                    _ if options.exclude.contains(target.vm()) => refusals.excluded = true,
+                    Use::Open => sample.open.offer(target, rng),
+                    Use::Probe => sample.probe.offer(target, rng),
+                    Use::Busy(wait) => refusals.busy(wait),
+                    Use::Aside(wait) => refusals.aside(wait),
+                }
+            }
+            if let Some(picked) = sample.choose(&context) {
+                return Ok(picked);
+            }
+        }
+        Err(refusals.refusal())
+    }
+
+    /// Counts a send to the picked target as outstanding.
+    ///
+    /// # Panics
+    ///
+    /// If the target is not in the table: there was an await point since the pick.
+    pub fn started(&mut self, picked: &PickedTarget) {
+        let target = self.expect_mut(&picked.vm);
+        target.outstanding += 1;
+        if picked.probe {
+            target.health.probe_started();
+        }
+    }
+
+    /// Counts a started send as ended and learns from how it ended.
+    ///
+    /// # Panics
+    ///
+    /// If the send was not started.
+    #[allow(
+        clippy::needless_pass_by_value,
+        reason = "a pick can be finished only once"
+    )]
+    pub fn finished(&mut self, picked: PickedTarget, now: MonotonicMillis, finish: Finish) {
+        let others = self.recent_of_others(&picked.vm, now);
+        let pool_ms = self.learn_latency(finish);
+        let probe = picked.probe;
+        let target = self.expect_mut(&picked.vm);
+        assert!(
+            target.outstanding > 0,
+            "{} was finished but not started",
+            picked.vm
+        );
+        target.ended(now, finish);
+        match finish {
+            Finish::Answered { latency_ms, .. } => {
+                target.answered(now, latency_ms, pool_ms);
+                target.health.succeeded(now, probe);
+            }
+            Finish::Failed { kind, waited_ms } if target.is_to_blame(kind, waited_ms) => {
+                target.health.failed(now, probe, others);
+            }
+            Finish::NotRun {
+                reason: NotRunReason::Refused,
+                ..
+            } => {
+                target.health.failed(now, probe, others);
+            }
+            _ if probe => target.health.probe_ended(),
+            _ => {}
+        }
+        self.forget_spent();
+    }
+
+    /// Whether new work may still be written to the target: ask between picking and writing.
+    #[must_use]
+    pub fn takes_work(&self, vm: &VmId) -> bool {
+        self.find(vm).is_some_and(Target::takes_work)
+    }
+
+    /// Whether this daemon may open one more connection to the target.
+    #[must_use]
+    pub fn may_connect(&self, vm: &VmId) -> bool {
+        self.find(vm).is_some_and(|target| {
+            target.takes_work() && target.connections < target.connections_allowed.get()
+        })
+    }
+
+    /// Counts a connection, from before it is opened.
+    ///
+    /// # Panics
+    ///
+    /// If the target is not in the table.
+    pub fn connection_opened(&mut self, vm: &VmId) {
+        self.expect_mut(vm).connections += 1;
+    }
+
+    /// Counts a connection as closed, also if opening it failed.
+    ///
+    /// # Panics
+    ///
+    /// If no connection was counted.
+    pub fn connection_closed(&mut self, vm: &VmId) {
+        let target = self.expect_mut(vm);
+        assert!(target.connections > 0, "{vm} has no connection to close");
+        target.connections -= 1;
+        self.forget_spent();
+    }
+
+    /// Notes what all peers together have outstanding at the target.
+    pub fn peers_reported(&mut self, vm: &VmId, now: MonotonicMillis, load: Slots) {
+        if let Some(target) = self.find_mut(vm) {
+            target.foreign.peers_reported(now, load);
+        }
+    }
+
+    /// The targets whose health is to be probed now: those that said leaving while the list
+    /// does not, and those whose time aside is about to end. Each is named once in
+    /// [`HEALTH_CHECK_INTERVAL`].
+    pub fn due_health_checks(&mut self, now: MonotonicMillis) -> Vec<HealthCheck> {
+        let mut due = Vec::new();
+        for target in &mut self.targets {
+            if wants_health_check(target, now) {
+                target.health_checked_at = Some(now);
+                due.push(HealthCheck {
+                    vm: target.vm().clone(),
+                    address: target.member.address,
+                });
+            }
+        }
+        due
+    }
+
+    /// Notes what a health probe brought.
+    pub fn health_checked(&mut self, vm: &VmId, now: MonotonicMillis, answer: HealthAnswer) {
+        let Some(target) = self.find_mut(vm) else {
+            return;
+        };
+        match answer {
+            HealthAnswer::Live { load } => {
+                target.told_leaving = false;
+                if let Some(load) = load {
+                    target
+                        .foreign
+                        .target_reported(now, load, target.outstanding);
+                }
+            }
+            HealthAnswer::Leaving => target.told_leaving = true,
+            HealthAnswer::Failed if target.health.is_aside() => target.health.set_aside(now),
+            HealthAnswer::Failed => {}
+        }
+    }
+
+    /// Sends of this daemon to the pool that have not ended.
+    #[must_use]
+    pub fn outstanding(&self) -> Slots {
+        Slots::new(self.targets.iter().map(|target| target.outstanding).sum())
+    }
+
+    /// Each target as it stands now.
+    pub fn views(&self, now: MonotonicMillis) -> impl Iterator<Item = TargetView<'_>> {
+        let context = PickContext {
+            now,
+            slots: self.limits.slots_per_vm.get(),
+            panic: self.is_panic(),
+            idempotent: true,
+        };
+        self.targets.iter().map(move |target| TargetView {
+            vm: target.vm(),
+            zone: &target.member.zone,
+            standing: standing(target, &context),
+            outstanding: Slots::new(target.outstanding),
+            foreign: Slots::new(target.foreign.get(now).round() as u32),
+            connections: Connections::new(target.connections),
+            connections_allowed: target.connections_allowed,
+        })
+    }
+
+    fn is_near(&self, target: &Target) -> bool {
+        target.member.zone == self.own.zone
+    }
+
+    fn is_panic(&self) -> bool {
+        let usable = || {
+            self.targets
+                .iter()
+                .filter(|target| target.takes_work() && target.in_reach())
+        };
+        let aside = usable().filter(|target| target.health.is_aside()).count();
+        aside * 100 > usable().count() * PANIC_PERCENT
+    }
+
+    fn recent_of_others(&self, vm: &VmId, now: MonotonicMillis) -> RecentSends {
+        self.targets
+            .iter()
+            .filter(|target| target.vm() != vm && !target.health.is_aside())
+            .map(|target| target.health.recent(now))
+            .fold(RecentSends::default(), RecentSends::plus)
+    }
+
+    /// The pool's mean latency in milliseconds, with this answer's.
+    fn learn_latency(&mut self, finish: Finish) -> f64 {
+        if let Finish::Answered { latency_ms, .. } = finish {
+            let latency_ms = latency_ms.get() as f64;
+            let mean = self.latency_ms.unwrap_or(latency_ms);
+            self.latency_ms = Some(mean + LATENCY_GAIN * (latency_ms - mean));
+        }
+        self.latency_ms.unwrap_or_default()
+    }
+
+    fn split_connections(&mut self) {
+        for target in &mut self.targets {
+            target.connections_allowed = connections_allowed(
+                &self.own,
+                &target.member.vm,
+                &target.member.zone,
+                &self.daemons,
+                self.limits,
+            );
+        }
+    }
+
+    fn forget_spent(&mut self) {
+        self.targets.retain(|target| !target.is_spent());
+    }
+
+    fn position(&self, vm: &VmId) -> Result<usize, usize> {
+        self.targets.binary_search_by(|target| target.vm().cmp(vm))
+    }
+
+    fn find(&self, vm: &VmId) -> Option<&Target> {
+        self.position(vm).ok().map(|index| &self.targets[index])
+    }
+
+    fn find_mut(&mut self, vm: &VmId) -> Option<&mut Target> {
+        self.position(vm).ok().map(|index| &mut self.targets[index])
+    }
+
+    fn expect_mut(&mut self, vm: &VmId) -> &mut Target {
+        match self.find_mut(vm) {
+            Some(target) => target,
+            None => panic!("{vm} is not in the table: start a pick before the next await point"),
+        }
+    }
+}
+
+fn wants_health_check(target: &Target, now: MonotonicMillis) -> bool {
+    let listed_live = !target.removed && target.member.state == MemberState::Live;
+    let rested = match target.health_checked_at {
+        Some(checked_at) => now >= checked_at.after(HEALTH_CHECK_INTERVAL),
+        None => true,
+    };
+    let aside_ends = match target.health.aside_until() {
+        Some(until) => now.after(HEALTH_CHECK_LEAD) >= until,
+        None => false,
+    };
+    listed_live && rested && (target.told_leaving || aside_ends)
+}
+
+fn standing(target: &Target, context: &PickContext) -> Standing {
+    match target.usability(context) {
+        _ if target.removed => Standing::Removed,
+        _ if !target.takes_work() => Standing::Leaving,
+        Use::Closed => Standing::OutOfReach,
+        Use::Open => Standing::Open,
+        Use::Busy(_) => Standing::Busy,
+        Use::Aside(_) => Standing::SetAside,
+        Use::Probe => Standing::HalfOpen,
+    }
+}
+
+/// Up to [`SAMPLED_TARGETS`] of the targets offered, each equally likely (reservoir sampling).
+#[derive(Default)]
+struct Reservoir<'a> {
+    offered: u64,
+    kept: [Option<&'a Target>; SAMPLED_TARGETS],
+}
+
+impl<'a> Reservoir<'a> {
+    fn offer(&mut self, target: &'a Target, rng: &mut SplitMix) {
+        let place = match self.offered {
+            offered if offered < SAMPLED_TARGETS as u64 => offered,
+            offered => rng.below(offered + 1),
+        };
+        self.offered += 1;
+        if let Some(kept) = self.kept.get_mut(place as usize) {
+            *kept = Some(target);
+        }
+    }
+
+    fn least(&self, now: MonotonicMillis) -> Option<&'a Target> {
+        self.kept
+            .iter()
+            .flatten()
+            .copied()
+            .min_by(|a, b| a.cost(now).total_cmp(&b.cost(now)))
+    }
+}
+
+/// What one ring of zones offers.
+#[derive(Default)]
+struct Sample<'a> {
+    open: Reservoir<'a>,
+    probe: Reservoir<'a>,
+}
+
+impl Sample<'_> {
+    /// A due probe goes first, for an idempotent request; any other takes one only if nothing
+    /// else is open.
+    fn choose(&self, context: &PickContext) -> Option<PickedTarget> {
+        let open = self.open.least(context.now);
+        let probe = self.probe.least(context.now);
+        let (target, is_probe) = match (open, probe) {
+            (_, Some(probe)) if context.idempotent => (probe, true),
+            (Some(open), _) => (open, false),
+            (None, Some(probe)) => (probe, true),
+            (None, None) => return None,
+        };
+        Some(PickedTarget {
+            vm: target.vm().clone(),
+            address: target.member.address,
+            probe: is_probe,
+        })
+    }
+}
+
+/// Why targets were passed over.
+#[derive(Default)]
+struct Refusals {
+    excluded: bool,
+    busy: Option<Millis>,
+    aside: Option<Millis>,
+}
+
+impl Refusals {
+    fn busy(&mut self, wait: Millis) {
+        self.busy = Some(self.busy.map_or(wait, |least| least.min(wait)));
+    }
+
+    fn aside(&mut self, wait: Millis) {
+        self.aside = Some(self.aside.map_or(wait, |least| least.min(wait)));
+    }
+
+    fn refusal(&self) -> PickRefusal {
+        match (self.busy, self.aside) {
+            (Some(recheck_after_ms), _) => PickRefusal::AllBusy { recheck_after_ms },
+            _ if self.excluded => PickRefusal::AllExcluded,
+            (None, Some(recheck_after_ms)) => PickRefusal::AllSetAside { recheck_after_ms },
+            (None, None) => PickRefusal::NoTarget,
+        }
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-policy/src/time/mod.rs
@@ -0,0 +1,5 @@
+//! Time as the decisions see it.
+
+mod monotonic;
+
+pub use monotonic::MonotonicMillis;
