Add the thin version of the log records and the fold

Cause: the daemon and the tool need an API of the state to build on. Ruled out: one fold over both streams. A move's acceptance would then hang on how far the other stream was read, and two daemons would differ. Records carry `as_of`, so that a late repeat is refused instead of taken anew. Adds AuthorId to vanillafold-types.

--- /dev/null
+++ b/crates/vanillafold-state/src/catalogue/edit.rs
@@ -0,0 +1,110 @@
+//! The check of an edit against the catalogue, before any of it is made.
+
+use vanillafold_types::{EntryName, Queue, Revision, TeamId};
+
+use super::Catalogue;
+use super::range;
+use crate::{Entry, EntryEdit, RefusalReason};
+
+/// Checks a whole edit.
+pub(super) fn check(catalogue: &Catalogue, edits: &[EntryEdit]) -> Result<(), RefusalReason> {
+    let check = EditCheck::new(catalogue, edits)?;
+    edits.iter().try_for_each(|edit| check.check_alone(edit))?;
+    edits
+        .iter()
+        .try_for_each(|edit| check.check_references(edit))
+}
+
+/// An edit beside the catalogue that it changes.
+struct EditCheck<'a> {
+    catalogue: &'a Catalogue,
+    /// The edits, sorted by name.
+    edits: Vec<&'a EntryEdit>,
+}
+
+impl<'a> EditCheck<'a> {
+    fn new(catalogue: &'a Catalogue, edits: &'a [EntryEdit]) -> Result<Self, RefusalReason> {
+        let mut edits: Vec<&EntryEdit> = edits.iter().collect();
+        edits.sort_unstable_by(|left, right| left.name.cmp(&right.name));
+        match edits.as_slice() {
+            [] => Err(RefusalReason::EmptyEdit),
+            _ if edits.windows(2).any(|pair| pair[0].name == pair[1].name) => {
+                Err(RefusalReason::DuplicateEntry)
+            }
+            _ => Ok(Self { catalogue, edits }),
+        }
+    }
+
+    /// What can be said of one entry without the others.
+    fn check_alone(&self, edit: &EntryEdit) -> Result<(), RefusalReason> {
+        let now = self.catalogue.entries.revision(&edit.name);
+        match &edit.value {
+            _ if matches!(edit.name, EntryName::Key(_)) => Err(RefusalReason::KeyInEdit),
+            Some(value) if value.name() != edit.name => Err(RefusalReason::NameMismatch),
+            None if now == Revision::ZERO => Err(RefusalReason::MissingEntry),
+            _ if now != edit.replaces => Err(RefusalReason::RevisionMismatch),
+            Some(value) => range::check(value),
+            None => Ok(()),
+        }
+    }
+
+    /// Whether what the entry names, or what names the entry, is there after the edit.
+    fn check_references(&self, edit: &EntryEdit) -> Result<(), RefusalReason> {
+        match (&edit.name, &edit.value) {
+            (_, Some(Entry::Queue(queue))) => self.check_queue(queue),
+            (EntryName::Pool(id), None) if self.is_used(|queue| queue.pool == *id) => {
+                Err(RefusalReason::PoolInUse)
+            }
+            (EntryName::Team(id), None) if self.is_team_used(id) => Err(RefusalReason::TeamInUse),
+            _ => Ok(()),
+        }
+    }
+
+    fn check_queue(&self, queue: &Queue) -> Result<(), RefusalReason> {
+        if !self.is_there(&EntryName::Pool(queue.pool.clone())) {
+            return Err(RefusalReason::UnknownPool);
+        }
+        let has_teams = queue
+            .teams
+            .iter()
+            .all(|team| self.is_there(&EntryName::Team(team.clone())));
+        match has_teams {
+            true => Ok(()),
+            false => Err(RefusalReason::UnknownTeam),
+        }
+    }
+
+    /// Whether the entry is there after the edit.
+    fn is_there(&self, name: &EntryName) -> bool {
+        match self.find(name) {
+            Some(edit) => edit.value.is_some(),
+            None => self.catalogue.entries.revision(name) != Revision::ZERO,
+        }
+    }
+
+    fn is_team_used(&self, id: &TeamId) -> bool {
+        self.is_used(|queue| queue.teams.contains(id)) || self.catalogue.keys.is_team_used(id)
+    }
+
+    /// Whether a queue that the edit leaves alone uses something. Those in the edit are checked
+    /// by what they name.
+    fn is_used(&self, uses: impl Fn(&Queue) -> bool) -> bool {
+        self.catalogue
+            .entries
+            .queues
+            .iter()
+            .filter(|queue| uses(&queue.value))
+            .any(|queue| {
+                self.find(&EntryName::Queue(queue.value.id.clone()))
+                    .is_none()
+            })
+    }
+
+    fn find(&self, name: &EntryName) -> Option<&'a EntryEdit> {
+        let index = self
+            .edits
+            .binary_search_by(|edit| edit.name.cmp(name))
+            .ok()?;
+        Some(self.edits[index])
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-state/src/catalogue/entries.rs
@@ -0,0 +1,109 @@
+//! The pools, teams and queues.
+
+use bincode::{Decode, Encode};
+use vanillafold_types::{EntryName, Pool, Queue, Revision, Team};
+
+use super::Revised;
+use crate::digest::{ItemKind, LaneSum};
+use crate::table::{Keyed, SortedVec};
+use crate::{Entry, EntryEdit};
+
+/// The pools, teams and queues, each with its revision.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
+pub(crate) struct Entries {
+    pub(super) pools: SortedVec<Revised<Pool>>,
+    pub(super) teams: SortedVec<Revised<Team>>,
+    pub(super) queues: SortedVec<Revised<Queue>>,
+}
+
+impl Entries {
+    /// The entry's revision; 0 if there is no such entry.
+    pub(super) fn revision(&self, name: &EntryName) -> Revision {
+        let revision = match name {
+            EntryName::Pool(id) => self.pools.get(id.as_str()).map(|pool| pool.revision),
+            EntryName::Team(id) => self.teams.get(id.as_str()).map(|team| team.revision),
+            EntryName::Queue(id) => self.queues.get(id.as_str()).map(|queue| queue.revision),
+            EntryName::Key(_) => None,
+        };
+        revision.unwrap_or(Revision::ZERO)
+    }
+
+    /// Makes an edit that was checked.
+    pub(super) fn make(&mut self, edit: EntryEdit, revision: Revision, sum: &mut LaneSum) {
+        match edit.value {
+            Some(Entry::Pool(value)) => {
+                put(
+                    &mut self.pools,
+                    ItemKind::Pool,
+                    Revised { value, revision },
+                    sum,
+                );
+            }
+            Some(Entry::Team(value)) => {
+                put(
+                    &mut self.teams,
+                    ItemKind::Team,
+                    Revised { value, revision },
+                    sum,
+                );
+            }
+            Some(Entry::Queue(value)) => {
+                put(
+                    &mut self.queues,
+                    ItemKind::Queue,
+                    Revised { value, revision },
+                    sum,
+                );
+            }
+            None => self.remove(&edit.name, sum),
+        }
+    }
+
+    fn remove(&mut self, name: &EntryName, sum: &mut LaneSum) {
+        match name {
+            EntryName::Pool(id) => take(&mut self.pools, ItemKind::Pool, id.as_str(), sum),
+            EntryName::Team(id) => take(&mut self.teams, ItemKind::Team, id.as_str(), sum),
+            EntryName::Queue(id) => take(&mut self.queues, ItemKind::Queue, id.as_str(), sum),
+            EntryName::Key(_) => {}
+        }
+    }
+
+    /// Adds every item to `sum`.
+    pub(super) fn add_to(&self, sum: &mut LaneSum) {
+        add_all(&self.pools, ItemKind::Pool, sum);
+        add_all(&self.teams, ItemKind::Team, sum);
+        add_all(&self.queues, ItemKind::Queue, sum);
+    }
+}
+
+/// Inserts or replaces an item and brings `sum` up to it.
+pub(super) fn put<T: Keyed + Encode>(
+    table: &mut SortedVec<T>,
+    kind: ItemKind,
+    item: T,
+    sum: &mut LaneSum,
+) {
+    sum.insert(kind, &item);
+    if let Some(old) = table.insert(item) {
+        sum.remove(kind, &old);
+    }
+}
+
+/// Removes an item, if it is there, and brings `sum` up to it.
+pub(super) fn take<T: Keyed + Encode>(
+    table: &mut SortedVec<T>,
+    kind: ItemKind,
+    key: &T::Key,
+    sum: &mut LaneSum,
+) {
+    if let Some(old) = table.remove(key) {
+        sum.remove(kind, &old);
+    }
+}
+
+/// Adds every item of a table to `sum`.
+pub(super) fn add_all<T: Encode>(table: &SortedVec<T>, kind: ItemKind, sum: &mut LaneSum) {
+    for item in table.iter() {
+        sum.insert(kind, item);
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-state/src/catalogue/fold.rs
@@ -0,0 +1,103 @@
+//! The catalogue as the fold keeps it.
+
+use bincode::{Decode, Encode};
+use vanillafold_types::{Key, Pool, Queue, Revision, Team};
+
+use super::edit;
+use super::entries::Entries;
+use super::key_ring::KeyRing;
+use super::revised::Revised;
+use crate::digest::LaneSum;
+use crate::fold::Domain;
+use crate::{CatalogueChange, EntryEdit, RefusalReason};
+
+/// The catalogue: entries and keys. Every reference in it leads somewhere.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
+pub(crate) struct Catalogue {
+    pub(super) entries: Entries,
+    pub(super) keys: KeyRing,
+}
+
+impl Catalogue {
+    pub(crate) fn pool(&self, id: &str) -> Option<&Revised<Pool>> {
+        self.entries.pools.get(id)
+    }
+
+    pub(crate) fn team(&self, id: &str) -> Option<&Revised<Team>> {
+        self.entries.teams.get(id)
+    }
+
+    pub(crate) fn queue(&self, id: &str) -> Option<&Revised<Queue>> {
+        self.entries.queues.get(id)
+    }
+
+    pub(crate) fn pools(&self) -> std::slice::Iter<'_, Revised<Pool>> {
+        self.entries.pools.iter()
+    }
+
+    pub(crate) fn teams(&self) -> std::slice::Iter<'_, Revised<Team>> {
+        self.entries.teams.iter()
+    }
+
+    pub(crate) fn queues(&self) -> std::slice::Iter<'_, Revised<Queue>> {
+        self.entries.queues.iter()
+    }
+
+    pub(crate) fn keys(&self) -> &KeyRing {
+        &self.keys
+    }
+
+    fn edit(
+        &mut self,
+        edits: Vec<EntryEdit>,
+        revision: Revision,
+        sum: &mut LaneSum,
+    ) -> Result<(), RefusalReason> {
+        edit::check(self, &edits)?;
+        for edit in edits {
+            self.entries.make(edit, revision, sum);
+        }
+        Ok(())
+    }
+
+    fn give_key(
+        &mut self,
+        key: Key,
+        revision: Revision,
+        sum: &mut LaneSum,
+    ) -> Result<(), RefusalReason> {
+        match self.team(key.team.as_str()) {
+            Some(_) => self.keys.give(key, revision, sum),
+            None => Err(RefusalReason::UnknownTeam),
+        }
+    }
+}
+
+impl Domain for Catalogue {
+    type Change = CatalogueChange;
+
+    fn is_counted(_: &CatalogueChange) -> bool {
+        true
+    }
+
+    fn apply(
+        &mut self,
+        change: CatalogueChange,
+        revision: Revision,
+        sum: &mut LaneSum,
+    ) -> Result<(), RefusalReason> {
+        match change {
+            CatalogueChange::Edit(edits) => self.edit(edits, revision, sum),
+            CatalogueChange::GiveKey(key) => self.give_key(key, revision, sum),
+            CatalogueChange::WithdrawKey(id) => {
+                self.keys.withdraw(id, sum);
+                Ok(())
+            }
+        }
+    }
+
+    fn add_to(&self, sum: &mut LaneSum) {
+        self.entries.add_to(sum);
+        self.keys.add_to(sum);
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-state/src/catalogue/key_ring.rs
@@ -0,0 +1,130 @@
+//! The keys: those given, and the grow-only set of those withdrawn.
+
+use bincode::{Decode, Encode};
+use subtle::ConstantTimeEq as _;
+use vanillafold_types::{Key, KeyId, Revision, TeamId};
+
+use super::Revised;
+use super::entries::{add_all, put, take};
+use super::presented_key::{key_digest, presented_id};
+use crate::RefusalReason;
+use crate::digest::{ItemKind, LaneSum};
+use crate::table::{Keyed, SortedVec};
+
+/// Why a presented key opens nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum KeyRefusal {
+    /// The text is not a key.
+    #[error("expected a key KEY-ID.SECRET; check it with its owner")]
+    Malformed,
+    /// No key has this id and secret.
+    #[error("the key is not known; check it with its owner")]
+    Unknown,
+    /// The key was withdrawn.
+    #[error("the key was withdrawn; ask an operator for a new one")]
+    Withdrawn,
+}
+
+/// The keys: those given, and the grow-only set of those withdrawn. No id is in both.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
+pub(crate) struct KeyRing {
+    given: SortedVec<Revised<Key>>,
+    withdrawn: SortedVec<WithdrawnKey>,
+}
+
+/// A key that will not come back.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+struct WithdrawnKey {
+    id: KeyId,
+    /// Its digest; `None` if it was withdrawn before it was given.
+    digest: Option<[u8; 32]>,
+}
+
+impl KeyRing {
+    pub(crate) fn given(&self) -> std::slice::Iter<'_, Revised<Key>> {
+        self.given.iter()
+    }
+
+    pub(crate) fn withdrawn(&self) -> impl ExactSizeIterator<Item = &KeyId> {
+        self.withdrawn.iter().map(|key| &key.id)
+    }
+
+    pub(crate) fn is_withdrawn(&self, id: &KeyId) -> bool {
+        self.withdrawn.contains(id.as_str())
+    }
+
+    pub(super) fn is_team_used(&self, id: &TeamId) -> bool {
+        self.given.iter().any(|key| key.value.team == *id)
+    }
+
+    /// Gives a key whose team was checked.
+    pub(super) fn give(
+        &mut self,
+        value: Key,
+        revision: Revision,
+        sum: &mut LaneSum,
+    ) -> Result<(), RefusalReason> {
+        match value.id.as_str() {
+            id if self.withdrawn.contains(id) => Err(RefusalReason::WithdrawnKey),
+            id if self.given.contains(id) => Err(RefusalReason::GivenKey),
+            _ => {
+                put(
+                    &mut self.given,
+                    ItemKind::Key,
+                    Revised { value, revision },
+                    sum,
+                );
+                Ok(())
+            }
+        }
+    }
+
+    /// Withdraws a key for good; a second withdrawal changes nothing.
+    pub(super) fn withdraw(&mut self, id: KeyId, sum: &mut LaneSum) {
+        if self.is_withdrawn(&id) {
+            return;
+        }
+        let digest = self.given.get(id.as_str()).map(|key| key.value.digest);
+        take(&mut self.given, ItemKind::Key, id.as_str(), sum);
+        let withdrawn = WithdrawnKey { id, digest };
+        put(&mut self.withdrawn, ItemKind::WithdrawnKey, withdrawn, sum);
+    }
+
+    /// Adds every item to `sum`.
+    pub(super) fn add_to(&self, sum: &mut LaneSum) {
+        add_all(&self.given, ItemKind::Key, sum);
+        add_all(&self.withdrawn, ItemKind::WithdrawnKey, sum);
+    }
+
+    /// The key that `presented` is; `early` are ids withdrawn ahead of the log.
+    pub(crate) fn authenticate(
+        &self,
+        presented: &str,
+        early: &SortedVec<KeyId>,
+    ) -> Result<&Key, KeyRefusal> {
+        let id = presented_id(presented).ok_or(KeyRefusal::Malformed)?;
+        let digest = key_digest(presented);
+        let given = self.given.get(id).map(|key| &key.value);
+        let withdrawn = self.withdrawn.get(id).and_then(|key| key.digest);
+        match (given, withdrawn) {
+            (Some(key), _) if !is_same(&key.digest, &digest) => Err(KeyRefusal::Unknown),
+            (Some(_), _) if early.contains(id) => Err(KeyRefusal::Withdrawn),
+            (Some(key), _) => Ok(key),
+            (None, Some(known)) if is_same(&known, &digest) => Err(KeyRefusal::Withdrawn),
+            (None, _) => Err(KeyRefusal::Unknown),
+        }
+    }
+}
+
+/// Compares in constant time.
+fn is_same(left: &[u8; 32], right: &[u8; 32]) -> bool {
+    left.ct_eq(right).into()
+}
+
+impl Keyed for WithdrawnKey {
+    type Key = str;
+
+    fn key(&self) -> &str {
+        self.id.as_str()
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-state/src/catalogue/mod.rs
@@ -0,0 +1,14 @@
+//! What the `catalogue` stream brings.
+
+mod edit;
+mod entries;
+mod fold;
+mod key_ring;
+mod presented_key;
+mod range;
+mod revised;
+
+pub(crate) use fold::Catalogue;
+pub use key_ring::KeyRefusal;
+pub use presented_key::{MAX_PRESENTED_KEY_BYTES, key_digest};
+pub use revised::Revised;
--- /dev/null
+++ b/crates/vanillafold-state/src/control/membership.rs
@@ -0,0 +1,118 @@
+//! Which pool each VM belongs to.
+
+use bincode::{Decode, Encode};
+use vanillafold_types::{PoolId, Revision, VmId};
+
+use crate::digest::{ItemKind, LaneSum};
+use crate::fold::Domain;
+use crate::table::{Keyed, SortedVec};
+use crate::{ControlChange, RefusalReason};
+
+/// The pool of a VM that was moved.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct Membership {
+    /// The VM.
+    pub vm: VmId,
+    /// The pool that it belongs to.
+    pub pool: PoolId,
+    /// The revision of its last move.
+    pub revision: Revision,
+}
+
+/// The pools of the VMs that were moved; every other VM belongs to its home pool.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
+pub(crate) struct Memberships {
+    moved: SortedVec<Membership>,
+}
+
+impl Memberships {
+    pub(crate) fn get(&self, vm: &VmId) -> Option<&Membership> {
+        self.moved.get(vm)
+    }
+
+    pub(crate) fn iter(&self) -> std::slice::Iter<'_, Membership> {
+        self.moved.iter()
+    }
+
+    fn move_vm(
+        &mut self,
+        moved: Membership,
+        from: &PoolId,
+        replaces: Revision,
+        sum: &mut LaneSum,
+    ) -> Result<(), RefusalReason> {
+        match self.moved.get(&moved.vm) {
+            _ if moved.pool == *from => return Err(RefusalReason::SamePool),
+            Some(now) if now.revision != replaces || now.pool != *from => {
+                return Err(RefusalReason::MoveMismatch);
+            }
+            None if replaces != Revision::ZERO => return Err(RefusalReason::MoveMismatch),
+            _ => {}
+        }
+        sum.insert(ItemKind::Membership, &moved);
+        if let Some(old) = self.moved.insert(moved) {
+            sum.remove(ItemKind::Membership, &old);
+        }
+        Ok(())
+    }
+
+    fn return_vm(
+        &mut self,
+        vm: &VmId,
+        replaces: Revision,
+        sum: &mut LaneSum,
+    ) -> Result<(), RefusalReason> {
+        match self.moved.get(vm) {
+            None => return Err(RefusalReason::NeverMoved),
+            Some(now) if now.revision != replaces => return Err(RefusalReason::MoveMismatch),
+            Some(_) => {}
+        }
+        if let Some(old) = self.moved.remove(vm) {
+            sum.remove(ItemKind::Membership, &old);
+        }
+        Ok(())
+    }
+}
+
+impl Domain for Memberships {
+    type Change = ControlChange;
+
+    fn is_counted(change: &ControlChange) -> bool {
+        !matches!(change, ControlChange::Snapshot(_))
+    }
+
+    fn apply(
+        &mut self,
+        change: ControlChange,
+        revision: Revision,
+        sum: &mut LaneSum,
+    ) -> Result<(), RefusalReason> {
+        match change {
+            ControlChange::MoveVm {
+                vm,
+                from,
+                to: pool,
+                replaces,
+            } => {
+                let moved = Membership { vm, pool, revision };
+                self.move_vm(moved, &from, replaces, sum)
+            }
+            ControlChange::ReturnVm { vm, replaces } => self.return_vm(&vm, replaces, sum),
+            ControlChange::Snapshot(_) => Ok(()),
+        }
+    }
+
+    fn add_to(&self, sum: &mut LaneSum) {
+        for membership in self.moved.iter() {
+            sum.insert(ItemKind::Membership, membership);
+        }
+    }
+}
+
+impl Keyed for Membership {
+    type Key = VmId;
+
+    fn key(&self) -> &VmId {
+        &self.vm
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-state/src/control/mod.rs
@@ -0,0 +1,6 @@
+//! What the `control` stream brings.
+
+mod membership;
+
+pub use membership::Membership;
+pub(crate) use membership::Memberships;
--- /dev/null
+++ b/crates/vanillafold-state/src/fold/stream_fold.rs
@@ -0,0 +1,187 @@
+//! The fold of one stream.
+
+use std::cmp::Ordering;
+
+use bincode::de::{BorrowDecoder, Decoder};
+use bincode::enc::Encoder;
+use bincode::error::{DecodeError, EncodeError};
+use bincode::{BorrowDecode, Decode, Encode};
+use sha2::{Digest as _, Sha256};
+use vanillafold_types::{Offset, Revision, Sequence};
+
+use super::{Applied, Domain, OutOfOrder, RefusalReason};
+use crate::author::{Fingerprint, Ledger, Lookup};
+use crate::digest::LaneSum;
+use crate::{Author, Digest, Outcome, RECORD_WINDOW, Record, Verdict};
+
+/// The offset of a stream's first record.
+const FIRST_OFFSET: Offset = Offset::new(1);
+
+/// The largest offset that a snapshot may claim; far from where the next one would overflow.
+const LAST_OFFSET: Offset = Offset::new(u64::MAX / 2);
+
+/// The fold of one stream: how far it was read, what came of it, and whose records they were.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct StreamFold<D> {
+    next: Offset,
+    ledger: Ledger,
+    domain: D,
+    sum: LaneSum,
+}
+
+impl<D: Domain> StreamFold<D> {
+    pub(crate) fn new() -> Self {
+        Self {
+            next: FIRST_OFFSET,
+            ledger: Ledger::default(),
+            domain: D::default(),
+            sum: LaneSum::default(),
+        }
+    }
+
+    pub(crate) fn next_offset(&self) -> Offset {
+        self.next
+    }
+
+    pub(crate) fn domain(&self) -> &D {
+        &self.domain
+    }
+
+    pub(crate) fn outcome(&self, author: &Author, sequence: Sequence) -> Option<Outcome> {
+        match self.ledger.lookup(author, sequence) {
+            Lookup::Known(outcome) => Some(outcome),
+            Lookup::Forgotten | Lookup::New => None,
+        }
+    }
+
+    pub(crate) fn apply(&mut self, offset: Offset, bytes: &[u8]) -> Applied {
+        let expected = self.next;
+        match offset.cmp(&expected) {
+            Ordering::Less => return Applied::OutOfOrder(OutOfOrder::Older { expected }),
+            Ordering::Greater => return Applied::OutOfOrder(OutOfOrder::Gap { expected }),
+            Ordering::Equal => {}
+        }
+        self.next = offset.next();
+        self.ledger.sweep(offset, &mut self.sum);
+        match Record::<D::Change>::decode(bytes) {
+            Ok(record) if D::is_counted(&record.change) => {
+                self.apply_counted(offset, record, Fingerprint::of(bytes))
+            }
+            Ok(record) => Applied::from(self.apply_change(offset, record.change)),
+            Err(_) => Applied::Refused(RefusalReason::Malformed),
+        }
+    }
+
+    fn apply_counted(
+        &mut self,
+        offset: Offset,
+        record: Record<D::Change>,
+        fingerprint: Fingerprint,
+    ) -> Applied {
+        let Record {
+            author,
+            sequence,
+            as_of,
+            change,
+        } = record;
+        match self.ledger.lookup(&author, sequence) {
+            Lookup::Known(known) if known.fingerprint == fingerprint => {
+                return Applied::Repeated(known.verdict);
+            }
+            Lookup::Known(_) => return Applied::Refused(RefusalReason::ReusedSequence),
+            Lookup::Forgotten => return Applied::Refused(RefusalReason::ForgottenSequence),
+            Lookup::New => {}
+        }
+        // These are not noted as outcomes: an earlier copy may have had another one.
+        if let Some(reason) = refuse_place(offset, as_of, sequence) {
+            return Applied::Refused(reason);
+        }
+        let verdict = self.apply_change(offset, change);
+        let outcome = Outcome {
+            sequence,
+            offset,
+            verdict,
+            fingerprint,
+        };
+        self.ledger.insert(&author, outcome, &mut self.sum);
+        Applied::from(verdict)
+    }
+
+    fn apply_change(&mut self, offset: Offset, change: D::Change) -> Verdict {
+        let revision = Revision::new(offset.get());
+        match self.domain.apply(change, revision, &mut self.sum) {
+            Ok(()) => Verdict::Accepted,
+            Err(reason) => Verdict::Refused(reason),
+        }
+    }
+
+    /// The digest of everything that the stream has brought.
+    pub(crate) fn digest(&self) -> Digest {
+        let mut hasher = Sha256::new();
+        hasher.update(self.next.get().to_le_bytes());
+        hasher.update(self.sum.to_bytes());
+        Digest::new(hasher.finalize().into())
+    }
+
+    /// Works the sum out from all items.
+    fn sum_of(ledger: &Ledger, domain: &D) -> LaneSum {
+        let mut sum = LaneSum::default();
+        ledger.add_to(&mut sum);
+        domain.add_to(&mut sum);
+        sum
+    }
+}
+
+// The sum is left out and worked out again, so that a snapshot can't bring a wrong one.
+impl<D: Encode> Encode for StreamFold<D> {
+    fn encode<E: Encoder>(&self, encoder: &mut E) -> Result<(), EncodeError> {
+        self.next.encode(encoder)?;
+        self.ledger.encode(encoder)?;
+        self.domain.encode(encoder)
+    }
+}
+
+impl<Context, D: Domain + Decode<Context>> Decode<Context> for StreamFold<D> {
+    fn decode<R: Decoder<Context = Context>>(decoder: &mut R) -> Result<Self, DecodeError> {
+        let next = Offset::decode(decoder)?;
+        if !(FIRST_OFFSET..=LAST_OFFSET).contains(&next) {
+            return Err(DecodeError::Other("expected an offset of the log"));
+        }
+        let ledger = Ledger::decode(decoder)?;
+        let domain = D::decode(decoder)?;
+        let sum = Self::sum_of(&ledger, &domain);
+        Ok(Self {
+            next,
+            ledger,
+            domain,
+            sum,
+        })
+    }
+}
+
+impl<'de, Context, D: Domain + Decode<Context>> BorrowDecode<'de, Context> for StreamFold<D> {
+    fn borrow_decode<R: BorrowDecoder<'de, Context = Context>>(
+        decoder: &mut R,
+    ) -> Result<Self, DecodeError> {
+        Self::decode(decoder)
+    }
+}
+
+/// Refuses a record whose place in the stream is not one where it can be told from a repeat.
+fn refuse_place(offset: Offset, as_of: Offset, sequence: Sequence) -> Option<RefusalReason> {
+    match sequence {
+        Sequence::ZERO => Some(RefusalReason::ZeroSequence),
+        _ if as_of > offset => Some(RefusalReason::AheadOfStream),
+        _ if offset.get() - as_of.get() > RECORD_WINDOW => Some(RefusalReason::Expired),
+        _ => None,
+    }
+}
+
+impl From<Verdict> for Applied {
+    fn from(verdict: Verdict) -> Self {
+        match verdict {
+            Verdict::Accepted => Self::Accepted,
+            Verdict::Refused(reason) => Self::Refused(reason),
+        }
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-state/src/record/control.rs
@@ -0,0 +1,37 @@
+//! The records of the `control` stream.
+
+use bincode::{Decode, Encode};
+use vanillafold_types::{PoolId, Revision, VmId};
+
+use super::Record;
+use crate::SnapshotChunk;
+
+/// A record of the `control` stream.
+pub type ControlRecord = Record<ControlChange>;
+
+/// What daemons decide.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub enum ControlChange {
+    /// Moves a VM to another pool.
+    MoveVm {
+        /// The VM.
+        vm: VmId,
+        /// The pool that it belongs to; its home pool if it never moved. The fold doesn't know
+        /// home pools, so the writer checks this against the platform's list before the append.
+        from: PoolId,
+        /// The pool that it goes to.
+        to: PoolId,
+        /// The revision of its last move; 0 if it never moved.
+        replaces: Revision,
+    },
+    /// Puts a VM back into its home pool and forgets that it moved. For VMs that are gone too,
+    /// so that their moves don't pile up.
+    ReturnVm {
+        /// The VM.
+        vm: VmId,
+        /// The revision of its last move.
+        replaces: Revision,
+    },
+    /// A piece of a snapshot. It changes nothing, and its sequence isn't counted.
+    Snapshot(SnapshotChunk),
+}
--- /dev/null
+++ b/crates/vanillafold-state/src/record/stream.rs
@@ -0,0 +1,57 @@
+//! The two streams of the log.
+
+use std::fmt;
+use std::str::FromStr;
+
+use bincode::{Decode, Encode};
+
+/// A stream of the platform's log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+pub enum Stream {
+    /// What operators publish.
+    Catalogue,
+    /// What daemons decide.
+    Control,
+}
+
+/// The text names no [`Stream`].
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("expected catalogue or control, found {found:?}")]
+pub struct ParseStreamError {
+    /// What was there.
+    pub found: String,
+}
+
+impl Stream {
+    /// Both streams.
+    pub const ALL: [Self; 2] = [Self::Catalogue, Self::Control];
+
+    /// The stream's name in the platform's API.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Catalogue => "catalogue",
+            Self::Control => "control",
+        }
+    }
+}
+
+impl fmt::Display for Stream {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl FromStr for Stream {
+    type Err = ParseStreamError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "catalogue" => Ok(Self::Catalogue),
+            "control" => Ok(Self::Control),
+            _ => Err(ParseStreamError {
+                found: text.to_owned(),
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-state/src/snapshot/mod.rs
@@ -0,0 +1,11 @@
+//! The whole state in pieces that fit into records.
+
+mod builder;
+mod chunk;
+mod error;
+mod split;
+
+pub use builder::SnapshotBuilder;
+pub use chunk::{MAX_CHUNK_BYTES, SnapshotChunk, SnapshotId};
+pub use error::SnapshotError;
+pub use split::Snapshot;
--- /dev/null
+++ b/crates/vanillafold-state/src/state/adopt.rs
@@ -0,0 +1,137 @@
+//! Starting from a snapshot.
+
+use bincode::config::{Configuration, Limit, LittleEndian, Varint};
+use bincode::{Decode, Encode};
+use vanillafold_types::Offset;
+
+use super::State;
+use crate::catalogue::Catalogue;
+use crate::control::Memberships;
+use crate::fold::{Domain, StreamFold};
+use crate::table::SortedVec;
+use crate::{Digest, Snapshot, SnapshotError, SnapshotId, Stream};
+
+/// The most memory that a decoded snapshot may claim, in bytes.
+const MAX_DECODED_BYTES: usize = 128 << 20;
+
+type Config = Configuration<LittleEndian, Varint, Limit<MAX_DECODED_BYTES>>;
+
+const fn config() -> Config {
+    bincode::config::standard().with_limit::<MAX_DECODED_BYTES>()
+}
+
+/// The state as a snapshot holds it.
+#[derive(Encode)]
+struct Body<'a> {
+    catalogue: &'a StreamFold<Catalogue>,
+    control: &'a StreamFold<Memberships>,
+}
+
+/// The state as it is read from a snapshot.
+#[derive(Decode)]
+struct OwnedBody {
+    catalogue: StreamFold<Catalogue>,
+    control: StreamFold<Memberships>,
+}
+
+impl State {
+    /// The state as pieces for the `control` stream. The keys withdrawn ahead of the log are not
+    /// in it, so that two daemons at the same offsets make the same snapshot.
+    #[must_use]
+    pub fn snapshot(&self) -> Snapshot {
+        let body = Body {
+            catalogue: &self.catalogue,
+            control: &self.control,
+        };
+        let bytes = bincode::encode_to_vec(body, config())
+            .expect("memory takes any bytes, and every part of the state has an encoding");
+        Snapshot::split(self.snapshot_id(), &bytes)
+    }
+
+    fn snapshot_id(&self) -> SnapshotId {
+        SnapshotId {
+            control_next: self.control.next_offset(),
+            catalogue_next: self.catalogue.next_offset(),
+            digest: self.digest(),
+        }
+    }
+
+    /// Reads a whole snapshot and checks that it holds the state that `id` names.
+    pub(crate) fn from_snapshot(id: SnapshotId, bytes: &[u8]) -> Result<Self, SnapshotError> {
+        let malformed = |reason: String| SnapshotError::Malformed { id, reason };
+        let (body, used_bytes) = bincode::decode_from_slice::<OwnedBody, _>(bytes, config())
+            .map_err(|error| malformed(error.to_string()))?;
+        if used_bytes != bytes.len() {
+            return Err(malformed("more bytes follow behind the state".to_owned()));
+        }
+        let state = Self {
+            catalogue: body.catalogue,
+            control: body.control,
+            early_withdrawals: SortedVec::default(),
+        };
+        match state.snapshot_id() {
+            found if found == id => Ok(state),
+            found => Err(SnapshotError::WrongState {
+                id,
+                found: found.digest,
+            }),
+        }
+    }
+
+    /// Takes over each stream's part of `other` that is later than the present one, and the keys
+    /// that either has withdrawn ahead of the log. No offset goes back.
+    ///
+    /// # Errors
+    ///
+    /// [`SnapshotError::Older`] if one part of `other` is older and none is later, and
+    /// [`SnapshotError::Diverged`] if both are at the same offset of a stream and differ. The
+    /// state is then as before.
+    pub fn adopt(&mut self, other: Self) -> Result<(), SnapshotError> {
+        let catalogue = compare(Stream::Catalogue, &self.catalogue, &other.catalogue)?;
+        let control = compare(Stream::Control, &self.control, &other.control)?;
+        let is_later = [catalogue, control].contains(&Age::Later);
+        let is_older = [catalogue, control].contains(&Age::Older);
+        if is_older && !is_later {
+            return Err(SnapshotError::Older);
+        }
+        if catalogue == Age::Later {
+            self.catalogue = other.catalogue;
+        }
+        if control == Age::Later {
+            self.control = other.control;
+        }
+        for id in other.early_withdrawals.iter() {
+            self.early_withdrawals.insert(id.clone());
+        }
+        self.absorb_withdrawals();
+        Ok(())
+    }
+}
+
+/// How another part of the state stands to the own one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Age {
+    Older,
+    Same,
+    Later,
+}
+
+fn compare<D: Domain>(
+    stream: Stream,
+    own: &StreamFold<D>,
+    other: &StreamFold<D>,
+) -> Result<Age, SnapshotError> {
+    let next: Offset = own.next_offset();
+    let (own_digest, other_digest): (Digest, Digest) = (own.digest(), other.digest());
+    match other.next_offset() {
+        offset if offset < next => Ok(Age::Older),
+        offset if offset > next => Ok(Age::Later),
+        _ if own_digest == other_digest => Ok(Age::Same),
+        _ => Err(SnapshotError::Diverged {
+            stream,
+            next,
+            own: own_digest,
+            other: other_digest,
+        }),
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-state/src/state/lookup.rs
@@ -0,0 +1,91 @@
+//! What the rest of the system asks the state, by binary search.
+
+use vanillafold_types::{Key, KeyId, Pool, PoolId, Queue, Team, TeamId, VmId};
+
+use super::State;
+use crate::{KeyRefusal, Membership, Revised};
+
+impl State {
+    /// The queue of this name.
+    #[must_use]
+    pub fn queue(&self, id: &str) -> Option<&Revised<Queue>> {
+        self.catalogue.domain().queue(id)
+    }
+
+    /// The pool of this name.
+    #[must_use]
+    pub fn pool(&self, id: &PoolId) -> Option<&Revised<Pool>> {
+        self.catalogue.domain().pool(id.as_str())
+    }
+
+    /// The team of this name.
+    #[must_use]
+    pub fn team(&self, id: &TeamId) -> Option<&Revised<Team>> {
+        self.catalogue.domain().team(id.as_str())
+    }
+
+    /// The pools, sorted by id.
+    pub fn pools(&self) -> impl ExactSizeIterator<Item = &Revised<Pool>> {
+        self.catalogue.domain().pools()
+    }
+
+    /// The teams, sorted by id.
+    pub fn teams(&self) -> impl ExactSizeIterator<Item = &Revised<Team>> {
+        self.catalogue.domain().teams()
+    }
+
+    /// The queues, sorted by id.
+    pub fn queues(&self) -> impl ExactSizeIterator<Item = &Revised<Queue>> {
+        self.catalogue.domain().queues()
+    }
+
+    /// The keys that were given and that the log has not withdrawn, sorted by id. Those withdrawn
+    /// ahead of the log are among them: see [`State::early_withdrawals`].
+    pub fn keys(&self) -> impl ExactSizeIterator<Item = &Revised<Key>> {
+        self.catalogue.domain().keys().given()
+    }
+
+    /// The key ids that the log has withdrawn, sorted.
+    pub fn withdrawn_keys(&self) -> impl ExactSizeIterator<Item = &KeyId> {
+        self.catalogue.domain().keys().withdrawn()
+    }
+
+    /// The key ids withdrawn ahead of the log that it has not withdrawn yet, sorted.
+    pub fn early_withdrawals(&self) -> impl ExactSizeIterator<Item = &KeyId> {
+        self.early_withdrawals.iter()
+    }
+
+    /// The key that a caller presents as `{key-id}.{secret}`.
+    ///
+    /// # Errors
+    ///
+    /// A [`KeyRefusal`]; [`KeyRefusal::Withdrawn`] only for the right secret, so that it tells a
+    /// stranger nothing.
+    pub fn authenticate(&self, presented_key: &str) -> Result<&Key, KeyRefusal> {
+        self.catalogue
+            .domain()
+            .keys()
+            .authenticate(presented_key, &self.early_withdrawals)
+    }
+
+    /// The pool that a VM belongs to; `home` is the pool that the platform's list gives it.
+    #[must_use]
+    pub fn pool_of(&self, vm: &VmId, home: &PoolId) -> PoolId {
+        match self.membership(vm) {
+            Some(membership) => membership.pool.clone(),
+            None => home.clone(),
+        }
+    }
+
+    /// The last move of a VM; `None` if it is in its home pool and the next move replaces
+    /// revision 0.
+    #[must_use]
+    pub fn membership(&self, vm: &VmId) -> Option<&Membership> {
+        self.control.domain().get(vm)
+    }
+
+    /// The VMs that were moved, sorted by id.
+    pub fn memberships(&self) -> impl ExactSizeIterator<Item = &Membership> {
+        self.control.domain().iter()
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-state/src/table/sorted_vec.rs
@@ -0,0 +1,102 @@
+//! A vector that is sorted by its elements' keys, each key at most once.
+
+use bincode::de::{BorrowDecoder, Decoder};
+use bincode::error::DecodeError;
+use bincode::{BorrowDecode, Decode, Encode};
+
+/// Has a key by which it is sorted.
+pub(crate) trait Keyed {
+    type Key: Ord + ?Sized;
+
+    fn key(&self) -> &Self::Key;
+}
+
+/// A vector that is sorted by its elements' keys, each key at most once.
+#[derive(Debug, Clone, PartialEq, Eq, Encode)]
+pub(crate) struct SortedVec<T>(Vec<T>);
+
+impl<T> Default for SortedVec<T> {
+    fn default() -> Self {
+        Self(Vec::new())
+    }
+}
+
+impl<T: Keyed> SortedVec<T> {
+    pub(crate) fn get(&self, key: &T::Key) -> Option<&T> {
+        self.position(key).ok().map(|index| &self.0[index])
+    }
+
+    pub(crate) fn contains(&self, key: &T::Key) -> bool {
+        self.position(key).is_ok()
+    }
+
+    /// Inserts `item` and returns the one that it replaces.
+    pub(crate) fn insert(&mut self, item: T) -> Option<T> {
+        match self.position(item.key()) {
+            Ok(index) => Some(std::mem::replace(&mut self.0[index], item)),
+            Err(index) => {
+                self.0.insert(index, item);
+                None
+            }
+        }
+    }
+
+    pub(crate) fn remove(&mut self, key: &T::Key) -> Option<T> {
+        self.position(key).ok().map(|index| self.0.remove(index))
+    }
+
+    /// The element of `key`, made by `make` if there is none. `make` must give it that key.
+    pub(crate) fn get_or_insert_with(&mut self, key: &T::Key, make: impl FnOnce() -> T) -> &mut T {
+        let index = self.position(key).unwrap_or_else(|index| {
+            self.0.insert(index, make());
+            index
+        });
+        &mut self.0[index]
+    }
+
+    fn position(&self, key: &T::Key) -> Result<usize, usize> {
+        self.0.binary_search_by(|item| item.key().cmp(key))
+    }
+}
+
+impl<T> SortedVec<T> {
+    pub(crate) fn iter(&self) -> std::slice::Iter<'_, T> {
+        self.0.iter()
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    pub(crate) fn first(&self) -> Option<&T> {
+        self.0.first()
+    }
+
+    /// Keeps the elements for which `keep` holds. `keep` must not change an element's key.
+    pub(crate) fn retain_mut(&mut self, keep: impl FnMut(&mut T) -> bool) {
+        self.0.retain_mut(keep);
+    }
+}
+
+// A snapshot isn't trusted to be sorted, and a search in an unsorted table would miss entries.
+impl<Context, T: Decode<Context> + Keyed> Decode<Context> for SortedVec<T> {
+    fn decode<D: Decoder<Context = Context>>(decoder: &mut D) -> Result<Self, DecodeError> {
+        let items = Vec::<T>::decode(decoder)?;
+        if items.is_sorted_by(|left, right| left.key() < right.key()) {
+            return Ok(Self(items));
+        }
+        Err(DecodeError::Other("expected elements sorted by their keys"))
+    }
+}
+
+impl<'de, Context, T: Decode<Context> + Keyed> BorrowDecode<'de, Context> for SortedVec<T> {
+    fn borrow_decode<D: BorrowDecoder<'de, Context = Context>>(
+        decoder: &mut D,
+    ) -> Result<Self, DecodeError> {
+        Self::decode(decoder)
+    }
+}
--- a/crates/vanillafold-types/src/id/mod.rs
+++ b/crates/vanillafold-types/src/id/mod.rs
@@ -3,6 +3,6 @@
 mod text;
 
 pub use text::{
-    DaemonId, IdError, KeyId, MAX_ID_CHARS, Owner, PoolId, QueueId, RackId, RequestId, TeamId,
-    VmId, ZoneId,
+    AuthorId, DaemonId, IdError, KeyId, MAX_ID_CHARS, Owner, PoolId, QueueId, RackId, RequestId,
+    TeamId, VmId, ZoneId,
 };
--- a/crates/vanillafold-types/src/id/text.rs
+++ b/crates/vanillafold-types/src/id/text.rs
@@ -138,3 +138,7 @@
     /// Who answers for a catalogue entry: a name or a mail address.
     Owner, "-_.@+"
 );
+text_id!(
+    /// Who wrote a record of the log: a daemon, an operator or a tool.
+    AuthorId, "-_.@+"
+);
--- a/crates/vanillafold-types/src/lib.rs
+++ b/crates/vanillafold-types/src/lib.rs
@@ -20,8 +20,8 @@
 };
 pub use code::{Outcome, ParseOutcomeError, ResultCode};
 pub use id::{
-    DaemonId, IdError, KeyId, MAX_ID_CHARS, Owner, PoolId, QueueId, RackId, RequestId, TeamId,
-    VmId, ZoneId,
+    AuthorId, DaemonId, IdError, KeyId, MAX_ID_CHARS, Owner, PoolId, QueueId, RackId, RequestId,
+    TeamId, VmId, ZoneId,
 };
 pub use ini::{Document, Problem, Reader, Section, nearest_name};
 pub use size::{
