--- a/crates/vanillafold-wire/src/http/client.rs
+++ b/crates/vanillafold-wire/src/http/client.rs
@@ -59,7 +59,8 @@
 }
 
 impl Client {
-    /// A client of `address` that waits at most `timeout` for each answer.
+    /// A client of `address` that waits at most `timeout` for a connection, and then for each
+    /// answer.
     #[must_use]
     pub const fn new(address: SocketAddr, timeout: Duration) -> Self {
         Self {
@@ -97,15 +98,12 @@
         let limit = self.timeout;
         // Taken out, so that a request given up in the middle leaves no half-read connection.
         let kept = self.connection.take();
-        let exchange = async {
-            let mut connection = match reuse(kept).await {
-                Some(connection) => connection,
-                None => self.connect().await?,
-            };
-            let response = exchange(&mut connection, method, path, headers, body).await?;
-            Ok::<_, ClientError>((connection, response))
+        let mut connection = match reuse(kept).await {
+            Some(connection) => connection,
+            None => self.connect().await?,
         };
-        let (connection, response) = timeout(limit, exchange)
+        let exchange = exchange(&mut connection, method, path, headers, body);
+        let response = timeout(limit, exchange)
             .await
             .map_err(|_| ClientError::TimedOut(limit))??;
         self.connection = Some(connection);
@@ -113,13 +111,16 @@
     }
 
     async fn connect(&self) -> Result<(HttpReader, HttpWriter), ClientError> {
-        let stream = TcpStream::connect_addr(self.address)
+        let failed = |source| ClientError::Connect {
+            address: self.address,
+            source,
+        };
+        // A bound of its own: the request has not left when it passes.
+        timeout(self.timeout, TcpStream::connect_addr(self.address))
             .await
-            .map_err(|source| ClientError::Connect {
-                address: self.address,
-                source,
-            })?;
-        Ok(split(stream))
+            .map_err(|_| failed(io::ErrorKind::TimedOut.into()))?
+            .map(split)
+            .map_err(failed)
     }
 }
 
