--- a/crates/vanillafold-wire/src/http/reader.rs
+++ b/crates/vanillafold-wire/src/http/reader.rs
@@ -138,6 +138,12 @@
         Ok(length)
     }
 
+    /// Whether bytes have been read and not taken.
+    #[must_use]
+    pub fn has_pending(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
     /// Whether a connection that should be silent still is: a byte or an end means it is stale.
     pub async fn is_quiet(&mut self) -> bool {
         if !self.buffer.is_empty() {
--- a/crates/vanillafold-wire/src/http/writer.rs
+++ b/crates/vanillafold-wire/src/http/writer.rs
@@ -61,6 +61,18 @@
         Ok(())
     }
 
+    /// Adds a piece of a body, unless it is empty: an empty chunk would end the body.
+    ///
+    /// # Errors
+    ///
+    /// Those of the connection.
+    pub async fn body_piece_or_none(&mut self, framing: Framing, piece: Bytes) -> io::Result<()> {
+        match piece.is_empty() {
+            true => Ok(()),
+            false => self.body_piece(framing, piece).await,
+        }
+    }
+
     /// Adds the mark of the body's end, if its framing has one.
     pub fn body_end(&mut self, framing: Framing) {
         if framing == Framing::Chunked {
--- /dev/null
+++ b/crates/vanillafold/src/admin/service.rs
@@ -0,0 +1,114 @@
+//! What operators and their programs can ask a daemon.
+
+use std::fmt::Write as _;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::header::AUTHORIZATION;
+use http::{Method, Request, Response, StatusCode};
+use metrics_exporter_prometheus::PrometheusHandle;
+use subtle::ConstantTimeEq as _;
+use vanillafold_state::Stream;
+use vanillafold_wire::http::Service;
+
+use crate::node::Node;
+
+/// Answers operators' requests.
+pub(crate) struct AdminService {
+    node: Rc<Node>,
+    metrics: PrometheusHandle,
+}
+
+impl AdminService {
+    pub(crate) const fn new(node: Rc<Node>, metrics: PrometheusHandle) -> Self {
+        Self { node, metrics }
+    }
+
+    fn route(&self, request: &Request<Bytes>) -> Response<Bytes> {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/live") => text(StatusCode::OK, "live\n"),
+            (&Method::GET, "/ready") if self.node.is_ready() => text(StatusCode::OK, "ready\n"),
+            (&Method::GET, "/ready") => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            (&Method::GET, "/metrics") => {
+                self.metrics.run_upkeep();
+                text(StatusCode::OK, self.metrics.render())
+            }
+            _ if !self.is_operator(request) => text(
+                StatusCode::UNAUTHORIZED,
+                "expected Authorization: Bearer with the operators' credential\n",
+            ),
+            (&Method::GET, "/state") => text(StatusCode::OK, self.state()),
+            _ => text(StatusCode::NOT_FOUND, "no such page; try GET /state\n"),
+        }
+    }
+
+    fn is_operator(&self, request: &Request<Bytes>) -> bool {
+        let expected = format!("Bearer {}", self.node.settings.operator_credential.expose());
+        request
+            .headers()
+            .get(AUTHORIZATION)
+            .is_some_and(|given| given.as_bytes().ct_eq(expected.as_bytes()).into())
+    }
+
+    /// The daemon's state as `name=value` lines.
+    fn state(&self) -> String {
+        let state = self.node.state.borrow();
+        let routes = self.node.routes.borrow();
+        let mut page = String::new();
+        // Writing to memory can't fail.
+        let _ = writeln!(page, "daemon={}", self.node.settings.name);
+        let _ = writeln!(page, "incarnation={}", self.node.incarnation);
+        for stream in [Stream::Catalogue, Stream::Control] {
+            let _ = writeln!(page, "{stream}_next={}", state.next_offset(stream));
+        }
+        let _ = writeln!(page, "digest={}", state.digest());
+        let _ = writeln!(page, "requests={}", self.node.requests.count());
+        for team in &routes.teams {
+            let _ = writeln!(
+                page,
+                "team {} held={} allowance={}",
+                team.id,
+                team.held(),
+                team.allowance()
+            );
+        }
+        for queue in &routes.queues {
+            let _ = writeln!(
+                page,
+                "queue {} waiting={}",
+                queue.settings.id,
+                queue.waiting()
+            );
+        }
+        let now = self.node.now();
+        for pool in &routes.pools {
+            let table = pool.table.borrow();
+            for target in table.views(now) {
+                let _ = writeln!(
+                    page,
+                    "vm {} pool={} zone={} standing={} outstanding={} foreign={} connections={}",
+                    target.vm,
+                    pool.id,
+                    target.zone,
+                    target.standing.label(),
+                    target.outstanding,
+                    target.foreign,
+                    target.connections,
+                );
+            }
+        }
+        page
+    }
+}
+
+impl Service for AdminService {
+    async fn answer(&self, request: Request<Bytes>) -> Option<Response<Bytes>> {
+        Some(self.route(&request))
+    }
+}
+
+fn text(status: StatusCode, body: impl Into<Bytes>) -> Response<Bytes> {
+    let mut response = Response::new(body.into());
+    *response.status_mut() = status;
+    response
+}
--- a/crates/vanillafold/src/caller/body.rs
+++ b/crates/vanillafold/src/caller/body.rs
@@ -1,8 +1,8 @@
 //! A request's body: whole in memory if it is small, otherwise streamed.
 
 use bytes::{Bytes, BytesMut};
-use monoio::time::timeout_at;
 use monoio::time::Instant;
+use monoio::time::timeout_at;
 use vanillafold_types::{Millis, ResultCode};
 use vanillafold_wire::http::{BodyError, BodyReader, Framing, HttpReader};
 
@@ -21,6 +21,11 @@
         /// The rest.
         rest: BodyReader,
     },
+    /// It was streamed and can't be sent again.
+    Spent {
+        /// Whether it was read to its end.
+        read: bool,
+    },
 }
 
 impl PreparedBody {
@@ -56,6 +61,25 @@
         Ok(Self::Whole(start.freeze()))
     }
 
+    /// Takes the body out to be sent; one that is whole stays at hand.
+    pub(crate) fn take(&mut self) -> Self {
+        match self {
+            Self::Whole(body) => Self::Whole(body.clone()),
+            Self::Streamed { .. } | Self::Spent { .. } => {
+                std::mem::replace(self, Self::Spent { read: false })
+            }
+        }
+    }
+
+    /// Whether the caller's connection is past it.
+    pub(crate) fn is_read(&self) -> bool {
+        match self {
+            Self::Whole(_) => true,
+            Self::Streamed { rest, .. } => rest.is_done(),
+            Self::Spent { read } => *read,
+        }
+    }
+
     /// Whether it can be sent more than once.
     pub(crate) const fn is_replayable(&self) -> bool {
         matches!(self, Self::Whole(_))
@@ -66,7 +90,7 @@
         match self {
             Self::Whole(body) if body.is_empty() => Framing::Empty,
             Self::Whole(body) => Framing::Length(body.len() as u64),
-            Self::Streamed { .. } => received,
+            Self::Streamed { .. } | Self::Spent { .. } => received,
         }
     }
 }
--- a/crates/vanillafold/src/caller/connection.rs
+++ b/crates/vanillafold/src/caller/connection.rs
@@ -5,9 +5,7 @@
 
 use monoio::time::{Instant, timeout};
 use vanillafold_types::ResultCode;
-use vanillafold_wire::http::{
-    BodyReader, Framing, HeadError, HttpReader, HttpWriter, RequestHead,
-};
+use vanillafold_wire::http::{BodyReader, Framing, HeadError, HttpReader, HttpWriter, RequestHead};
 
 use super::request::BadRequest;
 use super::{CallerRequest, PreparedBody, Refusal};
@@ -46,7 +44,9 @@
 
 impl Drop for OpenConnection {
     fn drop(&mut self) {
-        self.0.open_connections.set(self.0.open_connections.get() - 1);
+        self.0
+            .open_connections
+            .set(self.0.open_connections.get() - 1);
         self.0.counters.connections_open.decrement(1.0);
     }
 }
@@ -148,9 +148,12 @@
     };
     let dispatch = Dispatch::new(node, &request, body);
     let next = match dispatch.run(reader, writer).await {
-        Delivered::Whole => {
+        Delivered::Whole { body_read } => {
             node.counters.result(ResultCode::Answered);
-            Next::KeepAlive
+            match body_read && !node.draining.is_ordered() {
+                true => Next::KeepAlive,
+                false => Next::Close,
+            }
         }
         Delivered::Cut => {
             node.counters.answers_cut.increment(1);
@@ -182,18 +185,26 @@
     writer: &mut HttpWriter,
     bad: BadRequest,
 ) -> Next {
-    let next = match bad.framing {
-        Some(framing) if skip_body(node, reader, framing).await => Next::KeepAlive,
-        _ => Next::Close,
+    let skippable = match bad.framing {
+        Some(Framing::Length(length)) => length <= MAX_SKIPPED_BODY,
+        Some(Framing::Empty | Framing::Chunked) => true,
+        None => false,
+    };
+    let next = match skippable {
+        true => Next::KeepAlive,
+        false => Next::Close,
     };
-    refuse(node, writer, &bad.refusal, next).await
+    let next = refuse(node, writer, &bad.refusal, next).await;
+    match bad.framing {
+        Some(framing) if next == Next::KeepAlive && !skip_body(node, reader, framing).await => {
+            Next::Close
+        }
+        _ => next,
+    }
 }
 
 /// Reads over the body of a refused request, if it is small and comes at once.
 async fn skip_body(node: &Node, reader: &mut HttpReader, framing: Framing) -> bool {
-    if matches!(framing, Framing::Length(length) if length > MAX_SKIPPED_BODY) {
-        return false;
-    }
     let mut body = BodyReader::new(framing);
     let skipping = async {
         while let Ok(Some(_)) = body.next(reader).await {
@@ -208,7 +219,7 @@
 
 async fn refuse(node: &Node, writer: &mut HttpWriter, refusal: &Refusal, next: Next) -> Next {
     node.counters.result(refusal.code);
-    let close = next != Next::KeepAlive || node.shutdown.is_ordered();
+    let close = next != Next::KeepAlive || node.draining.is_ordered();
     match refusal.write(writer, &node.daemon_header, close).await {
         Ok(()) if close => Next::Close,
         Ok(()) => next,
--- a/crates/vanillafold/src/caller/listener.rs
+++ b/crates/vanillafold/src/caller/listener.rs
@@ -21,7 +21,7 @@
 /// # Errors
 ///
 /// None while it runs; the result is the supervisor's.
-pub(crate) async fn serve_callers(node: Rc<Node>, listener: TcpListener) -> io::Result<()> {
+pub(crate) async fn serve_callers(node: Rc<Node>, listener: Rc<TcpListener>) -> io::Result<()> {
     loop {
         let accepted = monoio::select! {
             accepted = listener.accept() => accepted,
--- a/crates/vanillafold/src/caller/refusal.rs
+++ b/crates/vanillafold/src/caller/refusal.rs
@@ -1,7 +1,7 @@
 //! A refusal: a numbered code, and what happens to the connection.
 
-use http::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
 use http::StatusCode;
+use http::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
 use vanillafold_types::{Outcome, RequestId, ResultCode};
 use vanillafold_wire::http::{Framing, HttpWriter, encode_response_head};
 
@@ -43,8 +43,8 @@
         }
         let body = format!("{}\n", self.code);
         let framing = Framing::Length(body.len() as u64);
-        let status = StatusCode::from_u16(self.code.status())
-            .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let status =
+            StatusCode::from_u16(self.code.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         encode_response_head(writer.buffer(), status, headers.iter(), framing);
         writer.body_piece(framing, body.into()).await?;
         writer.flush().await
--- a/crates/vanillafold/src/caller/request.rs
+++ b/crates/vanillafold/src/caller/request.rs
@@ -61,15 +61,24 @@
     ) -> Result<Self, BadRequest> {
         let framing = request_framing(&head.headers)
             .map_err(|_| BadRequest::doubtful(ResultCode::ConflictingFraming))?;
+        // A caller that waits for a word before it sends its body may never send it.
+        let known_end = match head.headers.contains_key(EXPECT) {
+            true => None,
+            false => Some(framing),
+        };
         let unnamed = |code| BadRequest {
             refusal: Refusal::unnamed(code),
-            framing: Some(framing),
+            framing: known_end,
         };
         if head.version != Version::HTTP_11 || head.method == Method::CONNECT {
             return Err(BadRequest::doubtful(ResultCode::Unsupported));
         }
-        let id = match header(&head.headers, &REQUEST_ID).map_err(|()| unnamed(ResultCode::MalformedRequestId))? {
-            Some(text) => text.parse().map_err(|_| unnamed(ResultCode::MalformedRequestId))?,
+        let id = match header(&head.headers, &REQUEST_ID)
+            .map_err(|()| unnamed(ResultCode::MalformedRequestId))?
+        {
+            Some(text) => text
+                .parse()
+                .map_err(|_| unnamed(ResultCode::MalformedRequestId))?,
             None => node.new_request_id(),
         };
         Self::check(node, id.clone(), head, framing, arrived).map_err(|code| BadRequest {
@@ -77,7 +86,7 @@
                 code,
                 request: Some(id),
             },
-            framing: Some(framing),
+            framing: known_end,
         })
     }
 
@@ -116,6 +125,12 @@
         })
     }
 
+    /// Checks the key once more: it may have been withdrawn since the request arrived.
+    pub(crate) fn reauthorize(&self, node: &Node) -> Result<(), ResultCode> {
+        node.authorize(&self.queue, bearer(&self.headers)?)
+            .map(|_| ())
+    }
+
     /// The time left until the deadline.
     pub(crate) fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/vanillafold/src/counter/counters.rs
+++ b/crates/vanillafold/src/counter/counters.rs
@@ -5,28 +5,28 @@
 
 /// Handles of the daemon's counters.
 #[derive(Clone)]
-pub struct Counters {
+pub(crate) struct Counters {
     results: Vec<Counter>,
     /// Caller connections accepted.
-    pub connections_accepted: Counter,
+    pub(crate) connections_accepted: Counter,
     /// Caller connections open now.
-    pub connections_open: Gauge,
+    pub(crate) connections_open: Gauge,
     /// Sends to targets, first ones and retries.
-    pub sends: Counter,
+    pub(crate) sends: Counter,
     /// Answers that were cut short after their head was passed on.
-    pub answers_cut: Counter,
+    pub(crate) answers_cut: Counter,
     /// Callers that went away before their request was sent.
-    pub callers_gone: Counter,
+    pub(crate) callers_gone: Counter,
     /// Work that was given up on and may still run at its target.
-    pub lingering: Gauge,
+    pub(crate) lingering: Gauge,
     /// From a request's head to the end of its answer, in seconds.
-    pub answer_seconds: Histogram,
+    pub(crate) answer_seconds: Histogram,
 }
 
 impl Counters {
     /// Registers the counters with the recorder that is installed.
     #[must_use]
-    pub fn register() -> Self {
+    pub(crate) fn register() -> Self {
         let results = ResultCode::ALL
             .iter()
             .map(|code| {
@@ -51,24 +51,24 @@
     }
 
     /// Counts a result.
-    pub fn result(&self, code: ResultCode) {
+    pub(crate) fn result(&self, code: ResultCode) {
         if let Ok(index) = ResultCode::ALL.binary_search(&code) {
             self.results[index].increment(1);
         }
     }
 
     /// Counts a retry for `reason`.
-    pub fn retry(&self, reason: &'static str) {
+    pub(crate) fn retry(&self, reason: &'static str) {
         counter!("vanillafold_retries_total", "reason" => reason).increment(1);
     }
 
     /// Counts a retry that was not made for `reason`.
-    pub fn retry_refused(&self, reason: &'static str) {
+    pub(crate) fn retry_refused(&self, reason: &'static str) {
         counter!("vanillafold_retries_refused_total", "reason" => reason).increment(1);
     }
 
     /// Counts something of the control side that went wrong.
-    pub fn control_failure(&self, what: &'static str) {
+    pub(crate) fn control_failure(&self, what: &'static str) {
         counter!("vanillafold_control_failures_total", "what" => what).increment(1);
     }
 }
--- a/crates/vanillafold/src/counter/mod.rs
+++ b/crates/vanillafold/src/counter/mod.rs
@@ -2,4 +2,4 @@
 
 mod counters;
 
-pub use counters::Counters;
+pub(crate) use counters::Counters;
--- /dev/null
+++ b/crates/vanillafold/src/dispatch/dispatcher.rs
@@ -0,0 +1,504 @@
+//! The attempts of one request.
+
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONNECTION, HeaderMap, HeaderValue};
+use monoio::time::{sleep, timeout, timeout_at};
+use vanillafold_policy::{
+    AttemptFailure, Decision, FailureKind, Finish, NotRunReason, RequestAttempts, RequestTerms,
+    RetryAllowance,
+};
+use vanillafold_types::{ResultCode, VmId};
+use vanillafold_wire::http::{BodyReader, HttpReader, HttpWriter, encode_request_head};
+
+use super::exchange::{self, AnswerHead, Received, RelayFault, UploadFault};
+use super::header;
+use super::linger::linger;
+use super::permit::{NoPermit, Permit, acquire};
+use crate::caller::{CallerRequest, PreparedBody, answer_headers};
+use crate::node::{ConnectError, Node, Slot, TargetConnection, TeamUnit};
+
+/// How long a target that stopped taking a body may take to say why.
+const REFUSAL_GRACE: Duration = Duration::from_millis(200);
+
+/// How a request ended for its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Delivered {
+    /// The whole answer was passed on.
+    Whole {
+        /// Whether the request's body was read to its end.
+        body_read: bool,
+    },
+    /// The answer was cut short after a part of it was passed on.
+    Cut,
+    /// The caller went away.
+    CallerGone,
+    /// The caller is to be refused.
+    Refused {
+        /// Why.
+        code: ResultCode,
+        /// Whether the request's body was read to its end.
+        body_read: bool,
+    },
+}
+
+/// The attempts of one request.
+pub(crate) struct Dispatch<'a> {
+    node: &'a Rc<Node>,
+    request: &'a CallerRequest,
+    body: PreparedBody,
+    attempts: RequestAttempts,
+    failed_at: Vec<VmId>,
+    first_sent: bool,
+}
+
+/// A send that is under way.
+struct Flight {
+    connection: TargetConnection,
+    unit: Option<TeamUnit>,
+    slot: Slot,
+}
+
+/// How an attempt ended.
+enum Attempt {
+    /// The request is over.
+    Over(Delivered),
+    /// It failed; what follows is to be decided.
+    Failed(AttemptFailure),
+    /// It failed and another one follows.
+    Again,
+}
+
+/// How a streamed send ended, its deadline aside.
+enum Streamed {
+    /// The target answered, or its connection failed.
+    Answered(Result<(Received, Result<(), RelayFault>), AttemptFailure>),
+    /// The caller's body broke off.
+    BodyBrokeOff,
+}
+
+impl<'a> Dispatch<'a> {
+    pub(crate) fn new(node: &'a Rc<Node>, request: &'a CallerRequest, body: PreparedBody) -> Self {
+        let terms = RequestTerms {
+            idempotent: request.idempotent,
+            body_replayable: body.is_replayable(),
+        };
+        Self {
+            node,
+            request,
+            body,
+            attempts: RequestAttempts::new(terms),
+            failed_at: Vec::new(),
+            first_sent: false,
+        }
+    }
+
+    /// Sends the request until it is answered, refused or given up.
+    pub(crate) async fn run(
+        mut self,
+        reader: &mut HttpReader,
+        writer: &mut HttpWriter,
+    ) -> Delivered {
+        loop {
+            let permit = acquire(self.node, self.request, &mut self.failed_at, reader).await;
+            let attempt = match permit {
+                Ok(permit) => self.attempt(permit, reader, writer).await,
+                Err(NoPermit::CallerGone) => return Delivered::CallerGone,
+                Err(NoPermit::Refused(code)) => return self.refused(self.attempts.refusal(code)),
+            };
+            match attempt {
+                Attempt::Over(delivered) => return delivered,
+                Attempt::Again => {}
+                Attempt::Failed(failure) => match self.decide(failure) {
+                    Decision::Retry { after_ms, .. } => sleep(after_ms.duration()).await,
+                    Decision::GiveUp { code, .. } => return self.refused(code),
+                    // Only whole answers are passed on, and those are decided on in `pass_on`.
+                    Decision::PassAnswer { .. } => {
+                        return self.refused(self.attempts.refusal(ResultCode::ConnectionLost));
+                    }
+                },
+            }
+        }
+    }
+
+    fn refused(&self, code: ResultCode) -> Delivered {
+        Delivered::Refused {
+            code,
+            body_read: self.body.is_read(),
+        }
+    }
+
+    fn decide(&mut self, failure: AttemptFailure) -> Decision {
+        let remaining = self.request.remaining().into();
+        let now = self.node.now();
+        let mut budget = self.request.queue.budget.borrow_mut();
+        let mut rng = self.node.rng.borrow_mut();
+        let decision = self
+            .attempts
+            .failed(failure, remaining, now, &mut *budget, &mut rng);
+        match decision {
+            Decision::Retry { reason, .. } => self.node.counters.retry(reason.label()),
+            Decision::PassAnswer { reason } | Decision::GiveUp { reason, .. } => {
+                self.node.counters.retry_refused(reason.label());
+            }
+        }
+        decision
+    }
+
+    // --- One attempt -----------------------------------------------------------------------
+
+    async fn attempt(
+        &mut self,
+        permit: Permit,
+        reader: &mut HttpReader,
+        writer: &mut HttpWriter,
+    ) -> Attempt {
+        let Permit { unit, slot } = permit;
+        let connection = match self.connect(&slot).await {
+            Ok(connection) => connection,
+            Err(failure) => return self.not_sent(slot, failure),
+        };
+        if !slot.takes_work() {
+            return self.not_sent(slot, AttemptFailure::NotRun(NotRunReason::Leaving));
+        }
+        // The key may have been withdrawn while the request waited.
+        if let Err(code) = self.request.reauthorize(self.node) {
+            return Attempt::Over(self.refused(self.attempts.refusal(code)));
+        }
+        if !std::mem::replace(&mut self.first_sent, true) {
+            let now = self.node.now();
+            self.request.queue.budget.borrow_mut().first_sent(now);
+        }
+        self.node.counters.sends.increment(1);
+        let flight = Flight {
+            connection,
+            unit,
+            slot,
+        };
+        match self.body.take() {
+            PreparedBody::Whole(body) => self.send_whole(flight, body, writer).await,
+            PreparedBody::Streamed { start, rest } => {
+                let streaming = self.send_streamed(flight, start, rest, reader, writer);
+                streaming.await
+            }
+            PreparedBody::Spent { .. } => {
+                let code = self.attempts.refusal(ResultCode::SendFailed);
+                Attempt::Over(self.refused(code))
+            }
+        }
+    }
+
+    async fn connect(&self, slot: &Slot) -> Result<TargetConnection, AttemptFailure> {
+        let timeouts = &self.node.settings.timeouts;
+        let proof_age = match self.request.idempotent {
+            true => None,
+            false => Some(timeouts.proof_ms.duration()),
+        };
+        let limit = timeouts.connect_ms.duration().min(self.request.remaining());
+        let connecting = self.request.queue.pool.connect(slot, proof_age, limit);
+        connecting.await.map_err(|error| match error {
+            ConnectError::ShareInUse => AttemptFailure::NotRun(NotRunReason::Busy),
+            ConnectError::Refused => AttemptFailure::Connect,
+        })
+    }
+
+    /// Ends an attempt of which no byte was written.
+    fn not_sent(&mut self, slot: Slot, failure: AttemptFailure) -> Attempt {
+        self.failed_at.extend(slot.vm().cloned());
+        let finish = match failure {
+            AttemptFailure::NotRun(reason) => Finish::NotRun { reason, load: None },
+            _ => Finish::Failed {
+                kind: FailureKind::Connect,
+                waited_ms: slot.waited_ms(),
+            },
+        };
+        slot.finish(self.node.now(), finish);
+        Attempt::Failed(failure)
+    }
+
+    async fn send_whole(
+        &mut self,
+        mut flight: Flight,
+        body: Bytes,
+        writer: &mut HttpWriter,
+    ) -> Attempt {
+        let request = self.request;
+        let framing = self.body.framing(request.framing);
+        let headers = header::to_target(request, self.attempts.next_number());
+        let sending = async {
+            let TargetConnection {
+                incoming, writer, ..
+            } = &mut flight.connection;
+            let (method, path) = (&request.method, &request.path);
+            exchange::send_whole(writer, method, path, &headers, body, framing)
+                .await
+                .map_err(|_| AttemptFailure::Lost)?;
+            exchange::receive(incoming, method).await
+        };
+        match timeout_at(request.deadline, sending).await {
+            Ok(Ok(Received::Head(answer))) => self.pass_on(flight, answer, writer).await,
+            Ok(Ok(Received::NotRun { reason, load })) => self.not_run(flight, reason, load),
+            Ok(Err(failure)) => self.lost(flight, failure),
+            Err(_) => self.timed_out(flight),
+        }
+    }
+
+    async fn send_streamed(
+        &mut self,
+        mut flight: Flight,
+        start: Bytes,
+        mut rest: BodyReader,
+        reader: &mut HttpReader,
+        writer: &mut HttpWriter,
+    ) -> Attempt {
+        let request = self.request;
+        let framing = request.framing;
+        let headers = header::to_target(request, self.attempts.next_number());
+        let piece_limit = self.node.settings.timeouts.body_ms.duration();
+        let node = self.node;
+        let mut passed_on = false;
+        let TargetConnection {
+            incoming,
+            writer: to_target,
+            ..
+        } = &mut flight.connection;
+        let streaming = async {
+            encode_request_head(
+                to_target.buffer(),
+                &request.method,
+                &request.path,
+                headers.iter(),
+                framing,
+            );
+            let mut uploading = pin!(exchange::upload(
+                to_target,
+                start,
+                &mut rest,
+                reader,
+                framing,
+                piece_limit
+            ));
+            let mut downloading = pin!(async {
+                let received = exchange::receive(incoming, &request.method).await?;
+                let Received::Head(answer) = &received else {
+                    return Ok((received, Ok(())));
+                };
+                let headers = answer_head(node, request, answer);
+                let relayed =
+                    exchange::relay(incoming, answer, &headers, writer, &mut passed_on).await;
+                Ok((received, relayed))
+            });
+            let uploaded = monoio::select! {
+                uploaded = &mut uploading => uploaded,
+                downloaded = &mut downloading => return Streamed::Answered(downloaded),
+            };
+            match uploaded {
+                Ok(()) => Streamed::Answered(downloading.await),
+                Err(UploadFault::Caller) => Streamed::BodyBrokeOff,
+                Err(UploadFault::Target) => match timeout(REFUSAL_GRACE, downloading).await {
+                    Ok(downloaded) => Streamed::Answered(downloaded),
+                    Err(_) => Streamed::Answered(Err(AttemptFailure::Lost)),
+                },
+            }
+        };
+        let streamed = timeout_at(request.deadline, streaming).await;
+        let body_read = rest.is_done();
+        self.body = PreparedBody::Spent { read: body_read };
+        match streamed {
+            Ok(Streamed::Answered(Ok((Received::NotRun { reason, load }, _)))) => {
+                self.not_run(flight, reason, load)
+            }
+            Ok(Streamed::Answered(Ok((Received::Head(answer), relayed)))) => {
+                let delivered = self.relayed(flight, &answer, relayed, passed_on);
+                match delivered {
+                    Attempt::Over(Delivered::Whole { .. }) => {
+                        Attempt::Over(Delivered::Whole { body_read })
+                    }
+                    other => other,
+                }
+            }
+            Ok(Streamed::Answered(Err(failure))) if !passed_on => self.lost(flight, failure),
+            Ok(Streamed::BodyBrokeOff) if !passed_on => {
+                let Flight {
+                    connection, unit, ..
+                } = flight;
+                linger(self.node, connection, unit, request.method.clone());
+                Attempt::Over(self.refused(ResultCode::BodyBrokeOff))
+            }
+            Err(_) if !passed_on => self.timed_out(flight),
+            Ok(_) | Err(_) => {
+                let Flight {
+                    connection, unit, ..
+                } = flight;
+                linger(self.node, connection, unit, request.method.clone());
+                Attempt::Over(Delivered::Cut)
+            }
+        }
+    }
+
+    // --- How an attempt ends ---------------------------------------------------------------
+
+    /// Passes the answer on, unless it is a fault of the target that a retry may mend.
+    async fn pass_on(
+        &mut self,
+        mut flight: Flight,
+        answer: AnswerHead,
+        writer: &mut HttpWriter,
+    ) -> Attempt {
+        if answer.is_server_error() {
+            match self.decide(AttemptFailure::ServerError) {
+                Decision::Retry { after_ms, .. } => {
+                    self.server_error(flight);
+                    sleep(after_ms.duration()).await;
+                    return Attempt::Again;
+                }
+                Decision::PassAnswer { .. } | Decision::GiveUp { .. } => {}
+            }
+        }
+        let headers = answer_head(self.node, self.request, &answer);
+        let mut passed_on = false;
+        let relaying = exchange::relay(
+            &mut flight.connection.incoming,
+            &answer,
+            &headers,
+            writer,
+            &mut passed_on,
+        );
+        match timeout_at(self.request.deadline, relaying).await {
+            Ok(relayed) => {
+                if relayed == Err(RelayFault::Target) && !passed_on {
+                    writer.buffer().clear();
+                }
+                self.relayed(flight, &answer, relayed, passed_on)
+            }
+            Err(_) if passed_on => {
+                self.give_up(flight, FailureKind::Timeout);
+                Attempt::Over(Delivered::Cut)
+            }
+            Err(_) => {
+                writer.buffer().clear();
+                self.timed_out(flight)
+            }
+        }
+    }
+
+    fn relayed(
+        &mut self,
+        flight: Flight,
+        answer: &AnswerHead,
+        relayed: Result<(), RelayFault>,
+        passed_on: bool,
+    ) -> Attempt {
+        match relayed {
+            Ok(()) => {
+                self.answered(flight, answer);
+                Attempt::Over(Delivered::Whole { body_read: true })
+            }
+            Err(RelayFault::Target) if !passed_on => self.lost(flight, AttemptFailure::Lost),
+            Err(RelayFault::Target) => {
+                self.give_up(flight, FailureKind::Lost);
+                Attempt::Over(Delivered::Cut)
+            }
+            Err(RelayFault::Caller) => {
+                let Flight {
+                    connection, unit, ..
+                } = flight;
+                linger(self.node, connection, unit, self.request.method.clone());
+                Attempt::Over(Delivered::CallerGone)
+            }
+        }
+    }
+
+    fn answered(&self, flight: Flight, answer: &AnswerHead) {
+        let Flight {
+            connection, slot, ..
+        } = flight;
+        let waited_ms = slot.waited_ms();
+        let finish = match answer.is_server_error() {
+            true => Finish::Failed {
+                kind: FailureKind::ServerError,
+                waited_ms,
+            },
+            false => Finish::Answered {
+                latency_ms: waited_ms,
+                load: answer.load,
+            },
+        };
+        if answer.keeps_connection() {
+            self.request.queue.pool.keep(connection);
+        }
+        slot.finish(self.node.now(), finish);
+    }
+
+    /// The answer was a fault of the target and another target is tried.
+    fn server_error(&mut self, flight: Flight) {
+        self.failed_at.extend(flight.slot.vm().cloned());
+        self.give_up(flight, FailureKind::ServerError);
+    }
+
+    fn not_run(
+        &mut self,
+        flight: Flight,
+        reason: NotRunReason,
+        load: Option<vanillafold_types::Slots>,
+    ) -> Attempt {
+        let Flight {
+            connection, slot, ..
+        } = flight;
+        self.failed_at.extend(slot.vm().cloned());
+        // A streamed request was not written whole, so its connection is of no more use.
+        if self.body.is_replayable() {
+            self.request.queue.pool.keep(connection);
+        }
+        slot.finish(self.node.now(), Finish::NotRun { reason, load });
+        Attempt::Failed(AttemptFailure::NotRun(reason))
+    }
+
+    /// The connection broke or spoke nonsense: the work may go on unseen until its deadline.
+    fn lost(&mut self, flight: Flight, failure: AttemptFailure) -> Attempt {
+        let Flight { unit, slot, .. } = flight;
+        self.failed_at.extend(slot.vm().cloned());
+        let kind = match failure {
+            AttemptFailure::Malformed => FailureKind::Malformed,
+            _ => FailureKind::Lost,
+        };
+        let waited_ms = slot.waited_ms();
+        slot.finish(self.node.now(), Finish::Failed { kind, waited_ms });
+        if let Some(unit) = unit {
+            unit.hold_until(self.request.deadline);
+        }
+        Attempt::Failed(failure)
+    }
+
+    fn timed_out(&mut self, flight: Flight) -> Attempt {
+        self.failed_at.extend(flight.slot.vm().cloned());
+        self.give_up(flight, FailureKind::Timeout);
+        Attempt::Failed(AttemptFailure::Timeout)
+    }
+
+    /// Stops waiting for a target that may still be at work.
+    fn give_up(&self, flight: Flight, kind: FailureKind) {
+        let Flight {
+            connection,
+            unit,
+            slot,
+        } = flight;
+        let waited_ms = slot.waited_ms();
+        slot.finish(self.node.now(), Finish::Failed { kind, waited_ms });
+        linger(self.node, connection, unit, self.request.method.clone());
+    }
+}
+
+/// The headers with which an answer is passed on.
+fn answer_head(node: &Node, request: &CallerRequest, answer: &AnswerHead) -> HeaderMap {
+    let mut headers = header::to_caller(&answer.head.headers);
+    let code = ResultCode::Answered;
+    answer_headers(&mut headers, Some(&request.id), code, &node.daemon_header);
+    if node.draining.is_ordered() {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    headers
+}
--- /dev/null
+++ b/crates/vanillafold/src/dispatch/linger.rs
@@ -0,0 +1,39 @@
+//! Work that was given up on: its unit stays in use for as long as its target may run it.
+
+use std::rc::Rc;
+
+use monoio::time::timeout;
+use vanillafold_wire::http::{BodyReader, response_framing};
+
+use crate::node::{Incoming, Node, TargetConnection, TeamUnit};
+
+/// Watches the connection of given-up work until the target answers or closes, at most for the
+/// linger time, and only then gives the unit back.
+pub(crate) fn linger(
+    node: &Rc<Node>,
+    mut connection: TargetConnection,
+    unit: Option<TeamUnit>,
+    method: http::Method,
+) {
+    let node = Rc::clone(node);
+    node.counters.lingering.increment(1.0);
+    monoio::spawn(async move {
+        let limit = node.settings.timeouts.linger_ms.duration();
+        // However it ends, the connection is closed: its answer had nobody to go to.
+        let _ = timeout(limit, read_to_end(&mut connection.incoming, &method)).await;
+        drop(unit);
+        node.counters.lingering.decrement(1.0);
+    });
+}
+
+async fn read_to_end(incoming: &mut Incoming, method: &http::Method) -> Option<()> {
+    let mut body = match incoming.body.take() {
+        Some(body) => body,
+        None => {
+            let head = incoming.reader.response_head().await.ok()?;
+            BodyReader::new(response_framing(method, head.status, &head.headers).ok()?)
+        }
+    };
+    while let Ok(Some(_)) = body.next(&mut incoming.reader).await {}
+    Some(())
+}
--- /dev/null
+++ b/crates/vanillafold/src/dispatch/mod.rs
@@ -0,0 +1,9 @@
+//! The way of a request to a target and of its answer back.
+
+mod dispatcher;
+mod exchange;
+mod header;
+mod linger;
+mod permit;
+
+pub(crate) use dispatcher::{Delivered, Dispatch};
--- /dev/null
+++ b/crates/vanillafold/src/follow/health.rs
@@ -0,0 +1,67 @@
+//! Probes targets whose health is in doubt.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode};
+use monoio::time::sleep;
+use vanillafold_policy::HealthAnswer;
+use vanillafold_types::VmId;
+use vanillafold_wire::http::Client;
+
+use crate::node::{Node, PoolRuntime};
+
+/// Between two looks for targets that are due.
+const INTERVAL: Duration = Duration::from_millis(100);
+const PATH: &str = "/vf-health";
+const LOAD: &str = "vf-load";
+
+/// Probes targets that are due, and closes stale connections, until the daemon stops.
+///
+/// # Errors
+///
+/// None.
+pub(crate) async fn check_health(node: Rc<Node>) -> Result<(), Infallible> {
+    while !node.shutdown.is_ordered() {
+        let pools = node.routes.borrow().pools.clone();
+        for pool in pools {
+            pool.sweep();
+            let due = pool.table.borrow_mut().due_health_checks(node.now());
+            for check in due {
+                let node = Rc::clone(&node);
+                let pool = Rc::clone(&pool);
+                monoio::spawn(probe(node, pool, check.vm, check.address));
+            }
+        }
+        sleep(INTERVAL).await;
+    }
+    Ok(())
+}
+
+async fn probe(node: Rc<Node>, pool: Rc<PoolRuntime>, vm: VmId, address: SocketAddr) {
+    let limit = node.settings.timeouts.connect_ms.duration();
+    let answer = ask(address, limit).await;
+    let mut table = pool.table.borrow_mut();
+    table.health_checked(&vm, node.now(), answer);
+}
+
+async fn ask(address: SocketAddr, limit: Duration) -> HealthAnswer {
+    let mut client = Client::new(address, limit);
+    let headers = HeaderMap::new();
+    let asked = client.request(Method::GET, PATH, &headers, Bytes::new());
+    match asked.await {
+        Ok(response) if response.status() == StatusCode::OK => HealthAnswer::Live {
+            load: response
+                .headers()
+                .get(LOAD)
+                .and_then(|load| load.to_str().ok()?.parse().ok()),
+        },
+        Ok(response) if response.status() == StatusCode::SERVICE_UNAVAILABLE => {
+            HealthAnswer::Leaving
+        }
+        Ok(_) | Err(_) => HealthAnswer::Failed,
+    }
+}
--- /dev/null
+++ b/crates/vanillafold/src/follow/mod.rs
@@ -0,0 +1,11 @@
+//! Following the platform: the log's streams, the VM list, the health of targets.
+
+mod health;
+mod inventory;
+mod log;
+mod vms;
+
+pub(crate) use health::check_health;
+pub(crate) use inventory::Inventory;
+pub(crate) use log::follow_log;
+pub(crate) use vms::follow_vms;
--- a/crates/vanillafold/src/lib.rs
+++ b/crates/vanillafold/src/lib.rs
@@ -1,1 +1,41 @@
-//! Placeholder.
+//! vanillafold, a fleet capacity and maintenance manager: the daemon, and the crates behind it.
+//!
+//! | to run a daemon | [`Settings`], [`Daemon`] |
+//! |---|---|
+//! | names, sizes, result codes, the catalogue | [`types`] |
+//! | the log's records and the fold over them | [`state`] |
+//! | the decisions | [`policy`] |
+//! | HTTP, the platform's edges | [`wire`] |
+//!
+//! # Examples
+//!
+//! ```no_run
+//! use std::path::Path;
+//!
+//! use vanillafold::{Daemon, Settings};
+//!
+//! let settings = Settings::from_file(Path::new("entry-a1.ini")).expect("good settings");
+//! Daemon::new(settings).run().expect("a daemon that starts");
+//! ```
+
+pub use vanillafold_policy as policy;
+pub use vanillafold_state as state;
+pub use vanillafold_types as types;
+pub use vanillafold_wire as wire;
+
+mod admin;
+mod caller;
+mod counter;
+mod dispatch;
+mod follow;
+mod logging;
+mod node;
+mod settings;
+mod supervisor;
+mod wait;
+
+pub use logging::{LoggingError, start_logging};
+pub use settings::{
+    PeerSettings, PlatformSettings, Secret, SecretError, Settings, SettingsError, Timeouts,
+};
+pub use supervisor::{Daemon, DaemonError};
--- /dev/null
+++ b/crates/vanillafold/src/node/mod.rs
@@ -0,0 +1,15 @@
+//! What one daemon knows and holds, shared by its tasks on one thread.
+
+mod connection_store;
+mod in_flight;
+mod shared;
+mod pool;
+mod queue;
+mod routes;
+mod team;
+
+pub(crate) use connection_store::{Incoming, TargetConnection};
+pub(crate) use shared::Node;
+pub(crate) use pool::{ConnectError, PoolRuntime, Slot};
+pub(crate) use queue::QueueRuntime;
+pub(crate) use team::{TeamRuntime, TeamUnit, static_share};
--- /dev/null
+++ b/crates/vanillafold/src/node/routes.rs
@@ -0,0 +1,117 @@
+//! The catalogue as the request path uses it.
+
+use std::rc::Rc;
+
+use vanillafold_policy::DaemonMember;
+use vanillafold_state::State;
+use vanillafold_types::{PoolId, TeamId};
+
+use super::{PoolRuntime, QueueRuntime, TeamRuntime, static_share};
+
+/// Queues, pools and teams as this daemon runs them, each sorted by id.
+#[derive(Debug, Default)]
+pub(crate) struct Routes {
+    /// The queues.
+    pub(crate) queues: Vec<Rc<QueueRuntime>>,
+    /// The pools.
+    pub(crate) pools: Vec<Rc<PoolRuntime>>,
+    /// The teams.
+    pub(crate) teams: Vec<Rc<TeamRuntime>>,
+}
+
+/// Where this daemon stands among all.
+#[derive(Debug, Clone)]
+pub(crate) struct Fleet {
+    /// This daemon.
+    pub(crate) own: DaemonMember,
+    /// Every daemon, sorted by name.
+    pub(crate) daemons: Vec<DaemonMember>,
+}
+
+impl Fleet {
+    /// This daemon's place in the sorted fleet.
+    fn index(&self) -> usize {
+        self.daemons
+            .iter()
+            .position(|member| member.daemon == self.own.daemon)
+            .unwrap_or(0)
+    }
+}
+
+impl Routes {
+    /// The queue called `id`.
+    pub(crate) fn queue(&self, id: &str) -> Option<&Rc<QueueRuntime>> {
+        let found = self
+            .queues
+            .binary_search_by(|queue| queue.settings.id.as_str().cmp(id));
+        found.ok().map(|index| &self.queues[index])
+    }
+
+    /// The pool called `id`.
+    pub(crate) fn pool(&self, id: &PoolId) -> Option<&Rc<PoolRuntime>> {
+        let found = self.pools.binary_search_by(|pool| pool.id.cmp(id));
+        found.ok().map(|index| &self.pools[index])
+    }
+
+    /// The team called `id`.
+    pub(crate) fn team(&self, id: &TeamId) -> Option<&Rc<TeamRuntime>> {
+        let found = self.teams.binary_search_by(|team| team.id.cmp(id));
+        found.ok().map(|index| &self.teams[index])
+    }
+
+    /// Takes over what `state` says; entries that stay keep what they hold.
+    pub(crate) fn follow(&mut self, state: &State, fleet: &Fleet) {
+        self.follow_pools(state, fleet);
+        self.follow_teams(state, fleet);
+        self.follow_queues(state);
+    }
+
+    fn follow_pools(&mut self, state: &State, fleet: &Fleet) {
+        let pools: Vec<_> = state
+            .pools()
+            .map(|pool| match self.pool(&pool.value.id) {
+                Some(known) => {
+                    known.set_limits(&pool.value);
+                    Rc::clone(known)
+                }
+                None => PoolRuntime::new(&pool.value, fleet.own.clone(), fleet.daemons.clone()),
+            })
+            .collect();
+        for gone in &self.pools {
+            if state.pool(&gone.id).is_none() {
+                gone.close_idle();
+            }
+        }
+        self.pools = pools;
+    }
+
+    fn follow_teams(&mut self, state: &State, fleet: &Fleet) {
+        let teams = state
+            .teams()
+            .map(|team| {
+                let known = self.team(&team.value.id).cloned();
+                let runtime = known.unwrap_or_else(|| TeamRuntime::new(team.value.id.clone()));
+                let share = static_share(team.value.limit, fleet.index(), fleet.daemons.len());
+                runtime.set_allowance(share);
+                runtime
+            })
+            .collect();
+        self.teams = teams;
+    }
+
+    fn follow_queues(&mut self, state: &State) {
+        let queues = state
+            .queues()
+            .filter_map(|queue| {
+                let settings = &queue.value;
+                let pool = Rc::clone(self.pool(&settings.pool)?);
+                Some(match self.queue(settings.id.as_str()) {
+                    Some(known) if known.settings == *settings => Rc::clone(known),
+                    Some(known) => Rc::new(known.changed(settings.clone(), pool)),
+                    None => Rc::new(QueueRuntime::new(settings.clone(), pool)),
+                })
+            })
+            .collect();
+        self.queues = queues;
+    }
+}
--- a/crates/vanillafold/src/settings/daemon.rs
+++ b/crates/vanillafold/src/settings/daemon.rs
@@ -4,9 +4,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use vanillafold_types::{
-    DaemonId, Document, Millis, Problem, Reader, ZoneId, nearest_name,
-};
+use vanillafold_types::{DaemonId, Document, Millis, Problem, Reader, ZoneId, nearest_name};
 
 use super::Secret;
 
@@ -56,6 +54,8 @@
     pub connect_ms: Millis,
     /// For work that was given up on to end at its target.
     pub linger_ms: Millis,
+    /// From the announcement of a stop until nothing new is taken.
+    pub notice_ms: Millis,
     /// For accepted requests to end when the daemon stops.
     pub stop_ms: Millis,
     /// How long a target connection proves itself alive after an answer.
@@ -264,6 +264,7 @@
         body_ms: milliseconds(&mut reader, "body_timeout_ms", 10_000),
         connect_ms: milliseconds(&mut reader, "connect_timeout_ms", 500),
         linger_ms: milliseconds(&mut reader, "linger_timeout_ms", 60_000),
+        notice_ms: milliseconds(&mut reader, "stop_notice_ms", 2_000),
         stop_ms: milliseconds(&mut reader, "stop_timeout_ms", 60_000),
         proof_ms: milliseconds(&mut reader, "connection_proof_ms", 2_000),
     };
--- /dev/null
+++ b/crates/vanillafold/src/supervisor/daemon.rs
@@ -0,0 +1,148 @@
+//! The root of the tree: starts the duties, waits for the signal, stops gracefully.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use log::{info, warn};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use monoio::net::{ListenerOpts, TcpListener};
+use monoio::time::{sleep, timeout};
+use vanillafold_state::Stream;
+use vanillafold_wire::platform::HttpPlatform;
+
+use super::signal::StopSignal;
+use super::task::supervise;
+use crate::admin::serve_admin;
+use crate::caller::serve_callers;
+use crate::counter::Counters;
+use crate::follow::{check_health, follow_log, follow_vms};
+use crate::node::Node;
+use crate::settings::Settings;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 4_096;
+
+/// Why a daemon did not start.
+#[derive(Debug, thiserror::Error)]
+#[non_exhaustive]
+pub enum DaemonError {
+    /// An address could not be listened on.
+    #[error("can't listen on {address} for {purpose}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What it is for.
+        purpose: &'static str,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The runtime or the signals could not be set up.
+    #[error("can't start: {0}")]
+    Start(#[from] io::Error),
+    /// The metrics recorder could not be set.
+    #[error("can't start the metrics: {0}")]
+    Metrics(String),
+}
+
+/// A daemon that is ready to run.
+#[derive(Debug)]
+pub struct Daemon {
+    settings: Settings,
+}
+
+impl Daemon {
+    /// A daemon with these settings.
+    #[must_use]
+    pub const fn new(settings: Settings) -> Self {
+        Self { settings }
+    }
+
+    /// Runs until SIGTERM or SIGINT, then stops gracefully.
+    ///
+    /// # Errors
+    ///
+    /// [`DaemonError`] if it can't start.
+    pub fn run(self) -> Result<(), DaemonError> {
+        // Built explicitly: the default would choose io_uring where the kernel has it.
+        let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+            .enable_timer()
+            .build()?;
+        let metrics = install_metrics()?;
+        runtime.block_on(run(self.settings, metrics))
+    }
+}
+
+fn install_metrics() -> Result<PrometheusHandle, DaemonError> {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let handle = recorder.handle();
+    metrics::set_global_recorder(recorder)
+        .map_err(|error| DaemonError::Metrics(error.to_string()))?;
+    Ok(handle)
+}
+
+async fn run(settings: Settings, metrics: PrometheusHandle) -> Result<(), DaemonError> {
+    let mut signal = StopSignal::install()?;
+    let callers = Rc::new(listen(settings.callers, "callers")?);
+    let admin = Rc::new(listen(settings.admin, "operators")?);
+    let node = Node::new(settings, Counters::register());
+    let platform = Rc::new(HttpPlatform::new(
+        node.settings.platform.address,
+        node.settings.platform.timeout_ms,
+    ));
+
+    for stream in [Stream::Catalogue, Stream::Control] {
+        let (node_, platform) = (Rc::clone(&node), Rc::clone(&platform));
+        supervise(&node, "log", move || {
+            follow_log(Rc::clone(&node_), Rc::clone(&platform), stream)
+        });
+    }
+    let (node_, platform_) = (Rc::clone(&node), Rc::clone(&platform));
+    supervise(&node, "vm_list", move || {
+        follow_vms(Rc::clone(&node_), Rc::clone(&platform_))
+    });
+    let node_ = Rc::clone(&node);
+    supervise(&node, "health", move || check_health(Rc::clone(&node_)));
+    let node_ = Rc::clone(&node);
+    supervise(&node, "callers", move || {
+        serve_callers(Rc::clone(&node_), Rc::clone(&callers))
+    });
+    let node_ = Rc::clone(&node);
+    supervise(&node, "admin", move || {
+        serve_admin(Rc::clone(&node_), Rc::clone(&admin), metrics.clone())
+    });
+    info!(
+        "{} serves callers on {}",
+        node.settings.name, node.settings.callers
+    );
+
+    signal.received().await;
+    stop(&node).await;
+    Ok(())
+}
+
+/// Announces the stop, then takes nothing new, then waits for what was accepted.
+async fn stop(node: &Node) {
+    let timeouts = &node.settings.timeouts;
+    info!("stopping: {} requests are under way", node.requests.count());
+    node.draining.order();
+    sleep(timeouts.notice_ms.duration()).await;
+    node.shutdown.order();
+    let drained = timeout(timeouts.stop_ms.duration(), node.requests.drained()).await;
+    match drained {
+        Ok(()) => info!("stopped"),
+        Err(_) => warn!("stopped with {} requests cut off", node.requests.count()),
+    }
+}
+
+fn listen(address: SocketAddr, purpose: &'static str) -> Result<TcpListener, DaemonError> {
+    let options = ListenerOpts::new()
+        .reuse_port(false)
+        .reuse_addr(true)
+        .backlog(BACKLOG);
+    TcpListener::bind_with_config(address, &options).map_err(|source| DaemonError::Listen {
+        address,
+        purpose,
+        source,
+    })
+}
--- a/crates/vanillafold/src/wait/mod.rs
+++ b/crates/vanillafold/src/wait/mod.rs
@@ -3,5 +3,5 @@
 mod shutdown;
 mod wait_list;
 
-pub use shutdown::Shutdown;
-pub use wait_list::{Ticket, WaitList};
+pub(crate) use shutdown::Shutdown;
+pub(crate) use wait_list::{Ticket, WaitList};
--- a/crates/vanillafold/src/wait/shutdown.rs
+++ b/crates/vanillafold/src/wait/shutdown.rs
@@ -7,7 +7,7 @@
 
 /// The order to stop, shared by every task.
 #[derive(Debug, Clone)]
-pub struct Shutdown {
+pub(crate) struct Shutdown {
     inner: Rc<Inner>,
 }
 
@@ -26,7 +26,7 @@
 impl Shutdown {
     /// No order yet.
     #[must_use]
-    pub fn new() -> Self {
+    pub(crate) fn new() -> Self {
         Self {
             inner: Rc::new(Inner {
                 ordered: Cell::new(false),
@@ -36,19 +36,19 @@
     }
 
     /// Gives the order.
-    pub fn order(&self) {
+    pub(crate) fn order(&self) {
         self.inner.ordered.set(true);
         self.inner.waiters.wake_all();
     }
 
     /// Whether the order was given.
     #[must_use]
-    pub fn is_ordered(&self) -> bool {
+    pub(crate) fn is_ordered(&self) -> bool {
         self.inner.ordered.get()
     }
 
     /// Waits for the order.
-    pub async fn ordered(&self) {
+    pub(crate) async fn ordered(&self) {
         while !self.is_ordered() {
             self.inner.waiters.join().woken().await;
         }
--- a/crates/vanillafold/src/wait/wait_list.rs
+++ b/crates/vanillafold/src/wait/wait_list.rs
@@ -8,14 +8,14 @@
 
 /// A list of waiters of one thread.
 #[derive(Debug, Default)]
-pub struct WaitList {
+pub(crate) struct WaitList {
     waiters: RefCell<VecDeque<oneshot::Sender<()>>>,
     live: Cell<usize>,
 }
 
 /// A place in a [`WaitList`]; dropping it gives the place up.
 #[derive(Debug)]
-pub struct Ticket {
+pub(crate) struct Ticket {
     list: Rc<WaitList>,
     receiver: oneshot::Receiver<()>,
 }
@@ -23,25 +23,25 @@
 impl WaitList {
     /// An empty list.
     #[must_use]
-    pub fn new() -> Rc<Self> {
+    pub(crate) fn new() -> Rc<Self> {
         Rc::new(Self::default())
     }
 
     /// How many wait.
     #[must_use]
-    pub fn len(&self) -> usize {
+    pub(crate) fn len(&self) -> usize {
         self.live.get()
     }
 
     /// Whether nobody waits.
     #[must_use]
-    pub fn is_empty(&self) -> bool {
+    pub(crate) fn is_empty(&self) -> bool {
         self.len() == 0
     }
 
     /// Joins at the end.
     #[must_use]
-    pub fn join(self: &Rc<Self>) -> Ticket {
+    pub(crate) fn join(self: &Rc<Self>) -> Ticket {
         let (sender, receiver) = oneshot::channel();
         self.sweep();
         self.waiters.borrow_mut().push_back(sender);
@@ -50,14 +50,14 @@
 
     /// Joins at the front: for a waiter that was woken and found nothing free after all.
     #[must_use]
-    pub fn rejoin(self: &Rc<Self>) -> Ticket {
+    pub(crate) fn rejoin(self: &Rc<Self>) -> Ticket {
         let (sender, receiver) = oneshot::channel();
         self.waiters.borrow_mut().push_front(sender);
         self.ticket(receiver)
     }
 
     /// Wakes the first that still waits.
-    pub fn wake_first(&self) {
+    pub(crate) fn wake_first(&self) {
         loop {
             let Some(sender) = self.waiters.borrow_mut().pop_front() else {
                 return;
@@ -69,7 +69,7 @@
     }
 
     /// Wakes everybody.
-    pub fn wake_all(&self) {
+    pub(crate) fn wake_all(&self) {
         let waiters = std::mem::take(&mut *self.waiters.borrow_mut());
         for sender in waiters {
             // One that has given up needs no waking.
@@ -96,7 +96,7 @@
 
 impl Ticket {
     /// Waits to be woken.
-    pub async fn woken(&mut self) {
+    pub(crate) async fn woken(&mut self) {
         // A sender is only dropped by sending or with the list, which the ticket keeps alive.
         let _ = (&mut self.receiver).await;
     }
--- /dev/null
+++ b/crates/vanillafoldctl/src/command/mod.rs
@@ -0,0 +1,7 @@
+//! What the tool does.
+
+mod apply;
+mod key;
+
+pub(crate) use apply::apply;
+pub(crate) use key::{give, withdraw};
--- a/crates/vanillafoldctl/src/main.rs
+++ b/crates/vanillafoldctl/src/main.rs
@@ -1,3 +1,184 @@
-//! The operators tool.
+//! The operators' tool.
 
-fn main() {}
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::{OptionParser, Parser, construct, long, positional};
+use vanillafold::types::{CatalogueText, KeyId, Owner, TeamId};
+
+mod command;
+mod session;
+
+use session::Publisher;
+
+/// The platform or the fold did not take the change.
+const EXIT_FAILED: u8 = 1;
+/// The file or the arguments are wrong.
+const EXIT_WRONG_INPUT: u8 = 2;
+
+/// What to do.
+#[derive(Debug, Clone)]
+enum Command {
+    Check { file: PathBuf },
+    Apply { common: Common, file: PathBuf },
+    GiveKey { common: Common, id: KeyId, owner: Owner, team: TeamId },
+    WithdrawKey { common: Common, id: KeyId },
+}
+
+/// Who talks to which platform.
+#[derive(Debug, Clone)]
+struct Common {
+    platform: SocketAddr,
+    author: String,
+}
+
+fn common() -> impl Parser<Common> {
+    let platform = long("platform")
+        .help("Address of the platform's log")
+        .argument("IP:PORT");
+    let author = long("author")
+        .help("Who makes the change")
+        .argument("NAME");
+    construct!(Common { platform, author })
+}
+
+fn file() -> impl Parser<PathBuf> {
+    positional("CATALOGUE").help("The catalogue file (INI)")
+}
+
+fn options() -> OptionParser<Command> {
+    let check = construct!(Command::Check { file() })
+        .to_options()
+        .descr("Check a catalogue file and print every problem")
+        .command("check");
+    let apply = construct!(Command::Apply { common(), file() })
+        .to_options()
+        .descr("Bring the catalogue to what the file says")
+        .command("apply");
+    let key = key_commands()
+        .to_options()
+        .descr("Give and withdraw keys")
+        .command("key");
+    construct!([check, apply, key])
+        .to_options()
+        .version(env!("CARGO_PKG_VERSION"))
+        .descr("vanillafoldctl: catalogue edits and keys")
+        .footer("Exit status: 0 done, 1 not taken, 2 wrong file or arguments")
+}
+
+fn key_commands() -> impl Parser<Command> {
+    let id = || long("id").help("Name of the key").argument::<KeyId>("KEY");
+    let give = {
+        let id = id();
+        let owner = long("owner").help("Who answers for it").argument("OWNER");
+        let team = long("team").help("The team that it speaks for").argument("TEAM");
+        construct!(Command::GiveKey { common(), id, owner, team })
+            .to_options()
+            .descr("Give a new key; it is printed once")
+            .command("give")
+    };
+    let withdraw = {
+        let id = id();
+        construct!(Command::WithdrawKey { common(), id })
+            .to_options()
+            .descr("Withdraw a key for good")
+            .command("withdraw")
+    };
+    construct!([give, withdraw])
+}
+
+/// Why the tool failed, and the exit status that says so.
+struct Failure {
+    status: u8,
+    message: String,
+}
+
+impl Failure {
+    fn wrong_input(error: impl ToString) -> Self {
+        Self {
+            status: EXIT_WRONG_INPUT,
+            message: error.to_string(),
+        }
+    }
+
+    fn failed(error: impl ToString) -> Self {
+        Self {
+            status: EXIT_FAILED,
+            message: error.to_string(),
+        }
+    }
+}
+
+fn read_catalogue(file: &PathBuf) -> Result<CatalogueText, Failure> {
+    let name = file.display().to_string();
+    let text = fs::read_to_string(file)
+        .map_err(|error| Failure::wrong_input(format!("can't read {name}: {error}")))?;
+    CatalogueText::parse(&name, &text).map_err(|problems| {
+        let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
+        Failure::wrong_input(lines.join("\n"))
+    })
+}
+
+async fn open(common: &Common) -> Result<Publisher, Failure> {
+    Publisher::open(common.platform, &common.author)
+        .await
+        .map_err(Failure::failed)
+}
+
+async fn run(command: Command) -> Result<String, Failure> {
+    match command {
+        Command::Check { file } => {
+            read_catalogue(&file)?;
+            Ok(format!("{}: the catalogue is good", file.display()))
+        }
+        Command::Apply { common, file } => {
+            let text = read_catalogue(&file)?;
+            let mut publisher = open(&common).await?;
+            match command::apply(&mut publisher, text).await {
+                Ok(Some(offset)) => Ok(format!("applied at offset {offset}")),
+                Ok(None) => Ok("nothing to change".to_owned()),
+                Err(error) => Err(Failure::failed(error)),
+            }
+        }
+        Command::GiveKey {
+            common,
+            id,
+            owner,
+            team,
+        } => {
+            let mut publisher = open(&common).await?;
+            let given = command::give(&mut publisher, id, owner, team).await;
+            let given = given.map_err(Failure::failed)?;
+            Ok(format!("key={}\noffset={}", given.text, given.offset))
+        }
+        Command::WithdrawKey { common, id } => {
+            let mut publisher = open(&common).await?;
+            let withdrawn = command::withdraw(&mut publisher, id).await;
+            let offset = withdrawn.map_err(Failure::failed)?;
+            Ok(format!("withdrawn at offset {offset}"))
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let command = options().run();
+    let runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build();
+    let result = match runtime {
+        Ok(mut runtime) => runtime.block_on(run(command)),
+        Err(error) => Err(Failure::failed(error)),
+    };
+    match result {
+        Ok(text) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(failure) => {
+            eprintln!("{}", failure.message);
+            ExitCode::from(failure.status)
+        }
+    }
+}
--- /dev/null
+++ b/crates/vanillafoldctl/src/session/publisher.rs
@@ -0,0 +1,144 @@
+//! Publishes changes of the catalogue.
+
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime};
+
+use monoio::time::sleep;
+use vanillafold::state::{
+    Author, CatalogueChange, CatalogueRecord, Outcome, RecordError, State, Stream, Verdict,
+};
+use vanillafold::types::{Incarnation, Millis, Offset, Sequence};
+use vanillafold::wire::platform::{AppendError, HttpPlatform, PlatformLog, ReadError};
+
+/// Records read at once.
+const BATCH_RECORDS: u32 = 1_000;
+/// How long the platform may take for an answer.
+const TIMEOUT: Millis = Millis::new(3_000);
+/// Appends tried before the tool gives up.
+const MAX_TRIES: u32 = 10;
+/// The wait between two tries.
+const RETRY_WAIT: Duration = Duration::from_millis(300);
+
+/// Why a change was not published.
+#[derive(Debug, thiserror::Error)]
+#[non_exhaustive]
+pub(crate) enum SessionError {
+    /// The log could not be read.
+    #[error("can't read the log: {0}")]
+    Read(#[from] ReadError),
+    /// The change does not fit into a record.
+    #[error("can't encode the change: {0}")]
+    Encode(#[from] RecordError),
+    /// The platform did not take the record.
+    #[error("the platform did not take the change: {0}")]
+    NotAppended(String),
+    /// The fold refused the change.
+    #[error("refused at offset {offset}: {reason}")]
+    Refused {
+        /// Where the change stands.
+        offset: Offset,
+        /// Why it has no effect.
+        reason: String,
+    },
+}
+
+/// Publishes changes of the catalogue and reads what became of them.
+pub(crate) struct Publisher {
+    platform: HttpPlatform,
+    state: State,
+    author: Author,
+    sequence: Sequence,
+}
+
+impl Publisher {
+    /// Reads the catalogue as it stands now.
+    ///
+    /// # Errors
+    ///
+    /// [`SessionError::Read`].
+    pub(crate) async fn open(address: SocketAddr, author: &str) -> Result<Self, SessionError> {
+        let since_epoch = SystemTime::now()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .unwrap_or_default();
+        let incarnation = u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX);
+        let id = author.parse().map_err(|error| {
+            SessionError::NotAppended(format!("--author {author} is no name: {error}"))
+        })?;
+        let mut publisher = Self {
+            platform: HttpPlatform::new(address, TIMEOUT),
+            state: State::new(),
+            author: Author {
+                id,
+                incarnation: Incarnation::new(incarnation),
+            },
+            sequence: Sequence::ZERO,
+        };
+        publisher.catch_up().await?;
+        Ok(publisher)
+    }
+
+    /// The catalogue as it was read last.
+    pub(crate) const fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// Publishes a change and waits until the fold has decided on it.
+    ///
+    /// The append is repeated until the record is read back: an answer can be lost after the
+    /// append took effect, and the fold takes a record only once.
+    ///
+    /// # Errors
+    ///
+    /// [`SessionError`].
+    pub(crate) async fn publish(&mut self, change: CatalogueChange) -> Result<Offset, SessionError> {
+        self.sequence = Sequence::new(self.sequence.get() + 1);
+        let record = CatalogueRecord {
+            author: self.author.clone(),
+            sequence: self.sequence,
+            as_of: self.state.next_offset(Stream::Catalogue),
+            change,
+        };
+        let bytes = record.encode()?;
+        let mut last = String::new();
+        for _ in 0..MAX_TRIES {
+            let appending = self
+                .platform
+                .append(Stream::Catalogue.as_str(), bytes.clone().into());
+            match appending.await {
+                Ok(_) | Err(AppendError::Unknown { .. }) => self.catch_up().await?,
+                Err(error) => last = error.to_string(),
+            }
+            match self.outcome() {
+                Some(Outcome { offset, verdict: Verdict::Accepted }) => return Ok(offset),
+                Some(Outcome { offset, verdict: Verdict::Refused(reason) }) => {
+                    let reason = format!("{} {}", reason.number(), reason.text());
+                    return Err(SessionError::Refused { offset, reason });
+                }
+                None => sleep(RETRY_WAIT).await,
+            }
+        }
+        Err(SessionError::NotAppended(last))
+    }
+
+    fn outcome(&self) -> Option<Outcome> {
+        self.state
+            .outcome(Stream::Catalogue, &self.author, self.sequence)
+    }
+
+    async fn catch_up(&mut self) -> Result<(), SessionError> {
+        let stream = Stream::Catalogue;
+        loop {
+            let from = self.state.next_offset(stream);
+            let batch = self
+                .platform
+                .read(stream.as_str(), from, BATCH_RECORDS, Millis::ZERO)
+                .await?;
+            for record in &batch.records {
+                let _ = self.state.apply(stream, record.offset, &record.data);
+            }
+            if self.state.next_offset(stream) >= batch.next {
+                return Ok(());
+            }
+        }
+    }
+}
