Add the stand-in platform

The daemon's tests need a platform that fails on demand: outage, hang, slowness, lost append answers, retention, a rate limit and a lagging VM list, all by POST /control/faults. It is driven in its tests through HttpPlatform, so both ends of docs/PROTOCOLS.md are covered.

--- a/crates/vanillafold-standin/src/lib.rs
+++ b/crates/vanillafold-standin/src/lib.rs
@@ -1,1 +1,11 @@
-//! Placeholder.
+//! Stand-ins for the platform, the runners and the callers, and the audit of what they saw.
+//!
+//! | module | job |
+//! |---|---|
+//! | [`platform`] | log, VM list and VM orders, with faults on demand |
+//! | [`process`] | what every stand-in needs |
+//!
+//! Nothing here is shipped. What crosses the edges is in `docs/PROTOCOLS.md`.
+
+pub mod platform;
+pub mod process;
--- /dev/null
+++ b/crates/vanillafold-standin/src/process/mod.rs
@@ -0,0 +1,11 @@
+//! What every stand-in needs: a runtime, a listener, control lines, waiting and seeded numbers.
+
+mod assignment;
+mod listener;
+mod notify;
+mod random;
+
+pub use assignment::{Assignment, AssignmentError, parse_assignments};
+pub use listener::{accept_each, announce, bind, run};
+pub use notify::Notify;
+pub use random::Random;
--- /dev/null
+++ b/crates/vanillafold-standin/tests/platform.rs
@@ -0,0 +1,439 @@
+//! The stand-in platform, seen through the platform's client.
+
+mod common;
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use common::{any_port, block_on, control, wait_until};
+use http::{Request, Response};
+use vanillafold_standin::platform::{Faults, PlatformOptions, PlatformStandin};
+use vanillafold_standin::process::{accept_each, bind};
+use vanillafold_types::{Millis, Offset};
+use vanillafold_wire::http::{Service, serve_connection, split};
+use vanillafold_wire::platform::{
+    AppendError, HttpPlatform, ListVersion, PlatformLog, ReadError, VmList, VmOperations, VmState,
+};
+
+const LONG_WAIT: Millis = Millis::new(20_000);
+
+fn start() -> SocketAddr {
+    let platform = PlatformStandin::bind(PlatformOptions {
+        address: any_port(),
+        seed: 7,
+        reboot_ms: Millis::new(20),
+        faults: Faults::default(),
+    })
+    .expect("a free port");
+    let address = platform.address().expect("an address");
+    monoio::spawn(platform.serve());
+    address
+}
+
+fn client(address: SocketAddr) -> HttpPlatform {
+    HttpPlatform::new(address, LONG_WAIT)
+}
+
+fn impatient(address: SocketAddr) -> HttpPlatform {
+    HttpPlatform::new(address, Millis::new(100))
+}
+
+/// A runner that writes down what it is told.
+#[derive(Debug, Clone, Default)]
+struct Recorder {
+    told: Rc<RefCell<Vec<String>>>,
+}
+
+impl Service for Recorder {
+    async fn answer(&self, request: Request<Bytes>) -> Option<Response<Bytes>> {
+        let body = String::from_utf8_lossy(request.body());
+        let told = format!("{} {}", request.uri(), body.trim());
+        self.told.borrow_mut().push(told);
+        Some(Response::new(Bytes::new()))
+    }
+}
+
+impl Recorder {
+    fn start(&self) -> SocketAddr {
+        let listener = bind(any_port()).expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let recorder = self.clone();
+        monoio::spawn(async move {
+            accept_each(&listener, |stream| {
+                let recorder = recorder.clone();
+                monoio::spawn(async move {
+                    let (reader, writer) = split(stream);
+                    serve_connection(&recorder, reader, writer, 1024).await;
+                });
+            })
+            .await;
+        });
+        address
+    }
+}
+
+fn record(text: &'static str) -> Bytes {
+    Bytes::from_static(text.as_bytes())
+}
+
+async fn texts(platform: &HttpPlatform, stream: &str, from: u64) -> Vec<String> {
+    let batch = platform
+        .read(stream, Offset::new(from), 100, Millis::ZERO)
+        .await
+        .expect("a batch");
+    let texts = batch.records.into_iter();
+    texts
+        .map(|record| String::from_utf8_lossy(&record.data).into_owned())
+        .collect()
+}
+
+async fn states(platform: &HttpPlatform, since: u64) -> Vec<(String, VmState)> {
+    let changes = platform
+        .changes(None, ListVersion(since))
+        .await
+        .expect("the list");
+    let vms = changes.vms.into_iter();
+    vms.map(|vm| (vm.vm.to_string(), vm.state)).collect()
+}
+
+// --- The log -----------------------------------------------------------------------------------
+
+#[test]
+fn appended_records_are_read_back_in_order() {
+    block_on(async {
+        let platform = client(start());
+
+        let first = platform.append("control", record("a")).await;
+        let second = platform.append("control", record("b")).await;
+        let other = platform.append("catalogue", record("c")).await;
+
+        assert_eq!(first.ok(), Some(Offset::new(1)));
+        assert_eq!(second.ok(), Some(Offset::new(2)));
+        assert_eq!(other.ok(), Some(Offset::new(1)));
+        assert_eq!(texts(&platform, "control", 1).await, ["a", "b"]);
+        assert_eq!(texts(&platform, "control", 2).await, ["b"]);
+        assert_eq!(texts(&platform, "catalogue", 1).await, ["c"]);
+    });
+}
+
+#[test]
+fn a_waiting_read_delays_no_append_and_ends_with_its_record() {
+    block_on(async {
+        let platform = client(start());
+        let reader = platform.clone();
+        let waiting =
+            monoio::spawn(
+                async move { reader.read("control", Offset::new(1), 10, LONG_WAIT).await },
+            );
+
+        let offset = platform.append("control", record("late")).await;
+        let batch = waiting.await.expect("a batch");
+
+        assert_eq!(offset.ok(), Some(Offset::new(1)));
+        assert_eq!(batch.records.len(), 1);
+        assert_eq!(batch.next, Offset::new(2));
+    });
+}
+
+#[test]
+fn a_read_behind_the_retention_is_dropped() {
+    block_on(async {
+        let address = start();
+        let platform = client(address);
+        control(address, "/control/faults", "retention_records=2").await;
+        for text in ["a", "b", "c", "d"] {
+            platform
+                .append("control", record(text))
+                .await
+                .expect("appended");
+        }
+
+        let dropped = platform
+            .read("control", Offset::new(2), 10, Millis::ZERO)
+            .await;
+
+        assert!(
+            matches!(dropped, Err(ReadError::Dropped { oldest }) if oldest == Offset::new(3)),
+            "{dropped:?}"
+        );
+        assert_eq!(texts(&platform, "control", 3).await, ["c", "d"]);
+    });
+}
+
+#[test]
+fn a_lost_append_answer_is_unknown_and_the_record_is_there() {
+    block_on(async {
+        let address = start();
+        let platform = client(address);
+        control(address, "/control/faults", "lose_append_answers=1").await;
+
+        let lost = platform.append("control", record("kept")).await;
+
+        assert!(matches!(lost, Err(AppendError::Unknown { .. })), "{lost:?}");
+        assert_eq!(texts(&platform, "control", 1).await, ["kept"]);
+    });
+}
+
+#[test]
+fn a_share_of_append_answers_is_lost_and_no_record() {
+    const APPENDS: usize = 100;
+    block_on(async {
+        let address = start();
+        let platform = client(address);
+        control(address, "/control/faults", "lose_append_answers=0.5").await;
+
+        let mut lost = 0;
+        for _ in 0..APPENDS {
+            let result = platform.append("control", record("x")).await;
+            lost += usize::from(result.is_err());
+        }
+
+        assert!(lost > 0 && lost < APPENDS, "{lost} lost");
+        assert_eq!(texts(&platform, "control", 1).await.len(), APPENDS);
+    });
+}
+
+#[test]
+fn a_slow_append_that_is_given_up_is_unknown_and_takes_effect() {
+    block_on(async {
+        let address = start();
+        control(address, "/control/faults", "slow_ms=2000").await;
+
+        let slow = impatient(address).append("control", record("kept")).await;
+
+        assert!(matches!(slow, Err(AppendError::Unknown { .. })), "{slow:?}");
+        control(address, "/control/faults", "slow_ms=0").await;
+        let platform = client(address);
+        wait_until("the record is there", async || {
+            texts(&platform, "control", 1).await == ["kept"]
+        })
+        .await;
+    });
+}
+
+#[test]
+fn an_outage_appends_nothing_and_says_so() {
+    block_on(async {
+        let address = start();
+        let platform = client(address);
+        control(address, "/control/faults", "outage=true").await;
+
+        let append = platform.append("control", record("x")).await;
+        let read = platform.read("control", Offset::new(1), 1, LONG_WAIT).await;
+        let list = platform.changes(None, ListVersion(0)).await;
+
+        assert!(
+            matches!(append, Err(AppendError::NotAppended { .. })),
+            "{append:?}"
+        );
+        assert!(
+            matches!(read, Err(ReadError::Unavailable { .. })),
+            "{read:?}"
+        );
+        assert!(
+            matches!(list, Err(ReadError::Unavailable { .. })),
+            "{list:?}"
+        );
+        control(address, "/control/faults", "outage=false").await;
+        assert!(texts(&platform, "control", 1).await.is_empty());
+    });
+}
+
+#[test]
+fn a_hang_answers_nothing_and_has_no_effect() {
+    block_on(async {
+        let address = start();
+        control(address, "/control/faults", "hang=true").await;
+
+        let append = impatient(address).append("control", record("x")).await;
+
+        assert!(
+            matches!(append, Err(AppendError::Unknown { .. })),
+            "{append:?}"
+        );
+        control(address, "/control/faults", "hang=false").await;
+        assert!(texts(&client(address), "control", 1).await.is_empty());
+    });
+}
+
+#[test]
+fn appends_above_the_rate_are_refused() {
+    block_on(async {
+        let address = start();
+        let platform = client(address);
+        control(address, "/control/faults", "append_rate=0").await;
+
+        let refused = platform.append("control", record("x")).await;
+
+        assert!(
+            matches!(refused, Err(AppendError::NotAppended { .. })),
+            "{refused:?}"
+        );
+    });
+}
+
+#[test]
+fn an_append_without_a_platform_is_not_appended() {
+    block_on(async {
+        let closed = std::net::TcpListener::bind(any_port()).expect("a free port");
+        let address = closed.local_addr().expect("an address");
+        drop(closed);
+
+        let refused = client(address).append("control", record("x")).await;
+
+        assert!(
+            matches!(refused, Err(AppendError::NotAppended { .. })),
+            "{refused:?}"
+        );
+    });
+}
+
+#[test]
+fn empty_and_oversized_records_are_refused() {
+    block_on(async {
+        let platform = client(start());
+
+        let empty = platform.append("control", Bytes::new()).await;
+        let oversized = platform.append("control", vec![0; 65_537].into()).await;
+        let largest = platform.append("control", vec![0; 65_536].into()).await;
+
+        assert!(matches!(empty, Err(AppendError::NotAppended { .. })));
+        assert!(matches!(oversized, Err(AppendError::NotAppended { .. })));
+        assert_eq!(largest.ok(), Some(Offset::new(1)));
+    });
+}
+
+#[test]
+fn a_control_that_is_wrong_changes_nothing() {
+    block_on(async {
+        let address = start();
+
+        let answer = common::request(
+            address,
+            http::Method::POST,
+            "/control/faults",
+            &http::HeaderMap::new(),
+            "outage=true\nunknown=1\n",
+        )
+        .await
+        .expect("an answer");
+
+        assert_eq!(answer.status(), 400);
+        assert!(texts(&client(address), "control", 1).await.is_empty());
+    });
+}
+
+// --- The VMs -----------------------------------------------------------------------------------
+
+const TWO_VMS: &str = "vm-1 zone-a rack-1 quotes 127.0.0.1:1 live\n\
+                       vm-2 zone-b rack-2 quotes 127.0.0.1:1 live\n";
+
+#[test]
+fn the_list_gives_a_zone_and_changes_only() {
+    block_on(async {
+        let address = start();
+        let platform = client(address);
+        control(address, "/control/vms", TWO_VMS).await;
+        let zone = "zone-b".parse().expect("a zone");
+
+        let of_zone = platform
+            .changes(Some(&zone), ListVersion(0))
+            .await
+            .expect("the list");
+        control(
+            address,
+            "/control/vms",
+            "vm-1 zone-a rack-1 quotes 127.0.0.1:1 gone",
+        )
+        .await;
+        let changed = states(&platform, of_zone.version.0).await;
+
+        assert_eq!(of_zone.vms.len(), 1);
+        assert_eq!(of_zone.vms[0].vm.as_str(), "vm-2");
+        assert_eq!(changed, [("vm-1".to_owned(), VmState::Gone)]);
+    });
+}
+
+#[test]
+fn the_list_lags() {
+    block_on(async {
+        let address = start();
+        let platform = client(address);
+        control(address, "/control/faults", "list_lag_ms=60000").await;
+        control(address, "/control/vms", TWO_VMS).await;
+
+        let early = states(&platform, 0).await;
+        control(address, "/control/faults", "list_lag_ms=0").await;
+        let late = states(&platform, 0).await;
+
+        assert!(early.is_empty(), "{early:?}");
+        assert_eq!(late.len(), 2);
+    });
+}
+
+#[test]
+fn the_list_never_goes_back_when_its_lag_grows() {
+    block_on(async {
+        let address = start();
+        let platform = client(address);
+        control(address, "/control/vms", TWO_VMS).await;
+        let before = states(&platform, 0).await;
+
+        control(address, "/control/faults", "list_lag_ms=60000").await;
+        let after = states(&platform, 0).await;
+
+        assert_eq!(before, after);
+    });
+}
+
+#[test]
+fn a_drained_vm_leaves_and_a_rebooted_one_comes_back() {
+    block_on(async {
+        let address = start();
+        let platform = client(address);
+        let recorder = Recorder::default();
+        let runner = recorder.start();
+        let lines = format!(
+            "vm-1 zone-a rack-1 quotes {runner} live\nvm-2 zone-b rack-2 quotes 127.0.0.1:1 live {runner}\n"
+        );
+        control(address, "/control/vms", &lines).await;
+        let vm = "vm-2".parse().expect("a VM");
+
+        platform.drain(&vm).await.expect("drained");
+        platform.drain(&vm).await.expect("drained again");
+        let drained = states(&platform, 2).await;
+        platform.reboot(&vm).await.expect("rebooted");
+        platform.reboot(&vm).await.expect("rebooted again");
+
+        assert_eq!(drained, [("vm-2".to_owned(), VmState::Leaving)]);
+        wait_until("vm-2 is live", async || {
+            states(&platform, 0).await[1].1 == VmState::Live
+        })
+        .await;
+        let told = recorder.told.borrow();
+        let drains = told
+            .iter()
+            .filter(|told| *told == "/control/mode?vm=vm-2 leaving=true");
+        let reboots = told
+            .iter()
+            .filter(|told| *told == "/control/reboot?vm=vm-2 reboot_ms=20");
+        assert_eq!((drains.count(), reboots.count()), (1, 1), "{told:?}");
+    });
+}
+
+#[test]
+fn an_order_for_an_unknown_vm_is_refused() {
+    block_on(async {
+        let platform = client(start());
+        let vm = "vm-9".parse().expect("a VM");
+
+        let refused = platform.drain(&vm).await;
+
+        assert!(
+            matches!(refused, Err(ReadError::Unavailable { .. })),
+            "{refused:?}"
+        );
+    });
+}
--- a/crates/vanillafold-wire/src/platform/client.rs
+++ b/crates/vanillafold-wire/src/platform/client.rs
@@ -107,7 +107,7 @@
         let answer = self
             .request(Method::POST, &path, record, Duration::ZERO)
             .await
-            .map_err(append_error)?;
+            .map_err(|error| append_error(&error))?;
         match answer.status() {
             StatusCode::OK => header(&answer, LOG_OFFSET).map_err(|problem| AppendError::Unknown {
                 reason: problem.to_string(),
@@ -146,7 +146,7 @@
     }
 }
 
-fn append_error(error: ClientError) -> AppendError {
+fn append_error(error: &ClientError) -> AppendError {
     let reason = error.to_string();
     match error {
         ClientError::Connect { .. } => AppendError::NotAppended { reason },
