standin: typed traces and answer bodies that can be checked

The runner and load stand-ins need one way to write what they saw, and the audit one way to read it.

--- a/crates/vanillafold-standin/src/lib.rs
+++ b/crates/vanillafold-standin/src/lib.rs
@@ -1,1 +1,9 @@
-//! Placeholder.
+//! Stand-ins for the platform, the runners and the callers, and the audit of what they saw.
+//!
+//! | module | job |
+//! |---|---|
+//! | [`trace`] | what stand-ins write down, and answer bodies that can be checked |
+//!
+//! Nothing here is shipped. What crosses the edges is in `docs/PROTOCOLS.md`.
+
+pub mod trace;
