--- a/crates/vanillafold/src/follow/log.rs
+++ b/crates/vanillafold/src/follow/log.rs
@@ -49,7 +49,12 @@
     let mut backoff_ms = MIN_BACKOFF_MS;
     while !node.shutdown.is_ordered() {
         let from = node.state.borrow().next_offset(stream);
-        let reading = platform.read(stream.as_str(), from, BATCH_RECORDS, LONG_POLL);
+        // A daemon that has nothing yet must learn at once that there is no more.
+        let wait_ms = match node.is_caught_up(stream) {
+            true => LONG_POLL,
+            false => Millis::ZERO,
+        };
+        let reading = platform.read(stream.as_str(), from, BATCH_RECORDS, wait_ms);
         let read = monoio::select! {
             read = reading => read,
             () = node.shutdown.ordered() => return Ok(()),
--- a/crates/vanillafold/src/node/mod.rs
+++ b/crates/vanillafold/src/node/mod.rs
@@ -2,14 +2,14 @@
 
 mod connection_store;
 mod in_flight;
-mod shared;
 mod pool;
 mod queue;
 mod routes;
+mod shared;
 mod team;
 
 pub(crate) use connection_store::{Incoming, TargetConnection};
-pub(crate) use shared::Node;
 pub(crate) use pool::{ConnectError, PoolRuntime, Slot};
 pub(crate) use queue::QueueRuntime;
+pub(crate) use shared::Node;
 pub(crate) use team::{TeamRuntime, TeamUnit, static_share};
--- a/crates/vanillafold/src/node/shared.rs
+++ b/crates/vanillafold/src/node/shared.rs
@@ -113,7 +113,7 @@
 
     /// Whether both streams have been read up to their ends.
     fn has_configuration(&self) -> bool {
-        self.catalogue_read.get() && self.control_read.get()
+        self.is_caught_up(Stream::Catalogue) && self.is_caught_up(Stream::Control)
     }
 
     /// Notes that `stream` has been read up to its present end.
@@ -124,6 +124,14 @@
         }
     }
 
+    /// Whether `stream` has been read up to what was its end once.
+    pub(crate) fn is_caught_up(&self, stream: Stream) -> bool {
+        match stream {
+            Stream::Catalogue => self.catalogue_read.get(),
+            Stream::Control => self.control_read.get(),
+        }
+    }
+
     /// Brings the request path up to the folded state.
     pub(crate) fn follow_state(&self) {
         self.routes
--- a/crates/vanillafoldctl/src/command/apply.rs
+++ b/crates/vanillafoldctl/src/command/apply.rs
@@ -12,17 +12,20 @@
 /// [`SessionError`].
 pub(crate) async fn apply(
     publisher: &mut Publisher,
-    text: CatalogueText,
+    text: &CatalogueText,
 ) -> Result<Option<Offset>, SessionError> {
     let edits = edits(publisher.state(), text);
     if edits.is_empty() {
         return Ok(None);
     }
-    publisher.publish(CatalogueChange::Edit(edits)).await.map(Some)
+    publisher
+        .publish(CatalogueChange::Edit(edits))
+        .await
+        .map(Some)
 }
 
 /// The edits that lead from `state` to `text`: changed and new entries, then those to remove.
-fn edits(state: &State, text: CatalogueText) -> Vec<EntryEdit> {
+fn edits(state: &State, text: &CatalogueText) -> Vec<EntryEdit> {
     let mut edits = Vec::new();
     for pool in text.pools.iter().cloned() {
         let present = state.pool(&pool.id).cloned();
@@ -36,17 +39,18 @@
         let present = state.queue(queue.id.as_str()).cloned();
         edits.extend(change(Entry::Queue(queue), present, Entry::Queue));
     }
-    let queues = state.queues().filter(|queue| {
-        !text.queues.iter().any(|kept| kept.id == queue.value.id)
-    });
-    edits.extend(queues.map(|gone| removal(EntryName::Queue(gone.value.id.clone()), gone.revision)));
-    let teams = state.teams().filter(|team| {
-        !text.teams.iter().any(|kept| kept.id == team.value.id)
-    });
+    let queues = state
+        .queues()
+        .filter(|queue| !text.queues.iter().any(|kept| kept.id == queue.value.id));
+    edits
+        .extend(queues.map(|gone| removal(EntryName::Queue(gone.value.id.clone()), gone.revision)));
+    let teams = state
+        .teams()
+        .filter(|team| !text.teams.iter().any(|kept| kept.id == team.value.id));
     edits.extend(teams.map(|gone| removal(EntryName::Team(gone.value.id.clone()), gone.revision)));
-    let pools = state.pools().filter(|pool| {
-        !text.pools.iter().any(|kept| kept.id == pool.value.id)
-    });
+    let pools = state
+        .pools()
+        .filter(|pool| !text.pools.iter().any(|kept| kept.id == pool.value.id));
     edits.extend(pools.map(|gone| removal(EntryName::Pool(gone.value.id.clone()), gone.revision)));
     edits
 }
--- a/crates/vanillafoldctl/src/main.rs
+++ b/crates/vanillafoldctl/src/main.rs
@@ -21,10 +21,23 @@
 /// What to do.
 #[derive(Debug, Clone)]
 enum Command {
-    Check { file: PathBuf },
-    Apply { common: Common, file: PathBuf },
-    GiveKey { common: Common, id: KeyId, owner: Owner, team: TeamId },
-    WithdrawKey { common: Common, id: KeyId },
+    Check {
+        file: PathBuf,
+    },
+    Apply {
+        common: Common,
+        file: PathBuf,
+    },
+    GiveKey {
+        common: Common,
+        id: KeyId,
+        owner: Owner,
+        team: TeamId,
+    },
+    WithdrawKey {
+        common: Common,
+        id: KeyId,
+    },
 }
 
 /// Who talks to which platform.
@@ -38,9 +51,7 @@
     let platform = long("platform")
         .help("Address of the platform's log")
         .argument("IP:PORT");
-    let author = long("author")
-        .help("Who makes the change")
-        .argument("NAME");
+    let author = long("author").help("Who makes the change").argument("NAME");
     construct!(Common { platform, author })
 }
 
@@ -73,7 +84,9 @@
     let give = {
         let id = id();
         let owner = long("owner").help("Who answers for it").argument("OWNER");
-        let team = long("team").help("The team that it speaks for").argument("TEAM");
+        let team = long("team")
+            .help("The team that it speaks for")
+            .argument("TEAM");
         construct!(Command::GiveKey { common(), id, owner, team })
             .to_options()
             .descr("Give a new key; it is printed once")
@@ -95,6 +108,10 @@
     message: String,
 }
 
+#[allow(
+    clippy::needless_pass_by_value,
+    reason = "the argument of map_err comes by value"
+)]
 impl Failure {
     fn wrong_input(error: impl ToString) -> Self {
         Self {
@@ -136,7 +153,7 @@
         Command::Apply { common, file } => {
             let text = read_catalogue(&file)?;
             let mut publisher = open(&common).await?;
-            match command::apply(&mut publisher, text).await {
+            match command::apply(&mut publisher, &text).await {
                 Ok(Some(offset)) => Ok(format!("applied at offset {offset}")),
                 Ok(None) => Ok("nothing to change".to_owned()),
                 Err(error) => Err(Failure::failed(error)),
--- a/crates/vanillafoldctl/src/session/publisher.rs
+++ b/crates/vanillafoldctl/src/session/publisher.rs
@@ -90,7 +90,10 @@
     /// # Errors
     ///
     /// [`SessionError`].
-    pub(crate) async fn publish(&mut self, change: CatalogueChange) -> Result<Offset, SessionError> {
+    pub(crate) async fn publish(
+        &mut self,
+        change: CatalogueChange,
+    ) -> Result<Offset, SessionError> {
         self.sequence = Sequence::new(self.sequence.get() + 1);
         let record = CatalogueRecord {
             author: self.author.clone(),
@@ -109,11 +112,7 @@
                 Err(error) => last = error.to_string(),
             }
             match self.outcome() {
-                Some(Outcome { offset, verdict: Verdict::Accepted }) => return Ok(offset),
-                Some(Outcome { offset, verdict: Verdict::Refused(reason) }) => {
-                    let reason = format!("{} {}", reason.number(), reason.text());
-                    return Err(SessionError::Refused { offset, reason });
-                }
+                Some(outcome) => return decided(outcome),
                 None => sleep(RETRY_WAIT).await,
             }
         }
@@ -142,3 +141,13 @@
         }
     }
 }
+
+fn decided(outcome: Outcome) -> Result<Offset, SessionError> {
+    match outcome.verdict {
+        Verdict::Accepted => Ok(outcome.offset),
+        Verdict::Refused(reason) => Err(SessionError::Refused {
+            offset: outcome.offset,
+            reason: format!("{} {}", reason.number(), reason.text()),
+        }),
+    }
+}
