--- /dev/null
+++ b/crates/vanillafold-wire/src/peer/dialer.rs
@@ -0,0 +1,327 @@
+//! The task of one peer: dial it, keep the link, dial again.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use h2::client::{Connection, SendRequest};
+use monoio::net::TcpStream;
+use monoio::time::{sleep, timeout};
+
+use super::backoff::Backoff;
+use super::clock::{BootClock, BootMillis};
+use super::counted::{CountedCompat, wrap};
+use super::directory::Directory;
+use super::entry::PeerEntry;
+use super::error::LinkEnd;
+use super::frame::{FrameReader, FrameWriter, decode, encode};
+use super::hello::{Hello, HelloPrefix, HelloReply, Welcome};
+use super::link::{LINK_PATH, LinkFrame, LinkReply, client_builder, request_head, response_body};
+use super::signal::Signal;
+use super::statistics::Traffic;
+use super::tasks::Tasks;
+
+/// Dials a peer for as long as it is a member.
+pub(crate) async fn run_peer(directory: Rc<Directory>, entry: Rc<PeerEntry>) {
+    let settings = &directory.settings;
+    let mut backoff = Backoff::new(
+        settings.backoff_min,
+        settings.backoff_max,
+        &settings.daemon,
+        entry.daemon(),
+    );
+    while !entry.retired.is_raised() {
+        let started = BootClock::now();
+        let end = run_link(&directory, &entry).await;
+        let lasted = BootClock::now().since(started);
+        log::debug!("link to {} ended: {end}", entry.daemon());
+        directory.count(|c| c.count_end(&end));
+        entry.link_down(end.clone());
+        directory.changed.give();
+        if lasted > entry.pace.silence_timeout.duration() {
+            backoff.reset();
+        }
+        match end {
+            LinkEnd::Silent => {}
+            LinkEnd::Refused(_) | LinkEnd::StaleIncarnation => {
+                let wait = backoff.jitter(settings.refused_backoff.get());
+                entry.retired.cancel(sleep(wait)).await;
+            }
+            _ => wait_to_redial(&entry, backoff.next_wait()).await,
+        }
+    }
+}
+
+async fn wait_to_redial(entry: &PeerEntry, wait: Duration) {
+    monoio::select! {
+        () = entry.retired.wait() => {}
+        () = entry.redial.take() => {}
+        () = sleep(wait) => {}
+    }
+}
+
+async fn run_link(directory: &Rc<Directory>, entry: &Rc<PeerEntry>) -> LinkEnd {
+    let Some(opened) = entry.retired.cancel(open_link(directory, entry)).await else {
+        return LinkEnd::Closed;
+    };
+    match opened {
+        Ok(link) => link.run(directory, entry).await,
+        Err(end) => end,
+    }
+}
+
+async fn open_link(directory: &Rc<Directory>, entry: &Rc<PeerEntry>) -> Result<Link, LinkEnd> {
+    let settings = &directory.settings;
+    let connect = TcpStream::connect_addr(entry.address.address);
+    let tcp = timeout(settings.connect_timeout.duration(), connect)
+        .await
+        .map_err(|_| LinkEnd::ConnectTimeout)?
+        .map_err(|error| LinkEnd::Connect(error.kind()))?;
+    let io = wrap(tcp, Traffic::child(&entry.traffic))
+        .map_err(|error| LinkEnd::Connect(error.kind()))?;
+    timeout(
+        settings.handshake_timeout.duration(),
+        greet(directory, entry, io),
+    )
+    .await
+    .map_err(|_| LinkEnd::HandshakeTimeout)?
+}
+
+async fn greet(
+    directory: &Rc<Directory>,
+    entry: &Rc<PeerEntry>,
+    io: CountedCompat,
+) -> Result<Link, LinkEnd> {
+    let (requester, connection) = client_builder().handshake(io).await?;
+    let driver = Driver::start(&directory.tasks, connection);
+    let mut requester = requester.ready().await?;
+    let (response, stream) = requester.send_request(request_head(LINK_PATH), false)?;
+    let mut writer = FrameWriter::new(stream);
+    writer.write(&hello(directory, entry)).await?;
+    let mut reader = FrameReader::new(response_body(response.await?)?);
+    let welcome = match decode(&reader.expect().await?)? {
+        HelloReply::Welcome(welcome) => welcome,
+        HelloReply::Refused(reason) => return Err(LinkEnd::Refused(reason)),
+    };
+    if entry.incarnation() > Some(welcome.incarnation) {
+        return Err(LinkEnd::StaleIncarnation);
+    }
+    Ok(Link {
+        welcome,
+        requester,
+        writer,
+        reader,
+        driver,
+    })
+}
+
+fn hello(directory: &Directory, entry: &PeerEntry) -> Hello {
+    let settings = &directory.settings;
+    Hello {
+        prefix: HelloPrefix::current(),
+        cluster: settings.cluster.as_str().to_owned(),
+        token: settings.token.expose().to_owned(),
+        daemon: settings.daemon.clone(),
+        zone: settings.zone.clone(),
+        incarnation: settings.incarnation,
+        expected: entry.daemon().clone(),
+        heartbeat_interval: entry.pace.heartbeat_interval,
+    }
+}
+
+/// The task that moves a connection's bytes; dropping this ends it and closes the socket,
+/// whatever the peer does.
+#[derive(Debug)]
+struct Driver {
+    abort: Rc<Signal>,
+    done: Rc<Signal>,
+}
+
+impl Driver {
+    fn start(tasks: &Rc<Tasks>, connection: Connection<CountedCompat, Bytes>) -> Self {
+        let driver = Self {
+            abort: Rc::default(),
+            done: Rc::default(),
+        };
+        let abort = Rc::clone(&driver.abort);
+        let done = Rc::clone(&driver.done);
+        Tasks::spawn(tasks, async move {
+            if let Some(Err(error)) = abort.cancel(connection).await {
+                log::debug!("connection to a peer failed: {error}");
+            }
+            done.raise();
+        });
+        driver
+    }
+
+    /// Waits for the connection to end by itself, in order.
+    async fn finish(self, limit: Duration) {
+        // Past the limit, dropping `self` ends it.
+        let _ = timeout(limit, self.done.wait()).await;
+    }
+}
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        self.abort.raise();
+    }
+}
+
+/// When the link was last heard, and the heartbeat that is under way.
+#[derive(Debug)]
+struct LinkClock {
+    last_heard: Cell<BootMillis>,
+    sent_sequence: Cell<u64>,
+    sent_at: Cell<BootMillis>,
+}
+
+impl LinkClock {
+    fn start(now: BootMillis) -> Self {
+        Self {
+            last_heard: Cell::new(now),
+            sent_sequence: Cell::new(0),
+            sent_at: Cell::new(now),
+        }
+    }
+}
+
+/// An open link.
+#[derive(Debug)]
+struct Link {
+    welcome: Welcome,
+    requester: SendRequest<Bytes>,
+    writer: FrameWriter,
+    reader: FrameReader,
+    driver: Driver,
+}
+
+impl Link {
+    async fn run(mut self, directory: &Directory, entry: &PeerEntry) -> LinkEnd {
+        let now = BootClock::now();
+        let clock = LinkClock::start(now);
+        directory.count(|c| c.links_opened += 1);
+        directory.note_incarnation(entry, self.welcome.incarnation);
+        entry.note_heard(now);
+        entry.link_up(self.requester);
+        let end = monoio::select! {
+            end = watch(entry, &clock) => end,
+            end = read_replies(directory, entry, &clock, &mut self.reader) => never(end),
+            end = write_messages(entry, &clock, &mut self.writer) => never(end),
+        };
+        entry.link_down(end.clone());
+        if end == LinkEnd::Closed {
+            let limit = directory.settings.close_timeout.duration();
+            let drain = read_replies(directory, entry, &clock, &mut self.reader);
+            // How the drain ends does not matter: its time is limited.
+            let _ = timeout(limit, drain).await;
+            drop((self.reader, self.writer));
+            self.driver.finish(limit).await;
+        }
+        end
+    }
+}
+
+fn never(result: Result<Infallible, LinkEnd>) -> LinkEnd {
+    match result {
+        Ok(never) => match never {},
+        Err(end) => end,
+    }
+}
+
+/// Ends when the peer has not been heard on this link within the silence timeout.
+async fn watch(entry: &PeerEntry, clock: &LinkClock) -> LinkEnd {
+    let limit = entry.pace.silence_timeout.duration();
+    loop {
+        let now = BootClock::now();
+        let deadline = clock.last_heard.get().plus(limit);
+        if now >= deadline {
+            return LinkEnd::Silent;
+        }
+        sleep(deadline.since(now)).await;
+    }
+}
+
+async fn read_replies(
+    directory: &Directory,
+    entry: &PeerEntry,
+    clock: &LinkClock,
+    reader: &mut FrameReader,
+) -> Result<Infallible, LinkEnd> {
+    loop {
+        let reply = decode(&reader.expect().await?)?;
+        let now = BootClock::now();
+        clock.last_heard.set(now);
+        if entry.note_heard(now) {
+            directory.changed.give();
+        }
+        match reply {
+            LinkReply::HeartbeatAck { sequence } if sequence == clock.sent_sequence.get() => {
+                entry.round_trip.set(Some(now.since(clock.sent_at.get())));
+            }
+            LinkReply::HeartbeatAck { .. } => {}
+            LinkReply::WithdrawalAck { key } => entry.outbox.borrow_mut().drop_withdrawal(&key),
+        }
+    }
+}
+
+async fn write_messages(
+    entry: &PeerEntry,
+    clock: &LinkClock,
+    writer: &mut FrameWriter,
+) -> Result<Infallible, LinkEnd> {
+    let mut next_heartbeat = BootClock::now();
+    let mut next_report = next_heartbeat;
+    loop {
+        let now = BootClock::now();
+        let mut batch = Vec::new();
+        if now >= next_heartbeat {
+            add_heartbeat(clock, now, &mut batch)?;
+            next_heartbeat = now.plus(entry.pace.heartbeat_interval.duration());
+        }
+        if now >= next_report && entry.outbox.borrow_mut().take_reports(&mut batch)? {
+            next_report = now.plus(entry.pace.report_interval.duration());
+        }
+        let resend_after = entry.pace.silence_timeout.duration();
+        entry
+            .outbox
+            .borrow_mut()
+            .take_prompt(now, resend_after, &mut batch)?;
+        if !batch.is_empty() {
+            writer.write_encoded(batch).await?;
+            continue;
+        }
+        if entry.retired.is_raised() {
+            writer.finish()?;
+            return Err(LinkEnd::Closed);
+        }
+        let due = next_due(entry, next_heartbeat, next_report);
+        wait_for_work(entry, due.since(now)).await;
+    }
+}
+
+fn add_heartbeat(clock: &LinkClock, now: BootMillis, batch: &mut Vec<u8>) -> Result<(), LinkEnd> {
+    let sequence = clock.sent_sequence.get() + 1;
+    clock.sent_sequence.set(sequence);
+    clock.sent_at.set(now);
+    Ok(encode(&LinkFrame::Heartbeat { sequence }, batch)?)
+}
+
+fn next_due(entry: &PeerEntry, next_heartbeat: BootMillis, next_report: BootMillis) -> BootMillis {
+    let outbox = entry.outbox.borrow();
+    let resend = outbox.next_resend(entry.pace.silence_timeout.duration());
+    let report = outbox.has_reports().then_some(next_report);
+    [resend, report]
+        .into_iter()
+        .flatten()
+        .fold(next_heartbeat, BootMillis::min)
+}
+
+async fn wait_for_work(entry: &PeerEntry, wait: Duration) {
+    monoio::select! {
+        () = entry.retired.wait() => {}
+        () = entry.work.take() => {}
+        () = sleep(wait) => {}
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-wire/src/peer/directory.rs
@@ -0,0 +1,472 @@
+//! The members, and what the tasks of a set share.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use vanillafold_types::{DaemonId, Incarnation, KeyId};
+
+use super::clock::{BootClock, BootMillis};
+use super::entry::{MAX_OPEN_REQUESTS, PeerEntry};
+use super::error::{LinkEnd, PeerError};
+use super::frame::{FrameReader, FrameWriter, MAX_MESSAGE_BYTES, decode, encode};
+use super::handler::PeerHandler;
+use super::link::REQUEST_PATH;
+use super::message::{LoadReport, MAX_CUSTOM_BYTES, PeerMessage, StateSummary};
+use super::outbox::PushError;
+use super::request::{PeerRequest, PeerResponse};
+use super::session::Session;
+use super::settings::{MAX_MEMBERS, PeerAddress, PeerSettings};
+use super::signal::{Notice, Signal};
+use super::statistics::{PeerCounters, PeerStatistics, PeerTraffic, Traffic};
+use super::status::PeerStatus;
+use super::tasks::Tasks;
+
+/// What a withdrawal was to this daemon.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Learnt {
+    New,
+    Known,
+    Full,
+}
+
+/// What the tasks of a set share, with the handler.
+#[derive(Debug)]
+pub(crate) struct Context<H> {
+    pub(crate) directory: Rc<Directory>,
+    pub(crate) handler: Rc<H>,
+}
+
+impl<H> Clone for Context<H> {
+    fn clone(&self) -> Self {
+        Self {
+            directory: Rc::clone(&self.directory),
+            handler: Rc::clone(&self.handler),
+        }
+    }
+}
+
+impl<H: PeerHandler> Context<H> {
+    /// Takes in a withdrawal from a peer; true if the peer need not send it again.
+    pub(crate) fn take_withdrawal(&self, from: &DaemonId, message: PeerMessage) -> bool {
+        let PeerMessage::Withdrawal(withdrawal) = &message else {
+            return false;
+        };
+        if self.handler.withdrawal_is_folded(&withdrawal.key) {
+            self.directory.count(|c| c.withdrawals_repeated += 1);
+            return true;
+        }
+        match self.directory.learn(&withdrawal.key, Some(from)) {
+            Learnt::New => {
+                self.handler.on_message(from, message);
+                true
+            }
+            Learnt::Known => true,
+            Learnt::Full => false,
+        }
+    }
+}
+
+/// The members, and what the tasks of a set share. No borrow is held across a call to the
+/// handler, which may call back.
+#[derive(Debug)]
+pub(crate) struct Directory {
+    pub(crate) settings: PeerSettings,
+    pub(crate) traffic: Rc<Traffic>,
+    pub(crate) tasks: Rc<Tasks>,
+    /// Members or states changed; the supervisor looks.
+    pub(crate) changed: Notice,
+    pub(crate) closing: Signal,
+    // Sorted by daemon.
+    entries: RefCell<Vec<Rc<PeerEntry>>>,
+    // Sorted by key.
+    withdrawals: RefCell<Vec<KeyId>>,
+    sessions: RefCell<Vec<Rc<Session>>>,
+    counters: RefCell<PeerCounters>,
+}
+
+impl Directory {
+    pub(crate) fn new(settings: PeerSettings) -> Self {
+        Self {
+            settings,
+            traffic: Rc::default(),
+            tasks: Rc::default(),
+            changed: Notice::default(),
+            closing: Signal::default(),
+            entries: RefCell::default(),
+            withdrawals: RefCell::default(),
+            sessions: RefCell::default(),
+            counters: RefCell::default(),
+        }
+    }
+
+    pub(crate) fn count(&self, update: impl FnOnce(&mut PeerCounters)) {
+        update(&mut self.counters.borrow_mut());
+    }
+
+    // Members.
+
+    pub(crate) fn set_members(&self, mut members: Vec<PeerAddress>) -> Result<(), PeerError> {
+        if self.closing.is_raised() {
+            return Err(PeerError::Closed);
+        }
+        members.retain(|member| member.daemon != self.settings.daemon);
+        members.sort_by(|a, b| a.daemon.cmp(&b.daemon));
+        members.dedup_by(|a, b| a.daemon == b.daemon);
+        if members.len() > MAX_MEMBERS {
+            return Err(PeerError::TooManyMembers {
+                limit: MAX_MEMBERS,
+                found: members.len(),
+            });
+        }
+        let entries = members.into_iter().map(|m| self.keep_or_add(m)).collect();
+        let before = self.entries.replace(entries);
+        for entry in before {
+            if !self.has_entry(&entry) {
+                entry.retired.raise();
+            }
+        }
+        self.changed.give();
+        Ok(())
+    }
+
+    fn keep_or_add(&self, member: PeerAddress) -> Rc<PeerEntry> {
+        match self.entry(&member.daemon) {
+            Some(entry) if entry.address == member => entry,
+            _ => {
+                let entry = PeerEntry::new(member, &self.settings, &self.traffic);
+                self.put_all_withdrawals(&entry);
+                Rc::new(entry)
+            }
+        }
+    }
+
+    fn has_entry(&self, entry: &Rc<PeerEntry>) -> bool {
+        self.entry(entry.daemon())
+            .is_some_and(|other| Rc::ptr_eq(entry, &other))
+    }
+
+    pub(crate) fn entries(&self) -> Vec<Rc<PeerEntry>> {
+        self.entries.borrow().clone()
+    }
+
+    pub(crate) fn entry(&self, daemon: &DaemonId) -> Option<Rc<PeerEntry>> {
+        let entries = self.entries.borrow();
+        let place = entries.binary_search_by(|entry| entry.daemon().cmp(daemon));
+        place.ok().map(|place| Rc::clone(&entries[place]))
+    }
+
+    fn member(&self, daemon: &DaemonId) -> Result<Rc<PeerEntry>, PeerError> {
+        match self.entry(daemon) {
+            _ if self.closing.is_raised() => Err(PeerError::Closed),
+            Some(entry) => Ok(entry),
+            None => Err(PeerError::UnknownPeer {
+                daemon: daemon.clone(),
+            }),
+        }
+    }
+
+    pub(crate) fn close(&self) {
+        self.closing.raise();
+        for entry in self.entries() {
+            entry.retired.raise();
+        }
+    }
+
+    // What peers were heard to say.
+
+    pub(crate) fn note_heard(&self, daemon: &DaemonId, now: BootMillis) {
+        if let Some(entry) = self.entry(daemon)
+            && entry.note_heard(now)
+        {
+            self.changed.give();
+        }
+    }
+
+    pub(crate) fn note_incarnation(&self, entry: &PeerEntry, incarnation: Incarnation) {
+        if entry.note_incarnation(incarnation) {
+            self.put_all_withdrawals(entry);
+        }
+        self.changed.give();
+    }
+
+    pub(crate) fn latest_incarnation(&self, daemon: &DaemonId) -> Option<Incarnation> {
+        let of_entry = self.entry(daemon).and_then(|entry| entry.incarnation());
+        let sessions = self.sessions.borrow();
+        let of_session = sessions
+            .iter()
+            .filter(|session| session.is_from(daemon))
+            .filter_map(|session| session.incarnation())
+            .max();
+        of_entry.max(of_session)
+    }
+
+    // Accepted connections.
+
+    pub(crate) fn session_count(&self) -> usize {
+        self.sessions.borrow().len()
+    }
+
+    pub(crate) fn add_session(&self, session: Rc<Session>) {
+        self.sessions.borrow_mut().push(session);
+    }
+
+    pub(crate) fn remove_session(&self, session: &Rc<Session>) {
+        let mut sessions = self.sessions.borrow_mut();
+        sessions.retain(|other| !Rc::ptr_eq(other, session));
+    }
+
+    /// Ends the other accepted connections of a peer that has dialled again.
+    pub(crate) fn replace_sessions(&self, newest: &Rc<Session>, daemon: &DaemonId) {
+        let sessions = self.sessions.borrow().clone();
+        sessions
+            .iter()
+            .filter(|other| !Rc::ptr_eq(other, newest) && other.is_from(daemon))
+            .for_each(|other| other.end(LinkEnd::Replaced));
+    }
+
+    // Withdrawals.
+
+    /// Adds a withdrawal to the set and sends it to all members but the one it came from.
+    pub(crate) fn learn(&self, key: &KeyId, from: Option<&DaemonId>) -> Learnt {
+        let place = match self.withdrawals.borrow().binary_search(key) {
+            Ok(_) => {
+                self.count(|c| c.withdrawals_repeated += 1);
+                return Learnt::Known;
+            }
+            Err(place) => place,
+        };
+        if self.withdrawals.borrow().len() >= self.settings.max_withdrawals {
+            self.count(|c| c.withdrawals_refused += 1);
+            return Learnt::Full;
+        }
+        self.withdrawals.borrow_mut().insert(place, key.clone());
+        self.count(|c| c.withdrawals_learnt += 1);
+        for entry in self.entries() {
+            if Some(entry.daemon()) != from {
+                entry.outbox.borrow_mut().put_withdrawal(key.clone());
+                entry.work.give();
+            }
+        }
+        Learnt::New
+    }
+
+    fn put_all_withdrawals(&self, entry: &PeerEntry) {
+        let mut outbox = entry.outbox.borrow_mut();
+        for key in &*self.withdrawals.borrow() {
+            outbox.put_withdrawal(key.clone());
+        }
+        entry.work.give();
+    }
+
+    pub(crate) fn forget_withdrawals(&self, folded: &[KeyId]) {
+        let mut withdrawals = self.withdrawals.borrow_mut();
+        let entries = self.entries();
+        for key in folded {
+            if let Ok(place) = withdrawals.binary_search(key) {
+                withdrawals.remove(place);
+            }
+            for entry in &entries {
+                entry.outbox.borrow_mut().drop_withdrawal(key);
+            }
+        }
+    }
+
+    // Sending.
+
+    pub(crate) fn send(&self, daemon: &DaemonId, message: PeerMessage) -> Result<(), PeerError> {
+        let entry = self.member(daemon)?;
+        match message {
+            PeerMessage::Withdrawal(withdrawal) => self.withdraw(&withdrawal.key),
+            message => self.put(&entry, message),
+        }
+    }
+
+    pub(crate) fn broadcast(&self, message: &PeerMessage) -> Result<usize, PeerError> {
+        if self.closing.is_raised() {
+            return Err(PeerError::Closed);
+        }
+        let entries = self.entries();
+        if let PeerMessage::Withdrawal(withdrawal) = message {
+            self.withdraw(&withdrawal.key)?;
+            return Ok(entries.len());
+        }
+        let mut taken = 0;
+        for entry in &entries {
+            match self.put(entry, message.clone()) {
+                Ok(()) => taken += 1,
+                Err(PeerError::QueueFull { .. }) => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(taken)
+    }
+
+    fn withdraw(&self, key: &KeyId) -> Result<(), PeerError> {
+        match self.learn(key, None) {
+            Learnt::New | Learnt::Known => Ok(()),
+            Learnt::Full => Err(PeerError::TooManyWithdrawals {
+                limit: self.settings.max_withdrawals,
+            }),
+        }
+    }
+
+    fn put(&self, entry: &PeerEntry, message: PeerMessage) -> Result<(), PeerError> {
+        match message {
+            PeerMessage::State(state) => self.put_state(entry, state),
+            PeerMessage::LoadReport(report) => self.put_load(entry, report),
+            PeerMessage::Custom(bytes) if bytes.len() > MAX_CUSTOM_BYTES => {
+                return Err(PeerError::TooLarge {
+                    limit_bytes: MAX_CUSTOM_BYTES,
+                });
+            }
+            message => self.push(entry, message)?,
+        }
+        entry.work.give();
+        Ok(())
+    }
+
+    fn put_state(&self, entry: &PeerEntry, state: StateSummary) {
+        if entry.outbox.borrow_mut().put_state(state) {
+            self.count(|c| c.coalesced_states += 1);
+        }
+    }
+
+    fn put_load(&self, entry: &PeerEntry, report: LoadReport) {
+        let merge = entry.outbox.borrow_mut().put_load(report);
+        self.count(|c| {
+            c.coalesced_load_entries += merge.replaced;
+            c.dropped_load_entries += merge.dropped;
+        });
+    }
+
+    fn push(&self, entry: &PeerEntry, message: PeerMessage) -> Result<(), PeerError> {
+        let pushed = entry.outbox.borrow_mut().push(message);
+        pushed.map_err(|error| match error {
+            PushError::Full => {
+                self.count(|c| c.queue_refusals += 1);
+                PeerError::QueueFull {
+                    daemon: entry.daemon().clone(),
+                }
+            }
+            PushError::TooLarge => PeerError::TooLarge {
+                limit_bytes: MAX_MESSAGE_BYTES,
+            },
+        })
+    }
+
+    // Requests.
+
+    pub(crate) async fn request(
+        &self,
+        daemon: &DaemonId,
+        request: PeerRequest,
+    ) -> Result<PeerResponse, PeerError> {
+        let entry = self.member(daemon)?;
+        let frame = encode_request(&request)?;
+        let requester = entry.requester().ok_or_else(|| PeerError::NotConnected {
+            daemon: daemon.clone(),
+        })?;
+        let open = OpenRequest::begin(&entry)?;
+        self.count(|c| c.requests_sent += 1);
+        let timeout = self.settings.request_timeout;
+        let answer = monoio::time::timeout(timeout.duration(), exchange(requester, frame)).await;
+        drop(open);
+        let result = match answer {
+            Ok(Ok(response)) => return Ok(response),
+            Ok(Err(end)) => PeerError::Link {
+                daemon: daemon.clone(),
+                end,
+            },
+            Err(_) => PeerError::Timeout {
+                daemon: daemon.clone(),
+                timeout,
+            },
+        };
+        self.count(|c| c.requests_failed += 1);
+        Err(result)
+    }
+
+    // What is known.
+
+    pub(crate) fn status(&self, daemon: &DaemonId) -> Option<PeerStatus> {
+        self.entry(daemon)
+            .map(|entry| entry.status(BootClock::now()))
+    }
+
+    pub(crate) fn statuses(&self) -> Vec<PeerStatus> {
+        let now = BootClock::now();
+        let entries = self.entries();
+        entries.iter().map(|entry| entry.status(now)).collect()
+    }
+
+    pub(crate) fn statistics(&self) -> PeerStatistics {
+        let peers = self.entries().iter().map(traffic_of).collect();
+        PeerStatistics {
+            counters: self.counters.borrow().clone(),
+            sent_bytes: self.traffic.sent_bytes(),
+            received_bytes: self.traffic.received_bytes(),
+            tasks: self.tasks.running(),
+            peers,
+        }
+    }
+}
+
+fn traffic_of(entry: &Rc<PeerEntry>) -> PeerTraffic {
+    PeerTraffic {
+        daemon: entry.daemon().clone(),
+        sent_bytes: entry.traffic.sent_bytes(),
+        received_bytes: entry.traffic.received_bytes(),
+    }
+}
+
+/// Counts a request as unanswered until it is dropped.
+struct OpenRequest(Rc<PeerEntry>);
+
+impl OpenRequest {
+    fn begin(entry: &Rc<PeerEntry>) -> Result<Self, PeerError> {
+        let open = entry.open_requests.get();
+        if open >= MAX_OPEN_REQUESTS {
+            return Err(PeerError::Busy {
+                daemon: entry.daemon().clone(),
+                limit: MAX_OPEN_REQUESTS,
+            });
+        }
+        entry.open_requests.set(open + 1);
+        Ok(Self(Rc::clone(entry)))
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open_requests.set(self.0.open_requests.get() - 1);
+    }
+}
+
+fn encode_request(request: &PeerRequest) -> Result<Vec<u8>, PeerError> {
+    let limit_bytes = match request {
+        PeerRequest::Custom(bytes) if bytes.len() > MAX_CUSTOM_BYTES => MAX_CUSTOM_BYTES,
+        _ => {
+            let mut frame = Vec::new();
+            match encode(request, &mut frame) {
+                Ok(()) => return Ok(frame),
+                Err(_) => MAX_MESSAGE_BYTES,
+            }
+        }
+    };
+    Err(PeerError::TooLarge { limit_bytes })
+}
+
+async fn exchange(
+    requester: h2::client::SendRequest<bytes::Bytes>,
+    frame: Vec<u8>,
+) -> Result<PeerResponse, LinkEnd> {
+    let mut requester = requester.ready().await?;
+    let head = super::link::request_head(REQUEST_PATH);
+    let (response, stream) = requester.send_request(head, false)?;
+    let mut writer = FrameWriter::new(stream);
+    writer.write_encoded(frame).await?;
+    writer.finish()?;
+    let mut reader = FrameReader::new(super::link::response_body(response.await?)?);
+    let answer = reader.expect().await?;
+    Ok(decode(&answer)?)
+}
--- /dev/null
+++ b/crates/vanillafold-wire/src/peer/entry.rs
@@ -0,0 +1,159 @@
+//! What a daemon keeps of one member.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use h2::client::SendRequest;
+use vanillafold_types::{DaemonId, Incarnation};
+
+use super::clock::{BootClock, BootMillis};
+use super::error::LinkEnd;
+use super::outbox::Outbox;
+use super::settings::{LinkPace, PeerAddress, PeerSettings};
+use super::signal::{Notice, Signal};
+use super::statistics::Traffic;
+use super::status::{PeerState, PeerStatus};
+
+/// Most requests to one peer that are unanswered.
+pub(crate) const MAX_OPEN_REQUESTS: usize = 16;
+
+/// What the handler was told last.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Told {
+    state: PeerState,
+    connected: bool,
+    incarnation: Option<Incarnation>,
+}
+
+/// One member: what waits for it and what is known of it.
+#[derive(Debug)]
+pub(crate) struct PeerEntry {
+    pub(crate) address: PeerAddress,
+    pub(crate) pace: LinkPace,
+    pub(crate) traffic: Rc<Traffic>,
+    pub(crate) outbox: RefCell<Outbox>,
+    /// Something was put into the outbox.
+    pub(crate) work: Notice,
+    /// The peer has dialled in, so dialling it is likely to work.
+    pub(crate) redial: Notice,
+    /// No longer a member, or the set closes.
+    pub(crate) retired: Signal,
+    pub(crate) started: Cell<bool>,
+    pub(crate) round_trip: Cell<Option<Duration>>,
+    pub(crate) open_requests: Cell<usize>,
+    added_at: BootMillis,
+    alive_since: Cell<BootMillis>,
+    last_heard: Cell<Option<BootMillis>>,
+    incarnation: Cell<Option<Incarnation>>,
+    requester: RefCell<Option<SendRequest<Bytes>>>,
+    last_end: RefCell<Option<LinkEnd>>,
+    told: RefCell<Option<Told>>,
+}
+
+impl PeerEntry {
+    pub(crate) fn new(address: PeerAddress, settings: &PeerSettings, all: &Rc<Traffic>) -> Self {
+        let now = BootClock::now();
+        Self {
+            pace: settings.pace(&address.zone),
+            address,
+            traffic: Traffic::child(all),
+            outbox: RefCell::new(Outbox::new(settings.queue_messages, settings.queue_bytes)),
+            work: Notice::default(),
+            redial: Notice::default(),
+            retired: Signal::default(),
+            started: Cell::new(false),
+            round_trip: Cell::new(None),
+            open_requests: Cell::new(0),
+            added_at: now,
+            alive_since: Cell::new(now),
+            last_heard: Cell::new(None),
+            incarnation: Cell::new(None),
+            requester: RefCell::new(None),
+            last_end: RefCell::new(None),
+            told: RefCell::new(None),
+        }
+    }
+
+    pub(crate) fn daemon(&self) -> &DaemonId {
+        &self.address.daemon
+    }
+
+    pub(crate) fn incarnation(&self) -> Option<Incarnation> {
+        self.incarnation.get()
+    }
+
+    /// Notes an incarnation; true if the peer has started anew since the last one.
+    pub(crate) fn note_incarnation(&self, incarnation: Incarnation) -> bool {
+        let before = self.incarnation.get();
+        self.incarnation.set(before.max(Some(incarnation)));
+        before.is_some_and(|before| before < incarnation)
+    }
+
+    /// Notes that the peer was heard; true if it was not alive just before.
+    pub(crate) fn note_heard(&self, now: BootMillis) -> bool {
+        let revived = !self.state(now).is_alive();
+        if revived {
+            self.alive_since.set(now);
+        }
+        self.last_heard.set(Some(now));
+        revived
+    }
+
+    pub(crate) fn link_up(&self, requester: SendRequest<Bytes>) {
+        *self.requester.borrow_mut() = Some(requester);
+        self.outbox.borrow_mut().resend_withdrawals();
+    }
+
+    pub(crate) fn link_down(&self, end: LinkEnd) {
+        *self.requester.borrow_mut() = None;
+        *self.last_end.borrow_mut() = Some(end);
+    }
+
+    pub(crate) fn requester(&self) -> Option<SendRequest<Bytes>> {
+        self.requester.borrow().clone()
+    }
+
+    pub(crate) fn state(&self, now: BootMillis) -> PeerState {
+        let Some(heard) = self.last_heard.get() else {
+            return PeerState::Silent {
+                since: self.added_at,
+            };
+        };
+        let suspect_at = heard.plus(self.pace.suspect_after.duration());
+        let silent_at = heard.plus(self.pace.silence_timeout.duration());
+        match now {
+            _ if now < suspect_at => PeerState::Alive {
+                since: self.alive_since.get(),
+            },
+            _ if now < silent_at => PeerState::Suspect { since: suspect_at },
+            _ => PeerState::Silent { since: silent_at },
+        }
+    }
+
+    pub(crate) fn status(&self, now: BootMillis) -> PeerStatus {
+        PeerStatus {
+            daemon: self.address.daemon.clone(),
+            zone: self.address.zone.clone(),
+            incarnation: self.incarnation.get(),
+            state: self.state(now),
+            last_heard: self.last_heard.get(),
+            connected: self.requester.borrow().is_some(),
+            round_trip: self.round_trip.get(),
+            last_end: self.last_end.borrow().clone(),
+        }
+    }
+
+    /// The status, if the handler has not been told of it yet.
+    pub(crate) fn untold_status(&self, now: BootMillis) -> Option<PeerStatus> {
+        let status = self.status(now);
+        let told = Told {
+            state: status.state,
+            connected: status.connected,
+            incarnation: status.incarnation,
+        };
+        let before = self.told.borrow_mut().replace(told.clone());
+        (before != Some(told)).then_some(status)
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-wire/src/peer/listener.rs
@@ -0,0 +1,45 @@
+//! The task that accepts connections from peers.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use monoio::net::{ListenerOpts, TcpListener, TcpStream};
+use monoio::time::sleep;
+
+use super::directory::Context;
+use super::handler::PeerHandler;
+use super::session::serve;
+use super::tasks::Tasks;
+
+/// Wait after a failed accept, so that a full table of files does not make a busy loop.
+const ACCEPT_RETRY: Duration = Duration::from_millis(100);
+
+/// Listens without sharing the port: two daemons with one address must not both start.
+pub(crate) fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let options = ListenerOpts::new().reuse_port(false).reuse_addr(true);
+    TcpListener::bind_with_config(address, &options)
+}
+
+/// Accepts connections until the set closes.
+pub(crate) async fn accept_peers<H: PeerHandler>(context: Context<H>, listener: TcpListener) {
+    let closing = &context.directory.closing;
+    while let Some(accepted) = closing.cancel(listener.accept()).await {
+        match accepted {
+            Ok((tcp, _)) => admit(&context, tcp),
+            Err(error) => {
+                log::warn!("accepting a peer failed: {error}");
+                sleep(ACCEPT_RETRY).await;
+            }
+        }
+    }
+}
+
+fn admit<H: PeerHandler>(context: &Context<H>, tcp: TcpStream) {
+    let directory = &context.directory;
+    if directory.session_count() >= directory.settings.max_inbound {
+        directory.count(|c| c.refused_too_many += 1);
+        return;
+    }
+    Tasks::spawn(&directory.tasks, serve(context.clone(), tcp));
+}
--- /dev/null
+++ b/crates/vanillafold-wire/src/peer/mod.rs
@@ -0,0 +1,48 @@
+//! The protocol between daemons: `h2` streams that carry bincode messages.
+//!
+//! Each daemon dials every other member. On the connection that it dialled it sends its
+//! own messages and requests; what the other sends comes over the connection that the
+//! other dials. The supervisor starts one task for each peer, and the listener one for
+//! each accepted connection. See `docs/design/0004-peers.md`.
+
+mod backoff;
+mod clock;
+mod counted;
+mod dialer;
+mod directory;
+mod entry;
+mod error;
+mod frame;
+mod handler;
+mod hello;
+mod link;
+mod listener;
+mod message;
+mod outbox;
+mod request;
+mod session;
+mod set;
+mod settings;
+mod signal;
+mod statistics;
+mod status;
+mod supervisor;
+mod tasks;
+
+pub use clock::{BootClock, BootMillis};
+pub use error::{LinkEnd, PeerError};
+pub use frame::MAX_MESSAGE_BYTES;
+pub use handler::PeerHandler;
+pub use hello::{PROTOCOL_VERSION, RefusalReason};
+pub use message::{
+    LoadEntry, LoadReport, LogStream, MAX_CUSTOM_BYTES, PeerMessage, RecordBatch, StateSummary,
+    Withdrawal,
+};
+pub use request::{
+    MAX_SNAPSHOT_CHUNK_BYTES, PeerRequest, PeerResponse, RecordsRequest, SnapshotChunk,
+    SnapshotRequest, UnavailableReason,
+};
+pub use set::{PeerHandle, PeerSet};
+pub use settings::{ClusterName, LinkPace, MAX_MEMBERS, PeerAddress, PeerSettings, SharedToken};
+pub use statistics::{PeerCounters, PeerStatistics, PeerTraffic};
+pub use status::{PeerState, PeerStatus};
--- /dev/null
+++ b/crates/vanillafold-wire/src/peer/outbox.rs
@@ -0,0 +1,183 @@
+//! What waits to be sent to one peer.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use vanillafold_types::KeyId;
+
+use super::clock::BootMillis;
+use super::frame::{FrameError, encode};
+use super::link::LinkFrame;
+use super::message::{LoadEntry, LoadReport, PeerMessage, StateSummary, Withdrawal};
+
+/// Bytes after which no more frames are added to a batch.
+const BATCH_BYTES: usize = 32 * 1024;
+/// Most load entries in one message.
+const LOAD_ENTRIES_PER_MESSAGE: usize = 1_024;
+/// Most load entries that wait for one peer.
+const MAX_LOAD_ENTRIES: usize = 4_096;
+
+#[derive(Debug)]
+struct PendingWithdrawal {
+    key: KeyId,
+    sent_at: Option<BootMillis>,
+}
+
+impl PendingWithdrawal {
+    /// When it is to be sent, or sent again; `None` stands for at once.
+    fn due(&self, resend_after: Duration) -> Option<BootMillis> {
+        self.sent_at.map(|sent_at| sent_at.plus(resend_after))
+    }
+}
+
+/// How a load report was taken in.
+#[derive(Debug, Default)]
+pub(crate) struct LoadMerge {
+    pub(crate) replaced: u64,
+    pub(crate) dropped: u64,
+}
+
+/// Why a message was not taken in.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum PushError {
+    Full,
+    TooLarge,
+}
+
+/// What waits for one peer. State summaries and load reports are merged, so they take
+/// bounded room; withdrawals are bounded by the set that they come from; all else by
+/// count and bytes.
+#[derive(Debug)]
+pub(crate) struct Outbox {
+    max_messages: usize,
+    max_bytes: usize,
+    state: Option<StateSummary>,
+    load: Vec<LoadEntry>,
+    withdrawals: Vec<PendingWithdrawal>,
+    queue: VecDeque<Vec<u8>>,
+    queue_bytes: usize,
+}
+
+impl Outbox {
+    pub(crate) fn new(max_messages: usize, max_bytes: usize) -> Self {
+        Self {
+            max_messages,
+            max_bytes,
+            state: None,
+            load: Vec::new(),
+            withdrawals: Vec::new(),
+            queue: VecDeque::new(),
+            queue_bytes: 0,
+        }
+    }
+
+    /// Replaces the waiting summary; true if there was one.
+    pub(crate) fn put_state(&mut self, state: StateSummary) -> bool {
+        self.state.replace(state).is_some()
+    }
+
+    pub(crate) fn put_load(&mut self, report: LoadReport) -> LoadMerge {
+        let mut merge = LoadMerge::default();
+        for entry in report.entries {
+            match self.load.binary_search_by(|other| other.vm.cmp(&entry.vm)) {
+                Ok(place) => {
+                    self.load[place] = entry;
+                    merge.replaced += 1;
+                }
+                Err(_) if self.load.len() >= MAX_LOAD_ENTRIES => merge.dropped += 1,
+                Err(place) => self.load.insert(place, entry),
+            }
+        }
+        merge
+    }
+
+    pub(crate) fn put_withdrawal(&mut self, key: KeyId) {
+        if let Err(place) = self.find_withdrawal(&key) {
+            let pending = PendingWithdrawal { key, sent_at: None };
+            self.withdrawals.insert(place, pending);
+        }
+    }
+
+    /// Drops a withdrawal that the peer has, or that is in the folded log.
+    pub(crate) fn drop_withdrawal(&mut self, key: &KeyId) {
+        if let Ok(place) = self.find_withdrawal(key) {
+            self.withdrawals.remove(place);
+        }
+    }
+
+    /// After a new connection: what was not acknowledged is sent again at once.
+    pub(crate) fn resend_withdrawals(&mut self) {
+        for pending in &mut self.withdrawals {
+            pending.sent_at = None;
+        }
+    }
+
+    pub(crate) fn push(&mut self, message: PeerMessage) -> Result<(), PushError> {
+        let mut frame = Vec::new();
+        encode(&LinkFrame::Message(message), &mut frame).map_err(|_| PushError::TooLarge)?;
+        let queue_bytes = self.queue_bytes + frame.len();
+        if self.queue.len() >= self.max_messages || queue_bytes > self.max_bytes {
+            return Err(PushError::Full);
+        }
+        self.queue_bytes = queue_bytes;
+        self.queue.push_back(frame);
+        Ok(())
+    }
+
+    /// Moves what is sent without delay into a batch: due withdrawals, then the queue.
+    pub(crate) fn take_prompt(
+        &mut self,
+        now: BootMillis,
+        resend_after: Duration,
+        batch: &mut Vec<u8>,
+    ) -> Result<(), FrameError> {
+        for pending in &mut self.withdrawals {
+            let is_due = pending.due(resend_after).is_none_or(|due| due <= now);
+            if is_due && batch.len() < BATCH_BYTES {
+                let key = pending.key.clone();
+                let message = PeerMessage::Withdrawal(Withdrawal { key });
+                encode(&LinkFrame::Message(message), batch)?;
+                pending.sent_at = Some(now);
+            }
+        }
+        while batch.len() < BATCH_BYTES
+            && let Some(frame) = self.queue.pop_front()
+        {
+            self.queue_bytes -= frame.len();
+            batch.extend_from_slice(&frame);
+        }
+        Ok(())
+    }
+
+    /// Moves the summary and some load entries into a batch; true if there were any.
+    pub(crate) fn take_reports(&mut self, batch: &mut Vec<u8>) -> Result<bool, FrameError> {
+        let had_reports = self.has_reports();
+        if let Some(state) = self.state.take() {
+            encode(&LinkFrame::Message(PeerMessage::State(state)), batch)?;
+        }
+        if !self.load.is_empty() {
+            let count = self.load.len().min(LOAD_ENTRIES_PER_MESSAGE);
+            let entries = self.load.drain(..count).collect();
+            let message = PeerMessage::LoadReport(LoadReport { entries });
+            encode(&LinkFrame::Message(message), batch)?;
+        }
+        Ok(had_reports)
+    }
+
+    pub(crate) fn has_reports(&self) -> bool {
+        self.state.is_some() || !self.load.is_empty()
+    }
+
+    /// When a withdrawal that was sent is to be sent again.
+    pub(crate) fn next_resend(&self, resend_after: Duration) -> Option<BootMillis> {
+        self.withdrawals
+            .iter()
+            .filter_map(|pending| pending.due(resend_after))
+            .min()
+    }
+
+    fn find_withdrawal(&self, key: &KeyId) -> Result<usize, usize> {
+        self.withdrawals
+            .binary_search_by(|pending| pending.key.cmp(key))
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-wire/src/peer/session.rs
@@ -0,0 +1,372 @@
+//! The task of one accepted connection.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use h2::server::{Connection, SendResponse};
+use h2::{Reason, RecvStream};
+use monoio::net::TcpStream;
+use monoio::time::{sleep, timeout};
+use vanillafold_types::{DaemonId, Incarnation};
+
+use super::clock::{BootClock, BootMillis};
+use super::counted::{CountedCompat, wrap};
+use super::directory::{Context, Directory};
+use super::error::LinkEnd;
+use super::frame::{FrameReader, FrameWriter, decode, encode};
+use super::handler::PeerHandler;
+use super::hello::{Hello, HelloError, HelloReply, PROTOCOL_VERSION, RefusalReason, Welcome};
+use super::link::{LINK_PATH, LinkFrame, LinkReply, REQUEST_PATH, server_builder};
+use super::message::PeerMessage;
+use super::request::{PeerRequest, PeerResponse, UnavailableReason};
+use super::settings::{INBOUND_MISSED_HEARTBEATS, MAX_INBOUND_SILENCE};
+use super::signal::Signal;
+use super::statistics::Traffic;
+use super::tasks::Tasks;
+
+/// The peer at the other end, once its hello was taken.
+#[derive(Debug, Clone)]
+struct Caller {
+    daemon: DaemonId,
+    incarnation: Incarnation,
+}
+
+/// An accepted connection.
+#[derive(Debug)]
+pub(crate) struct Session {
+    traffic: Rc<Traffic>,
+    caller: RefCell<Option<Caller>>,
+    greeted: Cell<bool>,
+    last_heard: Cell<BootMillis>,
+    silence: Cell<Duration>,
+    end: RefCell<Option<LinkEnd>>,
+    ended: Signal,
+}
+
+impl Session {
+    pub(crate) fn new(directory: &Directory) -> Self {
+        Self {
+            traffic: Traffic::child(&directory.traffic),
+            caller: RefCell::new(None),
+            greeted: Cell::new(false),
+            last_heard: Cell::new(BootClock::now()),
+            silence: Cell::new(directory.settings.handshake_timeout.duration()),
+            end: RefCell::new(None),
+            ended: Signal::default(),
+        }
+    }
+
+    pub(crate) fn is_from(&self, daemon: &DaemonId) -> bool {
+        let caller = self.caller.borrow();
+        caller
+            .as_ref()
+            .is_some_and(|caller| caller.daemon == *daemon)
+    }
+
+    pub(crate) fn incarnation(&self) -> Option<Incarnation> {
+        self.caller.borrow().as_ref().map(|c| c.incarnation)
+    }
+
+    /// Ends the connection, its tasks and its socket; the first reason counts.
+    pub(crate) fn end(&self, end: LinkEnd) {
+        self.end.borrow_mut().get_or_insert(end);
+        self.ended.raise();
+    }
+
+    fn caller(&self) -> Option<DaemonId> {
+        self.caller.borrow().as_ref().map(|c| c.daemon.clone())
+    }
+
+    fn end_reason(&self) -> LinkEnd {
+        self.end.borrow().clone().unwrap_or(LinkEnd::PeerClosed)
+    }
+
+    /// Ends when nothing was heard for as long as the connection is granted.
+    async fn watch(&self) -> LinkEnd {
+        loop {
+            let now = BootClock::now();
+            let deadline = self.last_heard.get().plus(self.silence.get());
+            match now {
+                _ if now < deadline => sleep(deadline.since(now)).await,
+                _ if self.caller.borrow().is_some() => return LinkEnd::Silent,
+                _ => return LinkEnd::HandshakeTimeout,
+            }
+        }
+    }
+}
+
+/// Serves a connection until it ends.
+pub(crate) async fn serve<H: PeerHandler>(context: Context<H>, tcp: TcpStream) {
+    let session = Rc::new(Session::new(&context.directory));
+    context.directory.add_session(Rc::clone(&session));
+    let end = run_session(&context, &session, tcp).await;
+    // Ends the tasks of its streams as well.
+    session.end(end);
+    let end = session.end_reason();
+    log::debug!("connection from a peer ended: {end}");
+    context.directory.count(|c| c.count_end(&end));
+    context.directory.remove_session(&session);
+}
+
+async fn run_session<H: PeerHandler>(
+    context: &Context<H>,
+    session: &Rc<Session>,
+    tcp: TcpStream,
+) -> LinkEnd {
+    let io = match wrap(tcp, Rc::clone(&session.traffic)) {
+        Ok(io) => io,
+        Err(error) => return LinkEnd::Connect(error.kind()),
+    };
+    let limit = context.directory.settings.handshake_timeout.duration();
+    let handshake = server_builder().handshake(io);
+    let connection = match timeout(limit, handshake).await {
+        Ok(Ok(connection)) => connection,
+        Ok(Err(error)) => return error.into(),
+        Err(_) => return LinkEnd::HandshakeTimeout,
+    };
+    monoio::select! {
+        () = session.ended.wait() => session.end_reason(),
+        end = session.watch() => end,
+        end = accept_streams(context, session, connection) => end,
+    }
+}
+
+async fn accept_streams<H: PeerHandler>(
+    context: &Context<H>,
+    session: &Rc<Session>,
+    mut connection: Connection<CountedCompat, Bytes>,
+) -> LinkEnd {
+    let closing = &context.directory.closing;
+    loop {
+        let accepted = if closing.is_raised() {
+            connection.graceful_shutdown();
+            connection.accept().await
+        } else {
+            match closing.cancel(connection.accept()).await {
+                Some(accepted) => accepted,
+                None => continue,
+            }
+        };
+        match accepted {
+            Some(Ok((request, respond))) => start_stream(context, session, request, respond),
+            Some(Err(error)) => return error.into(),
+            None => return LinkEnd::PeerClosed,
+        }
+    }
+}
+
+fn start_stream<H: PeerHandler>(
+    context: &Context<H>,
+    session: &Rc<Session>,
+    request: http::Request<RecvStream>,
+    respond: SendResponse<Bytes>,
+) {
+    let stream = Stream {
+        context: context.clone(),
+        session: Rc::clone(session),
+    };
+    let session = Rc::clone(session);
+    Tasks::spawn(&context.directory.tasks, async move {
+        let served = session.ended.cancel(stream.serve(request, respond)).await;
+        if let Some(Err(end)) = served {
+            session.end(end);
+        }
+    });
+}
+
+/// One stream of an accepted connection.
+struct Stream<H> {
+    context: Context<H>,
+    session: Rc<Session>,
+}
+
+impl<H: PeerHandler> Stream<H> {
+    async fn serve(
+        self,
+        request: http::Request<RecvStream>,
+        mut respond: SendResponse<Bytes>,
+    ) -> Result<(), LinkEnd> {
+        let path = request.uri().path().to_owned();
+        let body = request.into_body();
+        match (path.as_str(), self.session.caller()) {
+            (LINK_PATH, None) if !self.session.greeted.replace(true) => {
+                self.serve_link(body, respond).await
+            }
+            (REQUEST_PATH, Some(from)) => {
+                let limit = self.directory().settings.request_timeout.duration();
+                let served = timeout(limit, self.serve_request(&from, body, respond)).await;
+                // A request that its sender never finished only loses its stream.
+                served.unwrap_or(Ok(()))
+            }
+            _ => {
+                self.directory().count(|c| c.refused_streams += 1);
+                respond.send_reset(Reason::REFUSED_STREAM);
+                Ok(())
+            }
+        }
+    }
+
+    fn directory(&self) -> &Directory {
+        &self.context.directory
+    }
+
+    async fn serve_request(
+        &self,
+        from: &DaemonId,
+        body: RecvStream,
+        mut respond: SendResponse<Bytes>,
+    ) -> Result<(), LinkEnd> {
+        let mut reader = FrameReader::new(body);
+        let request: PeerRequest = decode(&reader.expect().await?)?;
+        self.directory().count(|c| c.requests_served += 1);
+        let response = self.context.handler.on_request(from, request);
+        let frame = encode_response(&response)?;
+        let stream = respond.send_response(http::Response::new(()), false)?;
+        let mut writer = FrameWriter::new(stream);
+        writer.write_encoded(frame).await?;
+        writer.finish()
+    }
+
+    async fn serve_link(
+        &self,
+        body: RecvStream,
+        mut respond: SendResponse<Bytes>,
+    ) -> Result<(), LinkEnd> {
+        let mut reader = FrameReader::new(body);
+        let greeting = reader.expect().await?;
+        let stream = respond.send_response(http::Response::new(()), false)?;
+        let mut writer = FrameWriter::new(stream);
+        let hello = match check_hello(self.directory(), &greeting) {
+            Ok(hello) => hello,
+            Err(reason) => return self.refuse(writer, reason).await,
+        };
+        self.open(&hello);
+        let welcome = Welcome {
+            incarnation: self.directory().settings.incarnation,
+        };
+        writer.write(&HelloReply::Welcome(welcome)).await?;
+        self.take_frames(&hello.daemon, reader, writer).await
+    }
+
+    /// Says why; the dialler then closes, or the handshake timeout does.
+    async fn refuse(&self, mut writer: FrameWriter, reason: RefusalReason) -> Result<(), LinkEnd> {
+        self.directory().count(|c| c.count_refusal(&reason));
+        writer.write(&HelloReply::Refused(reason)).await?;
+        writer.finish()
+    }
+
+    fn open(&self, hello: &Hello) {
+        let directory = self.directory();
+        let now = BootClock::now();
+        directory.count(|c| c.sessions_opened += 1);
+        directory.replace_sessions(&self.session, &hello.daemon);
+        *self.session.caller.borrow_mut() = Some(Caller {
+            daemon: hello.daemon.clone(),
+            incarnation: hello.incarnation,
+        });
+        self.session.last_heard.set(now);
+        self.session.silence.set(granted_silence(directory, hello));
+        if let Some(entry) = directory.entry(&hello.daemon) {
+            self.session.traffic.assign(&entry.traffic);
+            directory.note_incarnation(&entry, hello.incarnation);
+            entry.redial.give();
+        }
+        directory.note_heard(&hello.daemon, now);
+    }
+
+    /// Takes frames until the peer ends the stream, or this daemon closes.
+    async fn take_frames(
+        &self,
+        from: &DaemonId,
+        mut reader: FrameReader,
+        mut writer: FrameWriter,
+    ) -> Result<(), LinkEnd> {
+        let closing = &self.directory().closing;
+        while let Some(next) = closing.cancel(reader.next()).await {
+            let Some(frame) = next? else {
+                return writer.finish();
+            };
+            let reply = self.take_frame(from, &frame)?;
+            if let Some(reply) = reply {
+                writer.write(&reply).await?;
+            }
+        }
+        // The peer sees the end of the replies, flushes what it has, and ends its side.
+        writer.finish()?;
+        while let Some(frame) = reader.next().await? {
+            self.take_frame(from, &frame)?;
+        }
+        Ok(())
+    }
+
+    fn take_frame(&self, from: &DaemonId, frame: &[u8]) -> Result<Option<LinkReply>, LinkEnd> {
+        let frame: LinkFrame = decode(frame)?;
+        let now = BootClock::now();
+        self.session.last_heard.set(now);
+        self.directory().note_heard(from, now);
+        match frame {
+            LinkFrame::Heartbeat { sequence } => Ok(Some(LinkReply::HeartbeatAck { sequence })),
+            LinkFrame::Message(message) => Ok(self.take_message(from, message)),
+        }
+    }
+
+    fn take_message(&self, from: &DaemonId, message: PeerMessage) -> Option<LinkReply> {
+        self.directory().count(|c| c.messages_received += 1);
+        match message {
+            PeerMessage::Withdrawal(withdrawal) => {
+                let key = withdrawal.key.clone();
+                let message = PeerMessage::Withdrawal(withdrawal);
+                let taken = self.context.take_withdrawal(from, message);
+                taken.then_some(LinkReply::WithdrawalAck { key })
+            }
+            message => {
+                self.context.handler.on_message(from, message);
+                None
+            }
+        }
+    }
+}
+
+fn encode_response(response: &PeerResponse) -> Result<Vec<u8>, LinkEnd> {
+    let mut frame = Vec::new();
+    if encode(response, &mut frame).is_err() {
+        let too_large = PeerResponse::Unavailable(UnavailableReason::TooLarge);
+        encode(&too_large, &mut frame)?;
+    }
+    Ok(frame)
+}
+
+fn granted_silence(directory: &Directory, hello: &Hello) -> Duration {
+    let pace = directory.settings.pace(&hello.zone);
+    let missed = hello
+        .heartbeat_interval
+        .duration()
+        .saturating_mul(INBOUND_MISSED_HEARTBEATS);
+    missed
+        .max(pace.silence_timeout.duration())
+        .min(MAX_INBOUND_SILENCE)
+}
+
+fn check_hello(directory: &Directory, frame: &[u8]) -> Result<Hello, RefusalReason> {
+    let settings = &directory.settings;
+    let hello = Hello::read(frame).map_err(|error| match error {
+        HelloError::Version => RefusalReason::ProtocolVersion {
+            supported: PROTOCOL_VERSION,
+        },
+        HelloError::Malformed => RefusalReason::Malformed,
+    })?;
+    let latest = directory.latest_incarnation(&hello.daemon);
+    match latest {
+        _ if hello.cluster != settings.cluster.as_str() => Err(RefusalReason::ClusterName),
+        _ if !settings.token.matches(&hello.token) => Err(RefusalReason::Token),
+        _ if hello.expected != settings.daemon => Err(RefusalReason::WrongDaemon {
+            found: settings.daemon.clone(),
+        }),
+        Some(latest) if hello.incarnation < latest => {
+            Err(RefusalReason::StaleIncarnation { latest })
+        }
+        _ => Ok(hello),
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-wire/src/peer/signal.rs
@@ -0,0 +1,127 @@
+//! Waking tasks of one thread: a flag that is raised once, and a notice that is taken.
+
+use std::cell::{Cell, RefCell};
+use std::future::{Future, poll_fn};
+use std::pin::{Pin, pin};
+use std::task::{Context, Poll, Waker};
+
+#[derive(Debug)]
+struct Waiting {
+    id: u64,
+    waker: Waker,
+}
+
+/// A flag that is raised once; any number of tasks wait for it.
+#[derive(Debug, Default)]
+pub(crate) struct Signal {
+    raised: Cell<bool>,
+    next_id: Cell<u64>,
+    // Sorted by id: ids are given out in rising order and appended on first poll.
+    waiting: RefCell<Vec<Waiting>>,
+}
+
+impl Signal {
+    pub(crate) fn raise(&self) {
+        self.raised.set(true);
+        let waiting = self.waiting.take();
+        for task in waiting {
+            task.waker.wake();
+        }
+    }
+
+    pub(crate) fn is_raised(&self) -> bool {
+        self.raised.get()
+    }
+
+    /// Ends when the signal is raised, at once if it was raised before.
+    pub(crate) fn wait(&self) -> SignalWait<'_> {
+        let id = self.next_id.get();
+        self.next_id.set(id + 1);
+        SignalWait { signal: self, id }
+    }
+
+    /// Runs a future until it is done or the signal is raised; the future is then dropped.
+    pub(crate) async fn cancel<F: Future>(&self, future: F) -> Option<F::Output> {
+        let mut future = pin!(future);
+        let mut raised = pin!(self.wait());
+        poll_fn(|cx| match raised.as_mut().poll(cx) {
+            Poll::Ready(()) => Poll::Ready(None),
+            Poll::Pending => future.as_mut().poll(cx).map(Some),
+        })
+        .await
+    }
+
+    fn register(&self, id: u64, waker: &Waker) {
+        let mut waiting = self.waiting.borrow_mut();
+        match waiting.binary_search_by_key(&id, |task| task.id) {
+            Ok(place) => waiting[place].waker.clone_from(waker),
+            Err(place) => waiting.insert(
+                place,
+                Waiting {
+                    id,
+                    waker: waker.clone(),
+                },
+            ),
+        }
+    }
+
+    fn forget(&self, id: u64) {
+        let mut waiting = self.waiting.borrow_mut();
+        if let Ok(place) = waiting.binary_search_by_key(&id, |task| task.id) {
+            waiting.remove(place);
+        }
+    }
+}
+
+/// Waits for a [`Signal`].
+#[derive(Debug)]
+pub(crate) struct SignalWait<'a> {
+    signal: &'a Signal,
+    id: u64,
+}
+
+impl Future for SignalWait<'_> {
+    type Output = ();
+
+    fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        if self.signal.is_raised() {
+            return Poll::Ready(());
+        }
+        self.signal.register(self.id, cx.waker());
+        Poll::Pending
+    }
+}
+
+impl Drop for SignalWait<'_> {
+    fn drop(&mut self) {
+        self.signal.forget(self.id);
+    }
+}
+
+/// A notice for one task; notices that come before it is taken count as one.
+#[derive(Debug, Default)]
+pub(crate) struct Notice {
+    given: Cell<bool>,
+    waker: RefCell<Option<Waker>>,
+}
+
+impl Notice {
+    pub(crate) fn give(&self) {
+        self.given.set(true);
+        if let Some(waker) = self.waker.take() {
+            waker.wake();
+        }
+    }
+
+    /// Ends when a notice has been given, and takes it.
+    pub(crate) async fn take(&self) {
+        poll_fn(|cx| {
+            if self.given.replace(false) {
+                return Poll::Ready(());
+            }
+            *self.waker.borrow_mut() = Some(cx.waker().clone());
+            Poll::Pending
+        })
+        .await;
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-wire/src/peer/tasks.rs
@@ -0,0 +1,54 @@
+//! Tasks that are waited for when the set closes.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::rc::Rc;
+
+use super::signal::{Notice, Signal};
+
+/// Counts tasks and can end them all.
+#[derive(Debug, Default)]
+pub(crate) struct Tasks {
+    running: Cell<usize>,
+    ended: Notice,
+    abort: Signal,
+}
+
+struct Running(Rc<Tasks>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get() - 1);
+        self.0.ended.give();
+    }
+}
+
+impl Tasks {
+    /// Starts a task that ends at the latest when [`Self::abort`] is called.
+    pub(crate) fn spawn<F>(tasks: &Rc<Self>, future: F)
+    where
+        F: Future<Output = ()> + 'static,
+    {
+        tasks.running.set(tasks.running.get() + 1);
+        let running = Running(Rc::clone(tasks));
+        monoio::spawn(async move {
+            running.0.abort.cancel(future).await;
+        });
+    }
+
+    /// Drops all tasks where they are.
+    pub(crate) fn abort(&self) {
+        self.abort.raise();
+    }
+
+    pub(crate) fn running(&self) -> usize {
+        self.running.get()
+    }
+
+    /// Ends when no task runs.
+    pub(crate) async fn idle(&self) {
+        while self.running.get() > 0 {
+            self.ended.take().await;
+        }
+    }
+}
