--- a/crates/vanillafold-wire/src/peer/dialer.rs
+++ b/crates/vanillafold-wire/src/peer/dialer.rs
@@ -19,6 +19,8 @@
 use super::frame::{FrameReader, FrameWriter, decode, encode};
 use super::hello::{Hello, HelloPrefix, HelloReply, Welcome};
 use super::link::{LINK_PATH, LinkFrame, LinkReply, client_builder, request_head, response_body};
+use super::outbox::Outbox;
+use super::settings::LinkPace;
 use super::signal::Signal;
 use super::statistics::Traffic;
 use super::tasks::Tasks;
@@ -38,7 +40,7 @@
         let lasted = BootClock::now().since(started);
         log::debug!("link to {} ended: {end}", entry.daemon());
         directory.count(|c| c.count_end(&end));
-        entry.link_down(end.clone());
+        entry.note_end(end.clone());
         directory.changed.give();
         if lasted > entry.pace.silence_timeout.duration() {
             backoff.reset();
@@ -185,6 +187,13 @@
             sent_at: Cell::new(now),
         }
     }
+
+    fn next_heartbeat(&self, now: BootMillis) -> u64 {
+        let sequence = self.sent_sequence.get() + 1;
+        self.sent_sequence.set(sequence);
+        self.sent_at.set(now);
+        sequence
+    }
 }
 
 /// An open link.
@@ -210,7 +219,7 @@
             end = read_replies(directory, entry, &clock, &mut self.reader) => never(end),
             end = write_messages(entry, &clock, &mut self.writer) => never(end),
         };
-        entry.link_down(end.clone());
+        entry.link_down();
         if end == LinkEnd::Closed {
             let limit = directory.settings.close_timeout.duration();
             let drain = read_replies(directory, entry, &clock, &mut self.reader);
@@ -266,28 +275,64 @@
     }
 }
 
+/// When a link speaks next.
+#[derive(Debug)]
+struct Schedule {
+    pace: LinkPace,
+    heartbeat_at: BootMillis,
+    early_heartbeat_at: BootMillis,
+    report_at: BootMillis,
+}
+
+impl Schedule {
+    const fn start(pace: LinkPace, now: BootMillis) -> Self {
+        Self {
+            pace,
+            heartbeat_at: now,
+            early_heartbeat_at: now,
+            report_at: now,
+        }
+    }
+
+    /// A heartbeat that goes along with other frames saves a packet of its own, so it may
+    /// leave half an interval early.
+    fn heartbeat_is_due(&self, now: BootMillis, has_company: bool) -> bool {
+        now >= self.heartbeat_at || (has_company && now >= self.early_heartbeat_at)
+    }
+
+    fn heartbeat_sent(&mut self, now: BootMillis) {
+        let interval = self.pace.heartbeat_interval.duration();
+        self.heartbeat_at = now.plus(interval);
+        self.early_heartbeat_at = now.plus(interval / 2);
+    }
+
+    fn reports_sent(&mut self, now: BootMillis) {
+        self.report_at = now.plus(self.pace.report_interval.duration());
+    }
+
+    fn resend_after(&self) -> Duration {
+        self.pace.silence_timeout.duration()
+    }
+
+    fn next_due(&self, outbox: &Outbox) -> BootMillis {
+        let resend = outbox.next_resend(self.resend_after());
+        let report = outbox.has_reports().then_some(self.report_at);
+        [resend, report]
+            .into_iter()
+            .flatten()
+            .fold(self.heartbeat_at, BootMillis::min)
+    }
+}
+
 async fn write_messages(
     entry: &PeerEntry,
     clock: &LinkClock,
     writer: &mut FrameWriter,
 ) -> Result<Infallible, LinkEnd> {
-    let mut next_heartbeat = BootClock::now();
-    let mut next_report = next_heartbeat;
+    let mut schedule = Schedule::start(entry.pace, BootClock::now());
     loop {
         let now = BootClock::now();
-        let mut batch = Vec::new();
-        if now >= next_heartbeat {
-            add_heartbeat(clock, now, &mut batch)?;
-            next_heartbeat = now.plus(entry.pace.heartbeat_interval.duration());
-        }
-        if now >= next_report && entry.outbox.borrow_mut().take_reports(&mut batch)? {
-            next_report = now.plus(entry.pace.report_interval.duration());
-        }
-        let resend_after = entry.pace.silence_timeout.duration();
-        entry
-            .outbox
-            .borrow_mut()
-            .take_prompt(now, resend_after, &mut batch)?;
+        let batch = next_batch(entry, clock, &mut schedule, now)?;
         if !batch.is_empty() {
             writer.write_encoded(batch).await?;
             continue;
@@ -296,26 +341,29 @@
             writer.finish()?;
             return Err(LinkEnd::Closed);
         }
-        let due = next_due(entry, next_heartbeat, next_report);
+        let due = schedule.next_due(&entry.outbox.borrow());
         wait_for_work(entry, due.since(now)).await;
     }
 }
 
-fn add_heartbeat(clock: &LinkClock, now: BootMillis, batch: &mut Vec<u8>) -> Result<(), LinkEnd> {
-    let sequence = clock.sent_sequence.get() + 1;
-    clock.sent_sequence.set(sequence);
-    clock.sent_at.set(now);
-    Ok(encode(&LinkFrame::Heartbeat { sequence }, batch)?)
-}
-
-fn next_due(entry: &PeerEntry, next_heartbeat: BootMillis, next_report: BootMillis) -> BootMillis {
-    let outbox = entry.outbox.borrow();
-    let resend = outbox.next_resend(entry.pace.silence_timeout.duration());
-    let report = outbox.has_reports().then_some(next_report);
-    [resend, report]
-        .into_iter()
-        .flatten()
-        .fold(next_heartbeat, BootMillis::min)
+fn next_batch(
+    entry: &PeerEntry,
+    clock: &LinkClock,
+    schedule: &mut Schedule,
+    now: BootMillis,
+) -> Result<Vec<u8>, LinkEnd> {
+    let mut batch = Vec::new();
+    let mut outbox = entry.outbox.borrow_mut();
+    if now >= schedule.report_at && outbox.take_reports(&mut batch)? {
+        schedule.reports_sent(now);
+    }
+    outbox.take_prompt(now, schedule.resend_after(), &mut batch)?;
+    if schedule.heartbeat_is_due(now, !batch.is_empty()) {
+        let sequence = clock.next_heartbeat(now);
+        encode(&LinkFrame::Heartbeat { sequence }, &mut batch)?;
+        schedule.heartbeat_sent(now);
+    }
+    Ok(batch)
 }
 
 async fn wait_for_work(entry: &PeerEntry, wait: Duration) {
--- a/crates/vanillafold-wire/src/peer/directory.rs
+++ b/crates/vanillafold-wire/src/peer/directory.rs
@@ -6,14 +6,12 @@
 use vanillafold_types::{DaemonId, Incarnation, KeyId};
 
 use super::clock::{BootClock, BootMillis};
-use super::entry::{MAX_OPEN_REQUESTS, PeerEntry};
+use super::entry::PeerEntry;
 use super::error::{LinkEnd, PeerError};
-use super::frame::{FrameReader, FrameWriter, MAX_MESSAGE_BYTES, decode, encode};
+use super::frame::MAX_MESSAGE_BYTES;
 use super::handler::PeerHandler;
-use super::link::REQUEST_PATH;
 use super::message::{LoadReport, MAX_CUSTOM_BYTES, PeerMessage, StateSummary};
 use super::outbox::PushError;
-use super::request::{PeerRequest, PeerResponse};
 use super::session::Session;
 use super::settings::{MAX_MEMBERS, PeerAddress, PeerSettings};
 use super::signal::{Notice, Signal};
@@ -51,6 +49,7 @@
         let PeerMessage::Withdrawal(withdrawal) = &message else {
             return false;
         };
+        self.directory.note_known(from, &withdrawal.key);
         if self.handler.withdrawal_is_folded(&withdrawal.key) {
             self.directory.count(|c| c.withdrawals_repeated += 1);
             return true;
@@ -155,7 +154,7 @@
         place.ok().map(|place| Rc::clone(&entries[place]))
     }
 
-    fn member(&self, daemon: &DaemonId) -> Result<Rc<PeerEntry>, PeerError> {
+    pub(crate) fn member(&self, daemon: &DaemonId) -> Result<Rc<PeerEntry>, PeerError> {
         match self.entry(daemon) {
             _ if self.closing.is_raised() => Err(PeerError::Closed),
             Some(entry) => Ok(entry),
@@ -250,6 +249,13 @@
         Learnt::New
     }
 
+    /// A peer that sends a withdrawal need not be sent it.
+    fn note_known(&self, peer: &DaemonId, key: &KeyId) {
+        if let Some(entry) = self.entry(peer) {
+            entry.outbox.borrow_mut().drop_withdrawal(key);
+        }
+    }
+
     fn put_all_withdrawals(&self, entry: &PeerEntry) {
         let mut outbox = entry.outbox.borrow_mut();
         for key in &*self.withdrawals.borrow() {
@@ -354,38 +360,6 @@
         })
     }
 
-    // Requests.
-
-    pub(crate) async fn request(
-        &self,
-        daemon: &DaemonId,
-        request: PeerRequest,
-    ) -> Result<PeerResponse, PeerError> {
-        let entry = self.member(daemon)?;
-        let frame = encode_request(&request)?;
-        let requester = entry.requester().ok_or_else(|| PeerError::NotConnected {
-            daemon: daemon.clone(),
-        })?;
-        let open = OpenRequest::begin(&entry)?;
-        self.count(|c| c.requests_sent += 1);
-        let timeout = self.settings.request_timeout;
-        let answer = monoio::time::timeout(timeout.duration(), exchange(requester, frame)).await;
-        drop(open);
-        let result = match answer {
-            Ok(Ok(response)) => return Ok(response),
-            Ok(Err(end)) => PeerError::Link {
-                daemon: daemon.clone(),
-                end,
-            },
-            Err(_) => PeerError::Timeout {
-                daemon: daemon.clone(),
-                timeout,
-            },
-        };
-        self.count(|c| c.requests_failed += 1);
-        Err(result)
-    }
-
     // What is known.
 
     pub(crate) fn status(&self, daemon: &DaemonId) -> Option<PeerStatus> {
@@ -418,55 +392,3 @@
         received_bytes: entry.traffic.received_bytes(),
     }
 }
-
-/// Counts a request as unanswered until it is dropped.
-struct OpenRequest(Rc<PeerEntry>);
-
-impl OpenRequest {
-    fn begin(entry: &Rc<PeerEntry>) -> Result<Self, PeerError> {
-        let open = entry.open_requests.get();
-        if open >= MAX_OPEN_REQUESTS {
-            return Err(PeerError::Busy {
-                daemon: entry.daemon().clone(),
-                limit: MAX_OPEN_REQUESTS,
-            });
-        }
-        entry.open_requests.set(open + 1);
-        Ok(Self(Rc::clone(entry)))
-    }
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.0.open_requests.set(self.0.open_requests.get() - 1);
-    }
-}
-
-fn encode_request(request: &PeerRequest) -> Result<Vec<u8>, PeerError> {
-    let limit_bytes = match request {
-        PeerRequest::Custom(bytes) if bytes.len() > MAX_CUSTOM_BYTES => MAX_CUSTOM_BYTES,
-        _ => {
-            let mut frame = Vec::new();
-            match encode(request, &mut frame) {
-                Ok(()) => return Ok(frame),
-                Err(_) => MAX_MESSAGE_BYTES,
-            }
-        }
-    };
-    Err(PeerError::TooLarge { limit_bytes })
-}
-
-async fn exchange(
-    requester: h2::client::SendRequest<bytes::Bytes>,
-    frame: Vec<u8>,
-) -> Result<PeerResponse, LinkEnd> {
-    let mut requester = requester.ready().await?;
-    let head = super::link::request_head(REQUEST_PATH);
-    let (response, stream) = requester.send_request(head, false)?;
-    let mut writer = FrameWriter::new(stream);
-    writer.write_encoded(frame).await?;
-    writer.finish()?;
-    let mut reader = FrameReader::new(super::link::response_body(response.await?)?);
-    let answer = reader.expect().await?;
-    Ok(decode(&answer)?)
-}
--- a/crates/vanillafold-wire/src/peer/entry.rs
+++ b/crates/vanillafold-wire/src/peer/entry.rs
@@ -16,9 +16,6 @@
 use super::statistics::Traffic;
 use super::status::{PeerState, PeerStatus};
 
-/// Most requests to one peer that are unanswered.
-pub(crate) const MAX_OPEN_REQUESTS: usize = 16;
-
 /// What the handler was told last.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Told {
@@ -106,8 +103,12 @@
         self.outbox.borrow_mut().resend_withdrawals();
     }
 
-    pub(crate) fn link_down(&self, end: LinkEnd) {
+    /// No more requests; the connection can end when the last handle to it is gone.
+    pub(crate) fn link_down(&self) {
         *self.requester.borrow_mut() = None;
+    }
+
+    pub(crate) fn note_end(&self, end: LinkEnd) {
         *self.last_end.borrow_mut() = Some(end);
     }
 
--- a/crates/vanillafold-wire/src/peer/mod.rs
+++ b/crates/vanillafold-wire/src/peer/mod.rs
@@ -12,6 +12,7 @@
 mod directory;
 mod entry;
 mod error;
+mod exchange;
 mod frame;
 mod handler;
 mod hello;
