--- a/crates/vanillafold-wire/src/lib.rs
+++ b/crates/vanillafold-wire/src/lib.rs
@@ -4,6 +4,19 @@
 //! |---|---|
 //! | callers, targets, operators: HTTP/1.1 with bounded memory | [`http`] |
 //! | the platform: log, VM list, VM operations, as traits | [`platform`] |
+//! | other daemons | [`PeerSet`], [`PeerHandler`], [`PeerMessage`], [`PeerRequest`] |
+//! | who is reachable | [`PeerStatus`], [`PeerState`], [`PeerStatistics`] |
+//! | time that counts suspensions | [`BootClock`], [`BootMillis`] |
 
 pub mod http;
+mod peer;
 pub mod platform;
+
+pub use peer::{
+    BootClock, BootMillis, ClusterName, LinkEnd, LinkPace, LoadEntry, LoadReport, LogStream,
+    MAX_CUSTOM_BYTES, MAX_MEMBERS, MAX_MESSAGE_BYTES, MAX_SNAPSHOT_CHUNK_BYTES, PROTOCOL_VERSION,
+    PeerAddress, PeerCounters, PeerError, PeerHandle, PeerHandler, PeerMessage, PeerRequest,
+    PeerResponse, PeerSet, PeerSettings, PeerState, PeerStatistics, PeerStatus, PeerTraffic,
+    RecordBatch, RecordsRequest, RefusalReason, SharedToken, SnapshotChunk, SnapshotRequest,
+    StateSummary, UnavailableReason, Withdrawal,
+};
