Tell peers the load at each VM, and compare digests of the state

Cause: daemons share the slots of a runner and must fold the log alike. Not run yet with more than one daemon.

--- a/crates/vanillafold/src/lib.rs
+++ b/crates/vanillafold/src/lib.rs
@@ -30,11 +30,13 @@
 mod follow;
 mod logging;
 mod node;
+mod peer;
 mod settings;
 mod supervisor;
 mod wait;
 
 pub use logging::{LoggingError, start_logging};
+pub use peer::PeerStartError;
 pub use settings::{
     PeerSettings, PlatformSettings, Secret, SecretError, Settings, SettingsError, Timeouts,
 };
--- a/crates/vanillafold/src/node/shared.rs
+++ b/crates/vanillafold/src/node/shared.rs
@@ -8,13 +8,14 @@
 use monoio::time::Instant;
 use vanillafold_policy::{DaemonMember, MonotonicMillis, SplitMix};
 use vanillafold_state::{KeyRefusal, State, Stream};
-use vanillafold_types::{Incarnation, Millis, RequestId, ResultCode, TeamId};
+use vanillafold_types::{DaemonId, Incarnation, Millis, RequestId, ResultCode, TeamId};
 
 use super::in_flight::{InFlight, InFlightGuard};
 use super::routes::{Fleet, Routes};
 use super::{QueueRuntime, TeamRuntime};
 use crate::counter::Counters;
 use crate::follow::Inventory;
+use crate::peer::LoadBook;
 use crate::settings::Settings;
 use crate::wait::Shutdown;
 
@@ -34,6 +35,10 @@
     pub(crate) routes: RefCell<Routes>,
     /// The VMs that the platform's list has shown.
     pub(crate) inventory: RefCell<Inventory>,
+    /// What the peers have outstanding at each VM.
+    pub(crate) loads: RefCell<LoadBook>,
+    /// Peers that have come back and must be told everything.
+    pub(crate) reconnected: RefCell<Vec<DaemonId>>,
     /// Caller connections open now.
     pub(crate) open_connections: Cell<u32>,
     /// Random numbers for sampling and jitter.
@@ -68,6 +73,8 @@
             state: RefCell::new(State::new()),
             routes: RefCell::default(),
             inventory: RefCell::default(),
+            loads: RefCell::default(),
+            reconnected: RefCell::default(),
             open_connections: Cell::new(0),
             rng: RefCell::new(SplitMix::new(incarnation)),
             daemon_header,
--- /dev/null
+++ b/crates/vanillafold/src/peer/handler.rs
@@ -0,0 +1,90 @@
+//! Takes in what peers say.
+
+use std::rc::Rc;
+
+use log::{error, info};
+use vanillafold_state::Stream;
+use vanillafold_types::{DaemonId, KeyId};
+use vanillafold_wire::{
+    PeerHandler, PeerMessage, PeerRequest, PeerResponse, PeerStatus, StateSummary,
+    UnavailableReason,
+};
+
+use super::load_book::VmLoad;
+use crate::node::Node;
+
+/// The daemon as its peers see it.
+pub(crate) struct NodeHandler {
+    node: Rc<Node>,
+}
+
+impl NodeHandler {
+    pub(crate) const fn new(node: Rc<Node>) -> Self {
+        Self { node }
+    }
+
+    /// Two daemons at the same offsets must have the same state.
+    fn compare(&self, from: &DaemonId, summary: &StateSummary) {
+        let state = self.node.state.borrow();
+        let same_offsets = state.next_offset(Stream::Catalogue) == summary.catalogue_offset.next()
+            && state.next_offset(Stream::Control) == summary.control_offset.next();
+        if same_offsets && *state.digest().as_bytes() != summary.digest {
+            self.node.counters.control_failure("state_diverged");
+            error!(
+                "the state differs from that of {from} at catalogue offset {} and control offset {}",
+                summary.catalogue_offset, summary.control_offset
+            );
+        }
+    }
+
+    fn note_loads(&self, loads: Vec<VmLoad>) {
+        let routes = self.node.routes.borrow();
+        let now = self.node.now();
+        for load in loads {
+            for pool in &routes.pools {
+                let mut table = pool.table.borrow_mut();
+                table.peers_reported(&load.vm, now, load.outstanding);
+            }
+        }
+    }
+}
+
+impl PeerHandler for NodeHandler {
+    fn on_message(&self, from: &DaemonId, message: PeerMessage) {
+        match message {
+            PeerMessage::State(summary) => self.compare(from, &summary),
+            PeerMessage::LoadReport(report) => {
+                let changed = self.node.loads.borrow_mut().merge(from, report);
+                self.note_loads(changed);
+            }
+            PeerMessage::Withdrawal(withdrawal) => {
+                self.node.state.borrow_mut().withdraw_now(withdrawal.key);
+            }
+            _ => self.node.counters.control_failure("peer_message_unknown"),
+        }
+    }
+
+    fn on_request(&self, _from: &DaemonId, _request: PeerRequest) -> PeerResponse {
+        PeerResponse::Unavailable(UnavailableReason::Unsupported)
+    }
+
+    fn on_status(&self, peer: &DaemonId, status: PeerStatus) {
+        info!(
+            "{peer}: {:?}, connected: {}, last end: {:?}",
+            status.state, status.connected, status.last_end
+        );
+        match status.connected {
+            true => self.node.reconnected.borrow_mut().push(peer.clone()),
+            false if status.state.is_silent() => {
+                let changed = self.node.loads.borrow_mut().forget(peer);
+                self.note_loads(changed);
+            }
+            false => {}
+        }
+    }
+
+    fn withdrawal_is_folded(&self, key: &KeyId) -> bool {
+        let state = self.node.state.borrow();
+        state.withdrawn_keys().any(|withdrawn| withdrawn == key)
+    }
+}
--- /dev/null
+++ b/crates/vanillafold/src/peer/mod.rs
@@ -0,0 +1,12 @@
+//! Talking to the other daemons: loads, offsets and digests, withdrawn keys, records.
+
+mod handler;
+mod load_book;
+mod reporter;
+mod start;
+
+pub(crate) use handler::NodeHandler;
+pub(crate) use load_book::LoadBook;
+pub(crate) use reporter::report;
+pub use start::PeerStartError;
+pub(crate) use start::start_peers;
--- /dev/null
+++ b/crates/vanillafold/src/peer/start.rs
@@ -0,0 +1,47 @@
+//! Starts the peer protocol with the daemon's settings.
+
+use std::rc::Rc;
+
+use vanillafold_types::IdError;
+use vanillafold_wire::{PeerAddress, PeerError, PeerSet, PeerSettings};
+
+use super::NodeHandler;
+use crate::node::Node;
+
+/// Why the peer protocol did not start.
+#[derive(Debug, thiserror::Error)]
+#[non_exhaustive]
+pub enum PeerStartError {
+    /// The cluster's name is wrong.
+    #[error("the cluster's name: {0}")]
+    Cluster(#[from] IdError),
+    /// The protocol did not start.
+    #[error(transparent)]
+    Peer(#[from] PeerError),
+}
+
+/// Listens for peers and dials those of the settings.
+///
+/// # Errors
+///
+/// [`PeerStartError`].
+pub(crate) fn start_peers(node: &Rc<Node>) -> Result<PeerSet, PeerStartError> {
+    let settings = &node.settings;
+    let peer_settings = PeerSettings::new(
+        settings.name.clone(),
+        settings.zone.clone(),
+        node.incarnation,
+        settings.cluster.parse()?,
+        settings.peer_token.expose().parse()?,
+        settings.peer_address,
+    );
+    let handler = Rc::new(NodeHandler::new(Rc::clone(node)));
+    let peers = PeerSet::open(peer_settings, handler)?;
+    let members = settings.peers.iter().map(|peer| PeerAddress {
+        daemon: peer.name.clone(),
+        zone: peer.zone.clone(),
+        address: peer.address,
+    });
+    peers.set_members(members.collect())?;
+    Ok(peers)
+}
--- a/crates/vanillafold/src/supervisor/daemon.rs
+++ b/crates/vanillafold/src/supervisor/daemon.rs
@@ -18,6 +18,7 @@
 use crate::counter::Counters;
 use crate::follow::{check_health, follow_log, follow_vms};
 use crate::node::Node;
+use crate::peer::{PeerStartError, report, start_peers};
 use crate::settings::Settings;
 
 /// Connections that may wait to be accepted.
@@ -40,6 +41,9 @@
     /// The runtime or the signals could not be set up.
     #[error("can't start: {0}")]
     Start(#[from] io::Error),
+    /// The peer protocol did not start.
+    #[error("can't talk to peers: {0}")]
+    Peers(#[from] PeerStartError),
     /// The metrics recorder could not be set.
     #[error("can't start the metrics: {0}")]
     Metrics(String),
@@ -91,6 +95,8 @@
         node.settings.platform.timeout_ms,
     ));
 
+    let peers = start_peers(&node)?;
+
     for stream in [Stream::Catalogue, Stream::Control] {
         let (node_, platform) = (Rc::clone(&node), Rc::clone(&platform));
         supervise(&node, "log", move || {
@@ -111,6 +117,10 @@
     supervise(&node, "admin", move || {
         serve_admin(Rc::clone(&node_), Rc::clone(&admin), metrics.clone())
     });
+    let (node_, handle) = (Rc::clone(&node), peers.handle());
+    supervise(&node, "peer_reports", move || {
+        report(Rc::clone(&node_), handle.clone())
+    });
     info!(
         "{} serves callers on {}",
         node.settings.name, node.settings.callers
@@ -118,6 +128,7 @@
 
     signal.received().await;
     stop(&node).await;
+    peers.close().await;
     Ok(())
 }
 
