Add the stand-in runner

Work is a task of its own, so that work whose connection has closed goes on to its end: the worst case for limits and for requests that must run at most once. A control address of the process works in any mode; at a VM's own address a refusing or full runner could not be controlled.

Two black holes are told apart: fail fails probes too, blackhole passes them. An echo comes back piece by piece; a test sends 16 MiB, each piece after the one before came back.

--- a/crates/vanillafold-standin/src/lib.rs
+++ b/crates/vanillafold-standin/src/lib.rs
@@ -4,10 +4,12 @@
 //! |---|---|
 //! | [`platform`] | log, VM list and VM orders, with faults on demand |
 //! | [`process`] | what every stand-in needs |
+//! | [`runner`] | work in slots, bounded connections, with faults on demand |
 //! | [`trace`] | what stand-ins write down, and answer bodies that can be checked |
 //!
 //! Nothing here is shipped. What crosses the edges is in `docs/PROTOCOLS.md`.
 
 pub mod platform;
 pub mod process;
+pub mod runner;
 pub mod trace;
--- a/crates/vanillafold-standin/src/platform/service.rs
+++ b/crates/vanillafold-standin/src/platform/service.rs
@@ -59,16 +59,10 @@
     /// Whether the platform hangs; if so, only after it has ceased to.
     async fn hung(&self) -> bool {
         let hangs = self.faults.borrow().hang;
-        self.until(|shared| !shared.faults.borrow().hang).await;
+        self.changed.until(|| !self.faults.borrow().hang).await;
         hangs
     }
 
-    async fn until(&self, condition: impl Fn(&Self) -> bool) {
-        while !condition(self) {
-            self.changed.changed().await;
-        }
-    }
-
     /// `None` if the answer is lost after the request took effect.
     async fn platform_answer(self: &Rc<Self>, request: Request<Bytes>) -> Option<Answer> {
         if self.faults.borrow().outage {
@@ -131,12 +125,12 @@
         };
         let from = query.from.max(Offset::new(1));
         let wait = Duration::from_millis(query.wait_ms).min(MAX_WAIT);
-        let has_answer = |shared: &Self| {
+        let has_answer = || {
             let stream = stream.borrow();
-            from < stream.next() || from < stream.oldest() || shared.faults.borrow().outage
+            from < stream.next() || from < stream.oldest() || self.faults.borrow().outage
         };
         // Passing without a record is an answer too.
-        let _ = timeout(wait, self.until(has_answer)).await;
+        let _ = timeout(wait, self.changed.until(has_answer)).await;
         let stream = stream.borrow();
         let answer = match () {
             () if self.faults.borrow().outage => return outage(),
--- a/crates/vanillafold-standin/src/process/listener.rs
+++ b/crates/vanillafold-standin/src/process/listener.rs
@@ -51,3 +51,8 @@
 pub fn announce(address: SocketAddr) {
     println!("ready address={address}");
 }
+
+/// Tells on stdout that the stand-in serves, and where it is controlled.
+pub fn announce_controlled(address: SocketAddr, control: SocketAddr) {
+    println!("ready address={address} control={control}");
+}
--- a/crates/vanillafold-standin/src/process/notify.rs
+++ b/crates/vanillafold-standin/src/process/notify.rs
@@ -23,15 +23,31 @@
     /// Ends with the first [`Notify::notify_all`] after this call.
     pub fn changed(&self) -> impl Future<Output = ()> + '_ {
         let seen = self.generation.get();
+        let mut registered = false;
         poll_fn(move |context| {
             if self.generation.get() != seen {
                 return Poll::Ready(());
             }
-            let mut wakers = self.wakers.borrow_mut();
-            if !wakers.iter().any(|waker| waker.will_wake(context.waker())) {
-                wakers.push(context.waker().clone());
+            // A future of this crate stays in one task, whose waker never changes.
+            if !registered {
+                self.register(context.waker());
+                registered = true;
             }
             Poll::Pending
         })
     }
+
+    /// Ends as soon as a condition holds that changes with [`Notify::notify_all`] only.
+    pub async fn until(&self, holds: impl Fn() -> bool) {
+        while !holds() {
+            self.changed().await;
+        }
+    }
+
+    fn register(&self, waker: &Waker) {
+        let mut wakers = self.wakers.borrow_mut();
+        if !wakers.iter().any(|known| known.will_wake(waker)) {
+            wakers.push(waker.clone());
+        }
+    }
 }
--- /dev/null
+++ b/crates/vanillafold-standin/src/runner/standin.rs
@@ -0,0 +1,137 @@
+//! A runner process: one or several VMs, and a control address.
+
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use monoio::net::TcpListener;
+use vanillafold_types::{Connections, PoolId, Slots, VmId};
+use vanillafold_wire::http::{serve_connection, split};
+
+use super::connection::Connection;
+use super::control::{Controls, MAX_CONTROL_BYTES};
+use super::recorder::Recorder;
+use super::vm::{Bounds, Vm};
+use crate::process::{accept_each, bind};
+use crate::trace::{ProcessName, TraceWriter, VmName};
+
+/// How a runner process starts.
+#[derive(Debug)]
+pub struct RunnerOptions {
+    /// Its name in traces.
+    pub process: ProcessName,
+    /// The VMs that it serves.
+    pub vms: Vec<VmId>,
+    /// Their pool.
+    pub pool: PoolId,
+    /// Slots of each VM.
+    pub slots: Slots,
+    /// Connections of each VM.
+    pub connections: Connections,
+    /// Where the first VM listens, the others at the ports that follow; port 0 takes free ports.
+    pub address: SocketAddr,
+    /// Where the process is controlled, whatever state its VMs are in.
+    pub control: SocketAddr,
+    /// Where it writes what it sees.
+    pub trace: Option<TraceWriter>,
+}
+
+/// A stand-in runner process.
+#[derive(Debug)]
+pub struct RunnerStandin {
+    vms: Rc<[Rc<Vm>]>,
+    listeners: Vec<TcpListener>,
+    control: TcpListener,
+}
+
+impl RunnerStandin {
+    /// Listens, but serves nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// An address that can't be listened on.
+    pub fn bind(options: RunnerOptions) -> io::Result<Self> {
+        let recorder = Rc::new(Recorder {
+            process: options.process,
+            pool: options.pool.as_str().into(),
+            writer: options.trace.map(RefCell::new),
+        });
+        let bounds = Bounds {
+            slots: options.slots,
+            connections: options.connections,
+        };
+        let mut address = options.address;
+        let mut vms = Vec::new();
+        let mut listeners = Vec::new();
+        for id in options.vms {
+            let listener = bind(address)?;
+            let name = VmName::from(id.as_str());
+            let recorder = Rc::clone(&recorder);
+            let vm = Vm::new(name, listener.local_addr()?, bounds, recorder);
+            vms.push(Rc::new(vm));
+            listeners.push(listener);
+            if address.port() != 0 {
+                address.set_port(address.port() + 1);
+            }
+        }
+        Ok(Self {
+            vms: vms.into(),
+            listeners,
+            control: bind(options.control)?,
+        })
+    }
+
+    /// Where each VM listens, in the order of the options.
+    #[must_use]
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.vms.iter().map(|vm| vm.address).collect()
+    }
+
+    /// Where the process is controlled.
+    ///
+    /// # Errors
+    ///
+    /// Those of the system.
+    pub fn control_address(&self) -> io::Result<SocketAddr> {
+        self.control.local_addr()
+    }
+
+    /// Serves for ever.
+    pub async fn serve(self) {
+        for (vm, listener) in self.vms.iter().zip(self.listeners) {
+            monoio::spawn(serve_vm(Rc::clone(vm), listener));
+        }
+        let controls = Controls { vms: self.vms };
+        accept_each(&self.control, |stream| {
+            let controls = controls.clone();
+            monoio::spawn(async move {
+                let (reader, writer) = split(stream);
+                serve_connection(&controls, reader, writer, MAX_CONTROL_BYTES).await;
+            });
+        })
+        .await;
+    }
+}
+
+async fn serve_vm(vm: Rc<Vm>, listener: TcpListener) {
+    let controls = Controls {
+        vms: [Rc::clone(&vm)].into(),
+    };
+    accept_each(&listener, |stream| {
+        if vm.open_connection() {
+            let connection = Connection::new(Rc::clone(&vm), controls.clone(), stream);
+            monoio::spawn(serve_stream(Rc::clone(&vm), connection));
+        }
+    })
+    .await;
+}
+
+async fn serve_stream(vm: Rc<Vm>, connection: Connection) {
+    let boot = vm.boot();
+    monoio::select! {
+        () = connection.serve() => {}
+        () = vm.boot_ended(boot) => {}
+    }
+    vm.close_connection();
+}
