Add the stand-in network

Connections that go silent for good while new ones work (mode forget), partitions that lose what was open (silent) or only hold it up (hold), refusals and delays. A relay in user space can't refuse the handshake itself, so a connection made in silence is accepted and never answered.

--- /dev/null
+++ b/crates/vanillafold-standin/examples/link.rs
@@ -0,0 +1,40 @@
+//! The stand-in network.
+
+use std::io;
+use std::net::SocketAddr;
+
+use bpaf::{Parser, construct, long};
+use vanillafold_standin::link::{LinkOptions, LinkPair, LinkStandin};
+use vanillafold_standin::process::{announce_controlled, run};
+
+fn options() -> bpaf::OptionParser<LinkOptions> {
+    let listen = long("listen")
+        .help("where a relay listens; port 0 takes a free port")
+        .argument::<SocketAddr>("IP:PORT");
+    let to = long("to")
+        .help("where it connects to")
+        .argument::<SocketAddr>("IP:PORT");
+    let pairs =
+        construct!(LinkPair { listen, to }).some("give at least one relay with --listen and --to");
+    let control = long("control")
+        .help("where the process is controlled")
+        .argument::<SocketAddr>("IP:PORT")
+        .fallback(SocketAddr::from(([127, 0, 0, 1], 0)));
+    construct!(LinkOptions { pairs, control })
+        .to_options()
+        .descr("TCP relays that lose, hold or delay what passes")
+}
+
+fn main() -> io::Result<()> {
+    let options = options().run();
+    run(async move {
+        let link = LinkStandin::bind(options)?;
+        let addresses = link.addresses();
+        for (index, address) in addresses.iter().enumerate() {
+            println!("link index={index} address={address}");
+        }
+        announce_controlled(addresses[0], link.control_address()?);
+        link.serve().await;
+        Ok(())
+    })
+}
--- a/crates/vanillafold-standin/src/lib.rs
+++ b/crates/vanillafold-standin/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! | module | job |
 //! |---|---|
+//! | [`link`] | a network that loses, holds or delays |
 //! | [`platform`] | log, VM list and VM orders, with faults on demand |
 //! | [`process`] | what every stand-in needs |
 //! | [`runner`] | work in slots, bounded connections, with faults on demand |
@@ -9,6 +10,7 @@
 //!
 //! Nothing here is shipped. What crosses the edges is in `docs/PROTOCOLS.md`.
 
+pub mod link;
 pub mod platform;
 pub mod process;
 pub mod runner;
--- /dev/null
+++ b/crates/vanillafold-standin/tests/link.rs
@@ -0,0 +1,213 @@
+//! The stand-in network, with a runner behind it.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use common::{TIMEOUT, any_port, block_on, control, headers, wait_until};
+use http::{HeaderMap, Method, Response};
+use vanillafold_standin::link::{LinkOptions, LinkPair, LinkStandin};
+use vanillafold_standin::runner::{RunnerOptions, RunnerStandin};
+use vanillafold_types::{Connections, Slots};
+use vanillafold_wire::http::{Client, ClientError};
+
+/// Two links to one runner.
+struct Network {
+    links: Vec<SocketAddr>,
+    control: SocketAddr,
+}
+
+fn start_runner() -> SocketAddr {
+    let runner = RunnerStandin::bind(RunnerOptions {
+        process: "runner-1".into(),
+        vms: vec!["vm-1".parse().expect("a VM")],
+        pool: "quotes".parse().expect("a pool"),
+        slots: Slots::new(8),
+        connections: Connections::new(64),
+        address: any_port(),
+        control: any_port(),
+        trace: None,
+    })
+    .expect("free ports");
+    let address = runner.addresses()[0];
+    monoio::spawn(runner.serve());
+    address
+}
+
+fn start() -> Network {
+    let pair = LinkPair {
+        listen: any_port(),
+        to: start_runner(),
+    };
+    let link = LinkStandin::bind(LinkOptions {
+        pairs: vec![pair, pair],
+        control: any_port(),
+    })
+    .expect("free ports");
+    let links = link.addresses();
+    let control = link.control_address().expect("an address");
+    monoio::spawn(link.serve());
+    Network { links, control }
+}
+
+impl Network {
+    async fn set(&self, body: &str) {
+        control(self.control, "/control", body).await;
+    }
+
+    fn client(&self) -> Client {
+        Client::new(self.links[0], TIMEOUT)
+    }
+
+    /// A client that gives up soon.
+    fn impatient(&self) -> Client {
+        Client::new(self.links[0], Duration::from_millis(100))
+    }
+}
+
+async fn work(client: &mut Client, bytes: &str) -> Result<Response<Bytes>, ClientError> {
+    let headers = headers(&[("answer-bytes", bytes)]);
+    client
+        .request(Method::POST, "/work", &headers, Bytes::from_static(b"body"))
+        .await
+}
+
+#[test]
+fn a_link_passes_both_ways() {
+    block_on(async {
+        let network = start();
+
+        let answer = work(&mut network.client(), "1000000").await;
+
+        assert_eq!(answer.expect("an answer").body().len(), 1_000_000);
+    });
+}
+
+#[test]
+fn after_forget_open_connections_are_silent_and_new_ones_work() {
+    block_on(async {
+        let network = start();
+        let mut open = network.impatient();
+        work(&mut open, "1").await.expect("an answer");
+
+        network.set("mode=forget").await;
+        let silent = work(&mut open, "1").await;
+        let fresh = work(&mut network.client(), "1").await;
+
+        assert!(
+            matches!(silent, Err(ClientError::TimedOut(_))),
+            "{silent:?}"
+        );
+        assert_eq!(fresh.expect("an answer").status(), 200);
+    });
+}
+
+#[test]
+fn what_was_open_in_silence_stays_silent() {
+    block_on(async {
+        let network = start();
+        let mut before = network.impatient();
+        work(&mut before, "1").await.expect("an answer");
+
+        network.set("mode=silent").await;
+        let during = work(&mut network.impatient(), "1").await;
+        network.set("mode=pass").await;
+        let after = work(&mut before, "1").await;
+        let fresh = work(&mut network.client(), "1").await;
+
+        assert!(
+            matches!(during, Err(ClientError::TimedOut(_))),
+            "{during:?}"
+        );
+        assert!(matches!(after, Err(ClientError::TimedOut(_))), "{after:?}");
+        assert_eq!(fresh.expect("an answer").status(), 200);
+    });
+}
+
+#[test]
+fn held_bytes_go_on_when_the_link_passes_again() {
+    block_on(async {
+        let network = start();
+        let mut client = network.client();
+        work(&mut client, "1").await.expect("an answer");
+        network.set("mode=hold").await;
+        let mut held = Box::pin(work(&mut client, "1"));
+
+        let early = monoio::time::timeout(Duration::from_millis(50), &mut held).await;
+        network.set("mode=pass").await;
+        let late = held.await;
+
+        assert!(early.is_err(), "{early:?}");
+        assert_eq!(late.expect("an answer").status(), 200);
+    });
+}
+
+#[test]
+fn a_refusing_link_closes_new_connections_and_keeps_open_ones() {
+    block_on(async {
+        let network = start();
+        let mut open = network.client();
+        work(&mut open, "1").await.expect("an answer");
+
+        network.set("mode=refuse").await;
+        let refused = work(&mut network.client(), "1").await;
+        let kept = work(&mut open, "1").await;
+
+        assert!(matches!(refused, Err(ClientError::Head(_))), "{refused:?}");
+        assert_eq!(kept.expect("an answer").status(), 200);
+    });
+}
+
+#[test]
+fn a_control_can_name_one_link() {
+    block_on(async {
+        let network = start();
+        network.set("link=1\nmode=refuse").await;
+
+        let first = work(&mut network.client(), "1").await;
+        let second = work(&mut Client::new(network.links[1], TIMEOUT), "1").await;
+
+        assert!(first.is_ok(), "{first:?}");
+        assert!(second.is_err(), "{second:?}");
+    });
+}
+
+#[test]
+fn a_slow_link_delays() {
+    block_on(async {
+        let network = start();
+        network.set("mode=slow\ndelay_ms=30000").await;
+
+        let early = work(&mut network.impatient(), "1").await;
+
+        assert!(matches!(early, Err(ClientError::TimedOut(_))), "{early:?}");
+    });
+}
+
+#[test]
+fn a_relay_ends_when_both_ends_have_closed() {
+    block_on(async {
+        let network = start();
+        let mut client = network.client();
+        work(&mut client, "1").await.expect("an answer");
+
+        drop(client);
+
+        wait_until("no connection is left", async || {
+            let stats = common::request(
+                network.control,
+                Method::GET,
+                "/control",
+                &HeaderMap::new(),
+                "",
+            )
+            .await
+            .expect("stats");
+            let text = String::from_utf8_lossy(stats.body()).into_owned();
+            text.matches(r#""connections":0"#).count() == 2
+        })
+        .await;
+    });
+}
