standin: audit of traces against the points that must always hold

Nothing passes without an observation; a refused or excused case is no observation. Rows are typed, names are numbers and request ids are ranks, so that a run stays in memory and needs neither hash maps nor an order inside the files.

Work without an end lasts until its runner was killed or its VM failed or came up again: a drain alone does not end it, since a draining VM finishes its work. Counting a drain as the end was ruled out because it would hide work over a limit. A breach of a budget by failures alone is a failure too, counted apart.

--- /dev/null
+++ b/crates/vanillafold-standin/src/audit/points/at_most_once.rs
@@ -0,0 +1,36 @@
+//! A non-idempotent request starts at most once.
+
+use crate::audit::finding::FindingBuilder;
+use crate::audit::recording::{Recording, Request};
+use crate::audit::{Finding, Point};
+
+const REPEATED: &str = "repeated";
+
+pub(super) fn judge(recording: &Recording) -> Finding {
+    let mut finding = FindingBuilder::new(Point::AtMostOnce, &[REPEATED]);
+    let mut requests = 0;
+    let mut starts = 0;
+    for request in recording.requests.iter() {
+        let runs = recording.starts_of(request).len() as u64;
+        if runs == 0 || is_idempotent(recording, request) {
+            continue;
+        }
+        requests += 1;
+        starts += runs;
+        if runs > 1 {
+            finding.offence(REPEATED, recording.request_text(request));
+        }
+    }
+    finding.seen("requests", requests);
+    finding.seen("starts", starts);
+    finding.judge(requests)
+}
+
+/// One word of it, from the load or a runner, makes a request non-idempotent.
+fn is_idempotent(recording: &Recording, request: Request) -> bool {
+    let sent = recording.sent_of(request).iter().all(|row| row.idempotent);
+    sent && recording
+        .starts_of(request)
+        .iter()
+        .all(|row| row.idempotent)
+}
--- /dev/null
+++ b/crates/vanillafold-standin/src/audit/points/availability.rs
@@ -0,0 +1,124 @@
+//! Each pool keeps its fewest available VMs, through maintenance and failures.
+
+use crate::audit::finding::FindingBuilder;
+use crate::audit::recording::{
+    Name, NameMap, PoolChange, PoolState, Recording, VmState, pool_changes,
+};
+use crate::audit::{Finding, Point, SettleTime};
+
+const BREACHED_IN_MAINTENANCE: &str = "breached_in_maintenance";
+const BREACHED_BY_FAILURES: &str = "breached_by_failures";
+
+pub(super) fn judge(recording: &Recording, settle: SettleTime) -> Finding {
+    let mut audit = Audit::new(recording, settle);
+    let changes = pool_changes(recording);
+    for change in &changes {
+        // A budget that was raised may have settled since the last change.
+        audit.judge_all(change.at_us());
+        audit.apply(change);
+    }
+    audit.judge_all(recording.last_us);
+    audit.finish()
+}
+
+/// A breach that goes on.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Breach {
+    #[default]
+    None,
+    ByFailures,
+    InMaintenance,
+}
+
+#[derive(Debug)]
+struct Audit<'a> {
+    recording: &'a Recording,
+    settle: SettleTime,
+    finding: FindingBuilder,
+    pools: NameMap<PoolState>,
+    breaches: NameMap<Breach>,
+    planned: u64,
+    failed: u64,
+}
+
+impl<'a> Audit<'a> {
+    fn new(recording: &'a Recording, settle: SettleTime) -> Self {
+        let kinds = [BREACHED_IN_MAINTENANCE, BREACHED_BY_FAILURES];
+        Self {
+            recording,
+            settle,
+            finding: FindingBuilder::new(Point::AvailabilityBudget, &kinds),
+            pools: NameMap::default(),
+            breaches: NameMap::default(),
+            planned: 0,
+            failed: 0,
+        }
+    }
+
+    fn apply(&mut self, change: &PoolChange) {
+        let pool = change.pool();
+        let vms_before = self.vms(pool);
+        self.pools.apply(change);
+        let shrank = self.vms(pool) < vms_before;
+        match change {
+            PoolChange::Vm(row) if vms_before.is_some() => match row.state {
+                VmState::Up => {}
+                VmState::DownPlanned => self.planned += 1,
+                VmState::DownFailed => self.failed += 1,
+            },
+            _ => {}
+        }
+        self.judge_pool(pool, change.at_us(), shrank);
+    }
+
+    fn vms(&self, pool: Name) -> Option<u32> {
+        let size = self.pools.get(pool).and_then(|state| state.size);
+        size.map(|size| size.vms)
+    }
+
+    fn judge_all(&mut self, at_us: u64) {
+        let pools: Vec<Name> = self.pools.iter().map(|(pool, _)| pool).collect();
+        for pool in pools {
+            self.judge_pool(pool, at_us, false);
+        }
+    }
+
+    /// Judges a pool now; `shrank` if VMs were just moved out of it, which is planned as well.
+    fn judge_pool(&mut self, pool: Name, at_us: u64, shrank: bool) {
+        let Some(state) = self.pools.get(pool) else {
+            return;
+        };
+        let from_us = self.settle.begin_us(at_us);
+        let budget = state.min_available.in_force(from_us, at_us).min();
+        let (Some(available), Some(budget)) = (state.available(), budget) else {
+            return;
+        };
+        let now = match available < budget {
+            false => Breach::None,
+            true if shrank || state.in_maintenance() => Breach::InMaintenance,
+            true => Breach::ByFailures,
+        };
+        let breach = self.breaches.entry(pool);
+        let kind = match now {
+            Breach::None => {
+                *breach = Breach::None;
+                return;
+            }
+            // The same breach goes on; it is reported again only if maintenance joins it.
+            now if now <= *breach => return,
+            Breach::ByFailures => BREACHED_BY_FAILURES,
+            Breach::InMaintenance => BREACHED_IN_MAINTENANCE,
+        };
+        *breach = now;
+        let pool = self.recording.name_text(pool);
+        let id = format_args!("{pool} with {available} of {budget} at {at_us}us");
+        self.finding.offence(kind, id);
+    }
+
+    fn finish(mut self) -> Finding {
+        self.finding.seen("pools", self.breaches.len() as u64);
+        self.finding.seen("down_planned", self.planned);
+        self.finding.seen("down_failed", self.failed);
+        self.finding.judge(self.planned + self.failed)
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-standin/src/audit/points/config_in_force.rs
@@ -0,0 +1,89 @@
+//! An accepted configuration is in force at each daemon within the settle time.
+
+use crate::audit::finding::FindingBuilder;
+use crate::audit::recording::{ConfigRow, NameMap, ProcessState, PublishedRow, Recording};
+use crate::audit::{Finding, Point, SettleTime};
+
+const LATE: &str = "late";
+
+pub(super) fn judge(recording: &Recording, settle: SettleTime) -> Finding {
+    let mut finding = FindingBuilder::new(Point::ConfigInForce, &[LATE]);
+    let due = Due::of(recording, settle);
+    let mut late: NameMap<Vec<u64>> = NameMap::default();
+    let mut checked = 0;
+    let mut excused = 0;
+    for row in &recording.configs {
+        match due.offset_at(row.at_us) {
+            None => {}
+            Some(_) if is_cut_off(recording, row, settle) => excused += 1,
+            Some(offset) if row.offset >= offset => checked += 1,
+            Some(offset) => {
+                checked += 1;
+                let missed = late.entry(row.process);
+                if !missed.contains(&offset) {
+                    missed.push(offset);
+                    let daemon = recording.name_text(row.process);
+                    finding.offence(LATE, format_args!("{daemon} for {offset}"));
+                }
+            }
+        }
+    }
+    let last_us = recording.configs.last().map_or(0, |row| row.at_us);
+    let unchecked = recording
+        .published
+        .iter()
+        .filter(|row| settle.end_us(row.at_us) >= last_us)
+        .count();
+    finding.seen("published", recording.published.len() as u64);
+    finding.seen("unchecked", unchecked as u64);
+    finding.seen("shown", checked);
+    finding.seen("excused", excused);
+    finding.judge(checked)
+}
+
+/// The newest offset that each daemon must show, over time.
+#[derive(Debug)]
+struct Due {
+    steps: Vec<PublishedRow>,
+}
+
+impl Due {
+    fn of(recording: &Recording, settle: SettleTime) -> Self {
+        let mut newest = 0;
+        let steps = recording.published.iter().map(|row| {
+            newest = newest.max(row.offset);
+            PublishedRow {
+                at_us: settle.end_us(row.at_us),
+                offset: newest,
+            }
+        });
+        Self {
+            steps: steps.collect(),
+        }
+    }
+
+    fn offset_at(&self, at_us: u64) -> Option<u64> {
+        let count = self.steps.partition_point(|step| step.at_us < at_us);
+        count.checked_sub(1).map(|last| self.steps[last].offset)
+    }
+}
+
+/// Whether the daemon was isolated, or rejoined less than the settle time ago.
+fn is_cut_off(recording: &Recording, row: &ConfigRow, settle: SettleTime) -> bool {
+    let changes = recording.processes.iter();
+    let last = changes
+        .take_while(|change| change.at_us <= row.at_us)
+        .filter(|change| change.process == row.process)
+        .filter(|change| {
+            matches!(
+                change.state,
+                ProcessState::Isolated | ProcessState::Rejoined
+            )
+        })
+        .last();
+    match last {
+        Some(change) if change.state == ProcessState::Isolated => true,
+        Some(change) => settle.end_us(change.at_us) >= row.at_us,
+        None => false,
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-standin/src/audit/points/one_pool.rs
@@ -0,0 +1,30 @@
+//! Each VM is in exactly one pool in each view of a daemon.
+
+use crate::audit::finding::FindingBuilder;
+use crate::audit::recording::Recording;
+use crate::audit::{Finding, Point};
+
+const IN_SEVERAL: &str = "in_several";
+const IN_NONE: &str = "in_none";
+
+pub(super) fn judge(recording: &Recording) -> Finding {
+    let mut finding = FindingBuilder::new(Point::OnePool, &[IN_SEVERAL, IN_NONE]);
+    let mut rows: Vec<_> = recording.views.iter().collect();
+    rows.sort();
+    rows.dedup();
+    let views = rows.chunk_by(|a, b| (a.process, a.at_us) == (b.process, b.at_us));
+    let mut vms = 0;
+    for lines in rows.chunk_by(|a, b| (a.process, a.at_us, a.vm) == (b.process, b.at_us, b.vm)) {
+        vms += 1;
+        let process = recording.name_text(lines[0].process);
+        let vm = recording.name_text(lines[0].vm);
+        match lines {
+            [line] if line.pool.is_some() => {}
+            [_] => finding.offence(IN_NONE, format_args!("{vm} at {process}")),
+            _ => finding.offence(IN_SEVERAL, format_args!("{vm} at {process}")),
+        }
+    }
+    finding.seen("views", views.count() as u64);
+    finding.seen("vms", vms);
+    finding.judge(vms)
+}
--- /dev/null
+++ b/crates/vanillafold-standin/src/audit/points/team_key.rs
@@ -0,0 +1,112 @@
+//! Work is begun only for the team of the request's key, and only while the key is valid.
+
+use crate::audit::finding::FindingBuilder;
+use crate::audit::recording::{Name, NameMap, ProcessState, Recording, SentRow, StartRow};
+use crate::audit::{Finding, Point, SettleTime};
+
+const OTHER_TEAM: &str = "other_team";
+const AFTER_WITHDRAWAL: &str = "after_withdrawal";
+const WITHOUT_KEY: &str = "without_key";
+const UNSENT: &str = "unsent";
+
+/// Why the work of a start was allowed or not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Right {
+    OpenQueue,
+    Key,
+    Breach(&'static str),
+}
+
+pub(super) fn judge(recording: &Recording, settle: SettleTime) -> Finding {
+    let kinds = [OTHER_TEAM, AFTER_WITHDRAWAL, WITHOUT_KEY, UNSENT];
+    let mut finding = FindingBuilder::new(Point::TeamKey, &kinds);
+    let rules = Rules::of(recording, settle);
+    let load_killed = load_was_killed(recording);
+    let mut on_open_queues = 0;
+    let mut unsent_by_killed_load = 0;
+    for start in &recording.starts {
+        match rules.right(recording, start) {
+            Right::Key => {}
+            Right::OpenQueue => on_open_queues += 1,
+            Right::Breach(UNSENT) if load_killed => unsent_by_killed_load += 1,
+            Right::Breach(kind) => finding.offence(kind, recording.request_text(start.request)),
+        }
+    }
+    finding.seen("starts", recording.starts.len() as u64);
+    finding.seen("on_open_queues", on_open_queues);
+    finding.seen("withdrawn_keys", rules.withdrawn.len() as u64);
+    finding.seen("unsent_by_killed_load", unsent_by_killed_load);
+    finding.judge(recording.starts.len() as u64 - unsent_by_killed_load)
+}
+
+/// When keys were withdrawn and queues opened: the first time counts.
+#[derive(Debug)]
+struct Rules {
+    settle: SettleTime,
+    withdrawn: NameMap<Option<u64>>,
+    opened: NameMap<Option<u64>>,
+}
+
+impl Rules {
+    fn of(recording: &Recording, settle: SettleTime) -> Self {
+        let mut rules = Self {
+            settle,
+            withdrawn: NameMap::default(),
+            opened: NameMap::default(),
+        };
+        for row in &recording.withdrawals {
+            rules.withdrawn.entry(row.name).get_or_insert(row.at_us);
+        }
+        for row in &recording.open_queues {
+            rules.opened.entry(row.name).get_or_insert(row.at_us);
+        }
+        rules
+    }
+
+    /// The right of a start by the sends of its request: one that allows it is enough.
+    fn right(&self, recording: &Recording, start: &StartRow) -> Right {
+        let sends = recording.sent_of(start.request);
+        let rights = sends.iter().map(|sent| self.right_by(sent, start));
+        rights
+            .reduce(|first, next| match first {
+                Right::Breach(_) => next,
+                _ => first,
+            })
+            .unwrap_or(Right::Breach(UNSENT))
+    }
+
+    fn right_by(&self, sent: &SentRow, start: &StartRow) -> Right {
+        let foreign = start.team.is_some() && start.team != sent.team;
+        match (sent.key, sent.team) {
+            _ if foreign => Right::Breach(OTHER_TEAM),
+            _ if self.is_open(sent.queue, start.at_us) => Right::OpenQueue,
+            (None, _) | (_, None) => Right::Breach(WITHOUT_KEY),
+            _ if start.team != sent.team => Right::Breach(OTHER_TEAM),
+            (Some(key), _) if self.is_withdrawn(key, start.at_us) => {
+                Right::Breach(AFTER_WITHDRAWAL)
+            }
+            _ => Right::Key,
+        }
+    }
+
+    fn is_open(&self, queue: Name, at_us: u64) -> bool {
+        let opened_us = self.opened.get(queue).copied().flatten();
+        opened_us.is_some_and(|opened_us| opened_us <= at_us)
+    }
+
+    fn is_withdrawn(&self, key: Name, at_us: u64) -> bool {
+        let withdrawn_us = self.withdrawn.get(key).copied().flatten();
+        withdrawn_us.is_some_and(|withdrawn_us| self.settle.end_us(withdrawn_us) < at_us)
+    }
+}
+
+/// A killed load may have lost the line of a send.
+fn load_was_killed(recording: &Recording) -> bool {
+    let mut loads: Vec<Name> = recording.sent.iter().map(|sent| sent.process).collect();
+    loads.sort();
+    loads.dedup();
+    let killed = ProcessState::Killed;
+    loads
+        .iter()
+        .any(|load| recording.process_changed(*load, killed, 0, u64::MAX))
+}
--- /dev/null
+++ b/crates/vanillafold-standin/src/audit/recording/exchange.rs
@@ -0,0 +1,20 @@
+//! What was sent, with what came back for it.
+
+use super::{ReceivedRow, Recording, SentRow};
+
+/// A send with its end.
+#[derive(Debug)]
+pub(crate) struct Exchange<'a> {
+    pub(crate) sent: &'a SentRow,
+    pub(crate) received: &'a ReceivedRow,
+}
+
+/// All sends that have an end. Repeats of one id are paired in the order of time.
+pub(crate) fn exchanges(recording: &Recording) -> impl Iterator<Item = Exchange<'_>> {
+    recording.requests.iter().flat_map(|request| {
+        let sent = recording.sent_of(request).iter();
+        let received = recording.received_of(request).iter();
+        sent.zip(received)
+            .map(|(sent, received)| Exchange { sent, received })
+    })
+}
--- /dev/null
+++ b/crates/vanillafold-standin/src/audit/recording/mod.rs
@@ -0,0 +1,23 @@
+//! A whole run, as rows that fit in memory: names are numbers, rows are sorted.
+
+mod exchange;
+mod loader;
+mod name_map;
+mod names;
+mod pool_state;
+mod requests;
+mod rows;
+mod timeline;
+mod work;
+
+pub(crate) use exchange::{Exchange, exchanges};
+pub(crate) use name_map::NameMap;
+pub(crate) use names::Name;
+pub(crate) use pool_state::{PoolChange, PoolState, pool_changes};
+pub(crate) use requests::Request;
+pub(crate) use rows::{
+    ConfigRow, ProcessRow, ProcessState, PublishedRow, ReceivedRow, Recording, SentRow, StartRow,
+    VmRow, VmState,
+};
+pub(crate) use timeline::Timeline;
+pub(crate) use work::works;
--- /dev/null
+++ b/crates/vanillafold-standin/src/audit/recording/name_map.rs
@@ -0,0 +1,67 @@
+//! A sorted vector of values by name.
+
+use super::Name;
+
+/// Values by name, sorted.
+#[derive(Debug)]
+pub(crate) struct NameMap<T> {
+    entries: Vec<Entry<T>>,
+}
+
+#[derive(Debug)]
+struct Entry<T> {
+    name: Name,
+    value: T,
+}
+
+impl<T> Default for NameMap<T> {
+    fn default() -> Self {
+        Self {
+            entries: Vec::new(),
+        }
+    }
+}
+
+impl<T: Default> NameMap<T> {
+    /// The value of a name, which begins as the default.
+    pub(crate) fn entry(&mut self, name: Name) -> &mut T {
+        let place = match self.place(name) {
+            Ok(place) => place,
+            Err(place) => {
+                let value = T::default();
+                self.entries.insert(place, Entry { name, value });
+                place
+            }
+        };
+        &mut self.entries[place].value
+    }
+}
+
+impl<T> NameMap<T> {
+    pub(crate) fn get(&self, name: Name) -> Option<&T> {
+        let place = self.place(name).ok()?;
+        Some(&self.entries[place].value)
+    }
+
+    pub(crate) fn remove(&mut self, name: Name) {
+        if let Ok(place) = self.place(name) {
+            self.entries.remove(place);
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (Name, &T)> {
+        self.entries.iter().map(|entry| (entry.name, &entry.value))
+    }
+
+    pub(crate) fn values_mut(&mut self) -> impl Iterator<Item = &mut T> {
+        self.entries.iter_mut().map(|entry| &mut entry.value)
+    }
+
+    fn place(&self, name: Name) -> Result<usize, usize> {
+        self.entries.binary_search_by_key(&name, |entry| entry.name)
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-standin/src/audit/recording/names.rs
@@ -0,0 +1,45 @@
+//! Names of processes, VMs, pools, teams, queues and keys, as numbers.
+
+/// A name of a [`Names`] table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Name(u32);
+
+impl Name {
+    /// The place in a vector with an element for each name.
+    pub(crate) const fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// The names of a run: some hundreds.
+#[derive(Debug, Default)]
+pub(crate) struct Names {
+    texts: Vec<Box<str>>,
+    sorted: Vec<Name>,
+}
+
+impl Names {
+    pub(crate) fn intern(&mut self, text: &str) -> Name {
+        let place = self
+            .sorted
+            .binary_search_by(|name| self.texts[name.index()].as_ref().cmp(text));
+        match place {
+            Ok(place) => self.sorted[place],
+            Err(place) => {
+                let number = u32::try_from(self.texts.len()).expect("fewer than 2^32 names");
+                self.texts.push(text.into());
+                self.sorted.insert(place, Name(number));
+                Name(number)
+            }
+        }
+    }
+
+    pub(crate) fn text(&self, name: Name) -> &str {
+        &self.texts[name.index()]
+    }
+
+    /// All names, in alphabetical order.
+    pub(crate) fn sorted(&self) -> &[Name] {
+        &self.sorted
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-standin/src/audit/recording/rows.rs
@@ -0,0 +1,254 @@
+//! The rows of a run.
+
+use crate::trace::ReceivedOutcome;
+
+use super::names::Names;
+use super::requests::{Ranks, Requests};
+use super::{Name, Request};
+
+/// A request was sent.
+#[derive(Debug)]
+pub(crate) struct SentRow {
+    pub(crate) request: Request,
+    pub(crate) at_us: u64,
+    pub(crate) process: Name,
+    pub(crate) queue: Name,
+    pub(crate) team: Option<Name>,
+    pub(crate) key: Option<Name>,
+    pub(crate) idempotent: bool,
+    pub(crate) deadline_us: Option<u64>,
+}
+
+/// A request ended for its load.
+#[derive(Debug)]
+pub(crate) struct ReceivedRow {
+    pub(crate) request: Request,
+    pub(crate) at_us: u64,
+    pub(crate) outcome: ReceivedOutcome,
+    pub(crate) code: Option<u16>,
+    pub(crate) whole: bool,
+    pub(crate) answered_request: Option<Request>,
+    pub(crate) daemon: Option<Name>,
+}
+
+/// Work began.
+#[derive(Debug)]
+pub(crate) struct StartRow {
+    pub(crate) request: Request,
+    pub(crate) at_us: u64,
+    pub(crate) process: Name,
+    pub(crate) vm: Name,
+    pub(crate) pool: Name,
+    pub(crate) attempt: u32,
+    pub(crate) team: Option<Name>,
+    pub(crate) idempotent: bool,
+    pub(crate) leaving_since_us: Option<u64>,
+}
+
+/// Work ended.
+#[derive(Debug)]
+pub(crate) struct EndRow {
+    pub(crate) request: Request,
+    pub(crate) at_us: u64,
+    pub(crate) vm: Name,
+    pub(crate) attempt: u32,
+    pub(crate) cut: bool,
+}
+
+/// A team's limit changed.
+#[derive(Debug)]
+pub(crate) struct LimitRow {
+    pub(crate) at_us: u64,
+    pub(crate) team: Name,
+    pub(crate) limit: u32,
+}
+
+/// Something happened to a named thing: a key was withdrawn, a queue was opened.
+#[derive(Debug)]
+pub(crate) struct NameRow {
+    pub(crate) at_us: u64,
+    pub(crate) name: Name,
+}
+
+/// A pool's size and availability budget.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PoolSizeRow {
+    pub(crate) at_us: u64,
+    pub(crate) pool: Name,
+    pub(crate) vms: u32,
+    pub(crate) min_available: u32,
+    pub(crate) slots_per_vm: Option<u32>,
+}
+
+/// Whether a VM is available.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum VmState {
+    Up,
+    DownPlanned,
+    DownFailed,
+}
+
+/// A VM became available or unavailable.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct VmRow {
+    pub(crate) at_us: u64,
+    pub(crate) vm: Name,
+    pub(crate) pool: Name,
+    pub(crate) state: VmState,
+}
+
+/// A line of a daemon's view.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct ViewRow {
+    pub(crate) process: Name,
+    pub(crate) at_us: u64,
+    pub(crate) vm: Name,
+    pub(crate) pool: Option<Name>,
+}
+
+/// What was done to a process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ProcessState {
+    Stopping,
+    Killed,
+    Started,
+    Isolated,
+    Rejoined,
+}
+
+/// Something was done to a process.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ProcessRow {
+    pub(crate) at_us: u64,
+    pub(crate) process: Name,
+    pub(crate) state: ProcessState,
+}
+
+/// A daemon showed its configuration.
+#[derive(Debug)]
+pub(crate) struct ConfigRow {
+    pub(crate) at_us: u64,
+    pub(crate) process: Name,
+    pub(crate) offset: u64,
+}
+
+/// An edit was accepted.
+#[derive(Debug)]
+pub(crate) struct PublishedRow {
+    pub(crate) at_us: u64,
+    pub(crate) offset: u64,
+}
+
+/// A row that belongs to a request.
+pub(crate) trait RequestRow {
+    fn request(&self) -> Request;
+    fn at_us(&self) -> u64;
+    fn rank(&mut self, ranks: &Ranks);
+}
+
+macro_rules! request_row {
+    ($($row:ident),*) => {
+        $(impl RequestRow for $row {
+            fn request(&self) -> Request {
+                self.request
+            }
+
+            fn at_us(&self) -> u64 {
+                self.at_us
+            }
+
+            fn rank(&mut self, ranks: &Ranks) {
+                self.request = ranks.of(self.request);
+            }
+        })*
+    };
+}
+
+request_row!(SentRow, StartRow, EndRow);
+
+impl RequestRow for ReceivedRow {
+    fn request(&self) -> Request {
+        self.request
+    }
+
+    fn at_us(&self) -> u64 {
+        self.at_us
+    }
+
+    fn rank(&mut self, ranks: &Ranks) {
+        self.request = ranks.of(self.request);
+        self.answered_request = self.answered_request.map(|request| ranks.of(request));
+    }
+}
+
+/// All rows of a run. Those of requests are sorted by request, then time; all others by time.
+#[derive(Debug)]
+pub(crate) struct Recording {
+    pub(crate) files: u64,
+    pub(crate) events: u64,
+    pub(crate) torn_lines: u64,
+    /// The time of the last event.
+    pub(crate) last_us: u64,
+    pub(crate) names: Names,
+    pub(crate) requests: Requests,
+    pub(crate) sent: Vec<SentRow>,
+    pub(crate) received: Vec<ReceivedRow>,
+    pub(crate) starts: Vec<StartRow>,
+    pub(crate) ends: Vec<EndRow>,
+    pub(crate) limits: Vec<LimitRow>,
+    pub(crate) withdrawals: Vec<NameRow>,
+    pub(crate) open_queues: Vec<NameRow>,
+    pub(crate) pool_sizes: Vec<PoolSizeRow>,
+    pub(crate) vms: Vec<VmRow>,
+    pub(crate) views: Vec<ViewRow>,
+    pub(crate) processes: Vec<ProcessRow>,
+    pub(crate) configs: Vec<ConfigRow>,
+    pub(crate) published: Vec<PublishedRow>,
+}
+
+impl Recording {
+    pub(crate) fn sent_of(&self, request: Request) -> &[SentRow] {
+        rows_of(&self.sent, request)
+    }
+
+    pub(crate) fn received_of(&self, request: Request) -> &[ReceivedRow] {
+        rows_of(&self.received, request)
+    }
+
+    pub(crate) fn starts_of(&self, request: Request) -> &[StartRow] {
+        rows_of(&self.starts, request)
+    }
+
+    pub(crate) fn ends_of(&self, request: Request) -> &[EndRow] {
+        rows_of(&self.ends, request)
+    }
+
+    pub(crate) fn request_text(&self, request: Request) -> &str {
+        self.requests.text(request)
+    }
+
+    pub(crate) fn name_text(&self, name: Name) -> &str {
+        self.names.text(name)
+    }
+
+    /// Whether a process was put into a state within a time, both ends included.
+    pub(crate) fn process_changed(
+        &self,
+        process: Name,
+        state: ProcessState,
+        from_us: u64,
+        to_us: u64,
+    ) -> bool {
+        let begin = self.processes.partition_point(|row| row.at_us < from_us);
+        self.processes[begin..]
+            .iter()
+            .take_while(|row| row.at_us <= to_us)
+            .any(|row| row.process == process && row.state == state)
+    }
+}
+
+fn rows_of<R: RequestRow>(rows: &[R], request: Request) -> &[R] {
+    let begin = rows.partition_point(|row| row.request() < request);
+    let count = rows[begin..].partition_point(|row| row.request() == request);
+    &rows[begin..begin + count]
+}
--- /dev/null
+++ b/crates/vanillafold-standin/src/audit/recording/work.rs
@@ -0,0 +1,97 @@
+//! Each piece of work with its beginning and end.
+
+use super::rows::{EndRow, ProcessState, StartRow, VmState};
+use super::{Name, Recording, Request};
+
+/// A piece of work.
+#[derive(Debug)]
+pub(crate) struct Work {
+    pub(crate) request: Request,
+    pub(crate) team: Option<Name>,
+    pub(crate) pool: Name,
+    pub(crate) at_us: u64,
+    /// [`u64::MAX`] if it still ran when the trace ended; always later than `at_us`.
+    pub(crate) end_us: u64,
+}
+
+/// All work of a run, sorted by request.
+///
+/// Work without an `end` lasts until its runner was killed, or its VM failed or came up again.
+pub(crate) fn works(recording: &Recording) -> Vec<Work> {
+    let losses = Losses::of(recording);
+    let mut works = Vec::with_capacity(recording.starts.len());
+    for starts in recording.starts.chunk_by(|a, b| a.request == b.request) {
+        let mut ends: Vec<&EndRow> = recording.ends_of(starts[0].request).iter().collect();
+        for start in starts {
+            let end_us = take_end(&mut ends, start).unwrap_or_else(|| losses.first_after(start));
+            works.push(Work {
+                request: start.request,
+                team: start.team,
+                pool: start.pool,
+                at_us: start.at_us,
+                end_us: end_us.max(start.at_us + 1),
+            });
+        }
+    }
+    works
+}
+
+fn take_end(ends: &mut Vec<&EndRow>, start: &StartRow) -> Option<u64> {
+    let place = ends.iter().position(|end| {
+        end.vm == start.vm && end.attempt == start.attempt && end.at_us >= start.at_us
+    })?;
+    Some(ends.remove(place).at_us)
+}
+
+/// When work was lost, by VM and by process; sorted.
+#[derive(Debug)]
+struct Losses {
+    vms: Vec<Loss>,
+    processes: Vec<Loss>,
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Loss {
+    name: Name,
+    at_us: u64,
+}
+
+impl Losses {
+    fn of(recording: &Recording) -> Self {
+        // A drained VM goes on with its work: only its return shows that the work is over.
+        let vms = recording.vms.iter();
+        let vms = vms.filter(|row| row.state != VmState::DownPlanned);
+        let vms = vms.map(|row| Loss {
+            name: row.vm,
+            at_us: row.at_us,
+        });
+        let processes = recording.processes.iter();
+        let processes = processes
+            .filter(|row| matches!(row.state, ProcessState::Killed | ProcessState::Started));
+        let processes = processes.map(|row| Loss {
+            name: row.process,
+            at_us: row.at_us,
+        });
+        let mut losses = Self {
+            vms: vms.collect(),
+            processes: processes.collect(),
+        };
+        losses.vms.sort();
+        losses.processes.sort();
+        losses
+    }
+
+    fn first_after(&self, start: &StartRow) -> u64 {
+        let by_vm = first_after(&self.vms, start.vm, start.at_us);
+        let by_process = first_after(&self.processes, start.process, start.at_us);
+        by_vm.min(by_process)
+    }
+}
+
+fn first_after(losses: &[Loss], name: Name, at_us: u64) -> u64 {
+    let place = losses.partition_point(|loss| (loss.name, loss.at_us) <= (name, at_us));
+    match losses.get(place) {
+        Some(loss) if loss.name == name => loss.at_us,
+        _ => u64::MAX,
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-standin/src/audit/summary/full_use.rs
@@ -0,0 +1,129 @@
+//! Which teams use the slots of pools that are full.
+
+use crate::audit::recording::{
+    Name, NameMap, PoolChange, PoolState, Recording, pool_changes, works,
+};
+
+/// A pool is full while this share of its available slots runs work, in percent. It is below 100
+/// because a slot is idle between one piece of work and the next.
+const FULL_PERCENT: u64 = 90;
+
+/// Slot time in pools while they were full, in microseconds.
+#[derive(Debug, Default)]
+pub(super) struct FullUse {
+    pub(super) by_team: NameMap<u64>,
+    pub(super) total_us: u64,
+}
+
+impl FullUse {
+    pub(super) fn of(recording: &Recording) -> Self {
+        let mut sweep = Sweep::default();
+        for change in changes(recording) {
+            sweep.apply(&change);
+        }
+        sweep.total
+    }
+}
+
+#[derive(Debug)]
+enum ChangeKind {
+    Pool(PoolChange),
+    Start { pool: Name, team: Option<Name> },
+    End { pool: Name, team: Option<Name> },
+}
+
+#[derive(Debug)]
+struct Change {
+    at_us: u64,
+    kind: ChangeKind,
+}
+
+fn changes(recording: &Recording) -> Vec<Change> {
+    let pools = pool_changes(recording).into_iter().map(|change| Change {
+        at_us: change.at_us(),
+        kind: ChangeKind::Pool(change),
+    });
+    let mut changes: Vec<Change> = pools.collect();
+    for work in works(recording) {
+        let (pool, team) = (work.pool, work.team);
+        changes.push(Change {
+            at_us: work.at_us,
+            kind: ChangeKind::Start { pool, team },
+        });
+        // What never ended runs until the last event.
+        changes.push(Change {
+            at_us: work.end_us.min(recording.last_us.max(work.at_us)),
+            kind: ChangeKind::End { pool, team },
+        });
+    }
+    changes.sort_by_key(|change| change.at_us);
+    changes
+}
+
+/// What runs in a pool.
+#[derive(Debug, Default)]
+struct PoolUse {
+    since_us: u64,
+    running: u64,
+    by_team: NameMap<u64>,
+}
+
+#[derive(Debug, Default)]
+struct Sweep {
+    states: NameMap<PoolState>,
+    uses: NameMap<PoolUse>,
+    total: FullUse,
+}
+
+impl Sweep {
+    fn apply(&mut self, change: &Change) {
+        match &change.kind {
+            ChangeKind::Pool(pool) => {
+                self.book_all(change.at_us);
+                self.states.apply(pool);
+            }
+            ChangeKind::Start { pool, team } => {
+                self.book(*pool, change.at_us);
+                let pool_use = self.uses.entry(*pool);
+                pool_use.running += 1;
+                team.iter()
+                    .for_each(|team| *pool_use.by_team.entry(*team) += 1);
+            }
+            ChangeKind::End { pool, team } => {
+                self.book(*pool, change.at_us);
+                let pool_use = self.uses.entry(*pool);
+                pool_use.running -= 1;
+                team.iter()
+                    .for_each(|team| *pool_use.by_team.entry(*team) -= 1);
+            }
+        }
+    }
+
+    fn book_all(&mut self, at_us: u64) {
+        let pools: Vec<Name> = self.uses.iter().map(|(pool, _)| pool).collect();
+        pools.into_iter().for_each(|pool| self.book(pool, at_us));
+    }
+
+    /// Books the time since the pool's last change.
+    fn book(&mut self, pool: Name, at_us: u64) {
+        let slots = self.states.get(pool).and_then(slots);
+        let pool_use = self.uses.entry(pool);
+        let elapsed_us = at_us - pool_use.since_us;
+        pool_use.since_us = at_us;
+        let full = slots.is_some_and(|slots| pool_use.running * 100 >= slots * FULL_PERCENT);
+        if !full {
+            return;
+        }
+        self.total.total_us += pool_use.running * elapsed_us;
+        for (team, running) in pool_use.by_team.iter() {
+            *self.total.by_team.entry(team) += running * elapsed_us;
+        }
+    }
+}
+
+/// The available slots of a pool, if they are known and there are any.
+fn slots(state: &PoolState) -> Option<u64> {
+    let per_vm = state.size?.slots_per_vm?;
+    let slots = u64::from(state.available()?) * u64::from(per_vm);
+    (slots > 0).then_some(slots)
+}
--- /dev/null
+++ b/crates/vanillafold-standin/src/audit/summary/mod.rs
@@ -0,0 +1,10 @@
+//! What a run did, without judgement.
+
+mod full_use;
+mod latency;
+mod run;
+mod team;
+
+pub use latency::Latency;
+pub use run::{CodeCount, Summary};
+pub use team::TeamSummary;
--- a/crates/vanillafold-standin/src/trace/event.rs
+++ b/crates/vanillafold-standin/src/trace/event.rs
@@ -48,6 +48,32 @@
     Published(Published),
 }
 
+impl TraceEvent {
+    /// When it happened, in microseconds of [`monotonic_us`](super::monotonic_us).
+    #[must_use]
+    pub const fn at_us(&self) -> u64 {
+        match self {
+            Self::Sent(event) => event.at_us,
+            Self::Received(event) => event.at_us,
+            Self::Start(event) => event.at_us,
+            Self::End(event) => event.at_us,
+            Self::Limit(event) => event.at_us,
+            Self::Withdrawn(event) => event.at_us,
+            Self::OpenQueue(event) => event.at_us,
+            Self::PoolSize(event) => event.at_us,
+            Self::VmDown(event) | Self::VmUp(event) => event.at_us,
+            Self::PoolOf(event) => event.at_us,
+            Self::Stopping(event)
+            | Self::Killed(event)
+            | Self::Started(event)
+            | Self::Isolated(event)
+            | Self::Rejoined(event) => event.at_us,
+            Self::Config(event) => event.at_us,
+            Self::Published(event) => event.at_us,
+        }
+    }
+}
+
 /// A load is about to send a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Sent {
