--- a/crates/vanillafold-standin/src/lib.rs
+++ b/crates/vanillafold-standin/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! | module | job |
 //! |---|---|
+//! | [`audit`] | a verdict on each point that must always hold |
 //! | [`link`] | a network that loses, holds or delays |
 //! | [`platform`] | log, VM list and VM orders, with faults on demand |
 //! | [`process`] | what every stand-in needs |
@@ -10,6 +11,7 @@
 //!
 //! Nothing here is shipped. What crosses the edges is in `docs/PROTOCOLS.md`.
 
+pub mod audit;
 pub mod link;
 pub mod platform;
 pub mod process;
