--- a/crates/vanillafold-standin/src/lib.rs
+++ b/crates/vanillafold-standin/src/lib.rs
@@ -2,12 +2,18 @@
 //!
 //! | module | job |
 //! |---|---|
+//! | [`audit`] | a verdict on each point that must always hold |
+//! | [`link`] | a network that loses, holds or delays |
 //! | [`platform`] | log, VM list and VM orders, with faults on demand |
 //! | [`process`] | what every stand-in needs |
+//! | [`runner`] | work in slots, bounded connections, with faults on demand |
 //! | [`trace`] | what stand-ins write down, and answer bodies that can be checked |
 //!
 //! Nothing here is shipped. What crosses the edges is in `docs/PROTOCOLS.md`.
 
+pub mod audit;
+pub mod link;
 pub mod platform;
 pub mod process;
+pub mod runner;
 pub mod trace;
