--- a/crates/vanillafold-standin/src/lib.rs
+++ b/crates/vanillafold-standin/src/lib.rs
@@ -6,6 +6,7 @@
 //! | [`link`] | a network that loses, holds or delays |
 //! | [`platform`] | log, VM list and VM orders, with faults on demand |
 //! | [`process`] | what every stand-in needs |
+//! | [`rig`] | a whole deployment as processes on loopback |
 //! | [`runner`] | work in slots, bounded connections, with faults on demand |
 //! | [`trace`] | what stand-ins write down, and answer bodies that can be checked |
 //!
@@ -15,5 +16,6 @@
 pub mod link;
 pub mod platform;
 pub mod process;
+pub mod rig;
 pub mod runner;
 pub mod trace;
--- /dev/null
+++ b/crates/vanillafold-standin/src/rig/observer.rs
@@ -0,0 +1,96 @@
+//! What the daemons show of their state, written into the trace for the audit.
+
+use http::Method;
+
+use super::layout::DaemonPlace;
+use super::{Cluster, RigError};
+use crate::trace::{Config, PoolOf, TraceEvent, monotonic_us};
+
+/// What one daemon shows.
+#[derive(Debug, Clone)]
+pub struct DaemonView {
+    /// The offset of the newest catalogue record in force.
+    pub catalogue_offset: u64,
+    /// Its VMs and their pools.
+    pub vms: Vec<VmView>,
+    /// The whole page.
+    pub page: String,
+}
+
+/// A VM as a daemon shows it.
+#[derive(Debug, Clone)]
+pub struct VmView {
+    /// The VM.
+    pub vm: String,
+    /// Its pool.
+    pub pool: String,
+}
+
+/// Looks at daemons.
+#[derive(Debug)]
+pub struct Observer;
+
+impl Observer {
+    /// What a daemon shows now.
+    ///
+    /// # Errors
+    ///
+    /// [`RigError`] if it does not answer.
+    pub fn view(cluster: &Cluster, place: &DaemonPlace) -> Result<DaemonView, RigError> {
+        let page = cluster.call(Method::GET, place.admin, "/state", "")?;
+        let next: u64 = value(&page, "catalogue_next=")
+            .and_then(|next| next.parse().ok())
+            .unwrap_or(1);
+        let vms = page.lines().filter_map(vm_view).collect();
+        Ok(DaemonView {
+            catalogue_offset: next.saturating_sub(1),
+            vms,
+            page,
+        })
+    }
+
+    /// Notes what every daemon that answers shows now.
+    ///
+    /// # Errors
+    ///
+    /// [`RigError`] if the trace can't be written.
+    pub fn note_all(cluster: &mut Cluster) -> Result<(), RigError> {
+        let places: Vec<DaemonPlace> = cluster.running_daemons().cloned().collect();
+        for place in places {
+            let at_us = monotonic_us();
+            let Ok(view) = Self::view(cluster, &place) else {
+                continue;
+            };
+            cluster.note(TraceEvent::Config(Config {
+                at_us,
+                process: place.name.as_str().into(),
+                offset: view.catalogue_offset,
+            }))?;
+            for vm in view.vms {
+                cluster.note(TraceEvent::PoolOf(PoolOf {
+                    at_us,
+                    process: place.name.as_str().into(),
+                    vm: vm.vm.as_str().into(),
+                    pool: Some(vm.pool.as_str().into()),
+                }))?;
+            }
+        }
+        Ok(())
+    }
+}
+
+fn value<'a>(page: &'a str, name: &str) -> Option<&'a str> {
+    page.lines().find_map(|line| line.strip_prefix(name))
+}
+
+fn vm_view(line: &str) -> Option<VmView> {
+    let rest = line.strip_prefix("vm ")?;
+    let (vm, rest) = rest.split_once(' ')?;
+    let pool = rest
+        .split_whitespace()
+        .find_map(|pair| pair.strip_prefix("pool="))?;
+    Some(VmView {
+        vm: vm.to_owned(),
+        pool: pool.to_owned(),
+    })
+}
