Add the stand-in callers

The open loop draws its sending clock beforehand and never waits for the system; latency counts from the intended start, and so does the wait for a free connection. Each answer's body and request id are checked, each send has exactly one end in the trace.

--- a/crates/vanillafold-standin/src/lib.rs
+++ b/crates/vanillafold-standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | [`audit`] | a verdict on each point that must always hold |
 //! | [`link`] | a network that loses, holds or delays |
+//! | [`load`] | callers in an open or closed loop |
 //! | [`platform`] | log, VM list and VM orders, with faults on demand |
 //! | [`process`] | what every stand-in needs |
 //! | [`runner`] | work in slots, bounded connections, with faults on demand |
@@ -13,6 +14,7 @@
 
 pub mod audit;
 pub mod link;
+pub mod load;
 pub mod platform;
 pub mod process;
 pub mod runner;
--- /dev/null
+++ b/crates/vanillafold-standin/src/load/cpu.rs
@@ -0,0 +1,27 @@
+//! Processor time that this process has used.
+
+use super::CpuTime;
+
+const US_PER_S: u64 = 1_000_000;
+
+/// The processor time of this process so far.
+pub(crate) fn cpu_time() -> CpuTime {
+    // SAFETY: all bytes zero is a valid rusage.
+    #[allow(unsafe_code)]
+    // The standard library has no safe call that gives these numbers.
+    let mut usage: libc::rusage = unsafe { std::mem::zeroed() };
+    #[allow(unsafe_code)]
+    // SAFETY: `usage` is a valid, exclusively borrowed rusage for the length of the call.
+    let status = unsafe { libc::getrusage(libc::RUSAGE_SELF, &raw mut usage) };
+    assert_eq!(status, 0, "RUSAGE_SELF exists on every Unix");
+    CpuTime {
+        user_us: micros(usage.ru_utime),
+        system_us: micros(usage.ru_stime),
+    }
+}
+
+fn micros(time: libc::timeval) -> u64 {
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    let micros = u64::try_from(time.tv_usec).unwrap_or(0);
+    seconds * US_PER_S + micros
+}
--- /dev/null
+++ b/crates/vanillafold-standin/src/load/exchange.rs
@@ -0,0 +1,198 @@
+//! One request and its answer on a connection.
+
+use std::fmt::Write as _;
+use std::pin::pin;
+
+use bytes::BytesMut;
+use http::header::HeaderMap;
+use http::{Method, StatusCode};
+use vanillafold_wire::http::{
+    BodyReader, Framing, HttpReader, HttpWriter, ResponseHead, response_framing,
+};
+
+use super::job::Job;
+use super::options::LoadOptions;
+use crate::trace::{AnswerBody, AnswerChecker, BodyVerdict, ReceivedOutcome};
+
+/// What came back for a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Reply {
+    pub(crate) outcome: ReceivedOutcome,
+    pub(crate) code: Option<u16>,
+    pub(crate) status: Option<u16>,
+    /// Whether the body is the right one, in full.
+    pub(crate) whole: bool,
+    pub(crate) answered_request: Option<String>,
+    pub(crate) daemon: Option<String>,
+    /// Whether the connection can be used again.
+    pub(crate) keep: bool,
+}
+
+impl Reply {
+    /// No head of an answer came.
+    pub(crate) const fn none() -> Self {
+        Self {
+            outcome: ReceivedOutcome::NoAnswer,
+            code: None,
+            status: None,
+            whole: false,
+            answered_request: None,
+            daemon: None,
+            keep: false,
+        }
+    }
+}
+
+/// Sends a request and waits for the end of its answer.
+///
+/// `reply` is filled in as the answer arrives, so that it holds what came if this is given up.
+pub(crate) async fn exchange(
+    options: &LoadOptions,
+    job: &Job,
+    (reader, writer): &mut (HttpReader, HttpWriter),
+    reply: &mut Reply,
+) {
+    let framing = request_framing(options, job);
+    encode_head(options, job, framing, writer.buffer());
+    let sent = {
+        let mut send = pin!(send(job, framing, writer));
+        let mut receive = pin!(receive(options, job, reader, reply));
+        // A refusal may come before the body was sent: then the rest is not.
+        monoio::select! {
+            biased;
+            sent = &mut send => {
+                receive.await;
+                sent
+            }
+            () = &mut receive => false,
+        }
+    };
+    reply.keep &= sent;
+}
+
+// --- Sending -----------------------------------------------------------------------------------
+
+fn request_framing(options: &LoadOptions, job: &Job) -> Framing {
+    match job.body_bytes {
+        0 => Framing::Empty,
+        _ if options.work.chunked => Framing::Chunked,
+        bytes => Framing::Length(bytes),
+    }
+}
+
+fn encode_head(options: &LoadOptions, job: &Job, framing: Framing, head: &mut BytesMut) {
+    let deadline_ms = options.work.deadline_ms.get();
+    let key = job.key.and_then(|key| options.keys.get(key));
+    // Writing to memory can't fail.
+    let _ = match options.direct {
+        true => write!(head, "POST /work HTTP/1.1\r\nvf-attempt: 1\r\n"),
+        false => write!(
+            head,
+            "POST /queues/{}/work HTTP/1.1\r\n",
+            options.queues[job.queue].queue
+        ),
+    };
+    let _ = match key {
+        Some(key) if !options.direct => write!(head, "authorization: Bearer {}\r\n", key.key),
+        Some(key) => match &key.team {
+            Some(team) => write!(head, "vf-team: {team}\r\n"),
+            None => Ok(()),
+        },
+        None => Ok(()),
+    };
+    let _ = write!(
+        head,
+        "host: vanillafold\r\nvf-request-id: {}\r\nvf-idempotent: {}\r\nvf-deadline-ms: {deadline_ms}\r\n\
+         work-ms: {}\r\nanswer-bytes: {}\r\n",
+        job.request, job.idempotent, job.work_ms, job.answer_bytes
+    );
+    let _ = match job.echo {
+        true => write!(head, "work-echo: true\r\n"),
+        false if options.work.chunked => write!(head, "answer-chunked: true\r\n"),
+        false => Ok(()),
+    };
+    let _ = match framing {
+        Framing::Empty => write!(head, "content-length: 0\r\n\r\n"),
+        Framing::Length(length) => write!(head, "content-length: {length}\r\n\r\n"),
+        Framing::Chunked => write!(head, "transfer-encoding: chunked\r\n\r\n"),
+    };
+}
+
+/// Sends the head that is encoded already, and the body; `false` if it could not all be sent.
+async fn send(job: &Job, framing: Framing, writer: &mut HttpWriter) -> bool {
+    for piece in AnswerBody::new(&job.request, job.body_bytes) {
+        let sent = writer.body_piece(framing, piece).await;
+        if sent.is_err() || writer.flush().await.is_err() {
+            return false;
+        }
+    }
+    writer.body_end(framing);
+    writer.flush().await.is_ok()
+}
+
+// --- Receiving ---------------------------------------------------------------------------------
+
+async fn receive(options: &LoadOptions, job: &Job, reader: &mut HttpReader, reply: &mut Reply) {
+    let Ok(head) = reader.response_head().await else {
+        return;
+    };
+    // Until its last byte has come.
+    reply.outcome = ReceivedOutcome::Cut;
+    reply.status = Some(head.status.as_u16());
+    reply.code = number(&head.headers, "vf-result-code");
+    reply.answered_request = text(&head.headers, "vf-request-id");
+    reply.daemon = text(&head.headers, "vf-daemon");
+    let Ok(framing) = response_framing(&Method::POST, head.status, &head.headers) else {
+        return;
+    };
+    let expected = match head.status {
+        StatusCode::OK => job.expected_bytes(),
+        // A target's own error answer has no body.
+        _ => 0,
+    };
+    let mut checker = AnswerChecker::new(&job.request, expected);
+    let mut body = BodyReader::new(framing);
+    loop {
+        match body.next(reader).await {
+            Ok(Some(piece)) => checker.push(&piece),
+            Ok(None) => break,
+            Err(_) => return,
+        }
+    }
+    let outcome = outcome(options, &head);
+    reply.outcome = outcome.unwrap_or(ReceivedOutcome::MayHaveRun);
+    reply.whole =
+        outcome == Some(ReceivedOutcome::Answer) && checker.finish() == BodyVerdict::Whole;
+    reply.keep = !closes(&head.headers);
+}
+
+/// What the head says of the work; `None` if it says nothing that is known.
+fn outcome(options: &LoadOptions, head: &ResponseHead) -> Option<ReceivedOutcome> {
+    if options.direct {
+        return Some(match head.headers.contains_key("vf-not-run") {
+            true => ReceivedOutcome::NotRun,
+            false => ReceivedOutcome::Answer,
+        });
+    }
+    match head.headers.get("vf-outcome")?.as_bytes() {
+        b"answer" => Some(ReceivedOutcome::Answer),
+        b"not-run" => Some(ReceivedOutcome::NotRun),
+        b"may-have-run" => Some(ReceivedOutcome::MayHaveRun),
+        _ => None,
+    }
+}
+
+fn closes(headers: &HeaderMap) -> bool {
+    headers
+        .get("connection")
+        .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
+}
+
+fn text(headers: &HeaderMap, name: &str) -> Option<String> {
+    let value = headers.get(name)?.to_str().ok()?;
+    Some(value.to_owned())
+}
+
+fn number(headers: &HeaderMap, name: &str) -> Option<u16> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
--- /dev/null
+++ b/crates/vanillafold-standin/src/load/recorder.rs
@@ -0,0 +1,83 @@
+//! The load's trace, if it writes one.
+
+use std::cell::RefCell;
+
+use super::exchange::Reply;
+use super::job::Job;
+use super::options::{LoadOptions, Target};
+use crate::trace::{Received, Sent, TraceEvent, TraceWriter, monotonic_us};
+
+/// Writes the events of one load.
+#[derive(Debug)]
+pub(crate) struct Recorder {
+    writer: Option<RefCell<TraceWriter>>,
+}
+
+impl Recorder {
+    pub(crate) fn new(writer: Option<TraceWriter>) -> Self {
+        Self {
+            writer: writer.map(RefCell::new),
+        }
+    }
+
+    /// Writes that a request is about to be sent, flushed so that a kill does not hide it.
+    pub(crate) fn sent(&self, options: &LoadOptions, job: &Job) {
+        self.write(true, || {
+            let key = job.key.and_then(|key| options.keys.get(key));
+            let team = key.and_then(|key| key.team.as_ref());
+            let key_id = key.and_then(|key| key.key.split('.').next());
+            TraceEvent::Sent(Sent {
+                at_us: monotonic_us(),
+                process: options.process.clone(),
+                request: job.request.as_str().into(),
+                queue: options.queues[job.queue].queue.as_str().into(),
+                team: team.map(|team| team.as_str().into()),
+                key: key_id.map(Into::into),
+                idempotent: job.idempotent,
+                deadline_ms: Some(options.work.deadline_ms.get()),
+            })
+        });
+    }
+
+    pub(crate) fn received(
+        &self,
+        options: &LoadOptions,
+        job: &Job,
+        target: &Target,
+        reply: &Reply,
+    ) {
+        self.write(false, || {
+            let daemon = reply.daemon.as_deref().map(Into::into);
+            TraceEvent::Received(Received {
+                at_us: monotonic_us(),
+                process: options.process.clone(),
+                request: job.request.as_str().into(),
+                outcome: reply.outcome,
+                code: reply.code,
+                status: reply.status,
+                whole: reply.whole,
+                answered_request: reply.answered_request.as_deref().map(Into::into),
+                daemon: daemon.or_else(|| target.name.clone()),
+            })
+        });
+    }
+
+    /// Hands everything to the operating system.
+    pub(crate) fn flush(&self) {
+        if let Some(writer) = &self.writer {
+            let flushed = writer.borrow_mut().flush();
+            flushed.unwrap_or_else(|error| panic!("{error}"));
+        }
+    }
+
+    fn write(&self, flush: bool, event: impl FnOnce() -> TraceEvent) {
+        let Some(writer) = &self.writer else { return };
+        let mut writer = writer.borrow_mut();
+        let written = writer.write(&event()).and_then(|()| match flush {
+            true => writer.flush(),
+            false => Ok(()),
+        });
+        // A trace with a hole would let a fault pass unseen.
+        written.unwrap_or_else(|error| panic!("{error}"));
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-standin/src/load/standin.rs
@@ -0,0 +1,154 @@
+//! A run of the load.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use monoio::task::JoinHandle;
+use monoio::time::sleep;
+use vanillafold_types::QueueId;
+
+use super::backlog::Backlog;
+use super::job::JobSource;
+use super::options::{LoadOptions, Pace};
+use super::recorder::Recorder;
+use super::sender::{send_back_to_back, send_due};
+use super::tally::Tally;
+use super::{Arrivals, Summary};
+use crate::process::Random;
+
+/// A load that is ready to run.
+#[derive(Debug)]
+pub struct LoadStandin {
+    shared: Rc<Shared>,
+    random: Random,
+}
+
+/// What all senders share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) options: LoadOptions,
+    pub(crate) source: RefCell<JobSource>,
+    pub(crate) backlog: Backlog,
+    pub(crate) tally: RefCell<Tally>,
+    pub(crate) recorder: Recorder,
+    next_target: Cell<usize>,
+}
+
+impl Shared {
+    /// The targets in turn.
+    pub(crate) fn next_target(&self) -> usize {
+        let target = self.next_target.get();
+        let next = (target + 1) % self.options.targets.len();
+        self.next_target.set(next);
+        target
+    }
+}
+
+impl LoadStandin {
+    /// Checks the options.
+    ///
+    /// # Errors
+    ///
+    /// Without a target, a queue, a connection or a time to send there is nothing to do.
+    pub fn new(mut options: LoadOptions) -> io::Result<Self> {
+        let connections = match options.pace {
+            Pace::Open { connections, .. } | Pace::Closed { connections } => connections,
+        };
+        let empty = options.targets.is_empty() || options.queues.is_empty() || connections == 0;
+        if empty || options.duration_ms.get() == 0 {
+            let problem = "expected at least one target, queue, connection and millisecond";
+            return Err(io::Error::new(io::ErrorKind::InvalidInput, problem));
+        }
+        let mut random = Random::new(options.seed);
+        let source = JobSource::new(&options, Random::new(random.next_u64()));
+        let recorder = Recorder::new(options.trace.take());
+        Ok(Self {
+            shared: Rc::new(Shared {
+                source: RefCell::new(source),
+                backlog: Backlog::default(),
+                tally: RefCell::new(Tally::new(&options)),
+                recorder,
+                next_target: Cell::new(0),
+                options,
+            }),
+            random,
+        })
+    }
+
+    /// Sends, and waits for the last answer.
+    pub async fn run(mut self) -> Summary {
+        let start = Instant::now();
+        let shared = Rc::clone(&self.shared);
+        let senders = match &shared.options.pace {
+            Pace::Open { connections, .. } => self.send_on_time(start, *connections).await,
+            Pace::Closed { connections } => {
+                let until = start + self.shared.options.duration_ms.duration();
+                let senders = 0..*connections;
+                senders
+                    .map(|_| monoio::spawn(send_back_to_back(Rc::clone(&self.shared), until)))
+                    .collect()
+            }
+        };
+        let sending = start.elapsed();
+        for sender in senders {
+            sender.await;
+        }
+        self.finish(sending, start.elapsed())
+    }
+
+    /// Hands requests to the senders when they are due, whatever becomes of the earlier ones.
+    async fn send_on_time(&mut self, start: Instant, connections: usize) -> Vec<JoinHandle<()>> {
+        let shared = Rc::clone(&self.shared);
+        let mut senders = Vec::new();
+        let end = shared.options.duration_ms.duration();
+        for arrival in self.arrivals().take_while(|arrival| arrival.at < end) {
+            sleep_until(start + arrival.at).await;
+            let mut source = shared.source.borrow_mut();
+            let job = source.next_to(arrival.queue, start + arrival.at);
+            shared.tally.borrow_mut().intended += 1;
+            if !shared.backlog.has_idle() && senders.len() < connections {
+                let sender = send_due(Rc::clone(&shared), senders.len());
+                senders.push(monoio::spawn(sender));
+            }
+            shared.backlog.push(job);
+        }
+        sleep_until(start + end).await;
+        shared.backlog.close();
+        senders
+    }
+
+    fn arrivals(&mut self) -> Arrivals {
+        let options = &self.shared.options;
+        let Pace::Open {
+            rate_per_s, bursts, ..
+        } = &options.pace
+        else {
+            return Arrivals::new(&[], &[], &mut self.random);
+        };
+        let weights: f64 = options.queues.iter().map(|queue| queue.weight).sum();
+        let rates: Vec<(QueueId, f64)> = options
+            .queues
+            .iter()
+            .map(|queue| (queue.queue.clone(), rate_per_s * queue.weight / weights))
+            .collect();
+        Arrivals::new(&rates, bursts, &mut self.random)
+    }
+
+    fn finish(self, sending: Duration, whole: Duration) -> Summary {
+        let shared = self.shared;
+        let tally = shared.tally.borrow();
+        let mut summary = tally.summary(&shared.options, sending, whole);
+        summary.most_waiting = shared.backlog.most_waiting();
+        shared.recorder.flush();
+        summary
+    }
+}
+
+async fn sleep_until(due: Instant) {
+    let left = due.saturating_duration_since(Instant::now());
+    if !left.is_zero() {
+        sleep(left).await;
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-standin/tests/load.rs
@@ -0,0 +1,359 @@
+//! The stand-in callers, sending straight to runners and to servers that misbehave.
+
+mod common;
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use common::{any_port, block_on, control, wait_until};
+use http::{Request, Response};
+use monoio::time::sleep;
+use vanillafold_standin::load::{
+    Distribution, LoadOptions, LoadStandin, Pace, Summary, Target, Work,
+};
+use vanillafold_standin::process::{accept_each, bind};
+use vanillafold_standin::runner::{RunnerOptions, RunnerStandin};
+use vanillafold_standin::trace::{ReceivedOutcome, TraceEvent, TraceWriter};
+use vanillafold_types::{Connections, Millis, Slots};
+use vanillafold_wire::http::{Service, serve_connection, split};
+
+fn start_runner() -> SocketAddr {
+    let runner = RunnerStandin::bind(RunnerOptions {
+        process: "runner-1".into(),
+        vms: vec!["vm-1".parse().expect("a VM")],
+        pool: "quotes".parse().expect("a pool"),
+        slots: Slots::new(1_000),
+        connections: Connections::new(1_000),
+        address: any_port(),
+        control: any_port(),
+        trace: None,
+    })
+    .expect("free ports");
+    let address = runner.addresses()[0];
+    monoio::spawn(runner.serve());
+    address
+}
+
+/// A server that answers everything in one way.
+#[derive(Debug, Clone)]
+struct Fixed<F> {
+    answer: F,
+    requests: Rc<Cell<u64>>,
+}
+
+impl<F: AsyncFn() -> Option<Response<Bytes>>> Service for Fixed<F> {
+    async fn answer(&self, _: Request<Bytes>) -> Option<Response<Bytes>> {
+        self.requests.set(self.requests.get() + 1);
+        (self.answer)().await
+    }
+}
+
+fn start_fixed<F>(answer: F) -> (SocketAddr, Rc<Cell<u64>>)
+where
+    F: AsyncFn() -> Option<Response<Bytes>> + Clone + 'static,
+{
+    let requests = Rc::new(Cell::new(0));
+    let service = Fixed {
+        answer,
+        requests: Rc::clone(&requests),
+    };
+    let listener = bind(any_port()).expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    monoio::spawn(async move {
+        accept_each(&listener, |stream| {
+            let service = service.clone();
+            monoio::spawn(async move {
+                let (reader, writer) = split(stream);
+                serve_connection(&service, reader, writer, 1 << 20).await;
+            });
+        })
+        .await;
+    });
+    (address, requests)
+}
+
+fn open(rate_per_s: f64, connections: usize) -> Pace {
+    Pace::Open {
+        rate_per_s,
+        bursts: Vec::new(),
+        connections,
+    }
+}
+
+/// Half a second of requests without work, straight to runners.
+fn options(targets: &[SocketAddr], pace: Pace) -> LoadOptions {
+    let targets = targets.iter().map(|address| Target {
+        name: None,
+        address: *address,
+    });
+    LoadOptions {
+        process: "load-1".into(),
+        seed: 11,
+        targets: targets.collect(),
+        direct: true,
+        pace,
+        duration_ms: Millis::new(500),
+        queues: vec!["quotes".parse().expect("a queue")],
+        keys: vec!["cafes=k1.secret".parse().expect("a key")],
+        work: Work {
+            work_ms: Distribution::Constant(0),
+            deadline_ms: Millis::new(20_000),
+            ..Work::default()
+        },
+        repeat_lost: false,
+        trace: None,
+    }
+}
+
+async fn run(options: LoadOptions) -> Summary {
+    LoadStandin::new(options).expect("options").run().await
+}
+
+fn count(summary: &Summary, outcome: ReceivedOutcome) -> u64 {
+    let outcomes = summary.outcomes.iter();
+    let of_kind = outcomes.filter(|known| known.outcome == outcome.as_str());
+    of_kind.map(|known| known.count).sum()
+}
+
+fn answer_of(outcome: &'static str, request: &'static str, body: &'static str) -> Response<Bytes> {
+    Response::builder()
+        .header("vf-outcome", outcome)
+        .header("vf-result-code", "0")
+        .header("vf-request-id", request)
+        .body(Bytes::from_static(body.as_bytes()))
+        .expect("an answer")
+}
+
+// --- The clock ---------------------------------------------------------------------------------
+
+#[test]
+fn the_sending_clock_does_not_wait_for_a_stalled_server() {
+    block_on(async {
+        let healthy = run(options(&[start_runner()], open(400.0, 4))).await;
+        let (stalled, seen) = start_fixed(async || std::future::pending().await);
+        let mut impatient = options(&[stalled], open(400.0, 4));
+        impatient.work.deadline_ms = Millis::new(1_000);
+        impatient.work.grace_ms = Millis::new(100);
+
+        let summary = run(impatient).await;
+
+        assert_eq!(summary.intended, healthy.intended);
+        assert_eq!(count(&healthy, ReceivedOutcome::Answer), healthy.intended);
+        assert_eq!(count(&summary, ReceivedOutcome::Answer), 0);
+        assert_eq!(summary.sent + summary.given_up, summary.intended);
+        assert_eq!(summary.other_us.count, summary.intended);
+        assert!(summary.most_waiting > 0);
+        wait_until("the server has seen all", async || {
+            seen.get() == summary.sent
+        })
+        .await;
+    });
+}
+
+/// One connection and 20 ms of work: the n-th request can't be answered before n times that.
+#[test]
+fn the_wait_for_a_free_connection_counts() {
+    const WORK_MS: u64 = 20;
+    block_on(async {
+        let mut slow = options(&[start_runner()], open(200.0, 1));
+        slow.work.work_ms = Distribution::Constant(WORK_MS);
+
+        let summary = run(slow).await;
+
+        let answers = summary.answer_us.count;
+        let least_us = (answers * WORK_MS).saturating_sub(500) * 1_000;
+        assert_eq!(answers, summary.intended);
+        assert!(summary.answer_us.max >= least_us, "{summary:?}");
+        assert!(least_us > WORK_MS * 1_000, "too few requests to tell");
+    });
+}
+
+#[test]
+fn a_closed_loop_keeps_each_connection_busy() {
+    block_on(async {
+        let pace = Pace::Closed { connections: 3 };
+
+        let summary = run(options(&[start_runner()], pace)).await;
+
+        assert_eq!(summary.connections, 3);
+        assert_eq!(summary.most_waiting, 0);
+        assert!(summary.sent >= 3);
+        assert_eq!(count(&summary, ReceivedOutcome::Answer), summary.sent);
+    });
+}
+
+// --- Checks of answers -------------------------------------------------------------------------
+
+#[test]
+fn right_bodies_of_all_shapes_pass() {
+    for chunked in [false, true] {
+        block_on(async {
+            let mut mixed = options(&[start_runner()], open(200.0, 16));
+            mixed.work.body_bytes = Distribution::Uniform {
+                first: 0,
+                last: 200_000,
+            };
+            mixed.work.answer_bytes = Distribution::Exponential { mean: 50_000 };
+            mixed.work.echo_share = 0.5;
+            mixed.work.chunked = chunked;
+
+            let summary = run(mixed).await;
+
+            assert_eq!(count(&summary, ReceivedOutcome::Answer), summary.intended);
+            assert_eq!(summary.wrong_bodies, 0);
+            assert_eq!(summary.on_time, summary.intended);
+        });
+    }
+}
+
+#[test]
+fn wrong_answers_are_seen() {
+    block_on(async {
+        let (address, _) = start_fixed(async || Some(answer_of("answer", "other", "wrong")));
+        let mut to_daemon = options(&[address], open(50.0, 4));
+        to_daemon.direct = false;
+
+        let summary = run(to_daemon).await;
+
+        assert!(summary.sent > 0);
+        assert_eq!(count(&summary, ReceivedOutcome::Answer), summary.sent);
+        assert_eq!(summary.wrong_bodies, summary.sent);
+        assert_eq!(summary.wrong_requests, summary.sent);
+    });
+}
+
+#[test]
+fn refusals_are_counted_by_outcome() {
+    block_on(async {
+        let (address, _) = start_fixed(async || Some(answer_of("not-run", "load-1-1", "")));
+        let mut to_daemon = options(&[address], open(50.0, 4));
+        to_daemon.direct = false;
+
+        let summary = run(to_daemon).await;
+
+        assert_eq!(count(&summary, ReceivedOutcome::NotRun), summary.sent);
+        assert_eq!(summary.answer_us.count, 0);
+        assert_eq!(summary.other_us.count, summary.sent);
+        assert_eq!(summary.teams[0].sent, summary.sent);
+        assert_eq!(summary.teams[0].answers, 0);
+    });
+}
+
+/// A refusal may come while the body is still being sent, and its server reads no more.
+#[test]
+fn an_early_refusal_ends_a_large_upload() {
+    block_on(async {
+        let (address, _) = start_fixed(async || Some(answer_of("not-run", "load-1-1", "")));
+        let mut upload = options(&[address], open(20.0, 4));
+        upload.direct = false;
+        upload.work.body_bytes = Distribution::Constant(64 << 20);
+
+        let summary = run(upload).await;
+
+        assert!(summary.sent > 0);
+        assert_eq!(count(&summary, ReceivedOutcome::Answer), 0);
+    });
+}
+
+// --- Targets -----------------------------------------------------------------------------------
+
+#[test]
+fn a_target_that_refuses_connections_is_passed_over() {
+    block_on(async {
+        let closed = std::net::TcpListener::bind(any_port()).expect("a free port");
+        let refusing = closed.local_addr().expect("an address");
+        drop(closed);
+
+        let summary = run(options(&[refusing, start_runner()], open(100.0, 8))).await;
+
+        assert_eq!(count(&summary, ReceivedOutcome::Answer), summary.intended);
+        assert_eq!(summary.unconnected, 0);
+    });
+}
+
+#[test]
+fn without_any_target_nothing_is_sent() {
+    block_on(async {
+        let closed = std::net::TcpListener::bind(any_port()).expect("a free port");
+        let refusing = closed.local_addr().expect("an address");
+        drop(closed);
+
+        let summary = run(options(&[refusing], open(100.0, 8))).await;
+
+        assert_eq!(summary.sent, 0);
+        assert_eq!(summary.unconnected, summary.intended);
+    });
+}
+
+#[test]
+fn a_lost_non_idempotent_request_is_repeated_elsewhere_with_its_id() {
+    let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join("repeated_elsewhere");
+    // It is there only if the test ran before.
+    let _ = std::fs::remove_dir_all(&dir);
+    let summary = block_on(async {
+        let cutting = start_runner();
+        control(cutting, "/control/mode", "mode=cut").await;
+        let mut repeating = options(&[cutting, start_runner()], open(100.0, 8));
+        repeating.work.idempotent_share = 0.0;
+        repeating.repeat_lost = true;
+        let trace = TraceWriter::create(&dir, &repeating.process);
+        repeating.trace = Some(trace.expect("a trace"));
+        run(repeating).await
+    });
+
+    let text = std::fs::read_to_string(dir.join("load-1.jsonl")).expect("a trace");
+    let events: Vec<TraceEvent> = text
+        .lines()
+        .map(|line| serde_json::from_str(line).expect("an event"))
+        .collect();
+    let cut_first = events.iter().find_map(|event| match event {
+        TraceEvent::Received(received) if received.outcome == ReceivedOutcome::Cut => {
+            Some(&received.request)
+        }
+        _ => None,
+    });
+    let cut_first = cut_first.expect("a cut answer");
+    let sends = events
+        .iter()
+        .filter(|event| matches!(event, TraceEvent::Sent(sent) if sent.request == *cut_first));
+    let ends = events
+        .iter()
+        .filter(|event| matches!(event, TraceEvent::Received(end) if end.request == *cut_first));
+    assert_eq!((sends.count(), ends.count()), (2, 2));
+    assert!(summary.repeated > 0);
+    assert_eq!(summary.sent, summary.intended + summary.repeated);
+    assert_eq!(count(&summary, ReceivedOutcome::Answer), summary.intended);
+}
+
+#[test]
+fn every_send_has_one_end_in_the_trace() {
+    let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join("one_end");
+    // It is there only if the test ran before.
+    let _ = std::fs::remove_dir_all(&dir);
+    let summary = block_on(async {
+        let (slow, _) = start_fixed(async || {
+            sleep(Millis::new(150).duration()).await;
+            Some(answer_of("answer", "load-1-1", ""))
+        });
+        let mut impatient = options(&[slow], open(100.0, 4));
+        impatient.work.deadline_ms = Millis::new(100);
+        impatient.work.grace_ms = Millis::new(20);
+        let trace = TraceWriter::create(&dir, &impatient.process);
+        impatient.trace = Some(trace.expect("a trace"));
+        run(impatient).await
+    });
+
+    let text = std::fs::read_to_string(dir.join("load-1.jsonl")).expect("a trace");
+    let sends = text
+        .lines()
+        .filter(|line| line.contains(r#""kind":"sent""#));
+    let ends = text
+        .lines()
+        .filter(|line| line.contains(r#""kind":"received""#));
+    let (sends, ends) = (sends.count() as u64, ends.count() as u64);
+    assert_eq!((sends, ends), (summary.sent, summary.sent));
+    assert!(sends > 0);
+}
