--- a/crates/vanillafold-standin/examples/demo.rs
+++ b/crates/vanillafold-standin/examples/demo.rs
@@ -7,7 +7,7 @@
 
 use bpaf::{Parser, construct, long};
 use vanillafold_standin::rig::{
-    Child, Cluster, DEMO_CATALOGUE, DEMO_TEAMS, KeyText, Layout, Observer, RigError,
+    Child, Cluster, DEMO_CATALOGUE, DEMO_TEAMS, Interrupt, KeyText, Layout, Observer, RigError,
 };
 
 const POOLS: [&str; 5] = ["quotes", "bookings", "stock", "proofs", "archive"];
@@ -80,6 +80,7 @@
 }
 
 fn demonstrate(options: &Options) -> Result<bool, RigError> {
+    let interrupt = Interrupt::install()?;
     let layout = Layout::new(options.rig, ZONES, DAEMONS_PER_ZONE, &POOLS, VMS_PER_ZONE);
     let mut cluster = Cluster::start(
         layout,
@@ -94,12 +95,15 @@
     }
     sleep(OBSERVE);
     if options.keep {
-        keep(&cluster, &keys);
+        keep(&cluster, &keys, &interrupt);
         return Ok(true);
     }
     let load = start_loads(&cluster, &keys, options.seconds)?;
     let begun = Instant::now();
     while begun.elapsed() < Duration::from_secs(u64::from(options.seconds)) {
+        if interrupt.has_come() {
+            return Ok(false);
+        }
         Observer::note_all(&mut cluster)?;
         sleep(OBSERVE);
     }
@@ -138,7 +142,7 @@
             format!("--queue={queue}"),
             format!("--burst=5@{burst_start}+{burst_length}"),
             format!("--burst=0.05@{}+{burst_length}", burst_start + burst_length),
-            "--work-ms=exponential:20".to_owned(),
+            "--work-ms=exp:20".to_owned(),
             "--deadline-ms=2000".to_owned(),
             "--repeat-lost".to_owned(),
             format!("--trace={}", cluster.traces().display()),
@@ -173,7 +177,7 @@
     Ok(status.success())
 }
 
-fn keep(cluster: &Cluster, keys: &[KeyText]) {
+fn keep(cluster: &Cluster, keys: &[KeyText], interrupt: &Interrupt) {
     println!("platform={}", cluster.layout.platform);
     for place in cluster.layout.daemons() {
         println!("{}_callers={}", place.name, place.callers);
@@ -191,8 +195,8 @@
     println!("operator_credential={}", cluster.operator_credential());
     println!("directory={}", display(cluster.directory()));
     println!("ready=true");
-    loop {
-        sleep(Duration::from_secs(3_600));
+    while !interrupt.has_come() {
+        sleep(OBSERVE);
     }
 }
 
--- a/crates/vanillafold-standin/src/rig/cluster.rs
+++ b/crates/vanillafold-standin/src/rig/cluster.rs
@@ -200,7 +200,7 @@
             .next()
             .and_then(|offset| offset.trim().parse().ok());
         if let Some(offset) = offset {
-            self.note(TraceEvent::Published(Published {
+            self.note(&TraceEvent::Published(Published {
                 at_us: monotonic_us(),
                 offset,
             }))?;
@@ -235,7 +235,7 @@
     /// [`RigError`].
     pub fn withdraw_key(&mut self, id: &str) -> Result<(), RigError> {
         self.operate(&["key", "withdraw"], &["--id", id])?;
-        self.note(TraceEvent::Withdrawn(Withdrawn {
+        self.note(&TraceEvent::Withdrawn(Withdrawn {
             at_us: monotonic_us(),
             key: id.into(),
         }))
@@ -266,7 +266,7 @@
     ///
     /// [`RigError`].
     pub fn kill_daemon(&mut self, name: &str) -> Result<(), RigError> {
-        self.note(TraceEvent::Killed(change(name)))?;
+        self.note(&TraceEvent::Killed(change(name)))?;
         drop(self.daemon(name)?.child.take());
         Ok(())
     }
@@ -282,7 +282,7 @@
         let program = self.program("vanillafold");
         let logs = self.directory.clone();
         let child = Child::start(name, &program, &[settings.display().to_string()], &logs)?;
-        self.note(TraceEvent::Started(change(name)))?;
+        self.note(&TraceEvent::Started(change(name)))?;
         self.daemon(name)?.child = Some(child);
         Ok(())
     }
@@ -293,7 +293,7 @@
     ///
     /// [`RigError`].
     pub fn stop_daemon(&mut self, name: &str) -> Result<(), RigError> {
-        self.note(TraceEvent::Stopping(change(name)))?;
+        self.note(&TraceEvent::Stopping(change(name)))?;
         self.signal_daemon(name, Signal::Terminate)
     }
 
@@ -369,7 +369,7 @@
     ///
     /// [`RigError`].
     pub fn drain_vm(&mut self, vm: &str, pool: &str) -> Result<(), RigError> {
-        self.note(TraceEvent::VmDown(vm_change(vm, pool)))?;
+        self.note(&TraceEvent::VmDown(vm_change(vm, pool)))?;
         let path = format!("/vms/{vm}/drain");
         self.call(Method::POST, self.layout.platform, &path, "")
             .map(drop)
@@ -392,7 +392,7 @@
     ///
     /// [`RigError`].
     pub fn note_vm_up(&mut self, vm: &str, pool: &str) -> Result<(), RigError> {
-        self.note(TraceEvent::VmUp(vm_change(vm, pool)))
+        self.note(&TraceEvent::VmUp(vm_change(vm, pool)))
     }
 
     /// Writes an event into the rig's trace.
@@ -400,9 +400,9 @@
     /// # Errors
     ///
     /// [`RigError`].
-    pub fn note(&mut self, event: TraceEvent) -> Result<(), RigError> {
+    pub fn note(&mut self, event: &TraceEvent) -> Result<(), RigError> {
         self.trace
-            .write(&event)
+            .write(event)
             .and_then(|()| self.trace.flush())
             .map_err(|error| refused("writing the trace", error))
     }
@@ -603,14 +603,14 @@
         })?;
         let at_us = monotonic_us();
         for team in &parsed.teams {
-            self.note(TraceEvent::Limit(Limit {
+            self.note(&TraceEvent::Limit(Limit {
                 at_us,
                 team: team.id.as_str().into(),
                 limit: team.limit.get(),
             }))?;
         }
         for queue in parsed.queues.iter().filter(|queue| queue.open) {
-            self.note(TraceEvent::OpenQueue(OpenQueue {
+            self.note(&TraceEvent::OpenQueue(OpenQueue {
                 at_us,
                 queue: queue.id.as_str().into(),
             }))?;
@@ -618,7 +618,7 @@
         for pool in &parsed.pools {
             let vms = self.layout.vms_of(pool.id.as_str());
             let least = pool.min_available_percent.of_rounded_up(vms as u64);
-            self.note(TraceEvent::PoolSize(PoolSize {
+            self.note(&TraceEvent::PoolSize(PoolSize {
                 at_us,
                 pool: pool.id.as_str().into(),
                 vms: u32::try_from(vms).unwrap_or(u32::MAX),
@@ -655,7 +655,11 @@
     }
 }
 
-pub(crate) fn refused(what: &str, problem: impl ToString) -> RigError {
+#[allow(
+    clippy::needless_pass_by_value,
+    reason = "callers hand over what they just made"
+)]
+pub(crate) fn refused(what: &str, problem: impl std::fmt::Display) -> RigError {
     RigError::Refused {
         what: what.to_owned(),
         problem: problem.to_string(),
--- a/crates/vanillafold-standin/src/rig/observer.rs
+++ b/crates/vanillafold-standin/src/rig/observer.rs
@@ -61,13 +61,13 @@
             let Ok(view) = Self::view(cluster, &place) else {
                 continue;
             };
-            cluster.note(TraceEvent::Config(Config {
+            cluster.note(&TraceEvent::Config(Config {
                 at_us,
                 process: place.name.as_str().into(),
                 offset: view.catalogue_offset,
             }))?;
             for vm in view.vms {
-                cluster.note(TraceEvent::PoolOf(PoolOf {
+                cluster.note(&TraceEvent::PoolOf(PoolOf {
                     at_us,
                     process: place.name.as_str().into(),
                     vm: vm.vm.as_str().into(),
