Inject every fault under load, in an order that a seed chooses

Cause: the path had been shown in health only. Change: 13 faults over the real processes (kill, freeze, planned stop, silent links to a VM and a peer, hanging, failing, cutting and refusing runners, a drain with reboot, platform outage and hang), judged by the audit.

--- a/crates/vanillafold-standin/examples/demo.rs
+++ b/crates/vanillafold-standin/examples/demo.rs
@@ -7,7 +7,8 @@
 
 use bpaf::{Parser, construct, long};
 use vanillafold_standin::rig::{
-    Child, Cluster, DEMO_CATALOGUE, DEMO_TEAMS, Interrupt, KeyText, Layout, Observer, RigError,
+    Cluster, DEMO_CATALOGUE, DEMO_TEAMS, Interrupt, KeyText, Layout, LoadPlan, Loads, Observer,
+    RigError, audit,
 };
 
 const POOLS: [&str; 5] = ["quotes", "bookings", "stock", "proofs", "archive"];
@@ -98,7 +99,12 @@
         keep(&cluster, &keys, &interrupt);
         return Ok(true);
     }
-    let load = start_loads(&cluster, &keys, options.seconds)?;
+    let plan = LoadPlan {
+        seconds: options.seconds,
+        rate: RATE,
+        seed: 1,
+    };
+    let loads = Loads::start(&cluster, &keys, &plan)?;
     let begun = Instant::now();
     while begun.elapsed() < Duration::from_secs(u64::from(options.seconds)) {
         if interrupt.has_come() {
@@ -107,74 +113,12 @@
         Observer::note_all(&mut cluster)?;
         sleep(OBSERVE);
     }
-    for child in load {
-        let name = child.name().to_owned();
-        let (summary, status) = child.finish()?;
-        println!("{name}: {}", summary.trim());
-        if !status.success() {
-            return Ok(false);
-        }
-    }
-    audit(&cluster)
-}
-
-/// The loads of each queue that needs a key, and of the open one.
-fn start_loads(cluster: &Cluster, keys: &[KeyText], seconds: u32) -> Result<Vec<Child>, RigError> {
-    let queues: [(&str, &[&str]); 6] = [
-        ("quotes", &["cafes", "hostels", "counters", "schools"]),
-        ("bookings", &["cafes", "hostels", "riders"]),
-        ("stock", &["riders", "back-office"]),
-        ("proofs", &["counters", "schools"]),
-        ("archive", &["back-office", "schools"]),
-        ("opening-hours", &[]),
-    ];
-    let program = cluster.standin("load");
-    let rate = RATE / 6;
-    let mut loads = Vec::new();
-    for ((queue, teams), seed) in queues.into_iter().zip(1..) {
-        let burst_start = 1_000 * seconds / 3;
-        let burst_length = 1_000 * seconds / 10;
-        let mut arguments = vec![
-            format!("--process=load-{queue}"),
-            format!("--seed={seed}"),
-            format!("--seconds={seconds}"),
-            format!("--rate={rate}"),
-            format!("--queue={queue}"),
-            format!("--burst=5@{burst_start}+{burst_length}"),
-            format!("--burst=0.05@{}+{burst_length}", burst_start + burst_length),
-            "--work-ms=exp:20".to_owned(),
-            "--deadline-ms=2000".to_owned(),
-            "--repeat-lost".to_owned(),
-            format!("--trace={}", cluster.traces().display()),
-        ];
-        for place in cluster.layout.daemons() {
-            arguments.push(format!("--to={}={}", place.name, place.callers));
-        }
-        for key in keys.iter().filter(|key| teams.contains(&key.team.as_str())) {
-            arguments.push(format!("--key={}={}", key.team, key.text));
-        }
-        let name = format!("load-{queue}");
-        loads.push(Child::start(
-            &name,
-            &program,
-            &arguments,
-            cluster.directory(),
-        )?);
+    for summary in loads.finish()? {
+        println!("{summary}");
     }
-    Ok(loads)
-}
-
-fn audit(cluster: &Cluster) -> Result<bool, RigError> {
-    let arguments = [cluster.traces().display().to_string()];
-    let child = Child::start(
-        "audit",
-        &cluster.standin("audit"),
-        &arguments,
-        cluster.directory(),
-    )?;
-    let (report, status) = child.finish()?;
+    let (report, clean) = audit(&cluster)?;
     print!("{report}");
-    Ok(status.success())
+    Ok(clean)
 }
 
 fn keep(cluster: &Cluster, keys: &[KeyText], interrupt: &Interrupt) {
--- /dev/null
+++ b/crates/vanillafold-standin/examples/scenario.rs
@@ -0,0 +1,131 @@
+//! Faults under load: every fault once, in an order that the seed chooses, judged by the audit.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bpaf::{Parser, construct, long};
+use vanillafold::policy::SplitMix;
+use vanillafold_standin::rig::{
+    Cluster, DEMO_CATALOGUE, DEMO_TEAMS, Fault, Interrupt, Layout, LoadPlan, Loads, RigError,
+    audit, inject, observe_for, shuffled,
+};
+
+const POOLS: [&str; 5] = ["quotes", "bookings", "stock", "proofs", "archive"];
+const ZONES: u8 = 4;
+const DAEMONS_PER_ZONE: u8 = 2;
+const VMS_PER_ZONE: usize = 2;
+/// Requests a second over all queues.
+const RATE: u32 = 300;
+/// What each fault takes at most with its recovery, in seconds.
+const SECONDS_PER_FAULT: u32 = 6;
+/// Load before the first fault.
+const WARM_UP: Duration = Duration::from_secs(1);
+
+#[derive(Debug)]
+struct Options {
+    seed: u64,
+    only: Vec<String>,
+    rig: u8,
+    programs: PathBuf,
+    directory: PathBuf,
+}
+
+fn options() -> bpaf::OptionParser<Options> {
+    let seed = long("seed")
+        .help("chooses order, victims and load")
+        .argument::<u64>("N")
+        .fallback(1);
+    let only = long("only")
+        .help("inject just this fault, as Debug prints it; may be repeated")
+        .argument::<String>("FAULT")
+        .many();
+    let rig = long("rig")
+        .help("second byte of the loopback addresses, 1 to 250")
+        .argument::<u8>("N")
+        .fallback(20);
+    let programs = long("programs")
+        .help("directory of the built programs")
+        .argument::<PathBuf>("DIR")
+        .fallback(PathBuf::from("target/release"));
+    let directory = long("directory")
+        .help("directory for settings, logs and traces; it is emptied")
+        .argument::<PathBuf>("DIR")
+        .fallback(PathBuf::from("run/scenario"));
+    construct!(Options {
+        seed,
+        only,
+        rig,
+        programs,
+        directory
+    })
+    .to_options()
+    .descr("Faults under load, judged by the audit")
+}
+
+fn main() -> ExitCode {
+    let options = options().run();
+    match run(&options) {
+        Ok(true) => {
+            println!("scenario seed={}: PASS", options.seed);
+            ExitCode::SUCCESS
+        }
+        Ok(false) => {
+            println!("scenario seed={}: FAIL", options.seed);
+            ExitCode::FAILURE
+        }
+        Err(error) => {
+            println!("{error}");
+            println!("scenario seed={}: FAIL", options.seed);
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(options: &Options) -> Result<bool, RigError> {
+    let interrupt = Interrupt::install()?;
+    let mut rng = SplitMix::new(options.seed);
+    let layout = Layout::new(options.rig, ZONES, DAEMONS_PER_ZONE, &POOLS, VMS_PER_ZONE);
+    let relayed: Vec<_> = layout
+        .runners()
+        .take(1)
+        .map(|runner| runner.address)
+        .chain(layout.daemons().take(1).map(|daemon| daemon.peers))
+        .collect();
+    let mut cluster = Cluster::start(
+        layout,
+        &relayed,
+        DEMO_CATALOGUE,
+        &options.directory,
+        &options.programs,
+    )?;
+    let mut keys = Vec::new();
+    for team in DEMO_TEAMS {
+        keys.push(cluster.give_key(&format!("{team}-1"), team)?);
+    }
+    let faults: Vec<Fault> = shuffled(&mut rng)
+        .into_iter()
+        .filter(|fault| options.only.is_empty() || options.only.contains(&format!("{fault:?}")))
+        .collect();
+    observe_for(&mut cluster, WARM_UP)?;
+    let plan = LoadPlan {
+        seconds: SECONDS_PER_FAULT * faults.len() as u32,
+        rate: RATE,
+        seed: options.seed,
+    };
+    let loads = Loads::start(&cluster, &keys, &plan)?;
+    observe_for(&mut cluster, WARM_UP)?;
+    for fault in faults {
+        if interrupt.has_come() {
+            return Ok(false);
+        }
+        println!("injecting {fault:?}");
+        inject(&mut cluster, fault, &mut rng)?;
+    }
+    for summary in loads.finish()? {
+        println!("{summary}");
+    }
+    let (report, clean) = audit(&cluster)?;
+    print!("{report}");
+    Ok(clean)
+}
--- a/crates/vanillafold-standin/src/rig/cluster.rs
+++ b/crates/vanillafold-standin/src/rig/cluster.rs
@@ -48,7 +48,7 @@
     programs: PathBuf,
     platform: Option<Child>,
     network: Option<Network>,
-    runners: Vec<Child>,
+    runners: Vec<RunningRunner>,
     daemons: Vec<RunningDaemon>,
     trace: TraceWriter,
     vm_count: usize,
@@ -60,6 +60,12 @@
     child: Option<Child>,
 }
 
+#[derive(Debug)]
+struct RunningRunner {
+    child: Child,
+    control: SocketAddr,
+}
+
 /// The relays in front of some addresses.
 #[derive(Debug)]
 struct Network {
@@ -321,13 +327,20 @@
         }
     }
 
-    /// Sets the mode of the VM's runner.
+    /// Sets the mode of a runner process, for all its VMs.
     ///
     /// # Errors
     ///
     /// [`RigError`].
-    pub fn set_runner_mode(&self, vm: SocketAddr, mode: &str) -> Result<(), RigError> {
-        self.call(Method::POST, vm, "/control/mode", &format!("mode={mode}"))
+    pub fn set_runner_mode(&self, runner: &RunnerPlace, mode: &str) -> Result<(), RigError> {
+        let control = self
+            .runners
+            .iter()
+            .find(|running| running.child.name() == runner.name)
+            .map(|running| running.control)
+            .ok_or_else(|| refused(&runner.name, "it does not run"))?;
+        let body = format!("mode={mode}");
+        self.call(Method::POST, control, "/control/mode", &body)
             .map(drop)
     }
 
@@ -514,7 +527,7 @@
             let control = ready_address(&mut child, "control")?;
             lines.push_str(&self.vm_lines(&place, control));
             self.vm_count += place.vms.len();
-            self.runners.push(child);
+            self.runners.push(RunningRunner { child, control });
         }
         let platform = self.layout.platform;
         self.call(Method::POST, platform, "/control/vms", &lines)
--- a/crates/vanillafold-standin/src/rig/mod.rs
+++ b/crates/vanillafold-standin/src/rig/mod.rs
@@ -4,14 +4,18 @@
 mod child;
 mod cluster;
 mod error;
+mod faults;
 mod interrupt;
 mod layout;
+mod loads;
 mod observer;
 
 pub use catalogue::{DEMO_CATALOGUE, DEMO_OPERATOR, DEMO_TEAMS};
 pub use child::{Child, Signal};
 pub use cluster::{Cluster, KeyText};
 pub use error::RigError;
+pub use faults::{FAULTS, Fault, inject, observe_for, shuffled};
 pub use interrupt::Interrupt;
 pub use layout::{DaemonPlace, Layout, RunnerPlace, Zone};
+pub use loads::{Latency, LoadPlan, LoadSummary, Loads, OutcomeCount, audit};
 pub use observer::{DaemonView, Observer};
