Run a non-idempotent request only under a claim that two of three owners grant

Cause: a caller's repeat through another daemon, after its answer was cut, ran a second time: no daemon knew of the other's send. Ruled out: a log record for each request (several hundred appends a second), a single owner (one death stops its ids). See docs/design/0007-claims.md. Change: write-once claims at three owners in three zones by rendezvous hashing, released when nothing ran; result codes 406 and 407. Known gap: a restarted owner counts itself as sure; the roster will tell it.

--- /dev/null
+++ b/crates/vanillafold-state/src/claim/mod.rs
@@ -0,0 +1,12 @@
+//! Which daemon may run a non-idempotent request: write-once claims, kept by a few owners.
+//!
+//! A request's id is claimed at the owners that rendezvous hashing names; a majority of them must
+//! grant it before anything is sent. The design note is `docs/design/0007-claims.md`.
+
+mod id;
+mod owners;
+mod table;
+
+pub use id::{ClaimId, ClaimToken};
+pub use owners::{OWNERS, QUORUM, owners};
+pub use table::{ClaimAnswer, ClaimTable, MAX_CLAIMS};
--- a/crates/vanillafold-types/src/code/result_code.rs
+++ b/crates/vanillafold-types/src/code/result_code.rs
@@ -83,8 +83,6 @@
     MalformedBody = 111, 400, NotRun, "malformed_body", "the body's chunks are not valid; send well-formed chunks";
     /// The body stopped arriving before any work was started.
     SlowBody = 112, 408, NotRun, "slow_body", "the body did not arrive in time; send it without pauses";
-    /// The request id is being served here already.
-    DuplicateRequest = 113, 409, NotRun, "duplicate_request", "a non-idempotent request with this id was accepted before; ask about that one, or use a new id";
 
     /// No key came with a request to a queue that needs one.
     NoKey = 200, 401, NotRun, "no_key", "the queue needs a key; send Authorization: Bearer KEY";
@@ -117,6 +115,11 @@
     /// The caller's body broke off after some of it was sent on.
     BodyBrokeOff = 405, 400, MayHaveRun, "body_broke_off", "the body broke off after a part was sent on; the work may have run";
 
+    /// A non-idempotent request with this id was accepted before.
+    DuplicateRequest = 406, 409, MayHaveRun, "duplicate_request", "a non-idempotent request with this id was accepted before and may have run; ask for its effect, or use a new id for new work";
+    /// Too few of the daemons that keep the id's claim could be reached.
+    ClaimUnavailable = 407, 503, NotRun, "claim_unavailable", "too few daemons that must agree on this request id can be reached; try again, or leave Vf-Request-Id out";
+
     /// The daemon has no configuration yet.
     NotReady = 500, 503, NotRun, "not_ready", "the daemon has no configuration yet; use another daemon";
     /// The daemon is stopping.
--- a/crates/vanillafold/src/caller/request.rs
+++ b/crates/vanillafold/src/caller/request.rs
@@ -24,6 +24,8 @@
 pub(crate) struct CallerRequest {
     /// Its id, the caller's or ours.
     pub(crate) id: RequestId,
+    /// Whether its caller chose the id and so may repeat it.
+    pub(crate) has_own_id: bool,
     /// The queue that it goes to.
     pub(crate) queue: Rc<QueueRuntime>,
     /// The team whose key came with it; none on an open queue.
@@ -112,6 +114,7 @@
         let key = bearer(&head.headers)?;
         let team = node.authorize(&queue, key)?;
         Ok(Self {
+            has_own_id: head.headers.contains_key(REQUEST_ID),
             id,
             path: path.to_owned(),
             queue,
@@ -131,6 +134,11 @@
             .map(|_| ())
     }
 
+    /// Whether another daemon may be running it already: it must be claimed first.
+    pub(crate) const fn needs_claim(&self) -> bool {
+        !self.idempotent && self.has_own_id
+    }
+
     /// The time left until the deadline.
     pub(crate) fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- /dev/null
+++ b/crates/vanillafold/src/claim/mod.rs
@@ -0,0 +1,8 @@
+//! At most once: a non-idempotent request with its caller's id is sent only under a claim that a
+//! majority of the id's owners has granted.
+
+mod claimer;
+mod message;
+
+pub(crate) use claimer::{ClaimGuard, NoClaim, acquire, answer};
+pub(crate) use message::{decode, encode};
--- a/crates/vanillafold/src/dispatch/dispatcher.rs
+++ b/crates/vanillafold/src/dispatch/dispatcher.rs
@@ -19,6 +19,7 @@
 use super::linger::linger;
 use super::permit::{NoPermit, Permit, acquire};
 use crate::caller::{CallerRequest, PreparedBody, answer_headers};
+use crate::claim::{self, ClaimGuard, NoClaim};
 use crate::node::{ConnectError, Node, Slot, TargetConnection, TeamUnit};
 
 /// How long a target that stopped taking a body may take to say why.
@@ -53,6 +54,7 @@
     attempts: RequestAttempts,
     failed_at: Vec<VmId>,
     first_sent: bool,
+    claim: Option<ClaimGuard>,
 }
 
 /// A send that is under way.
@@ -93,6 +95,7 @@
             attempts: RequestAttempts::new(terms),
             failed_at: Vec::new(),
             first_sent: false,
+            claim: None,
         }
     }
 
@@ -102,6 +105,13 @@
         reader: &mut HttpReader,
         writer: &mut HttpWriter,
     ) -> Delivered {
+        if self.request.needs_claim() {
+            match claim::acquire(self.node, self.request).await {
+                Ok(claim) => self.claim = Some(claim),
+                Err(NoClaim::Taken) => return self.refused(ResultCode::DuplicateRequest),
+                Err(NoClaim::Unavailable) => return self.refused(ResultCode::ClaimUnavailable),
+            }
+        }
         loop {
             let permit = acquire(self.node, self.request, &mut self.failed_at, reader).await;
             let attempt = match permit {
@@ -164,6 +174,11 @@
         if !slot.takes_work() {
             return self.not_sent(slot, AttemptFailure::NotRun(NotRunReason::Leaving));
         }
+        // A daemon that was frozen in the meantime must not send what its caller has given up.
+        if self.request.remaining().is_zero() {
+            let code = self.attempts.refusal(ResultCode::DeadlineBeforeStart);
+            return Attempt::Over(self.refused(code));
+        }
         // The key may have been withdrawn while the request waited.
         if let Err(code) = self.request.reauthorize(self.node) {
             return Attempt::Over(self.refused(self.attempts.refusal(code)));
@@ -172,6 +187,9 @@
             let now = self.node.now();
             self.request.queue.budget.borrow_mut().first_sent(now);
         }
+        if let Some(claim) = &self.claim {
+            claim.note_sent();
+        }
         self.node.counters.sends.increment(1);
         let flight = Flight {
             connection,
@@ -453,6 +471,11 @@
         if self.body.is_replayable() {
             self.request.queue.pool.keep(connection);
         }
+        // A non-idempotent request is sent again only if no earlier send may have run, so that
+        // this word of the target's is about all of them.
+        if let Some(claim) = &self.claim {
+            claim.note_not_run();
+        }
         slot.finish(self.node.now(), Finish::NotRun { reason, load });
         Attempt::Failed(AttemptFailure::NotRun(reason))
     }
--- a/crates/vanillafold/src/lib.rs
+++ b/crates/vanillafold/src/lib.rs
@@ -25,6 +25,7 @@
 
 mod admin;
 mod caller;
+mod claim;
 mod counter;
 mod dispatch;
 mod follow;
--- a/crates/vanillafold/src/node/shared.rs
+++ b/crates/vanillafold/src/node/shared.rs
@@ -7,9 +7,11 @@
 use http::header::HeaderValue;
 use monoio::time::Instant;
 use vanillafold_policy::{DaemonMember, MonotonicMillis, SplitMix};
-use vanillafold_state::{KeyRefusal, State, Stream};
+use vanillafold_state::{ClaimTable, KeyRefusal, State, Stream};
 use vanillafold_types::{DaemonId, Incarnation, Millis, RequestId, ResultCode, TeamId};
 
+use vanillafold_wire::{BootClock, PeerHandle};
+
 use super::in_flight::{InFlight, InFlightGuard};
 use super::routes::{Fleet, Routes};
 use super::{QueueRuntime, TeamRuntime};
@@ -39,6 +41,10 @@
     pub(crate) loads: RefCell<LoadBook>,
     /// Peers that have come back and must be told everything.
     pub(crate) reconnected: RefCell<Vec<DaemonId>>,
+    /// The claims that this daemon keeps as an owner.
+    pub(crate) claims: RefCell<ClaimTable>,
+    /// The way to the other daemons, once it is open.
+    pub(crate) peers: RefCell<Option<PeerHandle>>,
     /// Caller connections open now.
     pub(crate) open_connections: Cell<u32>,
     /// Random numbers for sampling and jitter.
@@ -54,6 +60,7 @@
     control_read: Cell<bool>,
     started: Instant,
     request_number: Cell<u64>,
+    claim_number: Cell<u64>,
 }
 
 impl Node {
@@ -64,6 +71,11 @@
         let incarnation = u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX);
         let daemon_header = HeaderValue::from_str(settings.name.as_str())
             .unwrap_or_else(|_| HeaderValue::from_static("unknown"));
+        let started_ms = BootClock::now().get();
+        let window_ms = settings.timeouts.claim_window_ms;
+        let mut claims = ClaimTable::new(window_ms, started_ms + window_ms.get());
+        // An earlier incarnation is not known of yet: the roster of the control stream will tell.
+        claims.set_complete();
         Rc::new(Self {
             fleet: fleet(&settings),
             settings,
@@ -75,6 +87,8 @@
             inventory: RefCell::default(),
             loads: RefCell::default(),
             reconnected: RefCell::default(),
+            claims: RefCell::new(claims),
+            peers: RefCell::default(),
             open_connections: Cell::new(0),
             rng: RefCell::new(SplitMix::new(incarnation)),
             daemon_header,
@@ -84,6 +98,7 @@
             control_read: Cell::new(false),
             started: Instant::now(),
             request_number: Cell::new(0),
+            claim_number: Cell::new(0),
         })
     }
 
@@ -106,6 +121,23 @@
         }
     }
 
+    /// A number for a claim, never used twice by this incarnation.
+    pub(crate) fn next_claim(&self) -> u64 {
+        let number = self.claim_number.get() + 1;
+        self.claim_number.set(number);
+        number
+    }
+
+    /// Milliseconds since the machine started, suspensions counted.
+    pub(crate) fn boot_ms(&self) -> u64 {
+        BootClock::now().get()
+    }
+
+    /// Every daemon of the fleet, sorted by name.
+    pub(crate) fn fleet(&self) -> &[DaemonMember] {
+        &self.fleet.daemons
+    }
+
     /// Counts a request until the guard is dropped.
     pub(crate) fn in_flight(&self) -> InFlightGuard {
         self.requests.enter()
--- a/crates/vanillafold/src/peer/handler.rs
+++ b/crates/vanillafold/src/peer/handler.rs
@@ -11,6 +11,7 @@
 };
 
 use super::load_book::VmLoad;
+use crate::claim;
 use crate::node::Node;
 
 /// The daemon as its peers see it.
@@ -64,8 +65,18 @@
         }
     }
 
-    fn on_request(&self, _from: &DaemonId, _request: PeerRequest) -> PeerResponse {
-        PeerResponse::Unavailable(UnavailableReason::Unsupported)
+    fn on_request(&self, _from: &DaemonId, request: PeerRequest) -> PeerResponse {
+        let unsupported = PeerResponse::Unavailable(UnavailableReason::Unsupported);
+        match request {
+            PeerRequest::Custom(bytes) => match claim::decode(&bytes) {
+                Some(request) => {
+                    let response = claim::answer(&self.node, request);
+                    PeerResponse::Custom(claim::encode(&response))
+                }
+                None => unsupported,
+            },
+            _ => unsupported,
+        }
     }
 
     fn on_status(&self, peer: &DaemonId, status: PeerStatus) {
--- a/crates/vanillafold/src/settings/daemon.rs
+++ b/crates/vanillafold/src/settings/daemon.rs
@@ -58,6 +58,8 @@
     pub notice_ms: Millis,
     /// For accepted requests to end when the daemon stops.
     pub stop_ms: Millis,
+    /// How long an owner remembers the id of a non-idempotent request.
+    pub claim_window_ms: Millis,
     /// How long a target connection proves itself alive after an answer.
     pub proof_ms: Millis,
 }
@@ -266,6 +268,7 @@
         linger_ms: milliseconds(&mut reader, "linger_timeout_ms", 60_000),
         notice_ms: milliseconds(&mut reader, "stop_notice_ms", 2_000),
         stop_ms: milliseconds(&mut reader, "stop_timeout_ms", 60_000),
+        claim_window_ms: milliseconds(&mut reader, "claim_window_ms", 900_000),
         proof_ms: milliseconds(&mut reader, "connection_proof_ms", 2_000),
     };
     reader.finish();
--- a/crates/vanillafold/src/supervisor/daemon.rs
+++ b/crates/vanillafold/src/supervisor/daemon.rs
@@ -96,6 +96,7 @@
     ));
 
     let peers = start_peers(&node)?;
+    *node.peers.borrow_mut() = Some(peers.handle());
 
     for stream in [Stream::Catalogue, Stream::Control] {
         let (node_, platform) = (Rc::clone(&node), Rc::clone(&platform));
