--- a/crates/vanillafold-standin/src/audit/points/not_run_true.rs
+++ b/crates/vanillafold-standin/src/audit/points/not_run_true.rs
@@ -16,17 +16,17 @@
         let refused = received
             .filter(|row| row.outcome == ReceivedOutcome::NotRun)
             .count();
-        refusals += refused as u64;
         let ran = !recording.starts_of(request).is_empty();
+        refusals += refused as u64;
         match refused {
             0 => {}
             _ if !ran => {}
             // Another send of the same id, not refused, may be the one that ran.
-            _ if refused < recording.sent_of(request).len() => ambiguous += 1,
+            _ if refused < recording.sent_of(request).len() => ambiguous += refused as u64,
             _ => finding.offence(RAN, recording.request_text(request)),
         }
     }
     finding.seen("refusals", refusals);
     finding.seen("ambiguous", ambiguous);
-    finding.judge(refusals)
+    finding.judge(refusals - ambiguous)
 }
--- a/crates/vanillafold-standin/tests/audit.rs
+++ b/crates/vanillafold-standin/tests/audit.rs
@@ -615,6 +615,55 @@
     assert_eq!(report.to_string(), expected);
 }
 
+#[test]
+fn cases_that_prove_nothing_are_no_observation() {
+    let repeated = call("x1", "ka:a");
+    let mut events = repeated.refused(1_050, 113);
+    events.extend(repeated.answered(1_000, "v1"));
+    let stopped = call("x2", "ka:a");
+    events.extend(stopped.answered(2_000, "v1"));
+    change_received(&mut events, "x2", |received| {
+        received.outcome = ReceivedOutcome::Cut;
+    });
+    events.push(TraceEvent::Stopping(process(2_010, "d2")));
+    events.push(TraceEvent::Killed(process(2_012, "d2")));
+
+    let report = audit("no-observation", &events);
+
+    for point in [Point::NotRunTrue, Point::GracefulStop] {
+        let mut findings = report.findings.iter();
+        let finding = findings.find(|finding| finding.point == point).unwrap();
+        assert_eq!(finding.to_string(), format!("NOT OBSERVED {point}"));
+    }
+}
+
+#[test]
+fn a_report_in_json_names_the_same() {
+    let mut events = clean_run();
+    drop_received(&mut events, "r01");
+
+    let report = serde_json::to_value(audit("json", &events)).unwrap();
+
+    let findings = report["findings"].as_array().unwrap();
+    let finding = findings.iter().find(|it| it["point"] == "whole-answer");
+    let expected = serde_json::json!({
+        "point": "whole-answer",
+        "verdict": "FAIL",
+        "counts": [
+            {"name": "sent", "value": 12},
+            {"name": "answers", "value": 8},
+            {"name": "lost_by_killed_load", "value": 0},
+            {"name": "not_whole", "value": 0},
+            {"name": "other_request", "value": 0},
+            {"name": "doubled", "value": 0},
+            {"name": "lost", "value": 1},
+        ],
+        "first": [{"name": "lost", "id": "r01"}],
+    });
+    assert_eq!(finding, Some(&expected));
+    assert_eq!(findings[0]["verdict"], "PASS");
+}
+
 #[test]
 fn a_missing_directory_is_an_error() {
     let dir = fresh_dir("missing").join("none");
