--- a/crates/vanillafold-standin/src/audit/points/config_in_force.rs
+++ b/crates/vanillafold-standin/src/audit/points/config_in_force.rs
@@ -12,7 +12,7 @@
     let mut late: NameMap<Vec<u64>> = NameMap::default();
     let mut checked = 0;
     let mut excused = 0;
-    for row in &recording.configs {
+    for row in &recording.rows.configs {
         match due.offset_at(row.at_us) {
             None => {}
             Some(_) if is_cut_off(recording, row, settle) => excused += 1,
@@ -28,13 +28,14 @@
             }
         }
     }
-    let last_us = recording.configs.last().map_or(0, |row| row.at_us);
+    let last_us = recording.rows.configs.last().map_or(0, |row| row.at_us);
     let unchecked = recording
+        .rows
         .published
         .iter()
         .filter(|row| settle.end_us(row.at_us) >= last_us)
         .count();
-    finding.seen("published", recording.published.len() as u64);
+    finding.seen("published", recording.rows.published.len() as u64);
     finding.seen("unchecked", unchecked as u64);
     finding.seen("shown", checked);
     finding.seen("excused", excused);
@@ -50,7 +51,7 @@
 impl Due {
     fn of(recording: &Recording, settle: SettleTime) -> Self {
         let mut newest = 0;
-        let steps = recording.published.iter().map(|row| {
+        let steps = recording.rows.published.iter().map(|row| {
             newest = newest.max(row.offset);
             PublishedRow {
                 at_us: settle.end_us(row.at_us),
@@ -70,7 +71,7 @@
 
 /// Whether the daemon was isolated, or rejoined less than the settle time ago.
 fn is_cut_off(recording: &Recording, row: &ConfigRow, settle: SettleTime) -> bool {
-    let changes = recording.processes.iter();
+    let changes = recording.rows.processes.iter();
     let last = changes
         .take_while(|change| change.at_us <= row.at_us)
         .filter(|change| change.process == row.process)
--- a/crates/vanillafold-standin/src/audit/points/config_monotonic.rs
+++ b/crates/vanillafold-standin/src/audit/points/config_monotonic.rs
@@ -17,7 +17,7 @@
     let mut finding = FindingBuilder::new(Point::ConfigMonotonic, &[WENT_BACK]);
     let mut daemons: NameMap<Option<Shown>> = NameMap::default();
     let mut compared = 0;
-    for row in &recording.configs {
+    for row in &recording.rows.configs {
         let shown = daemons.entry(row.process);
         let before = shown.replace(Shown {
             at_us: row.at_us,
@@ -33,7 +33,7 @@
         }
     }
     finding.seen("daemons", daemons.len() as u64);
-    finding.seen("shown", recording.configs.len() as u64);
+    finding.seen("shown", recording.rows.configs.len() as u64);
     finding.judge(compared)
 }
 
--- a/crates/vanillafold-standin/src/audit/points/graceful_stop.rs
+++ b/crates/vanillafold-standin/src/audit/points/graceful_stop.rs
@@ -35,7 +35,7 @@
 }
 
 fn stops(recording: &Recording) -> Vec<ProcessRow> {
-    let rows = recording.processes.iter().copied();
+    let rows = recording.rows.processes.iter().copied();
     rows.filter(|row| row.state == ProcessState::Stopping)
         .collect()
 }
@@ -76,11 +76,16 @@
 
 impl Faults {
     fn of(recording: &Recording) -> Self {
-        let kills = recording.processes.iter();
+        let kills = recording.rows.processes.iter();
         let kills = kills.filter(|row| row.state == ProcessState::Killed);
-        let failures = recording.vms.iter();
+        let failures = recording.rows.vms.iter();
         let failures = failures.filter(|row| row.state == VmState::DownFailed);
-        let mut runners: Vec<Name> = recording.starts.iter().map(|row| row.process).collect();
+        let mut runners: Vec<Name> = recording
+            .rows
+            .starts
+            .iter()
+            .map(|row| row.process)
+            .collect();
         runners.sort();
         runners.dedup();
         Self {
--- a/crates/vanillafold-standin/src/audit/points/leaving.rs
+++ b/crates/vanillafold-standin/src/audit/points/leaving.rs
@@ -11,7 +11,7 @@
     let drains = Drains::of(recording);
     let mut leaving_vms: Vec<Name> = drains.vms().collect();
     let mut starts = 0;
-    for start in &recording.starts {
+    for start in &recording.rows.starts {
         let Some(since_us) = drains.leaving_since(start) else {
             continue;
         };
@@ -39,7 +39,7 @@
 impl Drains {
     fn of(recording: &Recording) -> Self {
         let mut drains = Self::default();
-        for row in &recording.vms {
+        for row in &recording.rows.vms {
             drains.states.entry(row.vm).push(row.at_us, *row);
         }
         drains
--- a/crates/vanillafold-standin/src/audit/points/one_pool.rs
+++ b/crates/vanillafold-standin/src/audit/points/one_pool.rs
@@ -9,7 +9,7 @@
 
 pub(super) fn judge(recording: &Recording) -> Finding {
     let mut finding = FindingBuilder::new(Point::OnePool, &[IN_SEVERAL, IN_NONE]);
-    let mut rows: Vec<_> = recording.views.iter().collect();
+    let mut rows: Vec<_> = recording.rows.views.iter().collect();
     rows.sort();
     rows.dedup();
     let views = rows.chunk_by(|a, b| (a.process, a.at_us) == (b.process, b.at_us));
--- a/crates/vanillafold-standin/src/audit/points/team_key.rs
+++ b/crates/vanillafold-standin/src/audit/points/team_key.rs
@@ -24,7 +24,7 @@
     let load_killed = load_was_killed(recording);
     let mut on_open_queues = 0;
     let mut unsent_by_killed_load = 0;
-    for start in &recording.starts {
+    for start in &recording.rows.starts {
         match rules.right(recording, start) {
             Right::Key => {}
             Right::OpenQueue => on_open_queues += 1,
@@ -32,11 +32,11 @@
             Right::Breach(kind) => finding.offence(kind, recording.request_text(start.request)),
         }
     }
-    finding.seen("starts", recording.starts.len() as u64);
+    finding.seen("starts", recording.rows.starts.len() as u64);
     finding.seen("on_open_queues", on_open_queues);
     finding.seen("withdrawn_keys", rules.withdrawn.len() as u64);
     finding.seen("unsent_by_killed_load", unsent_by_killed_load);
-    finding.judge(recording.starts.len() as u64 - unsent_by_killed_load)
+    finding.judge(recording.rows.starts.len() as u64 - unsent_by_killed_load)
 }
 
 /// When keys were withdrawn and queues opened: the first time counts.
@@ -54,10 +54,10 @@
             withdrawn: NameMap::default(),
             opened: NameMap::default(),
         };
-        for row in &recording.withdrawals {
+        for row in &recording.rows.withdrawals {
             rules.withdrawn.entry(row.name).get_or_insert(row.at_us);
         }
-        for row in &recording.open_queues {
+        for row in &recording.rows.open_queues {
             rules.opened.entry(row.name).get_or_insert(row.at_us);
         }
         rules
@@ -102,7 +102,12 @@
 
 /// A killed load may have lost the line of a send.
 fn load_was_killed(recording: &Recording) -> bool {
-    let mut loads: Vec<Name> = recording.sent.iter().map(|sent| sent.process).collect();
+    let mut loads: Vec<Name> = recording
+        .rows
+        .sent
+        .iter()
+        .map(|sent| sent.process)
+        .collect();
     loads.sort();
     loads.dedup();
     let killed = ProcessState::Killed;
--- a/crates/vanillafold-standin/src/audit/points/team_limit.rs
+++ b/crates/vanillafold-standin/src/audit/points/team_limit.rs
@@ -70,7 +70,7 @@
 
 fn limits(recording: &Recording) -> NameMap<Timeline<u32>> {
     let mut limits: NameMap<Timeline<u32>> = NameMap::default();
-    for row in &recording.limits {
+    for row in &recording.rows.limits {
         limits.entry(row.team).push(row.at_us, row.limit);
     }
     limits
@@ -92,7 +92,7 @@
 }
 
 fn changes(recording: &Recording) -> Vec<Change> {
-    let mut changes = Vec::with_capacity(2 * recording.starts.len());
+    let mut changes = Vec::with_capacity(2 * recording.rows.starts.len());
     for work in works(recording) {
         let Some(team) = work.team else { continue };
         let change = |at_us, kind| Change {
--- a/crates/vanillafold-standin/src/audit/points/whole_answer.rs
+++ b/crates/vanillafold-standin/src/audit/points/whole_answer.rs
@@ -30,7 +30,7 @@
             _ => finding.offence(LOST, id),
         }
     }
-    finding.seen("sent", recording.sent.len() as u64);
+    finding.seen("sent", recording.rows.sent.len() as u64);
     finding.seen("answers", answers);
     finding.seen("lost_by_killed_load", lost_by_killed_load);
     finding.judge(answers)
--- a/crates/vanillafold-standin/src/audit/recording/mod.rs
+++ b/crates/vanillafold-standin/src/audit/recording/mod.rs
@@ -7,6 +7,7 @@
 mod pool_state;
 mod requests;
 mod rows;
+mod run;
 mod timeline;
 mod work;
 
@@ -16,8 +17,9 @@
 pub(crate) use pool_state::{PoolChange, PoolState, pool_changes};
 pub(crate) use requests::Request;
 pub(crate) use rows::{
-    ConfigRow, ProcessRow, ProcessState, PublishedRow, ReceivedRow, Recording, SentRow, StartRow,
-    VmRow, VmState,
+    ConfigRow, ProcessRow, ProcessState, PublishedRow, ReceivedRow, SentRow, StartRow, VmRow,
+    VmState,
 };
+pub(crate) use run::Recording;
 pub(crate) use timeline::Timeline;
 pub(crate) use work::works;
--- a/crates/vanillafold-standin/src/audit/recording/pool_state.rs
+++ b/crates/vanillafold-standin/src/audit/recording/pool_state.rs
@@ -30,8 +30,13 @@
 
 /// All changes of pools, in the order of time; at one time sizes come first.
 pub(crate) fn pool_changes(recording: &Recording) -> Vec<PoolChange> {
-    let sizes = recording.pool_sizes.iter().copied().map(PoolChange::Size);
-    let vms = recording.vms.iter().copied().map(PoolChange::Vm);
+    let sizes = recording
+        .rows
+        .pool_sizes
+        .iter()
+        .copied()
+        .map(PoolChange::Size);
+    let vms = recording.rows.vms.iter().copied().map(PoolChange::Vm);
     let mut changes: Vec<PoolChange> = sizes.chain(vms).collect();
     changes.sort_by_key(PoolChange::at_us);
     changes
--- a/crates/vanillafold-standin/src/audit/recording/rows.rs
+++ b/crates/vanillafold-standin/src/audit/recording/rows.rs
@@ -2,8 +2,7 @@
 
 use crate::trace::ReceivedOutcome;
 
-use super::names::Names;
-use super::requests::{Ranks, Requests};
+use super::requests::Ranks;
 use super::{Name, Request};
 
 /// A request was sent.
@@ -181,16 +180,10 @@
     }
 }
 
-/// All rows of a run. Those of requests are sorted by request, then time; all others by time.
-#[derive(Debug)]
-pub(crate) struct Recording {
-    pub(crate) files: u64,
-    pub(crate) events: u64,
-    pub(crate) torn_lines: u64,
-    /// The time of the last event.
-    pub(crate) last_us: u64,
-    pub(crate) names: Names,
-    pub(crate) requests: Requests,
+/// All rows of a run. In a [`Recording`], those of requests are sorted by request, then time, and
+/// all others by time.
+#[derive(Debug, Default)]
+pub(crate) struct Rows {
     pub(crate) sent: Vec<SentRow>,
     pub(crate) received: Vec<ReceivedRow>,
     pub(crate) starts: Vec<StartRow>,
@@ -206,48 +199,32 @@
     pub(crate) published: Vec<PublishedRow>,
 }
 
-impl Recording {
-    pub(crate) fn sent_of(&self, request: Request) -> &[SentRow] {
-        rows_of(&self.sent, request)
-    }
-
-    pub(crate) fn received_of(&self, request: Request) -> &[ReceivedRow] {
-        rows_of(&self.received, request)
-    }
-
-    pub(crate) fn starts_of(&self, request: Request) -> &[StartRow] {
-        rows_of(&self.starts, request)
-    }
-
-    pub(crate) fn ends_of(&self, request: Request) -> &[EndRow] {
-        rows_of(&self.ends, request)
-    }
-
-    pub(crate) fn request_text(&self, request: Request) -> &str {
-        self.requests.text(request)
-    }
-
-    pub(crate) fn name_text(&self, name: Name) -> &str {
-        self.names.text(name)
+impl Rows {
+    /// Puts ranks in the place of mentions, and sorts.
+    pub(crate) fn sort(&mut self, ranks: &Ranks) {
+        rank_and_sort(&mut self.sent, ranks);
+        rank_and_sort(&mut self.received, ranks);
+        rank_and_sort(&mut self.starts, ranks);
+        rank_and_sort(&mut self.ends, ranks);
+        self.limits.sort_by_key(|row| row.at_us);
+        self.withdrawals.sort_by_key(|row| row.at_us);
+        self.open_queues.sort_by_key(|row| row.at_us);
+        self.pool_sizes.sort_by_key(|row| row.at_us);
+        self.vms.sort_by_key(|row| row.at_us);
+        self.views.sort_by_key(|row| row.at_us);
+        self.processes.sort_by_key(|row| row.at_us);
+        self.configs.sort_by_key(|row| row.at_us);
+        self.published.sort_by_key(|row| row.at_us);
     }
+}
 
-    /// Whether a process was put into a state within a time, both ends included.
-    pub(crate) fn process_changed(
-        &self,
-        process: Name,
-        state: ProcessState,
-        from_us: u64,
-        to_us: u64,
-    ) -> bool {
-        let begin = self.processes.partition_point(|row| row.at_us < from_us);
-        self.processes[begin..]
-            .iter()
-            .take_while(|row| row.at_us <= to_us)
-            .any(|row| row.process == process && row.state == state)
-    }
+fn rank_and_sort<R: RequestRow>(rows: &mut [R], ranks: &Ranks) {
+    rows.iter_mut().for_each(|row| row.rank(ranks));
+    rows.sort_by_key(|row| (row.request(), row.at_us()));
 }
 
-fn rows_of<R: RequestRow>(rows: &[R], request: Request) -> &[R] {
+/// Rows of one request.
+pub(crate) fn rows_of<R: RequestRow>(rows: &[R], request: Request) -> &[R] {
     let begin = rows.partition_point(|row| row.request() < request);
     let count = rows[begin..].partition_point(|row| row.request() == request);
     &rows[begin..begin + count]
--- a/crates/vanillafold-standin/src/audit/recording/work.rs
+++ b/crates/vanillafold-standin/src/audit/recording/work.rs
@@ -19,8 +19,12 @@
 /// Work without an `end` lasts until its runner was killed, or its VM failed or came up again.
 pub(crate) fn works(recording: &Recording) -> Vec<Work> {
     let losses = Losses::of(recording);
-    let mut works = Vec::with_capacity(recording.starts.len());
-    for starts in recording.starts.chunk_by(|a, b| a.request == b.request) {
+    let mut works = Vec::with_capacity(recording.rows.starts.len());
+    for starts in recording
+        .rows
+        .starts
+        .chunk_by(|a, b| a.request == b.request)
+    {
         let mut ends: Vec<&EndRow> = recording.ends_of(starts[0].request).iter().collect();
         for start in starts {
             let end_us = take_end(&mut ends, start).unwrap_or_else(|| losses.first_after(start));
@@ -59,13 +63,13 @@
 impl Losses {
     fn of(recording: &Recording) -> Self {
         // A drained VM goes on with its work: only its return shows that the work is over.
-        let vms = recording.vms.iter();
+        let vms = recording.rows.vms.iter();
         let vms = vms.filter(|row| row.state != VmState::DownPlanned);
         let vms = vms.map(|row| Loss {
             name: row.vm,
             at_us: row.at_us,
         });
-        let processes = recording.processes.iter();
+        let processes = recording.rows.processes.iter();
         let processes = processes
             .filter(|row| matches!(row.state, ProcessState::Killed | ProcessState::Started));
         let processes = processes.map(|row| Loss {
--- a/crates/vanillafold-standin/src/audit/report.rs
+++ b/crates/vanillafold-standin/src/audit/report.rs
@@ -11,7 +11,7 @@
 use super::{Finding, SettleTime, Summary, Verdict, points};
 
 /// How much was read.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
 pub struct TraceSize {
     /// Files.
     pub files: u64,
@@ -72,11 +72,7 @@
 pub fn audit_dir(dir: &Path, settle: SettleTime) -> Result<Report, TraceError> {
     let recording = Recording::load(dir)?;
     Ok(Report {
-        trace: TraceSize {
-            files: recording.files,
-            events: recording.events,
-            torn_lines: recording.torn_lines,
-        },
+        trace: recording.size,
         findings: points::judge(&recording, settle),
         summary: Summary::of(&recording, settle),
     })
--- a/crates/vanillafold-standin/src/audit/summary/run.rs
+++ b/crates/vanillafold-standin/src/audit/summary/run.rs
@@ -54,7 +54,7 @@
 impl Summary {
     pub(crate) fn of(recording: &Recording, settle: SettleTime) -> Self {
         Self {
-            sent: recording.sent.len() as u64,
+            sent: recording.rows.sent.len() as u64,
             answers: count(recording, ReceivedOutcome::Answer),
             not_run: codes(recording, ReceivedOutcome::NotRun),
             may_have_run: codes(recording, ReceivedOutcome::MayHaveRun),
@@ -68,12 +68,12 @@
 }
 
 fn count(recording: &Recording, outcome: ReceivedOutcome) -> u64 {
-    let received = recording.received.iter();
+    let received = recording.rows.received.iter();
     received.filter(|row| row.outcome == outcome).count() as u64
 }
 
 fn codes(recording: &Recording, outcome: ReceivedOutcome) -> Vec<CodeCount> {
-    let received = recording.received.iter();
+    let received = recording.rows.received.iter();
     let of_outcome = received.filter(|row| row.outcome == outcome);
     let mut codes: Vec<Option<u16>> = of_outcome.map(|row| row.code).collect();
     codes.sort_unstable();
