--- a/crates/vanillafold-standin/src/trace/event.rs
+++ b/crates/vanillafold-standin/src/trace/event.rs
@@ -38,9 +38,9 @@
     Killed(ProcessChange),
     /// A daemon or runner was started.
     Started(ProcessChange),
-    /// A daemon was cut off from the platform and its peers.
+    /// A daemon was paused, or cut off from the platform and its peers.
     Isolated(ProcessChange),
-    /// The cut around a daemon ended.
+    /// The pause of a daemon, or the cut around it, ended.
     Rejoined(ProcessChange),
     /// The configuration that a daemon shows as in force.
     Config(Config),
@@ -151,7 +151,8 @@
     /// The HTTP status, if there was one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub status: Option<u16>,
-    /// Whether the body is the right one, in full.
+    /// Whether the body is the right one, in full; at another status than 200, whether its framing
+    /// was complete.
     #[serde(default, skip_serializing_if = "is_false")]
     pub whole: bool,
     /// `Vf-Request-Id` of the answer, if there was one.
