--- a/crates/vanillafold-wire/src/peer/link.rs
+++ b/crates/vanillafold-wire/src/peer/link.rs
@@ -13,14 +13,15 @@
 
 /// HTTP/2 flow-control window of a stream, in bytes: one whole message.
 const STREAM_WINDOW_BYTES: u32 = 128 * 1024;
-/// HTTP/2 flow-control window of a connection, in bytes.
-const CONNECTION_WINDOW_BYTES: u32 = 256 * 1024;
+/// HTTP/2 flow-control window of a connection, in bytes: what a peer can make this daemon
+/// hold unread.
+const CONNECTION_WINDOW_BYTES: u32 = 128 * 1024;
 /// Most bytes that wait in the HTTP/2 layer for the socket, for each stream.
 const SEND_BUFFER_BYTES: usize = 32 * 1024;
 /// Most bytes of headers that are taken from a peer.
 const HEADER_LIST_BYTES: u32 = 4 * 1024;
 /// Most streams that a peer may have open.
-pub(crate) const MAX_STREAMS: u32 = 32;
+const MAX_STREAMS: u32 = 32;
 
 /// What the dialler sends on the long stream after the hello.
 #[derive(Debug, Encode, Decode)]
--- a/crates/vanillafold-wire/src/peer/settings.rs
+++ b/crates/vanillafold-wire/src/peer/settings.rs
@@ -186,9 +186,9 @@
             request_timeout: Millis::new(5_000),
             close_timeout: Millis::new(2_000),
             queue_messages: 256,
-            queue_bytes: 1024 * 1024,
+            queue_bytes: 256 * 1024,
             max_withdrawals: 4_096,
-            max_inbound: 512,
+            max_inbound: 160,
         }
     }
 
