Export peer counters by name and the last word from other zones

The daemon exports each refusal reason as a metric, and a zone with no fresh word from outside has to know since when; both needed only what is kept.

--- a/crates/vanillafold-wire/src/lib.rs
+++ b/crates/vanillafold-wire/src/lib.rs
@@ -9,9 +9,9 @@
 
 pub use peer::{
     BootClock, BootMillis, ClusterName, LinkEnd, LinkPace, LoadEntry, LoadReport, LogStream,
-    MAX_CUSTOM_BYTES, MAX_MEMBERS, MAX_MESSAGE_BYTES, MAX_SNAPSHOT_CHUNK_BYTES, PROTOCOL_VERSION,
-    PeerAddress, PeerCounters, PeerError, PeerHandle, PeerHandler, PeerMessage, PeerRequest,
-    PeerResponse, PeerSet, PeerSettings, PeerState, PeerStatistics, PeerStatus, PeerTraffic,
-    RecordBatch, RecordsRequest, RefusalReason, SharedToken, SnapshotChunk, SnapshotRequest,
-    StateSummary, UnavailableReason, Withdrawal,
+    MAX_CUSTOM_BYTES, MAX_MEMBERS, MAX_MESSAGE_BYTES, MAX_SNAPSHOT_CHUNK_BYTES, NamedCounter,
+    PROTOCOL_VERSION, PeerAddress, PeerCounters, PeerError, PeerHandle, PeerHandler, PeerMessage,
+    PeerRequest, PeerResponse, PeerSet, PeerSettings, PeerState, PeerStatistics, PeerStatus,
+    PeerTraffic, RecordBatch, RecordsRequest, RefusalReason, SharedToken, SnapshotChunk,
+    SnapshotRequest, StateSummary, UnavailableReason, Withdrawal,
 };
--- a/crates/vanillafold-wire/src/peer/directory.rs
+++ b/crates/vanillafold-wire/src/peer/directory.rs
@@ -373,6 +373,14 @@
         entries.iter().map(|entry| entry.status(now)).collect()
     }
 
+    pub(crate) fn last_heard_from_other_zones(&self) -> Option<BootMillis> {
+        let entries = self.entries();
+        let elsewhere = entries
+            .iter()
+            .filter(|entry| entry.address.zone != self.settings.zone);
+        elsewhere.filter_map(|entry| entry.last_heard()).max()
+    }
+
     pub(crate) fn statistics(&self) -> PeerStatistics {
         let peers = self.entries().iter().map(traffic_of).collect();
         PeerStatistics {
--- a/crates/vanillafold-wire/src/peer/entry.rs
+++ b/crates/vanillafold-wire/src/peer/entry.rs
@@ -98,6 +98,10 @@
         revived
     }
 
+    pub(crate) fn last_heard(&self) -> Option<BootMillis> {
+        self.last_heard.get()
+    }
+
     pub(crate) fn link_up(&self, requester: SendRequest<Bytes>) {
         *self.requester.borrow_mut() = Some(requester);
         self.outbox.borrow_mut().resend_withdrawals();
--- a/crates/vanillafold-wire/src/peer/mod.rs
+++ b/crates/vanillafold-wire/src/peer/mod.rs
@@ -45,5 +45,5 @@
 };
 pub use set::{PeerHandle, PeerSet};
 pub use settings::{ClusterName, LinkPace, MAX_MEMBERS, PeerAddress, PeerSettings, SharedToken};
-pub use statistics::{PeerCounters, PeerStatistics, PeerTraffic};
+pub use statistics::{NamedCounter, PeerCounters, PeerStatistics, PeerTraffic};
 pub use status::{PeerState, PeerStatus};
--- a/crates/vanillafold-wire/src/peer/set.rs
+++ b/crates/vanillafold-wire/src/peer/set.rs
@@ -6,6 +6,7 @@
 use monoio::time::timeout;
 use vanillafold_types::{DaemonId, KeyId};
 
+use super::clock::BootMillis;
 use super::directory::{Context, Directory};
 use super::error::PeerError;
 use super::handler::PeerHandler;
@@ -131,6 +132,12 @@
         self.directory.statuses()
     }
 
+    /// When a member in another zone was last heard; `None` if never, or if there is none.
+    #[must_use]
+    pub fn last_heard_from_other_zones(&self) -> Option<BootMillis> {
+        self.directory.last_heard_from_other_zones()
+    }
+
     /// Counts and bytes since the set was opened.
     #[must_use]
     pub fn statistics(&self) -> PeerStatistics {
@@ -214,4 +221,11 @@
             .map(|directory| directory.statuses())
             .unwrap_or_default()
     }
+
+    /// As [`PeerSet::last_heard_from_other_zones`]; `None` once the set is closed.
+    #[must_use]
+    pub fn last_heard_from_other_zones(&self) -> Option<BootMillis> {
+        let directory = self.directory().ok()?;
+        directory.last_heard_from_other_zones()
+    }
 }
--- a/crates/vanillafold-wire/src/peer/settings.rs
+++ b/crates/vanillafold-wire/src/peer/settings.rs
@@ -13,6 +13,12 @@
 /// Most members of a cluster.
 pub const MAX_MEMBERS: usize = 256;
 
+/// Longest silence that an accepted connection is granted, whatever its dialler says.
+pub(crate) const MAX_INBOUND_SILENCE: Duration = Duration::from_secs(120);
+
+/// Heartbeats that an accepted connection may miss.
+pub(crate) const INBOUND_MISSED_HEARTBEATS: u32 = 4;
+
 /// Fewest heartbeats that fit in the silence timeout.
 const MIN_HEARTBEATS_IN_TIMEOUT: u64 = 2;
 
@@ -246,9 +252,3 @@
         _ => Ok(()),
     }
 }
-
-/// Longest silence that an accepted connection is granted, whatever its dialler says.
-pub(crate) const MAX_INBOUND_SILENCE: Duration = Duration::from_secs(120);
-
-/// Heartbeats that an accepted connection may miss.
-pub(crate) const INBOUND_MISSED_HEARTBEATS: u32 = 4;
--- a/crates/vanillafold-wire/src/peer/statistics.rs
+++ b/crates/vanillafold-wire/src/peer/statistics.rs
@@ -19,77 +19,102 @@
     pub received_bytes: u64,
 }
 
-/// Counts since the set was opened.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct PeerCounters {
+/// A counter with the name of its field.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NamedCounter {
+    /// The name of the field.
+    pub name: &'static str,
+    /// Its value.
+    pub value: u64,
+}
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $field:ident,)+) => {
+        /// Counts since the set was opened.
+        #[derive(Debug, Clone, Default, PartialEq, Eq)]
+        pub struct PeerCounters {
+            $($(#[$doc])* pub $field: u64,)+
+        }
+
+        impl PeerCounters {
+            /// All counters, for export.
+            #[must_use]
+            pub fn named(&self) -> Vec<NamedCounter> {
+                vec![$(NamedCounter { name: stringify!($field), value: self.$field },)+]
+            }
+        }
+    };
+}
+
+counters! {
     /// Connections dialled whose handshake was completed.
-    pub links_opened: u64,
+    links_opened,
     /// Connections accepted whose handshake was completed.
-    pub sessions_opened: u64,
+    sessions_opened,
     /// Dials that the other side did not take.
-    pub connect_failures: u64,
+    connect_failures,
     /// Dials that were not open in time.
-    pub connect_timeouts: u64,
+    connect_timeouts,
     /// Handshakes not completed in time, on either side.
-    pub handshake_timeouts: u64,
+    handshake_timeouts,
     /// Connections given up because nothing was heard, on either side.
-    pub silent_links: u64,
+    silent_links,
     /// Connections ended by an error of HTTP/2 or the socket.
-    pub http2_failures: u64,
+    http2_failures,
     /// Connections ended in order by the peer.
-    pub closed_by_peer: u64,
+    closed_by_peer,
     /// Accepted connections that a newer one from the same peer replaced.
-    pub replaced_sessions: u64,
+    replaced_sessions,
     /// Frames longer than [`MAX_MESSAGE_BYTES`](crate::MAX_MESSAGE_BYTES).
-    pub oversized_frames: u64,
+    oversized_frames,
     /// Frames that could not be decoded.
-    pub malformed_frames: u64,
+    malformed_frames,
     /// Accepted connections refused for their protocol version.
-    pub refused_version: u64,
+    refused_version,
     /// Accepted connections refused for their cluster name.
-    pub refused_cluster: u64,
+    refused_cluster,
     /// Accepted connections refused for their shared token.
-    pub refused_token: u64,
+    refused_token,
     /// Accepted connections that looked for another daemon.
-    pub refused_wrong_daemon: u64,
+    refused_wrong_daemon,
     /// Accepted connections refused for an older incarnation.
-    pub refused_stale: u64,
+    refused_stale,
     /// Accepted connections refused for an unreadable hello.
-    pub refused_malformed: u64,
+    refused_malformed,
     /// Connections closed at once because too many were open.
-    pub refused_too_many: u64,
+    refused_too_many,
     /// Streams reset because the hello had not been answered, or of an unknown path.
-    pub refused_streams: u64,
+    refused_streams,
     /// Dials that the peer refused, for whatever reason.
-    pub refused_by_peer: u64,
+    refused_by_peer,
     /// Dials answered by an older incarnation than seen before.
-    pub stale_answers: u64,
+    stale_answers,
     /// Messages handed to the handler.
-    pub messages_received: u64,
+    messages_received,
     /// Withdrawals that were new here.
-    pub withdrawals_learnt: u64,
+    withdrawals_learnt,
     /// Withdrawals that were known here.
-    pub withdrawals_repeated: u64,
+    withdrawals_repeated,
     /// Withdrawals not taken in because too many wait for the log.
-    pub withdrawals_refused: u64,
+    withdrawals_refused,
     /// Messages refused because the peer's queue was full.
-    pub queue_refusals: u64,
+    queue_refusals,
     /// State summaries that a newer one replaced before they were sent.
-    pub coalesced_states: u64,
+    coalesced_states,
     /// Load entries that a newer one replaced before they were sent.
-    pub coalesced_load_entries: u64,
+    coalesced_load_entries,
     /// Load entries dropped because too many VMs waited for the peer.
-    pub dropped_load_entries: u64,
+    dropped_load_entries,
     /// Requests sent to peers.
-    pub requests_sent: u64,
+    requests_sent,
     /// Requests that failed or were not answered in time.
-    pub requests_failed: u64,
+    requests_failed,
     /// Requests answered for peers.
-    pub requests_served: u64,
+    requests_served,
     /// Times that this process was away for longer than its tick allows.
-    pub pauses: u64,
+    pauses,
     /// How long it was away the last time, in milliseconds.
-    pub last_pause_ms: u64,
+    last_pause_ms,
 }
 
 /// Counts and bytes at one moment.
--- a/crates/vanillafold-wire/tests/peer.rs
+++ b/crates/vanillafold-wire/tests/peer.rs
@@ -1154,6 +1154,38 @@
     )
 }
 
+#[test]
+fn word_from_other_zones_is_told_from_word_from_the_own() {
+    run(async {
+        let a = Node::named("a");
+        let near = Node::named("b");
+        let mut elsewhere = settings("c");
+        elsewhere.zone = "zone-b".parse().expect("a zone id");
+        let far = Node::start(elsewhere);
+
+        a.know(&[&near]);
+        until("the near link is up", || a.is_connected("b")).await;
+        let before = a.set.last_heard_from_other_zones();
+        a.know(&[&near, &far]);
+        until("the far link is up", || a.is_connected("c")).await;
+
+        assert_eq!(before, None);
+        assert!(a.set.last_heard_from_other_zones().is_some());
+    });
+}
+
+#[test]
+fn counters_are_exported_by_name() {
+    run(async {
+        let (a, _b) = pair().await;
+
+        let named = a.set.statistics().counters.named();
+
+        let opened = named.iter().find(|counter| counter.name == "links_opened");
+        assert_eq!(opened.map(|counter| counter.value), Some(1));
+    });
+}
+
 #[test]
 fn settings_that_contradict_each_other_are_refused() {
     run(async {
