Add the escrow of team limits and the roster, thin

Cause: each daemon used a static share of a team's limit, so a busy daemon couldn't use what idle ones held, and nothing said which start of a daemon counts.

Change: ControlChange::{Join, Fence, Release} are folded into a Roster, and Escrow lends home units between daemons by cumulative counters.

Not run: no test of its own yet.

--- /dev/null
+++ b/crates/vanillafold-state/src/control/domain.rs
@@ -0,0 +1,75 @@
+//! The fold's view of the `control` stream.
+
+use bincode::{Decode, Encode};
+use vanillafold_types::Revision;
+
+use super::{Membership, Memberships};
+use crate::digest::LaneSum;
+use crate::fold::Domain;
+use crate::{ControlChange, RefusalReason, Roster};
+
+/// What the records of the `control` stream change.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
+pub(crate) struct Control {
+    memberships: Memberships,
+    roster: Roster,
+}
+
+impl Control {
+    pub(crate) fn memberships(&self) -> &Memberships {
+        &self.memberships
+    }
+
+    pub(crate) fn roster(&self) -> &Roster {
+        &self.roster
+    }
+}
+
+impl Domain for Control {
+    type Change = ControlChange;
+
+    fn is_counted(change: &ControlChange) -> bool {
+        !matches!(change, ControlChange::Snapshot(_))
+    }
+
+    fn apply(
+        &mut self,
+        change: ControlChange,
+        revision: Revision,
+        sum: &mut LaneSum,
+    ) -> Result<(), RefusalReason> {
+        match change {
+            ControlChange::MoveVm {
+                vm,
+                from,
+                to: pool,
+                replaces,
+            } => {
+                let moved = Membership { vm, pool, revision };
+                self.memberships.move_vm(moved, &from, replaces, sum)
+            }
+            ControlChange::ReturnVm { vm, replaces } => {
+                self.memberships.return_vm(&vm, replaces, sum)
+            }
+            ControlChange::Snapshot(_) => Ok(()),
+            ControlChange::Join {
+                daemon,
+                vm,
+                incarnation,
+            } => self.roster.join(daemon, vm, incarnation, sum),
+            ControlChange::Fence {
+                daemon,
+                incarnation,
+            } => self.roster.fence(&daemon, incarnation, sum),
+            ControlChange::Release {
+                daemon,
+                incarnation,
+            } => self.roster.release(&daemon, incarnation, sum),
+        }
+    }
+
+    fn add_to(&self, sum: &mut LaneSum) {
+        self.memberships.add_to(sum);
+        self.roster.add_to(sum);
+    }
+}
--- a/crates/vanillafold-state/src/control/membership.rs
+++ b/crates/vanillafold-state/src/control/membership.rs
@@ -3,10 +3,9 @@
 use bincode::{Decode, Encode};
 use vanillafold_types::{PoolId, Revision, VmId};
 
+use crate::RefusalReason;
 use crate::digest::{ItemKind, LaneSum};
-use crate::fold::Domain;
 use crate::table::{Keyed, SortedVec};
-use crate::{ControlChange, RefusalReason};
 
 /// The pool of a VM that was moved.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
@@ -34,7 +33,7 @@
         self.moved.iter()
     }
 
-    fn move_vm(
+    pub(super) fn move_vm(
         &mut self,
         moved: Membership,
         from: &PoolId,
@@ -56,7 +55,7 @@
         Ok(())
     }
 
-    fn return_vm(
+    pub(super) fn return_vm(
         &mut self,
         vm: &VmId,
         replaces: Revision,
@@ -74,35 +73,8 @@
     }
 }
 
-impl Domain for Memberships {
-    type Change = ControlChange;
-
-    fn is_counted(change: &ControlChange) -> bool {
-        !matches!(change, ControlChange::Snapshot(_))
-    }
-
-    fn apply(
-        &mut self,
-        change: ControlChange,
-        revision: Revision,
-        sum: &mut LaneSum,
-    ) -> Result<(), RefusalReason> {
-        match change {
-            ControlChange::MoveVm {
-                vm,
-                from,
-                to: pool,
-                replaces,
-            } => {
-                let moved = Membership { vm, pool, revision };
-                self.move_vm(moved, &from, replaces, sum)
-            }
-            ControlChange::ReturnVm { vm, replaces } => self.return_vm(&vm, replaces, sum),
-            ControlChange::Snapshot(_) => Ok(()),
-        }
-    }
-
-    fn add_to(&self, sum: &mut LaneSum) {
+impl Memberships {
+    pub(super) fn add_to(&self, sum: &mut LaneSum) {
         for membership in self.moved.iter() {
             sum.insert(ItemKind::Membership, membership);
         }
--- a/crates/vanillafold-state/src/digest/lane_sum.rs
+++ b/crates/vanillafold-state/src/digest/lane_sum.rs
@@ -18,6 +18,7 @@
     Membership = 6,
     Outcome = 7,
     ForgottenSequence = 8,
+    RosterMember = 9,
 }
 
 /// The sum of the SHA-256 digests of a set of items, in four lanes modulo 2^64.
--- /dev/null
+++ b/crates/vanillafold-state/src/escrow/root.rs
@@ -0,0 +1,187 @@
+//! The part of each team's limit that this daemon may use.
+
+use vanillafold_types::{DaemonId, Incarnation, TeamId};
+
+use super::book::{Book, Rights};
+use super::standing::{Member, OwnStanding, Standing, Takeover, takeovers};
+use super::unit::UnitSource;
+use super::{BootMillis, EscrowSettings, NoUnit, TeamLimit};
+use crate::Roster;
+use crate::table::SortedVec;
+
+/// The part of each team's limit that this daemon may use.
+///
+/// Every time is one of this VM's clock, suspended time included. The caller
+/// reads the log, tells [`Escrow::roster`] and [`Escrow::set_limits`] what came, and only then
+/// [`Escrow::note_fresh`]; it carries messages to and from [`Escrow::receive`] and calls
+/// [`Escrow::tick`] ten times a second.
+#[derive(Debug)]
+pub struct Escrow {
+    pub(super) own: Member,
+    pub(super) incarnation: Incarnation,
+    pub(super) fleet: Vec<DaemonId>,
+    pub(super) settings: EscrowSettings,
+    pub(super) standings: Vec<Standing>,
+    pub(super) own_standing: OwnStanding,
+    pub(super) takeovers: Vec<Takeover>,
+    pub(super) fresh_at: Option<BootMillis>,
+    pub(super) books: SortedVec<Book>,
+}
+
+impl Escrow {
+    /// The escrow of the daemon `own`, which is added to `fleet` if it isn't there. `fleet` must
+    /// be the same in every daemon.
+    #[must_use]
+    pub fn new(
+        own: &DaemonId,
+        incarnation: Incarnation,
+        mut fleet: Vec<DaemonId>,
+        settings: EscrowSettings,
+    ) -> Self {
+        fleet.push(own.clone());
+        fleet.sort();
+        fleet.dedup();
+        let index = fleet.binary_search(own).unwrap_or(0);
+        Self {
+            own: Member(u16::try_from(index).unwrap_or(u16::MAX)),
+            incarnation,
+            standings: vec![Standing::default(); fleet.len()],
+            own_standing: OwnStanding::default(),
+            takeovers: Vec::new(),
+            fleet,
+            settings,
+            fresh_at: None,
+            books: SortedVec::default(),
+        }
+    }
+
+    /// Takes over the limits of all teams; a team that is not among them has the limit 0.
+    pub fn set_limits(&mut self, limits: &[TeamLimit]) {
+        for TeamLimit { team, .. } in limits {
+            self.books
+                .get_or_insert_with(team, || Book::new(team.clone()));
+        }
+        for book in self.books.iter_mut() {
+            let limit = limits
+                .iter()
+                .find(|entry| entry.team == book.team)
+                .map(|entry| entry.limit)
+                .unwrap_or_default();
+            if limit != book.limit {
+                book.set_limit(limit, self.own, self.fleet.len(), &self.settings);
+                book.set_extra(&self.takeovers, self.fleet.len(), &self.settings);
+            }
+        }
+    }
+
+    /// Notes that both streams were read up to their tails, and what they brought was told to
+    /// this escrow, by reads that began no earlier than `at`.
+    ///
+    /// A peer's word counts too, if this daemon has folded as far as the peer had: `at` is then
+    /// the moment at which the peer was asked, less the age that it told and less
+    /// `clock_drift` of that age. A word that wasn't asked for has an unknown delay and doesn't
+    /// count.
+    pub fn note_fresh(&mut self, at: BootMillis) {
+        self.fresh_at = self.fresh_at.max(Some(at));
+    }
+
+    /// Whether the log was read to its tail lately enough.
+    #[must_use]
+    pub fn is_fresh(&self, now: BootMillis) -> bool {
+        self.fresh_at
+            .is_some_and(|at| now.since(at) < self.settings.fence_ms)
+    }
+
+    /// Reads which starts of the daemons count. To be called whenever the control stream has
+    /// brought something.
+    pub fn roster(&mut self, roster: &Roster, now: BootMillis) {
+        let own = &self.fleet[self.own.index()];
+        self.own_standing.read(own, self.incarnation, roster, now);
+        for (daemon, standing) in self.fleet.iter().zip(&mut self.standings) {
+            standing.read(daemon, roster, now);
+        }
+        for book in self.books.iter_mut() {
+            for lent in book.lent.iter_mut() {
+                let standing = self.standings[lent.key.member.index()];
+                if lent.closed_since.is_none() && !standing.is_current(lent.key.incarnation) {
+                    lent.closed_since = Some(now);
+                }
+            }
+            for loan in book.borrowed.iter_mut() {
+                let standing = self.standings[loan.key.member.index()];
+                loan.is_closed |= !standing.is_current(loan.key.incarnation);
+            }
+        }
+        self.find_takeovers(now);
+    }
+
+    /// Takes a unit of a team for work that starts now. To be called right before the work's
+    /// first byte is sent, with nothing that waits in between.
+    ///
+    /// # Errors
+    ///
+    /// A [`NoUnit`] if the work must not start.
+    pub fn try_take(&mut self, team: &TeamId, now: BootMillis) -> Result<UnitSource, NoUnit> {
+        let rights = self.rights(now)?;
+        let Some(book) = self.books.get_mut(team) else {
+            return Err(NoUnit::UnknownTeam);
+        };
+        let reserved = book.reserved(&self.settings, now);
+        let wanted = book.wanted(&self.settings, now);
+        let taken = book.take(rights, reserved, self.fleet.len());
+        match taken {
+            Ok(_) if wanted > 0 => book.want(wanted - 1, now),
+            Err(_) => book.want(wanted.max(1), now),
+            Ok(_) => {}
+        }
+        book.check();
+        taken
+    }
+
+    /// Says how many requests of a team wait for a unit, so that as many are borrowed. It counts
+    /// for [`EscrowSettings::ask_ms`].
+    pub fn want(&mut self, team: &TeamId, waiting: u32, now: BootMillis) {
+        if let Some(book) = self.books.get_mut(team) {
+            book.want(waiting, now);
+        }
+    }
+
+    /// Gives a unit back: its target has answered, or its deadline and the linger time are over.
+    ///
+    /// # Panics
+    ///
+    /// If the unit was taken from another escrow or for another team.
+    pub fn give_back(&mut self, team: &TeamId, unit: UnitSource) {
+        let book = self
+            .books
+            .get_mut(team)
+            .expect("a team that had units has a book");
+        book.give_back(unit.0);
+        book.check();
+    }
+
+    /// What this daemon may do now.
+    pub(super) fn rights(&self, now: BootMillis) -> Result<Rights, NoUnit> {
+        match self.own_standing {
+            standing if standing.is_superseded() => Err(NoUnit::Superseded),
+            standing if !standing.is_joined() => Err(NoUnit::NotJoined),
+            standing => Ok(Rights {
+                is_fresh: self.is_fresh(now),
+                is_surplus_open: standing.is_surplus_open(&self.settings, now),
+                is_floor_open: standing.is_floor_open(&self.settings, now),
+            }),
+        }
+    }
+
+    /// Works out whose surplus falls to this daemon.
+    pub(super) fn find_takeovers(&mut self, now: BootMillis) {
+        let found = takeovers(self.own, &self.standings, &self.settings, now);
+        if found == self.takeovers {
+            return;
+        }
+        self.takeovers = found;
+        for book in self.books.iter_mut() {
+            book.set_extra(&self.takeovers, self.fleet.len(), &self.settings);
+        }
+    }
+}
--- a/crates/vanillafold-state/src/fold/refusal.rs
+++ b/crates/vanillafold-state/src/fold/refusal.rs
@@ -12,7 +12,8 @@
         /// Why a record was refused, the same in every daemon.
         ///
         /// Numbers are never used again for another meaning. `60x` are faults of the record,
-        /// `62x` of an edit, `64x` of a key, `66x` of a VM's move.
+        /// `62x` of an edit, `64x` of a key, `66x` of a VM's move, `68x` of the
+        /// roster.
         #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
         #[non_exhaustive]
         pub enum RefusalReason {
@@ -94,6 +95,13 @@
     SamePool = 661, "same_pool", "the VM belongs to this pool already; leave it there";
     /// The VM never moved.
     NeverMoved = 662, "never_moved", "the VM is in its home pool; there is nothing to return";
+
+    /// The daemon has joined with this or a later incarnation.
+    StaleIncarnation = 680, "stale_incarnation", "the daemon has joined with this or a later incarnation; start it again with a larger one";
+    /// The start of the daemon is not the current one, or is fenced already.
+    NotCurrent = 681, "not_current", "only the current start of a daemon can be fenced, and only once; read the roster again";
+    /// No superseded start of the daemon waits for a release.
+    NothingToRelease = 682, "nothing_to_release", "no superseded start of this daemon waits for a release; read the roster again";
 }
 
 impl RefusalReason {
--- a/crates/vanillafold-state/src/lib.rs
+++ b/crates/vanillafold-state/src/lib.rs
@@ -6,6 +6,7 @@
 //! | to serve requests | [`State::queue`], [`State::authenticate`], [`State::pool_of`] |
 //! | to ask what became of a record | [`State::outcome`] |
 //! | to start from nothing | [`State::snapshot`], [`SnapshotBuilder`], [`State::adopt`] |
+//! | to keep a team within its limit fleet-wide | [`Escrow`], [`Roster`] |
 //! | to compare two daemons | [`State::next_offset`], [`State::digest`] |
 //!
 //! Each stream has a fold of its own that reads nothing of the other, so that the state
@@ -41,8 +42,10 @@
 mod catalogue;
 mod control;
 mod digest;
+mod escrow;
 mod fold;
 mod record;
+mod roster;
 mod snapshot;
 mod state;
 mod table;
@@ -51,11 +54,16 @@
 pub use catalogue::{KeyRefusal, MAX_PRESENTED_KEY_BYTES, Revised, key_digest};
 pub use control::Membership;
 pub use digest::{Digest, ParseDigestError};
+pub use escrow::{
+    BootMillis, Escrow, EscrowEntry, EscrowLine, EscrowMessage, EscrowSettings, EscrowView, NoUnit,
+    Outgoing, TeamLimit, TeamView, UnitSource, floor_units, home_units,
+};
 pub use fold::{Applied, OutOfOrder, RefusalReason};
 pub use record::{
     Author, CatalogueChange, CatalogueRecord, ControlChange, ControlRecord, Entry, EntryEdit,
     FORMAT_VERSION, MAX_RECORD_BYTES, ParseStreamError, Record, RecordError, Stream,
 };
+pub use roster::{Roster, RosterMember, UnreleasedStart};
 pub use snapshot::{
     MAX_CHUNK_BYTES, Snapshot, SnapshotBuilder, SnapshotChunk, SnapshotError, SnapshotId,
 };
--- a/crates/vanillafold-state/src/record/control.rs
+++ b/crates/vanillafold-state/src/record/control.rs
@@ -1,7 +1,7 @@
 //! The records of the `control` stream.
 
 use bincode::{Decode, Encode};
-use vanillafold_types::{PoolId, Revision, VmId};
+use vanillafold_types::{DaemonId, Incarnation, PoolId, Revision, VmId};
 
 use super::Record;
 use crate::SnapshotChunk;
@@ -34,4 +34,28 @@
     },
     /// A piece of a snapshot. It changes nothing, and its sequence isn't counted.
     Snapshot(SnapshotChunk),
+    /// A daemon has started; its earlier starts are superseded.
+    Join {
+        /// The daemon.
+        daemon: DaemonId,
+        /// The VM that it runs on.
+        vm: VmId,
+        /// Which start this is; larger than every earlier one.
+        incarnation: Incarnation,
+    },
+    /// A daemon's VM is gone: that start may begin no more work. The writer checks that the
+    /// platform's list has shown the VM gone for longer than the list's lag.
+    Fence {
+        /// The daemon.
+        daemon: DaemonId,
+        /// The start that is fenced.
+        incarnation: Incarnation,
+    },
+    /// An operator vouches that superseded starts of a daemon are dead, not just cut off.
+    Release {
+        /// The daemon.
+        daemon: DaemonId,
+        /// The latest start that is dead; every earlier one is too.
+        incarnation: Incarnation,
+    },
 }
--- /dev/null
+++ b/crates/vanillafold-state/src/roster/fold.rs
@@ -0,0 +1,100 @@
+//! The roster's part of the control fold.
+
+use bincode::{Decode, Encode};
+use vanillafold_types::{DaemonId, Incarnation, VmId};
+
+use super::RosterMember;
+use crate::RefusalReason;
+use crate::digest::{ItemKind, LaneSum};
+use crate::table::SortedVec;
+
+/// Which start of each daemon counts, as the control stream has it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
+pub struct Roster {
+    members: SortedVec<RosterMember>,
+}
+
+impl Roster {
+    /// What is known of a daemon; `None` if it never joined.
+    #[must_use]
+    pub fn member(&self, daemon: &DaemonId) -> Option<&RosterMember> {
+        self.members.get(daemon)
+    }
+
+    /// Every daemon that ever joined, sorted by name.
+    pub fn members(&self) -> impl ExactSizeIterator<Item = &RosterMember> {
+        self.members.iter()
+    }
+
+    /// Whether this start of the daemon has joined, and is neither superseded nor fenced.
+    #[must_use]
+    pub fn is_current(&self, daemon: &DaemonId, incarnation: Incarnation) -> bool {
+        self.member(daemon)
+            .is_some_and(|member| member.incarnation == incarnation && !member.is_fenced)
+    }
+
+    pub(crate) fn join(
+        &mut self,
+        daemon: DaemonId,
+        vm: VmId,
+        incarnation: Incarnation,
+        sum: &mut LaneSum,
+    ) -> Result<(), RefusalReason> {
+        let joined = match self.members.get(&daemon) {
+            Some(known) if known.incarnation >= incarnation => {
+                return Err(RefusalReason::StaleIncarnation);
+            }
+            Some(known) => known.succeeded_by(vm, incarnation),
+            None => RosterMember::first(daemon, vm, incarnation),
+        };
+        self.replace(joined, sum);
+        Ok(())
+    }
+
+    pub(crate) fn fence(
+        &mut self,
+        daemon: &DaemonId,
+        incarnation: Incarnation,
+        sum: &mut LaneSum,
+    ) -> Result<(), RefusalReason> {
+        let fenced = match self.members.get(daemon) {
+            Some(known) if known.incarnation == incarnation && !known.is_fenced => RosterMember {
+                is_fenced: true,
+                ..known.clone()
+            },
+            _ => return Err(RefusalReason::NotCurrent),
+        };
+        self.replace(fenced, sum);
+        Ok(())
+    }
+
+    pub(crate) fn release(
+        &mut self,
+        daemon: &DaemonId,
+        incarnation: Incarnation,
+        sum: &mut LaneSum,
+    ) -> Result<(), RefusalReason> {
+        let Some(known) = self.members.get(daemon) else {
+            return Err(RefusalReason::NothingToRelease);
+        };
+        let released = known.released(incarnation);
+        if released == *known {
+            return Err(RefusalReason::NothingToRelease);
+        }
+        self.replace(released, sum);
+        Ok(())
+    }
+
+    pub(crate) fn add_to(&self, sum: &mut LaneSum) {
+        for member in self.members.iter() {
+            sum.insert(ItemKind::RosterMember, member);
+        }
+    }
+
+    fn replace(&mut self, member: RosterMember, sum: &mut LaneSum) {
+        sum.insert(ItemKind::RosterMember, &member);
+        if let Some(old) = self.members.insert(member) {
+            sum.remove(ItemKind::RosterMember, &old);
+        }
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-state/src/roster/mod.rs
@@ -0,0 +1,7 @@
+//! Which start of each daemon counts.
+
+mod fold;
+mod member;
+
+pub use fold::Roster;
+pub use member::{RosterMember, UnreleasedStart};
--- a/crates/vanillafold-state/src/state/adopt.rs
+++ b/crates/vanillafold-state/src/state/adopt.rs
@@ -6,7 +6,7 @@
 
 use super::State;
 use crate::catalogue::Catalogue;
-use crate::control::Memberships;
+use crate::control::Control;
 use crate::fold::{Domain, StreamFold};
 use crate::table::SortedVec;
 use crate::{Digest, Snapshot, SnapshotError, SnapshotId, Stream};
@@ -24,14 +24,14 @@
 #[derive(Encode)]
 struct Body<'a> {
     catalogue: &'a StreamFold<Catalogue>,
-    control: &'a StreamFold<Memberships>,
+    control: &'a StreamFold<Control>,
 }
 
 /// The state as it is read from a snapshot.
 #[derive(Decode)]
 struct OwnedBody {
     catalogue: StreamFold<Catalogue>,
-    control: StreamFold<Memberships>,
+    control: StreamFold<Control>,
 }
 
 impl State {
--- a/crates/vanillafold-state/src/state/lookup.rs
+++ b/crates/vanillafold-state/src/state/lookup.rs
@@ -3,7 +3,7 @@
 use vanillafold_types::{Key, KeyId, Pool, PoolId, Queue, Team, TeamId, VmId};
 
 use super::State;
-use crate::{KeyRefusal, Membership, Revised};
+use crate::{KeyRefusal, Membership, Revised, Roster};
 
 impl State {
     /// The queue of this name.
@@ -81,11 +81,17 @@
     /// revision 0.
     #[must_use]
     pub fn membership(&self, vm: &VmId) -> Option<&Membership> {
-        self.control.domain().get(vm)
+        self.control.domain().memberships().get(vm)
     }
 
     /// The VMs that were moved, sorted by id.
     pub fn memberships(&self) -> impl ExactSizeIterator<Item = &Membership> {
-        self.control.domain().iter()
+        self.control.domain().memberships().iter()
+    }
+
+    /// Which start of each daemon counts.
+    #[must_use]
+    pub fn roster(&self) -> &Roster {
+        self.control.domain().roster()
     }
 }
--- a/crates/vanillafold-state/src/state/root.rs
+++ b/crates/vanillafold-state/src/state/root.rs
@@ -4,7 +4,7 @@
 use vanillafold_types::{KeyId, Offset, Sequence};
 
 use crate::catalogue::Catalogue;
-use crate::control::Memberships;
+use crate::control::Control;
 use crate::fold::StreamFold;
 use crate::table::SortedVec;
 use crate::{Applied, Author, Digest, Outcome, Stream};
@@ -16,7 +16,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct State {
     pub(super) catalogue: StreamFold<Catalogue>,
-    pub(super) control: StreamFold<Memberships>,
+    pub(super) control: StreamFold<Control>,
     /// Ids withdrawn ahead of the log, until the log withdraws them too. No part of the digest.
     pub(super) early_withdrawals: SortedVec<KeyId>,
 }
--- a/crates/vanillafold-state/src/table/sorted_vec.rs
+++ b/crates/vanillafold-state/src/table/sorted_vec.rs
@@ -26,6 +26,11 @@
         self.position(key).ok().map(|index| &self.0[index])
     }
 
+    /// The element of `key`. Its key must stay as it is.
+    pub(crate) fn get_mut(&mut self, key: &T::Key) -> Option<&mut T> {
+        self.position(key).ok().map(|index| &mut self.0[index])
+    }
+
     pub(crate) fn contains(&self, key: &T::Key) -> bool {
         self.position(key).is_ok()
     }
@@ -64,6 +69,11 @@
         self.0.iter()
     }
 
+    /// The elements in order. Their keys must stay as they are.
+    pub(crate) fn iter_mut(&mut self) -> std::slice::IterMut<'_, T> {
+        self.0.iter_mut()
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.0.len()
     }
