--- a/crates/vanillafold-state/src/escrow/book.rs
+++ b/crates/vanillafold-state/src/escrow/book.rs
@@ -217,7 +217,7 @@
         }
     }
 
-    pub(super) fn give_back(&mut self, source: Source) {
+    pub(super) fn give_back(&mut self, source: &Source) {
         match source {
             Source::Own => {
                 assert!(
@@ -229,7 +229,7 @@
             }
             Source::Borrowed(key) => self
                 .borrowed
-                .get_mut(&key)
+                .get_mut(key)
                 .expect("a loan is kept while its units are in use")
                 .give_back(),
         }
--- a/crates/vanillafold-state/src/escrow/root.rs
+++ b/crates/vanillafold-state/src/escrow/root.rs
@@ -156,7 +156,8 @@
             .books
             .get_mut(team)
             .expect("a team that had units has a book");
-        book.give_back(unit.0);
+        let UnitSource(source) = unit;
+        book.give_back(&source);
         book.check();
     }
 
