--- a/crates/vanillafold-standin/examples/scenario.rs
+++ b/crates/vanillafold-standin/examples/scenario.rs
@@ -8,7 +8,7 @@
 use vanillafold::policy::SplitMix;
 use vanillafold_standin::rig::{
     Cluster, DEMO_CATALOGUE, DEMO_TEAMS, Fault, Interrupt, Layout, LoadPlan, Loads, RigError,
-    audit, inject, observe_for, shuffled,
+    audit, inject, observe_for, shuffled, tight_catalogue,
 };
 
 const POOLS: [&str; 5] = ["quotes", "bookings", "stock", "proofs", "archive"];
@@ -25,6 +25,7 @@
 #[derive(Debug)]
 struct Options {
     seed: u64,
+    tight: bool,
     only: Vec<String>,
     rig: u8,
     programs: PathBuf,
@@ -36,6 +37,9 @@
         .help("chooses order, victims and load")
         .argument::<u64>("N")
         .fallback(1);
+    let tight = long("tight")
+        .help("limits so small that bursts reach them")
+        .switch();
     let only = long("only")
         .help("inject just this fault, as Debug prints it; may be repeated")
         .argument::<String>("FAULT")
@@ -54,6 +58,7 @@
         .fallback(PathBuf::from("run/scenario"));
     construct!(Options {
         seed,
+        tight,
         only,
         rig,
         programs,
@@ -92,10 +97,14 @@
         .map(|runner| runner.address)
         .chain(layout.daemons().take(1).map(|daemon| daemon.peers))
         .collect();
+    let catalogue = match options.tight {
+        true => tight_catalogue(),
+        false => DEMO_CATALOGUE.to_owned(),
+    };
     let mut cluster = Cluster::start(
         layout,
         &relayed,
-        DEMO_CATALOGUE,
+        &catalogue,
         &options.directory,
         &options.programs,
     )?;
--- a/crates/vanillafold-standin/src/rig/catalogue.rs
+++ b/crates/vanillafold-standin/src/rig/catalogue.rs
@@ -123,3 +123,20 @@
 deadline_ms = 2000
 max_deadline_ms = 5000
 ";
+
+/// The catalogue of [`DEMO_CATALOGUE`] with limits so small that bursts reach them, some of them
+/// smaller than the number of daemons.
+#[must_use]
+pub fn tight_catalogue() -> String {
+    [
+        ("limit = 120", "limit = 9"),
+        ("limit = 80", "limit = 6"),
+        ("limit = 64", "limit = 4"),
+        ("limit = 40", "limit = 3"),
+        ("limit = 24", "limit = 2"),
+    ]
+    .iter()
+    .fold(DEMO_CATALOGUE.to_owned(), |text, (wide, tight)| {
+        text.replace(wide, tight)
+    })
+}
--- a/crates/vanillafold-standin/src/rig/mod.rs
+++ b/crates/vanillafold-standin/src/rig/mod.rs
@@ -10,7 +10,7 @@
 mod loads;
 mod observer;
 
-pub use catalogue::{DEMO_CATALOGUE, DEMO_OPERATOR, DEMO_TEAMS};
+pub use catalogue::{DEMO_CATALOGUE, DEMO_OPERATOR, DEMO_TEAMS, tight_catalogue};
 pub use child::{Child, Signal};
 pub use cluster::{Cluster, KeyText};
 pub use error::RigError;
--- a/crates/vanillafold-state/src/escrow/root.rs
+++ b/crates/vanillafold-state/src/escrow/root.rs
@@ -92,6 +92,12 @@
             .is_some_and(|at| now.since(at) < self.settings.fence_ms)
     }
 
+    /// Whether a later start of this daemon counts, or this one was fenced.
+    #[must_use]
+    pub fn is_superseded(&self) -> bool {
+        self.own_standing.is_superseded()
+    }
+
     /// Reads which starts of the daemons count. To be called whenever the control stream has
     /// brought something.
     pub fn roster(&mut self, roster: &Roster, now: BootMillis) {
--- a/crates/vanillafold/src/admin/service.rs
+++ b/crates/vanillafold/src/admin/service.rs
@@ -63,15 +63,32 @@
         }
         let _ = writeln!(page, "digest={}", state.digest());
         let _ = writeln!(page, "requests={}", self.node.requests.count());
-        for team in &routes.teams {
+        let escrow = self.node.escrow.borrow().view(self.node.boot_time());
+        let _ = writeln!(
+            page,
+            "escrow fresh={} joined={} superseded={} surplus_open={} floor_open={}",
+            escrow.is_fresh,
+            escrow.is_joined,
+            escrow.is_superseded,
+            escrow.is_surplus_open,
+            escrow.is_floor_open,
+        );
+        for team in &escrow.teams {
             let _ = writeln!(
                 page,
-                "team {} held={} allowance={}",
-                team.id,
-                team.held(),
-                team.allowance()
+                "team {} limit={} home={} floor={} in_use={} lent={} borrowed={} borrowed_in_use={}",
+                team.team,
+                team.limit,
+                team.home,
+                team.floor,
+                team.own_in_use,
+                team.lent,
+                team.borrowed,
+                team.borrowed_in_use,
             );
         }
+        let _ = writeln!(page, "claims={}", self.node.claims.borrow().len());
+        let _ = writeln!(page, "records_to_write={}", self.node.writer.len());
         for queue in &routes.queues {
             let _ = writeln!(
                 page,
--- a/crates/vanillafold/src/caller/request.rs
+++ b/crates/vanillafold/src/caller/request.rs
@@ -104,7 +104,8 @@
         let (queue, path) = split_path(target).ok_or(ResultCode::MalformedPath)?;
         let queue = node.queue(queue)?;
         let idempotent = idempotent(&head.method, &head.headers)?;
-        let deadline_ms = deadline_ms(&queue, &head.headers)?;
+        let longest_ms = node.settings.longest_deadline_ms();
+        let deadline_ms = deadline_ms(&queue, &head.headers, longest_ms)?;
         match framing {
             Framing::Length(length) if length > queue.settings.max_body.get() => {
                 return Err(ResultCode::OversizedBody);
@@ -185,17 +186,21 @@
     }
 }
 
-fn deadline_ms(queue: &QueueRuntime, headers: &HeaderMap) -> Result<Millis, ResultCode> {
+fn deadline_ms(
+    queue: &QueueRuntime,
+    headers: &HeaderMap,
+    longest_ms: Millis,
+) -> Result<Millis, ResultCode> {
     let malformed = ResultCode::MalformedDeadline;
     let Some(text) = header(headers, &DEADLINE).map_err(|()| malformed)? else {
-        return Ok(queue.settings.deadline_ms);
+        return Ok(queue.settings.deadline_ms.min(longest_ms));
     };
     let digits = text.bytes().all(|byte| byte.is_ascii_digit());
     match text.parse().map(Millis::new) {
         Ok(deadline_ms)
             if digits
                 && deadline_ms > Millis::ZERO
-                && deadline_ms <= queue.settings.max_deadline_ms =>
+                && deadline_ms <= queue.settings.max_deadline_ms.min(longest_ms) =>
         {
             Ok(deadline_ms)
         }
--- a/crates/vanillafold/src/counter/counters.rs
+++ b/crates/vanillafold/src/counter/counters.rs
@@ -67,6 +67,11 @@
         counter!("vanillafold_retries_refused_total", "reason" => reason).increment(1);
     }
 
+    /// Counts a request that had to wait for a unit of its team's limit.
+    pub(crate) fn no_unit(&self, reason: &'static str) {
+        counter!("vanillafold_no_unit_total", "reason" => reason).increment(1);
+    }
+
     /// Counts something of the control side that went wrong.
     pub(crate) fn control_failure(&self, what: &'static str) {
         counter!("vanillafold_control_failures_total", "what" => what).increment(1);
--- a/crates/vanillafold/src/dispatch/dispatcher.rs
+++ b/crates/vanillafold/src/dispatch/dispatcher.rs
@@ -166,7 +166,7 @@
         reader: &mut HttpReader,
         writer: &mut HttpWriter,
     ) -> Attempt {
-        let Permit { unit, slot } = permit;
+        let Permit { mut unit, slot } = permit;
         let connection = match self.connect(&slot).await {
             Ok(connection) => connection,
             Err(failure) => return self.not_sent(slot, failure),
@@ -183,6 +183,12 @@
         if let Err(code) = self.request.reauthorize(self.node) {
             return Attempt::Over(self.refused(self.attempts.refusal(code)));
         }
+        // So may the right to the unit have been lost.
+        if let Some(Err(reason)) = unit.as_mut().map(TeamUnit::renew) {
+            self.node.counters.no_unit(reason.label());
+            self.request.queue.pool.keep(connection);
+            return Attempt::Again;
+        }
         if !std::mem::replace(&mut self.first_sent, true) {
             let now = self.node.now();
             self.request.queue.budget.borrow_mut().first_sent(now);
@@ -491,7 +497,8 @@
         let waited_ms = slot.waited_ms();
         slot.finish(self.node.now(), Finish::Failed { kind, waited_ms });
         if let Some(unit) = unit {
-            unit.hold_until(self.request.deadline);
+            let linger = self.node.settings.timeouts.linger_ms.duration();
+            unit.hold_for(self.request.remaining() + linger);
         }
         Attempt::Failed(failure)
     }
--- a/crates/vanillafold/src/dispatch/permit.rs
+++ b/crates/vanillafold/src/dispatch/permit.rs
@@ -59,9 +59,15 @@
     };
     let mut woken = team.waiters.is_empty();
     loop {
-        match team.try_take() {
-            Some(unit) if woken => return Ok(Some(unit)),
-            _ => {}
+        if woken {
+            match team.try_take() {
+                Ok(unit) => {
+                    // There may be a unit for the next one too.
+                    team.waiters.wake_first();
+                    return Ok(Some(unit));
+                }
+                Err(reason) => node.counters.no_unit(reason.label()),
+            }
         }
         let mut ticket = match woken {
             true => team.waiters.rejoin(),
--- a/crates/vanillafold/src/follow/log.rs
+++ b/crates/vanillafold/src/follow/log.rs
@@ -6,7 +6,7 @@
 use log::{error, warn};
 use monoio::time::sleep;
 use vanillafold_policy::SplitMix;
-use vanillafold_state::{Applied, Stream};
+use vanillafold_state::{Applied, BootMillis, Stream};
 use vanillafold_types::{Millis, Offset};
 use vanillafold_wire::platform::{LogBatch, PlatformLog, ReadError};
 
@@ -48,6 +48,7 @@
 ) -> Result<(), FollowError> {
     let mut backoff_ms = MIN_BACKOFF_MS;
     while !node.shutdown.is_ordered() {
+        let began_at = node.boot_time();
         let from = node.state.borrow().next_offset(stream);
         // A daemon that has nothing yet must learn at once that there is no more.
         let wait_ms = match node.is_caught_up(stream) {
@@ -62,7 +63,7 @@
         match read {
             Ok(batch) => {
                 backoff_ms = MIN_BACKOFF_MS;
-                fold(&node, stream, &batch);
+                fold(&node, stream, &batch, began_at);
             }
             Err(ReadError::Dropped { oldest }) => {
                 return Err(FollowError::Dropped {
@@ -89,7 +90,7 @@
     Duration::from_millis(half + rng.below(half.max(1)))
 }
 
-fn fold(node: &Node, stream: Stream, batch: &LogBatch) {
+fn fold(node: &Node, stream: Stream, batch: &LogBatch, began_at: BootMillis) {
     let mut changed = false;
     for record in &batch.records {
         let applied = node
@@ -114,6 +115,6 @@
     }
     let next = node.state.borrow().next_offset(stream);
     if next >= batch.next {
-        node.caught_up(stream);
+        node.caught_up(stream, began_at);
     }
 }
--- a/crates/vanillafold/src/lib.rs
+++ b/crates/vanillafold/src/lib.rs
@@ -24,11 +24,13 @@
 pub use vanillafold_wire as wire;
 
 mod admin;
+mod append;
 mod caller;
 mod claim;
 mod counter;
 mod dispatch;
 mod follow;
+mod limit;
 mod logging;
 mod node;
 mod peer;
@@ -39,6 +41,7 @@
 pub use logging::{LoggingError, start_logging};
 pub use peer::PeerStartError;
 pub use settings::{
-    PeerSettings, PlatformSettings, Secret, SecretError, Settings, SettingsError, Timeouts,
+    LimitSettings, PeerSettings, PlatformSettings, Secret, SecretError, Settings, SettingsError,
+    Timeouts,
 };
 pub use supervisor::{Daemon, DaemonError};
--- a/crates/vanillafold/src/node/mod.rs
+++ b/crates/vanillafold/src/node/mod.rs
@@ -12,4 +12,4 @@
 pub(crate) use pool::{ConnectError, PoolRuntime, Slot};
 pub(crate) use queue::QueueRuntime;
 pub(crate) use shared::Node;
-pub(crate) use team::{TeamRuntime, TeamUnit, static_share};
+pub(crate) use team::{TeamRuntime, TeamUnit};
--- a/crates/vanillafold/src/node/routes.rs
+++ b/crates/vanillafold/src/node/routes.rs
@@ -1,12 +1,13 @@
 //! The catalogue as the request path uses it.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 
 use vanillafold_policy::DaemonMember;
-use vanillafold_state::State;
+use vanillafold_state::{Escrow, State, TeamLimit};
 use vanillafold_types::{PoolId, TeamId};
 
-use super::{PoolRuntime, QueueRuntime, TeamRuntime, static_share};
+use super::{PoolRuntime, QueueRuntime, TeamRuntime};
 
 /// Queues, pools and teams as this daemon runs them, each sorted by id.
 #[derive(Debug, Default)]
@@ -28,16 +29,6 @@
     pub(crate) daemons: Vec<DaemonMember>,
 }
 
-impl Fleet {
-    /// This daemon's place in the sorted fleet.
-    fn index(&self) -> usize {
-        self.daemons
-            .iter()
-            .position(|member| member.daemon == self.own.daemon)
-            .unwrap_or(0)
-    }
-}
-
 impl Routes {
     /// The queue called `id`.
     pub(crate) fn queue(&self, id: &str) -> Option<&Rc<QueueRuntime>> {
@@ -60,9 +51,9 @@
     }
 
     /// Takes over what `state` says; entries that stay keep what they hold.
-    pub(crate) fn follow(&mut self, state: &State, fleet: &Fleet) {
+    pub(crate) fn follow(&mut self, state: &State, fleet: &Fleet, escrow: &Rc<RefCell<Escrow>>) {
         self.follow_pools(state, fleet);
-        self.follow_teams(state, fleet);
+        self.follow_teams(state, escrow);
         self.follow_queues(state);
     }
 
@@ -85,18 +76,24 @@
         self.pools = pools;
     }
 
-    fn follow_teams(&mut self, state: &State, fleet: &Fleet) {
+    fn follow_teams(&mut self, state: &State, escrow: &Rc<RefCell<Escrow>>) {
         let teams = state
             .teams()
             .map(|team| {
-                let known = self.team(&team.value.id).cloned();
-                let runtime = known.unwrap_or_else(|| TeamRuntime::new(team.value.id.clone()));
-                let share = static_share(team.value.limit, fleet.index(), fleet.daemons.len());
-                runtime.set_allowance(share);
-                runtime
+                let id = &team.value.id;
+                let known = self.team(id).cloned();
+                known.unwrap_or_else(|| TeamRuntime::new(id.clone(), Rc::clone(escrow)))
             })
             .collect();
         self.teams = teams;
+        let limits: Vec<TeamLimit> = state
+            .teams()
+            .map(|team| TeamLimit {
+                team: team.value.id.clone(),
+                limit: team.value.limit,
+            })
+            .collect();
+        escrow.borrow_mut().set_limits(&limits);
     }
 
     fn follow_queues(&mut self, state: &State) {
--- a/crates/vanillafold/src/node/shared.rs
+++ b/crates/vanillafold/src/node/shared.rs
@@ -7,7 +7,7 @@
 use http::header::HeaderValue;
 use monoio::time::Instant;
 use vanillafold_policy::{DaemonMember, MonotonicMillis, SplitMix};
-use vanillafold_state::{ClaimTable, KeyRefusal, State, Stream};
+use vanillafold_state::{BootMillis, ClaimTable, ControlChange, Escrow, KeyRefusal, State, Stream};
 use vanillafold_types::{DaemonId, Incarnation, Millis, RequestId, ResultCode, TeamId};
 
 use vanillafold_wire::{BootClock, PeerHandle};
@@ -15,8 +15,10 @@
 use super::in_flight::{InFlight, InFlightGuard};
 use super::routes::{Fleet, Routes};
 use super::{QueueRuntime, TeamRuntime};
+use crate::append::{Change, RecordWriter};
 use crate::counter::Counters;
 use crate::follow::Inventory;
+use crate::limit::escrow_settings;
 use crate::peer::LoadBook;
 use crate::settings::Settings;
 use crate::wait::Shutdown;
@@ -41,6 +43,12 @@
     pub(crate) loads: RefCell<LoadBook>,
     /// Peers that have come back and must be told everything.
     pub(crate) reconnected: RefCell<Vec<DaemonId>>,
+    /// The units of the teams' limits that this daemon holds.
+    pub(crate) escrow: Rc<RefCell<Escrow>>,
+    /// The records that this daemon has yet to write.
+    pub(crate) writer: RecordWriter,
+    /// The news that a later start of this daemon counts.
+    pub(crate) superseded: Shutdown,
     /// The claims that this daemon keeps as an owner.
     pub(crate) claims: RefCell<ClaimTable>,
     /// The way to the other daemons, once it is open.
@@ -57,12 +65,21 @@
     pub(crate) requests: InFlight,
     fleet: Fleet,
     catalogue_read: Cell<bool>,
+    join_submitted: Cell<bool>,
     control_read: Cell<bool>,
     started: Instant,
+    fresh: Cell<Freshness>,
     request_number: Cell<u64>,
     claim_number: Cell<u64>,
 }
 
+/// When the reads began that last brought each stream up to its tail.
+#[derive(Debug, Clone, Copy, Default)]
+struct Freshness {
+    catalogue_at: Option<BootMillis>,
+    control_at: Option<BootMillis>,
+}
+
 impl Node {
     pub(crate) fn new(settings: Settings, counters: Counters) -> Rc<Self> {
         let since_epoch = SystemTime::now()
@@ -73,9 +90,15 @@
             .unwrap_or_else(|_| HeaderValue::from_static("unknown"));
         let started_ms = BootClock::now().get();
         let window_ms = settings.timeouts.claim_window_ms;
-        let mut claims = ClaimTable::new(window_ms, started_ms + window_ms.get());
-        // An earlier incarnation is not known of yet: the roster of the control stream will tell.
-        claims.set_complete();
+        let claims = ClaimTable::new(window_ms, started_ms + window_ms.get());
+        let incarnation = Incarnation::new(incarnation);
+        let escrow = Escrow::new(
+            &settings.name,
+            incarnation,
+            settings.fleet(),
+            escrow_settings(&settings),
+        );
+        let writer = RecordWriter::new(&settings.name, incarnation);
         Rc::new(Self {
             fleet: fleet(&settings),
             settings,
@@ -88,13 +111,18 @@
             loads: RefCell::default(),
             reconnected: RefCell::default(),
             claims: RefCell::new(claims),
+            escrow: Rc::new(RefCell::new(escrow)),
+            writer,
+            superseded: Shutdown::new(),
+            fresh: Cell::default(),
             peers: RefCell::default(),
             open_connections: Cell::new(0),
-            rng: RefCell::new(SplitMix::new(incarnation)),
+            rng: RefCell::new(SplitMix::new(incarnation.get())),
             daemon_header,
-            incarnation: Incarnation::new(incarnation),
+            incarnation,
             requests: InFlight::new(),
             catalogue_read: Cell::new(false),
+            join_submitted: Cell::new(false),
             control_read: Cell::new(false),
             started: Instant::now(),
             request_number: Cell::new(0),
@@ -133,6 +161,11 @@
         BootClock::now().get()
     }
 
+    /// The same as the escrow counts it.
+    pub(crate) fn boot_time(&self) -> BootMillis {
+        BootMillis::new(self.boot_ms())
+    }
+
     /// Every daemon of the fleet, sorted by name.
     pub(crate) fn fleet(&self) -> &[DaemonMember] {
         &self.fleet.daemons
@@ -155,14 +188,40 @@
         self.is_caught_up(Stream::Catalogue) && self.is_caught_up(Stream::Control)
     }
 
-    /// Notes that `stream` has been read up to its present end.
-    pub(crate) fn caught_up(&self, stream: Stream) {
+    /// Notes that `stream` was read up to its end by a read that began at `began_at`.
+    pub(crate) fn caught_up(&self, stream: Stream, began_at: BootMillis) {
+        let mut fresh = self.fresh.get();
         match stream {
-            Stream::Catalogue => self.catalogue_read.set(true),
-            Stream::Control => self.control_read.set(true),
+            Stream::Catalogue => {
+                self.catalogue_read.set(true);
+                fresh.catalogue_at = fresh.catalogue_at.max(Some(began_at));
+            }
+            Stream::Control => {
+                self.control_read.set(true);
+                fresh.control_at = fresh.control_at.max(Some(began_at));
+                self.join_fleet();
+            }
+        }
+        self.fresh.set(fresh);
+        if let (Some(catalogue_at), Some(control_at)) = (fresh.catalogue_at, fresh.control_at) {
+            let at = catalogue_at.min(control_at);
+            self.escrow.borrow_mut().note_fresh(at);
         }
     }
 
+    /// Announces this start on the log, once.
+    fn join_fleet(&self) {
+        if self.join_submitted.replace(true) {
+            return;
+        }
+        let join = ControlChange::Join {
+            daemon: self.settings.name.clone(),
+            vm: self.settings.vm.clone(),
+            incarnation: self.incarnation,
+        };
+        self.writer.submit(Change::Control(join));
+    }
+
     /// Whether `stream` has been read up to what was its end once.
     pub(crate) fn is_caught_up(&self, stream: Stream) -> bool {
         match stream {
@@ -175,10 +234,24 @@
     pub(crate) fn follow_state(&self) {
         self.routes
             .borrow_mut()
-            .follow(&self.state.borrow(), &self.fleet);
+            .follow(&self.state.borrow(), &self.fleet, &self.escrow);
+        self.follow_roster();
         self.follow_inventory();
     }
 
+    /// Takes over which starts of the daemons count.
+    fn follow_roster(&self) {
+        let state = self.state.borrow();
+        let roster = state.roster();
+        self.escrow.borrow_mut().roster(roster, self.boot_time());
+        let is_first = roster.member(&self.settings.name).is_some_and(|member| {
+            member.incarnation == self.incarnation && !member.has_predecessor
+        });
+        if is_first {
+            self.claims.borrow_mut().set_complete();
+        }
+    }
+
     /// Brings the pools' targets up to the VM list and the VMs' moves.
     pub(crate) fn follow_inventory(&self) {
         let routes = self.routes.borrow();
--- a/crates/vanillafold/src/peer/handler.rs
+++ b/crates/vanillafold/src/peer/handler.rs
@@ -12,6 +12,7 @@
 
 use super::load_book::VmLoad;
 use crate::claim;
+use crate::limit::{self, NodeMessage};
 use crate::node::Node;
 
 /// The daemon as its peers see it.
@@ -61,6 +62,13 @@
             PeerMessage::Withdrawal(withdrawal) => {
                 self.node.state.borrow_mut().withdraw_now(withdrawal.key);
             }
+            PeerMessage::Custom(bytes) => match limit::decode(&bytes) {
+                Some(NodeMessage::Escrow {
+                    from_incarnation,
+                    message,
+                }) => limit::receive(&self.node, from, from_incarnation, message),
+                None => self.node.counters.control_failure("peer_message_unknown"),
+            },
             _ => self.node.counters.control_failure("peer_message_unknown"),
         }
     }
--- a/crates/vanillafold/src/settings/daemon.rs
+++ b/crates/vanillafold/src/settings/daemon.rs
@@ -4,17 +4,21 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use vanillafold_types::{DaemonId, Document, Millis, Problem, Reader, ZoneId, nearest_name};
+use vanillafold_types::{
+    DaemonId, Document, Millis, Percent, Problem, Reader, VmId, ZoneId, nearest_name,
+};
 
 use super::Secret;
 
-const SECTIONS: [&str; 3] = ["daemon", "peer", "platform"];
+const SECTIONS: [&str; 4] = ["daemon", "limits", "peer", "platform"];
 
 /// A daemon's settings, checked.
 #[derive(Debug, Clone)]
 pub struct Settings {
     /// This daemon's name.
     pub name: DaemonId,
+    /// The VM that it runs on, as the platform names it.
+    pub vm: VmId,
     /// Its availability zone.
     pub zone: ZoneId,
     /// The cluster that it belongs to; peers of other clusters are refused.
@@ -35,6 +39,8 @@
     pub log_level: log::LevelFilter,
     /// How long the daemon waits for what.
     pub timeouts: Timeouts,
+    /// What bounds the use of limits.
+    pub limits: LimitSettings,
     /// The platform.
     pub platform: PlatformSettings,
     /// The other daemons, sorted by name.
@@ -64,6 +70,17 @@
     pub proof_ms: Millis,
 }
 
+/// What bounds the use of limits. The same in every daemon of the fleet.
+#[derive(Debug, Clone)]
+pub struct LimitSettings {
+    /// How long a daemon that can't read the log uses more than its floor of each limit.
+    pub fence_ms: Millis,
+    /// The longest time from a send until no target runs the work any more.
+    pub longest_work_ms: Millis,
+    /// The part of a daemon's share of each limit that it never gives up, also when cut off.
+    pub floor_percent: Percent,
+}
+
 /// Where the platform is.
 #[derive(Debug, Clone)]
 pub struct PlatformSettings {
@@ -103,6 +120,16 @@
     Problems(Vec<Problem>),
 }
 
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            fence_ms: Millis::new(600_000),
+            longest_work_ms: Millis::new(120_000),
+            floor_percent: Percent::new(50),
+        }
+    }
+}
+
 impl Settings {
     /// Reads and checks a settings file. Files that it names are taken relative to it.
     ///
@@ -134,6 +161,14 @@
         }
     }
 
+    /// The longest deadline that may be granted: after it, work that was given up on may linger,
+    /// and all of it must be over within the longest work.
+    #[must_use]
+    pub fn longest_deadline_ms(&self) -> Millis {
+        let linger = self.timeouts.linger_ms.get();
+        Millis::new(self.limits.longest_work_ms.get().saturating_sub(linger))
+    }
+
     /// Every daemon of the cluster by name, this one included, sorted.
     #[must_use]
     pub fn fleet(&self) -> Vec<DaemonId> {
@@ -149,11 +184,13 @@
 struct Draft {
     daemon: Option<Option<DaemonSection>>,
     platform: Option<Option<PlatformSettings>>,
+    limits: Option<LimitSettings>,
     peers: Vec<PeerSettings>,
 }
 
 struct DaemonSection {
     name: DaemonId,
+    vm: VmId,
     zone: ZoneId,
     cluster: String,
     callers: SocketAddr,
@@ -178,7 +215,10 @@
                 "platform" if draft.platform.is_none() => {
                     draft.platform = Some(read_platform(reader));
                 }
-                "daemon" | "platform" => {
+                "limits" if draft.limits.is_none() => {
+                    draft.limits = Some(read_limits(reader));
+                }
+                "daemon" | "limits" | "platform" => {
                     reader.problem_at("", "this section is given twice: keep one of them");
                 }
                 "peer" => draft.peers.extend(read_peer(reader)),
@@ -204,6 +244,17 @@
             missing("platform");
         }
         let own = self.daemon.as_ref().and_then(Option::as_ref);
+        let longest_work_ms = self.limits.clone().unwrap_or_default().longest_work_ms;
+        if let Some(daemon) = own.filter(|own| own.timeouts.linger_ms >= longest_work_ms) {
+            problems.push(Problem {
+                file: document.file().to_owned(),
+                line: 1,
+                message: format!(
+                    "linger_timeout_ms: expected less than longest_work_ms ({longest_work_ms}), found {}",
+                    daemon.timeouts.linger_ms
+                ),
+            });
+        }
         for (index, section) in document.sections().iter().enumerate() {
             let twice = document.sections()[..index]
                 .iter()
@@ -226,6 +277,7 @@
         let daemon = self.daemon??;
         Some(Settings {
             name: daemon.name,
+            vm: daemon.vm,
             zone: daemon.zone,
             cluster: daemon.cluster,
             callers: daemon.callers,
@@ -236,6 +288,7 @@
             max_connections: daemon.max_connections,
             log_level: daemon.log_level,
             timeouts: daemon.timeouts,
+            limits: self.limits.unwrap_or_default(),
             platform: self.platform??,
             peers: self.peers,
         })
@@ -245,12 +298,15 @@
 fn unknown_section(kind: &str) -> String {
     match nearest_name(kind, SECTIONS) {
         Some(nearest) => format!("unknown section [{kind}]: did you mean [{nearest}]?"),
-        None => format!("unknown section [{kind}]: expected [daemon], [platform] or [peer NAME]"),
+        None => format!(
+            "unknown section [{kind}]: expected [daemon], [limits], [platform] or [peer NAME]"
+        ),
     }
 }
 
 fn read_daemon(mut reader: Reader<'_>, folder: &Path) -> Option<DaemonSection> {
-    let name = reader.required("name");
+    let name: Option<DaemonId> = reader.required("name");
+    let vm = reader.optional("vm");
     let zone = reader.required("zone");
     let cluster = reader.required("cluster");
     let callers = reader.required("callers");
@@ -272,8 +328,11 @@
         proof_ms: milliseconds(&mut reader, "connection_proof_ms", 2_000),
     };
     reader.finish();
+    let name = name?;
+    let own_vm = name.as_str().parse().ok();
     Some(DaemonSection {
-        name: name?,
+        vm: vm.or(own_vm)?,
+        name,
         zone: zone?,
         cluster: cluster?,
         callers: callers?,
@@ -299,6 +358,21 @@
     })
 }
 
+fn read_limits(mut reader: Reader<'_>) -> LimitSettings {
+    let default = LimitSettings::default();
+    let times = Millis::new(1_000)..=Millis::new(86_400_000);
+    let fence_ms = reader.ranged("fence_ms", default.fence_ms, times.clone());
+    let longest_work_ms = reader.ranged("longest_work_ms", default.longest_work_ms, times);
+    let percent = Percent::ZERO..=Percent::new(100);
+    let floor_percent = reader.ranged("floor_percent", default.floor_percent, percent);
+    reader.finish();
+    LimitSettings {
+        fence_ms,
+        longest_work_ms,
+        floor_percent,
+    }
+}
+
 fn read_peer(mut reader: Reader<'_>) -> Option<PeerSettings> {
     let name = reader.name();
     let zone = reader.required("zone");
--- a/crates/vanillafold/src/settings/mod.rs
+++ b/crates/vanillafold/src/settings/mod.rs
@@ -3,5 +3,7 @@
 mod daemon;
 mod secret;
 
-pub use daemon::{PeerSettings, PlatformSettings, Settings, SettingsError, Timeouts};
+pub use daemon::{
+    LimitSettings, PeerSettings, PlatformSettings, Settings, SettingsError, Timeouts,
+};
 pub use secret::{Secret, SecretError};
--- a/crates/vanillafold/src/supervisor/daemon.rs
+++ b/crates/vanillafold/src/supervisor/daemon.rs
@@ -14,9 +14,11 @@
 use super::signal::StopSignal;
 use super::task::supervise;
 use crate::admin::serve_admin;
+use crate::append::write_records;
 use crate::caller::serve_callers;
 use crate::counter::Counters;
 use crate::follow::{check_health, follow_log, follow_vms};
+use crate::limit::keep_escrow;
 use crate::node::Node;
 use crate::peer::{PeerStartError, report, start_peers};
 use crate::settings::Settings;
@@ -118,6 +120,12 @@
     supervise(&node, "admin", move || {
         serve_admin(Rc::clone(&node_), Rc::clone(&admin), metrics.clone())
     });
+    let (node_, platform_) = (Rc::clone(&node), Rc::clone(&platform));
+    supervise(&node, "record_writer", move || {
+        write_records(Rc::clone(&node_), Rc::clone(&platform_))
+    });
+    let node_ = Rc::clone(&node);
+    supervise(&node, "escrow", move || keep_escrow(Rc::clone(&node_)));
     let (node_, handle) = (Rc::clone(&node), peers.handle());
     supervise(&node, "peer_reports", move || {
         report(Rc::clone(&node_), handle.clone())
@@ -127,7 +135,10 @@
         node.settings.name, node.settings.callers
     );
 
-    signal.received().await;
+    monoio::select! {
+        () = signal.received() => {}
+        () = node.superseded.ordered() => {}
+    }
     stop(&node).await;
     peers.close().await;
     Ok(())
