Look up the revision of any entry, drop unused derives

Cause: a tool that edits needs `replaces` for an entry of any kind; Stream and RefusalReason derived an order and a hash that nothing uses. Ruled out: leaving the tool to match on the kind itself; it would repeat what the fold has. Change: State::revision; fewer derives.

--- a/crates/vanillafold-state/src/catalogue/fold.rs
+++ b/crates/vanillafold-state/src/catalogue/fold.rs
@@ -1,7 +1,7 @@
 //! The catalogue as the fold keeps it.
 
 use bincode::{Decode, Encode};
-use vanillafold_types::{Key, Pool, Queue, Revision, Team};
+use vanillafold_types::{EntryName, Key, Pool, Queue, Revision, Team};
 
 use super::edit;
 use super::entries::Entries;
@@ -43,6 +43,10 @@
         self.entries.queues.iter()
     }
 
+    pub(crate) fn revision(&self, name: &EntryName) -> Revision {
+        self.entries.revision(name)
+    }
+
     pub(crate) fn keys(&self) -> &KeyRing {
         &self.keys
     }
--- a/crates/vanillafold-state/src/fold/refusal.rs
+++ b/crates/vanillafold-state/src/fold/refusal.rs
@@ -13,7 +13,7 @@
         ///
         /// Numbers are never used again for another meaning. `60x` are faults of the record,
         /// `62x` of an edit, `64x` of a key, `66x` of a VM's move.
-        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Debug, Clone, Copy, PartialEq, Eq)]
         #[non_exhaustive]
         pub enum RefusalReason {
             $($(#[$doc])* $name,)*
--- a/crates/vanillafold-state/src/record/stream.rs
+++ b/crates/vanillafold-state/src/record/stream.rs
@@ -6,7 +6,7 @@
 use bincode::{Decode, Encode};
 
 /// A stream of the platform's log.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
 pub enum Stream {
     /// What operators publish.
     Catalogue,
--- a/crates/vanillafold-state/src/state/lookup.rs
+++ b/crates/vanillafold-state/src/state/lookup.rs
@@ -1,6 +1,6 @@
 //! What the rest of the system asks the state, by binary search.
 
-use vanillafold_types::{Key, KeyId, Pool, PoolId, Queue, Team, TeamId, VmId};
+use vanillafold_types::{EntryName, Key, KeyId, Pool, PoolId, Queue, Revision, Team, TeamId, VmId};
 
 use super::State;
 use crate::{KeyRefusal, Membership, Revised};
@@ -24,6 +24,13 @@
         self.catalogue.domain().team(id.as_str())
     }
 
+    /// The revision that the next edit of an entry replaces; 0 if there is no such entry. Keys
+    /// aren't edited, so theirs is 0.
+    #[must_use]
+    pub fn revision(&self, name: &EntryName) -> Revision {
+        self.catalogue.domain().revision(name)
+    }
+
     /// The pools, sorted by id.
     pub fn pools(&self) -> impl ExactSizeIterator<Item = &Revised<Pool>> {
         self.catalogue.domain().pools()
--- a/crates/vanillafold-state/tests/catalogue.rs
+++ b/crates/vanillafold-state/tests/catalogue.rs
@@ -25,6 +25,8 @@
     let queue = log.state.queue("q").unwrap();
 
     assert_eq!(queue.revision, Revision::new(1));
+    assert_eq!(log.state.revision(&queue_name("q")), queue.revision);
+    assert_eq!(log.state.revision(&pool_name("q")), Revision::ZERO);
     assert!(log.state.pool(&queue.value.pool).is_some());
     assert!(log.state.team(&queue.value.teams[0]).is_some());
 }
