--- a/crates/vanillafold-state/src/lib.rs
+++ b/crates/vanillafold-state/src/lib.rs
@@ -67,6 +67,7 @@
 };
 pub use roster::{Roster, RosterMember, UnreleasedStart};
 pub use snapshot::{
-    MAX_CHUNK_BYTES, Snapshot, SnapshotBuilder, SnapshotChunk, SnapshotError, SnapshotId,
+    MAX_CHUNK_BYTES, MAX_CHUNKS, Snapshot, SnapshotBuilder, SnapshotChunk, SnapshotError,
+    SnapshotId,
 };
 pub use state::State;
