Keep the whole connection of given-up work, not just its reading side

Cause: the audit found a team with 5 running under a limit of 2. Each excess followed a request given up at its deadline, whose unit came back within 0.1 ms while its target went on working. The task that lingers named only the reading side of the connection, so its async block captured just that field (disjoint capture); the writing side was dropped, which shuts the connection down, the target closed, and the unit was taken for free. Ruled out: the escrow (its books were right), a deadline kept by the runner (it has none), a cancelled read of the runtime (the end came from the peer). Change: the task takes the whole connection.

--- a/crates/vanillafold/src/dispatch/linger.rs
+++ b/crates/vanillafold/src/dispatch/linger.rs
@@ -11,13 +11,16 @@
 /// linger time, and only then gives the unit back.
 pub(crate) fn linger(
     node: &Rc<Node>,
-    mut connection: TargetConnection,
+    connection: TargetConnection,
     unit: Option<TeamUnit>,
     method: http::Method,
 ) {
     let node = Rc::clone(node);
     node.counters.lingering.increment(1.0);
     monoio::spawn(async move {
+        // Takes all of it: a block that named its reading side only would drop the writing side
+        // at once, and with it end the connection.
+        let mut connection = connection;
         let limit = node.settings.timeouts.linger_ms.duration();
         // However it ends, the connection is closed: its answer had nobody to go to.
         let _ = timeout(limit, read_to_end(&mut connection.incoming, &method)).await;
