Hold the unit of given-up work whose connection broke for the whole linger time

Cause: a broken connection was taken for the work's end. Change: only a whole answer ends the work early.

--- a/crates/vanillafold/src/dispatch/linger.rs
+++ b/crates/vanillafold/src/dispatch/linger.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use monoio::time::timeout;
+use monoio::time::{Instant, sleep_until, timeout_at};
 use vanillafold_wire::http::{BodyReader, response_framing};
 
 use crate::node::{Incoming, Node, TargetConnection, TeamUnit};
@@ -22,8 +22,14 @@
         // at once, and with it end the connection.
         let mut connection = connection;
         let limit = node.settings.timeouts.linger_ms.duration();
-        // However it ends, the connection is closed: its answer had nobody to go to.
-        let _ = timeout(limit, read_to_end(&mut connection.incoming, &method)).await;
+        let until = Instant::now() + limit;
+        let ended = timeout_at(until, read_to_end(&mut connection.incoming, &method)).await;
+        // The answer had nobody to go to, so the connection is of no more use.
+        drop(connection);
+        // A connection that broke says nothing about the work.
+        if !matches!(ended, Ok(Some(()))) && unit.is_some() {
+            sleep_until(until).await;
+        }
         drop(unit);
         node.counters.lingering.decrement(1.0);
     });
