Let an accepted connection's silence limit count from its hello

The watch of an accepted connection slept until the handshake deadline even after the hello had set a shorter limit, so a silent dialler was kept for the longer of the two. The hello now wakes the watch.

--- a/crates/vanillafold-wire/src/peer/session.rs
+++ b/crates/vanillafold-wire/src/peer/session.rs
@@ -22,7 +22,7 @@
 use super::message::PeerMessage;
 use super::request::{PeerRequest, PeerResponse, UnavailableReason};
 use super::settings::{INBOUND_MISSED_HEARTBEATS, MAX_INBOUND_SILENCE};
-use super::signal::Signal;
+use super::signal::{Notice, Signal};
 use super::statistics::Traffic;
 use super::tasks::Tasks;
 
@@ -41,6 +41,8 @@
     greeted: Cell<bool>,
     last_heard: Cell<BootMillis>,
     silence: Cell<Duration>,
+    /// The silence granted has changed.
+    regranted: Notice,
     end: RefCell<Option<LinkEnd>>,
     ended: Signal,
 }
@@ -53,6 +55,7 @@
             greeted: Cell::new(false),
             last_heard: Cell::new(BootClock::now()),
             silence: Cell::new(directory.settings.handshake_timeout.duration()),
+            regranted: Notice::default(),
             end: RefCell::new(None),
             ended: Signal::default(),
         }
@@ -83,13 +86,26 @@
         self.end.borrow().clone().unwrap_or(LinkEnd::PeerClosed)
     }
 
+    async fn sleep_until_regranted(&self, wait: Duration) {
+        monoio::select! {
+            () = self.regranted.take() => {}
+            () = sleep(wait) => {}
+        }
+    }
+
+    fn grant(&self, silence: Duration) {
+        self.last_heard.set(BootClock::now());
+        self.silence.set(silence);
+        self.regranted.give();
+    }
+
     /// Ends when nothing was heard for as long as the connection is granted.
     async fn watch(&self) -> LinkEnd {
         loop {
             let now = BootClock::now();
             let deadline = self.last_heard.get().plus(self.silence.get());
             match now {
-                _ if now < deadline => sleep(deadline.since(now)).await,
+                _ if now < deadline => self.sleep_until_regranted(deadline.since(now)).await,
                 _ if self.caller.borrow().is_some() => return LinkEnd::Silent,
                 _ => return LinkEnd::HandshakeTimeout,
             }
@@ -266,8 +282,7 @@
             daemon: hello.daemon.clone(),
             incarnation: hello.incarnation,
         });
-        self.session.last_heard.set(now);
-        self.session.silence.set(granted_silence(directory, hello));
+        self.session.grant(granted_silence(directory, hello));
         if let Some(entry) = directory.entry(&hello.daemon) {
             self.session.traffic.assign(&entry.traffic);
             directory.note_incarnation(&entry, hello.incarnation);
