Load: go through all targets from the first of a turn

Cause: senders share the turn of targets. Each sender now goes through all targets from the one that was its turn.

Refusing addresses are now 127.0.0.2:1; - trace directories carry the process id, so that two runs of one test don't meet; - a link test gave its first, healthy request 100 ms, which a busy machine may not keep. Only requests that must time out are impatient now.

--- a/crates/vanillafold-standin/src/load/sender.rs
+++ b/crates/vanillafold-standin/src/load/sender.rs
@@ -102,8 +102,9 @@
             return Some(kept);
         }
         let targets = &self.shared.options.targets;
-        for _ in 0..targets.len() {
-            let target = self.shared.next_target();
+        // The turn is shared with other senders, so the rest is gone through from the first.
+        let first = self.shared.next_target();
+        for target in (0..targets.len()).map(|step| (first + step) % targets.len()) {
             // With a single target there is no other.
             if Some(target) == avoided && targets.len() > 1 {
                 continue;
--- a/crates/vanillafold-standin/tests/common/mod.rs
+++ b/crates/vanillafold-standin/tests/common/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,6 +20,21 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
+/// An address that refuses connections. It is no port that the system gives out: a connection to
+/// such a port may take the same port for its own end, and so meet itself.
+pub(crate) fn refusing() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 2], 1))
+}
+
+/// An empty directory for the traces of a test.
+pub(crate) fn trace_dir(test: &str) -> PathBuf {
+    let name = format!("{test}-{}", std::process::id());
+    let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    // It is there only if an earlier process had this number.
+    let _ = std::fs::remove_dir_all(&dir);
+    dir
+}
+
 /// Runs a test on the runtime of the stand-ins.
 pub(crate) fn block_on<T>(test: impl Future<Output = T>) -> T {
     vanillafold_standin::process::run(async { Ok(test.await) }).expect("a runtime")
--- a/crates/vanillafold-standin/tests/link.rs
+++ b/crates/vanillafold-standin/tests/link.rs
@@ -60,11 +60,11 @@
     fn client(&self) -> Client {
         Client::new(self.links[0], TIMEOUT)
     }
+}
 
-    /// A client that gives up soon.
-    fn impatient(&self) -> Client {
-        Client::new(self.links[0], Duration::from_millis(100))
-    }
+/// A client that gives up soon from now on.
+fn impatient(client: Client) -> Client {
+    client.with_timeout(Duration::from_millis(100))
 }
 
 async fn work(client: &mut Client, bytes: &str) -> Result<Response<Bytes>, ClientError> {
@@ -89,11 +89,11 @@
 fn after_forget_open_connections_are_silent_and_new_ones_work() {
     block_on(async {
         let network = start();
-        let mut open = network.impatient();
+        let mut open = network.client();
         work(&mut open, "1").await.expect("an answer");
 
         network.set("mode=forget").await;
-        let silent = work(&mut open, "1").await;
+        let silent = work(&mut impatient(open), "1").await;
         let fresh = work(&mut network.client(), "1").await;
 
         assert!(
@@ -108,13 +108,13 @@
 fn what_was_open_in_silence_stays_silent() {
     block_on(async {
         let network = start();
-        let mut before = network.impatient();
+        let mut before = network.client();
         work(&mut before, "1").await.expect("an answer");
 
         network.set("mode=silent").await;
-        let during = work(&mut network.impatient(), "1").await;
+        let during = work(&mut impatient(network.client()), "1").await;
         network.set("mode=pass").await;
-        let after = work(&mut before, "1").await;
+        let after = work(&mut impatient(before), "1").await;
         let fresh = work(&mut network.client(), "1").await;
 
         assert!(
@@ -180,7 +180,7 @@
         let network = start();
         network.set("mode=slow\ndelay_ms=30000").await;
 
-        let early = work(&mut network.impatient(), "1").await;
+        let early = work(&mut impatient(network.client()), "1").await;
 
         assert!(matches!(early, Err(ClientError::TimedOut(_))), "{early:?}");
     });
--- a/crates/vanillafold-standin/tests/load.rs
+++ b/crates/vanillafold-standin/tests/load.rs
@@ -4,11 +4,10 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::rc::Rc;
 
 use bytes::Bytes;
-use common::{any_port, block_on, control, wait_until};
+use common::{any_port, block_on, control, refusing, trace_dir, wait_until};
 use http::{Request, Response};
 use monoio::time::sleep;
 use vanillafold_standin::load::{
@@ -263,11 +262,7 @@
 #[test]
 fn a_target_that_refuses_connections_is_passed_over() {
     block_on(async {
-        let closed = std::net::TcpListener::bind(any_port()).expect("a free port");
-        let refusing = closed.local_addr().expect("an address");
-        drop(closed);
-
-        let summary = run(options(&[refusing, start_runner()], open(100.0, 8))).await;
+        let summary = run(options(&[refusing(), start_runner()], open(100.0, 8))).await;
 
         assert_eq!(count(&summary, ReceivedOutcome::Answer), summary.intended);
         assert_eq!(summary.unconnected, 0);
@@ -277,11 +272,7 @@
 #[test]
 fn without_any_target_nothing_is_sent() {
     block_on(async {
-        let closed = std::net::TcpListener::bind(any_port()).expect("a free port");
-        let refusing = closed.local_addr().expect("an address");
-        drop(closed);
-
-        let summary = run(options(&[refusing], open(100.0, 8))).await;
+        let summary = run(options(&[refusing()], open(100.0, 8))).await;
 
         assert_eq!(summary.sent, 0);
         assert_eq!(summary.unconnected, summary.intended);
@@ -290,9 +281,7 @@
 
 #[test]
 fn a_lost_non_idempotent_request_is_repeated_elsewhere_with_its_id() {
-    let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join("repeated_elsewhere");
-    // It is there only if the test ran before.
-    let _ = std::fs::remove_dir_all(&dir);
+    let dir = trace_dir("repeated_elsewhere");
     let summary = block_on(async {
         let cutting = start_runner();
         control(cutting, "/control/mode", "mode=cut").await;
@@ -305,6 +294,7 @@
     });
 
     let text = std::fs::read_to_string(dir.join("load-1.jsonl")).expect("a trace");
+    std::fs::remove_dir_all(&dir).expect("removed");
     let events: Vec<TraceEvent> = text
         .lines()
         .map(|line| serde_json::from_str(line).expect("an event"))
@@ -330,9 +320,7 @@
 
 #[test]
 fn every_send_has_one_end_in_the_trace() {
-    let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join("one_end");
-    // It is there only if the test ran before.
-    let _ = std::fs::remove_dir_all(&dir);
+    let dir = trace_dir("one_end");
     let summary = block_on(async {
         let (slow, _) = start_fixed(async || {
             sleep(Millis::new(150).duration()).await;
@@ -347,6 +335,7 @@
     });
 
     let text = std::fs::read_to_string(dir.join("load-1.jsonl")).expect("a trace");
+    std::fs::remove_dir_all(&dir).expect("removed");
     let sends = text
         .lines()
         .filter(|line| line.contains(r#""kind":"sent""#));
--- a/crates/vanillafold-standin/tests/platform.rs
+++ b/crates/vanillafold-standin/tests/platform.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use common::{any_port, block_on, control, wait_until};
+use common::{any_port, block_on, control, refusing, wait_until};
 use http::{Request, Response};
 use vanillafold_standin::platform::{Faults, PlatformOptions, PlatformStandin};
 use vanillafold_standin::process::{accept_each, bind};
@@ -277,11 +277,7 @@
 #[test]
 fn an_append_without_a_platform_is_not_appended() {
     block_on(async {
-        let closed = std::net::TcpListener::bind(any_port()).expect("a free port");
-        let address = closed.local_addr().expect("an address");
-        drop(closed);
-
-        let refused = client(address).append("control", record("x")).await;
+        let refused = client(refusing()).append("control", record("x")).await;
 
         assert!(
             matches!(refused, Err(AppendError::NotAppended { .. })),
--- a/crates/vanillafold-standin/tests/runner.rs
+++ b/crates/vanillafold-standin/tests/runner.rs
@@ -3,10 +3,9 @@
 mod common;
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
 
 use bytes::Bytes;
-use common::{any_port, block_on, control, headers, request, wait_until};
+use common::{any_port, block_on, control, headers, request, trace_dir, wait_until};
 use http::{HeaderMap, Method, Response, StatusCode};
 use monoio::net::TcpStream;
 use monoio::task::JoinHandle;
@@ -429,13 +428,6 @@
 
 // --- Traces ------------------------------------------------------------------------------------
 
-fn trace_dir(test: &str) -> PathBuf {
-    let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(test);
-    // It is there only if the test ran before.
-    let _ = std::fs::remove_dir_all(&dir);
-    dir
-}
-
 #[test]
 fn starts_and_ends_are_traced() {
     let dir = trace_dir("starts_and_ends_are_traced");
@@ -458,6 +450,7 @@
     });
 
     let seen = std::fs::read_to_string(dir.join("runner-1.jsonl")).expect("a trace");
+    std::fs::remove_dir_all(&dir).expect("removed");
     let events: Vec<TraceEvent> = seen
         .lines()
         .map(|line| serde_json::from_str(line).expect("an event"))
