Load: a repeat has as much patience as a new request

A repeat after a timeout had none left and counted as given up, unsent: the case that repeats are for, a daemon that went silent, was never tried. Its time now counts from the repeat.

--- a/crates/vanillafold-standin/src/load/sender.rs
+++ b/crates/vanillafold-standin/src/load/sender.rs
@@ -43,7 +43,12 @@
         let repeats = self.shared.options.repeat_lost && !job.idempotent;
         if let Some(target) = lost_at.filter(|_| repeats) {
             self.shared.tally.borrow_mut().repeated += 1;
-            self.send_once(job, Some(target)).await;
+            // The caller has as much patience as for a new request.
+            let repeat = Job {
+                intended: Instant::now(),
+                ..job.clone()
+            };
+            self.send_once(&repeat, Some(target)).await;
         }
     }
 
--- a/crates/vanillafold-standin/tests/load.rs
+++ b/crates/vanillafold-standin/tests/load.rs
@@ -318,6 +318,25 @@
     assert_eq!(count(&summary, ReceivedOutcome::Answer), summary.intended);
 }
 
+#[test]
+fn a_request_that_timed_out_is_repeated_elsewhere() {
+    block_on(async {
+        let (stalled, _) = start_fixed(async || std::future::pending().await);
+        let mut repeating = options(&[stalled, start_runner()], open(50.0, 64));
+        repeating.work.idempotent_share = 0.0;
+        repeating.work.deadline_ms = Millis::new(100);
+        repeating.work.grace_ms = Millis::new(20);
+        repeating.repeat_lost = true;
+
+        let summary = run(repeating).await;
+
+        assert!(summary.repeated > 0);
+        let ends = summary.sent + summary.given_up;
+        assert_eq!(ends, summary.intended + summary.repeated);
+        assert!(summary.sent > summary.intended, "{summary:?}");
+    });
+}
+
 #[test]
 fn every_send_has_one_end_in_the_trace() {
     let dir = trace_dir("one_end");
