Judge the escrow by a seeded simulation that sees planted bugs

Cause: the thin escrow had no test.

Change: tests/sim is a fleet with the real fold and the real escrow on a log with outages and lost append answers, a network that loses, repeats, delays and is cut, clocks that differ by up to 1 %, freezes, crashes, restarts on the same VM and on another, false fences and changing limits. Work at targets ends by itself. What the simulation found was mended: units held by an idle borrower for stale asks (unwanted grants now go back at once), and a daemon without home units that starved while others borrowed (the lender now asks a unit back for it).

--- a/crates/vanillafold-state/src/escrow/book.rs
+++ b/crates/vanillafold-state/src/escrow/book.rs
@@ -248,18 +248,23 @@
         }
     }
 
-    /// Whether no work can start here but on units that others lend.
-    pub(super) fn has_none(&self) -> bool {
+    /// Whether nothing runs here and nothing can start.
+    pub(super) fn has_none(&self, rights: Rights) -> bool {
         self.own_in_use == 0
-            && self.outstanding() >= u64::from(self.home)
+            && self.own_free(rights) == 0
             && self.borrowed.iter().all(|loan| loan.held() == 0)
     }
 
-    /// A unit kept back for a peer that has none and asked long enough ago.
-    pub(super) fn reserved(&self, settings: &EscrowSettings, now: BootMillis) -> u64 {
+    /// Whether a peer has none and asked long enough ago.
+    fn is_peer_starved(&self, settings: &EscrowSettings, now: BootMillis) -> bool {
         let is_starved = |ask: &Ask| ask.has_none && now.since(ask.since) >= settings.min_hold_ms;
+        self.asks.iter().any(is_starved)
+    }
+
+    /// Units kept back for a peer that has none.
+    pub(super) fn reserved(&self, settings: &EscrowSettings, now: BootMillis) -> u64 {
         let is_lender = self.outstanding() < self.surplus();
-        u64::from(is_lender && self.asks.iter().any(is_starved))
+        u64::from(is_lender && self.is_peer_starved(settings, now))
     }
 
     /// Asks back what is lent beyond the surplus, after the limit was lowered.
@@ -270,19 +275,23 @@
         }
     }
 
-    /// Asks back what this daemon's own waiting work needs.
+    /// Asks back what this daemon's own waiting work needs, or else a unit for a peer that has
+    /// none.
     pub(super) fn recall_wanted(
         &mut self,
         rights: Rights,
         settings: &EscrowSettings,
         now: BootMillis,
     ) {
-        let missing = self
-            .capacity(rights)
-            .saturating_sub(u64::from(self.own_in_use) + self.kept());
         // What was asked back already is on its way and counts as there.
-        let wanted = u64::from(self.wanted(settings, now));
-        let mut needed = wanted.saturating_sub(missing).min(self.capacity(rights));
+        let kept = self.kept();
+        let unlent = self
+            .capacity(rights)
+            .saturating_sub(u64::from(self.own_in_use) + kept);
+        let wanted = u64::from(self.wanted(settings, now)).min(self.capacity(rights));
+        let is_all_lent = kept > 0 && kept >= self.surplus();
+        let starved = u64::from(is_all_lent && self.is_peer_starved(settings, now));
+        let mut needed = wanted.saturating_sub(unlent).max(starved);
         for lent in self.lent.iter_mut() {
             if lent.closed_since.is_none() && lent.is_held_for(settings.min_hold_ms, now) {
                 needed -= lent.recall(needed);
--- a/crates/vanillafold-state/src/escrow/exchange.rs
+++ b/crates/vanillafold-state/src/escrow/exchange.rs
@@ -137,21 +137,25 @@
         if !loan.read(word) {
             return;
         }
-        let is_grant = loan.held() > held;
+        let granted = loan.held() - held;
+        let wanted = u64::from(self.wanted(settings, now));
+        let free = self.borrowed_free(context.rights, context.standings.len());
+        if granted > 0 && wanted >= free {
+            // A lender that had one unit may have more: it is asked first, and again at once.
+            self.next_to_ask = key.member.index();
+            let missing = u32::try_from(wanted - free).unwrap_or(u32::MAX);
+            lines.extend((missing > 0).then(|| self.ask(key.member, missing, context.rights, now)));
+        }
+        if granted > 0 && wanted < free {
+            lines.push(self.unask(key.member));
+        }
+        let Some(loan) = self.borrowed.get_mut(&key) else {
+            return;
+        };
         loan.return_unneeded(settings.idle_ms, now);
+        loan.return_unused(granted.min(free.saturating_sub(wanted)));
         if needs_ack {
             lines.push(Addressed::new(key.member, &self.team, loan.entry(now)));
         }
-        if !is_grant {
-            return;
-        }
-        // A lender that had one unit may have more: it is asked first, and again at once.
-        self.next_to_ask = key.member.index();
-        let free = self.borrowed_free(context.rights, context.standings.len());
-        let wanted = u64::from(self.wanted(settings, now)).saturating_sub(free);
-        if wanted > 0 {
-            let wanted = u32::try_from(wanted).unwrap_or(u32::MAX);
-            lines.push(self.ask(key.member, wanted, now));
-        }
     }
 }
--- a/crates/vanillafold-state/src/escrow/lending.rs
+++ b/crates/vanillafold-state/src/escrow/lending.rs
@@ -111,7 +111,8 @@
             if lendable == 0 || is_needed_here {
                 return;
             }
-            let mut ask = self.asks.remove(0);
+            let starved = self.asks.iter().position(|ask| ask.has_none);
+            let mut ask = self.asks.remove(starved.unwrap_or(0));
             let Some(incarnation) = context.standings[ask.member.index()].current() else {
                 continue;
             };
@@ -125,7 +126,7 @@
                 .get_or_insert_with(&key, || Lent::new(key, home))
                 .grant(units, now);
             ask.wanted -= u32::try_from(units).unwrap_or(ask.wanted);
-            ask.has_none = false;
+            (ask.has_none, ask.since) = (false, now);
             if ask.wanted > 0 {
                 self.asks.push(ask);
             }
@@ -141,13 +142,8 @@
             false => 0,
         };
         if wanted == 0 {
-            let entry = EscrowEntry::Ask {
-                wanted: 0,
-                has_none: false,
-            };
-            for Asked { member, .. } in std::mem::take(&mut self.asked).iter() {
-                lines.push(Addressed::new(*member, &self.team, entry));
-            }
+            let asked = std::mem::take(&mut self.asked);
+            lines.extend(asked.iter().map(|asked| self.unask(asked.member)));
             return;
         }
         let mut left = settings.ask_fanout.max(daemons / ASK_PART);
@@ -163,7 +159,7 @@
             if member == context.own || is_asked || !is_lender {
                 continue;
             }
-            lines.push(self.ask(member, wanted, now));
+            lines.push(self.ask(member, wanted, context.rights, now));
             left -= 1;
             if left == 0 {
                 self.next_to_ask = (index + 1) % daemons;
@@ -172,11 +168,26 @@
         }
     }
 
-    pub(super) fn ask(&mut self, member: Member, wanted: u32, now: BootMillis) -> Addressed {
+    pub(super) fn ask(
+        &mut self,
+        member: Member,
+        wanted: u32,
+        rights: Rights,
+        now: BootMillis,
+    ) -> Addressed {
         self.asked.insert(Asked { member, at: now });
         let entry = EscrowEntry::Ask {
             wanted,
-            has_none: self.has_none(),
+            has_none: self.has_none(rights),
+        };
+        Addressed::new(member, &self.team, entry)
+    }
+
+    /// Takes an ask back.
+    pub(super) fn unask(&self, member: Member) -> Addressed {
+        let entry = EscrowEntry::Ask {
+            wanted: 0,
+            has_none: false,
         };
         Addressed::new(member, &self.team, entry)
     }
--- a/crates/vanillafold-state/src/escrow/loan.rs
+++ b/crates/vanillafold-state/src/escrow/loan.rs
@@ -235,6 +235,12 @@
         self.least_free = self.unused();
     }
 
+    /// Books out up to `units` that are not in use.
+    pub(super) fn return_unused(&mut self, units: u64) {
+        self.returned_total += units.min(self.unused());
+        self.least_free = self.least_free.min(self.unused());
+    }
+
     fn unused(&self) -> u64 {
         self.held() - self.in_use
     }
--- /dev/null
+++ b/crates/vanillafold-state/tests/sim/process.rs
@@ -0,0 +1,106 @@
+//! One start of a daemon.
+
+use vanillafold_state::{
+    Author, BootMillis, ControlChange, ControlRecord, Escrow, State, Stream, UnitSource,
+};
+use vanillafold_types::{DaemonId, Incarnation, Offset, Sequence, TeamId, VmId};
+
+use super::clock::Clock;
+use super::log::{Log, Tail};
+use super::network::ProcessId;
+
+/// A read of the log that is under way.
+#[derive(Debug)]
+pub(crate) struct Read {
+    pub(crate) began: BootMillis,
+    pub(crate) served_ms: u64,
+    pub(crate) done_ms: u64,
+    pub(crate) tail: Option<Tail>,
+}
+
+/// A unit in use, and when the holder gives it back.
+#[derive(Debug)]
+pub(crate) struct Holding {
+    pub(crate) team: TeamId,
+    pub(crate) unit: UnitSource,
+    /// When the target's answer comes, if the holder hears of it.
+    pub(crate) answer_ms: Option<u64>,
+    pub(crate) give_up_at: BootMillis,
+}
+
+#[derive(Debug)]
+pub(crate) struct Process {
+    pub(crate) id: ProcessId,
+    pub(crate) daemon: usize,
+    pub(crate) name: DaemonId,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) vm: VmId,
+    pub(crate) clock: Clock,
+    pub(crate) escrow: Escrow,
+    pub(crate) state: State,
+    pub(crate) limits_read: usize,
+    /// Until when each earlier revision of the limits was the one that it knew.
+    pub(crate) limits_left: Vec<(usize, u64)>,
+    pub(crate) died_ms: Option<u64>,
+    pub(crate) paused_until_ms: u64,
+    pub(crate) paused_ms: u64,
+    pub(crate) read: Option<Read>,
+    pub(crate) next_read_ms: u64,
+    pub(crate) next_append_ms: u64,
+    pub(crate) unread_records: Vec<(Sequence, Vec<u8>)>,
+    pub(crate) last_sequence: u64,
+    pub(crate) holdings: Vec<Holding>,
+    /// How much each team wants to run here.
+    pub(crate) demand: Vec<usize>,
+}
+
+impl Process {
+    pub(crate) fn is_alive(&self) -> bool {
+        self.died_ms.is_none()
+    }
+
+    pub(crate) fn is_running(&self, now_ms: u64) -> bool {
+        self.is_alive() && self.paused_until_ms <= now_ms
+    }
+
+    /// Makes a record that is appended until it is read back.
+    pub(crate) fn write(&mut self, change: ControlChange) {
+        self.last_sequence += 1;
+        let sequence = Sequence::new(self.last_sequence);
+        let record = ControlRecord {
+            author: Author {
+                id: self.name.as_str().parse().unwrap(),
+                incarnation: self.incarnation,
+            },
+            sequence,
+            as_of: self.state.next_offset(Stream::Control),
+            change,
+        };
+        self.unread_records
+            .push((sequence, record.encode().unwrap()));
+    }
+
+    /// Folds the log up to `tail`.
+    pub(crate) fn fold(&mut self, log: &Log, tail: Tail, now: BootMillis, now_ms: u64) {
+        let next = self.state.next_offset(Stream::Control).get();
+        for offset in next..=tail.control as u64 {
+            let bytes = &log.control[usize::try_from(offset - 1).unwrap()];
+            let _ = self
+                .state
+                .apply(Stream::Control, Offset::new(offset), bytes);
+        }
+        let author = Author {
+            id: self.name.as_str().parse().unwrap(),
+            incarnation: self.incarnation,
+        };
+        let state = &self.state;
+        self.unread_records
+            .retain(|(sequence, _)| state.outcome(Stream::Control, &author, *sequence).is_none());
+        self.escrow.roster(self.state.roster(), now);
+        if tail.limits > self.limits_read {
+            self.limits_left.push((self.limits_read, now_ms));
+            self.limits_read = tail.limits;
+            self.escrow.set_limits(&log.limits[tail.limits - 1].limits);
+        }
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-state/tests/sim/world.rs
@@ -0,0 +1,525 @@
+//! The fleet, its platform and its targets, step by step.
+
+use vanillafold_state::{
+    BootMillis, ControlChange, Escrow, EscrowSettings, Outgoing, State, TeamLimit, floor_units,
+    home_units,
+};
+use vanillafold_types::{DaemonId, Incarnation, Limit, Millis, Percent, TeamId, VmId};
+
+use super::clock::Clock;
+use super::faults::{FaultRates, Planted};
+use super::log::{LimitsRevision, Log};
+use super::network::{Network, Packet};
+use super::process::{Holding, Process, Read};
+use super::random::Random;
+use super::report::{Excess, Report};
+
+pub(crate) const STEP_MS: u64 = 20;
+const TICK_MS: u64 = 100;
+const READ_EVERY_MS: u64 = 200;
+const READ_MS: u64 = 50;
+const SLOW_READ_MS: u64 = 9_000;
+const APPEND_AGAIN_MS: u64 = 500;
+const APPEND_WAIT_MS: u64 = 5_000;
+const LONGEST_WORK_MS: u64 = 3_000;
+const STARTS_PER_STEP: usize = 40;
+const LIMITS: [u32; 8] = [0, 1, 2, 3, 5, 8, 20, 60];
+
+/// Short times, so that a run of minutes sees many handovers.
+pub(crate) fn sim_settings() -> EscrowSettings {
+    EscrowSettings {
+        fence_ms: Millis::new(10_000),
+        longest_work_ms: Millis::new(LONGEST_WORK_MS),
+        clock_drift: Percent::new(3),
+        ..EscrowSettings::default()
+    }
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct WorldSetup {
+    pub(crate) seed: u64,
+    pub(crate) daemons: usize,
+    pub(crate) limits: Vec<u32>,
+    pub(crate) rates: FaultRates,
+    pub(crate) planted: Planted,
+    pub(crate) settings: EscrowSettings,
+}
+
+/// Work at a target. It goes on whatever becomes of the daemon that sent it.
+#[derive(Debug)]
+struct Work {
+    team: usize,
+    ends_ms: u64,
+}
+
+#[derive(Debug)]
+pub(crate) struct World {
+    pub(crate) setup: WorldSetup,
+    pub(crate) now_ms: u64,
+    pub(crate) report: Report,
+    pub(crate) network: Network,
+    pub(crate) log: Log,
+    pub(crate) processes: Vec<Process>,
+    pub(super) random: Random,
+    pub(super) fleet: Vec<DaemonId>,
+    teams: Vec<TeamId>,
+    works: Vec<Work>,
+    pub(super) next_incarnation: u64,
+    pub(crate) is_probe: bool,
+}
+
+impl World {
+    pub(crate) fn new(setup: WorldSetup) -> Self {
+        let fleet: Vec<DaemonId> = (0..setup.daemons)
+            .map(|index| format!("d{index:02}").parse().unwrap())
+            .collect();
+        let teams = (0..setup.limits.len())
+            .map(|index| format!("team-{index}").parse().unwrap())
+            .collect();
+        let mut world = Self {
+            random: Random::new(setup.seed),
+            now_ms: 1_000,
+            report: Report::default(),
+            network: Network {
+                loss_per_million: setup.rates.loss,
+                repeat_per_million: setup.rates.repeat,
+                long_delay_per_million: setup.rates.long_delay,
+                sums_repeats: setup.planted == Planted::SumsRepeats,
+                hides_home: setup.planted == Planted::HidesHome,
+                ..Network::default()
+            },
+            log: Log::default(),
+            processes: Vec::new(),
+            fleet,
+            teams,
+            works: Vec::new(),
+            next_incarnation: 1,
+            is_probe: false,
+            setup,
+        };
+        world.publish_limits(&world.setup.limits.clone());
+        for daemon in 0..world.setup.daemons {
+            let vm = format!("vm-{daemon}").parse().unwrap();
+            world.start(daemon, vm, None);
+        }
+        world
+    }
+
+    pub(crate) fn publish_limits(&mut self, limits: &[u32]) {
+        let limits = self
+            .teams
+            .iter()
+            .zip(limits)
+            .map(|(team, limit)| TeamLimit {
+                team: team.clone(),
+                limit: Limit::new(*limit),
+            });
+        let revision = LimitsRevision {
+            at_ms: self.now_ms,
+            limits: limits.collect(),
+        };
+        self.log.limits.push(revision);
+    }
+
+    /// Starts a daemon on a VM; `claimed` is the VM that it says it is on.
+    pub(crate) fn start(&mut self, daemon: usize, vm: VmId, claimed: Option<VmId>) {
+        let incarnation = Incarnation::new(self.next_incarnation);
+        self.next_incarnation += 1;
+        let clock = Clock::new(&mut self.random);
+        let settings = match self.setup.planted {
+            Planted::NoWorkTime => EscrowSettings {
+                longest_work_ms: Millis::ZERO,
+                clock_drift: Percent::ZERO,
+                ..self.setup.settings.clone()
+            },
+            _ => self.setup.settings.clone(),
+        };
+        let name = self.fleet[daemon].clone();
+        let escrow = Escrow::new(&name, incarnation, self.fleet.clone(), settings);
+        let mut process = Process {
+            id: self.processes.len(),
+            daemon,
+            incarnation,
+            vm: vm.clone(),
+            clock,
+            escrow,
+            state: State::new(),
+            limits_read: 0,
+            limits_left: Vec::new(),
+            died_ms: None,
+            paused_until_ms: 0,
+            paused_ms: 0,
+            read: None,
+            next_read_ms: self.now_ms,
+            next_append_ms: self.now_ms,
+            unread_records: Vec::new(),
+            last_sequence: 0,
+            holdings: Vec::new(),
+            demand: vec![0; self.teams.len()],
+            name: name.clone(),
+        };
+        process.write(ControlChange::Join {
+            daemon: name,
+            vm: claimed.unwrap_or(vm),
+            incarnation,
+        });
+        self.processes.push(process);
+    }
+
+    pub(crate) fn run(&mut self, span_ms: u64) {
+        let end_ms = self.now_ms + span_ms;
+        while self.now_ms < end_ms && self.report.excess.is_none() {
+            self.step();
+        }
+        (self.report.messages, self.report.bytes) = (self.network.messages, self.network.bytes);
+    }
+
+    fn step(&mut self) {
+        self.now_ms += STEP_MS;
+        self.report.steps += 1;
+        self.inject_faults();
+        let now_ms = self.now_ms;
+        self.works.retain(|work| work.ends_ms > now_ms);
+        self.deliver();
+        for index in 0..self.processes.len() {
+            self.serve_read(index);
+            if self.processes[index].is_running(self.now_ms) {
+                self.step_process(index);
+            }
+        }
+        self.check();
+    }
+
+    fn step_process(&mut self, index: usize) {
+        if self.setup.planted == Planted::AlwaysFresh {
+            let now = self.clock_of(index);
+            self.processes[index].escrow.note_fresh(now);
+        }
+        self.give_back(index);
+        let starts_first = self.random.happens(500_000);
+        if starts_first {
+            self.start_work(index);
+        }
+        self.finish_read(index);
+        self.append(index);
+        if (self.now_ms + 37 * index as u64 / STEP_MS * STEP_MS) % TICK_MS < STEP_MS {
+            let now = self.clock_of(index);
+            let outgoing = self.processes[index].escrow.tick(now);
+            self.send(index, outgoing);
+        }
+        if !starts_first {
+            self.start_work(index);
+        }
+    }
+
+    /// A process's own time.
+    fn clock_of(&self, index: usize) -> BootMillis {
+        let process = &self.processes[index];
+        let counted_ms = match self.setup.planted {
+            Planted::ClockStopsInPause => self.now_ms - process.paused_ms,
+            _ => self.now_ms,
+        };
+        process.clock.at(counted_ms)
+    }
+
+    fn deliver(&mut self) {
+        for mut packet in self.network.take_due(self.now_ms) {
+            for index in 0..self.processes.len() {
+                let process = &self.processes[index];
+                if process.daemon != packet.to_daemon || !process.is_alive() {
+                    continue;
+                }
+                if !process.is_running(self.now_ms) {
+                    packet.deliver_ms = process.paused_until_ms;
+                    self.network.packets.push(packet.clone());
+                    continue;
+                }
+                let now = self.clock_of(index);
+                let outgoing = self.processes[index].escrow.receive(
+                    &self.fleet[packet.from_daemon],
+                    packet.from_incarnation,
+                    packet.message.clone(),
+                    now,
+                );
+                self.send(index, outgoing);
+            }
+        }
+    }
+
+    fn send(&mut self, index: usize, outgoing: Vec<Outgoing>) {
+        for Outgoing { to, message } in outgoing {
+            let packet = Packet {
+                deliver_ms: 0,
+                from: index,
+                from_daemon: self.processes[index].daemon,
+                from_incarnation: self.processes[index].incarnation,
+                to_daemon: self.fleet.binary_search(&to).unwrap(),
+                message,
+            };
+            self.network.send(packet, self.now_ms, &mut self.random);
+        }
+    }
+
+    fn is_platform_there(&self, index: usize) -> bool {
+        !self.log.is_out && !self.network.is_platform_cut(index)
+    }
+
+    /// The platform's side of a read; it goes on while the reader is paused.
+    fn serve_read(&mut self, index: usize) {
+        let is_there = self.is_platform_there(index);
+        let tail = self.log.tail();
+        let process = &mut self.processes[index];
+        match &mut process.read {
+            Some(read) if read.tail.is_none() && read.served_ms <= self.now_ms => match is_there {
+                true => read.tail = Some(tail),
+                false => process.read = None,
+            },
+            _ => {}
+        }
+    }
+
+    fn finish_read(&mut self, index: usize) {
+        let now = self.clock_of(index);
+        let now_ms = self.now_ms;
+        let is_there = self.is_platform_there(index);
+        match self.processes[index].read.take() {
+            Some(Read {
+                began,
+                tail: Some(mut tail),
+                done_ms,
+                ..
+            }) if done_ms <= now_ms => {
+                let is_part = self.random.happens(50_000);
+                let process = &mut self.processes[index];
+                if is_part {
+                    tail.control = tail.control.saturating_sub(1);
+                    tail.limits = tail.limits.saturating_sub(1);
+                }
+                let seen = match self.setup.planted {
+                    Planted::NoHandover => {
+                        let over = process_handover_ms(&self.setup.settings);
+                        BootMillis::new(now.get().saturating_sub(over))
+                    }
+                    _ => now,
+                };
+                process.fold(&self.log, tail, seen, now_ms);
+                if !is_part {
+                    process.escrow.note_fresh(began);
+                }
+            }
+            Some(read) => self.processes[index].read = Some(read),
+            None if is_there && self.processes[index].next_read_ms <= now_ms => {
+                let served_ms = now_ms + self.read_ms();
+                let done_ms = served_ms + self.read_ms();
+                let process = &mut self.processes[index];
+                process.next_read_ms = now_ms + READ_EVERY_MS;
+                process.read = Some(Read {
+                    began: now,
+                    served_ms,
+                    done_ms,
+                    tail: None,
+                });
+            }
+            None => {}
+        }
+    }
+
+    fn read_ms(&mut self) -> u64 {
+        match self.setup.rates.long_delay > 0 && self.random.happens(20_000) {
+            true => self.random.below(SLOW_READ_MS),
+            false => self.random.below(READ_MS),
+        }
+    }
+
+    fn append(&mut self, index: usize) {
+        if !self.is_platform_there(index) || self.processes[index].next_append_ms > self.now_ms {
+            return;
+        }
+        let is_answer_lost = self.random.happens(self.setup.rates.lost_answer);
+        let process = &mut self.processes[index];
+        let records = process.unread_records.iter();
+        self.log
+            .control
+            .extend(records.map(|(_, bytes)| bytes.clone()));
+        process.next_append_ms = match (process.unread_records.is_empty(), is_answer_lost) {
+            (true, _) => self.now_ms,
+            (false, true) => self.now_ms + APPEND_AGAIN_MS,
+            (false, false) => self.now_ms + APPEND_WAIT_MS,
+        };
+    }
+
+    fn give_back(&mut self, index: usize) {
+        let now = self.clock_of(index);
+        let now_ms = self.now_ms;
+        let process = &mut self.processes[index];
+        let (over, holdings) =
+            std::mem::take(&mut process.holdings)
+                .into_iter()
+                .partition(|holding: &Holding| {
+                    holding.answer_ms.is_some_and(|at| at <= now_ms) || holding.give_up_at <= now
+                });
+        process.holdings = holdings;
+        for Holding { team, unit, .. } in over {
+            process.escrow.give_back(&team, unit);
+        }
+    }
+
+    fn start_work(&mut self, index: usize) {
+        let now = self.clock_of(index);
+        for team in 0..self.teams.len() {
+            let id = self.teams[team].clone();
+            let held = self.processes[index].holdings.iter();
+            let running = held.filter(|holding| holding.team == id).count();
+            let waiting = self.processes[index].demand[team].saturating_sub(running);
+            for started in 0..waiting.min(STARTS_PER_STEP) {
+                let process = &mut self.processes[index];
+                let Ok(unit) = process.escrow.try_take(&id, now) else {
+                    process
+                        .escrow
+                        .want(&id, u32::try_from(waiting - started).unwrap(), now);
+                    break;
+                };
+                self.report.started += 1;
+                self.report.started_borrowed += u64::from(unit.is_borrowed());
+                let is_given_up = !self.is_probe && self.random.happens(30_000);
+                let work_ms = match is_given_up {
+                    true => self.random.between(LONGEST_WORK_MS / 2, LONGEST_WORK_MS),
+                    false => self.work_ms(),
+                };
+                let give_up_ms = match self.setup.planted {
+                    Planted::EarlyGiveBack => 200,
+                    _ => self.setup.settings.drain_ms().get(),
+                };
+                let holding = Holding {
+                    team: id.clone(),
+                    unit,
+                    answer_ms: (!is_given_up).then_some(self.now_ms + work_ms),
+                    give_up_at: BootMillis::new(now.get() + give_up_ms),
+                };
+                self.processes[index].holdings.push(holding);
+                self.works.push(Work {
+                    team,
+                    ends_ms: self.now_ms + work_ms,
+                });
+            }
+        }
+    }
+
+    fn work_ms(&mut self) -> u64 {
+        match self.random.below(20) {
+            _ if self.is_probe => LONGEST_WORK_MS,
+            0 => LONGEST_WORK_MS,
+            1..=3 => self.random.between(600, LONGEST_WORK_MS),
+            _ => self.random.between(50, 600),
+        }
+    }
+
+    /// Work of a team that runs now.
+    pub(crate) fn running(&self, team: usize) -> usize {
+        self.works.iter().filter(|work| work.team == team).count()
+    }
+
+    /// Units of a team that a process holds in use.
+    pub(crate) fn running_at(&self, index: usize, team: usize) -> usize {
+        let id = &self.teams[team];
+        let holdings = self.processes[index].holdings.iter();
+        holdings.filter(|holding| holding.team == *id).count()
+    }
+
+    fn check(&mut self) {
+        for team in 0..self.teams.len() {
+            let running = self.running(team);
+            let allowed = self.allowed(team);
+            self.report.team_steps += 1;
+            self.report.full_team_steps += u64::from(running > 0 && running == allowed as usize);
+            if running > allowed as usize {
+                self.report.excess = Some(Excess {
+                    at_ms: self.now_ms,
+                    team: self.teams[team].to_string(),
+                    running,
+                    allowed,
+                });
+            }
+        }
+    }
+
+    /// The largest limit that was in force during the settling window, and the floors of processes
+    /// that can't have read a limit as new as that.
+    fn allowed(&self, team: usize) -> u32 {
+        let settle_ms = process_handover_ms(&self.setup.settings) * 102 / 100;
+        let window_ms = self.now_ms.saturating_sub(settle_ms);
+        let first = self
+            .log
+            .limits
+            .partition_point(|revision| revision.at_ms <= window_ms)
+            .saturating_sub(1);
+        let in_force = self.log.limits[first..].iter();
+        let limit = in_force
+            .map(|revision| revision.limits[team].limit.get())
+            .max()
+            .unwrap_or(0);
+        let floors = self
+            .processes
+            .iter()
+            .map(|process| self.stale_floor(process, team, first));
+        limit + floors.sum::<u32>()
+    }
+
+    /// The floor on which a process may run that knows, or knew when the longest work began, only
+    /// limits older than revision `first`.
+    fn stale_floor(&self, process: &Process, team: usize, first: usize) -> u32 {
+        let began_ms = self.now_ms.saturating_sub(LONGEST_WORK_MS);
+        let is_over = process.died_ms.is_some_and(|at_ms| at_ms < began_ms);
+        let left = process.limits_left.iter();
+        let known = left
+            .filter(|(_, until_ms)| *until_ms >= began_ms)
+            .map(|(revision, _)| *revision)
+            .chain([process.limits_read])
+            .filter(|revision| !is_over && (1..=first).contains(revision));
+        let floors = known.map(|revision| {
+            let known = &self.log.limits[revision - 1].limits[team];
+            let home = home_units(&known.team, known.limit, process.daemon, self.fleet.len());
+            floor_units(home, self.setup.settings.floor)
+        });
+        floors.max().unwrap_or(0)
+    }
+
+    pub(super) fn random_limits(&mut self) -> Vec<u32> {
+        (0..self.teams.len())
+            .map(|_| LIMITS[self.random.index(LIMITS.len())])
+            .collect()
+    }
+
+    /// The latest start of a daemon.
+    pub(crate) fn latest(&self, daemon: usize) -> usize {
+        self.processes
+            .iter()
+            .rposition(|process| process.daemon == daemon)
+            .unwrap()
+    }
+
+    /// The units of a team less the floor of a daemon.
+    pub(crate) fn without_floor(&self, team: usize, daemon: usize) -> usize {
+        let limits = &self.log.limits.last().unwrap().limits[team];
+        let home = home_units(&limits.team, limits.limit, daemon, self.fleet.len());
+        let floor = floor_units(home, self.setup.settings.floor);
+        (limits.limit.get() - floor) as usize
+    }
+
+    /// The units of a team that daemon `busy` may have when all others are idle.
+    pub(crate) fn reachable(&self, team: usize, busy: usize) -> usize {
+        let limits = &self.log.limits.last().unwrap().limits[team];
+        let units = (0..self.fleet.len()).map(|daemon| {
+            let home = home_units(&limits.team, limits.limit, daemon, self.fleet.len());
+            match daemon == busy {
+                true => home,
+                false => home - floor_units(home, self.setup.settings.floor),
+            }
+        });
+        units.sum::<u32>() as usize
+    }
+}
+
+pub(crate) fn process_handover_ms(settings: &EscrowSettings) -> u64 {
+    settings.handover_ms().get()
+}
