Let a peer's word count for freshness, with its age; ask less often in vain

Cause: a zone cut off from the platform but not from its neighbours fell back to its floor.

Change: note_peer_fresh subtracts the peer's age and the clocks' drift from the moment of the question; the simulation reads from peers too and catches a daemon that ignores the age. Asks in vain are repeated at doubling times.

Ruled out: a peer's word that wasn't asked for, as its delay is unknown.

--- a/crates/vanillafold-state/examples/soak.rs
+++ b/crates/vanillafold-state/examples/soak.rs
@@ -7,8 +7,12 @@
 
 use sim::report::Report;
 use sim::{FaultRates, Planted, World, WorldSetup, sim_settings};
+use vanillafold_state::EscrowSettings;
+use vanillafold_types::Percent;
 
 const PROBE_MS: u64 = 1_000;
+const LIMITS: [[u32; 3]; 3] = [[2, 7, 40], [1, 3, 200], [4, 13, 64]];
+const FLOORS: [u8; 4] = [50, 0, 25, 100];
 
 #[derive(Debug)]
 struct Arguments {
@@ -55,10 +59,13 @@
     WorldSetup {
         seed,
         daemons: 3 + usize::try_from(seed / 3 % 8).unwrap_or(0),
-        limits: vec![2, 7, 40],
+        limits: LIMITS[usize::try_from(seed / 24 % 3).unwrap_or(0)].to_vec(),
         rates,
         planted: Planted::Nothing,
-        settings: sim_settings(),
+        settings: EscrowSettings {
+            floor: Percent::new(FLOORS[usize::try_from(seed / 72 % 4).unwrap_or(0)]),
+            ..sim_settings()
+        },
     }
 }
 
--- a/crates/vanillafold-state/src/escrow/book.rs
+++ b/crates/vanillafold-state/src/escrow/book.rs
@@ -9,6 +9,9 @@
 use super::{BootMillis, EscrowSettings, NoUnit};
 use crate::table::{Keyed, SortedVec};
 
+/// How often the time between two asks is doubled while a peer doesn't lend.
+const MAX_ASK_DOUBLINGS: u32 = 4;
+
 /// What this daemon may do at one moment.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Rights {
@@ -60,6 +63,16 @@
 pub(super) struct Asked {
     pub(super) member: Member,
     pub(super) at: BootMillis,
+    /// How often it was asked since it last lent.
+    pub(super) times: u32,
+}
+
+impl Asked {
+    /// Whether it is time to ask again, in case the ask was lost.
+    pub(super) fn is_due(&self, settings: &EscrowSettings, now: BootMillis) -> bool {
+        let doublings = self.times.saturating_sub(1).min(MAX_ASK_DOUBLINGS);
+        now.since(self.at).get() >= settings.ask_ms.get() << doublings
+    }
 }
 
 impl Book {
@@ -311,7 +324,7 @@
     }
 
     pub(super) fn forget_old_asks(&mut self, settings: &EscrowSettings, now: BootMillis) {
-        let ttl_ms = settings.ask_ms.get() * 2;
+        let ttl_ms = settings.ask_ms.get() << (MAX_ASK_DOUBLINGS + 1);
         self.asks
             .retain(|ask| now.since(ask.renewed_at).get() < ttl_ms);
     }
--- a/crates/vanillafold-state/src/escrow/clock.rs
+++ b/crates/vanillafold-state/src/escrow/clock.rs
@@ -21,6 +21,15 @@
         self.0
     }
 
+    /// The moment `span` before this one; `None` if the VM hadn't booted then.
+    #[must_use]
+    pub const fn before(self, span: Millis) -> Option<Self> {
+        match self.0.checked_sub(span.get()) {
+            Some(since_boot_ms) => Some(Self(since_boot_ms)),
+            None => None,
+        }
+    }
+
     /// How long ago `earlier` was; 0 if it lies ahead.
     #[must_use]
     pub const fn since(self, earlier: Self) -> Millis {
--- a/crates/vanillafold-state/src/escrow/exchange.rs
+++ b/crates/vanillafold-state/src/escrow/exchange.rs
@@ -143,6 +143,7 @@
         if granted > 0 && wanted >= free {
             // A lender that had one unit may have more: it is asked first, and again at once.
             self.next_to_ask = key.member.index();
+            self.asked.remove(&key.member);
             let missing = u32::try_from(wanted - free).unwrap_or(u32::MAX);
             lines.extend((missing > 0).then(|| self.ask(key.member, missing, context.rights, now)));
         }
--- a/crates/vanillafold-state/src/escrow/lending.rs
+++ b/crates/vanillafold-state/src/escrow/lending.rs
@@ -153,7 +153,7 @@
             let is_asked = self
                 .asked
                 .get(&member)
-                .is_some_and(|asked| now.since(asked.at) < settings.ask_ms);
+                .is_some_and(|asked| !asked.is_due(settings, now));
             let is_lender =
                 self.home_of(member, daemons) > 0 && context.standings[index].current().is_some();
             if member == context.own || is_asked || !is_lender {
@@ -175,7 +175,13 @@
         rights: Rights,
         now: BootMillis,
     ) -> Addressed {
-        self.asked.insert(Asked { member, at: now });
+        let asked = self.asked.get(&member);
+        let times = asked.map_or(0, |asked| asked.times) + 1;
+        self.asked.insert(Asked {
+            member,
+            at: now,
+            times,
+        });
         let entry = EscrowEntry::Ask {
             wanted,
             has_none: self.has_none(rights),
--- a/crates/vanillafold-state/src/escrow/root.rs
+++ b/crates/vanillafold-state/src/escrow/root.rs
@@ -1,6 +1,6 @@
 //! The part of each team's limit that this daemon may use.
 
-use vanillafold_types::{DaemonId, Incarnation, TeamId};
+use vanillafold_types::{DaemonId, Incarnation, Millis, TeamId};
 
 use super::book::{Book, Rights};
 use super::standing::{Member, OwnStanding, Standing, Takeover, takeovers};
@@ -76,15 +76,29 @@
 
     /// Notes that both streams were read up to their tails, and what they brought was told to
     /// this escrow, by reads that began no earlier than `at`.
-    ///
-    /// A peer's word counts too, if this daemon has folded as far as the peer had: `at` is then
-    /// the moment at which the peer was asked, less the age that it told and less
-    /// `clock_drift` of that age. A word that wasn't asked for has an unknown delay and doesn't
-    /// count.
     pub fn note_fresh(&mut self, at: BootMillis) {
         self.fresh_at = self.fresh_at.max(Some(at));
     }
 
+    /// Notes what a peer said of its own freshness: [`Escrow::fresh_age`] when it answered a
+    /// question that was sent no earlier than `asked_at`. It counts only if this escrow was told
+    /// everything that the peer had read of both streams by then. A word that wasn't asked for has
+    /// an unknown delay and must not be passed on.
+    pub fn note_peer_fresh(&mut self, asked_at: BootMillis, age: Millis) {
+        let age = self.settings.with_drift(age.get());
+        if let Some(at) = asked_at.before(age) {
+            self.note_fresh(at);
+        }
+    }
+
+    /// How long ago the reads began that made this daemon fresh; `None` if it isn't.
+    #[must_use]
+    pub fn fresh_age(&self, now: BootMillis) -> Option<Millis> {
+        self.fresh_at
+            .filter(|_| self.is_fresh(now))
+            .map(|at| now.since(at))
+    }
+
     /// Whether the log was read to its tail lately enough.
     #[must_use]
     pub fn is_fresh(&self, now: BootMillis) -> bool {
--- a/crates/vanillafold-state/src/escrow/settings.rs
+++ b/crates/vanillafold-state/src/escrow/settings.rs
@@ -21,8 +21,8 @@
     pub min_hold_ms: Millis,
     /// How long a borrowed unit stays unused before it goes back.
     pub idle_ms: Millis,
-    /// How long a wish for units counts; asks are repeated that often, and forgotten by the lender
-    /// after twice that time.
+    /// How long a wish for units counts. Asks are repeated after that time, then after twice,
+    /// four times and so on, up to 16 times that time; a lender forgets them after 32 times.
     pub ask_ms: Millis,
     /// The least number of peers that are asked in one tick.
     pub ask_fanout: usize,
@@ -58,7 +58,8 @@
         self.with_drift(self.longest_work_ms.get())
     }
 
-    fn with_drift(&self, span_ms: u64) -> Millis {
+    /// The longest that `span_ms` of another VM's clock may take on this one's, or the other way.
+    pub(super) fn with_drift(&self, span_ms: u64) -> Millis {
         Millis::new(span_ms + self.clock_drift.of_rounded_up(span_ms))
     }
 }
--- a/crates/vanillafold-state/tests/escrow.rs
+++ b/crates/vanillafold-state/tests/escrow.rs
@@ -159,11 +159,12 @@
     world
 }
 
-/// A daemon loses the platform only, and a start on another VM takes its place.
+/// A daemon loses the platform and its peers, and a start on another VM takes its place.
 fn cut_and_replace(planted: Planted) -> World {
     let mut world = busy(3, &[40], planted);
     world.run(2_000);
     world.network.platform_cuts.push(0);
+    world.mute(0, None);
     world.replace(0);
     world.saturate();
     world.run(3 * world.setup.settings.handover_ms().get());
@@ -200,7 +201,7 @@
 }
 
 #[test]
-fn a_daemon_cut_off_from_the_platform_keeps_to_its_floor() {
+fn a_daemon_cut_off_keeps_to_its_floor() {
     let sound = cut_and_replace(Planted::Nothing);
     let stale = cut_and_replace(Planted::AlwaysFresh);
     let double_floor = cut_and_replace(Planted::ClaimsSameVm);
@@ -210,6 +211,32 @@
     assert!(double_floor.report.excess.is_some());
 }
 
+/// Two daemons lose the platform but not each other, and others take their places.
+fn cut_two_and_replace(planted: Planted) -> World {
+    let mut world = busy(4, &[40], planted);
+    world.run(2_000);
+    for (daemon, other) in [(0, 1), (1, 0)] {
+        world.mute(daemon, Some(other));
+        world.network.platform_cuts.push(daemon);
+        world.replace(daemon);
+    }
+    for new in 4..6 {
+        world.network.cuts.extend([(new, 0), (new, 1)]);
+    }
+    world.saturate();
+    world.run(3 * world.setup.settings.handover_ms().get());
+    world
+}
+
+#[test]
+fn daemons_cut_off_together_do_not_keep_each_other_fresh() {
+    let sound = cut_two_and_replace(Planted::Nothing);
+    let broken = cut_two_and_replace(Planted::IgnoresPeerAge);
+
+    assert_eq!(sound.report.excess, None);
+    assert!(broken.report.excess.is_some());
+}
+
 #[test]
 fn a_lowered_limit_holds_behind_a_cut() {
     let sound = lower_behind_a_cut(Planted::Nothing);
--- a/crates/vanillafold-state/tests/sim/faults.rs
+++ b/crates/vanillafold-state/tests/sim/faults.rs
@@ -94,25 +94,14 @@
     EarlyGiveBack,
     /// A daemon on another VM says it is on the old one.
     ClaimsSameVm,
+    /// A peer's freshness counts as if it were new.
+    IgnoresPeerAge,
     /// A lender's lines don't tell its home units.
     HidesHome,
     /// The clock's drift isn't counted in, nor the work's length.
     NoWorkTime,
 }
 
-impl Planted {
-    pub(crate) const BUGS: [Self; 8] = [
-        Self::AlwaysFresh,
-        Self::NoHandover,
-        Self::SumsRepeats,
-        Self::ClockStopsInPause,
-        Self::EarlyGiveBack,
-        Self::ClaimsSameVm,
-        Self::NoWorkTime,
-        Self::HidesHome,
-    ];
-}
-
 impl World {
     pub(super) fn inject_faults(&mut self) {
         let rates = self.setup.rates;
@@ -284,6 +273,14 @@
         }
     }
 
+    /// Cuts what a process sends to daemons and asks of them, but for the daemon `spared`.
+    pub(crate) fn mute(&mut self, index: usize, spared: Option<usize>) {
+        let daemons = (0..self.fleet.len()).filter(|daemon| Some(*daemon) != spared);
+        self.network
+            .cuts
+            .extend(daemons.map(|daemon| (index, daemon)));
+    }
+
     /// Cuts the fleet in two; one half loses the platform half of the time.
     fn split(&mut self) {
         let border = self.random.index(self.fleet.len());
--- a/crates/vanillafold-state/tests/sim/process.rs
+++ b/crates/vanillafold-state/tests/sim/process.rs
@@ -3,7 +3,7 @@
 use vanillafold_state::{
     Author, BootMillis, ControlChange, ControlRecord, Escrow, State, Stream, UnitSource,
 };
-use vanillafold_types::{DaemonId, Incarnation, Offset, Sequence, TeamId, VmId};
+use vanillafold_types::{DaemonId, Incarnation, Millis, Offset, Sequence, TeamId, VmId};
 
 use super::clock::Clock;
 use super::log::{Log, Tail};
@@ -16,6 +16,16 @@
     pub(crate) served_ms: u64,
     pub(crate) done_ms: u64,
     pub(crate) tail: Option<Tail>,
+    pub(crate) source: Source,
+    /// The source's own age, if it is a peer.
+    pub(crate) age: Millis,
+}
+
+/// Whom a read asks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Source {
+    Platform,
+    Peer(ProcessId),
 }
 
 /// A unit in use, and when the holder gives it back.
@@ -63,6 +73,15 @@
         self.is_alive() && self.paused_until_ms <= now_ms
     }
 
+    /// How far it has read.
+    pub(crate) fn tail(&self) -> Tail {
+        let next = self.state.next_offset(Stream::Control).get();
+        Tail {
+            control: usize::try_from(next - 1).unwrap(),
+            limits: self.limits_read,
+        }
+    }
+
     /// Makes a record that is appended until it is read back.
     pub(crate) fn write(&mut self, change: ControlChange) {
         self.last_sequence += 1;
--- a/crates/vanillafold-state/tests/sim/world.rs
+++ b/crates/vanillafold-state/tests/sim/world.rs
@@ -8,9 +8,9 @@
 
 use super::clock::Clock;
 use super::faults::{FaultRates, Planted};
-use super::log::{LimitsRevision, Log};
+use super::log::{LimitsRevision, Log, Tail};
 use super::network::{Network, Packet};
-use super::process::{Holding, Process, Read};
+use super::process::{Holding, Process, Read, Source};
 use super::random::Random;
 use super::report::{Excess, Report};
 
@@ -264,66 +264,100 @@
         !self.log.is_out && !self.network.is_platform_cut(index)
     }
 
-    /// The platform's side of a read; it goes on while the reader is paused.
+    /// The source's side of a read; it goes on while the reader is paused.
     fn serve_read(&mut self, index: usize) {
-        let is_there = self.is_platform_there(index);
-        let tail = self.log.tail();
+        let Some(read) = &self.processes[index].read else {
+            return;
+        };
+        if read.tail.is_some() || read.served_ms > self.now_ms {
+            return;
+        }
+        let served = match read.source {
+            Source::Platform => self
+                .is_platform_there(index)
+                .then(|| (self.log.tail(), Millis::ZERO)),
+            Source::Peer(peer) => self.ask_peer(index, peer),
+        };
         let process = &mut self.processes[index];
-        match &mut process.read {
-            Some(read) if read.tail.is_none() && read.served_ms <= self.now_ms => match is_there {
-                true => read.tail = Some(tail),
-                false => process.read = None,
-            },
-            _ => {}
+        match (&mut process.read, served) {
+            (Some(read), Some((tail, age))) => (read.tail, read.age) = (Some(tail), age),
+            _ => process.read = None,
         }
     }
 
+    /// What a peer has read, and how long ago that was its streams' tails.
+    fn ask_peer(&self, index: usize, peer: usize) -> Option<(Tail, Millis)> {
+        let process = &self.processes[peer];
+        let is_there = process.is_running(self.now_ms)
+            && !self.network.is_cut(index, process.daemon)
+            && !self.network.is_cut(peer, self.processes[index].daemon);
+        let age = process.escrow.fresh_age(self.clock_of(peer))?;
+        let told = match self.setup.planted {
+            Planted::IgnoresPeerAge => Millis::ZERO,
+            _ => age,
+        };
+        is_there.then(|| (process.tail(), told))
+    }
+
     fn finish_read(&mut self, index: usize) {
-        let now = self.clock_of(index);
         let now_ms = self.now_ms;
-        let is_there = self.is_platform_there(index);
         match self.processes[index].read.take() {
-            Some(Read {
-                began,
-                tail: Some(mut tail),
-                done_ms,
-                ..
-            }) if done_ms <= now_ms => {
-                let is_part = self.random.happens(50_000);
-                let process = &mut self.processes[index];
-                if is_part {
-                    tail.control = tail.control.saturating_sub(1);
-                    tail.limits = tail.limits.saturating_sub(1);
-                }
-                let seen = match self.setup.planted {
-                    Planted::NoHandover => {
-                        let over = process_handover_ms(&self.setup.settings);
-                        BootMillis::new(now.get().saturating_sub(over))
-                    }
-                    _ => now,
-                };
-                process.fold(&self.log, tail, seen, now_ms);
-                if !is_part {
-                    process.escrow.note_fresh(began);
-                }
+            Some(read) if read.tail.is_some() && read.done_ms <= now_ms => {
+                self.use_read(index, &read);
             }
             Some(read) => self.processes[index].read = Some(read),
-            None if is_there && self.processes[index].next_read_ms <= now_ms => {
-                let served_ms = now_ms + self.read_ms();
-                let done_ms = served_ms + self.read_ms();
-                let process = &mut self.processes[index];
-                process.next_read_ms = now_ms + READ_EVERY_MS;
-                process.read = Some(Read {
-                    began: now,
-                    served_ms,
-                    done_ms,
-                    tail: None,
-                });
-            }
+            None if self.processes[index].next_read_ms <= now_ms => self.begin_read(index),
             None => {}
         }
     }
 
+    fn use_read(&mut self, index: usize, read: &Read) {
+        let Some(mut tail) = read.tail else {
+            return;
+        };
+        let now = self.clock_of(index);
+        let is_part = self.random.happens(50_000);
+        if is_part {
+            tail.control = tail.control.saturating_sub(1);
+            tail.limits = tail.limits.saturating_sub(1);
+        }
+        let seen = match self.setup.planted {
+            Planted::NoHandover => {
+                let over_ms = self.setup.settings.handover_ms();
+                now.before(over_ms).unwrap()
+            }
+            _ => now,
+        };
+        let process = &mut self.processes[index];
+        process.fold(&self.log, tail, seen, self.now_ms);
+        match read.source {
+            _ if is_part => {}
+            Source::Platform => process.escrow.note_fresh(read.began),
+            Source::Peer(_) => process.escrow.note_peer_fresh(read.began, read.age),
+        }
+    }
+
+    fn begin_read(&mut self, index: usize) {
+        let peer = self.random.index(self.processes.len());
+        let source = match self.random.below(4) {
+            0 if peer != index => Source::Peer(peer),
+            _ => Source::Platform,
+        };
+        let served_ms = self.now_ms + self.read_ms();
+        let done_ms = served_ms + self.read_ms();
+        let began = self.clock_of(index);
+        let process = &mut self.processes[index];
+        process.next_read_ms = self.now_ms + READ_EVERY_MS;
+        process.read = Some(Read {
+            began,
+            served_ms,
+            done_ms,
+            tail: None,
+            source,
+            age: Millis::ZERO,
+        });
+    }
+
     fn read_ms(&mut self) -> u64 {
         match self.setup.rates.long_delay > 0 && self.random.happens(20_000) {
             true => self.random.below(SLOW_READ_MS),
@@ -446,7 +480,7 @@
     /// The largest limit that was in force during the settling window, and the floors of processes
     /// that can't have read a limit as new as that.
     fn allowed(&self, team: usize) -> u32 {
-        let settle_ms = process_handover_ms(&self.setup.settings) * 102 / 100;
+        let settle_ms = self.setup.settings.handover_ms().get() * 102 / 100;
         let window_ms = self.now_ms.saturating_sub(settle_ms);
         let first = self
             .log
@@ -519,7 +553,3 @@
         units.sum::<u32>() as usize
     }
 }
-
-pub(crate) fn process_handover_ms(settings: &EscrowSettings) -> u64 {
-    settings.handover_ms().get()
-}
