Measure one daemon against its targets: throughput, added latency, memory

The same load goes straight to the runners and through one daemon in alternating rounds of one run, so that a drift of a shared machine cancels. The runners write no trace: its flushes would count as their work and flatter the ratio. A round in which a request did not end in its whole, right answer is an error and gives no figure.

--- a/crates/vanillafold-standin/src/lib.rs
+++ b/crates/vanillafold-standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! | [`audit`] | a verdict on each point that must always hold |
 //! | [`link`] | a network that loses, holds or delays |
 //! | [`load`] | callers in an open or closed loop |
+//! | [`measure`] | processor time, latency and memory of real processes, against targets |
 //! | [`platform`] | log, VM list and VM orders, with faults on demand |
 //! | [`process`] | what every stand-in needs |
 //! | [`rig`] | a whole deployment as processes on loopback |
@@ -16,6 +17,7 @@
 pub mod audit;
 pub mod link;
 pub mod load;
+pub mod measure;
 pub mod platform;
 pub mod process;
 pub mod rig;
--- /dev/null
+++ b/crates/vanillafold-standin/src/measure/bench_rig.rs
@@ -0,0 +1,168 @@
+//! One daemon with runners that write no trace.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use http::Method;
+
+use crate::rig::{Child, Cluster, KeyText, Layout, RigError};
+
+/// The queue that every bench sends to.
+pub const BENCH_QUEUE: &str = "bench";
+
+const CATALOGUE: &str = "\
+[pool bench]
+owner = ops@shop.example
+class = normal
+slots_per_vm = 32
+connections_per_vm = 64
+
+[team bench]
+owner = ops@shop.example
+limit = 10000
+
+[queue bench]
+owner = ops@shop.example
+class = normal
+pool = bench
+teams = bench
+deadline_ms = 5000
+max_deadline_ms = 600000
+max_waiting = 10000
+max_body = 4294967296
+";
+
+/// Slots of a runner's VM: more than the catalogue's, so that a load straight to the runners,
+/// which doesn't balance, is not refused.
+const RUNNER_SLOTS: u32 = 256;
+/// Connections of a runner's VM, for the same reason.
+const RUNNER_CONNECTIONS: u32 = 512;
+const RUNNER_PROCESSES: u8 = 3;
+const VMS_PER_PROCESS: u16 = 4;
+const FIRST_RUNNER_PORT: u16 = 7300;
+/// How long the daemon may take to learn its VMs.
+const LEARN_LIMIT: Duration = Duration::from_secs(20);
+
+/// One daemon with runners that write no trace.
+#[derive(Debug)]
+pub struct BenchRig {
+    cluster: Cluster,
+    runners: Vec<Child>,
+    vms: Vec<SocketAddr>,
+    key: KeyText,
+    daemon: String,
+}
+
+impl BenchRig {
+    /// Starts it at the loopback addresses of `rig`; `directory` is emptied first.
+    ///
+    /// # Errors
+    ///
+    /// [`RigError`].
+    pub fn start(rig: u8, directory: &Path, programs: &Path) -> Result<Self, RigError> {
+        // The cluster's own runners write traces, and the flushes would count as their work.
+        let layout = Layout::new(rig, 1, 1, &[], 0);
+        let mut cluster = Cluster::start(layout, &[], CATALOGUE, directory, programs)?;
+        let key = cluster.give_key("bench-1", BENCH_QUEUE)?;
+        let zone = cluster.layout.zones[0].name.clone();
+        let daemon = cluster.layout.zones[0].daemons[0].name.clone();
+        let mut runners = Vec::new();
+        let mut vms = Vec::new();
+        let mut lines = String::new();
+        for process in 0..RUNNER_PROCESSES {
+            let first = SocketAddr::from(([127, rig, 0, 200 + process], FIRST_RUNNER_PORT));
+            let name = format!("runner-{process}");
+            let mut arguments = vec![
+                format!("--process={name}"),
+                "--pool=bench".to_owned(),
+                format!("--slots={RUNNER_SLOTS}"),
+                format!("--connections={RUNNER_CONNECTIONS}"),
+                format!("--address={first}"),
+            ];
+            for index in 0..VMS_PER_PROCESS {
+                let vm = format!("bench-{process}-{index}");
+                let address = SocketAddr::new(first.ip(), first.port() + index);
+                arguments.push(format!("--vm={vm}"));
+                lines.push_str(&format!(
+                    "{vm} {zone} rack-{process} bench {address} live\n"
+                ));
+                vms.push(address);
+            }
+            let program = cluster.standin("runner");
+            let mut child = Child::start(&name, &program, &arguments, cluster.directory())?;
+            child.wait_ready()?;
+            runners.push(child);
+        }
+        cluster.call(
+            Method::POST,
+            cluster.layout.platform,
+            "/control/vms",
+            &lines,
+        )?;
+        let rig = Self {
+            cluster,
+            runners,
+            vms,
+            key,
+            daemon,
+        };
+        rig.wait_for_vms()?;
+        Ok(rig)
+    }
+
+    /// The processes, files and addresses below it.
+    #[must_use]
+    pub const fn cluster(&self) -> &Cluster {
+        &self.cluster
+    }
+
+    /// Where callers reach the daemon.
+    #[must_use]
+    pub fn callers(&self) -> SocketAddr {
+        self.cluster.layout.zones[0].daemons[0].callers
+    }
+
+    /// Where the VMs listen.
+    #[must_use]
+    pub fn vms(&self) -> &[SocketAddr] {
+        &self.vms
+    }
+
+    /// The key that the daemon takes work for.
+    #[must_use]
+    pub fn key(&self) -> &str {
+        &self.key.text
+    }
+
+    /// The daemon's process id.
+    ///
+    /// # Errors
+    ///
+    /// [`RigError`] if it does not run.
+    pub fn daemon_id(&self) -> Result<u32, RigError> {
+        self.cluster
+            .daemon_id(&self.daemon)
+            .ok_or_else(|| RigError::Refused {
+                what: format!("finding {}", self.daemon),
+                problem: "it does not run".to_owned(),
+            })
+    }
+
+    /// The runners' process ids.
+    #[must_use]
+    pub fn runner_ids(&self) -> Vec<u32> {
+        self.runners.iter().map(Child::id).collect()
+    }
+
+    fn wait_for_vms(&self) -> Result<(), RigError> {
+        let admin = self.cluster.layout.zones[0].daemons[0].admin;
+        let wanted = self.vms.len();
+        self.cluster
+            .wait_until("the daemon knows its VMs", LEARN_LIMIT, |cluster| {
+                cluster
+                    .call(Method::GET, admin, "/state", "")
+                    .is_ok_and(|page| page.matches("standing=open").count() >= wanted)
+            })
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-standin/src/measure/idle_connections.rs
@@ -0,0 +1,88 @@
+//! The daemon's memory with many idle caller connections.
+
+use std::io::{self, Read as _, Write as _};
+use std::net::{SocketAddr, TcpStream};
+use std::thread::sleep;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use super::{BENCH_QUEUE, BenchRig, ProcessUsage};
+use crate::rig::RigError;
+
+/// How long the connections rest before the memory is read.
+const REST: Duration = Duration::from_secs(2);
+const ANSWER_LIMIT: Duration = Duration::from_secs(5);
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// The daemon's memory with many idle caller connections, each of which had one answer.
+#[derive(Debug, Clone, Serialize)]
+pub struct IdleConnections {
+    /// How many.
+    pub connections: usize,
+    /// Resident memory before.
+    pub resident_before_bytes: u64,
+    /// Resident memory with them.
+    pub resident_bytes: u64,
+    /// Processor time of the daemon while all rest, as a share of a core.
+    pub idle_core_share: f64,
+}
+
+/// Opens connections, has a request answered on each, and reads the daemon's memory.
+///
+/// # Errors
+///
+/// [`RigError`].
+pub fn measure_idle_connections(
+    rig: &BenchRig,
+    connections: usize,
+) -> Result<IdleConnections, RigError> {
+    let before = ProcessUsage::of(rig.daemon_id()?)?;
+    let request = request(rig.key());
+    let open: io::Result<Vec<TcpStream>> = (0..connections)
+        .map(|_| answered(rig.callers(), &request))
+        .collect();
+    let open = open.map_err(|source| RigError::Io {
+        what: format!("opening {connections} connections"),
+        source,
+    })?;
+    let rest_begins = ProcessUsage::of(rig.daemon_id()?)?;
+    sleep(REST);
+    let after = ProcessUsage::of(rig.daemon_id()?)?;
+    drop(open);
+    let idle_us = after.cpu_us - rest_begins.cpu_us;
+    Ok(IdleConnections {
+        connections,
+        resident_before_bytes: before.resident_bytes,
+        resident_bytes: after.resident_bytes,
+        idle_core_share: idle_us as f64 / REST.as_micros() as f64,
+    })
+}
+
+fn request(key: &str) -> String {
+    format!(
+        "GET /queues/{BENCH_QUEUE}/work HTTP/1.1\r\nhost: bench\r\nauthorization: Bearer {key}\r\n\
+         work-ms: 0\r\nanswer-bytes: 0\r\n\r\n"
+    )
+}
+
+/// A connection on which one request was answered with an empty body.
+fn answered(address: SocketAddr, request: &str) -> io::Result<TcpStream> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_read_timeout(Some(ANSWER_LIMIT))?;
+    stream.write_all(request.as_bytes())?;
+    let mut answer = Vec::new();
+    let mut piece = [0; 1024];
+    while !answer.ends_with(HEAD_END) {
+        match stream.read(&mut piece)? {
+            0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+            length => answer.extend_from_slice(&piece[..length]),
+        }
+    }
+    match answer.starts_with(b"HTTP/1.1 200") {
+        true => Ok(stream),
+        false => Err(io::Error::other(
+            String::from_utf8_lossy(&answer).into_owned(),
+        )),
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-standin/src/measure/load_run.rs
@@ -0,0 +1,128 @@
+//! Runs of the stand-in load, each a process of its own.
+
+use serde::Deserialize;
+
+use super::{BENCH_QUEUE, BenchRig};
+use crate::rig::{Child, OutcomeCount, RigError};
+
+/// Which way a load takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LoadPath {
+    /// Straight to the runners.
+    Direct,
+    /// Through the daemon.
+    Daemon,
+}
+
+/// What a run of the load gave.
+#[derive(Debug, Deserialize)]
+pub struct LoadResult {
+    /// Requests sent.
+    pub sent: u64,
+    /// How long it took, the last answers included.
+    pub seconds: f64,
+    /// Answers whose body was wrong.
+    pub wrong_bodies: u64,
+    /// How requests ended.
+    pub outcomes: Vec<OutcomeCount>,
+    /// From the intended start to the end of the answer, in microseconds.
+    pub answer_us: Quantiles,
+    /// From the intended start to the first byte sent, in microseconds.
+    pub send_late_us: Quantiles,
+    cpu: LoadCpu,
+}
+
+/// Quantiles of a time, in microseconds.
+#[derive(Debug, Clone, Copy, Deserialize)]
+pub struct Quantiles {
+    /// The median.
+    pub p50: u64,
+    /// The 99th percentile.
+    pub p99: u64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+struct LoadCpu {
+    user_us: u64,
+    system_us: u64,
+}
+
+impl LoadResult {
+    /// Processor time of the load, in microseconds.
+    #[must_use]
+    pub const fn cpu_us(&self) -> u64 {
+        self.cpu.user_us + self.cpu.system_us
+    }
+
+    /// Answers a second.
+    #[must_use]
+    pub fn answers_per_s(&self) -> f64 {
+        self.sent as f64 / self.seconds
+    }
+}
+
+/// Runs `processes` loads at once and waits for their ends.
+///
+/// # Errors
+///
+/// [`RigError`], also if a request did not end in its whole, right answer: what failed is no
+/// measure of anything.
+pub(crate) fn run_loads(
+    rig: &BenchRig,
+    path: LoadPath,
+    processes: usize,
+    options: &[String],
+) -> Result<Vec<LoadResult>, RigError> {
+    let children: Result<Vec<Child>, RigError> = (0..processes)
+        .map(|number| start(rig, path, number, options))
+        .collect();
+    children?.into_iter().map(finish).collect()
+}
+
+fn start(
+    rig: &BenchRig,
+    path: LoadPath,
+    number: usize,
+    options: &[String],
+) -> Result<Child, RigError> {
+    let name = format!("load-{number}");
+    let mut arguments = vec![
+        format!("--process={name}"),
+        format!("--seed={}", number + 1),
+        format!("--queue={BENCH_QUEUE}"),
+        format!("--key={BENCH_QUEUE}={}", rig.key()),
+        "--idempotent-share=1".to_owned(),
+    ];
+    arguments.extend_from_slice(options);
+    match path {
+        LoadPath::Direct => {
+            arguments.push("--direct".to_owned());
+            arguments.extend(rig.vms().iter().map(|vm| format!("--to={vm}")));
+        }
+        LoadPath::Daemon => arguments.push(format!("--to={}", rig.callers())),
+    }
+    let program = rig.cluster().standin("load");
+    Child::start(&name, &program, &arguments, rig.cluster().directory())
+}
+
+fn finish(child: Child) -> Result<LoadResult, RigError> {
+    let what = child.name().to_owned();
+    let failed = |problem: String| RigError::Refused {
+        what: what.clone(),
+        problem,
+    };
+    let (text, status) = child.finish()?;
+    if !status.success() {
+        return Err(failed(format!("ended with {status}")));
+    }
+    let result: LoadResult =
+        serde_json::from_str(&text).map_err(|error| failed(error.to_string()))?;
+    let only_answers = result.outcomes.iter().all(|end| end.outcome == "answer");
+    match only_answers && result.wrong_bodies == 0 && result.sent > 0 {
+        true => Ok(result),
+        false => Err(failed(format!(
+            "expected whole answers only, found {} wrong bodies and {:?}",
+            result.wrong_bodies, result.outcomes
+        ))),
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-standin/src/measure/process_usage.rs
@@ -0,0 +1,79 @@
+//! Processor time and memory of a process, from `/proc`.
+
+use std::fs;
+
+use crate::rig::RigError;
+
+/// Microseconds of one clock tick: Linux shows 100 ticks a second to programs.
+const US_PER_TICK: u64 = 10_000;
+const BYTES_PER_KIB: u64 = 1024;
+
+/// The fields of `/proc/PID/stat` behind the command's name, counted from 0.
+const USER_TICKS_FIELD: usize = 11;
+const SYSTEM_TICKS_FIELD: usize = 12;
+
+/// What a process has used so far.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ProcessUsage {
+    /// Processor time in the program and in the system, in microseconds.
+    pub cpu_us: u64,
+    /// Resident memory now.
+    pub resident_bytes: u64,
+    /// The most resident memory so far.
+    pub peak_resident_bytes: u64,
+}
+
+impl ProcessUsage {
+    /// Reads what the process has used.
+    ///
+    /// # Errors
+    ///
+    /// [`RigError`] if the process is gone.
+    pub fn of(process_id: u32) -> Result<Self, RigError> {
+        let stat = read(process_id, "stat")?;
+        let status = read(process_id, "status")?;
+        Ok(Self {
+            cpu_us: cpu_ticks(&stat) * US_PER_TICK,
+            resident_bytes: status_bytes(&status, "VmRSS:"),
+            peak_resident_bytes: status_bytes(&status, "VmHWM:"),
+        })
+    }
+
+    /// The processor time of several processes together, in microseconds.
+    ///
+    /// # Errors
+    ///
+    /// [`RigError`] if one is gone.
+    pub fn cpu_us_of(process_ids: &[u32]) -> Result<u64, RigError> {
+        process_ids
+            .iter()
+            .map(|id| Self::of(*id).map(|usage| usage.cpu_us))
+            .sum()
+    }
+}
+
+fn read(process_id: u32, file: &str) -> Result<String, RigError> {
+    let path = format!("/proc/{process_id}/{file}");
+    fs::read_to_string(&path).map_err(|source| RigError::Io {
+        what: format!("reading {path}"),
+        source,
+    })
+}
+
+fn cpu_ticks(stat: &str) -> u64 {
+    // The command's name stands in parentheses and may hold spaces.
+    let fields = stat.rsplit_once(')').map_or("", |(_, fields)| fields);
+    let tick = |index| -> u64 {
+        let field = fields.split_whitespace().nth(index);
+        field.and_then(|field| field.parse().ok()).unwrap_or(0)
+    };
+    tick(USER_TICKS_FIELD) + tick(SYSTEM_TICKS_FIELD)
+}
+
+fn status_bytes(status: &str, name: &str) -> u64 {
+    status
+        .lines()
+        .find_map(|line| line.strip_prefix(name))
+        .and_then(|rest| rest.split_whitespace().next()?.parse::<u64>().ok())
+        .map_or(0, |kib| kib * BYTES_PER_KIB)
+}
--- /dev/null
+++ b/crates/vanillafold-standin/src/measure/report.rs
@@ -0,0 +1,92 @@
+//! Verdicts and results files.
+
+use std::fmt;
+use std::fs;
+use std::path::Path;
+
+use serde::Serialize;
+
+use crate::rig::RigError;
+
+/// What a figure must keep to.
+#[derive(Debug, Clone, Copy, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Bound {
+    /// It must not be smaller.
+    AtLeast(f64),
+    /// It must not be larger.
+    AtMost(f64),
+}
+
+/// A figure, its target and whether it keeps to it.
+#[derive(Debug, Clone, Serialize)]
+pub struct Verdict {
+    /// What was measured.
+    pub name: &'static str,
+    /// The unit of figure and target.
+    pub unit: &'static str,
+    /// The figure.
+    pub measured: f64,
+    /// The target.
+    pub target: Bound,
+    /// Whether the target is met.
+    pub passed: bool,
+}
+
+impl Verdict {
+    /// Compares a figure with its target.
+    #[must_use]
+    pub fn new(name: &'static str, unit: &'static str, measured: f64, target: Bound) -> Self {
+        let passed = match target {
+            Bound::AtLeast(bound) => measured >= bound,
+            Bound::AtMost(bound) => measured <= bound,
+        };
+        Self {
+            name,
+            unit,
+            measured,
+            target,
+            passed,
+        }
+    }
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (word, bound) = match self.target {
+            Bound::AtLeast(bound) => ("at least", bound),
+            Bound::AtMost(bound) => ("at most", bound),
+        };
+        let end = match self.passed {
+            true => "PASS",
+            false => "FAIL",
+        };
+        let Self {
+            name,
+            unit,
+            measured,
+            ..
+        } = self;
+        write!(
+            f,
+            "{name:<46} {measured:>10.3} {unit:<10} {word:>8} {bound:>7} {end}"
+        )
+    }
+}
+
+/// Writes a result as JSON; folders on the way are made.
+///
+/// # Errors
+///
+/// [`RigError`].
+pub fn write_json(path: &Path, result: &impl Serialize) -> Result<(), RigError> {
+    let failed = |source| RigError::Io {
+        what: format!("writing {}", path.display()),
+        source,
+    };
+    if let Some(folder) = path.parent() {
+        fs::create_dir_all(folder).map_err(failed)?;
+    }
+    let text = serde_json::to_string_pretty(result).map_err(|error| failed(error.into()))?;
+    fs::write(path, text + "\n").map_err(failed)
+}
--- /dev/null
+++ b/crates/vanillafold-standin/src/measure/throughput.rs
@@ -0,0 +1,100 @@
+//! Requests for each second of processor time, straight to the runners and through a daemon.
+
+use serde::Serialize;
+
+use super::load_run::run_loads;
+use super::{BenchRig, LoadPath, ProcessUsage, median};
+use crate::rig::RigError;
+
+const US_PER_S: f64 = 1_000_000.0;
+const CONNECTIONS: usize = 32;
+
+/// Requests for each second of processor time: medians over the rounds.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Throughput {
+    /// Of load and runners, straight.
+    pub direct_per_cpu_s: Vec<f64>,
+    /// Of load, runners and daemon, through the daemon.
+    pub through_per_cpu_s: Vec<f64>,
+    /// Of the daemon alone.
+    pub daemon_per_cpu_s: Vec<f64>,
+    /// Through divided by direct, each pair of rounds next to each other.
+    pub ratios: Vec<f64>,
+    /// The median of the ratios.
+    pub median_ratio: f64,
+    /// The median of the daemon's own.
+    pub median_daemon_per_cpu_s: f64,
+}
+
+/// Processor time of one round.
+struct Round {
+    requests: f64,
+    all_cpu_us: f64,
+    daemon_cpu_us: f64,
+}
+
+/// Measures `rounds` pairs of rounds of `seconds` each, with small bodies and no work.
+///
+/// # Errors
+///
+/// [`RigError`].
+pub fn measure_throughput(
+    rig: &BenchRig,
+    rounds: u32,
+    seconds: f64,
+) -> Result<Throughput, RigError> {
+    let mut result = Throughput::default();
+    for number in 0..rounds {
+        // Which goes first changes, so that a drift of the machine cancels.
+        let paths = match number % 2 {
+            0 => [LoadPath::Direct, LoadPath::Daemon],
+            _ => [LoadPath::Daemon, LoadPath::Direct],
+        };
+        for path in paths {
+            let round = measure_round(rig, path, seconds)?;
+            let per_cpu_s = round.requests * US_PER_S / round.all_cpu_us;
+            match path {
+                LoadPath::Direct => result.direct_per_cpu_s.push(per_cpu_s),
+                LoadPath::Daemon => {
+                    result.through_per_cpu_s.push(per_cpu_s);
+                    let own = round.requests * US_PER_S / round.daemon_cpu_us;
+                    result.daemon_per_cpu_s.push(own);
+                }
+            }
+        }
+    }
+    let pairs = result
+        .through_per_cpu_s
+        .iter()
+        .zip(&result.direct_per_cpu_s);
+    result.ratios = pairs.map(|(through, direct)| through / direct).collect();
+    result.median_ratio = median(result.ratios.clone());
+    result.median_daemon_per_cpu_s = median(result.daemon_per_cpu_s.clone());
+    Ok(result)
+}
+
+fn measure_round(rig: &BenchRig, path: LoadPath, seconds: f64) -> Result<Round, RigError> {
+    let options = [
+        format!("--closed={CONNECTIONS}"),
+        format!("--seconds={seconds}"),
+        "--work-ms=0".to_owned(),
+        "--answer-bytes=100".to_owned(),
+    ];
+    let daemon = rig.daemon_id()?;
+    let runners = rig.runner_ids();
+    let daemon_before = ProcessUsage::of(daemon)?.cpu_us;
+    let runners_before = ProcessUsage::cpu_us_of(&runners)?;
+    let loads = run_loads(rig, path, 1, &options)?;
+    let daemon_cpu_us = ProcessUsage::of(daemon)?.cpu_us - daemon_before;
+    let runner_cpu_us = ProcessUsage::cpu_us_of(&runners)? - runners_before;
+    let load_cpu_us: u64 = loads.iter().map(super::LoadResult::cpu_us).sum();
+    let involved = match path {
+        LoadPath::Direct => load_cpu_us + runner_cpu_us,
+        LoadPath::Daemon => load_cpu_us + runner_cpu_us + daemon_cpu_us,
+    };
+    Ok(Round {
+        requests: loads.iter().map(|load| load.sent).sum::<u64>() as f64,
+        all_cpu_us: involved as f64,
+        daemon_cpu_us: daemon_cpu_us.max(1) as f64,
+    })
+}
