Drop the head of a cut answer before a streamed request is refused

Cause: a streamed request's answer was relayed straight into the caller's buffer. When the target closed (or the deadline passed) between the answer's head and its first body byte, nothing had been passed on, so the request was refused; but the head still waited in the buffer and left together with the refusal. The caller read "200, Vf-Outcome: answer" and took the refusal's bytes for the body. Where the caller's body had been read to its end the connection was kept, and the caller waited for the rest of a body that never came.

Ruled out: the path of whole bodies, which clears the buffer in pass_on.

Change: send_streamed clears the buffer whenever nothing was passed on.

--- a/crates/vanillafold/src/dispatch/dispatcher.rs
+++ b/crates/vanillafold/src/dispatch/dispatcher.rs
@@ -323,6 +323,10 @@
             }
         };
         let streamed = timeout_at(request.deadline, streaming).await;
+        if !passed_on {
+            // The head of an answer that came no further must not precede a refusal.
+            writer.buffer().clear();
+        }
         let body_read = rest.is_done();
         self.body = PreparedBody::Spent { read: body_read };
         match streamed {
