Keep no connection to a target that was not sent the whole request

Cause: a target may answer a streamed request before the body has been sent. The answer was passed on and, unless the target said "Connection: close", the connection went back into the pool in the middle of that body. The next request's head was then taken for a part of the old body: it was never answered and timed out.

Ruled out: requests whose body is whole in memory: their answer is only read after the last byte was written.

Change: a flight notes whether its request was written to the end; only then is its connection kept, also after a "not run", for which a streamed request that was written whole no longer costs its connection.

--- a/crates/vanillafold/src/dispatch/dispatcher.rs
+++ b/crates/vanillafold/src/dispatch/dispatcher.rs
@@ -62,6 +62,8 @@
     connection: TargetConnection,
     unit: Option<TeamUnit>,
     slot: Slot,
+    /// Whether the request was written to its end, so that another may follow it.
+    written: bool,
 }
 
 /// How an attempt ended.
@@ -195,6 +197,7 @@
             connection,
             unit,
             slot,
+            written: false,
         };
         match self.body.take() {
             PreparedBody::Whole(body) => self.send_whole(flight, body, writer).await,
@@ -256,7 +259,10 @@
                 .map_err(|_| AttemptFailure::Lost)?;
             exchange::receive(incoming, method).await
         };
-        match timeout_at(request.deadline, sending).await {
+        let sent = timeout_at(request.deadline, sending).await;
+        // An answer is only read once the request has been written.
+        flight.written = matches!(sent, Ok(Ok(_)));
+        match sent {
             Ok(Ok(Received::Head(answer))) => self.pass_on(flight, answer, writer).await,
             Ok(Ok(Received::NotRun { reason, load })) => self.not_run(flight, reason, load),
             Ok(Err(failure)) => self.lost(flight, failure),
@@ -278,6 +284,7 @@
         let piece_limit = self.node.settings.timeouts.body_ms.duration();
         let node = self.node;
         let mut passed_on = false;
+        let mut written = false;
         let TargetConnection {
             incoming,
             writer: to_target,
@@ -314,7 +321,10 @@
                 downloaded = &mut downloading => return Streamed::Answered(downloaded),
             };
             match uploaded {
-                Ok(()) => Streamed::Answered(downloading.await),
+                Ok(()) => {
+                    written = true;
+                    Streamed::Answered(downloading.await)
+                }
                 Err(UploadFault::Caller) => Streamed::BodyBrokeOff,
                 Err(UploadFault::Target) => match timeout(REFUSAL_GRACE, downloading).await {
                     Ok(downloaded) => Streamed::Answered(downloaded),
@@ -327,6 +337,7 @@
             // The head of an answer that came no further must not precede a refusal.
             writer.buffer().clear();
         }
+        flight.written = written;
         let body_read = rest.is_done();
         self.body = PreparedBody::Spent { read: body_read };
         match streamed {
@@ -436,7 +447,10 @@
 
     fn answered(&self, flight: Flight, answer: &AnswerHead) {
         let Flight {
-            connection, slot, ..
+            connection,
+            slot,
+            written,
+            ..
         } = flight;
         let waited_ms = slot.waited_ms();
         let finish = match answer.is_server_error() {
@@ -449,7 +463,7 @@
                 load: answer.load,
             },
         };
-        if answer.keeps_connection() {
+        if written && answer.keeps_connection() {
             self.request.queue.pool.keep(connection);
         }
         slot.finish(self.node.now(), finish);
@@ -468,11 +482,13 @@
         load: Option<vanillafold_types::Slots>,
     ) -> Attempt {
         let Flight {
-            connection, slot, ..
+            connection,
+            slot,
+            written,
+            ..
         } = flight;
         self.failed_at.extend(slot.vm().cloned());
-        // A streamed request was not written whole, so its connection is of no more use.
-        if self.body.is_replayable() {
+        if written {
             self.request.queue.pool.keep(connection);
         }
         // A non-idempotent request is sent again only if no earlier send may have run, so that
@@ -512,6 +528,7 @@
             connection,
             unit,
             slot,
+            ..
         } = flight;
         let waited_ms = slot.waited_ms();
         slot.finish(self.node.now(), Finish::Failed { kind, waited_ms });
