Hold bodies in chunks to the queue's max_body

Cause: only a declared Content-Length was compared with max_body. A body in chunks declares none and was taken at any size.

Change: the bytes are counted while they arrive. A body that turns out too large before anything was sent is refused with 109; one of which a part was sent on already is broken off with 405 (may have run), and its target connection is closed.

Ruled out: a code of its own for the second case: the caller has to treat it as any other body that broke off.

Before: 2,000 bytes in chunks to a queue of 1 KiB, and 320 KiB to one of 200 KiB, were answered with result code 0.

--- a/crates/vanillafold/src/caller/body.rs
+++ b/crates/vanillafold/src/caller/body.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use monoio::time::Instant;
 use monoio::time::timeout_at;
-use vanillafold_types::{Millis, ResultCode};
+use vanillafold_types::{ByteSize, Millis, ResultCode};
 use vanillafold_wire::http::{BodyError, BodyReader, Framing, HttpReader};
 
 /// Bodies up to this size are held whole, so that they can be sent again, in bytes.
@@ -33,6 +33,7 @@
     pub(crate) async fn read(
         reader: &mut HttpReader,
         framing: Framing,
+        max_body: ByteSize,
         piece_ms: Millis,
         deadline: Instant,
     ) -> Result<Self, ResultCode> {
@@ -46,6 +47,10 @@
         let mut start = BytesMut::new();
         while !rest.is_done() {
             let piece = next_piece(&mut rest, reader, piece_ms, deadline).await?;
+            // Chunks don't say beforehand how large the body is.
+            if rest.received_bytes() > max_body.get() {
+                return Err(ResultCode::OversizedBody);
+            }
             match piece {
                 Some(piece) if start.is_empty() && rest.is_done() => {
                     return Ok(Self::Whole(piece));
--- a/crates/vanillafold/src/caller/connection.rs
+++ b/crates/vanillafold/src/caller/connection.rs
@@ -135,8 +135,10 @@
         }
     }
     let piece_ms = node.settings.timeouts.body_ms;
-    let body = PreparedBody::read(reader, request.framing, piece_ms, request.deadline).await;
-    let body = match body {
+    let max_body = request.queue.settings.max_body;
+    let framing = request.framing;
+    let reading = PreparedBody::read(reader, framing, max_body, piece_ms, request.deadline);
+    let body = match reading.await {
         Ok(body) => body,
         Err(code) => {
             let refusal = Refusal {
--- a/crates/vanillafold/src/dispatch/dispatcher.rs
+++ b/crates/vanillafold/src/dispatch/dispatcher.rs
@@ -14,7 +14,7 @@
 use vanillafold_types::{ResultCode, VmId};
 use vanillafold_wire::http::{BodyReader, HttpReader, HttpWriter, encode_request_head};
 
-use super::exchange::{self, AnswerHead, Received, RelayFault, UploadFault};
+use super::exchange::{self, AnswerHead, Received, RelayFault, UploadFault, UploadLimits};
 use super::header;
 use super::linger::linger;
 use super::permit::{NoPermit, Permit, acquire};
@@ -281,7 +281,10 @@
         let request = self.request;
         let framing = request.framing;
         let headers = header::to_target(request, self.attempts.next_number());
-        let piece_limit = self.node.settings.timeouts.body_ms.duration();
+        let limits = UploadLimits {
+            piece: self.node.settings.timeouts.body_ms.duration(),
+            max_body: request.queue.settings.max_body,
+        };
         let node = self.node;
         let mut passed_on = false;
         let mut written = false;
@@ -299,12 +302,7 @@
                 framing,
             );
             let mut uploading = pin!(exchange::upload(
-                to_target,
-                start,
-                &mut rest,
-                reader,
-                framing,
-                piece_limit
+                to_target, start, &mut rest, reader, framing, limits
             ));
             let mut downloading = pin!(async {
                 let received = exchange::receive(incoming, &request.method).await?;
--- a/crates/vanillafold/src/dispatch/exchange.rs
+++ b/crates/vanillafold/src/dispatch/exchange.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, Method};
 use monoio::time::timeout;
 use vanillafold_policy::{AttemptFailure, NotRunReason};
-use vanillafold_types::Slots;
+use vanillafold_types::{ByteSize, Slots};
 use vanillafold_wire::http::{
     BodyReader, Framing, HeadError, HttpReader, HttpWriter, ResponseHead, encode_request_head,
     encode_response_head, response_framing,
@@ -151,7 +151,7 @@
     rest: &mut BodyReader,
     reader: &mut HttpReader,
     framing: Framing,
-    piece_limit: Duration,
+    limits: UploadLimits,
 ) -> Result<(), UploadFault> {
     writer
         .body_piece_or_none(framing, start)
@@ -159,8 +159,11 @@
         .map_err(|_| UploadFault::Target)?;
     loop {
         writer.flush().await.map_err(|_| UploadFault::Target)?;
-        let piece = timeout(piece_limit, rest.next(reader)).await;
+        let piece = timeout(limits.piece, rest.next(reader)).await;
         match piece {
+            Ok(Ok(Some(_))) if rest.received_bytes() > limits.max_body.get() => {
+                return Err(UploadFault::Caller);
+            }
             Ok(Ok(Some(piece))) => writer
                 .body_piece(framing, piece)
                 .await
@@ -173,10 +176,19 @@
     writer.flush().await.map_err(|_| UploadFault::Target)
 }
 
+/// What a caller's body must keep to while it is passed on.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct UploadLimits {
+    /// The wait for each piece.
+    pub(crate) piece: Duration,
+    /// The size of the whole.
+    pub(crate) max_body: ByteSize,
+}
+
 /// Whose side broke an upload.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum UploadFault {
-    /// The caller's body broke off.
+    /// The caller's body broke off, or turned out too large.
     Caller,
     /// The target took no more.
     Target,
