Refuse a bare LF in a head, bound heads exactly, and take what follows empty lines

Cause: three faults around the parser of heads. 1. httparse ends a line at a bare LF, and monoio-http cuts its input at the first CR LF CR LF. A head that ended in LF LF swallowed all bytes up to that mark: a body, or a request behind it, was dropped unseen while a program in front of the daemon could count it as a second request. A target's head in bare LFs was passed on likewise. 2. More than 96 headers were refused as malformed (100) rather than as oversized (101), and a head of up to twice MAX_HEAD was taken if it came in one read. 3. Empty lines before a request were cut off with it still in the buffer; the rest was not looked at before another byte came, so that the request was refused as slow (103, 408).

Change: a check of the lines (module http::head) stands before the parser. It passes over leading empty lines, refuses a bare LF at once, and bounds bytes and headers by MAX_HEAD and MAX_HEADERS; HeadError has a kind TooManyHeaders.

Before: bare LF heads gave 103 after 5 s, or were answered with result 0; 200 headers gave 100; a request behind two empty lines 408.

--- a/crates/vanillafold-wire/src/http/error.rs
+++ b/crates/vanillafold-wire/src/http/error.rs
@@ -18,6 +18,12 @@
         /// The limit in bytes.
         limit: usize,
     },
+    /// The head has more headers than [`super::MAX_HEADERS`].
+    #[error("the head has more than {limit} headers")]
+    TooManyHeaders {
+        /// The limit.
+        limit: usize,
+    },
     /// The head is not HTTP/1.1.
     #[error("the head is not valid HTTP/1.1: {0}")]
     Malformed(String),
--- a/crates/vanillafold-wire/src/http/mod.rs
+++ b/crates/vanillafold-wire/src/http/mod.rs
@@ -8,6 +8,7 @@
 mod client;
 mod error;
 mod framing;
+mod head;
 mod header;
 mod reader;
 mod server;
@@ -17,8 +18,9 @@
 pub use client::{Client, ClientError};
 pub use error::{BodyError, FramingError, HeadError};
 pub use framing::{Framing, request_framing, response_framing};
+pub use head::{MAX_HEAD, MAX_HEADERS};
 pub use header::is_hop_by_hop;
-pub use reader::{HttpReader, MAX_HEAD, RequestHead, ResponseHead};
+pub use reader::{HttpReader, RequestHead, ResponseHead};
 pub use server::{Service, serve_connection};
 pub use writer::{HttpWriter, encode_request_head, encode_response_head};
 
--- a/crates/vanillafold-wire/src/http/reader.rs
+++ b/crates/vanillafold-wire/src/http/reader.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use monoio::buf::IoBufMut;
 use monoio::io::{AsyncReadRent, OwnedReadHalf};
 use monoio::net::TcpStream;
@@ -10,9 +10,7 @@
 use monoio_http::h1::codec::decoder::{DecodeError, RequestHeadDecoder, ResponseHeadDecoder};
 
 use super::HeadError;
-
-/// The largest head, in bytes.
-pub const MAX_HEAD: usize = 16 * 1024;
+use super::head::{self, MAX_HEAD};
 
 /// What an idle connection keeps for its next head, in bytes.
 const IDLE_BUFFER: usize = 1024;
@@ -82,15 +80,13 @@
         D: Decoder<Error = DecodeError>,
     {
         loop {
-            if !self.buffer.is_empty() {
-                match decoder.decode(&mut self.buffer) {
-                    Ok(Decoded::Some(head)) => return Ok(head),
-                    Ok(_) if self.buffer.len() >= MAX_HEAD => {
-                        return Err(HeadError::TooLarge { limit: MAX_HEAD });
-                    }
-                    Ok(_) => {}
-                    Err(error) => return Err(HeadError::Malformed(error.to_string())),
-                }
+            self.buffer.advance(head::empty_lines(&self.buffer));
+            if head::is_whole(&self.buffer)? {
+                return match decoder.decode(&mut self.buffer) {
+                    Ok(Decoded::Some(head)) => Ok(head),
+                    Ok(_) => Err(HeadError::Malformed("it ends early".to_owned())),
+                    Err(error) => Err(HeadError::Malformed(error.to_string())),
+                };
             }
             let started = !self.buffer.is_empty();
             let room = IDLE_BUFFER.max(self.buffer.len()).min(MAX_HEAD);
--- a/crates/vanillafold/src/caller/connection.rs
+++ b/crates/vanillafold/src/caller/connection.rs
@@ -114,7 +114,9 @@
     let limit = node.settings.timeouts.head_ms.duration();
     match timeout(limit, reader.request_head()).await {
         Ok(Ok(head)) => Ok(head),
-        Ok(Err(HeadError::TooLarge { .. })) => Err(Some(ResultCode::OversizedHead)),
+        Ok(Err(HeadError::TooLarge { .. } | HeadError::TooManyHeaders { .. })) => {
+            Err(Some(ResultCode::OversizedHead))
+        }
         Ok(Err(HeadError::Malformed(_))) => Err(Some(ResultCode::MalformedHead)),
         Ok(Err(_)) => Err(None),
         Err(_) => Err(Some(ResultCode::SlowHead)),
--- a/crates/vanillafold/src/dispatch/exchange.rs
+++ b/crates/vanillafold/src/dispatch/exchange.rs
@@ -196,7 +196,9 @@
 
 fn head_failure(error: &HeadError) -> AttemptFailure {
     match error {
-        HeadError::Malformed(_) | HeadError::TooLarge { .. } => AttemptFailure::Malformed,
+        HeadError::Malformed(_) | HeadError::TooLarge { .. } | HeadError::TooManyHeaders { .. } => {
+            AttemptFailure::Malformed
+        }
         _ => AttemptFailure::Lost,
     }
 }
