Send no body behind the answer to HEAD

Cause: refusals, and the pages of the administration address, wrote their body also to a HEAD request. A caller that keeps to RFC 9110 (section 9.3.2) reads no body there and takes those bytes for the head of its next answer. And a target's answer to HEAD was passed on with "content-length: 0" whatever it had announced, which section 8.6 forbids.

Change: encode_answer_to_head writes a head that announces a framing and that nothing follows; refusals, the plain server and the relay use it.

Before: the answer that followed a refused HEAD was unreadable on both addresses; "content-length: 0" in place of 1234.

--- a/crates/vanillafold-wire/src/http/framing.rs
+++ b/crates/vanillafold-wire/src/http/framing.rs
@@ -23,7 +23,7 @@
 ///
 /// Whatever makes its end doubtful.
 pub fn request_framing(headers: &HeaderMap) -> Result<Framing, FramingError> {
-    Ok(declared(headers)?.unwrap_or(Framing::Empty))
+    Ok(declared_framing(headers)?.unwrap_or(Framing::Empty))
 }
 
 /// The framing of the answer to a request of method `method`.
@@ -36,7 +36,7 @@
     status: StatusCode,
     headers: &HeaderMap,
 ) -> Result<Framing, FramingError> {
-    let declared = declared(headers)?;
+    let declared = declared_framing(headers)?;
     let bodyless = *method == Method::HEAD
         || status == StatusCode::NO_CONTENT
         || status == StatusCode::NOT_MODIFIED;
@@ -47,7 +47,12 @@
     }
 }
 
-fn declared(headers: &HeaderMap) -> Result<Option<Framing>, FramingError> {
+/// The framing that the headers declare; none if they declare none.
+///
+/// # Errors
+///
+/// Whatever makes it doubtful.
+pub fn declared_framing(headers: &HeaderMap) -> Result<Option<Framing>, FramingError> {
     let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
     let mut encodings = headers.get_all(TRANSFER_ENCODING).iter();
     let length = lengths.next();
--- a/crates/vanillafold-wire/src/http/server.rs
+++ b/crates/vanillafold-wire/src/http/server.rs
@@ -3,11 +3,11 @@
 use std::future::Future;
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
 
 use super::{
-    BodyError, BodyReader, Framing, HttpReader, HttpWriter, RequestHead, encode_response_head,
-    request_framing,
+    BodyError, BodyReader, Framing, HttpReader, HttpWriter, RequestHead, encode_answer_to_head,
+    encode_response_head, request_framing,
 };
 
 /// Answers small requests, whole in memory.
@@ -51,6 +51,7 @@
     head: RequestHead,
     body: Bytes,
 ) -> bool {
+    let is_head = head.method == Method::HEAD;
     let Some(response) = service.answer(Request::from_parts(head, body)).await else {
         return false;
     };
@@ -59,7 +60,12 @@
         0 => Framing::Empty,
         length => Framing::Length(length as u64),
     };
-    encode_response_head(writer.buffer(), head.status, head.headers.iter(), framing);
+    let headers = head.headers.iter();
+    if is_head {
+        encode_answer_to_head(writer.buffer(), head.status, headers, Some(framing));
+        return writer.flush().await.is_ok();
+    }
+    encode_response_head(writer.buffer(), head.status, headers, framing);
     writer.body_piece(framing, body).await.is_ok() && writer.flush().await.is_ok()
 }
 
--- a/crates/vanillafold-wire/src/http/writer.rs
+++ b/crates/vanillafold-wire/src/http/writer.rs
@@ -137,16 +137,36 @@
     headers: impl Iterator<Item = (&'a HeaderName, &'a HeaderValue)>,
     framing: Framing,
 ) {
+    encode_status_line(buffer, status);
+    encode_headers(buffer, headers);
+    let bodyless = status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED;
+    encode_framing(buffer, framing, !bodyless);
+    buffer.put_slice(b"\r\n");
+}
+
+/// Encodes the head of an answer to HEAD, which no body follows (RFC 9110, section 9.3.2).
+/// `announced` is the framing that the answer to GET has, if it is known.
+pub fn encode_answer_to_head<'a>(
+    buffer: &mut BytesMut,
+    status: StatusCode,
+    headers: impl Iterator<Item = (&'a HeaderName, &'a HeaderValue)>,
+    announced: Option<Framing>,
+) {
+    encode_status_line(buffer, status);
+    encode_headers(buffer, headers);
+    if let Some(framing) = announced {
+        encode_framing(buffer, framing, true);
+    }
+    buffer.put_slice(b"\r\n");
+}
+
+fn encode_status_line(buffer: &mut BytesMut, status: StatusCode) {
     buffer.reserve(USUAL_HEAD);
     buffer.put_slice(b"HTTP/1.1 ");
     buffer.put_slice(status.as_str().as_bytes());
     buffer.put_u8(b' ');
     buffer.put_slice(status.canonical_reason().unwrap_or("Status").as_bytes());
     buffer.put_slice(b"\r\n");
-    encode_headers(buffer, headers);
-    let bodyless = status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED;
-    encode_framing(buffer, framing, !bodyless);
-    buffer.put_slice(b"\r\n");
 }
 
 fn encode_headers<'a>(
--- a/crates/vanillafold/src/caller/connection.rs
+++ b/crates/vanillafold/src/caller/connection.rs
@@ -143,10 +143,7 @@
     let body = match reading.await {
         Ok(body) => body,
         Err(code) => {
-            let refusal = Refusal {
-                code,
-                request: Some(request.id),
-            };
+            let refusal = request.refusal(code);
             return refuse(node, writer, &refusal, Next::Close).await;
         }
     };
@@ -168,10 +165,7 @@
             Next::Abort
         }
         Delivered::Refused { code, body_read } => {
-            let refusal = Refusal {
-                code,
-                request: Some(request.id),
-            };
+            let refusal = request.refusal(code);
             let next = match body_read {
                 true => Next::KeepAlive,
                 false => Next::Close,
--- a/crates/vanillafold/src/caller/refusal.rs
+++ b/crates/vanillafold/src/caller/refusal.rs
@@ -3,7 +3,7 @@
 use http::StatusCode;
 use http::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
 use vanillafold_types::{Outcome, RequestId, ResultCode};
-use vanillafold_wire::http::{Framing, HttpWriter, encode_response_head};
+use vanillafold_wire::http::{Framing, HttpWriter, encode_answer_to_head, encode_response_head};
 
 const OUTCOME: HeaderName = HeaderName::from_static("vf-outcome");
 const REQUEST_ID: HeaderName = HeaderName::from_static("vf-request-id");
@@ -17,6 +17,8 @@
     pub(crate) code: ResultCode,
     /// The request's id, once it is known.
     pub(crate) request: Option<RequestId>,
+    /// Whether the request was a HEAD: nothing follows the head of its answer.
+    pub(crate) is_head: bool,
 }
 
 impl Refusal {
@@ -25,6 +27,7 @@
         Self {
             code,
             request: None,
+            is_head: false,
         }
     }
 
@@ -45,6 +48,10 @@
         let framing = Framing::Length(body.len() as u64);
         let status =
             StatusCode::from_u16(self.code.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        if self.is_head {
+            encode_answer_to_head(writer.buffer(), status, headers.iter(), Some(framing));
+            return writer.flush().await;
+        }
         encode_response_head(writer.buffer(), status, headers.iter(), framing);
         writer.body_piece(framing, body.into()).await?;
         writer.flush().await
--- a/crates/vanillafold/src/caller/request.rs
+++ b/crates/vanillafold/src/caller/request.rs
@@ -68,28 +68,28 @@
             true => None,
             false => Some(framing),
         };
-        let unnamed = |code| BadRequest {
-            refusal: Refusal::unnamed(code),
+        let is_head = head.method == Method::HEAD;
+        let refusal = |code, request| BadRequest {
+            refusal: Refusal {
+                code,
+                request,
+                is_head,
+            },
             framing: known_end,
         };
         if head.version != Version::HTTP_11 || head.method == Method::CONNECT {
             return Err(BadRequest::doubtful(ResultCode::Unsupported));
         }
         let id = match header(&head.headers, &REQUEST_ID)
-            .map_err(|()| unnamed(ResultCode::MalformedRequestId))?
+            .map_err(|()| refusal(ResultCode::MalformedRequestId, None))?
         {
             Some(text) => text
                 .parse()
-                .map_err(|_| unnamed(ResultCode::MalformedRequestId))?,
+                .map_err(|_| refusal(ResultCode::MalformedRequestId, None))?,
             None => node.new_request_id(),
         };
-        Self::check(node, id.clone(), head, framing, arrived).map_err(|code| BadRequest {
-            refusal: Refusal {
-                code,
-                request: Some(id),
-            },
-            framing: known_end,
-        })
+        Self::check(node, id.clone(), head, framing, arrived)
+            .map_err(|code| refusal(code, Some(id)))
     }
 
     fn check(
@@ -134,6 +134,15 @@
             .map(|_| ())
     }
 
+    /// A refusal of this request.
+    pub(crate) fn refusal(&self, code: ResultCode) -> Refusal {
+        Refusal {
+            code,
+            request: Some(self.id.clone()),
+            is_head: self.method == Method::HEAD,
+        }
+    }
+
     /// Whether another daemon may be running it already: it must be claimed first.
     pub(crate) const fn needs_claim(&self) -> bool {
         !self.idempotent && self.has_own_id
--- a/crates/vanillafold/src/dispatch/exchange.rs
+++ b/crates/vanillafold/src/dispatch/exchange.rs
@@ -10,8 +10,8 @@
 use vanillafold_policy::{AttemptFailure, NotRunReason};
 use vanillafold_types::{ByteSize, Slots};
 use vanillafold_wire::http::{
-    BodyReader, Framing, HeadError, HttpReader, HttpWriter, ResponseHead, encode_request_head,
-    encode_response_head, response_framing,
+    BodyReader, Framing, HeadError, HttpReader, HttpWriter, ResponseHead, declared_framing,
+    encode_answer_to_head, encode_request_head, encode_response_head, response_framing,
 };
 
 use super::header;
@@ -40,6 +40,8 @@
     pub(crate) head: ResponseHead,
     pub(crate) framing: Framing,
     pub(crate) load: Option<Slots>,
+    /// Whether it answers a HEAD.
+    is_head: bool,
 }
 
 impl AnswerHead {
@@ -108,6 +110,7 @@
                 head,
                 framing,
                 load,
+                is_head: *method == Method::HEAD,
             }))
         }
     }
@@ -124,7 +127,14 @@
     passed_on: &mut bool,
 ) -> Result<(), RelayFault> {
     let framing = answer.framing;
-    encode_response_head(writer.buffer(), answer.head.status, headers.iter(), framing);
+    let status = answer.head.status;
+    if answer.is_head {
+        // It was read without a doubt about its framing.
+        let announced = declared_framing(&answer.head.headers).ok().flatten();
+        encode_answer_to_head(writer.buffer(), status, headers.iter(), announced);
+    } else {
+        encode_response_head(writer.buffer(), status, headers.iter(), framing);
+    }
     let Incoming { reader, body } = incoming;
     let body = body.as_mut().ok_or(RelayFault::Target)?;
     while let Some(piece) = body.next(reader).await.map_err(|_| RelayFault::Target)? {
