Refuse INI that goes on over a line's end, and say what a count expects

Cause: rust-ini reads a key without `=`, a header without `]` and an open quote on into the following lines. A key was then called "zone zone-a cluster", printed with the line break in it, and every later problem stood a line too early, since lines are counted beside the parser. And a wrong max_waiting said only "invalid digit found in string".

Change: the scan that counts lines refuses such a line, with its number and what was expected.

Before (settings with `zone zone-a` in line 3): three problems, none of them of that line's fault, one over two lines. After: "entry.ini:3: expected `[section]` or `key = value`, found `zone zone-a`".

--- a/crates/vanillafold-types/src/catalogue/text.rs
+++ b/crates/vanillafold-types/src/catalogue/text.rs
@@ -1,5 +1,6 @@
 //! The catalogue as operators write it.
 
+use std::fmt;
 use std::str::FromStr;
 
 use crate::{
@@ -9,7 +10,7 @@
 
 const KINDS: [&str; 3] = ["pool", "queue", "team"];
 const DEFAULT_DEADLINE: Millis = Millis::new(10_000);
-const DEFAULT_MAX_WAITING: u32 = 1_000;
+const DEFAULT_MAX_WAITING: Waiting = Waiting(1_000);
 const DEFAULT_RETRY_PERCENT: Percent = Percent::new(10);
 const DEFAULT_MAX_BODY: ByteSize = ByteSize::new(16 << 20);
 
@@ -203,7 +204,11 @@
             format!("max_deadline_ms: expected at least deadline_ms ({deadline_ms}), found {max_deadline_ms}"),
         );
     }
-    let max_waiting = reader.ranged("max_waiting", DEFAULT_MAX_WAITING, 0..=100_000);
+    let Waiting(max_waiting) = reader.ranged(
+        "max_waiting",
+        DEFAULT_MAX_WAITING,
+        Waiting(0)..=Waiting(100_000),
+    );
     let retry_percent = reader.ranged(
         "retry_percent",
         DEFAULT_RETRY_PERCENT,
@@ -230,6 +235,27 @@
     })
 }
 
+/// Requests that may wait.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+struct Waiting(u32);
+
+impl fmt::Display for Waiting {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for Waiting {
+    type Err = SizeError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self).map_err(|_| SizeError {
+            expected: "a number of requests".to_owned(),
+            found: text.to_owned(),
+        })
+    }
+}
+
 /// A switch as the catalogue writes it.
 struct YesNo(bool);
 
--- a/crates/vanillafold-types/src/ini/document.rs
+++ b/crates/vanillafold-types/src/ini/document.rs
@@ -49,6 +49,11 @@
     ///
     /// One [`Problem`] if the text is not INI.
     pub fn parse(file: &str, text: &str) -> Result<Self, Problem> {
+        let lines = Lines::scan(text).map_err(|(line, message)| Problem {
+            file: file.to_owned(),
+            line,
+            message,
+        })?;
         let options = ParseOption {
             enabled_escape: false,
             ..ParseOption::default()
@@ -60,7 +65,7 @@
         })?;
         Ok(Self {
             file: file.to_owned(),
-            sections: sections(&ini, &Lines::scan(text)),
+            sections: sections(&ini, &lines),
         })
     }
 
@@ -122,18 +127,68 @@
 }
 
 impl Lines {
-    fn scan(text: &str) -> Self {
+    /// Refuses what `rust-ini` would read over a line's end: its lines could not be told.
+    fn scan(text: &str) -> Result<Self, (usize, String)> {
         let mut lines = Self {
             headers: Vec::new(),
             keys: Vec::new(),
         };
         for (index, line) in text.lines().enumerate() {
-            match line.trim_start().chars().next() {
-                None | Some('#' | ';') => {}
-                Some('[') => lines.headers.push(index + 1),
-                Some(_) => lines.keys.push(index + 1),
+            let number = index + 1;
+            let line = line.trim();
+            let wrong = match line.chars().next() {
+                None | Some('#' | ';') => None,
+                Some('[') => {
+                    lines.headers.push(number);
+                    wrong_header(line)
+                }
+                Some(_) => {
+                    lines.keys.push(number);
+                    wrong_key(line)
+                }
+            };
+            if let Some(message) = wrong {
+                return Err((number, message));
             }
         }
-        lines
+        Ok(lines)
+    }
+}
+
+fn wrong_header(line: &str) -> Option<String> {
+    let behind = line.split_once(']').map(|(_, behind)| behind.trim_start());
+    match behind {
+        Some(behind) if behind.is_empty() || behind.starts_with(['#', ';']) => None,
+        _ => Some(format!("expected `[section]`, found `{line}`")),
+    }
+}
+
+fn wrong_key(line: &str) -> Option<String> {
+    match line.split_once(['=', ':']) {
+        None => Some(format!(
+            "expected `[section]` or `key = value`, found `{line}`"
+        )),
+        Some((key, value)) if has_open_quote(value.trim_start()) => {
+            let key = key.trim_end();
+            Some(format!(
+                "{key}: expected the end of the quote on the same line"
+            ))
+        }
+        Some(_) => None,
+    }
+}
+
+/// Whether a quote that `value` begins with goes on over the line's end.
+fn has_open_quote(value: &str) -> bool {
+    let Some(quote) = value
+        .chars()
+        .next()
+        .filter(|first| ['"', '\''].contains(first))
+    else {
+        return false;
+    };
+    match value[1..].split_once(quote) {
+        Some((_, behind)) => has_open_quote(behind),
+        None => true,
     }
 }
