Say what an address, a log level and a count expect in the settings

Cause: their values went through the standard parsers, which said "invalid socket address syntax", "attempted to convert a string that doesn't match an existing log level" and "invalid digit found in string": what was found and what would have been right were missing.

Change: values of their own (module settings::value) with the project's message: "callers: expected IP:PORT such as 10.0.0.1:7001, found ...".

--- a/crates/vanillafold/src/settings/daemon.rs
+++ b/crates/vanillafold/src/settings/daemon.rs
@@ -4,9 +4,12 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use vanillafold_types::{DaemonId, Document, Millis, Problem, Reader, ZoneId, nearest_name};
+use vanillafold_types::{
+    Connections, DaemonId, Document, Millis, Problem, Reader, ZoneId, nearest_name,
+};
 
 use super::Secret;
+use super::value::{Address, Level};
 
 const SECTIONS: [&str; 3] = ["daemon", "peer", "platform"];
 
@@ -253,13 +256,17 @@
     let name = reader.required("name");
     let zone = reader.required("zone");
     let cluster = reader.required("cluster");
-    let callers = reader.required("callers");
-    let peer_address = reader.required("peers");
-    let admin = reader.required("admin");
+    let callers = address(&mut reader, "callers");
+    let peer_address = address(&mut reader, "peers");
+    let admin = address(&mut reader, "admin");
     let peer_token = read_secret(&mut reader, "peer_token_file", folder);
     let operator_credential = read_secret(&mut reader, "operator_credential_file", folder);
-    let max_connections = reader.ranged("max_connections", 12_000, 1..=100_000);
-    let log_level = reader.or("log_level", log::LevelFilter::Info);
+    let max_connections = reader.ranged(
+        "max_connections",
+        Connections::new(12_000),
+        Connections::new(1)..=Connections::new(100_000),
+    );
+    let Level(log_level) = reader.or("log_level", Level(log::LevelFilter::Info));
     let timeouts = Timeouts {
         head_ms: milliseconds(&mut reader, "head_timeout_ms", 5_000),
         idle_ms: milliseconds(&mut reader, "idle_timeout_ms", 300_000),
@@ -281,14 +288,14 @@
         admin: admin?,
         peer_token: peer_token?,
         operator_credential: operator_credential?,
-        max_connections,
+        max_connections: max_connections.get(),
         log_level,
         timeouts,
     })
 }
 
 fn read_platform(mut reader: Reader<'_>) -> Option<PlatformSettings> {
-    let address = reader.required("address");
+    let address = address(&mut reader, "address");
     let timeout_ms = milliseconds(&mut reader, "timeout_ms", 2_000);
     let list_interval_ms = milliseconds(&mut reader, "list_interval_ms", 1_000);
     reader.finish();
@@ -302,7 +309,7 @@
 fn read_peer(mut reader: Reader<'_>) -> Option<PeerSettings> {
     let name = reader.name();
     let zone = reader.required("zone");
-    let address = reader.required("address");
+    let address = address(&mut reader, "address");
     reader.finish();
     Some(PeerSettings {
         name: name?,
@@ -311,6 +318,10 @@
     })
 }
 
+fn address(reader: &mut Reader<'_>, key: &'static str) -> Option<SocketAddr> {
+    reader.required(key).map(|Address(address)| address)
+}
+
 fn milliseconds(reader: &mut Reader<'_>, key: &'static str, default: u64) -> Millis {
     let range = Millis::new(1)..=Millis::new(3_600_000);
     reader.ranged(key, Millis::new(default), range)
--- a/crates/vanillafold/src/settings/mod.rs
+++ b/crates/vanillafold/src/settings/mod.rs
@@ -2,6 +2,7 @@
 
 mod daemon;
 mod secret;
+mod value;
 
 pub use daemon::{PeerSettings, PlatformSettings, Settings, SettingsError, Timeouts};
 pub use secret::{Secret, SecretError};
--- /dev/null
+++ b/crates/vanillafold/src/settings/value.rs
@@ -0,0 +1,37 @@
+//! Values whose own parsers don't say what they expect.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use log::LevelFilter;
+use vanillafold_types::SizeError;
+
+/// A socket's address.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Address(pub(crate) SocketAddr);
+
+impl FromStr for Address {
+    type Err = SizeError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self).map_err(|_| SizeError {
+            expected: "IP:PORT such as 10.0.0.1:7001".to_owned(),
+            found: text.to_owned(),
+        })
+    }
+}
+
+/// The least severe log level that is written.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Level(pub(crate) LevelFilter);
+
+impl FromStr for Level {
+    type Err = SizeError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self).map_err(|_| SizeError {
+            expected: "off, error, warn, info, debug or trace".to_owned(),
+            found: text.to_owned(),
+        })
+    }
+}
