--- a/crates/vanillafold/src/caller/connection.rs
+++ b/crates/vanillafold/src/caller/connection.rs
@@ -114,7 +114,9 @@
     let limit = node.settings.timeouts.head_ms.duration();
     match timeout(limit, reader.request_head()).await {
         Ok(Ok(head)) => Ok(head),
-        Ok(Err(HeadError::TooLarge { .. })) => Err(Some(ResultCode::OversizedHead)),
+        Ok(Err(HeadError::TooLarge { .. } | HeadError::TooManyHeaders { .. })) => {
+            Err(Some(ResultCode::OversizedHead))
+        }
         Ok(Err(HeadError::Malformed(_))) => Err(Some(ResultCode::MalformedHead)),
         Ok(Err(_)) => Err(None),
         Err(_) => Err(Some(ResultCode::SlowHead)),
@@ -135,14 +137,13 @@
         }
     }
     let piece_ms = node.settings.timeouts.body_ms;
-    let body = PreparedBody::read(reader, request.framing, piece_ms, request.deadline).await;
-    let body = match body {
+    let max_body = request.queue.settings.max_body;
+    let framing = request.framing;
+    let reading = PreparedBody::read(reader, framing, max_body, piece_ms, request.deadline);
+    let body = match reading.await {
         Ok(body) => body,
         Err(code) => {
-            let refusal = Refusal {
-                code,
-                request: Some(request.id),
-            };
+            let refusal = request.refusal(code);
             return refuse(node, writer, &refusal, Next::Close).await;
         }
     };
@@ -164,10 +165,7 @@
             Next::Abort
         }
         Delivered::Refused { code, body_read } => {
-            let refusal = Refusal {
-                code,
-                request: Some(request.id),
-            };
+            let refusal = request.refusal(code);
             let next = match body_read {
                 true => Next::KeepAlive,
                 false => Next::Close,
--- a/crates/vanillafold/src/dispatch/dispatcher.rs
+++ b/crates/vanillafold/src/dispatch/dispatcher.rs
@@ -14,7 +14,7 @@
 use vanillafold_types::{ResultCode, VmId};
 use vanillafold_wire::http::{BodyReader, HttpReader, HttpWriter, encode_request_head};
 
-use super::exchange::{self, AnswerHead, Received, RelayFault, UploadFault};
+use super::exchange::{self, AnswerHead, Received, RelayFault, UploadFault, UploadLimits};
 use super::header;
 use super::linger::linger;
 use super::permit::{NoPermit, Permit, acquire};
@@ -62,6 +62,8 @@
     connection: TargetConnection,
     unit: Option<TeamUnit>,
     slot: Slot,
+    /// Whether the request was written to its end, so that another may follow it.
+    written: bool,
 }
 
 /// How an attempt ended.
@@ -201,6 +203,7 @@
             connection,
             unit,
             slot,
+            written: false,
         };
         match self.body.take() {
             PreparedBody::Whole(body) => self.send_whole(flight, body, writer).await,
@@ -262,7 +265,10 @@
                 .map_err(|_| AttemptFailure::Lost)?;
             exchange::receive(incoming, method).await
         };
-        match timeout_at(request.deadline, sending).await {
+        let sent = timeout_at(request.deadline, sending).await;
+        // An answer is only read once the request has been written.
+        flight.written = matches!(sent, Ok(Ok(_)));
+        match sent {
             Ok(Ok(Received::Head(answer))) => self.pass_on(flight, answer, writer).await,
             Ok(Ok(Received::NotRun { reason, load })) => self.not_run(flight, reason, load),
             Ok(Err(failure)) => self.lost(flight, failure),
@@ -281,9 +287,13 @@
         let request = self.request;
         let framing = request.framing;
         let headers = header::to_target(request, self.attempts.next_number());
-        let piece_limit = self.node.settings.timeouts.body_ms.duration();
+        let limits = UploadLimits {
+            piece: self.node.settings.timeouts.body_ms.duration(),
+            max_body: request.queue.settings.max_body,
+        };
         let node = self.node;
         let mut passed_on = false;
+        let mut written = false;
         let TargetConnection {
             incoming,
             writer: to_target,
@@ -298,12 +308,7 @@
                 framing,
             );
             let mut uploading = pin!(exchange::upload(
-                to_target,
-                start,
-                &mut rest,
-                reader,
-                framing,
-                piece_limit
+                to_target, start, &mut rest, reader, framing, limits
             ));
             let mut downloading = pin!(async {
                 let received = exchange::receive(incoming, &request.method).await?;
@@ -320,7 +325,10 @@
                 downloaded = &mut downloading => return Streamed::Answered(downloaded),
             };
             match uploaded {
-                Ok(()) => Streamed::Answered(downloading.await),
+                Ok(()) => {
+                    written = true;
+                    Streamed::Answered(downloading.await)
+                }
                 Err(UploadFault::Caller) => Streamed::BodyBrokeOff,
                 Err(UploadFault::Target) => match timeout(REFUSAL_GRACE, downloading).await {
                     Ok(downloaded) => Streamed::Answered(downloaded),
@@ -329,6 +337,11 @@
             }
         };
         let streamed = timeout_at(request.deadline, streaming).await;
+        if !passed_on {
+            // The head of an answer that came no further must not precede a refusal.
+            writer.buffer().clear();
+        }
+        flight.written = written;
         let body_read = rest.is_done();
         self.body = PreparedBody::Spent { read: body_read };
         match streamed {
@@ -438,7 +451,10 @@
 
     fn answered(&self, flight: Flight, answer: &AnswerHead) {
         let Flight {
-            connection, slot, ..
+            connection,
+            slot,
+            written,
+            ..
         } = flight;
         let waited_ms = slot.waited_ms();
         let finish = match answer.is_server_error() {
@@ -451,7 +467,7 @@
                 load: answer.load,
             },
         };
-        if answer.keeps_connection() {
+        if written && answer.keeps_connection() {
             self.request.queue.pool.keep(connection);
         }
         slot.finish(self.node.now(), finish);
@@ -470,11 +486,13 @@
         load: Option<vanillafold_types::Slots>,
     ) -> Attempt {
         let Flight {
-            connection, slot, ..
+            connection,
+            slot,
+            written,
+            ..
         } = flight;
         self.failed_at.extend(slot.vm().cloned());
-        // A streamed request was not written whole, so its connection is of no more use.
-        if self.body.is_replayable() {
+        if written {
             self.request.queue.pool.keep(connection);
         }
         // A non-idempotent request is sent again only if no earlier send may have run, so that
@@ -515,6 +533,7 @@
             connection,
             unit,
             slot,
+            ..
         } = flight;
         let waited_ms = slot.waited_ms();
         slot.finish(self.node.now(), Finish::Failed { kind, waited_ms });
--- a/crates/vanillafold/src/dispatch/exchange.rs
+++ b/crates/vanillafold/src/dispatch/exchange.rs
@@ -8,10 +8,10 @@
 use http::{HeaderMap, Method};
 use monoio::time::timeout;
 use vanillafold_policy::{AttemptFailure, NotRunReason};
-use vanillafold_types::Slots;
+use vanillafold_types::{ByteSize, Slots};
 use vanillafold_wire::http::{
-    BodyReader, Framing, HeadError, HttpReader, HttpWriter, ResponseHead, encode_request_head,
-    encode_response_head, response_framing,
+    BodyReader, Framing, HeadError, HttpReader, HttpWriter, ResponseHead, declared_framing,
+    encode_answer_to_head, encode_request_head, encode_response_head, response_framing,
 };
 
 use super::header;
@@ -40,6 +40,8 @@
     pub(crate) head: ResponseHead,
     pub(crate) framing: Framing,
     pub(crate) load: Option<Slots>,
+    /// Whether it answers a HEAD.
+    is_head: bool,
 }
 
 impl AnswerHead {
@@ -108,6 +110,7 @@
                 head,
                 framing,
                 load,
+                is_head: *method == Method::HEAD,
             }))
         }
     }
@@ -124,7 +127,14 @@
     passed_on: &mut bool,
 ) -> Result<(), RelayFault> {
     let framing = answer.framing;
-    encode_response_head(writer.buffer(), answer.head.status, headers.iter(), framing);
+    let status = answer.head.status;
+    if answer.is_head {
+        // It was read without a doubt about its framing.
+        let announced = declared_framing(&answer.head.headers).ok().flatten();
+        encode_answer_to_head(writer.buffer(), status, headers.iter(), announced);
+    } else {
+        encode_response_head(writer.buffer(), status, headers.iter(), framing);
+    }
     let Incoming { reader, body } = incoming;
     let body = body.as_mut().ok_or(RelayFault::Target)?;
     while let Some(piece) = body.next(reader).await.map_err(|_| RelayFault::Target)? {
@@ -151,7 +161,7 @@
     rest: &mut BodyReader,
     reader: &mut HttpReader,
     framing: Framing,
-    piece_limit: Duration,
+    limits: UploadLimits,
 ) -> Result<(), UploadFault> {
     writer
         .body_piece_or_none(framing, start)
@@ -159,8 +169,11 @@
         .map_err(|_| UploadFault::Target)?;
     loop {
         writer.flush().await.map_err(|_| UploadFault::Target)?;
-        let piece = timeout(piece_limit, rest.next(reader)).await;
+        let piece = timeout(limits.piece, rest.next(reader)).await;
         match piece {
+            Ok(Ok(Some(_))) if rest.received_bytes() > limits.max_body.get() => {
+                return Err(UploadFault::Caller);
+            }
             Ok(Ok(Some(piece))) => writer
                 .body_piece(framing, piece)
                 .await
@@ -173,10 +186,19 @@
     writer.flush().await.map_err(|_| UploadFault::Target)
 }
 
+/// What a caller's body must keep to while it is passed on.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct UploadLimits {
+    /// The wait for each piece.
+    pub(crate) piece: Duration,
+    /// The size of the whole.
+    pub(crate) max_body: ByteSize,
+}
+
 /// Whose side broke an upload.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum UploadFault {
-    /// The caller's body broke off.
+    /// The caller's body broke off, or turned out too large.
     Caller,
     /// The target took no more.
     Target,
@@ -184,7 +206,9 @@
 
 fn head_failure(error: &HeadError) -> AttemptFailure {
     match error {
-        HeadError::Malformed(_) | HeadError::TooLarge { .. } => AttemptFailure::Malformed,
+        HeadError::Malformed(_) | HeadError::TooLarge { .. } | HeadError::TooManyHeaders { .. } => {
+            AttemptFailure::Malformed
+        }
         _ => AttemptFailure::Lost,
     }
 }
--- a/crates/vanillafold/src/settings/mod.rs
+++ b/crates/vanillafold/src/settings/mod.rs
@@ -2,6 +2,7 @@
 
 mod daemon;
 mod secret;
+mod value;
 
 pub use daemon::{
     LimitSettings, PeerSettings, PlatformSettings, Settings, SettingsError, Timeouts,
