Load tests: a stalled server that stalls

Cause: the stalled server of the tests did not stall. It awaited a future that nothing can wake, and monoio drops a task that nobody holds any more, which closed its connection after 1 ms. The test of the sending clock, too, ran against a server that closes. It now waits for a timer.

--- a/crates/vanillafold-standin/tests/load.rs
+++ b/crates/vanillafold-standin/tests/load.rs
@@ -74,6 +74,15 @@
     (address, requests)
 }
 
+/// A server that takes requests and never answers. It waits for a timer: a task that nothing
+/// can wake is dropped, and its connection closed.
+fn start_stalled() -> (SocketAddr, Rc<Cell<u64>>) {
+    start_fixed(async || {
+        sleep(Millis::new(86_400_000).duration()).await;
+        None
+    })
+}
+
 fn open(rate_per_s: f64, connections: usize) -> Pace {
     Pace::Open {
         rate_per_s,
@@ -132,7 +141,7 @@
 fn the_sending_clock_does_not_wait_for_a_stalled_server() {
     block_on(async {
         let healthy = run(options(&[start_runner()], open(400.0, 4))).await;
-        let (stalled, seen) = start_fixed(async || std::future::pending().await);
+        let (stalled, seen) = start_stalled();
         let mut impatient = options(&[stalled], open(400.0, 4));
         impatient.work.deadline_ms = Millis::new(1_000);
         impatient.work.grace_ms = Millis::new(100);
@@ -321,7 +330,7 @@
 #[test]
 fn a_request_that_timed_out_is_repeated_elsewhere() {
     block_on(async {
-        let (stalled, _) = start_fixed(async || std::future::pending().await);
+        let (stalled, _) = start_stalled();
         let mut repeating = options(&[stalled, start_runner()], open(50.0, 64));
         repeating.work.idempotent_share = 0.0;
         repeating.work.deadline_ms = Millis::new(100);
