Load: a request sent late asks for what is left of its deadline

Cause: with every connection in use, requests leave late but asked for the whole deadline, so the load gave up a second before the daemon had to answer; the audit counted these as cut off by a planned stop. Ruled out: the daemon (each such request ended in the load's own time-out, 3,166 of 3,547 of them one second after they were sent, all in the burst). Change: the deadline sent is what is left of it from the intended start; one with nothing left is not sent.

--- a/crates/vanillafold-standin/src/load/exchange.rs
+++ b/crates/vanillafold-standin/src/load/exchange.rs
@@ -81,7 +81,7 @@
 }
 
 fn encode_head(options: &LoadOptions, job: &Job, framing: Framing, head: &mut BytesMut) {
-    let deadline_ms = options.work.deadline_ms.get();
+    let deadline_ms = job.remaining_ms(&options.work);
     let key = job.key.and_then(|key| options.keys.get(key));
     // Writing to memory can't fail.
     let _ = match options.direct {
--- a/crates/vanillafold-standin/src/load/job.rs
+++ b/crates/vanillafold-standin/src/load/job.rs
@@ -1,6 +1,8 @@
 //! The requests of a run, drawn from its seed.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+use vanillafold_types::Millis;
 
 use super::{CallerKey, LoadOptions, QueueWeight, Work};
 use crate::process::Random;
@@ -23,6 +25,18 @@
 }
 
 impl Job {
+    /// How long its caller still waits for the answer, counted from when it should have been sent.
+    pub(crate) fn remaining(&self, work: &Work) -> Duration {
+        let deadline = work.deadline_ms.duration();
+        deadline.saturating_sub(self.intended.elapsed())
+    }
+
+    /// The same as a request's head carries it.
+    pub(crate) fn remaining_ms(&self, work: &Work) -> u64 {
+        let remaining: Millis = self.remaining(work).into();
+        remaining.get().max(1)
+    }
+
     /// The size of the body that answers it.
     pub(crate) fn expected_bytes(&self) -> u64 {
         match self.echo {
--- a/crates/vanillafold-standin/src/load/recorder.rs
+++ b/crates/vanillafold-standin/src/load/recorder.rs
@@ -34,7 +34,7 @@
                 team: team.map(|team| team.as_str().into()),
                 key: key_id.map(Into::into),
                 idempotent: job.idempotent,
-                deadline_ms: Some(options.work.deadline_ms.get()),
+                deadline_ms: Some(job.remaining_ms(&options.work)),
             })
         });
     }
--- a/crates/vanillafold-standin/src/load/sender.rs
+++ b/crates/vanillafold-standin/src/load/sender.rs
@@ -56,9 +56,7 @@
     async fn send_once(&mut self, job: &Job, avoided: Option<usize>) -> Option<usize> {
         let shared = Rc::clone(&self.shared);
         let work = &shared.options.work;
-        let patience = (work.deadline_ms.duration() + work.grace_ms.duration())
-            .saturating_sub(job.intended.elapsed());
-        if patience.is_zero() {
+        if job.remaining(work).is_zero() {
             let mut tally = shared.tally.borrow_mut();
             tally.given_up += 1;
             tally.not_sent(job);
@@ -71,6 +69,7 @@
             return None;
         };
         let late = job.intended.elapsed();
+        let patience = job.remaining(work) + work.grace_ms.duration();
         shared.tally.borrow_mut().sent(job, late);
         shared.recorder.sent(&shared.options, job);
         let mut reply = Reply::none();
