Take claims over after a restart; random scripts reach the roster

Change: a restarted owner asks every other daemon for the claims that both own and is sure once all have told them; claims that arrive before are noted.

--- a/crates/vanillafold-state/src/claim/mod.rs
+++ b/crates/vanillafold-state/src/claim/mod.rs
@@ -9,4 +9,4 @@
 
 pub use id::{ClaimId, ClaimToken};
 pub use owners::{OWNERS, QUORUM, owners};
-pub use table::{ClaimAnswer, ClaimTable, MAX_CLAIMS};
+pub use table::{ClaimAnswer, ClaimPage, ClaimRecord, ClaimTable, MAX_CLAIMS};
--- a/crates/vanillafold-state/src/claim/table.rs
+++ b/crates/vanillafold-state/src/claim/table.rs
@@ -23,6 +23,28 @@
     Unsure,
 }
 
+/// A claim as one owner tells another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub struct ClaimRecord {
+    /// The id.
+    pub id: ClaimId,
+    /// Who claimed it.
+    pub token: ClaimToken,
+    /// How long ago, in seconds.
+    pub age_s: u32,
+}
+
+/// A part of an owner's claims, in the order of their ids.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct ClaimPage {
+    /// The claims.
+    pub records: Vec<ClaimRecord>,
+    /// The id to go on after; `None` at the end.
+    pub next_after: Option<ClaimId>,
+    /// Whether the owner remembers every claim of the window.
+    pub is_complete: bool,
+}
+
 /// The claims that one owner keeps, each for a window of time.
 ///
 /// Times are of a clock that counts suspensions, in milliseconds since an arbitrary start.
@@ -88,7 +110,7 @@
         match shard.binary_search_by(|claim| claim.id.cmp(&id)) {
             Ok(index) if shard[index].token == token => ClaimAnswer::Granted,
             Ok(_) => ClaimAnswer::Taken,
-            Err(_) if !sure || full => ClaimAnswer::Unsure,
+            Err(_) if full => ClaimAnswer::Unsure,
             Err(index) => {
                 let claimed_s = u32::try_from(now_ms / MS_PER_S).unwrap_or(u32::MAX);
                 let claim = Claim {
@@ -98,7 +120,68 @@
                 };
                 shard.insert(index, claim);
                 self.length += 1;
-                ClaimAnswer::Granted
+                match sure {
+                    true => ClaimAnswer::Granted,
+                    // Noted all the same: it counts once the owner is sure.
+                    false => ClaimAnswer::Unsure,
+                }
+            }
+        }
+    }
+
+    /// Whether every claim of the window is remembered.
+    #[must_use]
+    pub const fn is_complete(&self, now_ms: u64) -> bool {
+        now_ms >= self.complete_from_ms
+    }
+
+    /// At most `most` claims for which `is_wanted`, from the id behind `after` on.
+    pub fn page(
+        &self,
+        after: Option<ClaimId>,
+        most: usize,
+        is_wanted: impl Fn(ClaimId) -> bool,
+        now_ms: u64,
+    ) -> ClaimPage {
+        let now_s = now_ms / MS_PER_S;
+        let first_shard = after.map_or(0, |id| id.upper_bits(SHARD_BITS));
+        let mut records: Vec<ClaimRecord> = self.shards[first_shard..]
+            .iter()
+            .flatten()
+            .filter(|claim| after.is_none_or(|after| claim.id > after) && is_wanted(claim.id))
+            .take(most + 1)
+            .map(|claim| ClaimRecord {
+                id: claim.id,
+                token: claim.token,
+                age_s: u32::try_from(now_s - u64::from(claim.claimed_s)).unwrap_or(u32::MAX),
+            })
+            .collect();
+        let has_more = records.len() > most;
+        records.truncate(most);
+        ClaimPage {
+            next_after: records.last().map(|last| last.id).filter(|_| has_more),
+            is_complete: self.is_complete(now_ms),
+            records,
+        }
+    }
+
+    /// Takes over a claim that another owner remembers.
+    pub fn take_over(&mut self, record: ClaimRecord, now_ms: u64) {
+        let shard = &mut self.shards[record.id.upper_bits(SHARD_BITS)];
+        let found = shard.binary_search_by(|claim| claim.id.cmp(&record.id));
+        let claimed_s = (now_ms / MS_PER_S).saturating_sub(u64::from(record.age_s));
+        let claim = Claim {
+            id: record.id,
+            token: record.token,
+            claimed_s: u32::try_from(claimed_s).unwrap_or(u32::MAX),
+        };
+        match found {
+            // The older claim is the one that was granted.
+            Ok(index) if shard[index].claimed_s > claim.claimed_s => shard[index] = claim,
+            Ok(_) => {}
+            Err(index) => {
+                shard.insert(index, claim);
+                self.length += 1;
             }
         }
     }
--- a/crates/vanillafold-state/tests/common/script.rs
+++ b/crates/vanillafold-state/tests/common/script.rs
@@ -4,7 +4,7 @@
 use vanillafold_state::{
     Applied, CatalogueChange, ControlChange, Entry, EntryEdit, Record, State, Stream,
 };
-use vanillafold_types::{EntryName, Offset, Revision, Sequence, Share};
+use vanillafold_types::{DaemonId, EntryName, Incarnation, Offset, Revision, Sequence, Share};
 
 use super::{Log, author, key, move_vm, pool, pool_id, queue, return_vm, team, vm};
 
@@ -140,12 +140,35 @@
             _ => state.pool_of(&vm(id), &pool_id("home")),
         };
         let replaces = self.revision(current);
-        match self.below(8) {
+        match self.below(12) {
             0 => return_vm(id, replaces),
+            1..5 => self.roster_change(state),
             _ => move_vm(id, pool.as_str(), self.pick(&NAMES), replaces),
         }
     }
 
+    /// Joins that mostly come later than the known one, fences and releases that mostly fit it.
+    fn roster_change(&mut self, state: &State) -> ControlChange {
+        let daemon: DaemonId = self.pick(&NAMES).parse().unwrap();
+        let known = state.roster().member(&daemon);
+        let known = known.map_or(0, |member| member.incarnation.get());
+        match self.below(4) {
+            0 => ControlChange::Fence {
+                daemon,
+                incarnation: Incarnation::new(known + u64::from(self.below(8) / 7)),
+            },
+            1 => ControlChange::Release {
+                daemon,
+                incarnation: Incarnation::new(known.saturating_sub(u64::from(self.below(3)))),
+            },
+            _ => ControlChange::Join {
+                daemon,
+                vm: vm(self.pick(&NAMES)),
+                incarnation: Incarnation::new(known + u64::from(self.below(4))),
+            },
+        }
+    }
+
     /// Mostly the revision that is there.
     fn revision(&mut self, current: Option<Revision>) -> u64 {
         match self.below(8) {
--- a/crates/vanillafold/src/claim/claimer.rs
+++ b/crates/vanillafold/src/claim/claimer.rs
@@ -13,6 +13,9 @@
 use crate::caller::CallerRequest;
 use crate::node::Node;
 
+/// Claims told at once; a page stays well below the largest message of a peer.
+const PAGE_RECORDS: usize = 1_000;
+
 /// Why an id could not be claimed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum NoClaim {
@@ -103,8 +106,8 @@
     Err(NoClaim::Unavailable)
 }
 
-/// Answers a question of another daemon, or of this one.
-pub(crate) fn answer(node: &Node, request: ClaimRequest) -> ClaimResponse {
+/// Answers a question of the daemon `from`.
+pub(crate) fn answer(node: &Node, from: &DaemonId, request: ClaimRequest) -> ClaimResponse {
     let mut claims = node.claims.borrow_mut();
     match request {
         ClaimRequest::Claim { id, token } => {
@@ -114,6 +117,10 @@
             claims.release(id, token);
             ClaimResponse::Released
         }
+        ClaimRequest::Page { after } => {
+            let is_owner = |id| owners_of(node, id).contains(from);
+            ClaimResponse::Page(claims.page(after, PAGE_RECORDS, is_owner, node.boot_ms()))
+        }
     }
 }
 
@@ -133,16 +140,20 @@
 
 async fn ask(node: &Rc<Node>, owner: &DaemonId, request: ClaimRequest) -> ClaimAnswer {
     let response = match *owner == node.settings.name {
-        true => Some(answer(node, request)),
+        true => Some(answer(node, owner, request)),
         false => ask_peer(node, owner, request).await,
     };
     match response {
         Some(ClaimResponse::Claim(answer)) => answer,
-        Some(ClaimResponse::Released) | None => ClaimAnswer::Unsure,
+        Some(ClaimResponse::Released | ClaimResponse::Page(_)) | None => ClaimAnswer::Unsure,
     }
 }
 
-async fn ask_peer(node: &Node, owner: &DaemonId, request: ClaimRequest) -> Option<ClaimResponse> {
+pub(crate) async fn ask_peer(
+    node: &Node,
+    owner: &DaemonId,
+    request: ClaimRequest,
+) -> Option<ClaimResponse> {
     let peers = node.peers.borrow().clone()?;
     let request = PeerRequest::Custom(encode(&request));
     match peers.request(owner, request).await {
--- a/crates/vanillafold/src/claim/message.rs
+++ b/crates/vanillafold/src/claim/message.rs
@@ -1,7 +1,7 @@
 //! What daemons ask each other about claims.
 
 use bincode::{Decode, Encode, config};
-use vanillafold_state::{ClaimAnswer, ClaimId, ClaimToken};
+use vanillafold_state::{ClaimAnswer, ClaimId, ClaimPage, ClaimToken};
 
 /// A question to an owner.
 #[derive(Debug, Clone, Copy, Encode, Decode)]
@@ -20,22 +20,29 @@
         /// Who had claimed it.
         token: ClaimToken,
     },
+    /// Asks for the claims that the asker owns too, from the id behind `after` on.
+    Page {
+        /// The last id that the asker has.
+        after: Option<ClaimId>,
+    },
 }
 
 /// An owner's answer.
-#[derive(Debug, Clone, Copy, Encode, Decode)]
+#[derive(Debug, Clone, Encode, Decode)]
 pub(crate) enum ClaimResponse {
     /// To a claim.
     Claim(ClaimAnswer),
     /// To a release.
     Released,
+    /// A part of the owner's claims.
+    Page(ClaimPage),
 }
 
-/// Encodes a message; small plain values always fit.
+/// Encodes a message; plain values always fit.
 pub(crate) fn encode<T: Encode>(message: &T) -> Vec<u8> {
     match bincode::encode_to_vec(message, config::standard()) {
         Ok(bytes) => bytes,
-        Err(error) => unreachable!("a claim message holds only numbers: {error}"),
+        Err(error) => unreachable!("memory takes any bytes: {error}"),
     }
 }
 
--- a/crates/vanillafold/src/node/shared.rs
+++ b/crates/vanillafold/src/node/shared.rs
@@ -7,7 +7,9 @@
 use http::header::HeaderValue;
 use monoio::time::Instant;
 use vanillafold_policy::{DaemonMember, MonotonicMillis, SplitMix};
-use vanillafold_state::{BootMillis, ClaimTable, ControlChange, Escrow, KeyRefusal, State, Stream};
+use vanillafold_state::{
+    BootMillis, ClaimRecord, ClaimTable, ControlChange, Escrow, KeyRefusal, State, Stream,
+};
 use vanillafold_types::{DaemonId, Incarnation, Millis, RequestId, ResultCode, TeamId};
 
 use vanillafold_wire::{BootClock, PeerHandle};
@@ -166,6 +168,15 @@
         BootMillis::new(self.boot_ms())
     }
 
+    /// Takes over claims that another owner remembers.
+    pub(crate) fn take_over_claims(&self, records: &[ClaimRecord]) {
+        let now_ms = self.boot_ms();
+        let mut claims = self.claims.borrow_mut();
+        for record in records {
+            claims.take_over(*record, now_ms);
+        }
+    }
+
     /// Every daemon of the fleet, sorted by name.
     pub(crate) fn fleet(&self) -> &[DaemonMember] {
         &self.fleet.daemons
--- a/crates/vanillafold/src/peer/handler.rs
+++ b/crates/vanillafold/src/peer/handler.rs
@@ -73,12 +73,12 @@
         }
     }
 
-    fn on_request(&self, _from: &DaemonId, request: PeerRequest) -> PeerResponse {
+    fn on_request(&self, from: &DaemonId, request: PeerRequest) -> PeerResponse {
         let unsupported = PeerResponse::Unavailable(UnavailableReason::Unsupported);
         match request {
             PeerRequest::Custom(bytes) => match claim::decode(&bytes) {
                 Some(request) => {
-                    let response = claim::answer(&self.node, request);
+                    let response = claim::answer(&self.node, from, request);
                     PeerResponse::Custom(claim::encode(&response))
                 }
                 None => unsupported,
--- a/crates/vanillafold/src/supervisor/daemon.rs
+++ b/crates/vanillafold/src/supervisor/daemon.rs
@@ -16,6 +16,7 @@
 use crate::admin::serve_admin;
 use crate::append::write_records;
 use crate::caller::serve_callers;
+use crate::claim::recover_claims;
 use crate::counter::Counters;
 use crate::follow::{check_health, follow_log, follow_vms};
 use crate::limit::keep_escrow;
@@ -125,6 +126,8 @@
         write_records(Rc::clone(&node_), Rc::clone(&platform_))
     });
     let node_ = Rc::clone(&node);
+    supervise(&node, "claims", move || recover_claims(Rc::clone(&node_)));
+    let node_ = Rc::clone(&node);
     supervise(&node, "escrow", move || keep_escrow(Rc::clone(&node_)));
     let (node_, handle) = (Rc::clone(&node), peers.handle());
     supervise(&node, "peer_reports", move || {
