--- a/crates/vanillafold-state/src/escrow/exchange.rs
+++ b/crates/vanillafold-state/src/escrow/exchange.rs
@@ -23,7 +23,8 @@
         let Ok(index) = self.fleet.binary_search(from) else {
             return Vec::new();
         };
-        let is_meant = message.to_incarnation == self.incarnation
+        let is_meant = index != self.own.index()
+            && message.to_incarnation == self.incarnation
             && self.standings[index].is_current(from_incarnation);
         let (true, Ok(rights)) = (is_meant, self.rights(now)) else {
             return Vec::new();
--- a/crates/vanillafold-state/src/escrow/loan.rs
+++ b/crates/vanillafold-state/src/escrow/loan.rs
@@ -6,6 +6,9 @@
 use super::{BootMillis, EscrowEntry};
 use crate::table::Keyed;
 
+/// The most units of one loan; beyond it a line can't be true.
+const MAX_HELD: u64 = 1 << 32;
+
 /// The other side of a loan: a start of a daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct LoanKey {
@@ -207,8 +210,10 @@
 
     /// Books in what the lender says; false if it can't be.
     pub(super) fn read(&mut self, word: LentWord) -> bool {
-        let is_sound =
-            word.returned_total <= self.returned_total && word.return_target <= word.granted_total;
+        let most = self.returned_total.saturating_add(MAX_HELD);
+        let is_sound = word.returned_total <= self.returned_total
+            && word.return_target <= word.granted_total
+            && word.granted_total <= most;
         if !is_sound {
             return false;
         }
--- a/crates/vanillafold-state/src/escrow/root.rs
+++ b/crates/vanillafold-state/src/escrow/root.rs
@@ -29,8 +29,10 @@
 }
 
 impl Escrow {
-    /// The escrow of the daemon `own`, which is added to `fleet` if it isn't there. `fleet` must
-    /// be the same in every daemon.
+    /// The escrow of the daemon `own`, which is added to `fleet` if it isn't there.
+    ///
+    /// `fleet` must be the same in every daemon, and `incarnation` must differ from that of every
+    /// other start of this daemon: two starts with one incarnation together exceed limits.
     #[must_use]
     pub fn new(
         own: &DaemonId,
--- /dev/null
+++ b/crates/vanillafold-state/tests/roster.rs
@@ -0,0 +1,164 @@
+//! Which start of a daemon counts, as the control stream folds it.
+
+use vanillafold_state::{
+    Applied, Author, ControlChange, ControlRecord, RefusalReason, SnapshotBuilder, State, Stream,
+};
+use vanillafold_types::{DaemonId, Incarnation, Sequence, VmId};
+
+fn daemon() -> DaemonId {
+    "entry-1".parse().unwrap()
+}
+
+fn vm(name: &str) -> VmId {
+    name.parse().unwrap()
+}
+
+fn join(name: &str, incarnation: u64) -> ControlChange {
+    ControlChange::Join {
+        daemon: daemon(),
+        vm: vm(name),
+        incarnation: Incarnation::new(incarnation),
+    }
+}
+
+fn fence(incarnation: u64) -> ControlChange {
+    ControlChange::Fence {
+        daemon: daemon(),
+        incarnation: Incarnation::new(incarnation),
+    }
+}
+
+fn release(incarnation: u64) -> ControlChange {
+    ControlChange::Release {
+        daemon: daemon(),
+        incarnation: Incarnation::new(incarnation),
+    }
+}
+
+/// Folds a change as the next record of the control stream.
+fn apply(state: &mut State, change: ControlChange) -> Applied {
+    let offset = state.next_offset(Stream::Control);
+    let record = ControlRecord {
+        author: Author {
+            id: "test".parse().unwrap(),
+            incarnation: Incarnation::new(1),
+        },
+        sequence: Sequence::new(offset.get()),
+        as_of: offset,
+        change,
+    };
+    state.apply(Stream::Control, offset, &record.encode().unwrap())
+}
+
+fn state_of(changes: Vec<ControlChange>) -> State {
+    let mut state = State::new();
+    for change in changes {
+        assert_eq!(apply(&mut state, change), Applied::Accepted);
+    }
+    state
+}
+
+/// The starts that wait for a release, with the VM of each.
+fn unreleased(state: &State) -> Vec<(u64, Option<VmId>)> {
+    let member = state.roster().member(&daemon()).unwrap();
+    let starts = member.unreleased.iter();
+    starts
+        .map(|start| (start.incarnation.get(), start.vm.clone()))
+        .collect()
+}
+
+#[test]
+fn a_later_start_supersedes_an_earlier_one() {
+    let state = state_of(vec![join("vm-1", 1), join("vm-1", 5)]);
+
+    assert!(!state.roster().is_current(&daemon(), Incarnation::new(1)));
+    assert!(state.roster().is_current(&daemon(), Incarnation::new(5)));
+}
+
+#[test]
+fn an_earlier_or_equal_start_is_refused() {
+    let mut state = state_of(vec![join("vm-1", 5)]);
+
+    for incarnation in [4, 5] {
+        let applied = apply(&mut state, join("vm-2", incarnation));
+        assert_eq!(applied, Applied::Refused(RefusalReason::StaleIncarnation));
+    }
+}
+
+#[test]
+fn only_the_current_start_is_fenced_and_only_once() {
+    let mut state = state_of(vec![join("vm-1", 1), join("vm-1", 2), fence(2)]);
+
+    for incarnation in [1, 2, 3] {
+        let applied = apply(&mut state, fence(incarnation));
+        assert_eq!(applied, Applied::Refused(RefusalReason::NotCurrent));
+    }
+    assert!(!state.roster().is_current(&daemon(), Incarnation::new(2)));
+}
+
+#[test]
+fn a_fenced_daemon_joins_again_with_a_later_start() {
+    let state = state_of(vec![join("vm-1", 1), fence(1), join("vm-1", 2)]);
+
+    assert!(state.roster().is_current(&daemon(), Incarnation::new(2)));
+}
+
+#[test]
+fn a_start_on_the_same_vm_shows_that_the_earlier_one_is_dead() {
+    let state = state_of(vec![join("vm-1", 1), join("vm-1", 2)]);
+
+    assert_eq!(unreleased(&state), []);
+}
+
+#[test]
+fn a_start_on_another_vm_waits_for_a_release_however_often_it_restarts() {
+    let state = state_of(vec![join("vm-1", 1), join("vm-2", 2), join("vm-2", 3)]);
+
+    assert_eq!(unreleased(&state), [(1, Some(vm("vm-1")))]);
+}
+
+#[test]
+fn a_return_to_the_first_vm_leaves_only_the_other_one_in_doubt() {
+    let state = state_of(vec![join("vm-1", 1), join("vm-2", 2), join("vm-1", 3)]);
+
+    assert_eq!(unreleased(&state), [(2, Some(vm("vm-2")))]);
+}
+
+#[test]
+fn a_release_covers_the_starts_up_to_its_incarnation() {
+    let mut state = state_of(vec![join("vm-1", 1), join("vm-2", 2), join("vm-3", 3)]);
+
+    let released = apply(&mut state, release(1));
+    let repeated = apply(&mut state, release(1));
+
+    assert_eq!(released, Applied::Accepted);
+    assert_eq!(repeated, Applied::Refused(RefusalReason::NothingToRelease));
+    assert_eq!(unreleased(&state), [(2, Some(vm("vm-2")))]);
+}
+
+#[test]
+fn many_unreleased_starts_are_merged_and_none_is_forgotten() {
+    let changes = (1..=30).map(|number| join(&format!("vm-{number}"), number));
+    let mut state = state_of(changes.collect());
+
+    let merged = unreleased(&state);
+    let back = apply(&mut state, join("vm-1", 31));
+
+    assert_eq!(merged.len(), 8);
+    assert_eq!(merged[0], (22, None));
+    assert_eq!(back, Applied::Accepted);
+    assert_eq!(unreleased(&state)[0].1, None);
+}
+
+#[test]
+fn a_snapshot_carries_the_roster() {
+    let state = state_of(vec![join("vm-1", 1), join("vm-2", 2), fence(2)]);
+
+    let mut builder = SnapshotBuilder::new();
+    let mut adopted = None;
+    for chunk in state.snapshot().into_chunks() {
+        adopted = builder.take(chunk).unwrap();
+    }
+
+    assert_eq!(adopted, Some(state));
+}
