Let a planned stop hand over at once

Cause: every restart cost the handover time (742 s by default), so a roll-out over the daemons would have run on half of the limits for that long.

Change: a daemon that stops as planned starts nothing, gives back and asks back everything, and then writes Leave; the next start has everything at once. A daemon that left and is fenced afterwards counts as fenced, because others may have taken over its surplus. Leave says whether released starts have drained: without it a release that the leaving start had not read would have opened the next start's floor too early (found on review).

--- a/crates/vanillafold-state/src/control/domain.rs
+++ b/crates/vanillafold-state/src/control/domain.rs
@@ -65,6 +65,13 @@
                 daemon,
                 incarnation,
             } => self.roster.release(&daemon, incarnation, sum),
+            ControlChange::Leave {
+                daemon,
+                incarnation,
+                is_floor_settled,
+            } => self
+                .roster
+                .leave(&daemon, incarnation, is_floor_settled, sum),
         }
     }
 
--- a/crates/vanillafold-state/src/escrow/book.rs
+++ b/crates/vanillafold-state/src/escrow/book.rs
@@ -21,6 +21,8 @@
     pub(super) is_surplus_open: bool,
     /// No earlier start can use the floor any more.
     pub(super) is_floor_open: bool,
+    /// The daemon stops as planned.
+    pub(super) is_leaving: bool,
 }
 
 /// One team's units.
@@ -166,7 +168,7 @@
 
     /// Units that may be lent now.
     pub(super) fn lendable(&self, rights: Rights) -> u64 {
-        match rights.is_fresh && rights.is_surplus_open {
+        match rights.is_fresh && rights.is_surplus_open && !rights.is_leaving {
             true => {
                 let unlent = self.surplus().saturating_sub(self.outstanding());
                 let beside_use = self
@@ -312,6 +314,23 @@
         }
     }
 
+    /// Gives back and asks back everything.
+    pub(super) fn wind_up(&mut self) {
+        for lent in self.lent.iter_mut() {
+            lent.recall(u64::MAX);
+        }
+        for loan in self.borrowed.iter_mut() {
+            loan.return_unused(u64::MAX);
+        }
+    }
+
+    /// Whether nothing is in use, lent or borrowed.
+    pub(super) fn is_clear(&self) -> bool {
+        self.own_in_use == 0
+            && self.outstanding() == 0
+            && self.borrowed.iter().all(|loan| loan.held() == 0)
+    }
+
     /// Forgets loans whose other side holds nothing any more.
     pub(super) fn close_loans(&mut self, settings: &EscrowSettings, now: BootMillis) {
         let is_over = |lent: &Lent| {
--- a/crates/vanillafold-state/src/escrow/exchange.rs
+++ b/crates/vanillafold-state/src/escrow/exchange.rs
@@ -139,7 +139,10 @@
             return;
         }
         let granted = loan.held() - held;
-        let wanted = u64::from(self.wanted(settings, now));
+        let wanted = match context.rights.is_leaving {
+            true => 0,
+            false => u64::from(self.wanted(settings, now)),
+        };
         let free = self.borrowed_free(context.rights, context.standings.len());
         if granted > 0 && wanted >= free {
             // A lender that had one unit may have more: it is asked first, and again at once.
--- a/crates/vanillafold-state/src/escrow/lending.rs
+++ b/crates/vanillafold-state/src/escrow/lending.rs
@@ -91,7 +91,10 @@
         let Context { settings, now, .. } = context;
         self.close_loans(settings, now);
         self.forget_old_asks(settings, now);
-        self.recall_wanted(context.rights, settings, now);
+        match context.rights.is_leaving {
+            true => self.wind_up(),
+            false => self.recall_wanted(context.rights, settings, now),
+        }
         self.serve_asks(context);
         for loan in self.borrowed.iter_mut().filter(|loan| !loan.is_closed) {
             loan.return_unneeded(settings.idle_ms, now);
@@ -137,7 +140,7 @@
     fn ask_peers(&mut self, context: Context<'_>, lines: &mut Vec<Addressed>) {
         let Context { settings, now, .. } = context;
         let daemons = context.standings.len();
-        let wanted = match context.rights.is_fresh {
+        let wanted = match context.rights.is_fresh && !context.rights.is_leaving {
             true => self.wanted(settings, now),
             false => 0,
         };
--- a/crates/vanillafold-state/src/escrow/root.rs
+++ b/crates/vanillafold-state/src/escrow/root.rs
@@ -6,8 +6,8 @@
 use super::standing::{Member, OwnStanding, Standing, Takeover, takeovers};
 use super::unit::UnitSource;
 use super::{BootMillis, EscrowSettings, NoUnit, TeamLimit};
-use crate::Roster;
 use crate::table::SortedVec;
+use crate::{ControlChange, Roster};
 
 /// The part of each team's limit that this daemon may use.
 ///
@@ -24,6 +24,7 @@
     pub(super) standings: Vec<Standing>,
     pub(super) own_standing: OwnStanding,
     pub(super) takeovers: Vec<Takeover>,
+    pub(super) is_leaving: bool,
     pub(super) fresh_at: Option<BootMillis>,
     pub(super) books: SortedVec<Book>,
 }
@@ -52,6 +53,7 @@
             takeovers: Vec::new(),
             fleet,
             settings,
+            is_leaving: false,
             fresh_at: None,
             books: SortedVec::default(),
         }
@@ -139,6 +141,9 @@
     /// A [`NoUnit`] if the work must not start.
     pub fn try_take(&mut self, team: &TeamId, now: BootMillis) -> Result<UnitSource, NoUnit> {
         let rights = self.rights(now)?;
+        if rights.is_leaving {
+            return Err(NoUnit::Leaving);
+        }
         let Some(book) = self.books.get_mut(team) else {
             return Err(NoUnit::UnknownTeam);
         };
@@ -177,6 +182,26 @@
         book.check();
     }
 
+    /// Begins a planned stop: nothing starts any more, and everything lent or borrowed goes back.
+    pub fn leave(&mut self) {
+        self.is_leaving = true;
+    }
+
+    /// The record by which a daemon that [leaves](Self::leave) says so, as soon as it may:
+    /// nothing is in use, lent or borrowed, and no handover from an earlier start is under way.
+    /// The next start then has everything at once. If the daemon can't wait for it, it just stops.
+    #[must_use]
+    pub fn leave_record(&self, now: BootMillis) -> Option<ControlChange> {
+        let rights = self.rights(now).ok()?;
+        let is_clear =
+            rights.is_leaving && rights.is_surplus_open && self.books.iter().all(Book::is_clear);
+        is_clear.then(|| ControlChange::Leave {
+            daemon: self.fleet[self.own.index()].clone(),
+            incarnation: self.incarnation,
+            is_floor_settled: rights.is_floor_open,
+        })
+    }
+
     /// What this daemon may do now.
     pub(super) fn rights(&self, now: BootMillis) -> Result<Rights, NoUnit> {
         match self.own_standing {
@@ -186,6 +211,7 @@
                 is_fresh: self.is_fresh(now),
                 is_surplus_open: standing.is_surplus_open(&self.settings, now),
                 is_floor_open: standing.is_floor_open(&self.settings, now),
+                is_leaving: self.is_leaving,
             }),
         }
     }
--- a/crates/vanillafold-state/src/escrow/standing.rs
+++ b/crates/vanillafold-state/src/escrow/standing.rs
@@ -16,10 +16,11 @@
 }
 
 /// What this daemon knows of a fleet member.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) struct Standing {
     incarnation: Option<Incarnation>,
     is_fenced: bool,
+    has_left: bool,
     /// When this daemon first saw it like this.
     since: BootMillis,
 }
@@ -27,7 +28,8 @@
 impl Standing {
     /// The start that may hold units, if there is one.
     pub(super) fn current(&self) -> Option<Incarnation> {
-        self.incarnation.filter(|_| !self.is_fenced)
+        self.incarnation
+            .filter(|_| !self.is_fenced && !self.has_left)
     }
 
     pub(super) fn is_current(&self, incarnation: Incarnation) -> bool {
@@ -43,10 +45,14 @@
         let Some(member) = roster.member(daemon) else {
             return;
         };
-        let seen = (Some(member.incarnation), member.is_fenced);
-        if seen != (self.incarnation, self.is_fenced) {
-            (self.incarnation, self.is_fenced) = seen;
-            self.since = now;
+        let seen = Self {
+            incarnation: Some(member.incarnation),
+            is_fenced: member.is_fenced,
+            has_left: member.has_left,
+            since: self.since,
+        };
+        if seen != *self {
+            *self = Self { since: now, ..seen };
         }
     }
 }
@@ -56,6 +62,8 @@
 pub(super) struct OwnStanding {
     joined_at: Option<BootMillis>,
     has_predecessor: bool,
+    /// Whether nothing of an earlier start could use the floor at the join.
+    is_floor_settled: bool,
     /// Since when no earlier start can be alive behind a cut.
     alone_since: Option<BootMillis>,
     is_superseded: bool,
@@ -81,10 +89,11 @@
             return;
         };
         let is_own = member.incarnation == own;
-        self.is_superseded |= member.incarnation > own || (is_own && member.is_fenced);
+        self.is_superseded |= member.incarnation > own || (is_own && !member.is_current());
         if is_own && self.joined_at.is_none() {
             self.joined_at = Some(now);
             self.has_predecessor = member.has_predecessor;
+            self.is_floor_settled = member.is_floor_settled;
         }
         if is_own && member.unreleased.is_empty() && self.alone_since.is_none() {
             self.alone_since = Some(now);
@@ -100,7 +109,7 @@
     /// Whether nothing of an earlier start can use the floor any more.
     pub(super) fn is_floor_open(&self, settings: &EscrowSettings, now: BootMillis) -> bool {
         self.alone_since
-            .is_some_and(|at| !self.has_predecessor || now.since(at) >= settings.drain_ms())
+            .is_some_and(|at| self.is_floor_settled || now.since(at) >= settings.drain_ms())
     }
 }
 
--- a/crates/vanillafold-state/src/escrow/unit.rs
+++ b/crates/vanillafold-state/src/escrow/unit.rs
@@ -56,6 +56,9 @@
     /// A later start has joined, or this one was fenced.
     #[error("this start of the daemon is superseded or fenced; start it again")]
     Superseded,
+    /// The daemon stops as planned.
+    #[error("the daemon is leaving; send the request to another one")]
+    Leaving,
     /// An earlier start's work may still run.
     #[error("work of an earlier start of the daemon may still run; wait for the handover time")]
     Handover,
@@ -75,6 +78,7 @@
             Self::UnknownTeam => "unknown_team",
             Self::NotJoined => "not_joined",
             Self::Superseded => "superseded",
+            Self::Leaving => "leaving",
             Self::Handover => "handover",
             Self::NotFresh => "not_fresh",
             Self::AllInUse => "all_in_use",
--- a/crates/vanillafold-state/src/fold/refusal.rs
+++ b/crates/vanillafold-state/src/fold/refusal.rs
@@ -98,8 +98,8 @@
 
     /// The daemon has joined with this or a later incarnation.
     StaleIncarnation = 680, "stale_incarnation", "the daemon has joined with this or a later incarnation; start it again with a larger one";
-    /// The start of the daemon is not the current one, or is fenced already.
-    NotCurrent = 681, "not_current", "only the current start of a daemon can be fenced, and only once; read the roster again";
+    /// The start of the daemon is not the current one, or is fenced or has left already.
+    NotCurrent = 681, "not_current", "only the current start of a daemon can be fenced or leave, and only once; read the roster again";
     /// No superseded start of the daemon waits for a release.
     NothingToRelease = 682, "nothing_to_release", "no superseded start of this daemon waits for a release; read the roster again";
 }
--- a/crates/vanillafold-state/src/record/control.rs
+++ b/crates/vanillafold-state/src/record/control.rs
@@ -58,4 +58,13 @@
         /// The latest start that is dead; every earlier one is too.
         incarnation: Incarnation,
     },
+    /// A daemon stops as planned: that start holds and lends nothing and has no work running.
+    Leave {
+        /// The daemon.
+        daemon: DaemonId,
+        /// The start that leaves.
+        incarnation: Incarnation,
+        /// Whether the work of every start that was released is over too.
+        is_floor_settled: bool,
+    },
 }
--- a/crates/vanillafold-state/src/roster/fold.rs
+++ b/crates/vanillafold-state/src/roster/fold.rs
@@ -30,7 +30,7 @@
     #[must_use]
     pub fn is_current(&self, daemon: &DaemonId, incarnation: Incarnation) -> bool {
         self.member(daemon)
-            .is_some_and(|member| member.incarnation == incarnation && !member.is_fenced)
+            .is_some_and(|member| member.incarnation == incarnation && member.is_current())
     }
 
     pub(crate) fn join(
@@ -68,6 +68,25 @@
         Ok(())
     }
 
+    pub(crate) fn leave(
+        &mut self,
+        daemon: &DaemonId,
+        incarnation: Incarnation,
+        is_floor_settled: bool,
+        sum: &mut LaneSum,
+    ) -> Result<(), RefusalReason> {
+        let left = match self.members.get(daemon) {
+            Some(known) if known.incarnation == incarnation && known.is_current() => RosterMember {
+                has_left: true,
+                is_floor_settled,
+                ..known.clone()
+            },
+            _ => return Err(RefusalReason::NotCurrent),
+        };
+        self.replace(left, sum);
+        Ok(())
+    }
+
     pub(crate) fn release(
         &mut self,
         daemon: &DaemonId,
--- a/crates/vanillafold-state/src/roster/member.rs
+++ b/crates/vanillafold-state/src/roster/member.rs
@@ -19,8 +19,13 @@
     pub vm: VmId,
     /// Whether this start may begin no more work.
     pub is_fenced: bool,
-    /// Whether another start came before this one.
+    /// Whether this start has left, holding nothing.
+    pub has_left: bool,
+    /// Whether the start before this one may have held something when this one joined.
     pub has_predecessor: bool,
+    /// Whether no start before this one could be using the floor when this one joined; once this
+    /// one has left, whether none can when the next one joins.
+    pub is_floor_settled: bool,
     /// Earlier starts that may still be alive behind a cut, oldest first.
     pub unreleased: Vec<UnreleasedStart>,
 }
@@ -41,7 +46,9 @@
             incarnation,
             vm,
             is_fenced: false,
+            has_left: false,
             has_predecessor: false,
+            is_floor_settled: true,
             unreleased: Vec::new(),
         }
     }
@@ -49,11 +56,15 @@
     /// The member after a later start has joined. A VM runs one process of a daemon at a time,
     /// so every earlier start on the same VM is dead.
     pub(super) fn succeeded_by(&self, vm: VmId, incarnation: Incarnation) -> Self {
+        // Once it is fenced too, others may have taken over what it left.
+        let is_clean = self.has_left && !self.is_fenced;
         let mut unreleased = self.unreleased.clone();
-        unreleased.push(UnreleasedStart {
-            incarnation: self.incarnation,
-            vm: Some(self.vm.clone()),
-        });
+        if !self.has_left {
+            unreleased.push(UnreleasedStart {
+                incarnation: self.incarnation,
+                vm: Some(self.vm.clone()),
+            });
+        }
         unreleased.retain(|start| start.vm.as_ref() != Some(&vm));
         if unreleased.len() > MAX_UNRELEASED {
             unreleased.remove(0);
@@ -64,7 +75,9 @@
             incarnation,
             vm,
             is_fenced: false,
-            has_predecessor: true,
+            has_left: false,
+            has_predecessor: !is_clean,
+            is_floor_settled: is_clean && self.is_floor_settled && unreleased.is_empty(),
             unreleased,
         }
     }
@@ -79,6 +92,14 @@
     }
 }
 
+impl RosterMember {
+    /// Whether this start may hold units.
+    #[must_use]
+    pub fn is_current(&self) -> bool {
+        !self.is_fenced && !self.has_left
+    }
+}
+
 impl Keyed for RosterMember {
     type Key = DaemonId;
 
--- a/crates/vanillafold-state/tests/escrow.rs
+++ b/crates/vanillafold-state/tests/escrow.rs
@@ -246,6 +246,34 @@
     assert!(broken.report.excess.is_some());
 }
 
+/// A daemon stops as planned and starts again on another VM.
+fn stop_and_start(planted: Planted) -> World {
+    let mut world = busy(3, &[40], planted);
+    world.run(2_000);
+    world.stop(0);
+    for _ in 0..100 {
+        world.run(100);
+        if world.has_left(0) {
+            break;
+        }
+    }
+    world.kill(0);
+    world.replace(0);
+    world.saturate();
+    world.run(PROBE_MS);
+    world
+}
+
+#[test]
+fn a_planned_restart_needs_no_handover() {
+    let sound = stop_and_start(Planted::Nothing);
+    let broken = stop_and_start(Planted::LeavesEarly);
+
+    assert_eq!(sound.report.excess, None);
+    assert_eq!(sound.running(0), 40);
+    assert!(broken.report.excess.is_some());
+}
+
 #[test]
 fn random_faults_catch_planted_bugs() {
     for planted in [
--- a/crates/vanillafold-state/tests/roster.rs
+++ b/crates/vanillafold-state/tests/roster.rs
@@ -28,6 +28,18 @@
     }
 }
 
+fn leave(incarnation: u64) -> ControlChange {
+    leave_floor(incarnation, true)
+}
+
+fn leave_floor(incarnation: u64, is_floor_settled: bool) -> ControlChange {
+    ControlChange::Leave {
+        daemon: daemon(),
+        incarnation: Incarnation::new(incarnation),
+        is_floor_settled,
+    }
+}
+
 fn release(incarnation: u64) -> ControlChange {
     ControlChange::Release {
         daemon: daemon(),
@@ -136,6 +148,46 @@
     assert_eq!(unreleased(&state), [(2, Some(vm("vm-2")))]);
 }
 
+#[test]
+fn a_start_after_a_leave_has_no_predecessor_and_nothing_in_doubt() {
+    let state = state_of(vec![join("vm-1", 1), leave(1), join("vm-2", 2)]);
+
+    let member = state.roster().member(&daemon()).unwrap();
+    assert!(!member.has_predecessor && member.is_floor_settled);
+    assert_eq!(unreleased(&state), []);
+}
+
+#[test]
+fn a_release_that_the_leaving_start_did_not_wait_for_leaves_the_floor_unsettled() {
+    let state = state_of(vec![
+        join("vm-1", 1),
+        join("vm-2", 2),
+        release(1),
+        leave_floor(2, false),
+        join("vm-2", 3),
+    ]);
+
+    let member = state.roster().member(&daemon()).unwrap();
+    assert!(!member.has_predecessor && !member.is_floor_settled);
+}
+
+#[test]
+fn a_start_after_a_leave_and_a_fence_has_a_predecessor() {
+    let state = state_of(vec![join("vm-1", 1), leave(1), fence(1), join("vm-2", 2)]);
+
+    assert!(state.roster().member(&daemon()).unwrap().has_predecessor);
+}
+
+#[test]
+fn only_the_current_start_leaves_and_only_once() {
+    let mut state = state_of(vec![join("vm-1", 1), join("vm-1", 2), leave(2)]);
+
+    for incarnation in [1, 2, 3] {
+        let applied = apply(&mut state, leave(incarnation));
+        assert_eq!(applied, Applied::Refused(RefusalReason::NotCurrent));
+    }
+}
+
 #[test]
 fn many_unreleased_starts_are_merged_and_none_is_forgotten() {
     let changes = (1..=30).map(|number| join(&format!("vm-{number}"), number));
--- a/crates/vanillafold-state/tests/sim/faults.rs
+++ b/crates/vanillafold-state/tests/sim/faults.rs
@@ -17,6 +17,7 @@
     pub(crate) outage_end: u64,
     pub(crate) fence: u64,
     pub(crate) release: u64,
+    pub(crate) stop: u64,
     pub(crate) limits: u64,
     pub(crate) loss: u64,
     pub(crate) repeat: u64,
@@ -36,6 +37,7 @@
         outage_end: 0,
         fence: 0,
         release: 0,
+        stop: 0,
         limits: 0,
         loss: 0,
         repeat: 0,
@@ -54,6 +56,7 @@
         outage_end: 3_000,
         fence: 250,
         release: 2_000,
+        stop: 400,
         limits: 1_000,
         loss: 30_000,
         repeat: 50_000,
@@ -96,6 +99,8 @@
     ClaimsSameVm,
     /// A peer's freshness counts as if it were new.
     IgnoresPeerAge,
+    /// A planned stop says that nothing runs any more while it does.
+    LeavesEarly,
     /// A lender's lines don't tell its home units.
     HidesHome,
     /// The clock's drift isn't counted in, nor the work's length.
@@ -117,6 +122,7 @@
             (rates.outage_end, Self::end_outage),
             (rates.fence, Self::fence),
             (rates.release, Self::release_any),
+            (rates.stop, Self::stop_any),
             (rates.limits, Self::change_limits),
         ] {
             if self.random.happens(rate) {
@@ -341,6 +347,28 @@
         }
     }
 
+    fn stop_any(&mut self) {
+        if let Some(index) = self.any_alive() {
+            self.stop(index);
+        }
+    }
+
+    /// Begins a planned stop.
+    pub(crate) fn stop(&mut self, index: usize) {
+        let process = &mut self.processes[index];
+        process.escrow.leave();
+        process.is_leaving = true;
+    }
+
+    /// Whether the leave of a daemon was read by another one.
+    pub(crate) fn has_left(&self, daemon: usize) -> bool {
+        let other = self.latest((daemon + 1) % self.fleet.len());
+        let roster = self.processes[other].state.roster();
+        roster
+            .member(&self.fleet[daemon])
+            .is_some_and(|member| member.has_left)
+    }
+
     fn release_any(&mut self) {
         let daemon = self.random.index(self.fleet.len());
         self.release(daemon);
@@ -383,7 +411,8 @@
         for index in 0..self.processes.len() {
             self.processes[index].paused_until_ms = self.now_ms;
             self.processes[index].demand.fill(0);
-            if index != self.latest(self.processes[index].daemon) {
+            let is_latest = index == self.latest(self.processes[index].daemon);
+            if !is_latest || self.processes[index].is_leaving {
                 self.kill(index);
             }
         }
--- a/crates/vanillafold-state/tests/sim/process.rs
+++ b/crates/vanillafold-state/tests/sim/process.rs
@@ -52,6 +52,7 @@
     /// Until when each earlier revision of the limits was the one that it knew.
     pub(crate) limits_left: Vec<(usize, u64)>,
     pub(crate) died_ms: Option<u64>,
+    pub(crate) is_leaving: bool,
     pub(crate) paused_until_ms: u64,
     pub(crate) paused_ms: u64,
     pub(crate) read: Option<Read>,
@@ -97,6 +98,7 @@
         };
         self.unread_records
             .push((sequence, record.encode().unwrap()));
+        self.next_append_ms = 0;
     }
 
     /// Folds the log up to `tail`.
--- a/crates/vanillafold-state/tests/sim/world.rs
+++ b/crates/vanillafold-state/tests/sim/world.rs
@@ -147,6 +147,7 @@
             limits_read: 0,
             limits_left: Vec::new(),
             died_ms: None,
+            is_leaving: false,
             paused_until_ms: 0,
             paused_ms: 0,
             read: None,
@@ -196,6 +197,7 @@
             self.processes[index].escrow.note_fresh(now);
         }
         self.give_back(index);
+        self.leave_if_clear(index);
         let starts_first = self.random.happens(500_000);
         if starts_first {
             self.start_work(index);
@@ -365,6 +367,27 @@
         }
     }
 
+    /// Writes the leave of a process that stops as planned, once it may.
+    fn leave_if_clear(&mut self, index: usize) {
+        let now = self.clock_of(index);
+        let process = &mut self.processes[index];
+        if !process.is_leaving {
+            return;
+        }
+        let record = match self.setup.planted {
+            Planted::LeavesEarly => Some(ControlChange::Leave {
+                daemon: process.name.clone(),
+                incarnation: process.incarnation,
+                is_floor_settled: true,
+            }),
+            _ => process.escrow.leave_record(now),
+        };
+        if let Some(record) = record {
+            process.is_leaving = false;
+            process.write(record);
+        }
+    }
+
     fn append(&mut self, index: usize) {
         if !self.is_platform_there(index) || self.processes[index].next_append_ms > self.now_ms {
             return;
