--- a/crates/vanillafold-state/src/escrow/settings.rs
+++ b/crates/vanillafold-state/src/escrow/settings.rs
@@ -37,7 +37,7 @@
             floor: Percent::new(50),
             resend_ms: Millis::new(500),
             min_hold_ms: Millis::new(500),
-            idle_ms: Millis::new(1_000),
+            idle_ms: Millis::new(300),
             ask_ms: Millis::new(2_000),
             ask_fanout: 3,
         }
--- a/crates/vanillafold-state/tests/escrow.rs
+++ b/crates/vanillafold-state/tests/escrow.rs
@@ -83,6 +83,29 @@
     }
 }
 
+#[test]
+fn a_busy_daemon_gets_what_an_idle_one_has_borrowed() {
+    for daemons in [3, 5, 8, 10] {
+        let mut world = World::new(WorldSetup {
+            daemons,
+            limits: vec![60],
+            ..setup(2, FaultRates::NONE, Planted::Nothing)
+        });
+        world.is_probe = true;
+        world.run(2_000);
+        world.processes[1].demand[0] = world.reachable(0, 1);
+        world.run(PROBE_MS);
+        world.processes[1].demand[0] = 0;
+        while world.running(0) > 0 {
+            world.run(20);
+        }
+
+        let missing = world.probe(0, 0, PROBE_MS);
+
+        assert_eq!(missing, 0, "{daemons} daemons");
+    }
+}
+
 #[test]
 fn a_dead_daemons_surplus_is_used_by_the_others() {
     for daemons in [3, 5, 8] {
--- a/crates/vanillafold-state/tests/sim/faults.rs
+++ b/crates/vanillafold-state/tests/sim/faults.rs
@@ -234,9 +234,7 @@
     }
 
     pub(crate) fn freeze(&mut self, index: usize, span_ms: u64) {
-        let process = &mut self.processes[index];
-        process.paused_until_ms = self.now_ms + span_ms;
-        process.paused_ms += span_ms;
+        self.processes[index].pause(self.now_ms, span_ms);
     }
 
     /// Lets every process want everything.
@@ -409,7 +407,7 @@
         self.network.repeat_per_million = 0;
         self.network.long_delay_per_million = 0;
         for index in 0..self.processes.len() {
-            self.processes[index].paused_until_ms = self.now_ms;
+            self.processes[index].wake(self.now_ms);
             self.processes[index].demand.fill(0);
             let is_latest = index == self.latest(self.processes[index].daemon);
             if !is_latest || self.processes[index].is_leaving {
--- a/crates/vanillafold-state/tests/sim/process.rs
+++ b/crates/vanillafold-state/tests/sim/process.rs
@@ -54,6 +54,7 @@
     pub(crate) died_ms: Option<u64>,
     pub(crate) is_leaving: bool,
     pub(crate) paused_until_ms: u64,
+    /// The length of all pauses, to the end of the last one.
     pub(crate) paused_ms: u64,
     pub(crate) read: Option<Read>,
     pub(crate) next_read_ms: u64,
@@ -74,6 +75,23 @@
         self.is_alive() && self.paused_until_ms <= now_ms
     }
 
+    pub(crate) fn pause(&mut self, now_ms: u64, span_ms: u64) {
+        self.wake(now_ms);
+        self.paused_until_ms = now_ms + span_ms;
+        self.paused_ms += span_ms;
+    }
+
+    /// Ends a pause before its time.
+    pub(crate) fn wake(&mut self, now_ms: u64) {
+        self.paused_ms = self.paused_ms(now_ms);
+        self.paused_until_ms = now_ms;
+    }
+
+    /// How long it was paused so far.
+    pub(crate) fn paused_ms(&self, now_ms: u64) -> u64 {
+        self.paused_ms - self.paused_until_ms.saturating_sub(now_ms)
+    }
+
     /// How far it has read.
     pub(crate) fn tail(&self) -> Tail {
         let next = self.state.next_offset(Stream::Control).get();
--- a/crates/vanillafold-state/tests/sim/world.rs
+++ b/crates/vanillafold-state/tests/sim/world.rs
@@ -218,7 +218,7 @@
     fn clock_of(&self, index: usize) -> BootMillis {
         let process = &self.processes[index];
         let counted_ms = match self.setup.planted {
-            Planted::ClockStopsInPause => self.now_ms - process.paused_ms,
+            Planted::ClockStopsInPause => self.now_ms - process.paused_ms(self.now_ms),
             _ => self.now_ms,
         };
         process.clock.at(counted_ms)
