--- a/crates/vanillafold-state/src/escrow/book.rs
+++ b/crates/vanillafold-state/src/escrow/book.rs
@@ -206,6 +206,12 @@
     ) -> Result<UnitSource, NoUnit> {
         if self.own_free(rights) > reserved {
             self.own_in_use += 1;
+            let held = u64::from(self.home) + u64::from(self.extra);
+            assert!(
+                u64::from(self.own_in_use) + self.outstanding() <= held,
+                "more units of {} in use and lent than held",
+                self.team
+            );
             return Ok(UnitSource(Source::Own));
         }
         if !rights.is_fresh {
--- a/crates/vanillafold-state/src/escrow/lending.rs
+++ b/crates/vanillafold-state/src/escrow/lending.rs
@@ -128,6 +128,11 @@
             self.lent
                 .get_or_insert_with(&key, || Lent::new(key, home))
                 .grant(units, now);
+            assert!(
+                self.outstanding() <= self.surplus(),
+                "more units of {} lent than the surplus",
+                self.team
+            );
             ask.wanted -= u32::try_from(units).unwrap_or(ask.wanted);
             (ask.has_none, ask.since) = (false, now);
             if ask.wanted > 0 {
