--- a/crates/vanillafold-state/src/escrow/lending.rs
+++ b/crates/vanillafold-state/src/escrow/lending.rs
@@ -91,7 +91,10 @@
         let Context { settings, now, .. } = context;
         self.close_loans(settings, now);
         self.forget_old_asks(settings, now);
-        self.recall_wanted(context.rights, settings, now);
+        match context.rights.is_leaving {
+            true => self.wind_up(),
+            false => self.recall_wanted(context.rights, settings, now),
+        }
         self.serve_asks(context);
         for loan in self.borrowed.iter_mut().filter(|loan| !loan.is_closed) {
             loan.return_unneeded(settings.idle_ms, now);
@@ -125,6 +128,11 @@
             self.lent
                 .get_or_insert_with(&key, || Lent::new(key, home))
                 .grant(units, now);
+            assert!(
+                self.outstanding() <= self.surplus(),
+                "more units of {} lent than the surplus",
+                self.team
+            );
             ask.wanted -= u32::try_from(units).unwrap_or(ask.wanted);
             (ask.has_none, ask.since) = (false, now);
             if ask.wanted > 0 {
@@ -137,7 +145,7 @@
     fn ask_peers(&mut self, context: Context<'_>, lines: &mut Vec<Addressed>) {
         let Context { settings, now, .. } = context;
         let daemons = context.standings.len();
-        let wanted = match context.rights.is_fresh {
+        let wanted = match context.rights.is_fresh && !context.rights.is_leaving {
             true => self.wanted(settings, now),
             false => 0,
         };
--- a/crates/vanillafold-state/tests/escrow.rs
+++ b/crates/vanillafold-state/tests/escrow.rs
@@ -83,6 +83,29 @@
     }
 }
 
+#[test]
+fn a_busy_daemon_gets_what_an_idle_one_has_borrowed() {
+    for daemons in [3, 5, 8, 10] {
+        let mut world = World::new(WorldSetup {
+            daemons,
+            limits: vec![60],
+            ..setup(2, FaultRates::NONE, Planted::Nothing)
+        });
+        world.is_probe = true;
+        world.run(2_000);
+        world.processes[1].demand[0] = world.reachable(0, 1);
+        world.run(PROBE_MS);
+        world.processes[1].demand[0] = 0;
+        while world.running(0) > 0 {
+            world.run(20);
+        }
+
+        let missing = world.probe(0, 0, PROBE_MS);
+
+        assert_eq!(missing, 0, "{daemons} daemons");
+    }
+}
+
 #[test]
 fn a_dead_daemons_surplus_is_used_by_the_others() {
     for daemons in [3, 5, 8] {
@@ -246,6 +269,34 @@
     assert!(broken.report.excess.is_some());
 }
 
+/// A daemon stops as planned and starts again on another VM.
+fn stop_and_start(planted: Planted) -> World {
+    let mut world = busy(3, &[40], planted);
+    world.run(2_000);
+    world.stop(0);
+    for _ in 0..100 {
+        world.run(100);
+        if world.has_left(0) {
+            break;
+        }
+    }
+    world.kill(0);
+    world.replace(0);
+    world.saturate();
+    world.run(PROBE_MS);
+    world
+}
+
+#[test]
+fn a_planned_restart_needs_no_handover() {
+    let sound = stop_and_start(Planted::Nothing);
+    let broken = stop_and_start(Planted::LeavesEarly);
+
+    assert_eq!(sound.report.excess, None);
+    assert_eq!(sound.running(0), 40);
+    assert!(broken.report.excess.is_some());
+}
+
 #[test]
 fn random_faults_catch_planted_bugs() {
     for planted in [
