Make the silent relay of the peer tests truly silent

Mutants of the product code showed three gaps: ending a connection's task could be left out unnoticed, because the test's relay passed the other side's close on through a silenced flow; bytes left over in a frame, and the prompt redial of a peer that dials in, had no test. A stuck stream now fails its test within the bound in place of hanging.

--- a/crates/vanillafold-wire/tests/peer.rs
+++ b/crates/vanillafold-wire/tests/peer.rs
@@ -245,6 +245,7 @@
 struct Relayed {
     silenced: Cell<bool>,
     closed_by_dialler: Cell<bool>,
+    closed_by_dialled: Cell<bool>,
 }
 
 /// Forwards connections, and can stop forwarding without closing them.
@@ -297,29 +298,41 @@
         let (dialled_read, dialled_write) = dialled.into_split();
         let up = Rc::clone(&relayed);
         monoio::spawn(async move {
-            forward(dialler_read, dialled_write, &up).await;
-            up.closed_by_dialler.set(true);
+            forward(dialler_read, dialled_write, &up, &up.closed_by_dialler).await;
+        });
+        monoio::spawn(async move {
+            let closed = &relayed.closed_by_dialled;
+            forward(dialled_read, dialler_write, &relayed, closed).await;
         });
-        monoio::spawn(async move { forward(dialled_read, dialler_write, &relayed).await });
     }
 }
 
-async fn forward(mut from: impl AsyncReadRent, mut to: impl AsyncWriteRentExt, link: &Relayed) {
+async fn forward(
+    mut from: impl AsyncReadRent,
+    mut to: impl AsyncWriteRentExt,
+    link: &Relayed,
+    closed: &Cell<bool>,
+) {
     let mut buffer = vec![0; 4096];
     loop {
         let (read, data) = from.read(buffer).await;
         let bytes = match read {
             Ok(bytes) if bytes > 0 => bytes,
-            _ => return,
+            _ => break,
         };
         if !link.silenced.get() {
             let (written, _) = to.write_all(data[..bytes].to_vec()).await;
             if written.is_err() {
-                return;
+                break;
             }
         }
         buffer = data;
     }
+    closed.set(true);
+    if link.silenced.get() {
+        // A forgotten flow passes on no close either: keeps the other socket open.
+        std::future::pending::<()>().await;
+    }
 }
 
 /// A dialler that does what it likes after a hello.
@@ -372,10 +385,15 @@
     }
 }
 
+async fn next_data(replies: &mut h2::RecvStream) -> Option<Bytes> {
+    let next = monoio::time::timeout(PATIENCE, replies.data()).await;
+    next.expect("the stream ends in time").and_then(Result::ok)
+}
+
 /// Reads until the stream ends or fails; returns the bytes.
 async fn drain(mut replies: h2::RecvStream) -> Vec<u8> {
     let mut bytes = Vec::new();
-    while let Some(Ok(data)) = replies.data().await {
+    while let Some(data) = next_data(&mut replies).await {
         bytes.extend_from_slice(&data);
     }
     bytes
@@ -766,6 +784,27 @@
     });
 }
 
+#[test]
+fn a_peer_that_dials_in_is_dialled_back_without_waiting() {
+    run(async {
+        let mut slow = settings("a");
+        slow.backoff_min = Millis::new(3_600_000);
+        slow.backoff_max = slow.backoff_min;
+        let a = Node::start(slow);
+        let b = Node::named("b");
+        let mut absent = b.settings.clone();
+        absent.listen = b.set.local_address();
+        a.know(&[&b]);
+        b.set.close().await;
+        until("a's dial fails", || a.last_end("b").is_some()).await;
+
+        let b = Node::start(absent);
+        b.know(&[&a]);
+
+        until("a has dialled back", || a.is_connected("b")).await;
+    });
+}
+
 #[test]
 fn an_older_incarnation_is_refused() {
     run(async {
@@ -1021,10 +1060,13 @@
             frame(&[1, 3, 0, 1, 253, 255, 255, 255, 255, 255, 255, 255, 0]),
         )
         .await;
+        // Ends within a frame.
         send_after_hello(address, vec![0, 0, 0, 9, 1]).await;
+        // A heartbeat, and a byte left over.
+        send_after_hello(address, frame(&[0, 1, 77])).await;
 
         until("the contents are refused", || {
-            b.set.statistics().counters.malformed_frames == 3
+            b.set.statistics().counters.malformed_frames == 4
         })
         .await;
         assert_eq!(b.set.statistics().counters.messages_received, 0);
