--- a/crates/vanillafold-wire/tests/peer.rs
+++ b/crates/vanillafold-wire/tests/peer.rs
@@ -1002,6 +1002,8 @@
     run(async {
         let mut brisk = settings("b");
         brisk.near = brisk_pace();
+        // The hello ends this wait: it must not outlast the silence timeout.
+        brisk.handshake_timeout = Millis::from(PATIENCE * 2);
         let b = Node::start(brisk);
 
         let link = raw_link(b.set.local_address(), hello(PROTOCOL_VERSION, "a", "b")).await;
