Keep the test relay's silenced sockets open, and bound open streams

The relay parked on a future that nothing can wake, which the runtime frees together with the socket: the other side then saw a close after all, and the mutant that never ends a connection's task still passed. With a timer in its place, that mutant fails a_request_on_a_connection_that_goes_silent.

A peer may have 20 streams open, from 32: each can hold an unread answer of 128 KiB.

--- a/crates/vanillafold-wire/src/peer/link.rs
+++ b/crates/vanillafold-wire/src/peer/link.rs
@@ -20,8 +20,9 @@
 const SEND_BUFFER_BYTES: usize = 32 * 1024;
 /// Most bytes of headers that are taken from a peer.
 const HEADER_LIST_BYTES: u32 = 4 * 1024;
-/// Most streams that a peer may have open.
-const MAX_STREAMS: u32 = 32;
+/// Most streams that a peer may have open: the link, its requests, and some to spare for
+/// streams that were given up.
+const MAX_STREAMS: u32 = 20;
 
 /// What the dialler sends on the long stream after the hello.
 #[derive(Debug, Encode, Decode)]
--- a/crates/vanillafold-wire/tests/peer.rs
+++ b/crates/vanillafold-wire/tests/peer.rs
@@ -330,8 +330,9 @@
     }
     closed.set(true);
     if link.silenced.get() {
-        // A forgotten flow passes on no close either: keeps the other socket open.
-        std::future::pending::<()>().await;
+        // A forgotten flow passes on no close either: keeps the other socket open. A future
+        // that nothing can wake would be dropped, and the socket with it.
+        sleep(PATIENCE * 2).await;
     }
 }
 
