--- a/crates/vanillafold-types/src/ini/document.rs
+++ b/crates/vanillafold-types/src/ini/document.rs
@@ -138,6 +138,10 @@
             let line = line.trim();
             let wrong = match line.chars().next() {
                 None | Some('#' | ';') => None,
+                // It hides the character behind it from the parser, a line's end included.
+                Some(_) if line.contains('\\') => {
+                    Some(format!("expected no backslash, found `{line}`"))
+                }
                 Some('[') => {
                     lines.headers.push(number);
                     wrong_header(line)
@@ -156,9 +160,8 @@
 }
 
 fn wrong_header(line: &str) -> Option<String> {
-    let behind = line.split_once(']').map(|(_, behind)| behind.trim_start());
-    match behind {
-        Some(behind) if behind.is_empty() || behind.starts_with(['#', ';']) => None,
+    match line.split_once(']') {
+        Some((_, "")) => None,
         _ => Some(format!("expected `[section]`, found `{line}`")),
     }
 }
