End with status 2 on wrong arguments, as the help texts say

Cause: bpaf's run() ends with 1 on wrong arguments, which the programs use for "not taken" and "could not start"; the help of vanillafoldctl promises 2. And an author that is no name was reported as "the platform did not take the change", with status 1.

--- a/crates/vanillafold/src/main.rs
+++ b/crates/vanillafold/src/main.rs
@@ -3,13 +3,15 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use bpaf::{OptionParser, Parser, construct, long, positional};
+use bpaf::{Args, OptionParser, ParseFailure, Parser, construct, long, positional};
 use vanillafold::{Daemon, Settings, start_logging};
 
-/// The settings are wrong.
+/// The settings or the arguments are wrong.
 const EXIT_SETTINGS: u8 = 2;
 /// The daemon could not start.
 const EXIT_START: u8 = 1;
+/// The longest line of a help text, in characters.
+const HELP_WIDTH: usize = 100;
 
 /// The program's arguments.
 #[derive(Debug)]
@@ -27,11 +29,23 @@
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("vanillafold: the daemon that runs on every entry VM")
-        .footer("Exit status: 0 stopped or settings good, 1 could not start, 2 settings wrong")
+        .footer("Exit status: 0 stopped or settings good, 1 could not start, 2 settings or arguments wrong")
+}
+
+/// Prints what the arguments ask to be printed, or what is wrong with them.
+fn explain(failure: ParseFailure) -> ExitCode {
+    failure.print_message(HELP_WIDTH);
+    match failure.exit_code() {
+        0 => ExitCode::SUCCESS,
+        _ => ExitCode::from(EXIT_SETTINGS),
+    }
 }
 
 fn main() -> ExitCode {
-    let options = options().run();
+    let options = match options().run_inner(Args::current_args()) {
+        Ok(options) => options,
+        Err(failure) => return explain(failure),
+    };
     let settings = match Settings::from_file(&options.settings) {
         Ok(settings) => settings,
         Err(error) => {
--- a/crates/vanillafoldctl/src/main.rs
+++ b/crates/vanillafoldctl/src/main.rs
@@ -5,8 +5,8 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use bpaf::{OptionParser, Parser, construct, long, positional};
-use vanillafold::types::{CatalogueText, KeyId, Owner, TeamId};
+use bpaf::{Args, OptionParser, ParseFailure, Parser, construct, long, positional};
+use vanillafold::types::{AuthorId, CatalogueText, KeyId, Owner, TeamId};
 
 mod command;
 mod session;
@@ -17,6 +17,8 @@
 const EXIT_FAILED: u8 = 1;
 /// The file or the arguments are wrong.
 const EXIT_WRONG_INPUT: u8 = 2;
+/// The longest line of a help text, in characters.
+const HELP_WIDTH: usize = 100;
 
 /// What to do.
 #[derive(Debug, Clone)]
@@ -44,14 +46,16 @@
 #[derive(Debug, Clone)]
 struct Common {
     platform: SocketAddr,
-    author: String,
+    author: AuthorId,
 }
 
 fn common() -> impl Parser<Common> {
     let platform = long("platform")
         .help("Address of the platform's log")
         .argument("IP:PORT");
-    let author = long("author").help("Who makes the change").argument("NAME");
+    let author = long("author")
+        .help("Who makes the change")
+        .argument::<AuthorId>("NAME");
     construct!(Common { platform, author })
 }
 
@@ -139,7 +143,7 @@
 }
 
 async fn open(common: &Common) -> Result<Publisher, Failure> {
-    Publisher::open(common.platform, &common.author)
+    Publisher::open(common.platform, common.author.clone())
         .await
         .map_err(Failure::failed)
 }
@@ -179,8 +183,20 @@
     }
 }
 
+/// Prints what the arguments ask to be printed, or what is wrong with them.
+fn explain(failure: ParseFailure) -> ExitCode {
+    failure.print_message(HELP_WIDTH);
+    match failure.exit_code() {
+        0 => ExitCode::SUCCESS,
+        _ => ExitCode::from(EXIT_WRONG_INPUT),
+    }
+}
+
 fn main() -> ExitCode {
-    let command = options().run();
+    let command = match options().run_inner(Args::current_args()) {
+        Ok(command) => command,
+        Err(failure) => return explain(failure),
+    };
     let runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
         .enable_timer()
         .build();
--- a/crates/vanillafoldctl/src/session/publisher.rs
+++ b/crates/vanillafoldctl/src/session/publisher.rs
@@ -7,7 +7,7 @@
 use vanillafold::state::{
     Author, CatalogueChange, CatalogueRecord, Outcome, RecordError, State, Stream, Verdict,
 };
-use vanillafold::types::{Incarnation, Millis, Offset, Sequence};
+use vanillafold::types::{AuthorId, Incarnation, Millis, Offset, Sequence};
 use vanillafold::wire::platform::{AppendError, HttpPlatform, PlatformLog, ReadError};
 
 /// Records read at once.
@@ -56,19 +56,16 @@
     /// # Errors
     ///
     /// [`SessionError::Read`].
-    pub(crate) async fn open(address: SocketAddr, author: &str) -> Result<Self, SessionError> {
+    pub(crate) async fn open(address: SocketAddr, author: AuthorId) -> Result<Self, SessionError> {
         let since_epoch = SystemTime::now()
             .duration_since(SystemTime::UNIX_EPOCH)
             .unwrap_or_default();
         let incarnation = u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX);
-        let id = author.parse().map_err(|error| {
-            SessionError::NotAppended(format!("--author {author} is no name: {error}"))
-        })?;
         let mut publisher = Self {
             platform: HttpPlatform::new(address, TIMEOUT),
             state: State::new(),
             author: Author {
-                id,
+                id: author,
                 incarnation: Incarnation::new(incarnation),
             },
             sequence: Sequence::ZERO,
