Test the operators' tool: output, exit status, lost answers, races

Exact output of check, apply and key against the stand-in platform. With every answer of an append lost, three edits are three records. Two edits that replace the same revision are held back by a relay until both have read the catalogue: one is applied, the other is told 624.

--- a/crates/vanillafold-standin/tests/daemon/main.rs
+++ b/crates/vanillafold-standin/tests/daemon/main.rs
@@ -7,6 +7,7 @@
 mod head;
 mod header;
 mod key;
+mod operator;
 mod process;
 mod settings;
 mod site;
--- a/crates/vanillafold-standin/tests/daemon/settings.rs
+++ b/crates/vanillafold-standin/tests/daemon/settings.rs
@@ -342,6 +342,6 @@
         .output()
         .expect("a daemon");
 
-    assert_ne!(output.status.code(), Some(0));
+    assert_eq!(output.status.code(), Some(2));
     assert_eq!(output.stdout, b"");
 }
