--- a/crates/vanillafold-types/src/ini/reader.rs
+++ b/crates/vanillafold-types/src/ini/reader.rs
@@ -178,7 +178,9 @@
     }
 
     fn value(&mut self, key: &'static str) -> Option<Entry> {
-        self.asked.push(key);
+        if !self.asked.contains(&key) {
+            self.asked.push(key);
+        }
         self.section
             .entries
             .iter()
