--- a/crates/vanillafold-wire/tests/http.rs
+++ b/crates/vanillafold-wire/tests/http.rs
@@ -96,11 +96,14 @@
 
 // Framing.
 
+/// Headers, and the framing that they declare.
+type FramingCase<'a> = (&'a [(HeaderName, &'a str)], Result<Framing, FramingError>);
+
 #[test]
 fn a_requests_framing_is_declared_once_and_plainly() {
     let length = CONTENT_LENGTH;
     let encoding = TRANSFER_ENCODING;
-    let cases: [(&[(HeaderName, &str)], Result<Framing, FramingError>); 14] = [
+    let cases: [FramingCase; 14] = [
         (&[], Ok(Framing::Empty)),
         (&[(length.clone(), "0")], Ok(Framing::Empty)),
         (&[(length.clone(), "17")], Ok(Framing::Length(17))),
