Write passed-on headers from where they stand, without a second map

Cause: a profile of the daemon under small requests (perf, 32 connections) showed HeaderMap insertion, its hashes, clones and frees and the allocator behind them among the largest costs in user space; each request copied the caller's and the answer's headers into new maps only to encode them.

Ruled out: keeping idle connections' buffers up to the size of a head instead of freeing them.

Change: received headers are filtered while they are encoded, ours follow; the Connection header is looked up once for a message.

--- a/crates/vanillafold-wire/src/http/header.rs
+++ b/crates/vanillafold-wire/src/http/header.rs
@@ -8,24 +8,42 @@
 const KEEP_ALIVE: &str = "keep-alive";
 const PROXY_CONNECTION: &str = "proxy-connection";
 
-/// Whether `name` belongs to one connection only (RFC 9110, section 7.6.1), its framing
-/// and what its `Connection` header names included.
-#[must_use]
-pub fn is_hop_by_hop(name: &HeaderName, headers: &HeaderMap) -> bool {
-    let fixed = [
-        CONNECTION,
-        CONTENT_LENGTH,
-        PROXY_AUTHENTICATE,
-        PROXY_AUTHORIZATION,
-        TE,
-        TRAILER,
-        TRANSFER_ENCODING,
-        UPGRADE,
-    ];
-    fixed.contains(name)
-        || name.as_str() == KEEP_ALIVE
-        || name.as_str() == PROXY_CONNECTION
-        || named_by_connection(name, headers)
+/// Tells which headers of a message belong to one connection only (RFC 9110, section 7.6.1).
+#[derive(Debug, Clone, Copy)]
+pub struct HopByHop<'a> {
+    /// The message's headers, if one of them is `Connection`, which may name more.
+    naming: Option<&'a HeaderMap>,
+}
+
+impl<'a> HopByHop<'a> {
+    /// Those of a message with these headers.
+    #[must_use]
+    pub fn of(headers: &'a HeaderMap) -> Self {
+        Self {
+            naming: headers.contains_key(CONNECTION).then_some(headers),
+        }
+    }
+
+    /// Whether `name` is one, framing headers and what `Connection` names included.
+    #[must_use]
+    pub fn contains(self, name: &HeaderName) -> bool {
+        let fixed = [
+            CONNECTION,
+            CONTENT_LENGTH,
+            PROXY_AUTHENTICATE,
+            PROXY_AUTHORIZATION,
+            TE,
+            TRAILER,
+            TRANSFER_ENCODING,
+            UPGRADE,
+        ];
+        fixed.contains(name)
+            || name.as_str() == KEEP_ALIVE
+            || name.as_str() == PROXY_CONNECTION
+            || self
+                .naming
+                .is_some_and(|headers| named_by_connection(name, headers))
+    }
 }
 
 fn named_by_connection(name: &HeaderName, headers: &HeaderMap) -> bool {
--- a/crates/vanillafold-wire/src/http/mod.rs
+++ b/crates/vanillafold-wire/src/http/mod.rs
@@ -17,7 +17,7 @@
 pub use client::{Client, ClientError};
 pub use error::{BodyError, FramingError, HeadError};
 pub use framing::{Framing, request_framing, response_framing};
-pub use header::is_hop_by_hop;
+pub use header::HopByHop;
 pub use reader::{HttpReader, MAX_HEAD, RequestHead, ResponseHead};
 pub use server::{Service, serve_connection};
 pub use writer::{HttpWriter, encode_request_head, encode_response_head};
--- a/crates/vanillafold/src/caller/refusal.rs
+++ b/crates/vanillafold/src/caller/refusal.rs
@@ -35,8 +35,8 @@
         daemon: &HeaderValue,
         close: bool,
     ) -> std::io::Result<()> {
-        let mut headers = HeaderMap::new();
-        answer_headers(&mut headers, self.request.as_ref(), self.code, daemon);
+        let own = answer_headers(self.request.as_ref(), self.code, daemon);
+        let mut headers: HeaderMap = own.collect();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
         if close {
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
@@ -51,19 +51,19 @@
     }
 }
 
-/// Sets the headers that every answer to a caller carries.
+/// The headers that every answer to a caller carries.
 pub(crate) fn answer_headers(
-    headers: &mut HeaderMap,
     request: Option<&RequestId>,
     code: ResultCode,
     daemon: &HeaderValue,
-) {
+) -> impl Iterator<Item = (HeaderName, HeaderValue)> {
     let outcome: Outcome = code.outcome();
-    headers.insert(OUTCOME, HeaderValue::from_static(outcome.as_str()));
-    headers.insert(RESULT_CODE, HeaderValue::from(code.number()));
-    headers.insert(DAEMON, daemon.clone());
     // An id holds only letters, digits and - _ . so it is always a header's value.
-    if let Some(Ok(value)) = request.map(|id| HeaderValue::from_str(id.as_str())) {
-        headers.insert(REQUEST_ID, value);
-    }
+    let id = request.and_then(|id| HeaderValue::from_str(id.as_str()).ok());
+    let always = [
+        (OUTCOME, HeaderValue::from_static(outcome.as_str())),
+        (RESULT_CODE, HeaderValue::from(code.number())),
+        (DAEMON, daemon.clone()),
+    ];
+    always.into_iter().chain(id.map(|id| (REQUEST_ID, id)))
 }
--- a/crates/vanillafold/src/dispatch/dispatcher.rs
+++ b/crates/vanillafold/src/dispatch/dispatcher.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONNECTION, HeaderMap, HeaderValue};
+use http::header::{CONNECTION, HeaderValue};
 use monoio::time::{sleep, timeout, timeout_at};
 use vanillafold_policy::{
     AttemptFailure, Decision, FailureKind, Finish, NotRunReason, RequestAttempts, RequestTerms,
@@ -15,7 +15,7 @@
 use vanillafold_wire::http::{BodyReader, HttpReader, HttpWriter, encode_request_head};
 
 use super::exchange::{self, AnswerHead, Received, RelayFault, UploadFault};
-use super::header;
+use super::header::{self, PassedHeaders};
 use super::linger::linger;
 use super::permit::{NoPermit, Permit, acquire};
 use crate::caller::{CallerRequest, PreparedBody, answer_headers};
@@ -516,12 +516,19 @@
 }
 
 /// The headers with which an answer is passed on.
-fn answer_head(node: &Node, request: &CallerRequest, answer: &AnswerHead) -> HeaderMap {
+fn answer_head<'a>(
+    node: &Node,
+    request: &CallerRequest,
+    answer: &'a AnswerHead,
+) -> PassedHeaders<'a> {
     let mut headers = header::to_caller(&answer.head.headers);
-    let code = ResultCode::Answered;
-    answer_headers(&mut headers, Some(&request.id), code, &node.daemon_header);
+    for (name, value) in
+        answer_headers(Some(&request.id), ResultCode::Answered, &node.daemon_header)
+    {
+        headers.push(name, value);
+    }
     if node.draining.is_ordered() {
-        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        headers.push(CONNECTION, HeaderValue::from_static("close"));
     }
     headers
 }
--- a/crates/vanillafold/src/dispatch/exchange.rs
+++ b/crates/vanillafold/src/dispatch/exchange.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::Method;
 use http::header::CONNECTION;
-use http::{HeaderMap, Method};
 use monoio::time::timeout;
 use vanillafold_policy::{AttemptFailure, NotRunReason};
 use vanillafold_types::Slots;
@@ -14,7 +14,7 @@
     encode_response_head, response_framing,
 };
 
-use super::header;
+use super::header::{self, PassedHeaders};
 use crate::node::Incoming;
 
 /// Bytes that may wait for the caller while more of the answer is at hand.
@@ -73,7 +73,7 @@
     writer: &mut HttpWriter,
     method: &Method,
     path: &str,
-    headers: &HeaderMap,
+    headers: &PassedHeaders<'_>,
     body: Bytes,
     framing: Framing,
 ) -> io::Result<()> {
@@ -119,7 +119,7 @@
 pub(crate) async fn relay(
     incoming: &mut Incoming,
     answer: &AnswerHead,
-    headers: &HeaderMap,
+    headers: &PassedHeaders<'_>,
     writer: &mut HttpWriter,
     passed_on: &mut bool,
 ) -> Result<(), RelayFault> {
