--- a/crates/vanillafold-standin/examples/bench.rs
+++ b/crates/vanillafold-standin/examples/bench.rs
@@ -6,9 +6,9 @@
 use bpaf::{Parser, construct, long};
 use serde::Serialize;
 use vanillafold_standin::measure::{
-    AddedLatency, BenchRig, Bound, IdleConnections, LatencyPlan, LongBody, LongBodyWay, Saturation,
-    Throughput, Verdict, measure_added_latency, measure_idle_connections, measure_long_body,
-    measure_saturation, measure_throughput, write_json,
+    AddedLatency, BenchRig, Bound, IdleConnections, LatencyPlan, LongBody, LongBodyWay, Throughput,
+    Verdict, measure_added_latency, measure_idle_connections, measure_long_body,
+    measure_throughput, write_json,
 };
 use vanillafold_standin::rig::RigError;
 
@@ -20,7 +20,6 @@
 const IDLE_CONNECTIONS: usize = 10_000;
 /// The share of saturation at which latency is measured.
 const LOAD_SHARE: f64 = 0.7;
-const SATURATION_ROUNDS: u32 = 5;
 const BYTES_PER_MIB: f64 = 1_048_576.0;
 const BYTES_PER_MB: f64 = 1_000_000.0;
 
@@ -39,11 +38,11 @@
     let rounds = long("rounds")
         .help("pairs of rounds of each measurement")
         .argument::<u32>("N")
-        .fallback(9);
+        .fallback(15);
     let seconds = long("seconds")
         .help("length of a round")
         .argument::<f64>("S")
-        .fallback(1.5);
+        .fallback(0.8);
     let rig = long("rig")
         .help("second byte of the loopback addresses, 1 to 250")
         .argument::<u8>("N")
@@ -83,7 +82,6 @@
     remark: &'static str,
     verdicts: Vec<Verdict>,
     throughput: Throughput,
-    saturation: Saturation,
     latency: AddedLatency,
     long_bodies: Vec<LongBody>,
     idle_connections: IdleConnections,
@@ -109,11 +107,10 @@
         long_bodies.push(measure_long_body(&rig, way, LONG_BODY_BYTES)?);
     }
     let throughput = measure_throughput(&rig, options.rounds, options.seconds)?;
-    let saturation = measure_saturation(&rig, SATURATION_ROUNDS, options.seconds)?;
     let plan = LatencyPlan {
         rounds: options.rounds,
         seconds: options.seconds,
-        rate_per_s: saturation.median_per_s * LOAD_SHARE,
+        load_share: LOAD_SHARE,
     };
     let latency = measure_added_latency(&rig, &plan)?;
     let idle_connections = measure_idle_connections(&rig, IDLE_CONNECTIONS)?;
@@ -122,7 +119,6 @@
         remark: "load, runners and daemon share one machine with other work",
         verdicts,
         throughput,
-        saturation,
         latency,
         long_bodies,
         idle_connections,
@@ -183,10 +179,9 @@
         println!("{verdict}");
     }
     println!(
-        "daemon alone: {:.0} requests a CPU second; saturation {:.0}/s; added p50 {:.0} us at {:.0}/s",
+        "daemon alone: {:.0} requests a CPU second; saturation {:.0}/s; added p50 {:.0} us",
         results.throughput.median_daemon_per_cpu_s,
-        results.saturation.median_per_s,
+        results.latency.saturation.median_per_s,
         results.latency.added_p50_us,
-        results.latency.rate_per_s,
     );
 }
