--- a/crates/vanillafold-wire/tests/http.rs
+++ b/crates/vanillafold-wire/tests/http.rs
@@ -9,9 +9,9 @@
 use monoio::net::{TcpListener, TcpStream};
 use quickcheck::{Arbitrary, Gen};
 use vanillafold_wire::http::{
-    BodyError, BodyReader, Framing, FramingError, HeadError, HttpReader, HttpWriter, MAX_HEAD,
-    MAX_HEADERS, MAX_PIECE, encode_request_head, encode_response_head, is_hop_by_hop,
-    request_framing, response_framing, split,
+    BodyError, BodyReader, Framing, FramingError, HeadError, HopByHop, HttpReader, HttpWriter,
+    MAX_HEAD, MAX_HEADERS, MAX_PIECE, encode_request_head, encode_response_head, request_framing,
+    response_framing, split,
 };
 
 const SEED: u64 = 20_261_204;
@@ -176,7 +176,8 @@
         (connection.clone(), "close, X-Private"),
         (connection, "x-other"),
     ]);
-    let is_hop_by_hop = |name: &'static str| is_hop_by_hop(&HeaderName::from_static(name), &named);
+    let hop_by_hop = HopByHop::of(&named);
+    let is_hop_by_hop = |name: &'static str| hop_by_hop.contains(&HeaderName::from_static(name));
 
     assert!(is_hop_by_hop("x-private") && is_hop_by_hop("x-other"));
     assert!(is_hop_by_hop("keep-alive") && is_hop_by_hop("transfer-encoding"));
