--- a/crates/vanillafold-policy/src/retry/attempts.rs
+++ b/crates/vanillafold-policy/src/retry/attempts.rs
@@ -5,7 +5,7 @@
 use super::{AttemptFailure, RetryAllowance};
 use crate::{MonotonicMillis, SplitMix};
 
-/// The most sends of one request that its target did not refuse as full or leaving.
+/// The most sends of one request, those not counted that a full or leaving target refused.
 pub const MAX_SENDS: u32 = 3;
 /// The most times that a request goes on to another target because one was full or leaving.
 ///
@@ -84,7 +84,7 @@
     DeadlineNear,
     /// There were [`MAX_SENDS`] sends.
     MaxSends,
-    /// There were [`MAX_REROUTES`] reroutes.
+    /// There were [`MAX_REROUTES`] reroutes and the last target was full or leaving too.
     MaxReroutes,
     /// The queue's retry budget is spent.
     BudgetSpent,
@@ -180,7 +180,7 @@
                 Some(StopReason::BodyNotReplayable)
             }
             _ if remaining_ms < MIN_RETRY_REMAINING => Some(StopReason::DeadlineNear),
-            _ if reroute && self.reroutes >= MAX_REROUTES => Some(StopReason::MaxReroutes),
+            _ if reroute && self.reroutes > MAX_REROUTES => Some(StopReason::MaxReroutes),
             _ if reroute => None,
             _ if self.sends >= MAX_SENDS => Some(StopReason::MaxSends),
             _ if !budget.try_spend(now) => Some(StopReason::BudgetSpent),
@@ -202,7 +202,7 @@
         if failure.is_reroute() {
             return Millis::ZERO;
         }
-        let doubled = MIN_BACKOFF.get() << self.sends.min(8);
+        let doubled = MIN_BACKOFF.get() << (self.sends - 1).min(8);
         let most = doubled.min(remaining_ms.get() / 4).max(1);
         Millis::new(rng.below(most))
     }
--- a/crates/vanillafold-policy/src/retry/budget.rs
+++ b/crates/vanillafold-policy/src/retry/budget.rs
@@ -37,12 +37,12 @@
 }
 
 impl RetryBudget {
-    /// An empty budget that allows `percent` of the first sends.
+    /// A budget that allows `percent` of the first sends, with a quiet second's retries in it.
     #[must_use]
     pub const fn new(percent: Percent) -> Self {
         Self {
             percent,
-            units: 0,
+            units: MIN_RETRIES_PER_SECOND * RETRY_UNITS,
             filled_at: None,
         }
     }
--- a/crates/vanillafold-policy/src/routing/decayed.rs
+++ b/crates/vanillafold-policy/src/routing/decayed.rs
@@ -29,10 +29,6 @@
         self.value * (-half_lives).exp2()
     }
 
-    pub(crate) fn add(&mut self, now: MonotonicMillis, amount: f64) {
-        self.set(now, self.get(now) + amount);
-    }
-
     pub(crate) fn set(&mut self, now: MonotonicMillis, value: f64) {
         self.value = value;
         self.at = now;
--- a/crates/vanillafold-policy/src/routing/health.rs
+++ b/crates/vanillafold-policy/src/routing/health.rs
@@ -12,15 +12,20 @@
 use crate::random::{hash_text, mix};
 
 /// Failures in a row that set a target aside.
-pub(crate) const FAILURE_RUN: u32 = 5;
+const FAILURE_RUN: u32 = 5;
 /// Recent failure rate that sets a target aside.
-pub(crate) const FAILURE_RATE: f64 = 0.5;
-/// Recent sends, decayed, below which the rate says nothing.
-pub(crate) const RATE_MIN_SENDS: f64 = 10.0;
+const FAILURE_RATE: f64 = 0.5;
+/// Sends below which the rate says nothing.
+const RATE_MIN_SENDS: u32 = 20;
+/// Part of the difference that one send moves the recent failure rate by.
+const RATE_GAIN: f64 = 0.05;
+/// The run sets a target aside only if a target that fails as often as the others has one with
+/// at most this probability.
+const RUN_CHANCE: f64 = 1e-6;
 /// How far a target's failure rate must lie above that of the others of its pool.
-pub(crate) const OUTLIER_MARGIN: f64 = 0.3;
-/// Half-life of the counts behind the recent failure rate.
-const RATE_HALF_LIFE: Millis = Millis::new(5_000);
+const OUTLIER_MARGIN: f64 = 0.3;
+/// Half-life of the recent failure rate while there are no sends.
+const RATE_HALF_LIFE: Millis = Millis::new(10_000);
 
 /// Load, in slots, that each failure adds to the estimate.
 const FAILURE_PENALTY_SLOTS: f64 = 4.0;
@@ -64,29 +69,6 @@
     Aside(MonotonicMillis),
 }
 
-/// Recent sends of one target or of several.
-#[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct RecentSends {
-    pub(crate) sent: f64,
-    pub(crate) failed: f64,
-}
-
-impl RecentSends {
-    fn rate(&self) -> f64 {
-        match self.sent {
-            sent if sent > 0.0 => self.failed / sent,
-            _ => 0.0,
-        }
-    }
-
-    pub(crate) fn plus(self, other: Self) -> Self {
-        Self {
-            sent: self.sent + other.sent,
-            failed: self.failed + other.failed,
-        }
-    }
-}
-
 /// A target's time aside.
 #[derive(Debug, Clone, Copy)]
 struct Aside {
@@ -101,8 +83,8 @@
 pub(crate) struct Health {
     jitter_seed: u64,
     run: u32,
-    sent: Decayed,
-    failed: Decayed,
+    sends: u32,
+    failure_rate: Decayed,
     penalty: Decayed,
     aside: Option<Aside>,
     ejections: u32,
@@ -116,8 +98,8 @@
         Self {
             jitter_seed: mix(hash_text(vm.as_str()) ^ salt),
             run: 0,
-            sent: Decayed::new(RATE_HALF_LIFE),
-            failed: Decayed::new(RATE_HALF_LIFE),
+            sends: 0,
+            failure_rate: Decayed::new(RATE_HALF_LIFE),
             penalty: Decayed::new(PENALTY_HALF_LIFE),
             aside: None,
             ejections: 0,
@@ -130,11 +112,9 @@
         self.aside.is_some()
     }
 
-    pub(crate) fn recent(&self, now: MonotonicMillis) -> RecentSends {
-        RecentSends {
-            sent: self.sent.get(now),
-            failed: self.failed.get(now),
-        }
+    /// The recent failure rate, from 0 to 1.
+    pub(crate) fn failure_rate(&self, now: MonotonicMillis) -> f64 {
+        self.failure_rate.get(now)
     }
 
     pub(crate) fn trust(&self, now: MonotonicMillis, panic: bool, idempotent: bool) -> Trust {
@@ -189,7 +169,7 @@
 
     pub(crate) fn succeeded(&mut self, now: MonotonicMillis, probe: bool) {
         self.run = 0;
-        self.sent.add(now, 1.0);
+        self.note_send(now, 0.0);
         if !probe {
             return;
         }
@@ -203,22 +183,29 @@
         }
     }
 
-    /// Notes a failure; `others` are the sends of the other targets in use.
-    pub(crate) fn failed(&mut self, now: MonotonicMillis, probe: bool, others: RecentSends) {
+    /// Notes a failure; `others_rate` is the mean failure rate of the other targets in use,
+    /// `None` if there are none.
+    pub(crate) fn failed(&mut self, now: MonotonicMillis, probe: bool, others_rate: Option<f64>) {
         self.run += 1;
-        self.sent.add(now, 1.0);
-        self.failed.add(now, 1.0);
+        self.note_send(now, 1.0);
         let penalty = self.penalty.get(now) + FAILURE_PENALTY_SLOTS;
         self.penalty.set(now, penalty.min(MAX_PENALTY_SLOTS));
         match self.aside {
             Some(_) if probe => self.set_aside(now),
-            None if self.is_outlier(now, others) => self.set_aside(now),
+            None if self.is_outlier(now, others_rate) => self.set_aside(now),
             _ => {}
         }
     }
 
+    /// Prolongs a time aside after a failed health check, unless a probe is under way.
+    pub(crate) fn health_check_failed(&mut self, now: MonotonicMillis) {
+        if self.aside.is_some_and(|aside| !aside.probing) {
+            self.set_aside(now);
+        }
+    }
+
     /// Starts a time aside, twice as long as the one before.
-    pub(crate) fn set_aside(&mut self, now: MonotonicMillis) {
+    fn set_aside(&mut self, now: MonotonicMillis) {
         if now.since(self.ejected_at) > FORGIVE_AFTER {
             self.ejections = 0;
         }
@@ -236,19 +223,30 @@
         });
     }
 
-    fn is_outlier(&self, now: MonotonicMillis, others: RecentSends) -> bool {
-        let own = self.recent(now);
-        let by_run = self.run >= FAILURE_RUN;
-        let by_rate = own.sent >= RATE_MIN_SENDS && own.rate() >= FAILURE_RATE;
-        let beyond_others = own.rate() >= others.rate() + OUTLIER_MARGIN;
-        (by_run || by_rate) && beyond_others
+    fn note_send(&mut self, now: MonotonicMillis, failed: f64) {
+        let rate = self.failure_rate.get(now);
+        self.failure_rate
+            .set(now, rate + RATE_GAIN * (failed - rate));
+        self.sends = self.sends.saturating_add(1);
+    }
+
+    /// The last target in use is never one: nothing would be gained by setting it aside.
+    fn is_outlier(&self, now: MonotonicMillis, others_rate: Option<f64>) -> bool {
+        let Some(others_rate) = others_rate else {
+            return false;
+        };
+        let chance = others_rate.powf(f64::from(self.run));
+        let by_run = self.run >= FAILURE_RUN && chance <= RUN_CHANCE;
+        let rate_bound = FAILURE_RATE.max(others_rate + OUTLIER_MARGIN);
+        let by_rate = self.sends >= RATE_MIN_SENDS && self.failure_rate(now) >= rate_bound;
+        by_run || by_rate
     }
 
     fn come_back(&mut self, now: MonotonicMillis) {
         self.aside = None;
         self.run = 0;
-        self.sent.set(now, 0.0);
-        self.failed.set(now, 0.0);
+        self.sends = 0;
+        self.failure_rate.set(now, 0.0);
         self.penalty.set(now, 0.0);
         self.returned_at = Some(now);
     }
--- a/crates/vanillafold-policy/src/routing/load.rs
+++ b/crates/vanillafold-policy/src/routing/load.rs
@@ -28,6 +28,11 @@
         self.set(now, load.get());
     }
 
+    /// Notes that a send of this daemon was given up while its work may go on.
+    pub(crate) fn left_running(&mut self, now: MonotonicMillis) {
+        self.set(now, self.get(now).round() as u32 + 1);
+    }
+
     /// The estimate in slots.
     pub(crate) fn get(&self, now: MonotonicMillis) -> f64 {
         let Some(reported_at) = self.reported_at else {
--- a/crates/vanillafold-policy/src/routing/member.rs
+++ b/crates/vanillafold-policy/src/routing/member.rs
@@ -27,7 +27,7 @@
 }
 
 /// A daemon that sends to the pool.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DaemonMember {
     /// Its name.
     pub daemon: DaemonId,
@@ -36,7 +36,7 @@
 }
 
 /// What one VM of the pool takes from all daemons together.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TargetLimits {
     /// What it runs at a time.
     pub slots_per_vm: Slots,
--- a/crates/vanillafold-policy/src/routing/table.rs
+++ b/crates/vanillafold-policy/src/routing/table.rs
@@ -1,9 +1,8 @@
 //! The targets of one pool, as one daemon sees them.
 
-use vanillafold_types::{Connections, Millis, Slots, VmId};
+use vanillafold_types::{Connections, Millis, Slots, VmId, ZoneId};
 
-use super::health::RecentSends;
-use super::target::{LATENCY_GAIN, PickContext, Target, Use};
+use super::target::{PickContext, Target, Use};
 use super::{
     DaemonMember, Finish, HealthAnswer, HealthCheck, Member, MemberState, NotRunReason,
     PANIC_PERCENT, PickOptions, PickRefusal, PickedTarget, Standing, TargetLimits, TargetView,
@@ -18,6 +17,8 @@
 /// randomized load balancing, 2001); the third makes a pick of only suspect targets rare.
 pub const SAMPLED_TARGETS: usize = 3;
 
+/// Part of the difference that one answer moves the pool's mean latency by.
+const POOL_LATENCY_GAIN: f64 = 0.01;
 /// Time between two health checks of one target.
 const HEALTH_CHECK_INTERVAL: Millis = Millis::new(5_000);
 /// How long before the end of its time aside a target's health is checked.
@@ -30,6 +31,7 @@
     salt: u64,
     limits: TargetLimits,
     daemons: Vec<DaemonMember>,
+    near_daemons: u32,
     // Sorted by VM.
     targets: Vec<Target>,
     latency_ms: Option<f64>,
@@ -42,6 +44,7 @@
         Self {
             salt: hash_text(own.daemon.as_str()),
             daemons: vec![own.clone()],
+            near_daemons: 1,
             own,
             limits,
             targets: Vec::new(),
@@ -51,8 +54,10 @@
 
     /// Takes the pool's limits from the catalogue.
     pub fn set_limits(&mut self, limits: TargetLimits) {
-        self.limits = limits;
-        self.split_connections();
+        if self.limits != limits {
+            self.limits = limits;
+            self.split_connections();
+        }
     }
 
     /// Takes the daemons that send to the pool; this one is added if it is missing.
@@ -65,25 +70,26 @@
         }
         daemons.sort_by(|a, b| a.daemon.cmp(&b.daemon));
         daemons.dedup_by(|a, b| a.daemon == b.daemon);
-        self.daemons = daemons;
-        self.split_connections();
+        if self.daemons != daemons {
+            let near = daemons.iter().filter(|member| member.zone == self.own.zone);
+            self.near_daemons = u32::try_from(near.count()).unwrap_or(u32::MAX);
+            self.daemons = daemons;
+            self.split_connections();
+        }
     }
 
     /// Takes the membership list. Targets that stay keep their counters; those that are gone
     /// from it get no new work at once and are forgotten when their last send has ended.
-    pub fn set_members(&mut self, members: Vec<Member>) {
+    pub fn set_members(&mut self, mut members: Vec<Member>) {
+        members.sort_by(|a, b| a.vm.cmp(&b.vm));
         for target in &mut self.targets {
-            let listed = members.iter().any(|member| member.vm == *target.vm());
-            target.removed |= !listed;
+            let listed = members.binary_search_by(|member| member.vm.cmp(target.vm()));
+            target.removed |= listed.is_err();
         }
         for member in members {
-            match self.position(&member.vm) {
-                Ok(index) => self.targets[index].update(member, self.salt),
-                Err(index) => self.targets.insert(index, Target::new(member, self.salt)),
-            }
+            self.set_member(member);
         }
         self.forget_spent();
-        self.split_connections();
     }
 
     /// Picks a target for one send.
@@ -100,13 +106,9 @@
         rng: &mut SplitMix,
         options: PickOptions<'_>,
     ) -> Result<PickedTarget, PickRefusal> {
-        let context = PickContext {
-            now,
-            slots: self.limits.slots_per_vm.get(),
-            panic: self.is_panic(),
-            idempotent: options.idempotent,
-        };
+        let context = self.context(now, options.idempotent);
         let mut refusals = Refusals::default();
+        let mut thought_full = Reservoir::default();
         for near in [true, false] {
             let ring = self
                 .targets
@@ -120,14 +122,24 @@
                     Use::Open => sample.open.offer(target, rng),
                     Use::Probe => sample.probe.offer(target, rng),
                     Use::Busy(wait) => refusals.busy(wait),
+                    Use::ThoughtFull(wait) => {
+                        refusals.busy(wait);
+                        if near {
+                            thought_full.offer(target, rng);
+                        }
+                    }
                     Use::Aside(wait) => refusals.aside(wait),
                 }
             }
-            if let Some(picked) = sample.choose(&context) {
+            if let Some(picked) = sample.choose(&context, rng) {
                 return Ok(picked);
             }
         }
-        Err(refusals.refusal())
+        // By the estimate alone, daemons that came first would keep all slots of a full pool.
+        match thought_full.least(now, rng) {
+            Some(target) if self.outstanding() < self.fair_share() => Ok(picked(target, false)),
+            _ => Err(refusals.refusal()),
+        }
     }
 
     /// Counts a send to the picked target as outstanding.
@@ -153,7 +165,10 @@
         reason = "a pick can be finished only once"
     )]
     pub fn finished(&mut self, picked: PickedTarget, now: MonotonicMillis, finish: Finish) {
-        let others = self.recent_of_others(&picked.vm, now);
+        let others_rate = match finish {
+            Finish::Failed { .. } | Finish::NotRun { .. } => self.others_rate(&picked.vm, now),
+            Finish::Answered { .. } | Finish::Abandoned => None,
+        };
         let pool_ms = self.learn_latency(finish);
         let probe = picked.probe;
         let target = self.expect_mut(&picked.vm);
@@ -169,13 +184,13 @@
                 target.health.succeeded(now, probe);
             }
             Finish::Failed { kind, waited_ms } if target.is_to_blame(kind, waited_ms) => {
-                target.health.failed(now, probe, others);
+                target.health.failed(now, probe, others_rate);
             }
             Finish::NotRun {
                 reason: NotRunReason::Refused,
                 ..
             } => {
-                target.health.failed(now, probe, others);
+                target.health.failed(now, probe, others_rate);
             }
             _ if probe => target.health.probe_ended(),
             _ => {}
@@ -257,11 +272,17 @@
                 }
             }
             HealthAnswer::Leaving => target.told_leaving = true,
-            HealthAnswer::Failed if target.health.is_aside() => target.health.set_aside(now),
-            HealthAnswer::Failed => {}
+            HealthAnswer::Failed => target.health.health_check_failed(now),
         }
     }
 
+    /// The pool's mean latency of answers: a request with less time left is hardly worth a send.
+    #[must_use]
+    pub fn mean_latency(&self) -> Option<Millis> {
+        self.latency_ms
+            .map(|latency_ms| Millis::new(latency_ms as u64))
+    }
+
     /// Sends of this daemon to the pool that have not ended.
     #[must_use]
     pub fn outstanding(&self) -> Slots {
@@ -270,12 +291,7 @@
 
     /// Each target as it stands now.
     pub fn views(&self, now: MonotonicMillis) -> impl Iterator<Item = TargetView<'_>> {
-        let context = PickContext {
-            now,
-            slots: self.limits.slots_per_vm.get(),
-            panic: self.is_panic(),
-            idempotent: true,
-        };
+        let context = self.context(now, true);
         self.targets.iter().map(move |target| TargetView {
             vm: target.vm(),
             zone: &target.member.zone,
@@ -291,6 +307,26 @@
         target.member.zone == self.own.zone
     }
 
+    fn context(&self, now: MonotonicMillis, idempotent: bool) -> PickContext {
+        PickContext {
+            now,
+            slots: self.limits.slots_per_vm.get(),
+            panic: self.is_panic(),
+            idempotent,
+        }
+    }
+
+    /// This daemon's part of the own zone's slots. Work that spills over has no share.
+    fn fair_share(&self) -> Slots {
+        let near = self
+            .targets
+            .iter()
+            .filter(|target| self.is_near(target) && target.takes_work())
+            .count();
+        let slots = u32::try_from(near).unwrap_or(u32::MAX) * self.limits.slots_per_vm.get();
+        Slots::new(slots / self.near_daemons)
+    }
+
     fn is_panic(&self) -> bool {
         let usable = || {
             self.targets
@@ -301,12 +337,19 @@
         aside * 100 > usable().count() * PANIC_PERCENT
     }
 
-    fn recent_of_others(&self, vm: &VmId, now: MonotonicMillis) -> RecentSends {
-        self.targets
-            .iter()
-            .filter(|target| target.vm() != vm && !target.health.is_aside())
-            .map(|target| target.health.recent(now))
-            .fold(RecentSends::default(), RecentSends::plus)
+    /// The mean failure rate of the other targets in use.
+    fn others_rate(&self, vm: &VmId, now: MonotonicMillis) -> Option<f64> {
+        let others = || {
+            self.targets
+                .iter()
+                .filter(|target| target.takes_work() && target.in_reach())
+                .filter(|target| target.vm() != vm && !target.health.is_aside())
+        };
+        let sum: f64 = others().map(|target| target.health.failure_rate(now)).sum();
+        match others().count() {
+            0 => None,
+            count => Some(sum / count as f64),
+        }
     }
 
     /// The pool's mean latency in milliseconds, with this answer's.
@@ -314,21 +357,38 @@
         if let Finish::Answered { latency_ms, .. } = finish {
             let latency_ms = latency_ms.get() as f64;
             let mean = self.latency_ms.unwrap_or(latency_ms);
-            self.latency_ms = Some(mean + LATENCY_GAIN * (latency_ms - mean));
+            self.latency_ms = Some(mean + POOL_LATENCY_GAIN * (latency_ms - mean));
         }
         self.latency_ms.unwrap_or_default()
     }
 
+    fn set_member(&mut self, member: Member) {
+        let zone = self.find(&member.vm).map(|target| &target.member.zone);
+        let stays = zone == Some(&member.zone);
+        match self.position(&member.vm) {
+            Ok(index) if stays => self.targets[index].update(member, self.salt),
+            Ok(index) => {
+                self.targets[index].connections_allowed = self.share_of(&member.vm, &member.zone);
+                self.targets[index].update(member, self.salt);
+            }
+            Err(index) => {
+                let allowed = self.share_of(&member.vm, &member.zone);
+                let target = Target::new(member, allowed, self.salt);
+                self.targets.insert(index, target);
+            }
+        }
+    }
+
     fn split_connections(&mut self) {
-        for target in &mut self.targets {
-            target.connections_allowed = connections_allowed(
-                &self.own,
-                &target.member.vm,
-                &target.member.zone,
-                &self.daemons,
-                self.limits,
-            );
+        let mut targets = std::mem::take(&mut self.targets);
+        for target in &mut targets {
+            target.connections_allowed = self.share_of(target.vm(), &target.member.zone);
         }
+        self.targets = targets;
+    }
+
+    fn share_of(&self, vm: &VmId, zone: &ZoneId) -> Connections {
+        connections_allowed(&self.own, vm, zone, &self.daemons, self.limits)
     }
 
     fn forget_spent(&mut self) {
@@ -374,7 +434,7 @@
         _ if !target.takes_work() => Standing::Leaving,
         Use::Closed => Standing::OutOfReach,
         Use::Open => Standing::Open,
-        Use::Busy(_) => Standing::Busy,
+        Use::Busy(_) | Use::ThoughtFull(_) => Standing::Busy,
         Use::Aside(_) => Standing::SetAside,
         Use::Probe => Standing::HalfOpen,
     }
@@ -399,12 +459,16 @@
         }
     }
 
-    fn least(&self, now: MonotonicMillis) -> Option<&'a Target> {
-        self.kept
-            .iter()
+    /// The kept target of least cost. The comparison starts at a random place, so that no
+    /// target wins all ties.
+    fn least(&self, now: MonotonicMillis, rng: &mut SplitMix) -> Option<&'a Target> {
+        let start = rng.below(SAMPLED_TARGETS as u64) as usize;
+        let (before, from) = self.kept.split_at(start);
+        from.iter()
+            .chain(before)
             .flatten()
             .copied()
-            .min_by(|a, b| a.cost(now).total_cmp(&b.cost(now)))
+            .min_by_key(|target| target.cost(now))
     }
 }
 
@@ -418,20 +482,24 @@
 impl Sample<'_> {
     /// A due probe goes first, for an idempotent request; any other takes one only if nothing
     /// else is open.
-    fn choose(&self, context: &PickContext) -> Option<PickedTarget> {
-        let open = self.open.least(context.now);
-        let probe = self.probe.least(context.now);
+    fn choose(&self, context: &PickContext, rng: &mut SplitMix) -> Option<PickedTarget> {
+        let open = self.open.least(context.now, rng);
+        let probe = self.probe.least(context.now, rng);
         let (target, is_probe) = match (open, probe) {
             (_, Some(probe)) if context.idempotent => (probe, true),
             (Some(open), _) => (open, false),
             (None, Some(probe)) => (probe, true),
             (None, None) => return None,
         };
-        Some(PickedTarget {
-            vm: target.vm().clone(),
-            address: target.member.address,
-            probe: is_probe,
-        })
+        Some(picked(target, is_probe))
+    }
+}
+
+fn picked(target: &Target, probe: bool) -> PickedTarget {
+    PickedTarget {
+        vm: target.vm().clone(),
+        address: target.member.address,
+        probe,
     }
 }
 
--- a/crates/vanillafold-policy/src/routing/target.rs
+++ b/crates/vanillafold-policy/src/routing/target.rs
@@ -8,16 +8,19 @@
 use super::{FailureKind, Finish, Member, MemberState, NotRunReason};
 use crate::MonotonicMillis;
 
-/// How long a target that said busy counts as full, the first time.
-const BUSY_HOLD: Millis = Millis::new(25);
-/// Times that the hold doubles while the target goes on saying busy.
-const BUSY_DOUBLINGS: u32 = 4;
+/// How long a target that said busy counts as full.
+const BUSY_HOLD: Millis = Millis::new(10);
 /// Half-life of a target's weight of slowness while it gets no sends.
 const LATENCY_HALF_LIFE: Millis = Millis::new(10_000);
 /// Part of the difference that one answer moves the mean latency by.
-pub(crate) const LATENCY_GAIN: f64 = 0.1;
+const LATENCY_GAIN: f64 = 0.1;
 /// The most that slowness alone multiplies the estimate by.
 const MAX_SLOWNESS: f64 = 4.0;
+/// What other daemons' load counts for against this daemon's own when targets are compared. The
+/// own is exact, the other's is old by about the time of one request.
+const FOREIGN_WEIGHT: f64 = 0.3;
+/// Costs that differ by less, in slots, are much the same.
+const COST_STEP: f64 = 0.5;
 /// When an estimate that says full may say otherwise.
 const ESTIMATE_RECHECK: Millis = Millis::new(50);
 
@@ -26,7 +29,10 @@
 pub(crate) enum Use {
     Open,
     Probe,
+    /// Full by its own word or by this daemon's sends.
     Busy(Millis),
+    /// Full by the estimate of what other daemons have there.
+    ThoughtFull(Millis),
     Aside(Millis),
     Closed,
 }
@@ -52,13 +58,12 @@
     pub(crate) foreign: ForeignLoad,
     pub(crate) health: Health,
     busy_until: Option<MonotonicMillis>,
-    busy_run: u32,
     latency_ms: Option<f64>,
     slowness: Decayed,
 }
 
 impl Target {
-    pub(crate) fn new(member: Member, salt: u64) -> Self {
+    pub(crate) fn new(member: Member, connections_allowed: Connections, salt: u64) -> Self {
         Self {
             health: Health::new(&member.vm, salt),
             member,
@@ -67,10 +72,9 @@
             health_checked_at: None,
             outstanding: 0,
             connections: 0,
-            connections_allowed: Connections::ZERO,
+            connections_allowed,
             foreign: ForeignLoad::default(),
             busy_until: None,
-            busy_run: 0,
             latency_ms: None,
             slowness: Decayed::new(LATENCY_HALF_LIFE),
         }
@@ -123,27 +127,36 @@
             Trust::Probing => Use::Aside(ESTIMATE_RECHECK),
             Trust::Probe | Trust::Full if full.is_some() => Use::Busy(full.unwrap_or_default()),
             Trust::Probe => Use::Probe,
+            Trust::Full if self.is_thought_full(context) => Use::ThoughtFull(ESTIMATE_RECHECK),
             Trust::Full => Use::Open,
         }
     }
 
-    /// How long the target counts as full, `None` if it has room.
+    /// Whether this daemon's sends and those of others fill the target's slots, by estimate.
+    fn is_thought_full(&self, context: &PickContext) -> bool {
+        let estimate = f64::from(self.outstanding) + self.foreign.get(context.now);
+        estimate + 1.0 > f64::from(context.slots)
+    }
+
+    /// How long the target is full by its own word or by this daemon's sends, `None` if not.
     fn full_for(&self, context: &PickContext) -> Option<Millis> {
         let own_most = context.slots.min(self.connections_allowed.get());
-        let estimate = f64::from(self.outstanding) + self.foreign.get(context.now);
         match self.busy_until {
             Some(until) if context.now < until => Some(until.since(context.now)),
             _ if self.outstanding >= own_most => Some(ESTIMATE_RECHECK),
-            _ if estimate + 1.0 > f64::from(context.slots) => Some(ESTIMATE_RECHECK),
             _ => None,
         }
     }
 
-    /// What a send to this target costs; the least is picked.
-    pub(crate) fn cost(&self, now: MonotonicMillis) -> f64 {
-        let load = f64::from(self.outstanding) + self.foreign.get(now);
+    /// What a send to this target costs, in [`COST_STEP`]; the least is picked.
+    ///
+    /// In steps, since a penalty that has all but faded would otherwise still lose each
+    /// comparison of idle targets.
+    pub(crate) fn cost(&self, now: MonotonicMillis) -> u64 {
+        let load = f64::from(self.outstanding) + FOREIGN_WEIGHT * self.foreign.get(now);
         let slowness = 1.0 + self.slowness.get(now);
-        (load + 1.0) * slowness / self.health.slow_start(now) + self.health.penalty(now)
+        let slots = (load + 1.0) * slowness / self.health.slow_start(now);
+        ((slots + self.health.penalty(now)) / COST_STEP).round() as u64
     }
 
     /// Notes an answer's latency against the pool's mean. Only answers count: a failure's
@@ -166,21 +179,22 @@
                     self.foreign.target_reported(now, load, self.outstanding);
                 }
             }
-            Finish::Failed { .. } | Finish::Abandoned => {}
+            Finish::Failed {
+                kind: FailureKind::Lost | FailureKind::Timeout,
+                ..
+            }
+            | Finish::Abandoned => self.foreign.left_running(now),
+            Finish::Failed { .. } => {}
         }
         match finish {
             Finish::NotRun {
                 reason: NotRunReason::Busy,
                 ..
-            } => self.said_busy(now),
+            } => self.busy_until = Some(now.after(BUSY_HOLD)),
             Finish::NotRun {
                 reason: NotRunReason::Leaving,
                 ..
             } => self.told_leaving = true,
-            Finish::Answered { .. } => {
-                self.busy_until = None;
-                self.busy_run = 0;
-            }
             _ => self.busy_until = None,
         }
     }
@@ -191,10 +205,4 @@
         let usual_ms = self.latency_ms.unwrap_or_default();
         kind != FailureKind::Timeout || waited_ms.get() as f64 >= usual_ms
     }
-
-    fn said_busy(&mut self, now: MonotonicMillis) {
-        let hold_ms = BUSY_HOLD.get() << self.busy_run.min(BUSY_DOUBLINGS);
-        self.busy_run += 1;
-        self.busy_until = Some(now.after(Millis::new(hold_ms)));
-    }
 }
--- /dev/null
+++ b/crates/vanillafold-policy/tests/retry.rs
@@ -0,0 +1,278 @@
+//! Retry decisions and the retry budget.
+
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use vanillafold_policy::baseline::UnlimitedRetries;
+use vanillafold_policy::{
+    AttemptFailure, Decision, MAX_REROUTES, MAX_SENDS, MIN_RETRIES_PER_SECOND, MIN_RETRY_REMAINING,
+    MonotonicMillis, NotRunReason, RETRY_BURST, RequestAttempts, RequestTerms, RetryAllowance,
+    RetryBudget, RetryReason, SplitMix, StopReason,
+};
+use vanillafold_types::{Millis, Outcome, Percent, ResultCode};
+
+const SEED: u64 = 0x5eed_0f1e;
+const PLENTY: Millis = Millis::new(10_000);
+const NOW: MonotonicMillis = MonotonicMillis::new(1_000);
+const FAILURES: [AttemptFailure; 9] = [
+    AttemptFailure::Connect,
+    AttemptFailure::NothingWritten,
+    AttemptFailure::NotRun(NotRunReason::Busy),
+    AttemptFailure::NotRun(NotRunReason::Leaving),
+    AttemptFailure::NotRun(NotRunReason::Refused),
+    AttemptFailure::Lost,
+    AttemptFailure::Timeout,
+    AttemptFailure::Malformed,
+    AttemptFailure::ServerError,
+];
+
+fn attempts(idempotent: bool) -> RequestAttempts {
+    RequestAttempts::new(RequestTerms {
+        idempotent,
+        body_replayable: true,
+    })
+}
+
+fn fail(attempts: &mut RequestAttempts, failure: AttemptFailure) -> Decision {
+    fail_with(attempts, failure, PLENTY)
+}
+
+fn fail_with(
+    attempts: &mut RequestAttempts,
+    failure: AttemptFailure,
+    remaining_ms: Millis,
+) -> Decision {
+    let mut rng = SplitMix::new(SEED);
+    attempts.failed(failure, remaining_ms, NOW, &mut UnlimitedRetries, &mut rng)
+}
+
+fn code(decision: Decision) -> Option<ResultCode> {
+    match decision {
+        Decision::GiveUp { code, .. } => Some(code),
+        _ => None,
+    }
+}
+
+/// A request with the failures that its attempts meet.
+#[derive(Debug, Clone)]
+struct Story {
+    idempotent: bool,
+    body_replayable: bool,
+    failures: Vec<(AttemptFailure, u64)>,
+}
+
+impl Arbitrary for Story {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let failures = (0..20).map(|_| {
+            let failure = *g.choose(&FAILURES).unwrap();
+            (failure, u64::arbitrary(g) % 100)
+        });
+        Self {
+            failures: failures.collect(),
+            idempotent: bool::arbitrary(g),
+            body_replayable: bool::arbitrary(g),
+        }
+    }
+}
+
+#[test]
+fn what_may_have_run_is_sent_again_only_if_idempotent_and_never_called_not_run() {
+    fn property(story: Story) -> bool {
+        let mut attempts = RequestAttempts::new(RequestTerms {
+            idempotent: story.idempotent,
+            body_replayable: story.body_replayable,
+        });
+        let mut may_have_run = false;
+        for (failure, remaining_ms) in story.failures {
+            may_have_run |= failure.may_have_run();
+            let remaining_ms = Millis::new(remaining_ms);
+            match fail_with(&mut attempts, failure, remaining_ms) {
+                Decision::Retry { after_ms, .. } => {
+                    assert!(story.idempotent || !may_have_run);
+                    assert!(after_ms < remaining_ms);
+                    assert!(remaining_ms >= MIN_RETRY_REMAINING);
+                }
+                Decision::PassAnswer { .. } => return failure == AttemptFailure::ServerError,
+                Decision::GiveUp { code, .. } => {
+                    let told_not_run = code.outcome() == Outcome::NotRun;
+                    return told_not_run != may_have_run;
+                }
+            }
+        }
+        false // Attempts without end.
+    }
+
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(50, SEED))
+        .tests(5_000)
+        .quickcheck(property as fn(Story) -> bool);
+}
+
+#[test]
+fn a_non_idempotent_request_is_sent_again_after_what_did_not_start() {
+    for failure in FAILURES {
+        let decision = fail(&mut attempts(false), failure);
+        let retried = matches!(decision, Decision::Retry { .. });
+        assert_eq!(retried, !failure.may_have_run(), "{failure:?}");
+    }
+}
+
+#[test]
+fn the_caller_is_told_what_is_known() {
+    let told = |failure| code(fail(&mut attempts(false), failure));
+    assert_eq!(told(AttemptFailure::Lost), Some(ResultCode::ConnectionLost));
+    assert_eq!(
+        told(AttemptFailure::Timeout),
+        Some(ResultCode::DeadlineAfterSend)
+    );
+    assert_eq!(
+        told(AttemptFailure::Malformed),
+        Some(ResultCode::MalformedAnswer)
+    );
+
+    let late = fail_with(&mut attempts(false), AttemptFailure::Connect, Millis::ZERO);
+    assert_eq!(code(late), Some(ResultCode::DeadlineBeforeStart));
+}
+
+#[test]
+fn a_refusal_after_an_earlier_attempt_that_may_have_run_says_so() {
+    let mut attempts = attempts(true);
+    let first = fail(&mut attempts, AttemptFailure::Lost);
+    assert!(matches!(first, Decision::Retry { .. }));
+
+    let second = fail_with(&mut attempts, AttemptFailure::Connect, Millis::ZERO);
+
+    assert_eq!(code(second), Some(ResultCode::DeadlineAfterSend));
+    assert_eq!(
+        attempts.refusal(ResultCode::NoTarget),
+        ResultCode::ConnectionLost
+    );
+}
+
+#[test]
+fn a_server_error_of_a_non_idempotent_request_is_passed_on() {
+    let decision = fail(&mut attempts(false), AttemptFailure::ServerError);
+
+    let reason = StopReason::NotIdempotent;
+    assert_eq!(decision, Decision::PassAnswer { reason });
+}
+
+#[test]
+fn a_body_that_is_gone_is_not_sent_again() {
+    let terms = RequestTerms {
+        idempotent: true,
+        body_replayable: false,
+    };
+    for failure in FAILURES {
+        let decision = fail(&mut RequestAttempts::new(terms), failure);
+        let untouched = matches!(
+            failure,
+            AttemptFailure::Connect | AttemptFailure::NothingWritten
+        );
+        let retried = matches!(decision, Decision::Retry { .. });
+        assert_eq!(retried, untouched, "{failure:?}");
+    }
+}
+
+#[test]
+fn reroutes_leave_the_budget_alone_and_end() {
+    let mut budget = RetryBudget::new(Percent::ZERO);
+    let mut rng = SplitMix::new(SEED);
+    let mut attempts = attempts(false);
+    let busy = AttemptFailure::NotRun(NotRunReason::Busy);
+
+    let mut reroutes = 0;
+    let last = loop {
+        match attempts.failed(busy, PLENTY, NOW, &mut budget, &mut rng) {
+            Decision::Retry { after_ms, reason } => {
+                assert_eq!((after_ms, reason), (Millis::ZERO, RetryReason::TargetBusy));
+                reroutes += 1;
+            }
+            last => break last,
+        }
+    };
+
+    assert_eq!(reroutes, MAX_REROUTES);
+    assert_eq!(code(last), Some(ResultCode::SendFailed));
+}
+
+#[test]
+fn sends_are_bounded() {
+    let mut attempts = attempts(true);
+    for _ in 1..MAX_SENDS {
+        let decision = fail(&mut attempts, AttemptFailure::Lost);
+        assert!(matches!(decision, Decision::Retry { .. }));
+    }
+
+    let last = fail(&mut attempts, AttemptFailure::Lost);
+
+    let reason = StopReason::MaxSends;
+    let code = ResultCode::ConnectionLost;
+    assert_eq!(last, Decision::GiveUp { code, reason });
+    assert_eq!(attempts.next_number(), MAX_SENDS + 1);
+}
+
+/// First sends and wishes for a retry, each some milliseconds after the one before.
+#[derive(Debug, Clone)]
+struct Traffic {
+    percent: u8,
+    events: Vec<(u64, bool)>,
+}
+
+impl Arbitrary for Traffic {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let gap_ms = [0, 0, 0, 1, 1, 5, 40, 700];
+        let events = (0..200).map(|_| (*g.choose(&gap_ms).unwrap(), bool::arbitrary(g)));
+        Self {
+            events: events.collect(),
+            percent: u8::arbitrary(g) % 101,
+        }
+    }
+}
+
+#[test]
+fn in_any_window_retries_stay_within_the_budget() {
+    fn property(traffic: Traffic) -> bool {
+        let mut budget = RetryBudget::new(Percent::new(traffic.percent));
+        let mut now_ms = 0;
+        let mut sends = Vec::new();
+        let mut retries = Vec::new();
+        for (gap_ms, is_send) in traffic.events {
+            now_ms += gap_ms;
+            let now = MonotonicMillis::new(now_ms);
+            if is_send {
+                budget.first_sent(now);
+                sends.push(now_ms);
+            } else if budget.try_spend(now) {
+                retries.push(now_ms);
+            }
+        }
+        let within = |times: &[u64], from: u64, to: u64| {
+            times.iter().filter(|at| (from..=to).contains(*at)).count() as u64
+        };
+        retries.iter().enumerate().all(|(index, from)| {
+            retries[index..].iter().all(|to| {
+                let sends = within(&sends, *from, *to);
+                let by_percent = sends * u64::from(traffic.percent) * 10;
+                let by_time = (to - from) * MIN_RETRIES_PER_SECOND;
+                within(&retries, *from, *to) * 1_000 <= by_percent + by_time + RETRY_BURST * 1_000
+            })
+        })
+    }
+
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(50, SEED))
+        .tests(300)
+        .quickcheck(property as fn(Traffic) -> bool);
+}
+
+#[test]
+fn a_quiet_queue_may_retry_and_a_percentage_of_zero_never() {
+    let mut quiet = RetryBudget::new(Percent::new(10));
+    let mut closed = RetryBudget::new(Percent::ZERO);
+    quiet.first_sent(NOW);
+    closed.first_sent(NOW);
+
+    assert!(quiet.try_spend(NOW));
+    assert!(!quiet.try_spend(NOW));
+    assert!(quiet.try_spend(NOW.after(Millis::new(1_000))));
+    assert!(!closed.try_spend(NOW.after(Millis::new(60_000))));
+}
--- /dev/null
+++ b/crates/vanillafold-policy/tests/routing.rs
@@ -0,0 +1,430 @@
+//! Which target is picked, and how failing, full and leaving ones come and go.
+
+mod fixtures;
+
+use fixtures::{answered, at, daemon, failed, leaving, member, not_run, pick, start, table, vm};
+use vanillafold_policy::{
+    FailureKind, Finish, HealthAnswer, MonotonicMillis, NotRunReason, PickOptions, PickRefusal,
+    SplitMix, Standing, TargetTable,
+};
+use vanillafold_types::{Connections, Millis, Slots, VmId};
+
+const SEED: u64 = 7;
+/// No target is set aside for longer than this without being probed.
+const LONGEST_ASIDE: Millis = Millis::new(60_000);
+
+fn rng() -> SplitMix {
+    SplitMix::new(SEED)
+}
+
+fn standing(table: &TargetTable, now: MonotonicMillis, vm: &VmId) -> Standing {
+    let view = table.views(now).find(|view| view.vm == vm);
+    view.expect("the target is in the table").standing
+}
+
+/// Sends one request after another; those that `fails` names fail, others are answered.
+fn send_each(
+    table: &mut TargetTable,
+    now: MonotonicMillis,
+    rng: &mut SplitMix,
+    sends: usize,
+    fails: impl Fn(&VmId) -> bool,
+) -> Vec<VmId> {
+    let mut picked_vms = Vec::new();
+    for _ in 0..sends {
+        let Ok(picked) = start(table, now, rng) else {
+            break;
+        };
+        picked_vms.push(picked.vm().clone());
+        let finish = match fails(picked.vm()) {
+            true => failed(FailureKind::ServerError),
+            false => answered(),
+        };
+        table.finished(picked, now, finish);
+    }
+    picked_vms
+}
+
+/// A table of four targets whose first was set aside for failures, and when that was.
+fn with_one_aside(rng: &mut SplitMix) -> (TargetTable, u64) {
+    let mut table = table((0..4).map(|index| member(index, "a")).collect());
+    for ms in 0..60_000 {
+        send_each(&mut table, at(ms), rng, 1, |target| *target == vm(0));
+        if standing(&table, at(ms), &vm(0)) == Standing::SetAside {
+            return (table, ms);
+        }
+    }
+    panic!("the failing target was never set aside");
+}
+
+/// When the first target may be probed, from `since_ms` on.
+fn probe_due(table: &TargetTable, since_ms: u64) -> u64 {
+    (since_ms..)
+        .find(|ms| standing(table, at(*ms), &vm(0)) == Standing::HalfOpen)
+        .expect("a time aside ends")
+}
+
+#[test]
+fn the_own_zone_comes_first_and_others_when_it_is_full() {
+    let mut rng = rng();
+    let mut table = table(vec![member(0, "a"), member(1, "b"), member(2, "c")]);
+
+    let vms: Vec<VmId> = (0..=fixtures::SLOTS)
+        .map(|_| start(&mut table, at(1), &mut rng).unwrap().vm().clone())
+        .collect();
+
+    let (last, first) = vms.split_last().unwrap();
+    assert!(first.iter().all(|picked| *picked == vm(0)));
+    assert_ne!(*last, vm(0));
+}
+
+#[test]
+fn idle_targets_get_even_shares() {
+    for count in [2, 3, 12] {
+        let mut table = table((0..count).map(|index| member(index, "a")).collect());
+        let vms = send_each(&mut table, at(1), &mut rng(), 1_200, |_| false);
+
+        for index in 0..count {
+            let share = vms.iter().filter(|picked| **picked == vm(index)).count();
+            assert!(share * count > 600, "{share} of 1200 to one of {count}");
+        }
+    }
+}
+
+#[test]
+fn a_target_that_failed_once_is_used_again_in_an_idle_pool() {
+    let mut rng = rng();
+    let mut table = table(vec![member(0, "a"), member(1, "a")]);
+    send_each(&mut table, at(1), &mut rng, 20, |target| *target == vm(0));
+
+    let later = send_each(&mut table, at(20_000), &mut rng, 20, |_| false);
+
+    assert!(later.contains(&vm(0)));
+}
+
+#[test]
+fn a_full_pool_is_refused_as_busy() {
+    let mut rng = rng();
+    let mut table = table(vec![member(0, "a")]);
+    for _ in 0..fixtures::SLOTS {
+        let _outstanding = start(&mut table, at(1), &mut rng).unwrap();
+    }
+
+    let refusal = start(&mut table, at(1), &mut rng).unwrap_err();
+
+    assert!(matches!(refusal, PickRefusal::AllBusy { .. }));
+}
+
+#[test]
+fn an_empty_pool_and_a_pool_that_leaves_have_no_target() {
+    for members in [vec![], vec![leaving(0, "a")]] {
+        let table = table(members);
+
+        let refusal = pick(&table, at(1), &mut rng(), true).unwrap_err();
+
+        assert_eq!(refusal, PickRefusal::NoTarget);
+    }
+}
+
+#[test]
+fn exclusions_are_kept_and_named() {
+    let table = table(vec![member(0, "a")]);
+    let options = PickOptions {
+        idempotent: true,
+        exclude: &[vm(0)],
+    };
+
+    let refusal = table.pick(at(1), &mut rng(), options).unwrap_err();
+
+    assert_eq!(refusal, PickRefusal::AllExcluded);
+}
+
+#[test]
+fn a_target_that_says_leaving_gets_nothing_until_its_health_check_says_live() {
+    let mut rng = rng();
+    let mut table = table(vec![member(0, "a")]);
+    let picked = start(&mut table, at(1), &mut rng).unwrap();
+    table.finished(picked, at(2), not_run(NotRunReason::Leaving));
+
+    // The lagging list still calls it live.
+    table.set_members(vec![member(0, "a")]);
+
+    let much_later = at(10_000_000);
+    let refused = pick(&table, much_later, &mut rng, true);
+    assert_eq!(refused.unwrap_err(), PickRefusal::NoTarget);
+    assert_eq!(table.due_health_checks(much_later).len(), 1);
+    table.health_checked(&vm(0), much_later, HealthAnswer::Live { load: None });
+    assert!(pick(&table, much_later, &mut rng, true).is_ok());
+}
+
+#[test]
+fn a_target_that_said_leaving_is_back_when_the_list_shows_it_gone_and_live() {
+    let mut rng = rng();
+    let mut table = table(vec![member(0, "a")]);
+    let picked = start(&mut table, at(1), &mut rng).unwrap();
+    table.finished(picked, at(2), not_run(NotRunReason::Leaving));
+
+    table.set_members(vec![leaving(0, "a")]);
+    table.set_members(vec![member(0, "a")]);
+
+    assert!(pick(&table, at(3), &mut rng, true).is_ok());
+}
+
+#[test]
+fn work_may_not_be_written_to_a_target_that_started_leaving_after_the_pick() {
+    let mut table = table(vec![member(0, "a")]);
+    let picked = start(&mut table, at(1), &mut rng()).unwrap();
+    assert!(table.takes_work(picked.vm()));
+
+    table.set_members(vec![leaving(0, "a")]);
+
+    assert!(!table.takes_work(picked.vm()));
+    assert!(!table.may_connect(picked.vm()));
+    table.finished(picked, at(2), answered());
+}
+
+#[test]
+fn a_removed_target_is_kept_until_its_last_send_and_connection_end() {
+    let mut table = table(vec![member(0, "a")]);
+    let picked = start(&mut table, at(1), &mut rng()).unwrap();
+    table.connection_opened(&vm(0));
+    table.set_members(vec![]);
+
+    table.finished(picked, at(2), answered());
+    assert_eq!(table.views(at(2)).count(), 1);
+    table.connection_closed(&vm(0));
+    assert_eq!(table.views(at(2)).count(), 0);
+}
+
+#[test]
+fn connections_stop_at_the_share() {
+    let mut table = table(vec![member(0, "a")]);
+    table.set_daemons((0..9).map(|index| daemon(index, "a")).collect());
+    let mut opened = 0;
+
+    while table.may_connect(&vm(0)) {
+        table.connection_opened(&vm(0));
+        opened += 1;
+    }
+
+    let view = table.views(at(1)).next().unwrap();
+    assert_eq!(view.connections, view.connections_allowed);
+    assert_eq!(view.connections, Connections::new(opened));
+    assert!(9 * opened <= fixtures::LIMITS.connections_per_vm.get());
+}
+
+#[test]
+fn a_busy_target_is_left_alone_until_one_of_ours_ends() {
+    let mut rng = rng();
+    let mut table = table(vec![member(0, "a")]);
+    let first = start(&mut table, at(1), &mut rng).unwrap();
+    let second = start(&mut table, at(1), &mut rng).unwrap();
+
+    table.finished(second, at(2), not_run(NotRunReason::Busy));
+    let refused = pick(&table, at(2), &mut rng, true);
+    assert!(matches!(refused, Err(PickRefusal::AllBusy { .. })));
+
+    table.finished(first, at(3), answered());
+    assert!(pick(&table, at(3), &mut rng, true).is_ok());
+}
+
+#[test]
+fn a_target_full_of_the_work_of_others_is_passed_over() {
+    let mut rng = rng();
+    let mut table = table(vec![member(0, "a"), member(1, "a")]);
+    table.peers_reported(&vm(0), at(1), Slots::new(fixtures::SLOTS));
+
+    for _ in 0..fixtures::SLOTS {
+        let picked = start(&mut table, at(2), &mut rng).unwrap();
+        assert_eq!(*picked.vm(), vm(1));
+    }
+}
+
+#[test]
+fn a_daemon_below_its_share_tries_a_pool_thought_full() {
+    let mut rng = rng();
+    let mut table = table(vec![member(0, "a")]);
+    table.set_daemons(vec![daemon(0, "a"), daemon(1, "a")]);
+    table.peers_reported(&vm(0), at(1), Slots::new(fixtures::SLOTS));
+
+    let tried = (0..).map_while(|_| start(&mut table, at(2), &mut rng).ok());
+
+    assert_eq!(tried.count(), fixtures::SLOTS as usize / 2);
+}
+
+#[test]
+fn a_failing_target_is_set_aside_even_after_a_long_good_time() {
+    let mut rng = rng();
+    let mut table = table((0..12).map(|index| member(index, "a")).collect());
+    send_each(&mut table, at(1), &mut rng, 20_000, |_| false);
+
+    let mut after = Vec::new();
+    for ms in 2..60_000 {
+        let picked = send_each(&mut table, at(ms), &mut rng, 1, |target| *target == vm(0));
+        after.extend(picked);
+    }
+
+    assert_eq!(standing(&table, at(60_000), &vm(0)), Standing::SetAside);
+    let to_failing = after.iter().filter(|target| **target == vm(0)).count();
+    assert!(
+        to_failing * 100 <= after.len(),
+        "{to_failing} of {}",
+        after.len()
+    );
+}
+
+#[test]
+fn a_target_set_aside_comes_back_by_probes_one_at_a_time() {
+    let mut rng = rng();
+    let (mut table, aside_ms) = with_one_aside(&mut rng);
+    let now = at(aside_ms).after(LONGEST_ASIDE);
+
+    let probe = start(&mut table, now, &mut rng).unwrap();
+    assert!(probe.is_probe());
+    let other = start(&mut table, now, &mut rng).unwrap();
+    assert!(!other.is_probe(), "two probes at a time");
+
+    table.finished(probe, now, answered());
+    table.finished(other, now, answered());
+    send_each(&mut table, now, &mut rng, 10, |_| false);
+    assert_eq!(standing(&table, now, &vm(0)), Standing::Open);
+}
+
+#[test]
+fn a_failed_probe_doubles_the_time_aside() {
+    let mut rng = rng();
+    let (mut table, mut now_ms) = with_one_aside(&mut rng);
+    let mut gaps_ms = Vec::new();
+
+    for _ in 0..4 {
+        let since_ms = now_ms;
+        now_ms = probe_due(&table, since_ms);
+        gaps_ms.push(now_ms - since_ms);
+        let probe = start(&mut table, at(now_ms), &mut rng).unwrap();
+        assert!(probe.is_probe());
+        table.finished(probe, at(now_ms), failed(FailureKind::Connect));
+    }
+
+    let growing = gaps_ms.windows(2).all(|pair| pair[1] * 2 > pair[0] * 3);
+    assert!(growing, "{gaps_ms:?}");
+}
+
+#[test]
+fn a_probe_waits_for_an_idempotent_request_but_not_for_ever() {
+    let mut rng = rng();
+    let (table, aside_ms) = with_one_aside(&mut rng);
+    let due_ms = probe_due(&table, aside_ms);
+
+    let soon = pick(&table, at(due_ms), &mut rng, false).unwrap();
+    let idempotent = pick(&table, at(due_ms), &mut rng, true).unwrap();
+
+    assert!(!soon.is_probe());
+    assert!(idempotent.is_probe());
+    let later = at(due_ms).after(LONGEST_ASIDE);
+    let alone = with_only_first_left(table);
+    assert!(pick(&alone, later, &mut rng, false).unwrap().is_probe());
+}
+
+/// The same table, with all but the first target gone.
+fn with_only_first_left(mut table: TargetTable) -> TargetTable {
+    table.set_members(vec![member(0, "a")]);
+    table
+}
+
+#[test]
+fn a_failed_health_check_prolongs_the_time_aside() {
+    let mut rng = rng();
+    let (mut table, aside_ms) = with_one_aside(&mut rng);
+    let due_ms = probe_due(&table, aside_ms);
+
+    let due = table.due_health_checks(at(due_ms));
+    assert_eq!(due.first().map(|check| &check.vm), Some(&vm(0)));
+    table.health_checked(&vm(0), at(due_ms), HealthAnswer::Failed);
+
+    assert_eq!(standing(&table, at(due_ms), &vm(0)), Standing::SetAside);
+}
+
+#[test]
+fn requests_that_fail_everywhere_set_no_target_aside() {
+    let mut rng = rng();
+    let mut draw = SplitMix::new(SEED + 1);
+    let mut table = table((0..12).map(|index| member(index, "a")).collect());
+
+    for ms in 0..20_000 {
+        let picked = start(&mut table, at(ms), &mut rng).unwrap();
+        let finish = match draw.below(100) < 60 {
+            true => failed(FailureKind::ServerError),
+            false => answered(),
+        };
+        table.finished(picked, at(ms), finish);
+    }
+
+    let aside = table
+        .views(at(20_000))
+        .filter(|view| view.standing != Standing::Open);
+    assert_eq!(aside.count(), 0);
+}
+
+#[test]
+fn a_pool_that_fails_as_a_whole_is_still_tried_and_back_within_a_second() {
+    let mut rng = rng();
+    let mut table = table((0..12).map(|index| member(index, "a")).collect());
+    send_each(&mut table, at(0), &mut rng, 1_000, |_| false);
+    for ms in 0..10_000 {
+        send_each(&mut table, at(ms), &mut rng, 2, |_| true);
+    }
+    assert!(pick(&table, at(10_200), &mut rng, true).is_ok());
+    assert!(pick(&table, at(10_200), &mut rng, false).is_ok());
+
+    for ms in 10_200..11_200 {
+        send_each(&mut table, at(ms), &mut rng, 2, |_| false);
+    }
+
+    let open = table
+        .views(at(11_200))
+        .filter(|view| view.standing == Standing::Open);
+    assert_eq!(open.count(), 12);
+}
+
+#[test]
+fn deadlines_shorter_than_the_work_set_no_target_aside() {
+    let mut rng = rng();
+    let mut table = table((0..4).map(|index| member(index, "a")).collect());
+    send_each(&mut table, at(1), &mut rng, 100, |_| false);
+
+    for ms in 2..20_000 {
+        let picked = start(&mut table, at(ms), &mut rng).unwrap();
+        let only_first = *picked.vm() == vm(0);
+        let finish = match only_first {
+            true => failed(FailureKind::Timeout),
+            false => answered(),
+        };
+        table.finished(picked, at(ms), finish);
+    }
+
+    assert_ne!(standing(&table, at(20_000), &vm(0)), Standing::SetAside);
+}
+
+#[test]
+fn work_given_up_on_still_counts_as_load() {
+    let mut rng = rng();
+    let mut table = table(vec![member(0, "a")]);
+    for _ in 0..fixtures::SLOTS {
+        let picked = start(&mut table, at(1), &mut rng).unwrap();
+        table.finished(picked, at(1), Finish::Abandoned);
+    }
+
+    let view = table.views(at(1)).next().unwrap();
+
+    assert_eq!(view.outstanding, Slots::ZERO);
+    assert_eq!(view.foreign, Slots::new(fixtures::SLOTS));
+}
+
+#[test]
+#[should_panic(expected = "finished but not started")]
+fn a_send_that_was_not_started_cannot_end() {
+    let mut table = table(vec![member(0, "a")]);
+    let picked = pick(&table, at(1), &mut rng(), true).unwrap();
+
+    table.finished(picked, at(2), answered());
+}
--- /dev/null
+++ b/crates/vanillafold-policy/tests/routing_properties.rs
@@ -0,0 +1,246 @@
+//! Properties of the target table under random sequences of what can happen to it.
+
+mod fixtures;
+
+use fixtures::{any_finish, at, daemon, leaving, member, table, vm};
+use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
+use vanillafold_policy::{
+    Finish, HealthAnswer, Member, MonotonicMillis, NotRunReason, PickOptions, PickedTarget,
+    SplitMix, Standing, TargetTable, TargetView,
+};
+use vanillafold_types::{Slots, VmId};
+
+const MAX_VMS: usize = 10;
+const SEED: u64 = 0x0b5e_55ed;
+
+#[derive(Debug, Clone)]
+enum Step {
+    Pick { idempotent: bool, exclude: usize },
+    Finish { which: usize, finish: Finish },
+    SetMembers(Vec<Presence>),
+    SetDaemons(usize),
+    PeersReported { vm: usize, load: u32 },
+    HealthChecked { vm: usize, answer: HealthAnswer },
+    Wait { ms: u64 },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Presence {
+    Live,
+    Leaving,
+    Absent,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let answers = [
+            HealthAnswer::Live { load: None },
+            HealthAnswer::Leaving,
+            HealthAnswer::Failed,
+        ];
+        let presences = [
+            Presence::Live,
+            Presence::Live,
+            Presence::Leaving,
+            Presence::Absent,
+        ];
+        match u8::arbitrary(g) % 20 {
+            0..=8 => Self::Pick {
+                idempotent: bool::arbitrary(g),
+                exclude: usize::arbitrary(g) % (2 * MAX_VMS),
+            },
+            9..=14 => Self::Finish {
+                which: usize::arbitrary(g),
+                finish: any_finish(g),
+            },
+            15 => Self::SetMembers(
+                (0..MAX_VMS)
+                    .map(|_| *g.choose(&presences).unwrap())
+                    .collect(),
+            ),
+            16 => Self::SetDaemons(1 + usize::arbitrary(g) % 100),
+            17 => Self::PeersReported {
+                vm: usize::arbitrary(g) % MAX_VMS,
+                load: u32::arbitrary(g) % 12,
+            },
+            18 => Self::HealthChecked {
+                vm: usize::arbitrary(g) % MAX_VMS,
+                answer: *g.choose(&answers).unwrap(),
+            },
+            _ => Self::Wait {
+                ms: u64::arbitrary(g) % 3_000,
+            },
+        }
+    }
+}
+
+/// The table with what the test knows about it.
+struct Model {
+    table: TargetTable,
+    rng: SplitMix,
+    now: MonotonicMillis,
+    presence: Vec<Presence>,
+    told_leaving: Vec<bool>,
+    started: Vec<PickedTarget>,
+}
+
+impl Model {
+    fn new(seed: u64) -> Self {
+        let mut model = Self {
+            table: table(Vec::new()),
+            rng: SplitMix::new(seed),
+            now: at(0),
+            presence: Vec::new(),
+            told_leaving: vec![false; MAX_VMS],
+            started: Vec::new(),
+        };
+        model.set_members(&[Presence::Live; MAX_VMS]);
+        model
+    }
+
+    fn apply(&mut self, step: &Step) {
+        match step {
+            Step::Pick {
+                idempotent,
+                exclude,
+            } => self.pick(*idempotent, *exclude),
+            Step::Finish { which, finish } => self.finish(*which, *finish),
+            Step::SetMembers(presence) => self.set_members(presence),
+            Step::SetDaemons(count) => {
+                let daemons = (0..*count).map(|index| daemon(index, zone(index)));
+                self.table.set_daemons(daemons.collect());
+            }
+            Step::PeersReported { vm: index, load } => {
+                let load = Slots::new(*load);
+                self.table.peers_reported(&vm(*index), self.now, load);
+            }
+            Step::HealthChecked { vm: index, answer } => {
+                self.table.health_checked(&vm(*index), self.now, *answer);
+                match answer {
+                    HealthAnswer::Live { .. } => self.told_leaving[*index] = false,
+                    HealthAnswer::Leaving => self.told_leaving[*index] = true,
+                    HealthAnswer::Failed => {}
+                }
+            }
+            Step::Wait { ms } => self.now = at(self.now.get() + ms),
+        }
+        self.check();
+    }
+
+    fn pick(&mut self, idempotent: bool, exclude: usize) {
+        let excluded = [vm(exclude)];
+        let options = PickOptions {
+            idempotent,
+            exclude: &excluded,
+        };
+        let Ok(picked) = self.table.pick(self.now, &mut self.rng, options) else {
+            return;
+        };
+        let index = index_of(picked.vm());
+        assert_ne!(index, exclude, "an excluded target was picked");
+        assert_eq!(self.presence[index], Presence::Live, "{picked:?}");
+        assert!(
+            !self.told_leaving[index],
+            "{picked:?} said that it is leaving"
+        );
+        self.check_trust(&picked);
+        self.table.started(&picked);
+        self.started.push(picked);
+    }
+
+    /// A target set aside is not picked; one that may be probed is picked only as a probe.
+    fn check_trust(&self, picked: &PickedTarget) {
+        let standing = self.view(picked.vm(), |view| view.standing);
+        match standing {
+            Standing::HalfOpen => assert!(picked.is_probe()),
+            Standing::Open | Standing::Busy => assert!(!picked.is_probe()),
+            other => panic!("{picked:?} is {other:?}"),
+        }
+    }
+
+    fn finish(&mut self, which: usize, finish: Finish) {
+        if self.started.is_empty() {
+            return;
+        }
+        let picked = self.started.swap_remove(which % self.started.len());
+        let index = index_of(picked.vm());
+        if let Finish::NotRun {
+            reason: NotRunReason::Leaving,
+            ..
+        } = finish
+        {
+            // An answer from before the target left the list says nothing about its next start.
+            self.told_leaving[index] = self.presence[index] != Presence::Absent;
+        }
+        self.table.finished(picked, self.now, finish);
+    }
+
+    fn set_members(&mut self, presence: &[Presence]) {
+        let members: Vec<Member> = presence
+            .iter()
+            .enumerate()
+            .filter_map(|(index, presence)| match presence {
+                Presence::Live => Some(member(index, zone(index))),
+                Presence::Leaving => Some(leaving(index, zone(index))),
+                Presence::Absent => None,
+            })
+            .collect();
+        for (index, new) in presence.iter().enumerate() {
+            let was_live = self.presence.get(index) == Some(&Presence::Live);
+            if !was_live && *new != Presence::Leaving {
+                self.told_leaving[index] = false;
+            }
+            if self.presence.get(index) == Some(&Presence::Absent) {
+                self.told_leaving[index] = false;
+            }
+        }
+        self.presence = presence.to_vec();
+        self.table.set_members(members);
+    }
+
+    /// What holds after each step.
+    fn check(&self) {
+        for view in self.table.views(self.now) {
+            let started = self.started.iter().filter(|picked| picked.vm() == view.vm);
+            assert_eq!(view.outstanding.get() as usize, started.count(), "{view:?}");
+            assert!(view.outstanding.get() <= fixtures::SLOTS, "{view:?}");
+        }
+        let known = self.table.outstanding().get() as usize;
+        assert_eq!(known, self.started.len(), "a started send was forgotten");
+    }
+
+    fn view<T>(&self, vm: &VmId, part: impl Fn(&TargetView<'_>) -> T) -> T {
+        let view = self.table.views(self.now).find(|view| view.vm == vm);
+        part(&view.expect("a picked target is in the table"))
+    }
+}
+
+fn index_of(vm: &VmId) -> usize {
+    vm.as_str().trim_start_matches("vm-").parse().unwrap()
+}
+
+fn zone(index: usize) -> &'static str {
+    ["a", "b", "c"][index % 3]
+}
+
+#[test]
+fn picks_only_what_takes_work_and_pairs_every_start_with_a_finish() {
+    fn property(seed: u64, steps: Vec<Step>) -> TestResult {
+        let mut model = Model::new(seed);
+        for step in steps {
+            model.apply(&step);
+        }
+        while !model.started.is_empty() {
+            model.apply(&Step::Finish {
+                which: 0,
+                finish: Finish::Abandoned,
+            });
+        }
+        TestResult::from_bool(model.table.outstanding() == Slots::ZERO)
+    }
+
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(400, SEED))
+        .tests(400)
+        .quickcheck(property as fn(u64, Vec<Step>) -> TestResult);
+}
