--- /dev/null
+++ b/crates/vanillafold-standin/tests/recovery.rs
@@ -0,0 +1,303 @@
+//! Daemons that have lost the platform's log, or find it gone, over real processes.
+
+mod common;
+
+use std::env;
+use std::fs;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use common::{block_on, headers, request};
+use http::Method;
+use vanillafold_standin::rig::{Child, Cluster, DaemonPlace, Layout, RigError};
+use vanillafold_types::ResultCode;
+
+const POOLS: [&str; 1] = ["quotes"];
+const CATALOGUE: &str = "\
+[pool quotes]
+owner = ops@shop.example
+class = normal
+
+[queue opening-hours]
+owner = ops@shop.example
+class = normal
+pool = quotes
+open = yes
+";
+/// Long enough that only a fault of the code reaches it.
+const LIMIT: Duration = Duration::from_secs(60);
+
+// --- Fixtures ----------------------------------------------------------------------------------
+
+/// Where cargo puts the programs of this build.
+fn programs() -> PathBuf {
+    let test = env::current_exe().expect("the test's own path");
+    let deps = test.parent().expect("a folder of tests");
+    deps.parent().expect("a folder of programs").to_owned()
+}
+
+fn start(rig: u8, zones: u8, daemons: u8) -> Cluster {
+    let programs = programs();
+    assert!(
+        programs.join("vanillafold").exists(),
+        "build the programs first: cargo build --workspace --all-targets"
+    );
+    let directory = env::temp_dir().join(format!("vanillafold-recovery-{rig}"));
+    let layout = Layout::new(rig, zones, daemons, &POOLS, 1);
+    Cluster::start(layout, &[], CATALOGUE, &directory, &programs).expect("a cluster")
+}
+
+fn places(cluster: &Cluster) -> Vec<DaemonPlace> {
+    cluster.layout.daemons().cloned().collect()
+}
+
+/// Fills a stream with records that the fold refuses.
+fn fill(cluster: &Cluster, stream: &str, records: usize) {
+    for _ in 0..records {
+        let path = format!("/log/{stream}");
+        cluster
+            .call(Method::POST, cluster.layout.platform, &path, "no record")
+            .expect("an append");
+    }
+}
+
+fn is_ready(cluster: &Cluster, place: &DaemonPlace) -> bool {
+    let ready = cluster.call(Method::GET, place.admin, "/ready", "");
+    ready.is_ok()
+}
+
+/// The value of `name` on the state page; empty without an answer.
+fn state(cluster: &Cluster, place: &DaemonPlace, name: &str) -> String {
+    let page = cluster.call(Method::GET, place.admin, "/state", "");
+    let page = page.unwrap_or_default();
+    let prefix = format!("{name}=");
+    let value = page.lines().find_map(|line| line.strip_prefix(&prefix));
+    value.unwrap_or_default().to_owned()
+}
+
+/// The sum of a counter over its labels.
+fn counter(cluster: &Cluster, place: &DaemonPlace, name: &str) -> u64 {
+    let page = cluster.call(Method::GET, place.admin, "/metrics", "");
+    let page = page.unwrap_or_default();
+    let values = page.lines().filter(|line| line.starts_with(name));
+    values
+        .filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok())
+        .sum()
+}
+
+fn snapshots_written(cluster: &Cluster) -> u64 {
+    let places = places(cluster);
+    places
+        .iter()
+        .map(|place| counter(cluster, place, "vanillafold_snapshots_written_total"))
+        .sum()
+}
+
+fn wait(cluster: &Cluster, what: &str, condition: impl FnMut(&Cluster) -> bool) {
+    let waited: Result<(), RigError> = cluster.wait_until(what, LIMIT, condition);
+    waited.unwrap_or_else(|error| panic!("{error}"));
+}
+
+fn same_state(cluster: &Cluster, a: &DaemonPlace, b: &DaemonPlace) -> bool {
+    ["catalogue_next", "control_next", "digest"]
+        .iter()
+        .all(|name| {
+            let value = state(cluster, a, name);
+            !value.is_empty() && value == state(cluster, b, name)
+        })
+}
+
+/// Asks the open queue without a key; the answer's result code, the largest number without one.
+fn ask(place: &DaemonPlace) -> u16 {
+    let path = "/queues/opening-hours/today";
+    let answer = block_on(request(place.callers, Method::GET, path, &headers(&[]), ""));
+    let Ok(answer) = answer else {
+        return u16::MAX;
+    };
+    let code = answer.headers().get("vf-result-code");
+    code.and_then(|code| code.to_str().ok()?.parse().ok())
+        .unwrap_or(u16::MAX)
+}
+
+fn is_answered(place: &DaemonPlace) -> bool {
+    ask(place) == ResultCode::Answered.number()
+}
+
+/// Starts a daemon of the cluster whose platform is an address where nobody listens.
+fn start_without_platform(cluster: &Cluster, place: &DaemonPlace) -> Child {
+    let path = cluster.directory().join(format!("{}.ini", place.name));
+    let text = fs::read_to_string(&path).expect("settings");
+    let platform = cluster.layout.platform;
+    let nobody = format!("{}:9", platform.ip());
+    let text = text.replace(&platform.to_string(), &nobody);
+    let path = cluster.directory().join(format!("{}-cut.ini", place.name));
+    fs::write(&path, text).expect("written settings");
+    let arguments = [path.display().to_string()];
+    let program = cluster.program("vanillafold");
+    Child::start(&place.name, &program, &arguments, cluster.directory()).expect("a daemon")
+}
+
+// --- Snapshots and the start from them ---------------------------------------------------------
+
+#[test]
+fn a_daemon_starts_from_a_snapshot_when_the_first_records_were_dropped() {
+    // Arrange: a log that keeps 200 records and has dropped the catalogue.
+    let mut cluster = start(81, 1, 3);
+    let daemons = places(&cluster);
+    let faults = "retention_records=200\nappend_rate=100000";
+    cluster.set_platform_faults(faults).expect("faults");
+    fill(&cluster, "control", 250);
+    fill(&cluster, "catalogue", 250);
+    wait(&cluster, "a snapshot", |cluster| {
+        snapshots_written(cluster) > 0
+    });
+
+    // Act
+    cluster.kill_daemon(&daemons[0].name).expect("killed");
+    cluster.start_daemon(&daemons[0].name).expect("started");
+
+    // Assert
+    wait(&cluster, "the start", |cluster| {
+        is_ready(cluster, &daemons[0])
+    });
+    wait(&cluster, "the same state", |cluster| {
+        same_state(cluster, &daemons[0], &daemons[1])
+    });
+    wait(&cluster, "an answer", |_| is_answered(&daemons[0]));
+}
+
+#[test]
+fn every_daemon_starts_from_a_snapshot_when_no_peer_is_left() {
+    // Arrange
+    let mut cluster = start(82, 1, 2);
+    let daemons = places(&cluster);
+    let faults = "retention_records=200\nappend_rate=100000";
+    cluster.set_platform_faults(faults).expect("faults");
+    fill(&cluster, "catalogue", 250);
+    fill(&cluster, "control", 250);
+    wait(&cluster, "a snapshot", |cluster| {
+        snapshots_written(cluster) > 0
+    });
+
+    // Act: all are gone at once, and come back.
+    for daemon in &daemons {
+        cluster.kill_daemon(&daemon.name).expect("killed");
+    }
+    for daemon in &daemons {
+        cluster.start_daemon(&daemon.name).expect("started");
+    }
+
+    // Assert
+    wait(&cluster, "the start", |cluster| {
+        daemons.iter().all(|daemon| is_ready(cluster, daemon))
+    });
+    wait(&cluster, "an answer", |_| is_answered(&daemons[0]));
+}
+
+#[test]
+fn a_daemon_is_not_ready_without_records_and_without_a_snapshot() {
+    // Arrange: all daemons are gone when the records are dropped.
+    let mut cluster = start(83, 1, 2);
+    let daemons = places(&cluster);
+    for daemon in &daemons {
+        cluster.kill_daemon(&daemon.name).expect("killed");
+    }
+    let faults = "retention_records=10\nappend_rate=100000";
+    cluster.set_platform_faults(faults).expect("faults");
+    fill(&cluster, "catalogue", 30);
+
+    // Act
+    cluster.start_daemon(&daemons[0].name).expect("started");
+    let failures = "vanillafold_control_failures_total{what=\"records_dropped\"}";
+    wait(&cluster, "looks for a snapshot", |cluster| {
+        counter(cluster, &daemons[0], failures) >= 3
+    });
+
+    // Assert
+    assert!(!is_ready(&cluster, &daemons[0]));
+    assert_eq!(ask(&daemons[0]), ResultCode::NotReady.number());
+}
+
+#[test]
+fn a_snapshot_is_written_once_by_the_fleet() {
+    // Arrange
+    let cluster = start(84, 2, 3);
+    let faults = "retention_records=400\nappend_rate=100000";
+    cluster.set_platform_faults(faults).expect("faults");
+
+    // Act
+    fill(&cluster, "control", 450);
+    wait(&cluster, "a snapshot", |cluster| {
+        snapshots_written(cluster) > 0
+    });
+    let daemons = places(&cluster);
+    wait(&cluster, "every daemon to have seen it", |cluster| {
+        daemons
+            .iter()
+            .all(|daemon| state(cluster, daemon, "newest_snapshot_control_next") != "none")
+    });
+
+    // Assert: two are harmless, one for each daemon is not.
+    let written = snapshots_written(&cluster);
+    assert!(
+        written <= 2,
+        "{written} snapshots by {} daemons",
+        daemons.len()
+    );
+}
+
+// --- Without the platform ----------------------------------------------------------------------
+
+#[test]
+fn a_daemon_starts_through_peers_when_the_platform_is_out() {
+    // Arrange
+    let mut cluster = start(85, 2, 1);
+    let daemons = places(&cluster);
+    cluster.set_platform_faults("outage=true").expect("faults");
+
+    // Act
+    cluster.kill_daemon(&daemons[0].name).expect("killed");
+    cluster.start_daemon(&daemons[0].name).expect("started");
+
+    // Assert
+    wait(&cluster, "the start", |cluster| {
+        is_ready(cluster, &daemons[0])
+    });
+    wait(&cluster, "the same state", |cluster| {
+        same_state(cluster, &daemons[0], &daemons[1])
+    });
+    wait(&cluster, "an answer", |_| is_answered(&daemons[0]));
+    cluster.set_platform_faults("outage=false").expect("faults");
+    wait(&cluster, "the join", |cluster| {
+        let page = cluster.call(Method::GET, daemons[0].admin, "/state", "");
+        page.is_ok_and(|page| page.contains("joined=true"))
+    });
+}
+
+#[test]
+fn a_daemon_that_no_platform_reaches_keeps_up_through_peers() {
+    // Arrange
+    let mut cluster = start(86, 2, 1);
+    let daemons = places(&cluster);
+    cluster.kill_daemon(&daemons[0].name).expect("killed");
+    let _cut = start_without_platform(&cluster, &daemons[0]);
+    wait(&cluster, "the start", |cluster| {
+        is_ready(cluster, &daemons[0])
+    });
+
+    // Act
+    let wider = CATALOGUE.replace("opening-hours", "holidays");
+    cluster.publish(&wider).expect("published");
+
+    // Assert
+    wait(&cluster, "the edit at its peer", |cluster| {
+        state(cluster, &daemons[1], "catalogue_next") == "3"
+    });
+    wait(&cluster, "the edit", |cluster| {
+        same_state(cluster, &daemons[0], &daemons[1])
+    });
+    wait(&cluster, "a fresh log", |cluster| {
+        let page = cluster.call(Method::GET, daemons[0].admin, "/state", "");
+        page.is_ok_and(|page| page.contains("escrow fresh=true"))
+    });
+}
--- a/crates/vanillafold-wire/src/peer/message.rs
+++ b/crates/vanillafold-wire/src/peer/message.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use bincode::{Decode, Encode};
-use vanillafold_types::{KeyId, Offset, VmId};
+use vanillafold_types::{KeyId, Millis, Offset, VmId};
 
 /// Most bytes in a [`PeerMessage::Custom`] and in the custom requests and responses.
 pub const MAX_CUSTOM_BYTES: usize = 64 * 1024;
@@ -75,6 +75,11 @@
     pub first_offset: Offset,
     /// The records, as the platform gave them.
     pub records: Vec<Vec<u8>>,
+    /// The offset that the sender folds next; the answer may stop short of it.
+    pub next_offset: Offset,
+    /// How long ago the read began that last brought the sender up to the stream's tail; `None`
+    /// if none did.
+    pub fresh_age: Option<Millis>,
 }
 
 /// What one daemon tells another. Delivery is at most once, except for withdrawals, which
--- a/crates/vanillafold-wire/tests/peer.rs
+++ b/crates/vanillafold-wire/tests/peer.rs
@@ -143,6 +143,8 @@
         stream: LogStream::Control,
         first_offset: Offset::new(first),
         records: vec![vec![1, 2, 3], vec![4]],
+        next_offset: Offset::new(first + 2),
+        fresh_age: None,
     }
 }
 
--- a/crates/vanillafold/src/follow/inventory.rs
+++ b/crates/vanillafold/src/follow/inventory.rs
@@ -14,6 +14,29 @@
 }
 
 impl Inventory {
+    /// Whether no VM is known.
+    pub(crate) const fn is_empty(&self) -> bool {
+        self.vms.is_empty()
+    }
+
+    /// The VMs behind `vm`, or all, by name.
+    pub(crate) fn after(&self, vm: Option<&VmId>) -> impl Iterator<Item = &VmEntry> {
+        let first = vm.map_or(0, |vm| self.vms.partition_point(|known| known.vm <= *vm));
+        self.vms[first..].iter()
+    }
+
+    /// Takes over a peer's VMs, until the platform's whole list is read.
+    pub(crate) fn take_over(&mut self, mut vms: Vec<VmEntry>) {
+        vms.sort_by(|a, b| a.vm.cmp(&b.vm));
+        vms.dedup_by(|a, b| a.vm == b.vm);
+        self.vms = vms;
+    }
+
+    /// Forgets what peers gave, because the platform's whole list comes.
+    pub(crate) fn begin_anew(&mut self) {
+        self.vms.clear();
+    }
+
     /// Takes in what changed; says whether anything did.
     pub(crate) fn merge(&mut self, since: ListVersion, changes: VmChanges) -> bool {
         // A list that begins again, as after a restart of the platform, is taken as it is.
--- a/crates/vanillafold/src/follow/log.rs
+++ b/crates/vanillafold/src/follow/log.rs
@@ -1,16 +1,19 @@
 //! Reads a stream of the platform's log and folds it.
 
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
-use log::{error, warn};
+use log::warn;
 use monoio::time::sleep;
 use vanillafold_policy::SplitMix;
-use vanillafold_state::{Applied, BootMillis, Stream};
-use vanillafold_types::{Millis, Offset};
+use vanillafold_state::{BootMillis, Stream};
+use vanillafold_types::Millis;
 use vanillafold_wire::platform::{LogBatch, PlatformLog, ReadError};
 
+use super::fold::fold;
 use crate::node::Node;
+use crate::recover::LogScan;
 
 /// Records asked for at once.
 const BATCH_RECORDS: u32 = 500;
@@ -21,32 +24,19 @@
 /// The longest wait before a failed read is repeated.
 const MAX_BACKOFF_MS: u64 = 2_000;
 
-/// Why following ended.
-#[derive(Debug, thiserror::Error)]
-pub(crate) enum FollowError {
-    /// Records that are needed were dropped by retention.
-    #[error("the log keeps {stream} only from offset {oldest}, but {next} is next here")]
-    Dropped {
-        /// The stream.
-        stream: Stream,
-        /// The oldest offset that is kept.
-        oldest: Offset,
-        /// The next offset of this daemon.
-        next: Offset,
-    },
-}
-
 /// Folds the records of `stream` until the daemon stops.
 ///
 /// # Errors
 ///
-/// [`FollowError::Dropped`]: the daemon was away for longer than the platform keeps records.
+/// None. Without the platform, peers give the records; when the records needed next were dropped,
+/// a snapshot of the log is looked for.
 pub(crate) async fn follow_log<P: PlatformLog>(
     node: Rc<Node>,
     platform: Rc<P>,
     stream: Stream,
-) -> Result<(), FollowError> {
+) -> Result<(), Infallible> {
     let mut backoff_ms = MIN_BACKOFF_MS;
+    let mut scan = None;
     while !node.shutdown.is_ordered() {
         let began_at = node.boot_time();
         let from = node.state.borrow().next_offset(stream);
@@ -63,23 +53,30 @@
         match read {
             Ok(batch) => {
                 backoff_ms = MIN_BACKOFF_MS;
-                fold(&node, stream, &batch, began_at);
+                scan = None;
+                take(&node, stream, &batch, began_at);
+                continue;
             }
             Err(ReadError::Dropped { oldest }) => {
-                return Err(FollowError::Dropped {
-                    stream,
-                    oldest,
-                    next: from,
-                });
+                node.lost(stream);
+                node.counters.control_failure("records_dropped");
+                warn!("the log keeps {stream} from {oldest} on, but {from} is next here");
+                let scan = scan.get_or_insert_with(LogScan::new);
+                match scan.adopt_newest(&node, &*platform).await {
+                    Ok(true) => continue,
+                    Ok(false) => warn!("the log holds no snapshot to go on from: not ready"),
+                    Err(error) => warn!("looking for a snapshot failed: {error}"),
+                }
             }
             Err(error) => {
+                node.recovery.note_out(stream);
                 node.counters.control_failure("log_read");
                 warn!("reading {stream} failed: {error}");
-                let jitter = jittered(&mut node.rng.borrow_mut(), backoff_ms);
-                sleep(jitter).await;
-                backoff_ms = (backoff_ms * 2).min(MAX_BACKOFF_MS);
             }
         }
+        let jitter = jittered(&mut node.rng.borrow_mut(), backoff_ms);
+        sleep(jitter).await;
+        backoff_ms = (backoff_ms * 2).min(MAX_BACKOFF_MS);
     }
     Ok(())
 }
@@ -90,29 +87,14 @@
     Duration::from_millis(half + rng.below(half.max(1)))
 }
 
-fn fold(node: &Node, stream: Stream, batch: &LogBatch, began_at: BootMillis) {
-    let mut changed = false;
-    for record in &batch.records {
-        let applied = node
-            .state
-            .borrow_mut()
-            .apply(stream, record.offset, &record.data);
-        match applied {
-            Applied::Accepted => changed = true,
-            Applied::Repeated(_) => {}
-            Applied::Refused(reason) => {
-                node.counters.control_failure("record_refused");
-                warn!("{stream} {} was refused: {}", record.offset, reason.text());
-            }
-            Applied::OutOfOrder(order) => {
-                error!("{stream} {} is out of order: {order:?}", record.offset);
-                break;
-            }
-        }
-    }
-    if changed {
-        node.follow_state();
-    }
+fn take(node: &Node, stream: Stream, batch: &LogBatch, began_at: BootMillis) {
+    node.recovery.note_read(stream, node.boot_time());
+    let mut watch = node.recovery.watch.borrow_mut();
+    watch.note_kept(stream, batch.oldest, batch.next);
+    drop(watch);
+    let records = batch.records.iter();
+    let records = records.map(|record| (record.offset, &record.data[..]));
+    fold(node, stream, records);
     let next = node.state.borrow().next_offset(stream);
     if next >= batch.next {
         node.caught_up(stream, began_at);
--- a/crates/vanillafold/src/follow/mod.rs
+++ b/crates/vanillafold/src/follow/mod.rs
@@ -1,10 +1,12 @@
 //! Following the platform: the log's streams, the VM list, the health of targets.
 
+mod fold;
 mod health;
 mod inventory;
 mod log;
 mod vms;
 
+pub(crate) use fold::fold;
 pub(crate) use health::check_health;
 pub(crate) use inventory::Inventory;
 pub(crate) use log::follow_log;
--- a/crates/vanillafold/src/follow/vms.rs
+++ b/crates/vanillafold/src/follow/vms.rs
@@ -42,7 +42,13 @@
     match list.changes(zone, *version).await {
         Ok(changes) => {
             let since = std::mem::replace(version, changes.version);
-            let changed = node.inventory.borrow_mut().merge(since, changes);
+            let mut inventory = node.inventory.borrow_mut();
+            // What a peer gave may hold VMs that are gone.
+            if zone.is_none() && since == ListVersion::default() {
+                inventory.begin_anew();
+            }
+            let changed = inventory.merge(since, changes);
+            drop(inventory);
             if changed {
                 node.follow_inventory();
             }
--- a/crates/vanillafold/src/lib.rs
+++ b/crates/vanillafold/src/lib.rs
@@ -34,6 +34,7 @@
 mod logging;
 mod node;
 mod peer;
+mod recover;
 mod settings;
 mod supervisor;
 mod wait;
--- a/crates/vanillafold/src/node/shared.rs
+++ b/crates/vanillafold/src/node/shared.rs
@@ -7,7 +7,9 @@
 use http::header::HeaderValue;
 use monoio::time::Instant;
 use vanillafold_policy::{DaemonMember, MonotonicMillis, SplitMix};
-use vanillafold_state::{BootMillis, ClaimTable, ControlChange, Escrow, KeyRefusal, State, Stream};
+use vanillafold_state::{
+    BootMillis, ClaimTable, ControlChange, Escrow, KeyRefusal, SnapshotError, State, Stream,
+};
 use vanillafold_types::{DaemonId, Incarnation, Millis, RequestId, ResultCode, TeamId};
 
 use vanillafold_wire::{BootClock, PeerHandle};
@@ -20,6 +22,7 @@
 use crate::follow::Inventory;
 use crate::limit::escrow_settings;
 use crate::peer::LoadBook;
+use crate::recover::Recovery;
 use crate::settings::Settings;
 use crate::wait::Shutdown;
 
@@ -47,6 +50,8 @@
     pub(crate) escrow: Rc<RefCell<Escrow>>,
     /// The records that this daemon has yet to write.
     pub(crate) writer: RecordWriter,
+    /// Snapshots, and what peers are given while the platform is out.
+    pub(crate) recovery: Recovery,
     /// The news that a later start of this daemon counts.
     pub(crate) superseded: Shutdown,
     /// The claims that this daemon keeps as an owner.
@@ -113,6 +118,7 @@
             claims: RefCell::new(claims),
             escrow: Rc::new(RefCell::new(escrow)),
             writer,
+            recovery: Recovery::default(),
             superseded: Shutdown::new(),
             fresh: Cell::default(),
             peers: RefCell::default(),
@@ -184,7 +190,7 @@
     }
 
     /// Whether both streams have been read up to their ends.
-    fn has_configuration(&self) -> bool {
+    pub(crate) fn has_configuration(&self) -> bool {
         self.is_caught_up(Stream::Catalogue) && self.is_caught_up(Stream::Control)
     }
 
@@ -209,6 +215,52 @@
         }
     }
 
+    /// Notes that records of `stream` that are needed next were dropped: the daemon is not ready
+    /// until it has a later state.
+    pub(crate) fn lost(&self, stream: Stream) {
+        self.recovery.note_dropped(stream);
+        match stream {
+            Stream::Catalogue => self.catalogue_read.set(false),
+            Stream::Control => self.control_read.set(false),
+        }
+    }
+
+    /// Takes over each stream's part of a state that is later than the present one.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`State::adopt`].
+    pub(crate) fn adopt(&self, state: State) -> Result<(), SnapshotError> {
+        self.state.borrow_mut().adopt(state)?;
+        let state = self.state.borrow();
+        self.recovery.watch.borrow_mut().note_adopted(
+            state.next_offset(Stream::Catalogue),
+            state.next_offset(Stream::Control),
+            self.boot_time(),
+        );
+        drop(state);
+        self.follow_state();
+        Ok(())
+    }
+
+    /// Notes that the state of a peer that is ready was taken over. How fresh it is, records
+    /// from peers tell.
+    pub(crate) fn started_from_peer(&self) {
+        self.catalogue_read.set(true);
+        self.control_read.set(true);
+        self.join_fleet();
+    }
+
+    /// How long ago the read began that last brought `stream` up to its tail.
+    pub(crate) fn fresh_age(&self, stream: Stream) -> Option<Millis> {
+        let fresh = self.fresh.get();
+        let at = match stream {
+            Stream::Catalogue => fresh.catalogue_at,
+            Stream::Control => fresh.control_at,
+        };
+        at.map(|at| self.boot_time().since(at))
+    }
+
     /// Announces this start on the log, once.
     fn join_fleet(&self) {
         if self.join_submitted.replace(true) {
@@ -273,9 +325,10 @@
     pub(crate) fn queue(&self, id: &str) -> Result<Rc<QueueRuntime>, ResultCode> {
         let routes = self.routes.borrow();
         match routes.queue(id) {
+            // Half a configuration may have a VM in the wrong pool, or a withdrawn key.
+            _ if !self.has_configuration() => Err(ResultCode::NotReady),
             Some(queue) => Ok(Rc::clone(queue)),
-            None if self.has_configuration() => Err(ResultCode::UnknownQueue),
-            None => Err(ResultCode::NotReady),
+            None => Err(ResultCode::UnknownQueue),
         }
     }
 
--- a/crates/vanillafold/src/peer/handler.rs
+++ b/crates/vanillafold/src/peer/handler.rs
@@ -14,6 +14,7 @@
 use crate::claim;
 use crate::limit::{self, NodeMessage};
 use crate::node::Node;
+use crate::recover;
 
 /// The daemon as its peers see it.
 pub(crate) struct NodeHandler {
@@ -39,6 +40,17 @@
         }
     }
 
+    fn answer_custom(&self, bytes: &[u8]) -> PeerResponse {
+        match (recover::decode(bytes), claim::decode(bytes)) {
+            (Some(request), _) => recover::answer_inventory(&self.node, &request),
+            (None, Some(request)) => {
+                let response = claim::answer(&self.node, request);
+                PeerResponse::Custom(claim::encode(&response))
+            }
+            (None, None) => PeerResponse::Unavailable(UnavailableReason::Unsupported),
+        }
+    }
+
     fn note_loads(&self, loads: Vec<VmLoad>) {
         let routes = self.node.routes.borrow();
         let now = self.node.now();
@@ -74,16 +86,11 @@
     }
 
     fn on_request(&self, _from: &DaemonId, request: PeerRequest) -> PeerResponse {
-        let unsupported = PeerResponse::Unavailable(UnavailableReason::Unsupported);
         match request {
-            PeerRequest::Custom(bytes) => match claim::decode(&bytes) {
-                Some(request) => {
-                    let response = claim::answer(&self.node, request);
-                    PeerResponse::Custom(claim::encode(&response))
-                }
-                None => unsupported,
-            },
-            _ => unsupported,
+            PeerRequest::Records(request) => recover::answer_records(&self.node, &request),
+            PeerRequest::Snapshot(request) => recover::answer_snapshot(&self.node, &request),
+            PeerRequest::Custom(bytes) => self.answer_custom(&bytes),
+            _ => PeerResponse::Unavailable(UnavailableReason::Unsupported),
         }
     }
 
--- a/crates/vanillafold/src/settings/daemon.rs
+++ b/crates/vanillafold/src/settings/daemon.rs
@@ -5,7 +5,8 @@
 use std::path::{Path, PathBuf};
 
 use vanillafold_types::{
-    Connections, DaemonId, Document, Millis, Percent, Problem, Reader, VmId, ZoneId, nearest_name,
+    Connections, DaemonId, Document, Millis, Offset, Percent, Problem, Reader, VmId, ZoneId,
+    nearest_name,
 };
 
 use super::Secret;
@@ -91,6 +92,9 @@
     pub timeout_ms: Millis,
     /// Between two looks at the VM list.
     pub list_interval_ms: Millis,
+    /// The most records of a stream between two snapshots; fewer where the platform keeps
+    /// fewer than four times as many.
+    pub snapshot_records: u64,
 }
 
 /// Another daemon.
@@ -355,11 +359,17 @@
     let address = address(&mut reader, "address");
     let timeout_ms = milliseconds(&mut reader, "timeout_ms", 2_000);
     let list_interval_ms = milliseconds(&mut reader, "list_interval_ms", 1_000);
+    let snapshot_records = reader.ranged(
+        "snapshot_records",
+        Offset::new(10_000),
+        Offset::new(100)..=Offset::new(1_000_000_000),
+    );
     reader.finish();
     Some(PlatformSettings {
         address: address?,
         timeout_ms,
         list_interval_ms,
+        snapshot_records: snapshot_records.get(),
     })
 }
 
--- a/crates/vanillafold/src/supervisor/daemon.rs
+++ b/crates/vanillafold/src/supervisor/daemon.rs
@@ -21,6 +21,7 @@
 use crate::limit::keep_escrow;
 use crate::node::Node;
 use crate::peer::{PeerStartError, report, start_peers};
+use crate::recover::{follow_peers, start_from_peers, write_snapshots};
 use crate::settings::Settings;
 
 /// Connections that may wait to be accepted.
@@ -130,6 +131,18 @@
     supervise(&node, "peer_reports", move || {
         report(Rc::clone(&node_), handle.clone())
     });
+    let node_ = Rc::clone(&node);
+    supervise(&node, "snapshots", move || {
+        write_snapshots(Rc::clone(&node_))
+    });
+    let (node_, handle) = (Rc::clone(&node), peers.handle());
+    supervise(&node, "peer_start", move || {
+        start_from_peers(Rc::clone(&node_), handle.clone())
+    });
+    let (node_, handle) = (Rc::clone(&node), peers.handle());
+    supervise(&node, "peer_records", move || {
+        follow_peers(Rc::clone(&node_), handle.clone())
+    });
     info!(
         "{} serves callers on {}",
         node.settings.name, node.settings.callers
