Withdraw a key through any daemon, ahead of the log

Cause: in an outage of the platform a key could not be withdrawn at all. Change: POST /keys/{id}/withdraw on the administration address. In force here at once, told to all peers until they acknowledge it, queued for the log; the flood ends when the fold has it. Before: tests/recovery.rs a_key_is_withdrawn_everywhere_in_an_outage_and_booked_after_it failed with 404 on the programs of the commit before. After: the eight tests of the file pass (debug build, one run).

--- a/crates/vanillafold-standin/tests/recovery.rs
+++ b/crates/vanillafold-standin/tests/recovery.rs
@@ -9,7 +9,7 @@
 
 use common::{block_on, headers, request};
 use http::Method;
-use vanillafold_standin::rig::{Child, Cluster, DaemonPlace, Layout, RigError};
+use vanillafold_standin::rig::{Child, Cluster, DaemonPlace, KeyText, Layout, RigError};
 use vanillafold_types::ResultCode;
 
 const POOLS: [&str; 1] = ["quotes"];
@@ -23,6 +23,17 @@
 class = normal
 pool = quotes
 open = yes
+
+[team cafes]
+owner = ops@shop.example
+class = normal
+limit = 4
+
+[queue bookings]
+owner = ops@shop.example
+class = normal
+pool = quotes
+teams = cafes
 ";
 /// Long enough that only a fault of the code reaches it.
 const LIMIT: Duration = Duration::from_secs(60);
@@ -109,8 +120,24 @@
 
 /// Asks the open queue without a key; the answer's result code, the largest number without one.
 fn ask(place: &DaemonPlace) -> u16 {
-    let path = "/queues/opening-hours/today";
-    let answer = block_on(request(place.callers, Method::GET, path, &headers(&[]), ""));
+    ask_queue(place, "/queues/opening-hours/today", &[])
+}
+
+/// Asks the queue that takes one team.
+fn ask_with(place: &DaemonPlace, key: &KeyText) -> u16 {
+    let credential = format!("Bearer {}", key.text);
+    let headers = [("authorization", credential.as_str())];
+    ask_queue(place, "/queues/bookings/today", &headers)
+}
+
+fn ask_queue(place: &DaemonPlace, path: &str, pairs: &[(&'static str, &str)]) -> u16 {
+    let answer = block_on(request(
+        place.callers,
+        Method::GET,
+        path,
+        &headers(pairs),
+        "",
+    ));
     let Ok(answer) = answer else {
         return u16::MAX;
     };
@@ -301,3 +328,76 @@
         page.is_ok_and(|page| page.contains("escrow fresh=true"))
     });
 }
+
+// --- Withdrawal of a key -----------------------------------------------------------------------
+
+fn withdraw(cluster: &Cluster, place: &DaemonPlace, key: &str) -> Result<String, RigError> {
+    let path = format!("/keys/{key}/withdraw");
+    cluster.call(Method::POST, place.admin, &path, "")
+}
+
+fn is_withdrawn(place: &DaemonPlace, key: &KeyText) -> bool {
+    ask_with(place, key) == ResultCode::WithdrawnKey.number()
+}
+
+#[test]
+fn a_key_is_withdrawn_everywhere_in_an_outage_and_booked_after_it() {
+    // Arrange
+    let mut cluster = start(87, 2, 2);
+    let daemons = places(&cluster);
+    let key = cluster.give_key("cafes-1", "cafes").expect("a key");
+    wait(&cluster, "the key", |_| {
+        daemons
+            .iter()
+            .all(|daemon| ask_with(daemon, &key) == ResultCode::Answered.number())
+    });
+    cluster.set_platform_faults("outage=true").expect("faults");
+
+    // Act
+    withdraw(&cluster, &daemons[0], "cafes-1").expect("withdrawn");
+
+    // Assert: in force on all, also on one that starts in the outage.
+    wait(&cluster, "the withdrawal", |_| {
+        daemons.iter().all(|daemon| is_withdrawn(daemon, &key))
+    });
+    cluster.kill_daemon(&daemons[3].name).expect("killed");
+    cluster.start_daemon(&daemons[3].name).expect("started");
+    wait(&cluster, "the start", |cluster| {
+        is_ready(cluster, &daemons[3])
+    });
+    wait(&cluster, "the withdrawal", |_| {
+        is_withdrawn(&daemons[3], &key)
+    });
+    // Assert: the log has it once the platform is back.
+    cluster.set_platform_faults("outage=false").expect("faults");
+    wait(&cluster, "the record", |cluster| {
+        daemons
+            .iter()
+            .all(|daemon| state(cluster, daemon, "catalogue_next") == "4")
+    });
+    wait(&cluster, "the end of the writing", |cluster| {
+        state(cluster, &daemons[0], "records_to_write") == "0"
+    });
+    assert!(daemons.iter().all(|daemon| is_withdrawn(daemon, &key)));
+}
+
+#[test]
+fn a_key_is_withdrawn_only_with_the_operators_credential() {
+    // Arrange
+    let mut cluster = start(88, 1, 1);
+    let daemon = places(&cluster).remove(0);
+    let key = cluster.give_key("cafes-1", "cafes").expect("a key");
+    let path = "/keys/cafes-1/withdraw";
+
+    // Act
+    let wrong = headers(&[("authorization", "Bearer somebody")]);
+    let refused = block_on(request(daemon.admin, Method::POST, path, &wrong, ""));
+    let misnamed = withdraw(&cluster, &daemon, "no%20name");
+
+    // Assert
+    assert_eq!(refused.expect("an answer").status(), 401);
+    assert!(misnamed.is_err());
+    wait(&cluster, "the key", |_| {
+        ask_with(&daemon, &key) == ResultCode::Answered.number()
+    });
+}
--- a/crates/vanillafold/src/admin/service.rs
+++ b/crates/vanillafold/src/admin/service.rs
@@ -9,9 +9,11 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use subtle::ConstantTimeEq as _;
 use vanillafold_state::Stream;
+use vanillafold_types::KeyId;
 use vanillafold_wire::http::Service;
 
 use crate::node::Node;
+use crate::recover::withdraw_key;
 
 /// Answers operators' requests.
 pub(crate) struct AdminService {
@@ -37,8 +39,24 @@
                 StatusCode::UNAUTHORIZED,
                 "expected Authorization: Bearer with the operators' credential\n",
             ),
+            (&Method::POST, path) => match withdrawn_key(path) {
+                Some(key) => self.withdraw(key),
+                None => no_page(),
+            },
             (&Method::GET, "/state") => text(StatusCode::OK, self.state()),
-            _ => text(StatusCode::NOT_FOUND, "no such page; try GET /state\n"),
+            _ => no_page(),
+        }
+    }
+
+    /// Withdraws a key ahead of the log.
+    fn withdraw(&self, key: &str) -> Response<Bytes> {
+        let key: KeyId = match key.parse() {
+            Ok(key) => key,
+            Err(error) => return text(StatusCode::BAD_REQUEST, format!("{error}\n")),
+        };
+        match withdraw_key(&self.node, key) {
+            Ok(()) => text(StatusCode::ACCEPTED, "withdrawn; the log follows\n"),
+            Err(error) => text(StatusCode::SERVICE_UNAVAILABLE, format!("{error}\n")),
         }
     }
 
@@ -127,6 +145,16 @@
     }
 }
 
+/// The key in the path of a withdrawal.
+fn withdrawn_key(path: &str) -> Option<&str> {
+    path.strip_prefix("/keys/")?.strip_suffix("/withdraw")
+}
+
+fn no_page() -> Response<Bytes> {
+    let hint = "no such page; try GET /state or POST /keys/KEY/withdraw\n";
+    text(StatusCode::NOT_FOUND, hint)
+}
+
 fn text(status: StatusCode, body: impl Into<Bytes>) -> Response<Bytes> {
     let mut response = Response::new(body.into());
     *response.status_mut() = status;
--- a/crates/vanillafold/src/recover/mod.rs
+++ b/crates/vanillafold/src/recover/mod.rs
@@ -11,6 +11,7 @@
 mod shared;
 mod transfer;
 mod watch;
+mod withdrawal;
 mod writer;
 
 pub(crate) use exchange::{answer_records, answer_snapshot};
@@ -19,4 +20,5 @@
 pub(crate) use peer_records::follow_peers;
 pub(crate) use peer_start::start_from_peers;
 pub(crate) use shared::Recovery;
+pub(crate) use withdrawal::withdraw_key;
 pub(crate) use writer::write_snapshots;
