--- a/crates/vanillafold/src/node/shared.rs
+++ b/crates/vanillafold/src/node/shared.rs
@@ -8,7 +8,8 @@
 use monoio::time::Instant;
 use vanillafold_policy::{DaemonMember, MonotonicMillis, SplitMix};
 use vanillafold_state::{
-    BootMillis, ClaimRecord, ClaimTable, ControlChange, Escrow, KeyRefusal, State, Stream,
+    BootMillis, ClaimRecord, ClaimTable, ControlChange, Escrow, KeyRefusal, SnapshotError, State,
+    Stream,
 };
 use vanillafold_types::{DaemonId, Incarnation, Millis, RequestId, ResultCode, TeamId};
 
@@ -22,6 +23,7 @@
 use crate::follow::Inventory;
 use crate::limit::escrow_settings;
 use crate::peer::LoadBook;
+use crate::recover::Recovery;
 use crate::settings::Settings;
 use crate::wait::Shutdown;
 
@@ -33,7 +35,9 @@
     pub(crate) counters: Counters,
     /// The announcement of a stop: answers ask their callers to connect elsewhere.
     pub(crate) draining: Shutdown,
-    /// The order to stop: nothing new is taken.
+    /// The order to take nothing new from callers.
+    pub(crate) closing: Shutdown,
+    /// The order to end the duties.
     pub(crate) shutdown: Shutdown,
     /// The folded log.
     pub(crate) state: RefCell<State>,
@@ -49,6 +53,8 @@
     pub(crate) escrow: Rc<RefCell<Escrow>>,
     /// The records that this daemon has yet to write.
     pub(crate) writer: RecordWriter,
+    /// Snapshots, and what peers are given while the platform is out.
+    pub(crate) recovery: Recovery,
     /// The news that a later start of this daemon counts.
     pub(crate) superseded: Shutdown,
     /// The claims that this daemon keeps as an owner.
@@ -106,6 +112,7 @@
             settings,
             counters,
             draining: Shutdown::new(),
+            closing: Shutdown::new(),
             shutdown: Shutdown::new(),
             state: RefCell::new(State::new()),
             routes: RefCell::default(),
@@ -115,6 +122,7 @@
             claims: RefCell::new(claims),
             escrow: Rc::new(RefCell::new(escrow)),
             writer,
+            recovery: Recovery::default(),
             superseded: Shutdown::new(),
             fresh: Cell::default(),
             peers: RefCell::default(),
@@ -195,7 +203,7 @@
     }
 
     /// Whether both streams have been read up to their ends.
-    fn has_configuration(&self) -> bool {
+    pub(crate) fn has_configuration(&self) -> bool {
         self.is_caught_up(Stream::Catalogue) && self.is_caught_up(Stream::Control)
     }
 
@@ -220,6 +228,52 @@
         }
     }
 
+    /// Notes that records of `stream` that are needed next were dropped: the daemon is not ready
+    /// until it has a later state.
+    pub(crate) fn lost(&self, stream: Stream) {
+        self.recovery.note_dropped(stream);
+        match stream {
+            Stream::Catalogue => self.catalogue_read.set(false),
+            Stream::Control => self.control_read.set(false),
+        }
+    }
+
+    /// Takes over each stream's part of a state that is later than the present one.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`State::adopt`].
+    pub(crate) fn adopt(&self, state: State) -> Result<(), SnapshotError> {
+        self.state.borrow_mut().adopt(state)?;
+        let state = self.state.borrow();
+        self.recovery.watch.borrow_mut().note_adopted(
+            state.next_offset(Stream::Catalogue),
+            state.next_offset(Stream::Control),
+            self.boot_time(),
+        );
+        drop(state);
+        self.follow_state();
+        Ok(())
+    }
+
+    /// Notes that the state of a peer that is ready was taken over. How fresh it is, records
+    /// from peers tell.
+    pub(crate) fn started_from_peer(&self) {
+        self.catalogue_read.set(true);
+        self.control_read.set(true);
+        self.join_fleet();
+    }
+
+    /// How long ago the read began that last brought `stream` up to its tail.
+    pub(crate) fn fresh_age(&self, stream: Stream) -> Option<Millis> {
+        let fresh = self.fresh.get();
+        let at = match stream {
+            Stream::Catalogue => fresh.catalogue_at,
+            Stream::Control => fresh.control_at,
+        };
+        at.map(|at| self.boot_time().since(at))
+    }
+
     /// Announces this start on the log, once.
     fn join_fleet(&self) {
         if self.join_submitted.replace(true) {
@@ -284,9 +338,10 @@
     pub(crate) fn queue(&self, id: &str) -> Result<Rc<QueueRuntime>, ResultCode> {
         let routes = self.routes.borrow();
         match routes.queue(id) {
+            // Half a configuration may have a VM in the wrong pool, or a withdrawn key.
+            _ if !self.has_configuration() => Err(ResultCode::NotReady),
             Some(queue) => Ok(Rc::clone(queue)),
-            None if self.has_configuration() => Err(ResultCode::UnknownQueue),
-            None => Err(ResultCode::NotReady),
+            None => Err(ResultCode::UnknownQueue),
         }
     }
 
--- a/crates/vanillafold/src/supervisor/daemon.rs
+++ b/crates/vanillafold/src/supervisor/daemon.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use log::{info, warn};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
@@ -14,7 +15,7 @@
 use super::signal::StopSignal;
 use super::task::supervise;
 use crate::admin::serve_admin;
-use crate::append::write_records;
+use crate::append::{Change, write_records};
 use crate::caller::serve_callers;
 use crate::claim::recover_claims;
 use crate::counter::Counters;
@@ -22,11 +23,17 @@
 use crate::limit::keep_escrow;
 use crate::node::Node;
 use crate::peer::{PeerStartError, report, start_peers};
+use crate::recover::{follow_peers, start_from_peers, write_snapshots};
 use crate::settings::Settings;
 
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 4_096;
 
+/// How long leaving the fleet may take.
+const LEAVE_LIMIT: Duration = Duration::from_secs(3);
+/// Between two looks whether the daemon may leave.
+const LEAVE_POLL: Duration = Duration::from_millis(20);
+
 /// Why a daemon did not start.
 #[derive(Debug, thiserror::Error)]
 #[non_exhaustive]
@@ -133,6 +140,18 @@
     supervise(&node, "peer_reports", move || {
         report(Rc::clone(&node_), handle.clone())
     });
+    let node_ = Rc::clone(&node);
+    supervise(&node, "snapshots", move || {
+        write_snapshots(Rc::clone(&node_))
+    });
+    let (node_, handle) = (Rc::clone(&node), peers.handle());
+    supervise(&node, "peer_start", move || {
+        start_from_peers(Rc::clone(&node_), handle.clone())
+    });
+    let (node_, handle) = (Rc::clone(&node), peers.handle());
+    supervise(&node, "peer_records", move || {
+        follow_peers(Rc::clone(&node_), handle.clone())
+    });
     info!(
         "{} serves callers on {}",
         node.settings.name, node.settings.callers
@@ -147,17 +166,37 @@
     Ok(())
 }
 
-/// Announces the stop, then takes nothing new, then waits for what was accepted.
+/// Announces the stop, then takes nothing new, then waits for what was accepted, then leaves.
 async fn stop(node: &Node) {
     let timeouts = &node.settings.timeouts;
     info!("stopping: {} requests are under way", node.requests.count());
     node.draining.order();
     sleep(timeouts.notice_ms.duration()).await;
-    node.shutdown.order();
+    node.closing.order();
     let drained = timeout(timeouts.stop_ms.duration(), node.requests.drained()).await;
-    match drained {
-        Ok(()) => info!("stopped"),
-        Err(_) => warn!("stopped with {} requests cut off", node.requests.count()),
+    if drained.is_err() {
+        warn!("{} requests are cut off", node.requests.count());
+    }
+    match timeout(LEAVE_LIMIT, leave(node)).await {
+        Ok(()) => info!("stopped, and left the fleet"),
+        Err(_) => warn!("stopped without leaving the fleet: its units come back later"),
+    }
+    node.shutdown.order();
+}
+
+/// Gives every unit back and says so on the log, so that the next start may use its share at once.
+async fn leave(node: &Node) {
+    node.escrow.borrow_mut().leave();
+    let record = loop {
+        let record = node.escrow.borrow().leave_record(node.boot_time());
+        match record {
+            Some(record) => break record,
+            None => sleep(LEAVE_POLL).await,
+        }
+    };
+    node.writer.submit(Change::Control(record));
+    while node.writer.len() > 0 {
+        sleep(LEAVE_POLL).await;
     }
 }
 
