--- a/crates/vanillafold-standin/tests/daemon/connection.rs
+++ b/crates/vanillafold-standin/tests/daemon/connection.rs
@@ -115,3 +115,29 @@
 
     assert_eq!(raw.answer().text(), "live\n");
 }
+
+#[test]
+fn a_connection_over_the_limit_is_told() {
+    let mut site = Site::start_with(SiteOptions {
+        daemon: "max_connections = 1",
+        ..SiteOptions::default()
+    });
+    let mut only = site.connect();
+    only.send(get("/queues/open/work"));
+    assert_eq!(only.answer().status, 200);
+
+    for _ in 0..50 {
+        let mut more = site.connect();
+        more.try_send(get("/queues/open/work"));
+        let refusal = more.answer();
+        let expected = format!("{}\n", ResultCode::TooManyConnections);
+        assert_eq!(refusal.text(), expected);
+        assert_eq!(refusal.header("connection"), Some("close"));
+        more.end_sending();
+        assert!(more.is_closed(), "the connection stays open");
+    }
+    only.send(get("/queues/open/work"));
+
+    assert_eq!(only.answer().status, 200);
+    assert!(site.is_running());
+}
