Bring only the pools that changed up to the VM list and the catalogue

Cause: on every accepted record and every change of the VM list each pool went through the whole list (317 pools x 16,000 VMs), replaced its members and split the connections of each target anew. Reports of a peer's load were offered to every pool, and the reporter viewed every target five times a second, idle or not.

Change: the list is grouped by pool in one pass; a list change touches only the pools of the VMs that differ (the own zone's changes come a second time with those of all zones and touch none); an edit of the catalogue moves no VM unless a pool came or went; unchanged limits split nothing; a reported VM is looked up; pools with nothing outstanding are not viewed.

--- a/crates/vanillafold/src/follow/inventory.rs
+++ b/crates/vanillafold/src/follow/inventory.rs
@@ -13,41 +13,112 @@
     vms: Vec<VmEntry>,
 }
 
+/// Pools whose members may have changed.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum TouchedPools {
+    /// Any of them.
+    All,
+    /// These, sorted.
+    Some(Vec<PoolId>),
+}
+
+impl TouchedPools {
+    /// Whether `pool` is one of them.
+    pub(crate) fn contains(&self, pool: &PoolId) -> bool {
+        match self {
+            Self::All => true,
+            Self::Some(pools) => pools.binary_search(pool).is_ok(),
+        }
+    }
+
+    /// Whether there is none.
+    pub(crate) fn is_empty(&self) -> bool {
+        matches!(self, Self::Some(pools) if pools.is_empty())
+    }
+}
+
+/// The members of one pool, sorted by VM.
+#[derive(Debug)]
+pub(crate) struct PoolMembers {
+    pub(crate) pool: PoolId,
+    pub(crate) members: Vec<Member>,
+}
+
 impl Inventory {
-    /// Takes in what changed; says whether anything did.
-    pub(crate) fn merge(&mut self, since: ListVersion, changes: VmChanges) -> bool {
+    /// Takes in what changed; says whose members that may change. A VM that is listed again as it
+    /// was touches none: the own zone's changes come once more with those of all zones.
+    pub(crate) fn merge(
+        &mut self,
+        since: ListVersion,
+        changes: VmChanges,
+        state: &State,
+    ) -> TouchedPools {
         // A list that begins again, as after a restart of the platform, is taken as it is.
         let restarted = changes.version < since;
         if restarted {
             self.vms.clear();
         }
-        let changed = restarted || !changes.vms.is_empty();
+        let mut touched = Vec::new();
         for vm in changes.vms {
-            match (self.find(&vm.vm), vm.state) {
-                (Ok(index), VmState::Gone) => drop(self.vms.remove(index)),
-                (Err(_), VmState::Gone) => {}
-                (Ok(index), _) => self.vms[index] = vm,
-                (Err(index), _) => self.vms.insert(index, vm),
+            let found = self.find(&vm.vm);
+            match found {
+                Ok(index) if self.vms[index] == vm => continue,
+                Err(_) if vm.state == VmState::Gone => continue,
+                Ok(index) => touched.push(pool_of(&self.vms[index], state).clone()),
+                Err(_) => {}
+            }
+            touched.push(pool_of(&vm, state).clone());
+            match found {
+                Ok(index) if vm.state == VmState::Gone => drop(self.vms.remove(index)),
+                Ok(index) => self.vms[index] = vm,
+                Err(index) => self.vms.insert(index, vm),
             }
         }
-        changed
+        if restarted {
+            return TouchedPools::All;
+        }
+        touched.sort_unstable();
+        touched.dedup();
+        TouchedPools::Some(touched)
     }
 
-    /// The members of `pool`, sorted by VM: its home VMs and those moved to it, less those
-    /// moved away.
-    pub(crate) fn members(&self, pool: &PoolId, state: &State) -> Vec<Member> {
-        self.vms
+    /// The members of the `touched` pools that have any, sorted by pool: their home VMs and those
+    /// moved to them, less those moved away.
+    pub(crate) fn members(&self, touched: &TouchedPools, state: &State) -> Vec<PoolMembers> {
+        let mut vms: Vec<(&PoolId, &VmEntry)> = self
+            .vms
             .iter()
-            .filter(|vm| state.pool_of(&vm.vm, &vm.home_pool) == *pool)
-            .map(member)
+            .map(|vm| (pool_of(vm, state), vm))
+            .filter(|(pool, _)| touched.contains(pool))
+            .collect();
+        // Stable, so that the members of a pool stay sorted by VM.
+        vms.sort_by_key(|(pool, _)| *pool);
+        vms.chunk_by(|left, right| left.0 == right.0)
+            .map(|vms| PoolMembers {
+                pool: vms[0].0.clone(),
+                members: vms.iter().map(|(_, vm)| member(vm)).collect(),
+            })
             .collect()
     }
 
+    /// The pool of a VM that the list has shown.
+    pub(crate) fn pool_of<'a>(&'a self, vm: &VmId, state: &'a State) -> Option<&'a PoolId> {
+        let index = self.find(vm).ok()?;
+        Some(pool_of(&self.vms[index], state))
+    }
+
     fn find(&self, vm: &VmId) -> Result<usize, usize> {
         self.vms.binary_search_by(|entry| entry.vm.cmp(vm))
     }
 }
 
+fn pool_of<'a>(vm: &'a VmEntry, state: &'a State) -> &'a PoolId {
+    match state.membership(&vm.vm) {
+        Some(membership) => &membership.pool,
+        None => &vm.home_pool,
+    }
+}
+
 fn member(vm: &VmEntry) -> Member {
     Member {
         vm: vm.vm.clone(),
--- a/crates/vanillafold/src/follow/log.rs
+++ b/crates/vanillafold/src/follow/log.rs
@@ -110,7 +110,7 @@
         }
     }
     if changed {
-        node.follow_state();
+        node.follow_state(stream);
     }
     let next = node.state.borrow().next_offset(stream);
     if next >= batch.next {
--- a/crates/vanillafold/src/follow/mod.rs
+++ b/crates/vanillafold/src/follow/mod.rs
@@ -6,6 +6,6 @@
 mod vms;
 
 pub(crate) use health::check_health;
-pub(crate) use inventory::Inventory;
+pub(crate) use inventory::{Inventory, TouchedPools};
 pub(crate) use log::follow_log;
 pub(crate) use vms::follow_vms;
--- a/crates/vanillafold/src/follow/vms.rs
+++ b/crates/vanillafold/src/follow/vms.rs
@@ -42,10 +42,10 @@
     match list.changes(zone, *version).await {
         Ok(changes) => {
             let since = std::mem::replace(version, changes.version);
-            let changed = node.inventory.borrow_mut().merge(since, changes);
-            if changed {
-                node.follow_inventory();
-            }
+            let state = node.state.borrow();
+            let touched = node.inventory.borrow_mut().merge(since, changes, &state);
+            drop(state);
+            node.follow_inventory(&touched);
         }
         Err(error) => {
             node.counters.control_failure("vm_list");
--- a/crates/vanillafold/src/node/pool.rs
+++ b/crates/vanillafold/src/node/pool.rs
@@ -10,7 +10,7 @@
     DaemonMember, Finish, MonotonicMillis, PickOptions, PickRefusal, PickedTarget, SplitMix,
     TargetLimits, TargetTable,
 };
-use vanillafold_types::{Millis, Pool, PoolId, VmId};
+use vanillafold_types::{Connections, Millis, Pool, PoolId, Slots, VmId};
 use vanillafold_wire::http::split;
 
 use super::connection_store::{ConnectionCount, ConnectionStore, TargetConnection};
@@ -31,6 +31,7 @@
     /// Requests that wait for a slot.
     pub(crate) waiters: Rc<WaitList>,
     rechecking: Cell<bool>,
+    told_limits: Cell<(Slots, Connections)>,
 }
 
 /// A slot of a target, in use until it is finished or dropped.
@@ -61,12 +62,17 @@
             connections: RefCell::default(),
             waiters: WaitList::new(),
             rechecking: Cell::new(false),
+            told_limits: Cell::new((pool.slots_per_vm, pool.connections_per_vm)),
         })
     }
 
-    /// Takes the pool's limits from the catalogue.
+    /// Takes the pool's limits from the catalogue. Unchanged ones cost nothing: the table splits
+    /// connections anew for each target.
     pub(crate) fn set_limits(&self, pool: &Pool) {
-        self.table.borrow_mut().set_limits(limits(pool));
+        let told = (pool.slots_per_vm, pool.connections_per_vm);
+        if self.told_limits.replace(told) != told {
+            self.table.borrow_mut().set_limits(limits(pool));
+        }
     }
 
     /// Takes a slot of the best target.
--- a/crates/vanillafold/src/node/routes.rs
+++ b/crates/vanillafold/src/node/routes.rs
@@ -59,15 +59,17 @@
         found.ok().map(|index| &self.teams[index])
     }
 
-    /// Takes over what `state` says; entries that stay keep what they hold.
-    pub(crate) fn follow(&mut self, state: &State, fleet: &Fleet) {
-        self.follow_pools(state, fleet);
+    /// Takes over what `state` says; entries that stay keep what they hold. Says whether pools
+    /// came or went.
+    pub(crate) fn follow(&mut self, state: &State, fleet: &Fleet) -> bool {
+        let pools_changed = self.follow_pools(state, fleet);
         self.follow_teams(state, fleet);
         self.follow_queues(state);
+        pools_changed
     }
 
-    fn follow_pools(&mut self, state: &State, fleet: &Fleet) {
-        let pools: Vec<_> = state
+    fn follow_pools(&mut self, state: &State, fleet: &Fleet) -> bool {
+        let pools: Vec<Rc<PoolRuntime>> = state
             .pools()
             .map(|pool| match self.pool(&pool.value.id) {
                 Some(known) => {
@@ -82,7 +84,10 @@
                 gone.close_idle();
             }
         }
+        let same = pools.len() == self.pools.len()
+            && pools.iter().zip(&self.pools).all(|(a, b)| Rc::ptr_eq(a, b));
         self.pools = pools;
+        !same
     }
 
     fn follow_teams(&mut self, state: &State, fleet: &Fleet) {
--- a/crates/vanillafold/src/node/shared.rs
+++ b/crates/vanillafold/src/node/shared.rs
@@ -16,7 +16,7 @@
 use super::routes::{Fleet, Routes};
 use super::{QueueRuntime, TeamRuntime};
 use crate::counter::Counters;
-use crate::follow::Inventory;
+use crate::follow::{Inventory, TouchedPools};
 use crate::peer::LoadBook;
 use crate::settings::Settings;
 use crate::wait::Shutdown;
@@ -171,21 +171,35 @@
         }
     }
 
-    /// Brings the request path up to the folded state.
-    pub(crate) fn follow_state(&self) {
-        self.routes
+    /// Brings the request path up to the folded state after records of `stream`.
+    pub(crate) fn follow_state(&self, stream: Stream) {
+        let pools_changed = self
+            .routes
             .borrow_mut()
             .follow(&self.state.borrow(), &self.fleet);
-        self.follow_inventory();
+        // Edits of the catalogue are frequent and move no VM.
+        if pools_changed || stream == Stream::Control {
+            self.follow_inventory(&TouchedPools::All);
+        }
     }
 
-    /// Brings the pools' targets up to the VM list and the VMs' moves.
-    pub(crate) fn follow_inventory(&self) {
+    /// Brings the targets of the `touched` pools up to the VM list and the VMs' moves.
+    pub(crate) fn follow_inventory(&self, touched: &TouchedPools) {
+        if touched.is_empty() {
+            return;
+        }
         let routes = self.routes.borrow();
         let state = self.state.borrow();
-        let inventory = self.inventory.borrow();
+        let mut listed = self.inventory.borrow().members(touched, &state);
         for pool in &routes.pools {
-            let members = inventory.members(&pool.id, &state);
+            if !touched.contains(&pool.id) {
+                continue;
+            }
+            let found = listed.binary_search_by(|members| members.pool.cmp(&pool.id));
+            let members = match found {
+                Ok(index) => std::mem::take(&mut listed[index].members),
+                Err(_) => Vec::new(),
+            };
             pool.table.borrow_mut().set_members(members);
             pool.waiters.wake_first();
         }
--- a/crates/vanillafold/src/peer/handler.rs
+++ b/crates/vanillafold/src/peer/handler.rs
@@ -41,8 +41,13 @@
     fn note_loads(&self, loads: Vec<VmLoad>) {
         let routes = self.node.routes.borrow();
         let now = self.node.now();
+        let state = self.node.state.borrow();
+        let inventory = self.node.inventory.borrow();
         for load in loads {
-            for pool in &routes.pools {
+            let pool = inventory
+                .pool_of(&load.vm, &state)
+                .and_then(|pool| routes.pool(pool));
+            if let Some(pool) = pool {
                 let mut table = pool.table.borrow_mut();
                 table.peers_reported(&load.vm, now, load.outstanding);
             }
--- a/crates/vanillafold/src/peer/reporter.rs
+++ b/crates/vanillafold/src/peer/reporter.rs
@@ -6,7 +6,7 @@
 
 use monoio::time::sleep;
 use vanillafold_state::Stream;
-use vanillafold_types::{Offset, VmId};
+use vanillafold_types::{Offset, Slots, VmId};
 use vanillafold_wire::{LoadEntry, LoadReport, PeerHandle, PeerMessage, StateSummary};
 
 use crate::node::Node;
@@ -56,6 +56,10 @@
     let mut loads: Vec<LoadEntry> = Vec::new();
     for pool in &routes.pools {
         let table = pool.table.borrow();
+        // Most pools have nothing outstanding here, and a view of each target costs more.
+        if table.outstanding() == Slots::ZERO {
+            continue;
+        }
         let busy = table.views(now).filter(|view| view.outstanding.get() > 0);
         loads.extend(busy.map(|view| LoadEntry {
             vm: view.vm.clone(),
