--- a/crates/vanillafold/src/follow/fold.rs
+++ b/crates/vanillafold/src/follow/fold.rs
@@ -33,7 +33,7 @@
         note(node, stream, offset, record);
     }
     if changed {
-        node.follow_state();
+        node.follow_state(stream);
     }
     forget_withdrawals(node, &early);
 }
--- a/crates/vanillafold/src/follow/vms.rs
+++ b/crates/vanillafold/src/follow/vms.rs
@@ -8,6 +8,7 @@
 use vanillafold_types::ZoneId;
 use vanillafold_wire::platform::{ListVersion, VmList};
 
+use super::TouchedPools;
 use crate::node::Node;
 
 /// Looks at the own zone for each look at all zones.
@@ -42,16 +43,20 @@
     match list.changes(zone, *version).await {
         Ok(changes) => {
             let since = std::mem::replace(version, changes.version);
+            let state = node.state.borrow();
             let mut inventory = node.inventory.borrow_mut();
             // What a peer gave may hold VMs that are gone.
-            if zone.is_none() && since == ListVersion::default() {
+            let anew = zone.is_none() && since == ListVersion::default();
+            if anew {
                 inventory.begin_anew();
             }
-            let changed = inventory.merge(since, changes);
+            let touched = match (inventory.merge(since, changes, &state), anew) {
+                (_, true) => TouchedPools::All,
+                (touched, false) => touched,
+            };
             drop(inventory);
-            if changed {
-                node.follow_inventory();
-            }
+            drop(state);
+            node.follow_inventory(&touched);
         }
         Err(error) => {
             node.counters.control_failure("vm_list");
--- a/crates/vanillafold/src/node/shared.rs
+++ b/crates/vanillafold/src/node/shared.rs
@@ -20,7 +20,7 @@
 use super::{QueueRuntime, TeamRuntime};
 use crate::append::{Change, RecordWriter};
 use crate::counter::Counters;
-use crate::follow::Inventory;
+use crate::follow::{Inventory, TouchedPools};
 use crate::limit::escrow_settings;
 use crate::peer::LoadBook;
 use crate::recover::Recovery;
@@ -252,7 +252,7 @@
             self.boot_time(),
         );
         drop(state);
-        self.follow_state();
+        self.follow_state(Stream::Control);
         Ok(())
     }
 
@@ -295,13 +295,19 @@
         }
     }
 
-    /// Brings the request path up to the folded state.
-    pub(crate) fn follow_state(&self) {
-        self.routes
-            .borrow_mut()
-            .follow(&self.state.borrow(), &self.fleet, &self.escrow);
-        self.follow_roster();
-        self.follow_inventory();
+    /// Brings the request path up to the folded state after records of `stream`.
+    pub(crate) fn follow_state(&self, stream: Stream) {
+        let pools_changed =
+            self.routes
+                .borrow_mut()
+                .follow(&self.state.borrow(), &self.fleet, &self.escrow);
+        if stream == Stream::Control {
+            self.follow_roster();
+        }
+        // Edits of the catalogue are frequent and move no VM.
+        if pools_changed || stream == Stream::Control {
+            self.follow_inventory(&TouchedPools::All);
+        }
     }
 
     /// Takes over which starts of the daemons count.
@@ -317,13 +323,23 @@
         }
     }
 
-    /// Brings the pools' targets up to the VM list and the VMs' moves.
-    pub(crate) fn follow_inventory(&self) {
+    /// Brings the targets of the `touched` pools up to the VM list and the VMs' moves.
+    pub(crate) fn follow_inventory(&self, touched: &TouchedPools) {
+        if touched.is_empty() {
+            return;
+        }
         let routes = self.routes.borrow();
         let state = self.state.borrow();
-        let inventory = self.inventory.borrow();
+        let mut listed = self.inventory.borrow().members(touched, &state);
         for pool in &routes.pools {
-            let members = inventory.members(&pool.id, &state);
+            if !touched.contains(&pool.id) {
+                continue;
+            }
+            let found = listed.binary_search_by(|members| members.pool.cmp(&pool.id));
+            let members = match found {
+                Ok(index) => std::mem::take(&mut listed[index].members),
+                Err(_) => Vec::new(),
+            };
             pool.table.borrow_mut().set_members(members);
             pool.waiters.wake_first();
         }
--- a/crates/vanillafold/src/recover/inventory.rs
+++ b/crates/vanillafold/src/recover/inventory.rs
@@ -6,6 +6,7 @@
 use vanillafold_wire::{PeerHandle, PeerRequest, PeerResponse, UnavailableReason};
 
 use super::transfer::TransferError;
+use crate::follow::TouchedPools;
 use crate::node::Node;
 
 /// What tells this request from the other custom ones.
@@ -87,7 +88,7 @@
         }
     }
     node.inventory.borrow_mut().take_over(vms);
-    node.follow_inventory();
+    node.follow_inventory(&TouchedPools::All);
     Ok(())
 }
 
