Catch a borrower that starts on a loan without fresh word

Change: a scenario in which a borrower is cut off and fenced, so that its lender takes the units back.

--- a/crates/vanillafold-state/tests/escrow.rs
+++ b/crates/vanillafold-state/tests/escrow.rs
@@ -234,6 +234,30 @@
     assert!(double_floor.report.excess.is_some());
 }
 
+/// A daemon that has borrowed from an idle one loses the platform and its peers and is fenced.
+fn cut_and_fence_a_borrower(planted: Planted) -> World {
+    let mut world = busy(3, &[40], planted);
+    world.processes[0].demand.fill(0);
+    world.processes[2].demand.fill(0);
+    world.run(2_000);
+    assert!(world.report.started_borrowed > 0);
+    world.network.platform_cuts.push(1);
+    world.isolate(1);
+    world.fence_daemon(1, 2);
+    world.saturate();
+    world.run(3 * world.setup.settings.handover_ms().get());
+    world
+}
+
+#[test]
+fn a_borrower_cut_off_stops_on_what_it_borrowed() {
+    let sound = cut_and_fence_a_borrower(Planted::Nothing);
+    let broken = cut_and_fence_a_borrower(Planted::AlwaysFresh);
+
+    assert_eq!(sound.report.excess, None);
+    assert!(broken.report.excess.is_some());
+}
+
 /// Two daemons lose the platform but not each other, and others take their places.
 fn cut_two_and_replace(planted: Planted) -> World {
     let mut world = busy(4, &[40], planted);
