--- a/crates/vanillafold-policy/src/routing/table.rs
+++ b/crates/vanillafold-policy/src/routing/table.rs
@@ -242,7 +242,7 @@
 
     /// The targets whose health is to be probed now: those that said leaving while the list
     /// does not, and those whose time aside is about to end. Each is named once in
-    /// [`HEALTH_CHECK_INTERVAL`].
+    /// five seconds.
     pub fn due_health_checks(&mut self, now: MonotonicMillis) -> Vec<HealthCheck> {
         let mut due = Vec::new();
         for target in &mut self.targets {
