Mend what the reviews of the merged whole found

Change: given-up work is held for its deadline plus the linger time; a word older than the boot is dropped, with the fleet's drift; only a daemon that the roster never named counts as a first start; the line is back; the page has vm, [limits] and snapshot_records, checked by its test.

--- a/crates/vanillafold-standin/tests/daemon/settings.rs
+++ b/crates/vanillafold-standin/tests/daemon/settings.rs
@@ -124,7 +124,9 @@
 fn keys_before_any_section() {
     assert_problems(
         &format!("name = entry-1\n{GOOD}"),
-        &["entry.ini:1: unknown section []: expected [daemon], [platform] or [peer NAME]"],
+        &[
+            "entry.ini:1: unknown section []: expected [daemon], [limits], [platform] or [peer NAME]",
+        ],
     );
 }
 
@@ -168,7 +170,7 @@
     assert_problems(
         &with("[platform]", "[platform]\ncolour = red"),
         &[
-            "entry.ini:12: unknown key colour: expected one of address, timeout_ms, list_interval_ms",
+            "entry.ini:12: unknown key colour: expected one of address, timeout_ms, list_interval_ms, snapshot_records",
         ],
     );
 }
--- a/crates/vanillafold/src/dispatch/dispatcher.rs
+++ b/crates/vanillafold/src/dispatch/dispatcher.rs
@@ -362,7 +362,7 @@
                 let Flight {
                     connection, unit, ..
                 } = flight;
-                linger(self.node, connection, unit, request.method.clone());
+                linger(self.node, connection, unit, request);
                 Attempt::Over(self.refused(ResultCode::BodyBrokeOff))
             }
             Err(_) if !passed_on => self.timed_out(flight),
@@ -370,7 +370,7 @@
                 let Flight {
                     connection, unit, ..
                 } = flight;
-                linger(self.node, connection, unit, request.method.clone());
+                linger(self.node, connection, unit, request);
                 Attempt::Over(Delivered::Cut)
             }
         }
@@ -443,7 +443,7 @@
                 let Flight {
                     connection, unit, ..
                 } = flight;
-                linger(self.node, connection, unit, self.request.method.clone());
+                linger(self.node, connection, unit, self.request);
                 Attempt::Over(Delivered::CallerGone)
             }
         }
@@ -537,7 +537,7 @@
         } = flight;
         let waited_ms = slot.waited_ms();
         slot.finish(self.node.now(), Finish::Failed { kind, waited_ms });
-        linger(self.node, connection, unit, self.request.method.clone());
+        linger(self.node, connection, unit, self.request);
     }
 }
 
--- a/crates/vanillafold/src/dispatch/linger.rs
+++ b/crates/vanillafold/src/dispatch/linger.rs
@@ -5,24 +5,25 @@
 use monoio::time::{Instant, sleep_until, timeout_at};
 use vanillafold_wire::http::{BodyReader, response_framing};
 
+use crate::caller::CallerRequest;
 use crate::node::{Incoming, Node, TargetConnection, TeamUnit};
 
-/// Watches the connection of given-up work until the target answers or closes, at most for the
-/// linger time, and only then gives the unit back.
+/// Watches the connection of given-up work until the target answers, at most until the linger time
+/// after its deadline, and only then gives the unit back.
 pub(crate) fn linger(
     node: &Rc<Node>,
     connection: TargetConnection,
     unit: Option<TeamUnit>,
-    method: http::Method,
+    request: &CallerRequest,
 ) {
+    let method = request.method.clone();
+    let until = Instant::now() + node.settings.timeouts.linger_ms.duration() + request.remaining();
     let node = Rc::clone(node);
     node.counters.lingering.increment(1.0);
     monoio::spawn(async move {
         // Takes all of it: a block that named its reading side only would drop the writing side
         // at once, and with it end the connection.
         let mut connection = connection;
-        let limit = node.settings.timeouts.linger_ms.duration();
-        let until = Instant::now() + limit;
         let ended = timeout_at(until, read_to_end(&mut connection.incoming, &method)).await;
         // The answer had nobody to go to, so the connection is of no more use.
         drop(connection);
--- a/crates/vanillafold/src/node/shared.rs
+++ b/crates/vanillafold/src/node/shared.rs
@@ -74,6 +74,7 @@
     fleet: Fleet,
     catalogue_read: Cell<bool>,
     join_submitted: Cell<bool>,
+    is_first_start: Cell<bool>,
     control_read: Cell<bool>,
     started: Instant,
     fresh: Cell<Freshness>,
@@ -133,6 +134,7 @@
             requests: InFlight::new(),
             catalogue_read: Cell::new(false),
             join_submitted: Cell::new(false),
+            is_first_start: Cell::new(false),
             control_read: Cell::new(false),
             started: Instant::now(),
             request_number: Cell::new(0),
@@ -279,6 +281,14 @@
         if self.join_submitted.replace(true) {
             return;
         }
+        // A daemon that never joined has no claims that it could have forgotten.
+        let known = self
+            .state
+            .borrow()
+            .roster()
+            .member(&self.settings.name)
+            .is_some();
+        self.is_first_start.set(!known);
         let join = ControlChange::Join {
             daemon: self.settings.name.clone(),
             vm: self.settings.vm.clone(),
@@ -315,10 +325,8 @@
         let state = self.state.borrow();
         let roster = state.roster();
         self.escrow.borrow_mut().roster(roster, self.boot_time());
-        let is_first = roster.member(&self.settings.name).is_some_and(|member| {
-            member.incarnation == self.incarnation && !member.has_predecessor
-        });
-        if is_first {
+        let is_current = roster.is_current(&self.settings.name, self.incarnation);
+        if is_current && self.is_first_start.get() {
             self.claims.borrow_mut().set_complete();
         }
     }
--- a/crates/vanillafold/src/recover/peer_records.rs
+++ b/crates/vanillafold/src/recover/peer_records.rs
@@ -7,7 +7,7 @@
 use log::debug;
 use metrics::counter;
 use monoio::time::sleep;
-use vanillafold_state::{BootMillis, EscrowSettings, Stream};
+use vanillafold_state::{BootMillis, Stream};
 use vanillafold_types::{DaemonId, Millis, Offset};
 use vanillafold_wire::{
     PeerHandle, PeerRequest, PeerResponse, RecordBatch, RecordsRequest, UnavailableReason,
@@ -17,6 +17,7 @@
 use super::peer_start::connected_peers;
 use super::transfer::take_state;
 use crate::follow::fold;
+use crate::limit::escrow_settings;
 use crate::node::Node;
 
 /// Between two rounds while peers bring something.
@@ -120,7 +121,9 @@
     counter!("vanillafold_peer_records_total").increment(folded);
     match batch.fresh_age {
         Some(age) if next >= batch.next_offset => {
-            node.caught_up(stream, with_age(asked_at, age));
+            if let Some(at) = with_age(node, asked_at, age) {
+                node.caught_up(stream, at);
+            }
             if age < FRESH_MS || folded > 0 {
                 return Gain::Something;
             }
@@ -134,11 +137,12 @@
     }
 }
 
-/// When the peer's log was fresh by this daemon's clock, at the earliest.
-fn with_age(asked_at: BootMillis, age: Millis) -> BootMillis {
-    let drift = EscrowSettings::default().clock_drift;
+/// When the peer's log was fresh by this daemon's clock, at the earliest; `None` if that was
+/// before this VM booted, so that its clock can't say it.
+fn with_age(node: &Node, asked_at: BootMillis, age: Millis) -> Option<BootMillis> {
+    let drift = escrow_settings(&node.settings).clock_drift;
     let age_ms = age.get().saturating_add(drift.of_rounded_up(age.get()));
-    BootMillis::new(asked_at.get().saturating_sub(age_ms))
+    asked_at.before(Millis::new(age_ms))
 }
 
 /// Takes over the whole state of a peer that has dropped the records needed.
--- a/crates/vanillafold/src/settings/daemon.rs
+++ b/crates/vanillafold/src/settings/daemon.rs
@@ -251,13 +251,20 @@
         let own = self.daemon.as_ref().and_then(Option::as_ref);
         let longest_work_ms = self.limits.clone().unwrap_or_default().longest_work_ms;
         if let Some(daemon) = own.filter(|own| own.timeouts.linger_ms >= longest_work_ms) {
+            let linger_ms = daemon.timeouts.linger_ms;
+            let least_ms = Millis::new(linger_ms.get() + 1);
+            let message = format!(
+                "longest_work_ms: expected at least {least_ms}, above linger_timeout_ms, \
+                 found {longest_work_ms}"
+            );
+            let section = document
+                .sections()
+                .iter()
+                .find(|section| section.kind == "limits");
             problems.push(Problem {
                 file: document.file().to_owned(),
-                line: 1,
-                message: format!(
-                    "linger_timeout_ms: expected less than longest_work_ms ({longest_work_ms}), found {}",
-                    daemon.timeouts.linger_ms
-                ),
+                line: section.map_or(1, |section| section.line),
+                message,
             });
         }
         for (index, section) in document.sections().iter().enumerate() {
@@ -375,7 +382,7 @@
 
 fn read_limits(mut reader: Reader<'_>) -> LimitSettings {
     let default = LimitSettings::default();
-    let times = Millis::new(1_000)..=Millis::new(86_400_000);
+    let times = Millis::new(1_000)..=Millis::new(43_200_000);
     let fence_ms = reader.ranged("fence_ms", default.fence_ms, times.clone());
     let longest_work_ms = reader.ranged("longest_work_ms", default.longest_work_ms, times);
     let percent = Percent::ZERO..=Percent::new(100);
--- a/crates/vanillafold/src/supervisor/daemon.rs
+++ b/crates/vanillafold/src/supervisor/daemon.rs
@@ -174,12 +174,13 @@
     sleep(timeouts.notice_ms.duration()).await;
     node.closing.order();
     let drained = timeout(timeouts.stop_ms.duration(), node.requests.drained()).await;
-    if drained.is_err() {
-        warn!("{} requests are cut off", node.requests.count());
+    // A start that a later one has superseded has nothing left to give back.
+    if !node.superseded.is_ordered() && timeout(LEAVE_LIMIT, leave(node)).await.is_err() {
+        warn!("the fleet was not left: this daemon's units come back later");
     }
-    match timeout(LEAVE_LIMIT, leave(node)).await {
-        Ok(()) => info!("stopped, and left the fleet"),
-        Err(_) => warn!("stopped without leaving the fleet: its units come back later"),
+    match drained {
+        Ok(()) => info!("stopped"),
+        Err(_) => warn!("stopped with {} requests cut off", node.requests.count()),
     }
     node.shutdown.order();
 }
--- a/crates/vanillafold/tests/settings_page.rs
+++ b/crates/vanillafold/tests/settings_page.rs
@@ -9,11 +9,15 @@
 
 const PAGE: &str = include_str!("../../../docs/SETTINGS.md");
 const REQUIRED: &str = "required";
+/// The default of a key that repeats the daemon's name.
+const AS_NAME: &str = "as `name`";
+const NAME: &str = "entry-1";
 
 /// Good settings, the section under test last.
 const DAEMON: &str = "\
 [platform]
 address = 127.0.0.1:7100
+[limits]
 [peer entry-2]
 zone = zone-b
 address = 127.0.0.2:7002
@@ -167,6 +171,7 @@
                     "{problems:?}"
                 );
             }
+            AS_NAME => assert_eq!(read(&with(&format!("{key} = {NAME}"))), plain, "{key}"),
             default => assert_eq!(read(&with(&format!("{key} = {default}"))), plain, "{key}"),
         }
         if row.default != REQUIRED {
@@ -215,6 +220,11 @@
     assert_section("## Settings: `[daemon]`", "[daemon]", DAEMON, read_settings);
 }
 
+#[test]
+fn the_limits_section() {
+    assert_section("## Settings: `[limits]`", "[limits]", DAEMON, read_settings);
+}
+
 #[test]
 fn the_platforms_section() {
     assert_section(
