Close the connection when the caller asks for it

Cause: "Connection: close" in a request was not looked at: the answer said nothing and the connection stayed open until the idle timeout, on the callers' and on the operators' address, so that a caller that reads to the end hung (RFC 9112, section 9.6). Of a target's Connection header only the exact value "close" was understood, not a list with close in it.

Change: asks_to_close reads the header as a list; answers and refusals to such a request say close and end the connection, and the relay uses it for targets.

--- a/crates/vanillafold-standin/tests/daemon/connection.rs
+++ b/crates/vanillafold-standin/tests/daemon/connection.rs
@@ -141,3 +141,42 @@
     assert_eq!(only.answer().status, 200);
     assert!(site.is_running());
 }
+
+#[test]
+fn a_connection_is_closed_behind_the_answer_if_its_caller_asks() {
+    let site = Site::start();
+    let mut raw = site.connect();
+
+    raw.send(named("r1", "Connection: Close\r\nAnswer-Bytes: 10\r\n"));
+    let answer = raw.answer();
+
+    assert_eq!(answer.body.len(), 10);
+    assert_eq!(answer.header("connection"), Some("close"));
+    assert!(raw.is_closed(), "the connection stays open");
+}
+
+#[test]
+fn a_connection_is_closed_behind_a_refusal_if_its_caller_asks() {
+    let site = Site::start();
+    for refused in ["Vf-Deadline-Ms: 0\r\n", "Authorization: Bearer k.x\r\n"] {
+        let mut raw = site.connect();
+
+        raw.send(named("r1", &format!("Connection: x-a, close\r\n{refused}")));
+        let refusal = raw.answer();
+
+        assert_eq!(refusal.header("vf-outcome"), Some("not-run"));
+        assert_eq!(refusal.header("connection"), Some("close"));
+        assert!(raw.is_closed(), "the connection stays open");
+    }
+}
+
+#[test]
+fn an_operators_connection_is_closed_behind_the_answer_if_they_ask() {
+    let site = Site::start();
+    let mut raw = Raw::connect(site.place.admin());
+
+    raw.send("GET /live HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+
+    assert_eq!(raw.answer().text(), "live\n");
+    assert!(raw.is_closed(), "the connection stays open");
+}
--- a/crates/vanillafold-wire/src/http/header.rs
+++ b/crates/vanillafold-wire/src/http/header.rs
@@ -5,6 +5,7 @@
     TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 
+const CLOSE: &str = "close";
 const KEEP_ALIVE: &str = "keep-alive";
 const PROXY_CONNECTION: &str = "proxy-connection";
 
@@ -28,11 +29,22 @@
         || named_by_connection(name, headers)
 }
 
+/// Whether the sender closes the connection behind this message, or wants it closed behind the
+/// answer (RFC 9112, section 9.6).
+#[must_use]
+pub fn asks_to_close(headers: &HeaderMap) -> bool {
+    connection_names(CLOSE, headers)
+}
+
 fn named_by_connection(name: &HeaderName, headers: &HeaderMap) -> bool {
+    connection_names(name.as_str(), headers)
+}
+
+fn connection_names(option: &str, headers: &HeaderMap) -> bool {
     headers
         .get_all(CONNECTION)
         .iter()
         .filter_map(|value| value.to_str().ok())
         .flat_map(|value| value.split(','))
-        .any(|token| token.trim().eq_ignore_ascii_case(name.as_str()))
+        .any(|token| token.trim().eq_ignore_ascii_case(option))
 }
--- a/crates/vanillafold-wire/src/http/mod.rs
+++ b/crates/vanillafold-wire/src/http/mod.rs
@@ -19,7 +19,7 @@
 pub use error::{BodyError, FramingError, HeadError};
 pub use framing::{Framing, declared_framing, request_framing, response_framing};
 pub use head::{MAX_HEAD, MAX_HEADERS};
-pub use header::is_hop_by_hop;
+pub use header::{asks_to_close, is_hop_by_hop};
 pub use reader::{HttpReader, RequestHead, ResponseHead};
 pub use server::{Service, serve_connection};
 pub use writer::{HttpWriter, encode_answer_to_head, encode_request_head, encode_response_head};
--- a/crates/vanillafold-wire/src/http/server.rs
+++ b/crates/vanillafold-wire/src/http/server.rs
@@ -6,8 +6,8 @@
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 
 use super::{
-    BodyError, BodyReader, Framing, HttpReader, HttpWriter, RequestHead, encode_answer_to_head,
-    encode_response_head, request_framing,
+    BodyError, BodyReader, Framing, HttpReader, HttpWriter, RequestHead, asks_to_close,
+    encode_answer_to_head, encode_response_head, request_framing,
 };
 
 /// Answers small requests, whole in memory.
@@ -52,6 +52,7 @@
     body: Bytes,
 ) -> bool {
     let is_head = head.method == Method::HEAD;
+    let closes = asks_to_close(&head.headers);
     let Some(response) = service.answer(Request::from_parts(head, body)).await else {
         return false;
     };
@@ -63,10 +64,11 @@
     let headers = head.headers.iter();
     if is_head {
         encode_answer_to_head(writer.buffer(), head.status, headers, Some(framing));
-        return writer.flush().await.is_ok();
+        return writer.flush().await.is_ok() && !closes;
     }
     encode_response_head(writer.buffer(), head.status, headers, framing);
-    writer.body_piece(framing, body).await.is_ok() && writer.flush().await.is_ok()
+    let sent = writer.body_piece(framing, body).await.is_ok() && writer.flush().await.is_ok();
+    sent && !closes
 }
 
 async fn refuse(writer: &mut HttpWriter, status: StatusCode) -> std::io::Result<()> {
--- a/crates/vanillafold/src/caller/connection.rs
+++ b/crates/vanillafold/src/caller/connection.rs
@@ -147,11 +147,12 @@
             return refuse(node, writer, &refusal, Next::Close).await;
         }
     };
+    let closes = request.asks_to_close();
     let dispatch = Dispatch::new(node, &request, body);
     let next = match dispatch.run(reader, writer).await {
         Delivered::Whole { body_read } => {
             node.counters.result(ResultCode::Answered);
-            match body_read && !node.draining.is_ordered() {
+            match body_read && !closes && !node.draining.is_ordered() {
                 true => Next::KeepAlive,
                 false => Next::Close,
             }
@@ -166,7 +167,7 @@
         }
         Delivered::Refused { code, body_read } => {
             let refusal = request.refusal(code);
-            let next = match body_read {
+            let next = match body_read && !closes {
                 true => Next::KeepAlive,
                 false => Next::Close,
             };
--- a/crates/vanillafold/src/caller/request.rs
+++ b/crates/vanillafold/src/caller/request.rs
@@ -7,7 +7,7 @@
 use http::{Method, Version};
 use monoio::time::Instant;
 use vanillafold_types::{Millis, RequestId, ResultCode, TeamId};
-use vanillafold_wire::http::{Framing, RequestHead, request_framing};
+use vanillafold_wire::http::{Framing, RequestHead, asks_to_close, request_framing};
 
 use super::Refusal;
 use crate::node::{Node, QueueRuntime};
@@ -50,7 +50,7 @@
 #[derive(Debug)]
 pub(crate) struct BadRequest {
     pub(crate) refusal: Refusal,
-    /// The framing of the body that follows; none if its end can't be told.
+    /// The framing of the body that follows; none if the connection can't go on behind it.
     pub(crate) framing: Option<Framing>,
 }
 
@@ -63,11 +63,10 @@
     ) -> Result<Self, BadRequest> {
         let framing = request_framing(&head.headers)
             .map_err(|_| BadRequest::doubtful(ResultCode::ConflictingFraming))?;
-        // A caller that waits for a word before it sends its body may never send it.
-        let known_end = match head.headers.contains_key(EXPECT) {
-            true => None,
-            false => Some(framing),
-        };
+        // A caller that waits for a word before it sends its body may never send it, and one that
+        // asks to close sends nothing more.
+        let goes_on = !head.headers.contains_key(EXPECT) && !asks_to_close(&head.headers);
+        let known_end = goes_on.then_some(framing);
         let is_head = head.method == Method::HEAD;
         let refusal = |code, request| BadRequest {
             refusal: Refusal {
@@ -134,6 +133,11 @@
             .map(|_| ())
     }
 
+    /// Whether the caller wants the connection closed behind the answer.
+    pub(crate) fn asks_to_close(&self) -> bool {
+        asks_to_close(&self.headers)
+    }
+
     /// A refusal of this request.
     pub(crate) fn refusal(&self, code: ResultCode) -> Refusal {
         Refusal {
--- a/crates/vanillafold/src/dispatch/dispatcher.rs
+++ b/crates/vanillafold/src/dispatch/dispatcher.rs
@@ -539,7 +539,7 @@
     let mut headers = header::to_caller(&answer.head.headers);
     let code = ResultCode::Answered;
     answer_headers(&mut headers, Some(&request.id), code, &node.daemon_header);
-    if node.draining.is_ordered() {
+    if node.draining.is_ordered() || request.asks_to_close() {
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
     headers
--- a/crates/vanillafold/src/dispatch/exchange.rs
+++ b/crates/vanillafold/src/dispatch/exchange.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::CONNECTION;
 use http::{HeaderMap, Method};
 use monoio::time::timeout;
 use vanillafold_policy::{AttemptFailure, NotRunReason};
 use vanillafold_types::{ByteSize, Slots};
 use vanillafold_wire::http::{
-    BodyReader, Framing, HeadError, HttpReader, HttpWriter, ResponseHead, declared_framing,
-    encode_answer_to_head, encode_request_head, encode_response_head, response_framing,
+    BodyReader, Framing, HeadError, HttpReader, HttpWriter, ResponseHead, asks_to_close,
+    declared_framing, encode_answer_to_head, encode_request_head, encode_response_head,
+    response_framing,
 };
 
 use super::header;
@@ -52,12 +52,7 @@
 
     /// Whether the target keeps the connection open afterwards.
     pub(crate) fn keeps_connection(&self) -> bool {
-        !self
-            .head
-            .headers
-            .get_all(CONNECTION)
-            .iter()
-            .any(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
+        !asks_to_close(&self.head.headers)
     }
 }
 
