--- a/crates/vanillafold/src/dispatch/dispatcher.rs
+++ b/crates/vanillafold/src/dispatch/dispatcher.rs
@@ -553,7 +553,7 @@
     {
         headers.push(name, value);
     }
-    if node.draining.is_ordered() {
+    if node.draining.is_ordered() || request.asks_to_close() {
         headers.push(CONNECTION, HeaderValue::from_static("close"));
     }
     headers
