--- a/crates/vanillafold-standin/tests/recovery.rs
+++ b/crates/vanillafold-standin/tests/recovery.rs
@@ -9,7 +9,7 @@
 
 use common::{block_on, headers, request};
 use http::Method;
-use vanillafold_standin::rig::{Child, Cluster, DaemonPlace, KeyText, Layout, RigError};
+use vanillafold_standin::rig::{Child, Cluster, DaemonPlace, KeyText, Layout, RigError, Signal};
 use vanillafold_types::ResultCode;
 
 const POOLS: [&str; 1] = ["quotes"];
@@ -35,6 +35,9 @@
 pool = quotes
 teams = cafes
 ";
+/// Looks at the log that found the next record dropped.
+const RECORDS_DROPPED: &str = "vanillafold_control_failures_total{what=\"records_dropped\"}";
+const SNAPSHOTS_WRITTEN: &str = "vanillafold_snapshots_written_total";
 /// Long enough that only a fault of the code reaches it.
 const LIMIT: Duration = Duration::from_secs(60);
 
@@ -100,7 +103,7 @@
     let places = places(cluster);
     places
         .iter()
-        .map(|place| counter(cluster, place, "vanillafold_snapshots_written_total"))
+        .map(|place| counter(cluster, place, SNAPSHOTS_WRITTEN))
         .sum()
 }
 
@@ -235,9 +238,8 @@
 
     // Act
     cluster.start_daemon(&daemons[0].name).expect("started");
-    let failures = "vanillafold_control_failures_total{what=\"records_dropped\"}";
     wait(&cluster, "looks for a snapshot", |cluster| {
-        counter(cluster, &daemons[0], failures) >= 3
+        counter(cluster, &daemons[0], RECORDS_DROPPED) >= 3
     });
 
     // Assert
@@ -273,6 +275,60 @@
     );
 }
 
+#[test]
+fn a_snapshot_behind_which_catalogue_records_are_gone_is_not_taken() {
+    // Arrange: a snapshot, and then more catalogue records than the log keeps.
+    let mut cluster = start(89, 1, 1);
+    let daemon = places(&cluster).remove(0);
+    let faults = "retention_records=200\nappend_rate=100000";
+    cluster.set_platform_faults(faults).expect("faults");
+    fill(&cluster, "catalogue", 250);
+    wait(&cluster, "a snapshot", |cluster| {
+        snapshots_written(cluster) > 0
+    });
+    cluster.kill_daemon(&daemon.name).expect("killed");
+    fill(&cluster, "catalogue", 450);
+
+    // Act
+    cluster.start_daemon(&daemon.name).expect("started");
+    wait(&cluster, "looks for a snapshot", |cluster| {
+        counter(cluster, &daemon, RECORDS_DROPPED) >= 3
+    });
+
+    // Assert
+    assert!(!is_ready(&cluster, &daemon));
+    assert_eq!(state(&cluster, &daemon, "catalogue_next"), "1");
+    assert_eq!(ask(&daemon), ResultCode::NotReady.number());
+}
+
+#[test]
+fn a_daemon_that_slept_through_the_retention_goes_on_from_a_snapshot() {
+    // Arrange
+    let mut cluster = start(90, 1, 2);
+    let daemons = places(&cluster);
+    let faults = "retention_records=200\nappend_rate=100000";
+    cluster.set_platform_faults(faults).expect("faults");
+
+    // Act
+    let sleeper = &daemons[0].name;
+    let stopped = cluster.signal_daemon(sleeper, Signal::Stop);
+    stopped.expect("a stopped daemon");
+    fill(&cluster, "catalogue", 250);
+    fill(&cluster, "control", 250);
+    wait(&cluster, "a snapshot", |cluster| {
+        counter(cluster, &daemons[1], SNAPSHOTS_WRITTEN) > 0
+    });
+    let thawed = cluster.signal_daemon(sleeper, Signal::Continue);
+    thawed.expect("a daemon that goes on");
+
+    // Assert
+    wait(&cluster, "the same state", |cluster| {
+        same_state(cluster, &daemons[0], &daemons[1])
+    });
+    wait(&cluster, "an answer", |_| is_answered(&daemons[0]));
+    assert!(counter(&cluster, &daemons[0], RECORDS_DROPPED) > 0);
+}
+
 // --- Without the platform ----------------------------------------------------------------------
 
 #[test]
--- a/crates/vanillafold/src/append/writer.rs
+++ b/crates/vanillafold/src/append/writer.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use log::{info, warn};
+use metrics::counter;
 use monoio::time::sleep;
 use vanillafold_state::{
     Author, CatalogueChange, CatalogueRecord, ControlChange, ControlRecord, RecordError, Stream,
@@ -186,6 +187,7 @@
     let mut backoff_ms = MIN_BACKOFF_MS;
     while !node.shutdown.is_ordered() {
         let stream = written.stream.as_str();
+        counter!("vanillafold_log_appends_total", "stream" => stream).increment(1);
         match platform.append(stream, written.bytes.clone()).await {
             Ok(_) if !written.is_counted => return sleep(APPEND_GAP).await,
             Ok(_) => sleep(APPEND_GAP).await,
--- a/crates/vanillafold/src/follow/log.rs
+++ b/crates/vanillafold/src/follow/log.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use log::warn;
+use metrics::counter;
 use monoio::time::sleep;
 use vanillafold_policy::SplitMix;
 use vanillafold_state::{BootMillis, Stream};
@@ -45,6 +46,7 @@
             true => LONG_POLL,
             false => Millis::ZERO,
         };
+        counter!("vanillafold_log_reads_total", "stream" => stream.as_str()).increment(1);
         let reading = platform.read(stream.as_str(), from, BATCH_RECORDS, wait_ms);
         let read = monoio::select! {
             read = reading => read,
--- a/crates/vanillafold/src/recover/served.rs
+++ b/crates/vanillafold/src/recover/served.rs
@@ -41,7 +41,7 @@
         let id = self.snapshot.id();
         let control_offset: Offset = previous(id.control_next);
         let index = request.start_bytes / MAX_CHUNK_BYTES as u64;
-        let is_start = request.start_bytes % MAX_CHUNK_BYTES as u64 == 0;
+        let is_start = request.start_bytes.is_multiple_of(MAX_CHUNK_BYTES as u64);
         let piece = usize::try_from(index)
             .ok()
             .and_then(|index| self.snapshot.chunks().get(index));
