Keep a busy connection's request space for the next request

Cause: callgrind and perf showed the space of each request's future allocated with posix_memalign (its timers are over-aligned), split, freed and consolidated again for every request, beside the moves of it.

Change: requests on one connection that follow within 100 ms share one allocation; an idle connection still holds none. The wait has the one timer that it had before.

--- a/crates/vanillafold/src/caller/connection.rs
+++ b/crates/vanillafold/src/caller/connection.rs
@@ -18,6 +18,9 @@
 /// How long a refused caller's remaining bytes are read over before its connection is closed.
 const CLOSE_GRACE: Duration = Duration::from_millis(500);
 
+/// How long a connection without a request keeps what it needs to serve one.
+const BUSY_PAUSE: Duration = Duration::from_millis(100);
+
 const CONTINUE_HEAD: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// What becomes of a connection after a request.
@@ -60,7 +63,7 @@
     let _open = OpenConnection::new(&node);
     while let Some(()) = wait_request(&node, &mut reader, &mut writer).await {
         // Boxed, so that an idle connection does not hold the space of a request's future.
-        let serving = Box::pin(serve_request(&node, &mut reader, &mut writer));
+        let serving = Box::pin(serve_requests(&node, &mut reader, &mut writer));
         match serving.await {
             Next::KeepAlive => {}
             Next::Close => {
@@ -93,6 +96,28 @@
     }
 }
 
+/// Serves requests that follow one another closely, so that they share one allocation.
+async fn serve_requests(node: &Rc<Node>, reader: &mut HttpReader, writer: &mut HttpWriter) -> Next {
+    loop {
+        match serve_request(node, reader, writer).await {
+            Next::KeepAlive => {}
+            other => return other,
+        }
+        reader.shrink();
+        writer.shrink();
+        let next = monoio::select! {
+            biased;
+            waited = timeout(BUSY_PAUSE, reader.wait_message()) => waited,
+            () = node.shutdown.ordered() => return Next::KeepAlive,
+        };
+        match next {
+            Ok(Ok(())) => {}
+            // Whatever came instead of a request, the wait of an idle connection sees it too.
+            Ok(Err(_)) | Err(_) => return Next::KeepAlive,
+        }
+    }
+}
+
 async fn serve_request(node: &Rc<Node>, reader: &mut HttpReader, writer: &mut HttpWriter) -> Next {
     let _served = node.in_flight();
     let head = match read_head(node, reader).await {
