--- a/crates/vanillafold-standin/examples/demo.rs
+++ b/crates/vanillafold-standin/examples/demo.rs
@@ -8,7 +8,7 @@
 use bpaf::{Parser, construct, long};
 use vanillafold_standin::rig::{
     Cluster, DEMO_CATALOGUE, DEMO_TEAMS, Interrupt, KeyText, Layout, LoadPlan, Loads, Observer,
-    RigError, audit,
+    RigError, audit, tight_catalogue,
 };
 
 const POOLS: [&str; 5] = ["quotes", "bookings", "stock", "proofs", "archive"];
@@ -25,6 +25,7 @@
 struct Options {
     seconds: u32,
     keep: bool,
+    tight: bool,
     rig: u8,
     programs: PathBuf,
     directory: PathBuf,
@@ -38,6 +39,9 @@
     let keep = long("keep")
         .help("print every endpoint, a key and the credential, and stay until interrupted")
         .switch();
+    let tight = long("tight")
+        .help("limits so small that bursts reach them")
+        .switch();
     let rig = long("rig")
         .help("second byte of the loopback addresses, 1 to 250")
         .argument::<u8>("N")
@@ -53,6 +57,7 @@
     construct!(Options {
         seconds,
         keep,
+        tight,
         rig,
         programs,
         directory
@@ -83,10 +88,14 @@
 fn demonstrate(options: &Options) -> Result<bool, RigError> {
     let interrupt = Interrupt::install()?;
     let layout = Layout::new(options.rig, ZONES, DAEMONS_PER_ZONE, &POOLS, VMS_PER_ZONE);
+    let catalogue = match options.tight {
+        true => tight_catalogue(),
+        false => DEMO_CATALOGUE.to_owned(),
+    };
     let mut cluster = Cluster::start(
         layout,
         &[],
-        DEMO_CATALOGUE,
+        &catalogue,
         &options.directory,
         &options.programs,
     )?;
--- a/crates/vanillafold-state/src/fold/refusal.rs
+++ b/crates/vanillafold-state/src/fold/refusal.rs
@@ -12,8 +12,9 @@
         /// Why a record was refused, the same in every daemon.
         ///
         /// Numbers are never used again for another meaning. `60x` are faults of the record,
-        /// `62x` of an edit, `64x` of a key, `66x` of a VM's move.
-        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        /// `62x` of an edit, `64x` of a key, `66x` of a VM's move, `68x` of the
+        /// roster.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq)]
         #[non_exhaustive]
         pub enum RefusalReason {
             $($(#[$doc])* $name,)*
@@ -49,8 +50,8 @@
     Malformed = 600, "malformed", "the bytes are not a record of this stream; write it with the project's own tools";
     /// The record's sequence is 0.
     ZeroSequence = 601, "zero_sequence", "sequences begin at 1; count from 1";
-    /// The record claims to be made from a state that is not there yet.
-    AheadOfStream = 602, "ahead_of_stream", "as_of is behind the record's own offset; take the next offset of the state the record was made from";
+    /// The record claims to be made from a state later than its own offset.
+    AheadOfStream = 602, "ahead_of_stream", "as_of is above the record's own offset; take the next offset of the state from which the record is made";
     /// The record landed too long after it was made.
     Expired = 603, "expired", "the record landed too many offsets after it was made; make it again from the present state";
     /// The record's sequence is below those whose outcomes are kept.
@@ -94,6 +95,13 @@
     SamePool = 661, "same_pool", "the VM belongs to this pool already; leave it there";
     /// The VM never moved.
     NeverMoved = 662, "never_moved", "the VM is in its home pool; there is nothing to return";
+
+    /// The daemon has joined with this or a later incarnation.
+    StaleIncarnation = 680, "stale_incarnation", "the daemon has joined with this or a later incarnation; start it again with a larger one";
+    /// The start of the daemon is not the current one, or is fenced or has left already.
+    NotCurrent = 681, "not_current", "only the current start of a daemon can be fenced or leave, and only once; read the roster again";
+    /// No superseded start of the daemon waits for a release.
+    NothingToRelease = 682, "nothing_to_release", "no superseded start of this daemon waits for a release; read the roster again";
 }
 
 impl RefusalReason {
--- a/crates/vanillafold/src/caller/connection.rs
+++ b/crates/vanillafold/src/caller/connection.rs
@@ -89,7 +89,7 @@
             Ok(Ok(())) => Some(()),
             Ok(Err(_)) | Err(_) => None,
         },
-        () = node.shutdown.ordered() => None,
+        () = node.closing.ordered() => None,
     }
 }
 
--- a/crates/vanillafold/src/caller/listener.rs
+++ b/crates/vanillafold/src/caller/listener.rs
@@ -25,7 +25,7 @@
     loop {
         let accepted = monoio::select! {
             accepted = listener.accept() => accepted,
-            () = node.shutdown.ordered() => return Ok(()),
+            () = node.closing.ordered() => return Ok(()),
         };
         let Ok((stream, _)) = accepted else {
             node.counters.control_failure("accept");
--- a/crates/vanillafold/src/dispatch/dispatcher.rs
+++ b/crates/vanillafold/src/dispatch/dispatcher.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONNECTION, HeaderMap, HeaderValue};
+use http::header::{CONNECTION, HeaderValue};
 use monoio::time::{sleep, timeout, timeout_at};
 use vanillafold_policy::{
     AttemptFailure, Decision, FailureKind, Finish, NotRunReason, RequestAttempts, RequestTerms,
@@ -15,7 +15,7 @@
 use vanillafold_wire::http::{BodyReader, HttpReader, HttpWriter, encode_request_head};
 
 use super::exchange::{self, AnswerHead, Received, RelayFault, UploadFault, UploadLimits};
-use super::header;
+use super::header::{self, PassedHeaders};
 use super::linger::linger;
 use super::permit::{NoPermit, Permit, acquire};
 use crate::caller::{CallerRequest, PreparedBody, answer_headers};
@@ -168,7 +168,7 @@
         reader: &mut HttpReader,
         writer: &mut HttpWriter,
     ) -> Attempt {
-        let Permit { unit, slot } = permit;
+        let Permit { mut unit, slot } = permit;
         let connection = match self.connect(&slot).await {
             Ok(connection) => connection,
             Err(failure) => return self.not_sent(slot, failure),
@@ -185,6 +185,12 @@
         if let Err(code) = self.request.reauthorize(self.node) {
             return Attempt::Over(self.refused(self.attempts.refusal(code)));
         }
+        // So may the right to the unit have been lost.
+        if let Some(Err(reason)) = unit.as_mut().map(TeamUnit::renew) {
+            self.node.counters.no_unit(reason.label());
+            self.request.queue.pool.keep(connection);
+            return Attempt::Again;
+        }
         if !std::mem::replace(&mut self.first_sent, true) {
             let now = self.node.now();
             self.request.queue.budget.borrow_mut().first_sent(now);
@@ -356,7 +362,7 @@
                 let Flight {
                     connection, unit, ..
                 } = flight;
-                linger(self.node, connection, unit, request.method.clone());
+                linger(self.node, connection, unit, request);
                 Attempt::Over(self.refused(ResultCode::BodyBrokeOff))
             }
             Err(_) if !passed_on => self.timed_out(flight),
@@ -364,7 +370,7 @@
                 let Flight {
                     connection, unit, ..
                 } = flight;
-                linger(self.node, connection, unit, request.method.clone());
+                linger(self.node, connection, unit, request);
                 Attempt::Over(Delivered::Cut)
             }
         }
@@ -437,7 +443,7 @@
                 let Flight {
                     connection, unit, ..
                 } = flight;
-                linger(self.node, connection, unit, self.request.method.clone());
+                linger(self.node, connection, unit, self.request);
                 Attempt::Over(Delivered::CallerGone)
             }
         }
@@ -509,7 +515,8 @@
         let waited_ms = slot.waited_ms();
         slot.finish(self.node.now(), Finish::Failed { kind, waited_ms });
         if let Some(unit) = unit {
-            unit.hold_until(self.request.deadline);
+            let linger = self.node.settings.timeouts.linger_ms.duration();
+            unit.hold_for(self.request.remaining() + linger);
         }
         Attempt::Failed(failure)
     }
@@ -530,17 +537,24 @@
         } = flight;
         let waited_ms = slot.waited_ms();
         slot.finish(self.node.now(), Finish::Failed { kind, waited_ms });
-        linger(self.node, connection, unit, self.request.method.clone());
+        linger(self.node, connection, unit, self.request);
     }
 }
 
 /// The headers with which an answer is passed on.
-fn answer_head(node: &Node, request: &CallerRequest, answer: &AnswerHead) -> HeaderMap {
+fn answer_head<'a>(
+    node: &Node,
+    request: &CallerRequest,
+    answer: &'a AnswerHead,
+) -> PassedHeaders<'a> {
     let mut headers = header::to_caller(&answer.head.headers);
-    let code = ResultCode::Answered;
-    answer_headers(&mut headers, Some(&request.id), code, &node.daemon_header);
+    for (name, value) in
+        answer_headers(Some(&request.id), ResultCode::Answered, &node.daemon_header)
+    {
+        headers.push(name, value);
+    }
     if node.draining.is_ordered() || request.asks_to_close() {
-        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        headers.push(CONNECTION, HeaderValue::from_static("close"));
     }
     headers
 }
--- a/crates/vanillafold/src/lib.rs
+++ b/crates/vanillafold/src/lib.rs
@@ -24,14 +24,17 @@
 pub use vanillafold_wire as wire;
 
 mod admin;
+mod append;
 mod caller;
 mod claim;
 mod counter;
 mod dispatch;
 mod follow;
+mod limit;
 mod logging;
 mod node;
 mod peer;
+mod recover;
 mod settings;
 mod supervisor;
 mod wait;
@@ -39,6 +42,7 @@
 pub use logging::{LoggingError, start_logging};
 pub use peer::PeerStartError;
 pub use settings::{
-    PeerSettings, PlatformSettings, Secret, SecretError, Settings, SettingsError, Timeouts,
+    LimitSettings, PeerSettings, PlatformSettings, Secret, SecretError, Settings, SettingsError,
+    Timeouts,
 };
 pub use supervisor::{Daemon, DaemonError};
--- a/crates/vanillafold/src/peer/handler.rs
+++ b/crates/vanillafold/src/peer/handler.rs
@@ -12,7 +12,9 @@
 
 use super::load_book::VmLoad;
 use crate::claim;
+use crate::limit::{self, NodeMessage};
 use crate::node::Node;
+use crate::recover;
 
 /// The daemon as its peers see it.
 pub(crate) struct NodeHandler {
@@ -38,11 +40,27 @@
         }
     }
 
+    fn answer_custom(&self, from: &DaemonId, bytes: &[u8]) -> PeerResponse {
+        match (recover::decode(bytes), claim::decode(bytes)) {
+            (Some(request), _) => recover::answer_inventory(&self.node, &request),
+            (None, Some(request)) => {
+                let response = claim::answer(&self.node, from, request);
+                PeerResponse::Custom(claim::encode(&response))
+            }
+            (None, None) => PeerResponse::Unavailable(UnavailableReason::Unsupported),
+        }
+    }
+
     fn note_loads(&self, loads: Vec<VmLoad>) {
         let routes = self.node.routes.borrow();
         let now = self.node.now();
+        let state = self.node.state.borrow();
+        let inventory = self.node.inventory.borrow();
         for load in loads {
-            for pool in &routes.pools {
+            let pool = inventory
+                .pool_of(&load.vm, &state)
+                .and_then(|pool| routes.pool(pool));
+            if let Some(pool) = pool {
                 let mut table = pool.table.borrow_mut();
                 table.peers_reported(&load.vm, now, load.outstanding);
             }
@@ -61,21 +79,23 @@
             PeerMessage::Withdrawal(withdrawal) => {
                 self.node.state.borrow_mut().withdraw_now(withdrawal.key);
             }
+            PeerMessage::Custom(bytes) => match limit::decode(&bytes) {
+                Some(NodeMessage::Escrow {
+                    from_incarnation,
+                    message,
+                }) => limit::receive(&self.node, from, from_incarnation, message),
+                None => self.node.counters.control_failure("peer_message_unknown"),
+            },
             _ => self.node.counters.control_failure("peer_message_unknown"),
         }
     }
 
-    fn on_request(&self, _from: &DaemonId, request: PeerRequest) -> PeerResponse {
-        let unsupported = PeerResponse::Unavailable(UnavailableReason::Unsupported);
+    fn on_request(&self, from: &DaemonId, request: PeerRequest) -> PeerResponse {
         match request {
-            PeerRequest::Custom(bytes) => match claim::decode(&bytes) {
-                Some(request) => {
-                    let response = claim::answer(&self.node, request);
-                    PeerResponse::Custom(claim::encode(&response))
-                }
-                None => unsupported,
-            },
-            _ => unsupported,
+            PeerRequest::Records(request) => recover::answer_records(&self.node, &request),
+            PeerRequest::Snapshot(request) => recover::answer_snapshot(&self.node, &request),
+            PeerRequest::Custom(bytes) => self.answer_custom(from, &bytes),
+            _ => PeerResponse::Unavailable(UnavailableReason::Unsupported),
         }
     }
 
--- a/crates/vanillafold/src/settings/mod.rs
+++ b/crates/vanillafold/src/settings/mod.rs
@@ -4,5 +4,7 @@
 mod secret;
 mod value;
 
-pub use daemon::{PeerSettings, PlatformSettings, Settings, SettingsError, Timeouts};
+pub use daemon::{
+    LimitSettings, PeerSettings, PlatformSettings, Settings, SettingsError, Timeouts,
+};
 pub use secret::{Secret, SecretError};
