Test states of several pieces; let two runs of the recovery tests wait for each other

Seen: 7 of 11 failed with 'address already in use' (and 3 of 11 in each of five runs after) while another checkout ran the same file: rigs have fixed addresses and directories. Each rig is now claimed by a listener for the life of the process.

--- a/crates/vanillafold-standin/tests/recovery.rs
+++ b/crates/vanillafold-standin/tests/recovery.rs
@@ -4,13 +4,18 @@
 
 use std::env;
 use std::fs;
+use std::mem;
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
-use std::time::Duration;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
 
 use common::{block_on, headers, request};
 use http::Method;
+use vanillafold::state::{Author, CatalogueChange, CatalogueRecord, MAX_CHUNK_BYTES, Stream};
 use vanillafold_standin::rig::{Child, Cluster, DaemonPlace, KeyText, Layout, RigError, Signal};
-use vanillafold_types::ResultCode;
+use vanillafold_types::{Incarnation, Millis, Offset, ResultCode, Sequence};
+use vanillafold_wire::platform::{HttpPlatform, PlatformLog};
 
 const POOLS: [&str; 1] = ["quotes"];
 const CATALOGUE: &str = "\
@@ -38,6 +43,8 @@
 /// Looks at the log that found the next record dropped.
 const RECORDS_DROPPED: &str = "vanillafold_control_failures_total{what=\"records_dropped\"}";
 const SNAPSHOTS_WRITTEN: &str = "vanillafold_snapshots_written_total";
+/// The length of the names with which [`grow`] fills the state.
+const KEY_BYTES: usize = 60;
 /// Long enough that only a fault of the code reaches it.
 const LIMIT: Duration = Duration::from_secs(60);
 
@@ -50,12 +57,28 @@
     deps.parent().expect("a folder of programs").to_owned()
 }
 
+/// Keeps the addresses and the directory of a rig for this process, after another run of these
+/// tests on the machine has ended.
+fn claim(rig: u8) {
+    let address = SocketAddr::from(([127, rig, 251, 1], 7_999));
+    let begun = Instant::now();
+    loop {
+        match TcpListener::bind(address) {
+            // Until the process ends.
+            Ok(listener) => return mem::forget(listener),
+            Err(error) if begun.elapsed() > 3 * LIMIT => panic!("rig {rig} is in use: {error}"),
+            Err(_) => sleep(Duration::from_millis(50)),
+        }
+    }
+}
+
 fn start(rig: u8, zones: u8, daemons: u8) -> Cluster {
     let programs = programs();
     assert!(
         programs.join("vanillafold").exists(),
         "build the programs first: cargo build --workspace --all-targets"
     );
+    claim(rig);
     let directory = env::temp_dir().join(format!("vanillafold-recovery-{rig}"));
     let layout = Layout::new(rig, zones, daemons, &POOLS, 1);
     Cluster::start(layout, &[], CATALOGUE, &directory, &programs).expect("a cluster")
@@ -75,6 +98,30 @@
     }
 }
 
+/// Fills the state: each record withdraws a key with a long name.
+fn grow(cluster: &Cluster, records: u64) {
+    let platform = cluster.layout.platform;
+    block_on(async move {
+        let platform = HttpPlatform::new(platform, Millis::new(3_000));
+        for number in 1..=records {
+            let record = CatalogueRecord {
+                author: Author {
+                    id: "grower".parse().expect("an author"),
+                    incarnation: Incarnation::new(1),
+                },
+                sequence: Sequence::new(number),
+                as_of: Offset::new(1),
+                change: CatalogueChange::WithdrawKey(
+                    format!("{number:0KEY_BYTES$}").parse().expect("a key's id"),
+                ),
+            };
+            let bytes = record.encode().expect("a small record").into();
+            let appended = platform.append(Stream::Catalogue.as_str(), bytes).await;
+            appended.expect("an append");
+        }
+    });
+}
+
 fn is_ready(cluster: &Cluster, place: &DaemonPlace) -> bool {
     let ready = cluster.call(Method::GET, place.admin, "/ready", "");
     ready.is_ok()
@@ -329,6 +376,41 @@
     assert!(counter(&cluster, &daemons[0], RECORDS_DROPPED) > 0);
 }
 
+#[test]
+fn a_state_of_several_pieces_comes_from_the_log_and_from_peers() {
+    // Arrange
+    let mut cluster = start(92, 1, 2);
+    let daemons = places(&cluster);
+    let faults = "retention_records=400\nappend_rate=100000";
+    cluster.set_platform_faults(faults).expect("faults");
+    grow(&cluster, 1_500);
+    // At most a quarter of the 400 records that are kept is newer than the newest snapshot.
+    let least = 1_402;
+    assert!(least * KEY_BYTES > MAX_CHUNK_BYTES, "one piece holds it");
+    wait(&cluster, "a snapshot of several pieces", |cluster| {
+        let next = state(cluster, &daemons[0], "newest_snapshot_catalogue_next");
+        next.parse::<usize>().is_ok_and(|next| next >= least)
+    });
+
+    // Act and assert: without peers.
+    for daemon in &daemons {
+        cluster.kill_daemon(&daemon.name).expect("killed");
+    }
+    cluster.start_daemon(&daemons[0].name).expect("started");
+    wait(&cluster, "the start from the log", |cluster| {
+        is_ready(cluster, &daemons[0])
+    });
+    assert_eq!(state(&cluster, &daemons[0], "catalogue_next"), "1502");
+
+    // Act and assert: without the platform.
+    cluster.set_platform_faults("outage=true").expect("faults");
+    cluster.start_daemon(&daemons[1].name).expect("started");
+    wait(&cluster, "the start through a peer", |cluster| {
+        is_ready(cluster, &daemons[1])
+    });
+    assert!(same_state(&cluster, &daemons[0], &daemons[1]));
+}
+
 // --- Without the platform ----------------------------------------------------------------------
 
 #[test]
--- a/crates/vanillafold/src/admin/service.rs
+++ b/crates/vanillafold/src/admin/service.rs
@@ -80,9 +80,11 @@
             let _ = writeln!(page, "{stream}_next={}", state.next_offset(stream));
         }
         let _ = writeln!(page, "digest={}", state.digest());
-        let newest = self.node.recovery.watch.borrow().newest_control_next();
-        let newest = newest.map_or_else(|| "none".to_owned(), |next| next.to_string());
-        let _ = writeln!(page, "newest_snapshot_control_next={newest}");
+        for stream in [Stream::Catalogue, Stream::Control] {
+            let newest = self.node.recovery.watch.borrow().newest_next(stream);
+            let newest = newest.map_or_else(|| "none".to_owned(), |next| next.to_string());
+            let _ = writeln!(page, "newest_snapshot_{stream}_next={newest}");
+        }
         let _ = writeln!(page, "requests={}", self.node.requests.count());
         let escrow = self.node.escrow.borrow().view(self.node.boot_time());
         let _ = writeln!(
--- a/crates/vanillafold/src/recover/watch.rs
+++ b/crates/vanillafold/src/recover/watch.rs
@@ -87,9 +87,12 @@
         });
     }
 
-    /// The control offset from which the newest snapshot goes on.
-    pub(crate) fn newest_control_next(&self) -> Option<Offset> {
-        self.newest.map(|newest| newest.control_next)
+    /// The offset of `stream` from which the newest snapshot goes on.
+    pub(crate) fn newest_next(&self, stream: Stream) -> Option<Offset> {
+        self.newest.map(|newest| match stream {
+            Stream::Catalogue => newest.catalogue_next,
+            Stream::Control => newest.control_next,
+        })
     }
 
     /// Whether a snapshot should be written; `most_records` is the most that may follow one.
--- a/crates/vanillafold/src/recover/writer.rs
+++ b/crates/vanillafold/src/recover/writer.rs
@@ -71,6 +71,7 @@
         while node.writer.len() > 0 && !node.shutdown.is_ordered() {
             sleep(PIECE_LOOK).await;
         }
+        counter!("vanillafold_snapshot_pieces_written_total").increment(1);
         sleep(PIECE_GAP).await;
     }
     info!("the snapshot {id} is written in {pieces} pieces");
