--- a/crates/vanillafold-standin/src/measure/bench_rig.rs
+++ b/crates/vanillafold-standin/src/measure/bench_rig.rs
@@ -11,6 +11,9 @@
 /// The queue that every bench sends to.
 pub const BENCH_QUEUE: &str = "bench";
 
+/// Longer than the deadline of a long body, which is above that of any request today.
+const LONGEST_WORK_MS: u64 = 700_000;
+
 const CATALOGUE: &str = "\
 [pool bench]
 owner = ops@shop.example
@@ -62,7 +65,8 @@
     /// [`RigError`].
     pub fn start(rig: u8, directory: &Path, programs: &Path) -> Result<Self, RigError> {
         // The cluster's own runners write traces, and the flushes would count as their work.
-        let layout = Layout::new(rig, 1, 1, &[], 0);
+        let mut layout = Layout::new(rig, 1, 1, &[], 0);
+        layout.longest_work_ms = LONGEST_WORK_MS;
         let mut cluster = Cluster::start(layout, &[], CATALOGUE, directory, programs)?;
         let key = cluster.give_key("bench-1", BENCH_QUEUE)?;
         let zone = cluster.layout.zones[0].name.clone();
--- /dev/null
+++ b/crates/vanillafold-standin/src/rig/claim.rs
@@ -0,0 +1,49 @@
+//! What tests need around a rig: the built programs, and addresses of their own.
+
+use std::env;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// How long another run of the same tests may keep a rig's addresses.
+const CLAIM_LIMIT: Duration = Duration::from_secs(180);
+/// Between two tries.
+const CLAIM_POLL: Duration = Duration::from_millis(50);
+
+/// The directory of the programs that were built along with the running test.
+///
+/// # Panics
+///
+/// If the daemon was not built: `cargo build --workspace --all-targets` does.
+#[must_use]
+pub fn built_programs() -> PathBuf {
+    let test = env::current_exe().expect("the test's own path");
+    let deps = test.parent().expect("a folder of tests");
+    let programs = deps.parent().expect("a folder of programs").to_owned();
+    assert!(
+        programs.join("vanillafold").exists(),
+        "build the programs first: cargo build --workspace --all-targets"
+    );
+    programs
+}
+
+/// Keeps the addresses of a rig for this process, after another run on this machine has ended.
+///
+/// # Panics
+///
+/// If the other run does not end in time.
+pub fn claim_rig(rig: u8) {
+    let address = SocketAddr::from(([127, rig, 251, 1], 7_999));
+    let begun = Instant::now();
+    loop {
+        match TcpListener::bind(address) {
+            // Until the process ends.
+            Ok(listener) => return std::mem::forget(listener),
+            Err(error) if begun.elapsed() > CLAIM_LIMIT => {
+                panic!("rig {rig} is in use: {error}")
+            }
+            Err(_) => sleep(CLAIM_POLL),
+        }
+    }
+}
--- a/crates/vanillafold-standin/src/rig/cluster.rs
+++ b/crates/vanillafold-standin/src/rig/cluster.rs
@@ -570,8 +570,14 @@
         let mut text = format!(
             "[daemon]\nname = {}\nzone = {}\ncluster = rig\ncallers = {}\npeers = {}\nadmin = {}\n\
              peer_token_file = peer-token\noperator_credential_file = operator-credential\n\
-             linger_timeout_ms = 20000\n\n[limits]\nlongest_work_ms = 30000\n\n[platform]\naddress = {}\nlist_interval_ms = 500\n",
-            place.name, place.zone, place.callers, place.peers, place.admin, self.layout.platform,
+             linger_timeout_ms = 20000\n\n[limits]\nlongest_work_ms = {}\n\n[platform]\naddress = {}\nlist_interval_ms = 500\n",
+            place.name,
+            place.zone,
+            place.callers,
+            place.peers,
+            place.admin,
+            self.layout.longest_work_ms,
+            self.layout.platform,
         );
         for peer in self.layout.daemons().filter(|peer| peer.name != place.name) {
             let address = self.through_network(peer.peers);
--- a/crates/vanillafold-standin/src/rig/layout.rs
+++ b/crates/vanillafold-standin/src/rig/layout.rs
@@ -11,6 +11,10 @@
 /// The first port of a runner process, one port a VM.
 const RUNNER_PORT: u16 = 7200;
 
+/// What daemons take for the longest work, unless a rig says otherwise: short, so that restarted
+/// daemons have their units back soon.
+const LONGEST_WORK_MS: u64 = 30_000;
+
 /// The place of one daemon.
 #[derive(Debug, Clone)]
 pub struct DaemonPlace {
@@ -62,6 +66,8 @@
     pub platform: SocketAddr,
     /// The zones.
     pub zones: Vec<Zone>,
+    /// What daemons take for the longest work; deadlines above it less the linger time are refused.
+    pub longest_work_ms: u64,
 }
 
 impl RunnerPlace {
@@ -93,6 +99,7 @@
         Self {
             platform: address(rig, 250, 1, PLATFORM_PORT),
             zones,
+            longest_work_ms: LONGEST_WORK_MS,
         }
     }
 
--- a/crates/vanillafold-standin/src/rig/mod.rs
+++ b/crates/vanillafold-standin/src/rig/mod.rs
@@ -2,6 +2,7 @@
 
 mod catalogue;
 mod child;
+mod claim;
 mod cluster;
 mod error;
 mod faults;
@@ -12,6 +13,7 @@
 
 pub use catalogue::{DEMO_CATALOGUE, DEMO_OPERATOR, DEMO_TEAMS, tight_catalogue};
 pub use child::{Child, Signal};
+pub use claim::{built_programs, claim_rig};
 pub use cluster::{Cluster, KeyText};
 pub use error::RigError;
 pub use faults::{FAULTS, Fault, inject, observe_for, shuffled};
--- a/crates/vanillafold-standin/tests/daemon/settings.rs
+++ b/crates/vanillafold-standin/tests/daemon/settings.rs
@@ -170,7 +170,7 @@
     assert_problems(
         &with("[platform]", "[platform]\ncolour = red"),
         &[
-            "entry.ini:12: unknown key colour: expected one of address, timeout_ms, list_interval_ms, snapshot_records",
+            "entry.ini:12: unknown key colour: expected one of address, timeout_ms, list_interval_ms, entry_pool, snapshot_records",
         ],
     );
 }
--- a/crates/vanillafold-standin/tests/recovery.rs
+++ b/crates/vanillafold-standin/tests/recovery.rs
@@ -4,16 +4,14 @@
 
 use std::env;
 use std::fs;
-use std::mem;
-use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
-use std::thread::sleep;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use common::{block_on, headers, request};
 use http::Method;
 use vanillafold::state::{Author, CatalogueChange, CatalogueRecord, MAX_CHUNK_BYTES, Stream};
-use vanillafold_standin::rig::{Child, Cluster, DaemonPlace, KeyText, Layout, RigError, Signal};
+use vanillafold_standin::rig::{
+    Child, Cluster, DaemonPlace, KeyText, Layout, RigError, Signal, built_programs, claim_rig,
+};
 use vanillafold_types::{Incarnation, Millis, Offset, ResultCode, Sequence};
 use vanillafold_wire::platform::{HttpPlatform, PlatformLog};
 
@@ -50,35 +48,9 @@
 
 // --- Fixtures ----------------------------------------------------------------------------------
 
-/// Where cargo puts the programs of this build.
-fn programs() -> PathBuf {
-    let test = env::current_exe().expect("the test's own path");
-    let deps = test.parent().expect("a folder of tests");
-    deps.parent().expect("a folder of programs").to_owned()
-}
-
-/// Keeps the addresses and the directory of a rig for this process, after another run of these
-/// tests on the machine has ended.
-fn claim(rig: u8) {
-    let address = SocketAddr::from(([127, rig, 251, 1], 7_999));
-    let begun = Instant::now();
-    loop {
-        match TcpListener::bind(address) {
-            // Until the process ends.
-            Ok(listener) => return mem::forget(listener),
-            Err(error) if begun.elapsed() > 3 * LIMIT => panic!("rig {rig} is in use: {error}"),
-            Err(_) => sleep(Duration::from_millis(50)),
-        }
-    }
-}
-
 fn start(rig: u8, zones: u8, daemons: u8) -> Cluster {
-    let programs = programs();
-    assert!(
-        programs.join("vanillafold").exists(),
-        "build the programs first: cargo build --workspace --all-targets"
-    );
-    claim(rig);
+    let programs = built_programs();
+    claim_rig(rig);
     let directory = env::temp_dir().join(format!("vanillafold-recovery-{rig}"));
     let layout = Layout::new(rig, zones, daemons, &POOLS, 1);
     Cluster::start(layout, &[], CATALOGUE, &directory, &programs).expect("a cluster")
@@ -539,3 +511,25 @@
         ask_with(&daemon, &key) == ResultCode::Answered.number()
     });
 }
+
+#[test]
+fn the_operators_tool_goes_on_from_a_snapshot() {
+    // Arrange: a log that keeps 200 records and has dropped the catalogue.
+    let mut cluster = start(103, 1, 2);
+    let daemons = places(&cluster);
+    let faults = "retention_records=200\nappend_rate=100000";
+    cluster.set_platform_faults(faults).expect("faults");
+    fill(&cluster, "control", 250);
+    fill(&cluster, "catalogue", 250);
+    wait(&cluster, "a snapshot", |cluster| {
+        snapshots_written(cluster) > 0
+    });
+
+    // Act
+    let key = cluster.give_key("cafes-1", "cafes").expect("a key");
+
+    // Assert
+    wait(&cluster, "the key", |_| {
+        ask_with(&daemons[1], &key) == ResultCode::Answered.number()
+    });
+}
--- a/crates/vanillafold-wire/src/peer/set.rs
+++ b/crates/vanillafold-wire/src/peer/set.rs
@@ -172,6 +172,15 @@
         self.directory.upgrade().ok_or(PeerError::Closed)
     }
 
+    /// As [`PeerSet::set_members`].
+    ///
+    /// # Errors
+    ///
+    /// Those of [`PeerSet::set_members`], and [`PeerError::Closed`].
+    pub fn set_members(&self, members: Vec<PeerAddress>) -> Result<(), PeerError> {
+        self.directory()?.set_members(members)
+    }
+
     /// As [`PeerSet::send`].
     ///
     /// # Errors
--- a/crates/vanillafold/src/admin/service.rs
+++ b/crates/vanillafold/src/admin/service.rs
@@ -112,6 +112,17 @@
         }
         let _ = writeln!(page, "claims={}", self.node.claims.borrow().len());
         let _ = writeln!(page, "records_to_write={}", self.node.writer.len());
+        let peers = self.node.peers.borrow().clone();
+        for peer in peers.map(|peers| peers.statuses()).unwrap_or_default() {
+            let _ = writeln!(
+                page,
+                "peer {} zone={} connected={} alive={}",
+                peer.daemon,
+                peer.zone,
+                peer.connected,
+                peer.state.is_alive(),
+            );
+        }
         for queue in &routes.queues {
             let _ = writeln!(
                 page,
--- a/crates/vanillafold/src/node/shared.rs
+++ b/crates/vanillafold/src/node/shared.rs
@@ -22,7 +22,7 @@
 use crate::counter::Counters;
 use crate::follow::{Inventory, TouchedPools};
 use crate::limit::escrow_settings;
-use crate::peer::LoadBook;
+use crate::peer::{LoadBook, follow_members};
 use crate::recover::Recovery;
 use crate::settings::Settings;
 use crate::wait::Shutdown;
@@ -336,6 +336,9 @@
         if touched.is_empty() {
             return;
         }
+        if touched.contains(&self.settings.platform.entry_pool) {
+            follow_members(self);
+        }
         let routes = self.routes.borrow();
         let state = self.state.borrow();
         let mut listed = self.inventory.borrow().members(touched, &state);
--- a/crates/vanillafold/src/peer/reporter.rs
+++ b/crates/vanillafold/src/peer/reporter.rs
@@ -6,8 +6,8 @@
 
 use monoio::time::sleep;
 use vanillafold_state::Stream;
-use vanillafold_types::{Offset, Slots, VmId};
-use vanillafold_wire::{LoadEntry, LoadReport, PeerHandle, PeerMessage, StateSummary};
+use vanillafold_types::{Offset, Slots, VmId, ZoneId};
+use vanillafold_wire::{LoadEntry, LoadReport, PeerHandle, PeerMessage, PeerStatus, StateSummary};
 
 use crate::node::Node;
 
@@ -16,31 +16,36 @@
 /// Looks between two summaries of the state.
 const SUMMARY_LOOKS: u32 = 10;
 
+/// What is outstanding at one VM.
+#[derive(Debug, Clone)]
+struct ZonedLoad {
+    vm: VmId,
+    zone: ZoneId,
+    outstanding: u32,
+}
+
 /// Reports to the peers until the daemon stops.
 ///
 /// # Errors
 ///
 /// None.
 pub(crate) async fn report(node: Rc<Node>, peers: PeerHandle) -> Result<(), Infallible> {
-    let mut told: Vec<LoadEntry> = Vec::new();
+    let mut told: Vec<ZonedLoad> = Vec::new();
     let mut looks = 0;
     while !node.shutdown.is_ordered() {
         let loads = loads(&node);
         let changes = changes(&told, &loads);
-        if !changes.is_empty() {
-            let report = LoadReport { entries: changes };
-            // A set that is closed has nobody to tell; the daemon is stopping.
-            let _ = peers.broadcast(PeerMessage::LoadReport(report));
-        }
-        for peer in std::mem::take(&mut *node.reconnected.borrow_mut()) {
-            let report = LoadReport {
-                entries: loads.clone(),
+        let back = std::mem::take(&mut *node.reconnected.borrow_mut());
+        for peer in peers.statuses() {
+            let news = match back.contains(&peer.daemon) {
+                true => &loads,
+                false => &changes,
             };
-            // A peer that has gone again gets it when it is back.
-            let _ = peers.send(&peer, PeerMessage::LoadReport(report));
+            tell(&node, &peers, &peer, news);
         }
         told = loads;
         if looks % SUMMARY_LOOKS == 0 {
+            // A set that is closed has nobody to tell; the daemon is stopping.
             let _ = peers.broadcast(PeerMessage::State(summary(&node)));
         }
         looks += 1;
@@ -49,11 +54,33 @@
     Ok(())
 }
 
+/// Tells a peer the loads that it can use: one of the own zone all of them, one of another zone
+/// those of its own VMs. It sends to its own zone first, and with every load told to everyone
+/// the reports would grow with the square of the fleet.
+fn tell(node: &Node, peers: &PeerHandle, peer: &PeerStatus, news: &[ZonedLoad]) {
+    let is_near = peer.zone == node.settings.zone;
+    let entries: Vec<LoadEntry> = news
+        .iter()
+        .filter(|load| is_near || load.zone == peer.zone)
+        .map(|load| LoadEntry {
+            vm: load.vm.clone(),
+            outstanding: load.outstanding,
+        })
+        .collect();
+    if !entries.is_empty() {
+        // A peer that has gone gets them all when it is back.
+        let _ = peers.send(
+            &peer.daemon,
+            PeerMessage::LoadReport(LoadReport { entries }),
+        );
+    }
+}
+
 /// What is outstanding at each VM, sorted by VM, idle ones left out.
-fn loads(node: &Node) -> Vec<LoadEntry> {
+fn loads(node: &Node) -> Vec<ZonedLoad> {
     let routes = node.routes.borrow();
     let now = node.now();
-    let mut loads: Vec<LoadEntry> = Vec::new();
+    let mut loads: Vec<ZonedLoad> = Vec::new();
     for pool in &routes.pools {
         let table = pool.table.borrow();
         // Most pools have nothing outstanding here, and a view of each target costs more.
@@ -61,8 +88,9 @@
             continue;
         }
         let busy = table.views(now).filter(|view| view.outstanding.get() > 0);
-        loads.extend(busy.map(|view| LoadEntry {
+        loads.extend(busy.map(|view| ZonedLoad {
             vm: view.vm.clone(),
+            zone: view.zone.clone(),
             outstanding: view.outstanding.get(),
         }));
     }
@@ -71,8 +99,8 @@
 }
 
 /// The entries of `now` that differ from `told`, and zeros for those that are idle again.
-fn changes(told: &[LoadEntry], now: &[LoadEntry]) -> Vec<LoadEntry> {
-    let find = |entries: &[LoadEntry], vm: &VmId| {
+fn changes(told: &[ZonedLoad], now: &[ZonedLoad]) -> Vec<ZonedLoad> {
+    let find = |entries: &[ZonedLoad], vm: &VmId| {
         let found = entries.binary_search_by(|entry| entry.vm.cmp(vm));
         found.map_or(0, |index| entries[index].outstanding)
     };
@@ -83,9 +111,9 @@
     let idle = told
         .iter()
         .filter(|entry| find(now, &entry.vm) == 0)
-        .map(|entry| LoadEntry {
-            vm: entry.vm.clone(),
+        .map(|entry| ZonedLoad {
             outstanding: 0,
+            ..entry.clone()
         });
     changed.chain(idle).collect()
 }
--- a/crates/vanillafold/src/peer/start.rs
+++ b/crates/vanillafold/src/peer/start.rs
@@ -3,9 +3,10 @@
 use std::rc::Rc;
 
 use vanillafold_types::IdError;
-use vanillafold_wire::{PeerAddress, PeerError, PeerSet, PeerSettings};
+use vanillafold_wire::{PeerError, PeerSet, PeerSettings};
 
 use super::NodeHandler;
+use super::members::members;
 use crate::node::Node;
 
 /// Why the peer protocol did not start.
@@ -20,7 +21,7 @@
     Peer(#[from] PeerError),
 }
 
-/// Listens for peers and dials those of the settings.
+/// Listens for peers and dials those that are known.
 ///
 /// # Errors
 ///
@@ -37,11 +38,6 @@
     );
     let handler = Rc::new(NodeHandler::new(Rc::clone(node)));
     let peers = PeerSet::open(peer_settings, handler)?;
-    let members = settings.peers.iter().map(|peer| PeerAddress {
-        daemon: peer.name.clone(),
-        zone: peer.zone.clone(),
-        address: peer.address,
-    });
-    peers.set_members(members.collect())?;
+    peers.set_members(members(node))?;
     Ok(peers)
 }
--- a/crates/vanillafold/src/settings/daemon.rs
+++ b/crates/vanillafold/src/settings/daemon.rs
@@ -5,8 +5,8 @@
 use std::path::{Path, PathBuf};
 
 use vanillafold_types::{
-    Connections, DaemonId, Document, Millis, Offset, Percent, Problem, Reader, VmId, ZoneId,
-    nearest_name,
+    Connections, DaemonId, Document, Millis, Offset, Percent, PoolId, Problem, Reader, VmId,
+    ZoneId, nearest_name,
 };
 
 use super::Secret;
@@ -14,6 +14,9 @@
 
 const SECTIONS: [&str; 4] = ["daemon", "limits", "peer", "platform"];
 
+/// The pool under which the platform's list shows the entry VMs.
+const DEFAULT_ENTRY_POOL: &str = "entry";
+
 /// A daemon's settings, checked.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -95,6 +98,9 @@
     /// The most records of a stream between two snapshots; fewer where the platform keeps
     /// fewer than four times as many.
     pub snapshot_records: u64,
+    /// The pool under which the list shows the entry VMs, each named as its daemon, with the
+    /// address for peers.
+    pub entry_pool: PoolId,
 }
 
 /// Another daemon.
@@ -366,6 +372,7 @@
     let address = address(&mut reader, "address");
     let timeout_ms = milliseconds(&mut reader, "timeout_ms", 2_000);
     let list_interval_ms = milliseconds(&mut reader, "list_interval_ms", 1_000);
+    let entry_pool = reader.optional("entry_pool");
     let snapshot_records = reader.ranged(
         "snapshot_records",
         Offset::new(10_000),
@@ -376,6 +383,7 @@
         address: address?,
         timeout_ms,
         list_interval_ms,
+        entry_pool: entry_pool.or_else(|| DEFAULT_ENTRY_POOL.parse().ok())?,
         snapshot_records: snapshot_records.get(),
     })
 }
--- a/crates/vanillafoldctl/src/session/publisher.rs
+++ b/crates/vanillafoldctl/src/session/publisher.rs
@@ -5,7 +5,8 @@
 
 use monoio::time::sleep;
 use vanillafold::state::{
-    Author, CatalogueChange, CatalogueRecord, Outcome, RecordError, State, Stream, Verdict,
+    Author, CatalogueChange, CatalogueRecord, ControlChange, ControlRecord, Outcome, RecordError,
+    SnapshotBuilder, State, Stream, Verdict,
 };
 use vanillafold::types::{AuthorId, Incarnation, Millis, Offset, Sequence};
 use vanillafold::wire::platform::{AppendError, HttpPlatform, PlatformLog, ReadError};
@@ -125,10 +126,16 @@
         let stream = Stream::Catalogue;
         loop {
             let from = self.state.next_offset(stream);
-            let batch = self
+            let reading = self
                 .platform
-                .read(stream.as_str(), from, BATCH_RECORDS, Millis::ZERO)
-                .await?;
+                .read(stream.as_str(), from, BATCH_RECORDS, Millis::ZERO);
+            let batch = match reading.await {
+                Err(ReadError::Dropped { oldest }) => {
+                    self.start_from_snapshot(oldest).await?;
+                    continue;
+                }
+                other => other?,
+            };
             for record in &batch.records {
                 let _ = self.state.apply(stream, record.offset, &record.data);
             }
@@ -137,6 +144,53 @@
             }
         }
     }
+
+    /// Adopts the newest whole snapshot on the control stream; the catalogue's records before
+    /// `needed` are dropped.
+    async fn start_from_snapshot(&mut self, needed: Offset) -> Result<(), SessionError> {
+        let newest = newest_snapshot(&self.platform).await?;
+        let usable = newest.filter(|state| state.next_offset(Stream::Catalogue) >= needed);
+        let is_adopted = usable.is_some_and(|state| self.state.adopt(state).is_ok());
+        match is_adopted {
+            true => Ok(()),
+            false => Err(SessionError::Read(ReadError::Dropped { oldest: needed })),
+        }
+    }
+}
+
+/// The newest whole snapshot that the platform keeps.
+async fn newest_snapshot(platform: &HttpPlatform) -> Result<Option<State>, SessionError> {
+    let stream = Stream::Control;
+    let mut builder = SnapshotBuilder::new();
+    let mut newest: Option<State> = None;
+    let mut from = Offset::new(1);
+    loop {
+        let reading = platform.read(stream.as_str(), from, BATCH_RECORDS, Millis::ZERO);
+        let batch = match reading.await {
+            Err(ReadError::Dropped { oldest }) => {
+                from = oldest;
+                continue;
+            }
+            other => other?,
+        };
+        for record in &batch.records {
+            from = record.offset.next();
+            let Ok(ControlRecord {
+                change: ControlChange::Snapshot(chunk),
+                ..
+            }) = ControlRecord::decode(&record.data)
+            else {
+                continue;
+            };
+            // A piece that fits no snapshot is passed over, as daemons do.
+            if let Ok(Some(state)) = builder.take(chunk) {
+                newest = Some(state);
+            }
+        }
+        if from >= batch.next {
+            return Ok(newest);
+        }
+    }
 }
 
 fn decided(outcome: Outcome) -> Result<Offset, SessionError> {
