--- a/crates/vanillafold/src/node/mod.rs
+++ b/crates/vanillafold/src/node/mod.rs
@@ -1,5 +1,6 @@
 //! What one daemon knows and holds, shared by its tasks on one thread.
 
+mod configuration;
 mod connection_store;
 mod in_flight;
 mod pool;
--- a/crates/vanillafold/src/settings/mod.rs
+++ b/crates/vanillafold/src/settings/mod.rs
@@ -1,6 +1,7 @@
 //! The daemon's settings: INI, checked as a whole before anything starts.
 
 mod daemon;
+mod draft;
 mod secret;
 mod value;
 
