--- a/crates/vanillafold-standin/examples/demo.rs
+++ b/crates/vanillafold-standin/examples/demo.rs
@@ -1,6 +1,6 @@
 //! The demonstration: a whole deployment under load, judged by the audit.
 
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::ExitCode;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -8,7 +8,7 @@
 use bpaf::{Parser, construct, long};
 use vanillafold_standin::rig::{
     Cluster, DEMO_CATALOGUE, DEMO_TEAMS, Interrupt, KeyText, Layout, LoadPlan, Loads, Observer,
-    RigError, audit, tight_catalogue,
+    RigError, RigSite, audit, tight_catalogue,
 };
 
 const POOLS: [&str; 5] = ["quotes", "bookings", "stock", "proofs", "archive"];
@@ -26,9 +26,7 @@
     seconds: u32,
     keep: bool,
     tight: bool,
-    rig: u8,
-    programs: PathBuf,
-    directory: PathBuf,
+    site: RigSite,
 }
 
 fn options() -> bpaf::OptionParser<Options> {
@@ -42,25 +40,12 @@
     let tight = long("tight")
         .help("limits so small that bursts reach them")
         .switch();
-    let rig = long("rig")
-        .help("second byte of the loopback addresses, 1 to 250")
-        .argument::<u8>("N")
-        .fallback(10);
-    let programs = long("programs")
-        .help("directory of the built programs")
-        .argument::<PathBuf>("DIR")
-        .fallback(PathBuf::from("target/release"));
-    let directory = long("directory")
-        .help("directory for settings, logs and traces; it is emptied")
-        .argument::<PathBuf>("DIR")
-        .fallback(PathBuf::from("run/demo"));
+    let site = RigSite::options(10, "run/demo");
     construct!(Options {
         seconds,
         keep,
         tight,
-        rig,
-        programs,
-        directory
+        site
     })
     .to_options()
     .descr("A whole deployment under load, judged by the audit")
@@ -87,7 +72,13 @@
 
 fn demonstrate(options: &Options) -> Result<bool, RigError> {
     let interrupt = Interrupt::install()?;
-    let layout = Layout::new(options.rig, ZONES, DAEMONS_PER_ZONE, &POOLS, VMS_PER_ZONE);
+    let layout = Layout::new(
+        options.site.rig,
+        ZONES,
+        DAEMONS_PER_ZONE,
+        &POOLS,
+        VMS_PER_ZONE,
+    );
     let catalogue = match options.tight {
         true => tight_catalogue(),
         false => DEMO_CATALOGUE.to_owned(),
@@ -96,8 +87,8 @@
         layout,
         &[],
         &catalogue,
-        &options.directory,
-        &options.programs,
+        &options.site.directory,
+        &options.site.programs,
     )?;
     let mut keys = Vec::new();
     for team in DEMO_TEAMS {
--- a/crates/vanillafold-standin/examples/propagation.rs
+++ b/crates/vanillafold-standin/examples/propagation.rs
@@ -2,7 +2,6 @@
 //! takes, and what the control side costs.
 
 use std::fs;
-use std::path::PathBuf;
 use std::process::{Command, ExitCode};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -18,7 +17,7 @@
 use vanillafold::wire::platform::{HttpPlatform, PlatformLog};
 use vanillafold_standin::process;
 use vanillafold_standin::rig::{
-    Child, Cluster, DEMO_CATALOGUE, DaemonPlace, KeyText, Layout, RigError,
+    Child, Cluster, DEMO_CATALOGUE, DaemonPlace, KeyText, Layout, RigError, RigSite,
 };
 
 const POOLS: [&str; 5] = ["quotes", "bookings", "stock", "proofs", "archive"];
@@ -35,9 +34,7 @@
     repeats: u32,
     zones: u8,
     daemons: u8,
-    rig: u8,
-    programs: PathBuf,
-    directory: PathBuf,
+    site: RigSite,
 }
 
 fn options() -> bpaf::OptionParser<Options> {
@@ -50,25 +47,12 @@
         .help("daemons in a zone")
         .argument::<u8>("N")
         .fallback(2);
-    let rig = long("rig")
-        .help("second byte of the loopback addresses, 1 to 250")
-        .argument::<u8>("N")
-        .fallback(99);
-    let programs = long("programs")
-        .help("directory of the built programs")
-        .argument::<PathBuf>("DIR")
-        .fallback(PathBuf::from("target/release"));
-    let directory = long("directory")
-        .help("directory for settings, logs and traces; it is emptied")
-        .argument::<PathBuf>("DIR")
-        .fallback(PathBuf::from("run/propagation"));
+    let site = RigSite::options(99, "run/propagation");
     construct!(Options {
         repeats,
         zones,
         daemons,
-        rig,
-        programs,
-        directory
+        site
     })
     .to_options()
     .descr("Time until an edit or a withdrawal is in force on every daemon")
@@ -86,7 +70,7 @@
 
 fn run(options: &Options) -> Result<(), RigError> {
     let layout = Layout::new(
-        options.rig,
+        options.site.rig,
         options.zones,
         options.daemons,
         &POOLS,
@@ -96,8 +80,8 @@
         layout,
         &[],
         DEMO_CATALOGUE,
-        &options.directory,
-        &options.programs,
+        &options.site.directory,
+        &options.site.programs,
     )?;
     let keys = (0..2 * options.repeats)
         .map(|number| cluster.give_key(&format!("cafes-{number}"), "cafes"))
--- a/crates/vanillafold-standin/examples/scenario.rs
+++ b/crates/vanillafold-standin/examples/scenario.rs
@@ -1,6 +1,5 @@
 //! Faults under load: every fault once, in an order that the seed chooses, judged by the audit.
 
-use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -8,7 +7,7 @@
 use vanillafold::policy::SplitMix;
 use vanillafold_standin::rig::{
     Cluster, DEMO_CATALOGUE, DEMO_TEAMS, Fault, Interrupt, Layout, LoadPlan, Loads, RigError,
-    audit, inject, observe_for, shuffled, tight_catalogue,
+    RigSite, audit, inject, observe_for, shuffled, tight_catalogue,
 };
 
 const POOLS: [&str; 5] = ["quotes", "bookings", "stock", "proofs", "archive"];
@@ -27,9 +26,7 @@
     seed: u64,
     tight: bool,
     only: Vec<String>,
-    rig: u8,
-    programs: PathBuf,
-    directory: PathBuf,
+    site: RigSite,
 }
 
 fn options() -> bpaf::OptionParser<Options> {
@@ -44,25 +41,12 @@
         .help("inject just this fault, as Debug prints it; may be repeated")
         .argument::<String>("FAULT")
         .many();
-    let rig = long("rig")
-        .help("second byte of the loopback addresses, 1 to 250")
-        .argument::<u8>("N")
-        .fallback(20);
-    let programs = long("programs")
-        .help("directory of the built programs")
-        .argument::<PathBuf>("DIR")
-        .fallback(PathBuf::from("target/release"));
-    let directory = long("directory")
-        .help("directory for settings, logs and traces; it is emptied")
-        .argument::<PathBuf>("DIR")
-        .fallback(PathBuf::from("run/scenario"));
+    let site = RigSite::options(20, "run/scenario");
     construct!(Options {
         seed,
         tight,
         only,
-        rig,
-        programs,
-        directory
+        site
     })
     .to_options()
     .descr("Faults under load, judged by the audit")
@@ -90,7 +74,13 @@
 fn run(options: &Options) -> Result<bool, RigError> {
     let interrupt = Interrupt::install()?;
     let mut rng = SplitMix::new(options.seed);
-    let layout = Layout::new(options.rig, ZONES, DAEMONS_PER_ZONE, &POOLS, VMS_PER_ZONE);
+    let layout = Layout::new(
+        options.site.rig,
+        ZONES,
+        DAEMONS_PER_ZONE,
+        &POOLS,
+        VMS_PER_ZONE,
+    );
     let relayed: Vec<_> = layout
         .runners()
         .take(1)
@@ -105,8 +95,8 @@
         layout,
         &relayed,
         &catalogue,
-        &options.directory,
-        &options.programs,
+        &options.site.directory,
+        &options.site.programs,
     )?;
     let mut keys = Vec::new();
     for team in DEMO_TEAMS {
--- a/crates/vanillafold-standin/src/rig/mod.rs
+++ b/crates/vanillafold-standin/src/rig/mod.rs
@@ -10,6 +10,7 @@
 mod layout;
 mod loads;
 mod observer;
+mod site;
 
 pub use catalogue::{DEMO_CATALOGUE, DEMO_OPERATOR, DEMO_TEAMS, tight_catalogue};
 pub use child::{Child, Signal};
@@ -21,3 +22,4 @@
 pub use layout::{DaemonPlace, Layout, RunnerPlace, Zone};
 pub use loads::{Latency, LoadPlan, LoadSummary, Loads, OutcomeCount, audit};
 pub use observer::{DaemonView, Observer};
+pub use site::RigSite;
