Let operators say that a daemon is gone, and that earlier ones are dead

Cause: the fold knows Fence and Release, but nothing wrote them: the share of a daemon that is gone for good, and the floor of a replaced one, were lost.

--- a/crates/vanillafold-standin/src/rig/cluster.rs
+++ b/crates/vanillafold-standin/src/rig/cluster.rs
@@ -247,7 +247,12 @@
         }))
     }
 
-    fn operate(&self, command: &[&str], arguments: &[&str]) -> Result<String, RigError> {
+    /// Runs a command of the operators' tool; returns what it prints.
+    ///
+    /// # Errors
+    ///
+    /// [`RigError::Refused`] with the tool's words if it fails.
+    pub fn operate(&self, command: &[&str], arguments: &[&str]) -> Result<String, RigError> {
         let platform = self.layout.platform.to_string();
         let output = Command::new(self.program("vanillafoldctl"))
             .args(command)
--- a/crates/vanillafold-standin/tests/fleet.rs
+++ b/crates/vanillafold-standin/tests/fleet.rs
@@ -96,6 +96,32 @@
     assert_eq!(answered, number(ResultCode::Answered));
 }
 
+#[test]
+fn an_operator_says_that_daemons_are_gone() {
+    let mut cluster = start(104, 2, |_| Vec::new());
+    let lost = places(&cluster).remove(1);
+    let operate = |cluster: &Cluster, command: &str, name: &str| {
+        cluster.operate(&["daemon", command], &["--daemon", name])
+    };
+    cluster.kill_daemon(&lost.name).expect("killed");
+
+    let fenced = operate(&cluster, "fence", &lost.name);
+    let again = operate(&cluster, "fence", &lost.name);
+    let released = operate(&cluster, "release", &lost.name);
+    let unknown = operate(&cluster, "release", "nobody");
+
+    assert_eq!(fenced.expect("fenced"), "fenced at offset 3\n");
+    let refusal = again.expect_err("fenced already").to_string();
+    assert!(refusal.contains("refused at offset 4: 681 "), "{refusal}");
+    let refusal = released.expect_err("nothing earlier").to_string();
+    assert!(refusal.contains("refused at offset 5: 682 "), "{refusal}");
+    let refusal = unknown.expect_err("unknown").to_string();
+    assert!(
+        refusal.contains("no daemon called nobody has joined"),
+        "{refusal}"
+    );
+}
+
 #[test]
 fn a_peer_is_reached_where_the_platforms_list_shows_it() {
     let peer_of = |layout: &Layout| layout.daemons().nth(1).cloned().expect("two daemons");
--- a/crates/vanillafoldctl/src/command/mod.rs
+++ b/crates/vanillafoldctl/src/command/mod.rs
@@ -1,7 +1,9 @@
 //! What the tool does.
 
 mod apply;
+mod daemon;
 mod key;
 
 pub(crate) use apply::apply;
+pub(crate) use daemon::{fence, release};
 pub(crate) use key::{give, withdraw};
--- a/crates/vanillafoldctl/src/main.rs
+++ b/crates/vanillafoldctl/src/main.rs
@@ -6,7 +6,7 @@
 use std::process::ExitCode;
 
 use bpaf::{Args, OptionParser, ParseFailure, Parser, construct, long, positional};
-use vanillafold::types::{AuthorId, CatalogueText, KeyId, Owner, TeamId};
+use vanillafold::types::{AuthorId, CatalogueText, DaemonId, KeyId, Owner, TeamId};
 
 mod command;
 mod session;
@@ -40,6 +40,14 @@
         common: Common,
         id: KeyId,
     },
+    FenceDaemon {
+        common: Common,
+        daemon: DaemonId,
+    },
+    ReleaseDaemon {
+        common: Common,
+        daemon: DaemonId,
+    },
 }
 
 /// Who talks to which platform.
@@ -76,10 +84,14 @@
         .to_options()
         .descr("Give and withdraw keys")
         .command("key");
-    construct!([check, apply, key])
+    let daemon = daemon_commands()
+        .to_options()
+        .descr("Say that daemons are gone")
+        .command("daemon");
+    construct!([check, apply, key, daemon])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
-        .descr("vanillafoldctl: catalogue edits and keys")
+        .descr("vanillafoldctl: catalogue edits, keys and daemons")
         .footer("Exit status: 0 done, 1 not taken, 2 wrong file or arguments")
 }
 
@@ -106,6 +118,29 @@
     construct!([give, withdraw])
 }
 
+fn daemon_commands() -> impl Parser<Command> {
+    let daemon = || {
+        long("daemon")
+            .help("Name of the daemon")
+            .argument::<DaemonId>("DAEMON")
+    };
+    let fence = {
+        let daemon = daemon();
+        construct!(Command::FenceDaemon { common(), daemon })
+            .to_options()
+            .descr("Its VM is gone for good: the others take over its units, but for its floor")
+            .command("fence")
+    };
+    let release = {
+        let daemon = daemon();
+        construct!(Command::ReleaseDaemon { common(), daemon })
+            .to_options()
+            .descr("Its earlier VMs are dead, not just cut off: its floor may be used again")
+            .command("release")
+    };
+    construct!([fence, release])
+}
+
 /// Why the tool failed, and the exit status that says so.
 struct Failure {
     status: u8,
@@ -174,6 +209,18 @@
             let given = given.map_err(Failure::failed)?;
             Ok(format!("key={}\noffset={}", given.text, given.offset))
         }
+        Command::FenceDaemon { common, daemon } => {
+            let mut publisher = open(&common).await?;
+            let fenced = command::fence(&mut publisher, daemon).await;
+            let offset = fenced.map_err(Failure::failed)?;
+            Ok(format!("fenced at offset {offset}"))
+        }
+        Command::ReleaseDaemon { common, daemon } => {
+            let mut publisher = open(&common).await?;
+            let released = command::release(&mut publisher, daemon).await;
+            let offset = released.map_err(Failure::failed)?;
+            Ok(format!("released at offset {offset}"))
+        }
         Command::WithdrawKey { common, id } => {
             let mut publisher = open(&common).await?;
             let withdrawn = command::withdraw(&mut publisher, id).await;
--- a/crates/vanillafoldctl/src/session/publisher.rs
+++ b/crates/vanillafoldctl/src/session/publisher.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime};
 
+use bytes::Bytes;
 use monoio::time::sleep;
 use vanillafold::state::{
-    Author, CatalogueChange, CatalogueRecord, ControlChange, ControlRecord, Outcome, RecordError,
+    Author, CatalogueChange, ControlChange, ControlRecord, Outcome, Record, RecordError,
     SnapshotBuilder, State, Stream, Verdict,
 };
 use vanillafold::types::{AuthorId, Incarnation, Millis, Offset, Sequence};
@@ -71,7 +72,7 @@
             },
             sequence: Sequence::ZERO,
         };
-        publisher.catch_up().await?;
+        publisher.catch_up(Stream::Catalogue).await?;
         Ok(publisher)
     }
 
@@ -80,10 +81,7 @@
         &self.state
     }
 
-    /// Publishes a change and waits until the fold has decided on it.
-    ///
-    /// The append is repeated until the record is read back: an answer can be lost after the
-    /// append took effect, and the fold takes a record only once.
+    /// Publishes a change of the catalogue and waits until the fold has decided on it.
     ///
     /// # Errors
     ///
@@ -92,24 +90,54 @@
         &mut self,
         change: CatalogueChange,
     ) -> Result<Offset, SessionError> {
+        let record = self.record(Stream::Catalogue, change);
+        self.append(Stream::Catalogue, record.encode()?.into())
+            .await
+    }
+
+    /// Publishes a change of the control stream and waits until the fold has decided on it.
+    ///
+    /// # Errors
+    ///
+    /// [`SessionError`].
+    pub(crate) async fn publish_control(
+        &mut self,
+        change: ControlChange,
+    ) -> Result<Offset, SessionError> {
+        let record = self.record(Stream::Control, change);
+        self.append(Stream::Control, record.encode()?.into()).await
+    }
+
+    /// Reads the control stream as it stands now.
+    ///
+    /// # Errors
+    ///
+    /// [`SessionError::Read`].
+    pub(crate) async fn read_control(&mut self) -> Result<(), SessionError> {
+        self.catch_up(Stream::Control).await
+    }
+
+    fn record<C>(&mut self, stream: Stream, change: C) -> Record<C> {
         self.sequence = Sequence::new(self.sequence.get() + 1);
-        let record = CatalogueRecord {
+        Record {
             author: self.author.clone(),
             sequence: self.sequence,
-            as_of: self.state.next_offset(Stream::Catalogue),
+            as_of: self.state.next_offset(stream),
             change,
-        };
-        let bytes = record.encode()?;
+        }
+    }
+
+    /// Appends a record until it is read back: an answer can be lost after the append took
+    /// effect, and the fold takes a record only once.
+    async fn append(&mut self, stream: Stream, bytes: Bytes) -> Result<Offset, SessionError> {
         let mut last = String::new();
         for _ in 0..MAX_TRIES {
-            let appending = self
-                .platform
-                .append(Stream::Catalogue.as_str(), bytes.clone().into());
+            let appending = self.platform.append(stream.as_str(), bytes.clone());
             match appending.await {
-                Ok(_) | Err(AppendError::Unknown { .. }) => self.catch_up().await?,
+                Ok(_) | Err(AppendError::Unknown { .. }) => self.catch_up(stream).await?,
                 Err(error) => last = error.to_string(),
             }
-            match self.outcome() {
+            match self.state.outcome(stream, &self.author, self.sequence) {
                 Some(outcome) => return decided(outcome),
                 None => sleep(RETRY_WAIT).await,
             }
@@ -117,13 +145,7 @@
         Err(SessionError::NotAppended(last))
     }
 
-    fn outcome(&self) -> Option<Outcome> {
-        self.state
-            .outcome(Stream::Catalogue, &self.author, self.sequence)
-    }
-
-    async fn catch_up(&mut self) -> Result<(), SessionError> {
-        let stream = Stream::Catalogue;
+    async fn catch_up(&mut self, stream: Stream) -> Result<(), SessionError> {
         loop {
             let from = self.state.next_offset(stream);
             let reading = self
@@ -131,7 +153,7 @@
                 .read(stream.as_str(), from, BATCH_RECORDS, Millis::ZERO);
             let batch = match reading.await {
                 Err(ReadError::Dropped { oldest }) => {
-                    self.start_from_snapshot(oldest).await?;
+                    self.start_from_snapshot(stream, oldest).await?;
                     continue;
                 }
                 other => other?,
@@ -145,11 +167,15 @@
         }
     }
 
-    /// Adopts the newest whole snapshot on the control stream; the catalogue's records before
+    /// Adopts the newest whole snapshot on the control stream; the records of `stream` before
     /// `needed` are dropped.
-    async fn start_from_snapshot(&mut self, needed: Offset) -> Result<(), SessionError> {
+    async fn start_from_snapshot(
+        &mut self,
+        stream: Stream,
+        needed: Offset,
+    ) -> Result<(), SessionError> {
         let newest = newest_snapshot(&self.platform).await?;
-        let usable = newest.filter(|state| state.next_offset(Stream::Catalogue) >= needed);
+        let usable = newest.filter(|state| state.next_offset(stream) >= needed);
         let is_adopted = usable.is_some_and(|state| self.state.adopt(state).is_ok());
         match is_adopted {
             true => Ok(()),
