--- a/crates/vanillafold/src/caller/connection.rs
+++ b/crates/vanillafold/src/caller/connection.rs
@@ -108,7 +108,7 @@
         let next = monoio::select! {
             biased;
             waited = timeout(BUSY_PAUSE, reader.wait_message()) => waited,
-            () = node.shutdown.ordered() => return Next::KeepAlive,
+            () = node.closing.ordered() => return Next::KeepAlive,
         };
         match next {
             Ok(Ok(())) => {}
