--- a/crates/vanillafold-standin/tests/recovery.rs
+++ b/crates/vanillafold-standin/tests/recovery.rs
@@ -60,6 +60,19 @@
     cluster.layout.daemons().cloned().collect()
 }
 
+/// A cluster whose log keeps 200 records and has dropped the catalogue, with a snapshot of it.
+fn start_behind_a_snapshot(rig: u8, daemons: u8) -> Cluster {
+    let cluster = start(rig, 1, daemons);
+    let faults = "retention_records=200\nappend_rate=100000";
+    cluster.set_platform_faults(faults).expect("faults");
+    fill(&cluster, "control", 250);
+    fill(&cluster, "catalogue", 250);
+    wait(&cluster, "a snapshot", |cluster| {
+        snapshots_written(cluster) > 0
+    });
+    cluster
+}
+
 /// Fills a stream with records that the fold refuses.
 fn fill(cluster: &Cluster, stream: &str, records: usize) {
     for _ in 0..records {
@@ -190,16 +203,9 @@
 
 #[test]
 fn a_daemon_starts_from_a_snapshot_when_the_first_records_were_dropped() {
-    // Arrange: a log that keeps 200 records and has dropped the catalogue.
-    let mut cluster = start(81, 1, 3);
+    // Arrange
+    let mut cluster = start_behind_a_snapshot(81, 3);
     let daemons = places(&cluster);
-    let faults = "retention_records=200\nappend_rate=100000";
-    cluster.set_platform_faults(faults).expect("faults");
-    fill(&cluster, "control", 250);
-    fill(&cluster, "catalogue", 250);
-    wait(&cluster, "a snapshot", |cluster| {
-        snapshots_written(cluster) > 0
-    });
 
     // Act
     cluster.kill_daemon(&daemons[0].name).expect("killed");
@@ -514,16 +520,9 @@
 
 #[test]
 fn the_operators_tool_goes_on_from_a_snapshot() {
-    // Arrange: a log that keeps 200 records and has dropped the catalogue.
-    let mut cluster = start(103, 1, 2);
+    // Arrange
+    let mut cluster = start_behind_a_snapshot(103, 2);
     let daemons = places(&cluster);
-    let faults = "retention_records=200\nappend_rate=100000";
-    cluster.set_platform_faults(faults).expect("faults");
-    fill(&cluster, "control", 250);
-    fill(&cluster, "catalogue", 250);
-    wait(&cluster, "a snapshot", |cluster| {
-        snapshots_written(cluster) > 0
-    });
 
     // Act
     let key = cluster.give_key("cafes-1", "cafes").expect("a key");
