Do not take an answer cut short for the end of given-up work

Cause: found on reading the change again. The task that watches given-up work read its answer's body until there was no further piece, and took a broken body for a whole one, so the team's unit came back at once, against that task's own rule that a broken connection says nothing about the work. Change: only a body read to its end counts. Before: the new test answered a second request (0) where it must be refused.

--- a/crates/vanillafold-standin/tests/fleet.rs
+++ b/crates/vanillafold-standin/tests/fleet.rs
@@ -52,6 +52,7 @@
         &headers(&[
             ("authorization", &format!("Bearer {}", key.text)),
             ("work-ms", &work_ms.to_string()),
+            ("answer-bytes", "100"),
             ("vf-deadline-ms", &deadline_ms.to_string()),
         ]),
         "",
@@ -96,6 +97,26 @@
     assert_eq!(answered, number(ResultCode::Answered));
 }
 
+#[test]
+fn an_answer_cut_short_does_not_end_given_up_work() {
+    let mut cluster = start(105, 1, |_| Vec::new());
+    let place = places(&cluster).remove(0);
+    let runner = cluster.layout.runners().next().cloned().expect("a runner");
+    let key = cluster.give_key("cafes-1", "cafes").expect("a key");
+    let warm_up = |_: &Cluster| work(&place, &key, 0, 1_000) == number(ResultCode::Answered);
+    cluster
+        .wait_until("the key", LIMIT, warm_up)
+        .expect("the key in force");
+
+    cluster.set_runner_mode(&runner, "cut").expect("a mode");
+    let given_up = work(&place, &key, 1_000, 300);
+    cluster.set_runner_mode(&runner, "normal").expect("a mode");
+    let refused = work(&place, &key, 0, 4_000);
+
+    assert_eq!(given_up, number(ResultCode::DeadlineAfterSend));
+    assert_eq!(refused, number(ResultCode::TeamLimit));
+}
+
 #[test]
 fn an_operator_says_that_daemons_are_gone() {
     let mut cluster = start(104, 2, |_| Vec::new());
--- a/crates/vanillafold/src/dispatch/linger.rs
+++ b/crates/vanillafold/src/dispatch/linger.rs
@@ -45,5 +45,5 @@
         }
     };
     while let Ok(Some(_)) = body.next(&mut incoming.reader).await {}
-    Some(())
+    body.is_done().then_some(())
 }
