--- a/crates/vanillafold-standin/examples/bench.rs
+++ b/crates/vanillafold-standin/examples/bench.rs
@@ -10,7 +10,7 @@
     Verdict, measure_added_latency, measure_idle_connections, measure_long_body,
     measure_throughput, write_json,
 };
-use vanillafold_standin::rig::RigError;
+use vanillafold_standin::rig::{RigError, RigSite};
 
 const MIN_RATIO: f64 = 0.45;
 const MAX_ADDED_P99_US: f64 = 1_000.0;
@@ -27,10 +27,8 @@
 struct Options {
     rounds: u32,
     seconds: f64,
-    rig: u8,
+    site: RigSite,
     name: String,
-    programs: PathBuf,
-    directory: PathBuf,
     results: PathBuf,
 }
 
@@ -43,22 +41,11 @@
         .help("length of a round")
         .argument::<f64>("S")
         .fallback(0.8);
-    let rig = long("rig")
-        .help("second byte of the loopback addresses, 1 to 250")
-        .argument::<u8>("N")
-        .fallback(40);
+    let site = RigSite::options(40, "run/bench");
     let name = long("name")
         .help("name of the results file, without its ending")
         .argument::<String>("NAME")
         .fallback("latest".to_owned());
-    let programs = long("programs")
-        .help("directory of the built programs")
-        .argument::<PathBuf>("DIR")
-        .fallback(PathBuf::from("target/release"));
-    let directory = long("directory")
-        .help("directory for settings and logs; it is emptied")
-        .argument::<PathBuf>("DIR")
-        .fallback(PathBuf::from("run/bench"));
     let results = long("results")
         .help("directory of the results")
         .argument::<PathBuf>("DIR")
@@ -66,10 +53,8 @@
     construct!(Options {
         rounds,
         seconds,
-        rig,
+        site,
         name,
-        programs,
-        directory,
         results
     })
     .to_options()
@@ -100,7 +85,11 @@
 }
 
 fn measure(options: &Options) -> Result<bool, RigError> {
-    let rig = BenchRig::start(options.rig, &options.directory, &options.programs)?;
+    let rig = BenchRig::start(
+        options.site.rig,
+        &options.site.directory,
+        &options.site.programs,
+    )?;
     // First, while the daemon's peak of memory is still low.
     let mut long_bodies = Vec::new();
     for way in [LongBodyWay::Echo, LongBodyWay::Download] {
--- a/crates/vanillafold-standin/examples/capacity.rs
+++ b/crates/vanillafold-standin/examples/capacity.rs
@@ -10,7 +10,7 @@
     Bound, FleetCost, FleetSize, Line, PeerCost, Verdict, extrapolate, measure_fleet_cost,
     measure_peer_cost, write_json,
 };
-use vanillafold_standin::rig::RigError;
+use vanillafold_standin::rig::{RigError, RigSite};
 
 const VMS: usize = 16_000;
 const POOLS: usize = 317;
@@ -33,39 +33,24 @@
 
 #[derive(Debug)]
 struct Options {
-    rig: u8,
+    site: RigSite,
     name: String,
-    programs: PathBuf,
-    directory: PathBuf,
     results: PathBuf,
 }
 
 fn options() -> bpaf::OptionParser<Options> {
-    let rig = long("rig")
-        .help("second byte of the loopback addresses, 1 to 250")
-        .argument::<u8>("N")
-        .fallback(50);
+    let site = RigSite::options(50, "run/capacity");
     let name = long("name")
         .help("name of the results file, without its ending")
         .argument::<String>("NAME")
         .fallback("latest-capacity".to_owned());
-    let programs = long("programs")
-        .help("directory of the built programs")
-        .argument::<PathBuf>("DIR")
-        .fallback(PathBuf::from("target/release"));
-    let directory = long("directory")
-        .help("directory for settings and logs; it is emptied")
-        .argument::<PathBuf>("DIR")
-        .fallback(PathBuf::from("run/capacity"));
     let results = long("results")
         .help("directory of the results")
         .argument::<PathBuf>("DIR")
         .fallback(PathBuf::from("bench/results"));
     construct!(Options {
-        rig,
+        site,
         name,
-        programs,
-        directory,
         results
     })
     .to_options()
@@ -109,24 +94,24 @@
 }
 
 fn measure(options: &Options) -> Result<bool, RigError> {
-    let Options {
+    let RigSite {
+        rig,
         directory,
         programs,
-        ..
-    } = options;
+    } = &options.site;
     let mut fleets = Vec::new();
     for divisor in DIVISORS {
         let size = FleetSize {
             vms: VMS / divisor,
             pools: POOLS / divisor,
         };
-        let cost = measure_fleet_cost(options.rig, size, directory, programs)?;
+        let cost = measure_fleet_cost(*rig, size, directory, programs)?;
         print_fleet(&cost);
         fleets.push(cost);
     }
     let mut peers = Vec::new();
     for zones in ZONES {
-        let cost = measure_peer_cost(options.rig, zones, directory, programs)?;
+        let cost = measure_peer_cost(*rig, zones, directory, programs)?;
         print_peers(&cost);
         peers.push(cost);
     }
--- a/crates/vanillafold-standin/examples/demo.rs
+++ b/crates/vanillafold-standin/examples/demo.rs
@@ -7,8 +7,8 @@
 
 use bpaf::{Parser, construct, long};
 use vanillafold_standin::rig::{
-    Cluster, DEMO_CATALOGUE, DEMO_TEAMS, Interrupt, KeyText, Layout, LoadPlan, Loads, Observer,
-    RigError, RigSite, audit, tight_catalogue,
+    Cluster, Interrupt, KeyText, Layout, LoadPlan, Loads, Observer, RigError, RigSite, audit,
+    demo_catalogue,
 };
 
 const POOLS: [&str; 5] = ["quotes", "bookings", "stock", "proofs", "archive"];
@@ -79,10 +79,7 @@
         &POOLS,
         VMS_PER_ZONE,
     );
-    let catalogue = match options.tight {
-        true => tight_catalogue(),
-        false => DEMO_CATALOGUE.to_owned(),
-    };
+    let catalogue = demo_catalogue(options.tight);
     let mut cluster = Cluster::start(
         layout,
         &[],
@@ -90,10 +87,7 @@
         &options.site.directory,
         &options.site.programs,
     )?;
-    let mut keys = Vec::new();
-    for team in DEMO_TEAMS {
-        keys.push(cluster.give_key(&format!("{team}-1"), team)?);
-    }
+    let keys = cluster.give_demo_keys()?;
     sleep(OBSERVE);
     if options.keep {
         keep(&cluster, &keys, &interrupt);
--- a/crates/vanillafold-standin/examples/scenario.rs
+++ b/crates/vanillafold-standin/examples/scenario.rs
@@ -6,8 +6,8 @@
 use bpaf::{Parser, construct, long};
 use vanillafold::policy::SplitMix;
 use vanillafold_standin::rig::{
-    Cluster, DEMO_CATALOGUE, DEMO_TEAMS, Fault, Interrupt, Layout, LoadPlan, Loads, RigError,
-    RigSite, audit, inject, observe_for, shuffled, tight_catalogue,
+    Cluster, Fault, Interrupt, Layout, LoadPlan, Loads, RigError, RigSite, audit, demo_catalogue,
+    inject, observe_for, shuffled,
 };
 
 const POOLS: [&str; 5] = ["quotes", "bookings", "stock", "proofs", "archive"];
@@ -87,10 +87,7 @@
         .map(|runner| runner.address)
         .chain(layout.daemons().take(1).map(|daemon| daemon.peers))
         .collect();
-    let catalogue = match options.tight {
-        true => tight_catalogue(),
-        false => DEMO_CATALOGUE.to_owned(),
-    };
+    let catalogue = demo_catalogue(options.tight);
     let mut cluster = Cluster::start(
         layout,
         &relayed,
@@ -98,10 +95,7 @@
         &options.site.directory,
         &options.site.programs,
     )?;
-    let mut keys = Vec::new();
-    for team in DEMO_TEAMS {
-        keys.push(cluster.give_key(&format!("{team}-1"), team)?);
-    }
+    let keys = cluster.give_demo_keys()?;
     let faults: Vec<Fault> = shuffled(&mut rng)
         .into_iter()
         .filter(|fault| options.only.is_empty() || options.only.contains(&format!("{fault:?}")))
--- a/crates/vanillafold-standin/src/rig/catalogue.rs
+++ b/crates/vanillafold-standin/src/rig/catalogue.rs
@@ -124,10 +124,18 @@
 max_deadline_ms = 5000
 ";
 
+/// The catalogue of a demonstration, with wide or with tight limits.
+#[must_use]
+pub fn demo_catalogue(tight: bool) -> String {
+    match tight {
+        true => tight_catalogue(),
+        false => DEMO_CATALOGUE.to_owned(),
+    }
+}
+
 /// The catalogue of [`DEMO_CATALOGUE`] with limits so small that bursts reach them, some of them
 /// smaller than the number of daemons.
-#[must_use]
-pub fn tight_catalogue() -> String {
+fn tight_catalogue() -> String {
     [
         ("limit = 120", "limit = 9"),
         ("limit = 80", "limit = 6"),
--- a/crates/vanillafold-standin/src/rig/cluster.rs
+++ b/crates/vanillafold-standin/src/rig/cluster.rs
@@ -13,7 +13,7 @@
 use vanillafold::wire::http::Client;
 
 use super::layout::{DaemonPlace, Layout, RunnerPlace};
-use super::{Child, DEMO_OPERATOR, RigError, Signal};
+use super::{Child, DEMO_OPERATOR, DEMO_TEAMS, RigError, Signal};
 use crate::trace::{
     Limit, OpenQueue, PoolSize, ProcessChange, ProcessName, Published, TraceEvent, TraceWriter,
     VmChange, Withdrawn, monotonic_us,
@@ -234,6 +234,18 @@
         })
     }
 
+    /// Gives a key to each team of a demonstration.
+    ///
+    /// # Errors
+    ///
+    /// [`RigError`].
+    pub fn give_demo_keys(&mut self) -> Result<Vec<KeyText>, RigError> {
+        DEMO_TEAMS
+            .iter()
+            .map(|team| self.give_key(&format!("{team}-1"), team))
+            .collect()
+    }
+
     /// Withdraws a key.
     ///
     /// # Errors
--- a/crates/vanillafold-standin/src/rig/mod.rs
+++ b/crates/vanillafold-standin/src/rig/mod.rs
@@ -12,7 +12,7 @@
 mod observer;
 mod site;
 
-pub use catalogue::{DEMO_CATALOGUE, DEMO_OPERATOR, DEMO_TEAMS, tight_catalogue};
+pub use catalogue::{DEMO_CATALOGUE, DEMO_OPERATOR, DEMO_TEAMS, demo_catalogue};
 pub use child::{Child, Signal};
 pub use claim::{built_programs, claim_rig};
 pub use cluster::{Cluster, KeyText};
--- a/crates/vanillafold/src/claim/claimer.rs
+++ b/crates/vanillafold/src/claim/claimer.rs
@@ -9,9 +9,10 @@
 use vanillafold_types::DaemonId;
 use vanillafold_wire::{PeerRequest, PeerResponse};
 
-use super::message::{ClaimRequest, ClaimResponse, decode, encode};
+use super::message::{ClaimRequest, ClaimResponse};
 use crate::caller::CallerRequest;
 use crate::node::Node;
+use crate::peer::codec::{decode, encode};
 
 /// Claims told at once; a page stays well below the largest message of a peer.
 const PAGE_RECORDS: usize = 1_000;
--- a/crates/vanillafold/src/claim/message.rs
+++ b/crates/vanillafold/src/claim/message.rs
@@ -1,6 +1,6 @@
 //! What daemons ask each other about claims.
 
-use bincode::{Decode, Encode, config};
+use bincode::{Decode, Encode};
 use vanillafold_state::{ClaimAnswer, ClaimId, ClaimPage, ClaimToken};
 
 /// A question to an owner.
@@ -37,19 +37,3 @@
     /// A part of the owner's claims.
     Page(ClaimPage),
 }
-
-/// Encodes a message; plain values always fit.
-pub(crate) fn encode<T: Encode>(message: &T) -> Vec<u8> {
-    match bincode::encode_to_vec(message, config::standard()) {
-        Ok(bytes) => bytes,
-        Err(error) => unreachable!("memory takes any bytes: {error}"),
-    }
-}
-
-/// Decodes a message; `None` if it is not one.
-pub(crate) fn decode<T: Decode<()>>(bytes: &[u8]) -> Option<T> {
-    match bincode::decode_from_slice(bytes, config::standard()) {
-        Ok((message, length)) if length == bytes.len() => Some(message),
-        _ => None,
-    }
-}
--- a/crates/vanillafold/src/claim/mod.rs
+++ b/crates/vanillafold/src/claim/mod.rs
@@ -6,5 +6,4 @@
 mod recovery;
 
 pub(crate) use claimer::{ClaimGuard, NoClaim, acquire, answer};
-pub(crate) use message::{decode, encode};
 pub(crate) use recovery::recover_claims;
--- a/crates/vanillafold/src/limit/duty.rs
+++ b/crates/vanillafold/src/limit/duty.rs
@@ -10,8 +10,9 @@
 use vanillafold_types::{DaemonId, Incarnation};
 use vanillafold_wire::PeerMessage;
 
-use super::message::{NodeMessage, encode};
+use super::message::NodeMessage;
 use crate::node::Node;
+use crate::peer::codec::encode;
 
 /// Between two ticks of the escrow.
 const TICK: Duration = Duration::from_millis(100);
--- a/crates/vanillafold/src/limit/mod.rs
+++ b/crates/vanillafold/src/limit/mod.rs
@@ -5,5 +5,5 @@
 mod settings;
 
 pub(crate) use duty::{keep_escrow, receive};
-pub(crate) use message::{NodeMessage, decode};
+pub(crate) use message::NodeMessage;
 pub(crate) use settings::escrow_settings;
--- a/crates/vanillafold/src/peer/handler.rs
+++ b/crates/vanillafold/src/peer/handler.rs
@@ -10,6 +10,7 @@
     UnavailableReason,
 };
 
+use super::codec;
 use super::load_book::VmLoad;
 use crate::claim;
 use crate::limit::{self, NodeMessage};
@@ -41,11 +42,11 @@
     }
 
     fn answer_custom(&self, from: &DaemonId, bytes: &[u8]) -> PeerResponse {
-        match (recover::decode(bytes), claim::decode(bytes)) {
+        match (recover::decode(bytes), codec::decode(bytes)) {
             (Some(request), _) => recover::answer_inventory(&self.node, &request),
             (None, Some(request)) => {
                 let response = claim::answer(&self.node, from, request);
-                PeerResponse::Custom(claim::encode(&response))
+                PeerResponse::Custom(codec::encode(&response))
             }
             (None, None) => PeerResponse::Unavailable(UnavailableReason::Unsupported),
         }
@@ -79,7 +80,7 @@
             PeerMessage::Withdrawal(withdrawal) => {
                 self.node.state.borrow_mut().withdraw_now(withdrawal.key);
             }
-            PeerMessage::Custom(bytes) => match limit::decode(&bytes) {
+            PeerMessage::Custom(bytes) => match codec::decode(&bytes) {
                 Some(NodeMessage::Escrow {
                     from_incarnation,
                     message,
--- a/crates/vanillafold/src/peer/mod.rs
+++ b/crates/vanillafold/src/peer/mod.rs
@@ -1,5 +1,6 @@
 //! Talking to the other daemons: loads, offsets and digests, withdrawn keys, records.
 
+pub(crate) mod codec;
 mod handler;
 mod load_book;
 mod members;
