--- /dev/null
+++ b/crates/vanillafold-jobs/src/id/mod.rs
@@ -0,0 +1,11 @@
+//! Names of jobs, tasks, runs, epochs and workers.
+
+mod job;
+mod number;
+mod task;
+mod worker;
+
+pub use job::{IdError, JobId};
+pub use number::{Epoch, RunNumber};
+pub use task::TaskId;
+pub use worker::WorkerId;
--- /dev/null
+++ b/crates/vanillafold-jobs/src/id/task.rs
@@ -0,0 +1,54 @@
+//! Task ids.
+
+use std::fmt;
+use std::str::FromStr;
+
+use super::{IdError, JobId};
+
+/// The id of a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TaskId {
+    /// The job.
+    pub job: JobId,
+    /// Which occurrence of a repeated job, from 0.
+    pub occurrence: u32,
+    /// Which step, from 0.
+    pub step: u16,
+    /// Which task of the step, from 0.
+    pub index: u16,
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            job,
+            occurrence,
+            step,
+            index,
+        } = self;
+        write!(f, "{job}.{occurrence}.{step}.{index}")
+    }
+}
+
+impl FromStr for TaskId {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let wrong = || IdError {
+            expected: "a task id",
+            found: text.chars().take(64).collect(),
+        };
+        let mut parts = text.split('.');
+        let mut part = || parts.next().ok_or_else(wrong);
+        let id = Self {
+            job: part()?.parse()?,
+            occurrence: part()?.parse().map_err(|_| wrong())?,
+            step: part()?.parse().map_err(|_| wrong())?,
+            index: part()?.parse().map_err(|_| wrong())?,
+        };
+        match parts.next() {
+            None => Ok(id),
+            Some(_) => Err(wrong()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-jobs/src/record/progress.rs
@@ -0,0 +1,97 @@
+//! How far a job is.
+
+use bincode::{Decode, Encode};
+
+/// How a job stands for good, or that it does not yet.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Encode, Decode)]
+pub enum JobOutcome {
+    /// Work is left.
+    #[default]
+    Open,
+    /// All tasks have ended done.
+    Completed,
+    /// A task failed too often.
+    Failed,
+    /// Its caller cancelled it.
+    Cancelled,
+}
+
+/// How far a job is: all that must outlive its owner.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
+pub struct JobProgress {
+    /// Whether it is over.
+    pub outcome: JobOutcome,
+    /// When it was over, milliseconds since 1970; 0 before.
+    pub ended_unix_ms: u64,
+    /// Whether a task has ever started.
+    pub begun: bool,
+    /// Occurrences that are done, sorted.
+    pub completed: Vec<u32>,
+    /// The others that have progress, sorted by number.
+    pub occurrences: Vec<OccurrenceProgress>,
+}
+
+/// How far an occurrence is.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct OccurrenceProgress {
+    /// Its number.
+    pub number: u32,
+    /// Its steps, in order.
+    pub steps: Vec<StepProgress>,
+}
+
+/// How far a step is.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
+pub struct StepProgress {
+    /// Tasks that have ended done, one bit each.
+    pub done_bits: Vec<u8>,
+    /// Tasks with failed runs and how many, sorted by task.
+    pub failed_runs: Vec<(u16, u32)>,
+}
+
+impl StepProgress {
+    /// Whether a task has ended done.
+    #[must_use]
+    pub fn is_done(&self, index: u16) -> bool {
+        let byte = self.done_bits.get(usize::from(index / 8));
+        byte.is_some_and(|byte| byte & (1 << (index % 8)) != 0)
+    }
+
+    /// Notes that a task has ended done.
+    pub fn set_done(&mut self, index: u16) {
+        let at = usize::from(index / 8);
+        if self.done_bits.len() <= at {
+            self.done_bits.resize(at + 1, 0);
+        }
+        self.done_bits[at] |= 1 << (index % 8);
+    }
+
+    /// How many tasks have ended done.
+    #[must_use]
+    pub fn done_count(&self) -> u32 {
+        self.done_bits.iter().map(|byte| byte.count_ones()).sum()
+    }
+
+    /// How many runs of a task have failed.
+    #[must_use]
+    pub fn failed_runs(&self, index: u16) -> u32 {
+        match self.failed_runs.binary_search_by_key(&index, |row| row.0) {
+            Ok(at) => self.failed_runs[at].1,
+            Err(_) => 0,
+        }
+    }
+
+    /// Counts a failed run and returns how many there are now.
+    pub fn add_failed_run(&mut self, index: u16) -> u32 {
+        match self.failed_runs.binary_search_by_key(&index, |row| row.0) {
+            Ok(at) => {
+                self.failed_runs[at].1 += 1;
+                self.failed_runs[at].1
+            }
+            Err(at) => {
+                self.failed_runs.insert(at, (index, 1));
+                1
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-jobs/src/record/record.rs
@@ -0,0 +1,103 @@
+//! Records as keys and values of the store.
+
+use bincode::config::{Configuration, LittleEndian, Varint};
+use bincode::{Decode, Encode};
+
+use super::JobProgress;
+use crate::id::JobId;
+use crate::spec::JobSpec;
+
+/// The encoding of record values.
+const ENCODING: Configuration<LittleEndian, Varint> = bincode::config::standard();
+/// Begins the key of a job's description.
+const SPEC_TAG: char = 'j';
+/// Begins the key of a job's progress.
+const PROGRESS_TAG: char = 'p';
+/// Begins the key of a wave's progress.
+const WAVE_TAG: char = 'w';
+
+/// One record of a shard.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Record {
+    /// A job's description, written once.
+    Spec(JobId, Box<JobSpec>),
+    /// A job's progress, written anew at each change.
+    Progress(JobId, JobProgress),
+    /// The machines of a wave that have begun their upkeep, sorted.
+    Wave(u64, Vec<String>),
+    /// A job's records may go.
+    Forget(JobId),
+}
+
+/// Why stored bytes are not a record.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[non_exhaustive]
+pub enum RecordError {
+    /// The key is none of a record.
+    #[error("expected a record key, found {0:?}")]
+    Key(String),
+    /// The value can't be decoded.
+    #[error("the value of {key} can't be decoded: {reason}")]
+    Value {
+        /// The record's key.
+        key: String,
+        /// What the decoder said.
+        reason: String,
+    },
+}
+
+impl Record {
+    /// The keys and values to write; an empty value drops the key.
+    #[must_use]
+    pub fn encode(&self) -> Vec<(String, Vec<u8>)> {
+        match self {
+            Self::Spec(id, spec) => vec![(format!("{SPEC_TAG}{id}"), value(spec.as_ref()))],
+            Self::Progress(id, progress) => vec![(format!("{PROGRESS_TAG}{id}"), value(progress))],
+            Self::Wave(number, begun) => vec![(format!("{WAVE_TAG}{number}"), value(begun))],
+            Self::Forget(id) => vec![
+                (format!("{SPEC_TAG}{id}"), Vec::new()),
+                (format!("{PROGRESS_TAG}{id}"), Vec::new()),
+            ],
+        }
+    }
+
+    /// Reads a record.
+    ///
+    /// # Errors
+    ///
+    /// [`RecordError`] if the bytes are none.
+    pub fn decode(key: &str, bytes: &[u8]) -> Result<Self, RecordError> {
+        let wrong_key = || RecordError::Key(key.chars().take(64).collect());
+        let mut chars = key.chars();
+        let tag = chars.next();
+        if tag == Some(WAVE_TAG) {
+            let number = chars.as_str().parse().map_err(|_| wrong_key())?;
+            return decoded(key, bytes).map(|begun| Self::Wave(number, begun));
+        }
+        let id: JobId = chars.as_str().parse().map_err(|_| wrong_key())?;
+        match tag {
+            Some(SPEC_TAG) => decoded(key, bytes).map(|spec| Self::Spec(id, Box::new(spec))),
+            Some(PROGRESS_TAG) => {
+                decoded(key, bytes).map(|progress| Self::Progress(id, progress))
+            }
+            _ => Err(wrong_key()),
+        }
+    }
+}
+
+fn value<T: Encode>(value: &T) -> Vec<u8> {
+    // Encoding plain data into memory can't fail.
+    bincode::encode_to_vec(value, ENCODING).unwrap_or_default()
+}
+
+fn decoded<T: Decode<()>>(key: &str, bytes: &[u8]) -> Result<T, RecordError> {
+    let wrong = |reason: String| RecordError::Value {
+        key: key.to_owned(),
+        reason,
+    };
+    match bincode::decode_from_slice(bytes, ENCODING) {
+        Ok((value, used)) if used == bytes.len() => Ok(value),
+        Ok(_) => Err(wrong("bytes are left over".to_owned())),
+        Err(error) => Err(wrong(error.to_string())),
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-jobs/src/shard/duties.rs
@@ -0,0 +1,555 @@
+//! Moves of machines between pools, and waves of upkeep.
+
+use vanillafold_policy::MonotonicMillis;
+use vanillafold_policy::jobs::{
+    PoolDemand, SpareVm, UpkeepCandidate, UpkeepChoice, choose_upkeep, plan_moves,
+};
+
+use super::root::Shard;
+use crate::id::WorkerId;
+use crate::job::TaskStatus;
+use crate::spec::Resources;
+use crate::worker::{Run, RunPhase};
+
+/// How a machine stands at the platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MachineState {
+    /// It is in its pool.
+    Up,
+    /// It is on the way to a pool.
+    Moving,
+    /// It has its upkeep.
+    Upkeep,
+    /// It has failed.
+    Down,
+}
+
+/// A machine as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Machine {
+    /// Its name.
+    pub name: String,
+    /// Its pool.
+    pub pool: String,
+    /// How it stands.
+    pub state: MachineState,
+    /// What it has.
+    pub capacity: Resources,
+    /// Its labels.
+    pub labels: Vec<String>,
+    /// The worker that it runs, if any.
+    pub worker: Option<WorkerId>,
+}
+
+/// A wave of upkeep as the operator asked for it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Wave {
+    /// Its number.
+    pub number: u64,
+    /// The machines that need it.
+    pub machines: Vec<String>,
+    /// Within what time, in milliseconds.
+    pub duration_ms: u64,
+    /// Most machines that may be away for it at one time.
+    pub max_away: u32,
+}
+
+/// An order about a machine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum MachineDuty {
+    /// Let it change its pool.
+    Move {
+        /// The machine.
+        machine: String,
+        /// The pool that it goes to.
+        pool: String,
+    },
+    /// Let it have its upkeep.
+    Upkeep {
+        /// The machine.
+        machine: String,
+        /// For this wave.
+        wave: u64,
+    },
+    /// Say how a wave stands.
+    WaveStatus {
+        /// The wave.
+        wave: u64,
+        /// All its machines have had their upkeep.
+        completed: bool,
+    },
+}
+
+/// A machine that was ordered to change.
+#[derive(Debug)]
+pub(super) struct Ordered {
+    machine: String,
+    /// The pool that it goes to; `None` for upkeep.
+    to_pool: Option<String>,
+    /// The wave that it is away for.
+    wave: Option<u64>,
+    at: MonotonicMillis,
+    answered: bool,
+}
+
+/// A wave that is under way.
+#[derive(Debug)]
+pub(super) struct WaveState {
+    pub(super) wave: Wave,
+    /// Machines that have begun their upkeep, sorted.
+    pub(super) begun: Vec<String>,
+    told_running: bool,
+    told_completed: bool,
+}
+
+/// An order about a machine is not looked for in the list before this time, in milliseconds: the
+/// list may be older than the order.
+const LIST_LAG_MS: u64 = 800;
+/// An order that got no answer is repeated after this time, in milliseconds.
+const REPEAT_DUTY_MS: u64 = 400;
+/// Between two plans, in milliseconds: the list of machines is read about twice a second.
+const PLAN_INTERVAL_MS: u64 = 100;
+/// Most orders about machines in one plan: the platform takes a limited rate from all daemons.
+const MAX_ORDERS_PER_PLAN: usize = 6;
+
+impl Shard {
+    /// Takes in the list of machines.
+    pub fn set_machines(&mut self, mut machines: Vec<Machine>, now: MonotonicMillis) {
+        machines.sort_by(|a, b| a.name.cmp(&b.name));
+        self.machines = machines;
+        self.machines_listed = true;
+        let machines = &self.machines;
+        self.ordered.retain(|ordered| {
+            let fresh = now.since(ordered.at).get() < LIST_LAG_MS;
+            let found = machines.binary_search_by(|row| row.name.cmp(&ordered.machine));
+            let settled = match (found, &ordered.to_pool) {
+                (Err(_), _) => true,
+                (Ok(at), Some(pool)) => {
+                    machines[at].state == MachineState::Up && machines[at].pool == *pool
+                }
+                (Ok(at), None) => machines[at].state == MachineState::Up,
+            };
+            fresh || !ordered.answered || !settled
+        });
+    }
+
+    /// Takes in a wave; one that is known is passed over.
+    pub fn add_wave(&mut self, wave: Wave, _now: MonotonicMillis) {
+        if self.waves.iter().any(|known| known.wave.number == wave.number) {
+            return;
+        }
+        let stored = self.stored_waves.iter().find(|row| row.0 == wave.number);
+        let begun = stored.map_or(Vec::new(), |row| row.1.clone());
+        self.waves.push(WaveState {
+            wave,
+            begun,
+            told_running: false,
+            told_completed: false,
+        });
+    }
+
+    /// Orders about machines since the last call.
+    pub fn take_duties(&mut self) -> Vec<MachineDuty> {
+        std::mem::take(&mut self.duties)
+    }
+
+    /// An order about a machine was carried out.
+    pub fn duty_done(&mut self, duty: &MachineDuty, now: MonotonicMillis, now_unix_ms: u64) {
+        let machine = match duty {
+            MachineDuty::Move { machine, .. } | MachineDuty::Upkeep { machine, .. } => machine,
+            MachineDuty::WaveStatus { .. } => return,
+        };
+        let ordered = self.ordered.iter_mut().find(|row| row.machine == *machine);
+        if let Some(ordered) = ordered {
+            ordered.answered = true;
+            ordered.at = now;
+        }
+        if let MachineDuty::Upkeep { machine, wave } = duty {
+            self.note_begun(*wave, machine);
+        }
+        // Everything on the machine has ended with its worker.
+        if let Some(at) = self.worker_of(machine) {
+            self.workers[at].listed = false;
+            self.lose_runs(at, now, now_unix_ms);
+        }
+    }
+
+    fn note_begun(&mut self, wave: u64, machine: &str) {
+        let Some(state) = self.waves.iter_mut().find(|row| row.wave.number == wave) else {
+            return;
+        };
+        let found = state.begun.binary_search_by(|name| name.as_str().cmp(machine));
+        if let Err(at) = found {
+            state.begun.insert(at, machine.to_owned());
+            self.dirty_waves.push(wave);
+        }
+    }
+
+    /// An order about a machine was not carried out, or (`unknown`) it is not known whether.
+    pub fn duty_failed(&mut self, duty: &MachineDuty, unknown: bool, now: MonotonicMillis) {
+        let machine = match duty {
+            MachineDuty::Move { machine, .. } | MachineDuty::Upkeep { machine, .. } => machine,
+            MachineDuty::WaveStatus { wave, completed } => {
+                let state = self.waves.iter_mut().find(|row| row.wave.number == *wave);
+                if let Some(state) = state {
+                    state.told_running = false;
+                    state.told_completed &= !completed;
+                }
+                return;
+            }
+        };
+        let Some(at) = self.ordered.iter().position(|row| row.machine == *machine) else {
+            return;
+        };
+        match unknown {
+            true => self.ordered[at].at = now,
+            false => {
+                self.ordered.remove(at);
+                if let Some(at) = self.worker_of(machine) {
+                    self.workers[at].reserved = false;
+                    let pause = now.get() + REPEAT_DUTY_MS;
+                    self.workers[at].no_duty_until = MonotonicMillis::new(pause);
+                }
+            }
+        }
+    }
+
+    /// Whether the worker of a machine has been heard, or it has none.
+    pub(super) fn machine_heard(&self, machine: &Machine) -> bool {
+        match &machine.worker {
+            Some(id) if machine.state == MachineState::Up => self
+                .worker_position(id)
+                .is_some_and(|at| self.workers[at].heard),
+            _ => true,
+        }
+    }
+
+    fn worker_of(&self, machine: &str) -> Option<usize> {
+        let found = self.machines.binary_search_by(|row| row.name.as_str().cmp(machine));
+        let worker = self.machines[found.ok()?].worker.as_ref()?;
+        self.worker_position(worker)
+    }
+
+    // --- Plans -----------------------------------------------------------------------------
+
+    /// Plans upkeep and moves.
+    pub(super) fn plan_duties(&mut self, now: MonotonicMillis) {
+        let begin = self.taken_over_at.get() + self.settings.duty_pause_ms;
+        if !self.machines_listed || now.get() < begin || now < self.next_plan_at {
+            return;
+        }
+        self.next_plan_at = MonotonicMillis::new(now.get() + PLAN_INTERVAL_MS);
+        self.repeat_duties(now);
+        for at in 0..self.waves.len() {
+            self.plan_wave(at, now);
+        }
+        if self.settings.moves {
+            self.plan_moves(now);
+        }
+    }
+
+    fn repeat_duties(&mut self, now: MonotonicMillis) {
+        for row in &mut self.ordered {
+            if row.answered || now.since(row.at).get() < REPEAT_DUTY_MS {
+                continue;
+            }
+            row.at = now;
+            self.duties.push(match (&row.to_pool, row.wave) {
+                (Some(pool), _) => MachineDuty::Move {
+                    machine: row.machine.clone(),
+                    pool: pool.clone(),
+                },
+                (None, wave) => MachineDuty::Upkeep {
+                    machine: row.machine.clone(),
+                    wave: wave.unwrap_or(0),
+                },
+            });
+        }
+    }
+
+    fn is_ordered(&self, machine: &str) -> bool {
+        self.ordered.iter().any(|row| row.machine == machine)
+    }
+
+    fn plan_wave(&mut self, at: usize, now: MonotonicMillis) {
+        let state = &self.waves[at];
+        let number = state.wave.number;
+        if state.told_completed {
+            return;
+        }
+        if !state.told_running {
+            self.waves[at].told_running = true;
+            self.duties.push(MachineDuty::WaveStatus {
+                wave: number,
+                completed: false,
+            });
+        }
+        let state = &self.waves[at];
+        let mut left = Vec::new();
+        let mut away = 0;
+        for name in &state.wave.machines {
+            let Ok(machine) = self.machines.binary_search_by(|row| row.name.cmp(name)) else {
+                continue;
+            };
+            let machine = &self.machines[machine];
+            let begun = state.begun.binary_search(name).is_ok();
+            let upkeep = machine.state == MachineState::Upkeep
+                || self.ordered.iter().any(|row| row.machine == *name && row.wave.is_some());
+            match begun {
+                _ if upkeep => away += 1,
+                true => {}
+                false => left.push(machine.clone()),
+            }
+        }
+        if left.is_empty() && away == 0 {
+            self.waves[at].told_completed = true;
+            self.duties.push(MachineDuty::WaveStatus {
+                wave: number,
+                completed: true,
+            });
+            return;
+        }
+        self.begin_upkeep(at, left, away, now);
+    }
+
+    fn begin_upkeep(&mut self, at: usize, left: Vec<Machine>, away: u32, now: MonotonicMillis) {
+        let number = self.waves[at].wave.number;
+        let places = self.waves[at].wave.max_away.saturating_sub(away);
+        let mut left: Vec<Machine> = left
+            .into_iter()
+            .filter(|machine| machine.state == MachineState::Up && !self.is_ordered(&machine.name))
+            .collect();
+        for _ in 0..places {
+            let candidates: Vec<UpkeepCandidate> =
+                left.iter().map(|machine| self.upkeep_candidate(machine, now)).collect();
+            match choose_upkeep(&candidates) {
+                UpkeepChoice::Wait => return,
+                UpkeepChoice::Reserve(chosen) => {
+                    let machine = left.swap_remove(chosen);
+                    if let Some(at) = self.worker_of(&machine.name) {
+                        self.workers[at].reserved = true;
+                        self.move_persistent(at, now);
+                    }
+                }
+                UpkeepChoice::Begin(chosen) => {
+                    let machine = left.swap_remove(chosen);
+                    self.order_machine(machine.name, None, Some(number), now);
+                }
+            }
+        }
+    }
+
+    fn order_machine(
+        &mut self,
+        machine: String,
+        to_pool: Option<String>,
+        wave: Option<u64>,
+        now: MonotonicMillis,
+    ) {
+        if let Some(at) = self.worker_of(&machine) {
+            self.workers[at].reserved = true;
+        }
+        self.duties.push(match &to_pool {
+            Some(pool) => MachineDuty::Move {
+                machine: machine.clone(),
+                pool: pool.clone(),
+            },
+            None => MachineDuty::Upkeep {
+                machine: machine.clone(),
+                wave: wave.unwrap_or(0),
+            },
+        });
+        self.ordered.push(Ordered {
+            machine,
+            to_pool,
+            wave,
+            at: now,
+            answered: false,
+        });
+    }
+
+    fn upkeep_candidate(&self, machine: &Machine, now: MonotonicMillis) -> UpkeepCandidate {
+        let worker = machine.worker.as_ref().and_then(|id| self.worker_position(id));
+        let Some(at) = worker else {
+            return UpkeepCandidate {
+                empty: machine.worker.is_none(),
+                reserved: false,
+                busy_core_ms: 0,
+                persistent: 0,
+                pinned: machine.worker.is_some(),
+            };
+        };
+        let worker = &self.workers[at];
+        let persistent = worker.runs.iter().filter(|run| run.persistent).count();
+        let pinned = worker.runs.iter().any(|run| run.persistent && !self.may_miss_one(run));
+        UpkeepCandidate {
+            empty: worker.runs.is_empty() && worker.no_duty_until <= now,
+            reserved: worker.reserved,
+            busy_core_ms: worker.used.cpu_millis,
+            persistent: u32::try_from(persistent).unwrap_or(u32::MAX),
+            pinned: pinned || worker.no_duty_until > now,
+        }
+    }
+
+    /// Stops persistent runs on a worker that is to become empty, as far as their steps allow.
+    fn move_persistent(&mut self, at: usize, now: MonotonicMillis) {
+        for position in 0..self.workers[at].runs.len() {
+            let run = &self.workers[at].runs[position];
+            let running = matches!(run.phase, RunPhase::Running { .. });
+            if run.persistent && running && self.may_miss_one(run) {
+                self.order_stop(at, position, now);
+            }
+        }
+    }
+
+    /// Whether a step allows that this run is away by our action now.
+    fn may_miss_one(&self, run: &Run) -> bool {
+        let Some(job) = self.job(run.task.job) else {
+            return true;
+        };
+        let step = usize::from(run.task.step);
+        let Some(may_miss) = job.spec.steps[step].may_miss else {
+            return true;
+        };
+        let Some(at) = job.occurrence_position(run.task.occurrence) else {
+            return true;
+        };
+        let mut away = 0;
+        for (index, task) in job.occurrences[at].steps[step].tasks.iter().enumerate() {
+            let index = u16::try_from(index).unwrap_or(u16::MAX);
+            let id = crate::id::TaskId { index, ..run.task };
+            if id != run.task && !self.is_at_work(id, task) {
+                away += 1;
+            }
+        }
+        away < may_miss
+    }
+
+    fn is_at_work(&self, id: crate::id::TaskId, task: &crate::job::Task) -> bool {
+        let TaskStatus::Placed { worker } = &task.status else {
+            return false;
+        };
+        let Some(at) = self.worker_position(worker) else {
+            return false;
+        };
+        let worker = &self.workers[at];
+        let run = worker.run_position(id, task.run).map(|at| &worker.runs[at]);
+        run.is_some_and(|run| {
+            matches!(run.phase, RunPhase::Running { .. }) && run.percent >= 100
+        }) && !worker.suspect
+    }
+
+    fn plan_moves(&mut self, now: MonotonicMillis) {
+        let pools: Vec<(String, bool)> = self
+            .catalogue
+            .pools
+            .iter()
+            .map(|pool| (pool.name.clone(), pool.spare))
+            .collect();
+        let position = |name: &str| pools.iter().position(|pool| pool.0 == name);
+        let mut demands: Vec<PoolDemand> = pools
+            .iter()
+            .map(|pool| PoolDemand {
+                wanted_cpu_millis: 0,
+                cpu_millis: 0,
+                spare: pool.1,
+            })
+            .collect();
+        let mut vms = Vec::new();
+        let mut names = Vec::new();
+        for machine in &self.machines {
+            let ordered = self.ordered.iter().find(|row| row.machine == machine.name);
+            let pool = ordered
+                .and_then(|row| row.to_pool.as_ref())
+                .unwrap_or(&machine.pool);
+            let Some(pool) = position(pool) else { continue };
+            if machine.state == MachineState::Down {
+                continue;
+            }
+            let worker = machine.worker.as_ref().and_then(|id| self.worker_position(id));
+            let draining = worker.is_some_and(|at| !self.workers[at].entry.ready);
+            if !draining {
+                demands[pool].cpu_millis += machine.capacity.cpu_millis;
+            }
+            let due = self.is_due(&machine.name);
+            if ordered.is_some() || machine.state != MachineState::Up || draining || due {
+                continue;
+            }
+            let idle = match worker {
+                None if machine.worker.is_none() => Some(u64::MAX),
+                None => None,
+                Some(at) => {
+                    let worker = &self.workers[at];
+                    let empty = worker.runs.is_empty()
+                        && worker.heard
+                        && !worker.suspect
+                        && !worker.reserved
+                        && worker.no_duty_until <= now;
+                    empty.then(|| now.since(worker.idle_since).get())
+                }
+            };
+            if let Some(idle_ms) = idle {
+                vms.push(SpareVm {
+                    pool,
+                    cpu_millis: machine.capacity.cpu_millis,
+                    idle_ms,
+                });
+                names.push(machine.name.clone());
+            }
+        }
+        for at in 0..pools.len() {
+            demands[at].wanted_cpu_millis = self.wanted_cpu_millis(&pools[at].0, now);
+        }
+        let moves = plan_moves(&demands, &vms, true);
+        for advice in moves.into_iter().take(MAX_ORDERS_PER_PLAN) {
+            let machine = names[advice.vm].clone();
+            self.order_machine(machine, Some(pools[advice.to].0.clone()), None, now);
+        }
+    }
+
+    /// Whether a machine still needs upkeep for a wave.
+    fn is_due(&self, machine: &str) -> bool {
+        self.waves.iter().any(|state| {
+            !state.told_completed
+                && state.wave.machines.iter().any(|name| name == machine)
+                && state
+                    .begun
+                    .binary_search_by(|name| name.as_str().cmp(machine))
+                    .is_err()
+        })
+    }
+
+    /// What a pool should have: running work, work that could start now, and a VM for each
+    /// persistent task that must stand alone.
+    fn wanted_cpu_millis(&self, pool: &str, _now: MonotonicMillis) -> u64 {
+        let mut wanted = 0;
+        let mut vm_cpu_millis = 0;
+        for worker in self.workers.iter().filter(|worker| worker.entry.pool == pool) {
+            wanted += worker.used.cpu_millis;
+            vm_cpu_millis = vm_cpu_millis.max(worker.entry.capacity.cpu_millis);
+        }
+        let mut apart = 0;
+        for id in &self.open {
+            let Some(job) = self.job(*id) else { continue };
+            let here = self
+                .catalogue
+                .queue(&job.spec.queue)
+                .is_some_and(|queue| queue.pool == pool);
+            if !here {
+                continue;
+            }
+            for occurrence in &job.occurrences {
+                for (at, step) in occurrence.steps.iter().enumerate() {
+                    let spec = &job.spec.steps[at];
+                    if occurrence.may_start(spec) {
+                        wanted += u64::from(step.waiting) * spec.booked().cpu_millis;
+                    }
+                    if spec.persistent && spec.anti_affinity > 0 {
+                        apart = apart.max(spec.count.div_ceil(spec.anti_affinity));
+                    }
+                }
+            }
+        }
+        wanted.max(u64::from(apart) * vm_cpu_millis)
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-jobs/src/shard/ends.rs
@@ -0,0 +1,210 @@
+//! What the end of a run means for its task and job.
+
+use vanillafold_policy::MonotonicMillis;
+
+use super::root::Shard;
+use crate::id::{JobId, TaskId};
+use crate::job::TaskStatus;
+use crate::record::JobOutcome;
+use crate::worker::{EndKind, Run};
+
+/// A failed run on a worker counts against it for so long by half, in milliseconds.
+const FAULT_HALF_LIFE_MS: f64 = 5_000.0;
+/// From this many recent faults on a worker gets no work for a while.
+const AVOID_FAULTS: f64 = 3.0;
+/// For how long, in milliseconds: long enough for a passing fault, short enough to look again.
+const AVOID_MS: u64 = 3_000;
+/// How much a new observation of a task's time counts.
+const LEARN_SHARE: f64 = 0.1;
+
+impl Shard {
+    /// Takes in the end of a run that is no longer booked.
+    pub(super) fn end_run(
+        &mut self,
+        at: usize,
+        run: &Run,
+        kind: EndKind,
+        now: MonotonicMillis,
+        now_unix_ms: u64,
+    ) {
+        self.remove_usage(&run.tenant, run.needs);
+        self.learn(at, run, kind, now);
+        let worker = self.workers[at].entry.id.clone();
+        let Some(task) = self.placed_task(run.task) else {
+            return;
+        };
+        let here = matches!(&task.status, TaskStatus::Placed { worker: on } if *on == worker);
+        if !here || task.run != run.number {
+            return;
+        }
+        self.note_end(run.task, kind, &run.checkpoint, now, now_unix_ms);
+    }
+
+    /// Changes a task that is not running any more.
+    pub(super) fn note_end(
+        &mut self,
+        task: TaskId,
+        kind: EndKind,
+        checkpoint: &str,
+        now: MonotonicMillis,
+        now_unix_ms: u64,
+    ) {
+        let Some(job) = self.job_mut(task.job).filter(|job| job.is_open()) else {
+            return;
+        };
+        let spec = std::rc::Rc::clone(&job.spec);
+        let step_spec = &spec.steps[usize::from(task.step)];
+        let Some(at) = job.occurrence_position(task.occurrence) else {
+            return;
+        };
+        let step = &mut job.occurrences[at].steps[usize::from(task.step)];
+        if !checkpoint.is_empty() {
+            step.tasks[usize::from(task.index)].checkpoint = checkpoint.to_owned();
+        }
+        match kind {
+            EndKind::Done if step_spec.gang && !step_spec.persistent => {
+                for index in 0..step.tasks.len() {
+                    let index = u16::try_from(index).unwrap_or(u16::MAX);
+                    step.set_status(index, TaskStatus::Done);
+                }
+                for index in 0..step_spec.count {
+                    let index = u16::try_from(index).unwrap_or(u16::MAX);
+                    job.step_progress(task.occurrence, task.step).set_done(index);
+                }
+                job.version += 1;
+                self.after_done(task, now, now_unix_ms);
+            }
+            EndKind::Done if !step_spec.persistent => {
+                step.set_status(task.index, TaskStatus::Done);
+                job.step_progress(task.occurrence, task.step)
+                    .set_done(task.index);
+                job.version += 1;
+                self.after_done(task, now, now_unix_ms);
+            }
+            EndKind::Failed if !step_spec.persistent => {
+                step.set_status(task.index, TaskStatus::Waiting { since: now });
+                let counted = match step_spec.gang {
+                    true => 0,
+                    false => task.index,
+                };
+                let failed = job
+                    .step_progress(task.occurrence, task.step)
+                    .add_failed_run(counted);
+                job.version += 1;
+                self.after_failed(task.job, failed, now, now_unix_ms);
+            }
+            _ => step.set_status(task.index, TaskStatus::Waiting { since: now }),
+        }
+        if step_spec.gang {
+            self.share_gang_checkpoint(task);
+        }
+    }
+
+    fn after_done(&mut self, task: TaskId, now: MonotonicMillis, now_unix_ms: u64) {
+        self.mark_dirty(task.job);
+        let Some(job) = self.job_mut(task.job) else {
+            return;
+        };
+        let Some(at) = job.occurrence_position(task.occurrence) else {
+            return;
+        };
+        if !job.occurrences[at].steps.iter().all(|step| step.is_done()) {
+            return;
+        }
+        job.complete_occurrence(task.occurrence);
+        let count = job.occurrence_count();
+        if job.progress.completed.len() as u64 == u64::from(count) {
+            job.finish(JobOutcome::Completed, now_unix_ms);
+            self.end_job(task.job, now);
+        }
+    }
+
+    fn after_failed(&mut self, id: JobId, failed: u32, now: MonotonicMillis, now_unix_ms: u64) {
+        self.mark_dirty(id);
+        let Some(job) = self.job(id) else { return };
+        let queue = self.catalogue.queue(&job.spec.queue);
+        let most = queue.map(|queue| queue.max_attempts);
+        if most.is_some_and(|most| failed >= most)
+            && let Some(job) = self.job_mut(id)
+        {
+            job.finish(JobOutcome::Failed, now_unix_ms);
+            self.end_job(id, now);
+        }
+    }
+
+    /// All members of a gang resume from one checkpoint.
+    fn share_gang_checkpoint(&mut self, task: TaskId) {
+        let Some(job) = self.job_mut(task.job) else {
+            return;
+        };
+        let Some(at) = job.occurrence_position(task.occurrence) else {
+            return;
+        };
+        let step = &mut job.occurrences[at].steps[usize::from(task.step)];
+        let checkpoint = step.tasks[usize::from(task.index)].checkpoint.clone();
+        if checkpoint.is_empty() {
+            return;
+        }
+        for member in &mut step.tasks {
+            member.checkpoint.clone_from(&checkpoint);
+        }
+    }
+
+    /// The task of an id in an open job.
+    pub(super) fn placed_task(&self, id: TaskId) -> Option<&crate::job::Task> {
+        let job = self.job(id.job).filter(|job| job.is_open())?;
+        let at = job.occurrence_position(id.occurrence)?;
+        let step = job.occurrences[at].steps.get(usize::from(id.step))?;
+        step.tasks.get(usize::from(id.index))
+    }
+
+    /// Learns from an end how long tasks take and which workers fail.
+    fn learn(&mut self, at: usize, run: &Run, kind: EndKind, now: MonotonicMillis) {
+        let took_ms = now.since(run.started_at).get();
+        let failed_before = self.failed_elsewhere(run.task);
+        let worker = &mut self.workers[at];
+        #[allow(clippy::cast_precision_loss)] // times of seconds
+        let halves = now.since(worker.faults_at).get() as f64 / FAULT_HALF_LIFE_MS;
+        worker.faults *= 0.5_f64.powf(halves);
+        worker.faults_at = now;
+        match kind {
+            EndKind::Done => worker.faults *= 0.5,
+            EndKind::Failed if !failed_before && !run.persistent => worker.faults += 1.0,
+            _ => {}
+        }
+        if worker.faults >= AVOID_FAULTS {
+            worker.avoided_until = MonotonicMillis::new(now.get() + AVOID_MS);
+            log::info!("worker {} avoided: recent failures {:.1}", worker.entry.id, worker.faults);
+        }
+        if kind != EndKind::Done || run.persistent {
+            return;
+        }
+        let Some(job) = self.job(run.task.job) else {
+            return;
+        };
+        let estimate_ms = job.spec.steps[usize::from(run.task.step)].estimate_ms;
+        if estimate_ms == 0 {
+            return;
+        }
+        #[allow(clippy::cast_precision_loss)] // times of seconds
+        let ratio = took_ms as f64 / estimate_ms as f64;
+        let queue = job.spec.queue.clone();
+        match self.learned.binary_search_by(|row| row.0.cmp(&queue)) {
+            Ok(at) => {
+                let known = &mut self.learned[at].1;
+                *known += (ratio - *known) * LEARN_SHARE;
+            }
+            Err(at) => self.learned.insert(at, (queue, ratio)),
+        }
+    }
+
+    fn failed_elsewhere(&self, task: TaskId) -> bool {
+        self.job(task.job).is_some_and(|job| {
+            job.progress
+                .occurrences
+                .iter()
+                .flat_map(|occurrence| &occurrence.steps)
+                .any(|step| !step.failed_runs.is_empty())
+        })
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-jobs/src/shard/mod.rs
@@ -0,0 +1,21 @@
+//! The state machine of one shard.
+
+mod catalogue;
+mod duties;
+mod ends;
+mod orders;
+mod pacing;
+mod root;
+mod schedule;
+mod settings;
+mod storing;
+mod submit;
+mod workers;
+
+pub use catalogue::{Catalogue, PoolInfo, QueueInfo, TenantInfo};
+pub use duties::{Machine, MachineDuty, MachineState, Wave};
+pub use orders::{HoldPlan, Order};
+pub use root::Shard;
+pub use settings::Settings;
+pub use storing::Batch;
+pub use submit::{CancelOutcome, SubmitOutcome};
--- /dev/null
+++ b/crates/vanillafold-jobs/src/shard/pacing.rs
@@ -0,0 +1,52 @@
+//! Pace of filling tasks beside serving ones.
+
+use vanillafold_policy::MonotonicMillis;
+use vanillafold_policy::jobs::{PaceInput, next_pace};
+
+use super::orders::Order;
+use super::root::Shard;
+
+/// Between two changes of a run's pace, in milliseconds: a worker's figures are those of the last
+/// half second.
+const PACE_INTERVAL_MS: u64 = 600;
+
+impl Shard {
+    /// Adapts the pace of filling tasks to the tails of the serving tasks beside them.
+    pub(super) fn pace_filling(&mut self, now: MonotonicMillis) {
+        for worker in &mut self.workers {
+            if worker.suspect || !worker.runs.iter().any(|run| run.fills) {
+                continue;
+            }
+            let tail_percent = |run: &crate::worker::Run| run.load * 100 / run.target_ms;
+            let worst = worker
+                .runs
+                .iter()
+                .filter(|run| run.target_ms > 0 && !run.fills)
+                .map(tail_percent)
+                .max();
+            let Some(worst_tail_percent) = worst else {
+                continue;
+            };
+            for run in worker.runs.iter_mut().filter(|run| run.fills && run.is_live()) {
+                if now.since(run.pace_ordered_at).get() < PACE_INTERVAL_MS {
+                    continue;
+                }
+                let percent = next_pace(PaceInput {
+                    percent: run.pace_percent,
+                    worst_tail_percent,
+                });
+                if percent == run.pace_percent {
+                    continue;
+                }
+                run.pace_percent = percent;
+                run.pace_ordered_at = now;
+                let order = Order::Pace {
+                    task: run.task,
+                    run: run.number,
+                    percent,
+                };
+                self.orders.push((worker.entry.id.clone(), order));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -0,0 +1,262 @@
+//! The shard itself: what it holds and how it begins.
+
+use std::rc::Rc;
+
+use vanillafold_policy::MonotonicMillis;
+
+use super::catalogue::Catalogue;
+use super::duties::{Machine, MachineDuty, Ordered, WaveState};
+use super::orders::Order;
+use super::settings::Settings;
+use crate::id::{Epoch, JobId, WorkerId};
+use crate::job::{Job, TaskStatus};
+use crate::record::{JobOutcome, Record};
+use crate::spec::Resources;
+use crate::worker::Worker;
+
+/// The jobs of a shard and the books of its workers, for one ownership.
+#[derive(Debug)]
+pub struct Shard {
+    pub(super) settings: Settings,
+    pub(super) epoch: Epoch,
+    pub(super) catalogue: Catalogue,
+    /// Sorted by id.
+    pub(super) jobs: Vec<Box<Job>>,
+    /// Jobs with work left, sorted.
+    pub(super) open: Vec<JobId>,
+    /// Jobs with something to write, in the order in which it came up.
+    pub(super) dirty: Vec<JobId>,
+    /// Jobs whose records may be dropped now.
+    pub(super) forget: Vec<JobId>,
+    /// Jobs that are over, in the order of their end.
+    pub(super) finished: Vec<JobId>,
+    /// Sorted by id.
+    pub(super) workers: Vec<Worker>,
+    /// What each organisation has running, sorted by name.
+    pub(super) usage: Vec<(String, Resources)>,
+    pub(super) orders: Vec<(WorkerId, Order)>,
+    pub(super) taken_over_at: MonotonicMillis,
+    /// The lists of workers and machines have both been read since the ownership began.
+    pub(super) workers_listed: bool,
+    pub(super) machines_listed: bool,
+    /// Tasks may still run on workers that have not been heard.
+    pub(super) unclear: bool,
+    pub(super) fenced: bool,
+    /// Sorted by name.
+    pub(super) machines: Vec<Machine>,
+    pub(super) waves: Vec<WaveState>,
+    /// Machines that have begun their upkeep, by wave, as stored.
+    pub(super) stored_waves: Vec<(u64, Vec<String>)>,
+    /// Waves with something to write.
+    pub(super) dirty_waves: Vec<u64>,
+    pub(super) ordered: Vec<Ordered>,
+    pub(super) next_plan_at: MonotonicMillis,
+    pub(super) duties: Vec<MachineDuty>,
+    /// How long tasks of a queue really take, in percent of their estimates, sorted by queue.
+    pub(super) learned: Vec<(String, f64)>,
+}
+
+impl Shard {
+    /// Begins an ownership with the records that are stored.
+    ///
+    /// Tasks that are not done may run on any worker until all have been heard.
+    #[must_use]
+    pub fn load(
+        settings: Settings,
+        epoch: Epoch,
+        records: Vec<Record>,
+        now: MonotonicMillis,
+        now_unix_ms: u64,
+    ) -> Self {
+        let mut shard = Self {
+            settings,
+            epoch,
+            catalogue: Catalogue::default(),
+            jobs: Vec::new(),
+            open: Vec::new(),
+            dirty: Vec::new(),
+            forget: Vec::new(),
+            finished: Vec::new(),
+            workers: Vec::new(),
+            usage: Vec::new(),
+            orders: Vec::new(),
+            taken_over_at: now,
+            workers_listed: false,
+            machines_listed: false,
+            unclear: true,
+            fenced: false,
+            machines: Vec::new(),
+            waves: Vec::new(),
+            stored_waves: Vec::new(),
+            dirty_waves: Vec::new(),
+            ordered: Vec::new(),
+            next_plan_at: now,
+            duties: Vec::new(),
+            learned: Vec::new(),
+        };
+        let mut progress = Vec::new();
+        for record in records {
+            match record {
+                Record::Spec(id, spec) => shard.insert_stored(Job::new(id, *spec, now)),
+                Record::Progress(id, row) => progress.push((id, row)),
+                Record::Wave(number, begun) => shard.stored_waves.push((number, begun)),
+                Record::Forget(_) => {}
+            }
+        }
+        for (id, row) in progress {
+            match shard.job_mut(id) {
+                Some(job) => job.progress = row,
+                None => log::warn!("progress of job {id} without its description: passed over"),
+            }
+        }
+        shard.resume(now, now_unix_ms);
+        shard
+    }
+
+    fn insert_stored(&mut self, mut job: Job) {
+        job.spec_stored = true;
+        if let Err(at) = self.position(job.id) {
+            self.jobs.insert(at, Box::new(job));
+        }
+    }
+
+    fn resume(&mut self, now: MonotonicMillis, now_unix_ms: u64) {
+        for job in &mut self.jobs {
+            job.stored_outcome = job.progress.outcome;
+            let age = now_unix_ms.saturating_sub(job.spec.submitted_unix_ms);
+            job.accepted_at = MonotonicMillis::new(now.get().saturating_sub(age));
+            match job.progress.outcome {
+                JobOutcome::Open => self.open.push(job.id),
+                _ => {
+                    let ended = now_unix_ms.saturating_sub(job.progress.ended_unix_ms);
+                    let left = self.settings.keep_final_ms.saturating_sub(ended);
+                    job.forget_at = Some(MonotonicMillis::new(now.get() + left));
+                    self.finished.push(job.id);
+                }
+            }
+        }
+        for id in self.open.clone() {
+            self.begin_due(id, &TaskStatus::Unclear, now_unix_ms);
+        }
+        self.unclear = !self.open.is_empty();
+    }
+
+    /// Which ownership this is.
+    #[must_use]
+    pub const fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Whether a later owner has been seen: this one must stop.
+    #[must_use]
+    pub const fn is_fenced(&self) -> bool {
+        self.fenced
+    }
+
+    /// Takes in a configuration; an older one than the one in force is passed over.
+    pub fn set_catalogue(&mut self, catalogue: Catalogue) {
+        if catalogue.version >= self.catalogue.version {
+            self.catalogue = catalogue;
+        }
+    }
+
+    /// Orders to workers since the last call, in the order in which they were given.
+    pub fn take_orders(&mut self) -> Vec<(WorkerId, Order)> {
+        std::mem::take(&mut self.orders)
+    }
+
+    /// How many jobs have work left.
+    #[must_use]
+    pub const fn open_jobs(&self) -> usize {
+        self.open.len()
+    }
+
+    /// How many runs take room.
+    #[must_use]
+    pub fn booked_runs(&self) -> usize {
+        self.workers.iter().map(|worker| worker.runs.len()).sum()
+    }
+
+    // --- Look-ups --------------------------------------------------------------------------
+
+    pub(super) fn position(&self, id: JobId) -> Result<usize, usize> {
+        self.jobs.binary_search_by_key(&id, |job| job.id)
+    }
+
+    pub(super) fn job(&self, id: JobId) -> Option<&Job> {
+        self.position(id).ok().map(|at| self.jobs[at].as_ref())
+    }
+
+    pub(super) fn job_mut(&mut self, id: JobId) -> Option<&mut Job> {
+        let at = self.position(id).ok()?;
+        Some(self.jobs[at].as_mut())
+    }
+
+    pub(super) fn worker_position(&self, id: &WorkerId) -> Option<usize> {
+        self.workers
+            .binary_search_by(|worker| worker.entry.id.cmp(id))
+            .ok()
+    }
+
+    pub(super) fn mark_dirty(&mut self, id: JobId) {
+        if !self.dirty.contains(&id) {
+            self.dirty.push(id);
+        }
+    }
+
+    pub(super) fn close_open(&mut self, id: JobId) {
+        if let Ok(at) = self.open.binary_search(&id) {
+            self.open.remove(at);
+        }
+    }
+
+    /// Begins the occurrences of a job that are due.
+    pub(super) fn begin_due(
+        &mut self,
+        id: JobId,
+        status: &TaskStatus,
+        now_unix_ms: u64,
+    ) {
+        let Some(job) = self.job_mut(id) else { return };
+        let spec = Rc::clone(&job.spec);
+        while job.next_occurrence < job.occurrence_count() {
+            let number = job.next_occurrence;
+            let due = spec.repeat.map_or(0, |repeat| {
+                repeat.start_unix_ms + u64::from(number) * repeat.interval_ms
+            });
+            if due > now_unix_ms {
+                return;
+            }
+            job.next_occurrence += 1;
+            if job.progress.completed.binary_search(&number).is_err() {
+                job.begin_occurrence(number, due, status);
+            }
+        }
+    }
+
+    pub(super) fn add_usage(&mut self, tenant: &str, needs: Resources) {
+        let found = self
+            .usage
+            .binary_search_by(|row| row.0.as_str().cmp(tenant));
+        match found {
+            Ok(at) => self.usage[at].1.add(needs),
+            Err(at) => self.usage.insert(at, (tenant.to_owned(), needs)),
+        }
+    }
+
+    pub(super) fn remove_usage(&mut self, tenant: &str, needs: Resources) {
+        let found = self
+            .usage
+            .binary_search_by(|row| row.0.as_str().cmp(tenant));
+        if let Ok(at) = found {
+            self.usage[at].1.remove(needs);
+        }
+    }
+
+    pub(super) fn usage(&self, tenant: &str) -> Resources {
+        let found = self
+            .usage
+            .binary_search_by(|row| row.0.as_str().cmp(tenant));
+        found.map_or(Resources::default(), |at| self.usage[at].1)
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-jobs/src/shard/schedule.rs
@@ -0,0 +1,479 @@
+//! Which task starts where, now.
+
+use std::rc::Rc;
+
+use vanillafold_policy::MonotonicMillis;
+use vanillafold_policy::jobs::{Candidate, Placement, QueuedStep, Rank, place, rank};
+
+use super::catalogue::QueueInfo;
+use super::orders::Order;
+use super::root::Shard;
+use crate::id::{JobId, RunNumber, TaskId};
+use crate::job::{Job, TaskStatus};
+use crate::spec::{JobSpec, StepSpec};
+use crate::worker::{Run, RunPhase, Worker};
+
+/// The estimate of a task whose caller gave none, in milliseconds.
+const UNKNOWN_ESTIMATE_MS: u64 = 1_000;
+
+/// A step with tasks that wait.
+#[derive(Debug)]
+struct Waiting {
+    rank: Rank,
+    job: JobId,
+    occurrence: u32,
+    step: u16,
+}
+
+impl Shard {
+    /// Starts what may start, stops what must stop, and plans for machines.
+    pub fn schedule(&mut self, now: MonotonicMillis, now_unix_ms: u64) {
+        self.lapse_workers(now, now_unix_ms);
+        self.resolve_unclear(now);
+        self.forget_old(now);
+        self.repeat_stops(now);
+        let timed: Vec<JobId> = self
+            .open
+            .iter()
+            .copied()
+            .filter(|id| self.job(*id).is_some_and(|job| job.spec.repeat.is_some()))
+            .collect();
+        for id in timed {
+            self.begin_due(id, &TaskStatus::Waiting { since: now }, now_unix_ms);
+        }
+        let mut waiting = self.waiting_steps(now, now_unix_ms);
+        waiting.sort_by(|a, b| a.rank.cmp(&b.rank).then(a.job.cmp(&b.job)));
+        let mut full = Vec::new();
+        for step in waiting {
+            self.start_step(&step, &mut full, now);
+        }
+        self.pace_filling(now);
+        self.plan_duties(now);
+    }
+
+    /// Tasks that could run on workers that have not been heard wait until all are heard, or
+    /// until whatever an earlier owner started there is gone.
+    fn resolve_unclear(&mut self, now: MonotonicMillis) {
+        if !self.unclear {
+            return;
+        }
+        let outwaited = now.get() >= self.taken_over_at.get() + self.settings.outwait_ms;
+        let all_heard = self.workers_listed
+            && self.machines_listed
+            && self.workers.iter().all(|worker| worker.heard)
+            && self.machines.iter().all(|machine| self.machine_heard(machine));
+        if !outwaited && !all_heard {
+            return;
+        }
+        self.unclear = false;
+        log::info!(
+            "all workers accounted for {} after the takeover, all heard: {all_heard}",
+            now.since(self.taken_over_at)
+        );
+        for job in &mut self.jobs {
+            for occurrence in &mut job.occurrences {
+                for step in &mut occurrence.steps {
+                    for index in 0..step.tasks.len() {
+                        if step.tasks[index].status == TaskStatus::Unclear {
+                            let index = u16::try_from(index).unwrap_or(u16::MAX);
+                            step.set_status(index, TaskStatus::Waiting { since: now });
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn waiting_steps(&self, now: MonotonicMillis, now_unix_ms: u64) -> Vec<Waiting> {
+        let mut waiting = Vec::new();
+        for id in &self.open {
+            let Some(job) = self.job(*id).filter(|job| job.spec_stored) else {
+                continue;
+            };
+            for occurrence in &job.occurrences {
+                for (at, step) in occurrence.steps.iter().enumerate() {
+                    let spec = &job.spec.steps[at];
+                    if step.waiting == 0 || !occurrence.may_start(spec) {
+                        continue;
+                    }
+                    waiting.push(Waiting {
+                        rank: self.rank(job, occurrence.number, at, now, now_unix_ms),
+                        job: *id,
+                        occurrence: occurrence.number,
+                        step: u16::try_from(at).unwrap_or(u16::MAX),
+                    });
+                }
+            }
+        }
+        waiting
+    }
+
+    fn rank(
+        &self,
+        job: &Job,
+        occurrence: u32,
+        step: usize,
+        now: MonotonicMillis,
+        now_unix_ms: u64,
+    ) -> Rank {
+        let queue = self.catalogue.queue(&job.spec.queue);
+        let objective_ms = queue.map_or(0, |queue| {
+            self.chain_ms(&job.spec) * queue.stretch_millis / 1_000 + queue.target_latency_ms
+        });
+        let row = job
+            .occurrences
+            .iter()
+            .find(|row| row.number == occurrence);
+        let passed_ms = match row.map_or(0, |row| row.due_unix_ms) {
+            0 => now.since(job.accepted_at).get(),
+            due => now_unix_ms.saturating_sub(due),
+        };
+        let signed = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+        let remaining_ms = row.map_or(0, |row| {
+            self.longest_chain(&job.spec, |at| !row.steps[at].is_done())
+        });
+        let tenant = self.catalogue.tenant(&job.spec.tenant);
+        let used = self.usage(&job.spec.tenant).cpu_millis;
+        let weight = tenant.map_or(1, |tenant| tenant.weight.max(1));
+        #[allow(clippy::cast_precision_loss)] // thousandths of cores
+        let tenant_load = used as f64 / weight as f64;
+        rank(&QueuedStep {
+            persistent: job.spec.steps[step].persistent,
+            priority: queue.map_or(0, |queue| queue.priority),
+            begun: job.progress.begun,
+            until_late_ms: signed(objective_ms) - signed(passed_ms),
+            remaining_ms,
+            remaining_core_ms: self.remaining_core_ms(job),
+            tenant_load,
+        })
+    }
+
+    // --- Times -----------------------------------------------------------------------------
+
+    /// How long a task of a step is expected to run.
+    fn expected_ms(&self, queue: &str, step: &StepSpec) -> u64 {
+        let estimate_ms = match step.estimate_ms {
+            0 => UNKNOWN_ESTIMATE_MS,
+            estimate_ms => estimate_ms,
+        };
+        let learned = self
+            .learned
+            .binary_search_by(|row| row.0.as_str().cmp(queue))
+            .map_or(1.0, |at| self.learned[at].1);
+        #[allow(clippy::cast_precision_loss, clippy::cast_possible_truncation)]
+        #[allow(clippy::cast_sign_loss)] // positive times of seconds
+        let expected_ms = (estimate_ms as f64 * learned) as u64;
+        expected_ms
+    }
+
+    /// The longest chain of the steps that `counts` keeps.
+    fn longest_chain(&self, spec: &JobSpec, counts: impl Fn(usize) -> bool) -> u64 {
+        let mut ends: Vec<u64> = Vec::with_capacity(spec.steps.len());
+        for (at, step) in spec.steps.iter().enumerate() {
+            let before = step.after.iter().map(|after| ends[usize::from(*after)]);
+            let own = match counts(at) {
+                true => self.expected_ms(&spec.queue, step),
+                false => 0,
+            };
+            ends.push(before.max().unwrap_or(0) + own);
+        }
+        ends.into_iter().max().unwrap_or(0)
+    }
+
+    /// A job's longest chain of work.
+    pub(super) fn chain_ms(&self, spec: &JobSpec) -> u64 {
+        self.longest_chain(spec, |_| true)
+    }
+
+    /// What all tasks of a job take, in core-milliseconds.
+    pub(super) fn work_core_ms(&self, spec: &JobSpec) -> u64 {
+        let of_step = |step: &StepSpec| {
+            u64::from(step.count) * step.needs.cpu_millis * self.expected_ms(&spec.queue, step)
+                / 1_000
+        };
+        spec.steps
+            .iter()
+            .filter(|step| !step.persistent)
+            .map(of_step)
+            .sum()
+    }
+
+    /// What the tasks of a job that are not done still take, in core-milliseconds.
+    pub(super) fn remaining_core_ms(&self, job: &Job) -> u64 {
+        let mut total = 0;
+        for occurrence in &job.occurrences {
+            for (at, step) in occurrence.steps.iter().enumerate() {
+                let spec = &job.spec.steps[at];
+                let left = step.tasks.len() as u64 - u64::from(step.done);
+                if !spec.persistent {
+                    total += left * spec.needs.cpu_millis * self.expected_ms(&job.spec.queue, spec)
+                        / 1_000;
+                }
+            }
+        }
+        total
+    }
+
+    // --- Placement -------------------------------------------------------------------------
+
+    /// Starts the waiting tasks of a step as far as there is room. `full` are steps' needs, by
+    /// pool, for which no room was found in this pass.
+    fn start_step(
+        &mut self,
+        waiting: &Waiting,
+        full: &mut Vec<(String, StepSpec)>,
+        now: MonotonicMillis,
+    ) {
+        let Some(job) = self.job(waiting.job) else {
+            return;
+        };
+        let spec = Rc::clone(&job.spec);
+        let Some(queue) = self.catalogue.queue(&spec.queue).cloned() else {
+            return;
+        };
+        let step_spec = &spec.steps[usize::from(waiting.step)];
+        let plain = step_spec.anti_affinity == 0
+            && step_spec.required_label.is_empty()
+            && !step_spec.gang;
+        let no_room = |row: &(String, StepSpec)| {
+            row.0 == queue.pool
+                && step_spec.booked().cpu_millis >= row.1.booked().cpu_millis
+                && step_spec.booked().memory_mib >= row.1.booked().memory_mib
+                && step_spec.booked().gpus >= row.1.booked().gpus
+        };
+        if full.iter().any(no_room) {
+            return;
+        }
+        if step_spec.gang {
+            self.start_gang(waiting, &spec, &queue, now);
+            return;
+        }
+        for index in self.waiting_tasks(waiting) {
+            if !self.tenant_allows(&spec, step_spec, 1) {
+                return;
+            }
+            let placed = self.place_task(waiting, &spec, &queue, index, &[], now);
+            let Some(at) = placed else {
+                if plain {
+                    full.push((queue.pool.clone(), step_spec.clone()));
+                }
+                return;
+            };
+            let run = self.next_run(waiting, index);
+            self.start_task(at, waiting, &spec, index, run, now);
+        }
+    }
+
+    fn waiting_tasks(&self, waiting: &Waiting) -> Vec<u16> {
+        let mut indexes = Vec::new();
+        let Some(job) = self.job(waiting.job) else {
+            return indexes;
+        };
+        let Some(at) = job.occurrence_position(waiting.occurrence) else {
+            return indexes;
+        };
+        let step = &job.occurrences[at].steps[usize::from(waiting.step)];
+        for (index, task) in step.tasks.iter().enumerate() {
+            if matches!(task.status, TaskStatus::Waiting { .. }) {
+                indexes.push(u16::try_from(index).unwrap_or(u16::MAX));
+            }
+        }
+        indexes
+    }
+
+    fn tenant_allows(&self, spec: &JobSpec, step: &StepSpec, count: u64) -> bool {
+        let Some(tenant) = self.catalogue.tenant(&spec.tenant) else {
+            return true;
+        };
+        let mut more = step.needs;
+        more.cpu_millis *= count;
+        more.memory_mib *= count;
+        more.gpus *= count;
+        tenant.limit.allows(self.usage(&spec.tenant), more)
+    }
+
+    fn next_run(&self, waiting: &Waiting, index: u16) -> RunNumber {
+        let id = task_id(waiting, index);
+        let run = self.placed_task(id).map_or(RunNumber::default(), |task| task.run);
+        run.next(self.epoch)
+    }
+
+    /// Finds a worker for a task. `planned` are workers that other tasks of its gang are to get.
+    fn place_task(
+        &self,
+        waiting: &Waiting,
+        spec: &JobSpec,
+        queue: &QueueInfo,
+        index: u16,
+        planned: &[usize],
+        now: MonotonicMillis,
+    ) -> Option<usize> {
+        let step = &spec.steps[usize::from(waiting.step)];
+        let booked = step.booked();
+        let rack = self.step_rack(waiting, step, planned);
+        let mut places = Vec::new();
+        let mut candidates = Vec::new();
+        for (at, worker) in self.workers.iter().enumerate() {
+            if worker.entry.pool != queue.pool || !worker.is_usable(now) {
+                continue;
+            }
+            let mut used = worker.used;
+            for _ in planned.iter().filter(|other| **other == at) {
+                used.add(booked);
+            }
+            let labelled = step.required_label.is_empty()
+                || worker.entry.labels.contains(&step.required_label);
+            if !labelled || !worker.entry.capacity.fits(used, booked) {
+                continue;
+            }
+            if step.anti_affinity > 0
+                && same_step(worker, waiting) + planned.iter().filter(|p| **p == at).count()
+                    >= step.anti_affinity as usize
+            {
+                continue;
+            }
+            let labels = &worker.entry.labels;
+            places.push(at);
+            candidates.push(Candidate {
+                free_cpu_millis: worker.entry.capacity.cpu_millis - used.cpu_millis,
+                near_data: step.data_rack.is_empty() || labels.contains(&step.data_rack),
+                same_rack: rack.as_ref().is_none_or(|rack| labels.contains(rack)),
+                persistent: count(worker, |run| run.persistent),
+                filling: count(worker, |run| run.fills),
+                serving: count(worker, |run| run.target_ms > 0),
+                faults: worker.faults,
+                failed_here: false,
+            });
+        }
+        let placement = Placement {
+            persistent: step.persistent,
+            fills: step.fills,
+            serves: step.target_ms > 0,
+        };
+        let _ = index;
+        place(&candidates, placement).map(|chosen| places[chosen])
+    }
+
+    /// The rack where the other tasks of a step run, if it matters.
+    fn step_rack(&self, waiting: &Waiting, step: &StepSpec, planned: &[usize]) -> Option<String> {
+        if !step.same_rack {
+            return None;
+        }
+        let first = planned.first().copied().or_else(|| {
+            self.workers
+                .iter()
+                .position(|worker| same_step(worker, waiting) > 0)
+        });
+        first.and_then(|at| self.workers[at].entry.labels.last().cloned())
+    }
+
+    fn start_gang(
+        &mut self,
+        waiting: &Waiting,
+        spec: &Rc<JobSpec>,
+        queue: &QueueInfo,
+        now: MonotonicMillis,
+    ) {
+        let step = &spec.steps[usize::from(waiting.step)];
+        let members = self.waiting_tasks(waiting);
+        if members.len() != step.count as usize
+            || !self.tenant_allows(spec, step, u64::from(step.count))
+        {
+            return;
+        }
+        let mut planned = Vec::with_capacity(members.len());
+        for index in &members {
+            match self.place_task(waiting, spec, queue, *index, &planned, now) {
+                Some(at) => planned.push(at),
+                None => return,
+            }
+        }
+        let next = members.iter().map(|index| self.next_run(waiting, *index));
+        let Some(run) = next.max() else { return };
+        for (index, at) in members.iter().zip(planned) {
+            self.start_task(at, waiting, spec, *index, run, now);
+        }
+    }
+
+    fn start_task(
+        &mut self,
+        at: usize,
+        waiting: &Waiting,
+        spec: &Rc<JobSpec>,
+        index: u16,
+        number: RunNumber,
+        now: MonotonicMillis,
+    ) {
+        let lease_ms = self.settings.lease_ms;
+        let step = &spec.steps[usize::from(waiting.step)];
+        let task = task_id(waiting, index);
+        let worker = &mut self.workers[at];
+        let Some(deadline_ms) = worker.deadline_ms(now, lease_ms) else {
+            return;
+        };
+        worker.lease(deadline_ms);
+        worker.book(Run {
+            task,
+            number,
+            phase: RunPhase::Starting,
+            booked: step.booked(),
+            needs: step.needs,
+            tenant: spec.tenant.clone(),
+            started_at: now,
+            checkpoint: String::new(),
+            percent: 0,
+            progressed_at: now,
+            load: 0,
+            persistent: step.persistent,
+            fills: step.fills,
+            target_ms: step.target_ms,
+            pace_percent: 100,
+            pace_ordered_at: now,
+        });
+        let id = worker.entry.id.clone();
+        self.add_usage(&spec.tenant, step.needs);
+        let mut checkpoint = String::new();
+        if let Some(job) = self.job_mut(waiting.job) {
+            job.progress.begun = true;
+            if let Some(at) = job.occurrence_position(waiting.occurrence) {
+                let step = &mut job.occurrences[at].steps[usize::from(waiting.step)];
+                step.set_status(index, TaskStatus::Placed { worker: id.clone() });
+                let row = &mut step.tasks[usize::from(index)];
+                row.run = number;
+                checkpoint.clone_from(&row.checkpoint);
+            }
+        }
+        let order = Order::Start {
+            task,
+            run: number,
+            spec: Rc::clone(spec),
+            deadline_ms,
+            checkpoint,
+            ticket: String::new(),
+        };
+        self.orders.push((id, order));
+    }
+}
+
+const fn task_id(waiting: &Waiting, index: u16) -> TaskId {
+    TaskId {
+        job: waiting.job,
+        occurrence: waiting.occurrence,
+        step: waiting.step,
+        index,
+    }
+}
+
+fn same_step(worker: &Worker, waiting: &Waiting) -> usize {
+    let same = |run: &&Run| {
+        run.task.job == waiting.job
+            && run.task.occurrence == waiting.occurrence
+            && run.task.step == waiting.step
+    };
+    worker.runs.iter().filter(same).count()
+}
+
+fn count(worker: &Worker, kind: impl Fn(&Run) -> bool) -> u32 {
+    let count = worker.runs.iter().filter(|run| kind(run)).count();
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/vanillafold-jobs/src/shard/settings.rs
@@ -0,0 +1,23 @@
+//! What a shard is run with.
+
+/// What a shard is run with.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// How long what runs on a worker goes on without being renewed, in milliseconds.
+    pub lease_ms: u64,
+    /// How long a look waits for an end, in milliseconds.
+    pub hold_wait_ms: u64,
+    /// The least time between two looks at one worker, in milliseconds.
+    pub hold_gap_ms: u64,
+    /// How long after taking over everything is gone that an earlier owner started on a worker
+    /// that can't be reached, in milliseconds.
+    pub outwait_ms: u64,
+    /// How long the records of a job that is over are kept, in milliseconds.
+    pub keep_final_ms: u64,
+    /// The least time between orders of two owners for one machine, in milliseconds.
+    pub duty_pause_ms: u64,
+    /// A serving task is away when it is not at work for so long, in milliseconds.
+    pub notice_ms: u64,
+    /// Whether machines may be moved between pools.
+    pub moves: bool,
+}
--- /dev/null
+++ b/crates/vanillafold-jobs/src/shard/storing.rs
@@ -0,0 +1,158 @@
+//! What is written to the store, and what may go on once it is.
+
+use vanillafold_policy::MonotonicMillis;
+
+use super::root::Shard;
+use crate::id::JobId;
+use crate::record::Record;
+
+/// Most bytes of one batch: well below the platform's limit for a call.
+const MAX_BATCH_BYTES: usize = 512 * 1024;
+
+/// Records that are written together.
+#[derive(Debug)]
+pub struct Batch {
+    /// Keys and values; an empty value drops its key.
+    pub records: Vec<(String, Vec<u8>)>,
+    jobs: Vec<JobId>,
+    forgotten: Vec<JobId>,
+    waves: Vec<u64>,
+}
+
+impl Batch {
+    /// The jobs that it is about.
+    #[must_use]
+    pub fn jobs(&self) -> &[JobId] {
+        &self.jobs
+    }
+}
+
+impl Shard {
+    /// Whether there is something to write.
+    #[must_use]
+    pub const fn has_records(&self) -> bool {
+        !self.dirty.is_empty() || !self.forget.is_empty() || !self.dirty_waves.is_empty()
+    }
+
+    /// The next batch. The one before must have been told of.
+    pub fn take_batch(&mut self) -> Option<Batch> {
+        let mut batch = Batch {
+            records: Vec::new(),
+            jobs: Vec::new(),
+            forgotten: std::mem::take(&mut self.forget),
+            waves: std::mem::take(&mut self.dirty_waves),
+        };
+        for state in &self.waves {
+            if batch.waves.contains(&state.wave.number) {
+                let record = Record::Wave(state.wave.number, state.begun.clone());
+                batch.records.extend(record.encode());
+            }
+        }
+        for id in &batch.forgotten {
+            batch.records.extend(Record::Forget(*id).encode());
+        }
+        let mut bytes = 0;
+        let mut taken = 0;
+        while taken < self.dirty.len() && bytes < MAX_BATCH_BYTES {
+            let id = self.dirty[taken];
+            taken += 1;
+            let Some(job) = self.job_mut(id) else { continue };
+            if !job.spec_stored {
+                let spec = Box::new(job.spec.as_ref().clone());
+                batch.records.extend(Record::Spec(id, spec).encode());
+            }
+            if job.version > job.stored_version {
+                let progress = job.progress.clone();
+                batch.records.extend(Record::Progress(id, progress).encode());
+            }
+            job.writing_version = Some(job.version);
+            job.writing_outcome = job.progress.outcome;
+            batch.jobs.push(id);
+            bytes = batch.records.iter().map(|row| row.1.len()).sum();
+        }
+        self.dirty.drain(..taken);
+        (!batch.records.is_empty()).then_some(batch)
+    }
+
+    /// A batch is stored.
+    pub fn batch_stored(&mut self, batch: &Batch) {
+        for id in &batch.jobs {
+            let Some(job) = self.job_mut(*id) else { continue };
+            job.spec_stored = true;
+            if let Some(version) = job.writing_version.take() {
+                job.stored_version = version;
+                job.stored_outcome = job.writing_outcome;
+            }
+            let again = job.is_dirty();
+            if again {
+                self.mark_dirty(*id);
+            }
+        }
+        for id in &batch.forgotten {
+            if let Ok(at) = self.position(*id) {
+                self.jobs.remove(at);
+            }
+        }
+    }
+
+    /// A batch was surely not stored. Jobs whose description was in it are dropped and returned:
+    /// they were never accepted. The rest is written again.
+    pub fn batch_refused(&mut self, batch: &Batch) -> Vec<JobId> {
+        let mut dropped = Vec::new();
+        for id in &batch.jobs {
+            let Ok(at) = self.position(*id) else { continue };
+            self.jobs[at].writing_version = None;
+            match self.jobs[at].spec_stored {
+                true => self.mark_dirty(*id),
+                false => {
+                    self.jobs.remove(at);
+                    self.close_open(*id);
+                    self.finished.retain(|finished| finished != id);
+                    dropped.push(*id);
+                }
+            }
+        }
+        self.forget.extend_from_slice(&batch.forgotten);
+        self.dirty_waves.extend_from_slice(&batch.waves);
+        dropped
+    }
+
+    /// Drops jobs whose description is not in any batch, because the store can't be written;
+    /// they were never accepted.
+    pub fn drop_unwritten(&mut self) -> Vec<JobId> {
+        let unwritten: Vec<JobId> = self
+            .dirty
+            .iter()
+            .copied()
+            .filter(|id| {
+                self.job(*id)
+                    .is_some_and(|job| !job.spec_stored && job.writing_version.is_none())
+            })
+            .collect();
+        for id in &unwritten {
+            if let Ok(at) = self.position(*id) {
+                self.jobs.remove(at);
+            }
+            self.close_open(*id);
+            self.dirty.retain(|dirty| dirty != id);
+            self.finished.retain(|finished| finished != id);
+        }
+        unwritten
+    }
+
+    /// Marks the records of jobs that have been over for long enough to be dropped.
+    pub(super) fn forget_old(&mut self, now: MonotonicMillis) {
+        let old = |shard: &Self, id: &JobId| {
+            shard.job(*id).is_none_or(|job| {
+                !job.is_dirty() && job.forget_at.is_some_and(|forget_at| forget_at <= now)
+            })
+        };
+        let count = self
+            .finished
+            .iter()
+            .take_while(|id| old(self, id))
+            .count();
+        let gone: Vec<JobId> = self.finished.drain(..count).collect();
+        self.forget.extend(gone);
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -0,0 +1,561 @@
+//! What workers say, and what it means for the books.
+
+use vanillafold_policy::MonotonicMillis;
+
+use super::orders::{HoldPlan, Order};
+use super::root::Shard;
+use crate::id::{RunNumber, TaskId, WorkerId};
+use crate::job::TaskStatus;
+use crate::worker::{
+    EndKind, HoldReport, ListedEnd, ListedRun, OrderAnswer, Run, RunPhase, UnnotedEnd, Worker,
+    WorkerEntry,
+};
+
+/// After a failed look or order the next look follows after this time, in milliseconds: several
+/// looks fit into the time within which a lease must be renewed.
+const RETRY_LOOK_MS: u64 = 250;
+/// An order to stop that got no answer is repeated after this time, in milliseconds.
+const REPEAT_STOP_MS: u64 = 300;
+/// A worker that refused for now is left alone for this time, in milliseconds.
+const REFUSED_PAUSE_MS: u64 = 500;
+/// While ends wait for the store, looks are this far apart, in milliseconds.
+const STORE_WAIT_LOOK_MS: u64 = 100;
+
+impl Shard {
+    /// Takes in the list of workers. Workers that are not on it get no new work.
+    pub fn set_workers(&mut self, entries: Vec<WorkerEntry>, now: MonotonicMillis) {
+        self.workers_listed = true;
+        for worker in &mut self.workers {
+            worker.listed = false;
+        }
+        for entry in entries {
+            let found = self
+                .workers
+                .binary_search_by(|worker| worker.entry.id.cmp(&entry.id));
+            match found {
+                Ok(at) => {
+                    let worker = &mut self.workers[at];
+                    if worker.entry.address != entry.address {
+                        log::info!("worker {} moved to {}", entry.id, entry.address);
+                        worker.suspect = true;
+                        worker.next_hold_at = now;
+                    }
+                    worker.listed = true;
+                    worker.entry = entry;
+                }
+                Err(at) => self.workers.insert(at, Worker::new(entry, now)),
+            }
+        }
+        self.workers
+            .retain(|worker| worker.listed || !worker.runs.is_empty());
+    }
+
+    /// The ids of all workers that are looked at, with their addresses.
+    #[must_use]
+    pub fn worker_addresses(&self) -> Vec<(WorkerId, std::net::SocketAddr)> {
+        let row = |worker: &Worker| (worker.entry.id.clone(), worker.entry.address);
+        self.workers.iter().map(row).collect()
+    }
+
+    /// Whether and how to look at a worker now.
+    pub fn plan_hold(&mut self, id: &WorkerId, now: MonotonicMillis) -> HoldPlan {
+        let Some(at) = self.worker_position(id) else {
+            return HoldPlan::Gone;
+        };
+        self.note_stored_ends(at);
+        let lease_ms = self.settings.lease_ms;
+        let wait_ms = self.settings.hold_wait_ms;
+        let worker = &mut self.workers[at];
+        if worker.next_hold_at > now {
+            return HoldPlan::Later(worker.next_hold_at);
+        }
+        let quick = !worker.heard || worker.suspect;
+        let waiting = !worker.unnoted.is_empty();
+        if worker.runs.is_empty() && !quick && !waiting && worker.last_seen >= worker.taken_in {
+            return HoldPlan::Idle;
+        }
+        let deadline_ms = worker.deadline_ms(now, lease_ms);
+        if let Some(deadline_ms) = deadline_ms {
+            worker.lease(deadline_ms);
+        }
+        HoldPlan::Look {
+            deadline_ms,
+            last_seen: match quick {
+                // The worker may have begun a new life, whose ends have not been seen.
+                true => 0,
+                false => worker.last_seen,
+            },
+            wait_ms: match quick || waiting {
+                true => 0,
+                false => wait_ms,
+            },
+        }
+    }
+
+    /// Whether ends of a worker wait for the store, so that a look would return at once.
+    #[must_use]
+    pub fn waits_for_store(&self, id: &WorkerId) -> bool {
+        self.worker_position(id)
+            .is_some_and(|at| !self.workers[at].unnoted.is_empty())
+    }
+
+    /// Lets a worker forget the ends whose jobs are stored.
+    fn note_stored_ends(&mut self, at: usize) {
+        let stored = |shard: &Self, end: &UnnotedEnd| match end.needs {
+            Some((job, version)) => shard
+                .job(job)
+                .is_none_or(|job| job.spec_stored && job.stored_version >= version),
+            None => true,
+        };
+        let unnoted = &self.workers[at].unnoted;
+        let count = unnoted.iter().take_while(|end| stored(self, end)).count();
+        if count > 0 {
+            let worker = &mut self.workers[at];
+            worker.last_seen = worker.unnoted[count - 1].number;
+            worker.unnoted.drain(..count);
+        }
+    }
+
+    /// A look got no answer, or another worker answered.
+    pub fn hold_failed(
+        &mut self,
+        id: &WorkerId,
+        answer: OrderAnswer,
+        now: MonotonicMillis,
+        now_unix_ms: u64,
+    ) {
+        let Some(at) = self.worker_position(id) else {
+            return;
+        };
+        self.workers[at].next_hold_at = MonotonicMillis::new(now.get() + RETRY_LOOK_MS);
+        match answer {
+            OrderAnswer::Fenced => self.fence(id),
+            OrderAnswer::Replaced => self.replaced(at, now, now_unix_ms),
+            _ => self.suspect(at),
+        }
+    }
+
+    fn suspect(&mut self, at: usize) {
+        let worker = &mut self.workers[at];
+        if !worker.suspect {
+            log::info!("worker {} does not answer; {} runs", worker.entry.id, worker.runs.len());
+        }
+        worker.suspect = true;
+    }
+
+    fn fence(&mut self, id: &WorkerId) {
+        if !self.fenced {
+            log::warn!("worker {id} has orders of an owner after epoch {}", self.epoch);
+        }
+        self.fenced = true;
+    }
+
+    /// Another worker answers at the address: nothing that was there runs any more.
+    fn replaced(&mut self, at: usize, now: MonotonicMillis, now_unix_ms: u64) {
+        log::info!("worker {} was replaced", self.workers[at].entry.id);
+        self.lose_runs(at, now, now_unix_ms);
+        let worker = &mut self.workers[at];
+        worker.suspect = true;
+        worker.heard = true;
+        worker.listed = false;
+        worker.unnoted.clear();
+        worker.next_hold_at = MonotonicMillis::new(now.get() + 4 * RETRY_LOOK_MS);
+    }
+
+    pub(super) fn lose_runs(&mut self, at: usize, now: MonotonicMillis, now_unix_ms: u64) {
+        while !self.workers[at].runs.is_empty() {
+            let run = self.workers[at].release(0, now);
+            self.end_run(at, &run, EndKind::Lapsed, now, now_unix_ms);
+        }
+    }
+
+    /// Drops what ran on workers that can't be reached, once its lease has surely ended.
+    pub(super) fn lapse_workers(&mut self, now: MonotonicMillis, now_unix_ms: u64) {
+        for at in 0..self.workers.len() {
+            let worker = &self.workers[at];
+            let lapsed = worker.lapsed_at().is_some_and(|end| end < now);
+            if worker.suspect && lapsed && !worker.runs.is_empty() {
+                log::info!(
+                    "leases of worker {} have ended: {} runs lost",
+                    worker.entry.id,
+                    worker.runs.len()
+                );
+                self.lose_runs(at, now, now_unix_ms);
+            }
+        }
+        let id_of_old = |worker: &Worker| worker.listed || !worker.runs.is_empty();
+        self.workers.retain(id_of_old);
+    }
+
+    /// A look was answered.
+    pub fn hold_answered(
+        &mut self,
+        id: &WorkerId,
+        report: HoldReport,
+        sent_at: MonotonicMillis,
+        now: MonotonicMillis,
+        now_unix_ms: u64,
+    ) {
+        let Some(at) = self.worker_position(id) else {
+            return;
+        };
+        if self.workers[at].is_new_life(&report) {
+            self.begin_life(at, now, now_unix_ms);
+        }
+        let lease_ms = self.settings.lease_ms;
+        let gap_ms = self.settings.hold_gap_ms;
+        let worker = &mut self.workers[at];
+        worker.note_life(report.started_unix_ms);
+        worker.read_clock(report.clock_ms, now);
+        if !worker.heard {
+            // An earlier owner may have given leases up to this time.
+            worker.lease(report.clock_ms + lease_ms);
+        }
+        if worker.suspect {
+            log::info!("worker {id} answers again");
+        }
+        worker.heard = true;
+        worker.suspect = false;
+        for end in &report.ended {
+            self.take_in_end(at, end, now, now_unix_ms);
+        }
+        for listed in &report.running {
+            self.take_in_run(at, listed, now);
+        }
+        self.drop_absent(at, &report, sent_at, now, now_unix_ms);
+        let worker = &mut self.workers[at];
+        let gap_ms = match worker.unnoted.is_empty() {
+            true => gap_ms,
+            false => STORE_WAIT_LOOK_MS,
+        };
+        worker.next_hold_at = MonotonicMillis::new(now.get() + gap_ms);
+    }
+
+    /// The store has taken a batch: workers may be told to forget ends.
+    pub fn hurry_holds(&mut self, now: MonotonicMillis) -> Vec<WorkerId> {
+        let mut hurried = Vec::new();
+        for at in 0..self.workers.len() {
+            if self.workers[at].unnoted.is_empty() {
+                continue;
+            }
+            self.note_stored_ends(at);
+            let worker = &mut self.workers[at];
+            if worker.unnoted.is_empty() && !worker.suspect {
+                worker.next_hold_at = now;
+                hurried.push(worker.entry.id.clone());
+            }
+        }
+        hurried
+    }
+
+    fn begin_life(&mut self, at: usize, now: MonotonicMillis, now_unix_ms: u64) {
+        log::info!("worker {} has started anew", self.workers[at].entry.id);
+        let gone = self.workers[at].begin_life();
+        for run in gone {
+            self.end_run(at, &run, EndKind::Lapsed, now, now_unix_ms);
+        }
+    }
+
+    fn take_in_end(
+        &mut self,
+        at: usize,
+        end: &ListedEnd,
+        now: MonotonicMillis,
+        now_unix_ms: u64,
+    ) {
+        if end.number <= self.workers[at].taken_in {
+            return;
+        }
+        self.workers[at].taken_in = end.number;
+        match self.workers[at].run_position(end.task, end.run) {
+            Some(position) => {
+                let mut run = self.workers[at].release(position, now);
+                run.checkpoint.clone_from(&end.checkpoint);
+                self.end_run(at, &run, end.kind, now, now_unix_ms);
+            }
+            None => self.take_in_unknown_end(end, now, now_unix_ms),
+        }
+        let needs = self
+            .job(end.task.job)
+            .filter(|job| job.is_dirty())
+            .map(|job| (job.id, job.version));
+        self.workers[at].unnoted.push(UnnotedEnd {
+            number: end.number,
+            needs,
+        });
+    }
+
+    /// An end of a run that an earlier owner started, or that was given up.
+    fn take_in_unknown_end(&mut self, end: &ListedEnd, now: MonotonicMillis, now_unix_ms: u64) {
+        let known = self.placed_task(end.task).map(|task| {
+            let idle = matches!(
+                task.status,
+                TaskStatus::Unclear | TaskStatus::Waiting { .. }
+            );
+            idle && end.run >= task.run
+        });
+        if known == Some(true) {
+            self.set_task_run(end.task, end.run);
+            self.note_end(end.task, end.kind, &end.checkpoint, now, now_unix_ms);
+        }
+    }
+
+    fn set_task_run(&mut self, task: TaskId, run: RunNumber) {
+        let Some(job) = self.job_mut(task.job) else {
+            return;
+        };
+        job.progress.begun = true;
+        if let Some(at) = job.occurrence_position(task.occurrence) {
+            let step = &mut job.occurrences[at].steps[usize::from(task.step)];
+            step.tasks[usize::from(task.index)].run = run;
+        }
+    }
+
+    fn take_in_run(&mut self, at: usize, listed: &ListedRun, now: MonotonicMillis) {
+        match self.workers[at].run_position(listed.task, listed.run) {
+            Some(position) => {
+                let run = &mut self.workers[at].runs[position];
+                if run.phase == RunPhase::Unsure {
+                    run.phase = RunPhase::Running { confirmed_at: now };
+                }
+                if listed.checkpoint != run.checkpoint || listed.percent != run.percent {
+                    run.progressed_at = now;
+                }
+                run.checkpoint.clone_from(&listed.checkpoint);
+                run.percent = listed.percent;
+                run.load = listed.load;
+            }
+            None => self.take_in_unknown_run(at, listed, now),
+        }
+    }
+
+    /// A run that an earlier owner started, or whose start was carried out late: it is taken over
+    /// if its task waits, and stopped otherwise.
+    fn take_in_unknown_run(&mut self, at: usize, listed: &ListedRun, now: MonotonicMillis) {
+        let worker = self.workers[at].entry.id.clone();
+        let wanted = self.placed_task(listed.task).is_some_and(|task| {
+            let idle = matches!(
+                task.status,
+                TaskStatus::Unclear | TaskStatus::Waiting { .. }
+            );
+            idle && listed.run >= task.run
+        });
+        let spec = self.job(listed.task.job).map(|job| job.spec.clone());
+        let step = spec
+            .as_ref()
+            .and_then(|spec| spec.steps.get(usize::from(listed.task.step)));
+        let run = Run {
+            task: listed.task,
+            number: listed.run,
+            phase: match wanted {
+                true => RunPhase::Running { confirmed_at: now },
+                false => RunPhase::Stopping { next_order_at: now },
+            },
+            booked: step.map(|step| step.booked()).unwrap_or_default(),
+            needs: step.map(|step| step.needs).unwrap_or_default(),
+            tenant: spec.as_ref().map_or(String::new(), |spec| spec.tenant.clone()),
+            started_at: now,
+            checkpoint: listed.checkpoint.clone(),
+            percent: listed.percent,
+            progressed_at: now,
+            load: listed.load,
+            persistent: step.is_some_and(|step| step.persistent),
+            fills: step.is_some_and(|step| step.fills),
+            target_ms: step.map_or(0, |step| step.target_ms),
+            pace_percent: listed.percent.max(1),
+            pace_ordered_at: now,
+        };
+        log::info!(
+            "run {}/{} found on worker {worker}: {}",
+            listed.task,
+            listed.run,
+            match wanted {
+                true => "taken over",
+                false => "to be stopped",
+            }
+        );
+        self.add_usage(&run.tenant.clone(), run.needs);
+        self.workers[at].book(run);
+        if wanted {
+            self.set_task_run(listed.task, listed.run);
+            self.set_status(listed.task, TaskStatus::Placed { worker });
+        }
+    }
+
+    pub(super) fn set_status(&mut self, task: TaskId, status: TaskStatus) {
+        let Some(job) = self.job_mut(task.job) else {
+            return;
+        };
+        if let Some(at) = job.occurrence_position(task.occurrence) {
+            job.occurrences[at].steps[usize::from(task.step)].set_status(task.index, status);
+        }
+    }
+
+    /// Drops runs that the worker would list if they were there.
+    fn drop_absent(
+        &mut self,
+        at: usize,
+        report: &HoldReport,
+        sent_at: MonotonicMillis,
+        now: MonotonicMillis,
+        now_unix_ms: u64,
+    ) {
+        let listed = |run: &Run| {
+            let same = |row: &ListedRun| row.task == run.task && row.run == run.number;
+            report.running.iter().any(same)
+        };
+        let mut position = 0;
+        while position < self.workers[at].runs.len() {
+            let run = &mut self.workers[at].runs[position];
+            match run.phase {
+                _ if listed(run) => position += 1,
+                // Not there yet: an order to stop keeps the start from coming later.
+                RunPhase::Unsure => {
+                    run.phase = RunPhase::Stopping { next_order_at: now };
+                    position += 1;
+                }
+                _ if run.absent_means_gone(sent_at) => {
+                    let run = self.workers[at].release(position, now);
+                    self.end_run(at, &run, EndKind::Lapsed, now, now_unix_ms);
+                }
+                _ => position += 1,
+            }
+        }
+    }
+
+    // --- Orders ----------------------------------------------------------------------------
+
+    /// Gives out an order to stop a run.
+    pub(super) fn order_stop(&mut self, at: usize, position: usize, now: MonotonicMillis) {
+        let worker = &mut self.workers[at];
+        let run = &mut worker.runs[position];
+        if matches!(run.phase, RunPhase::Stopped { .. }) {
+            return;
+        }
+        run.phase = RunPhase::Stopping {
+            next_order_at: MonotonicMillis::new(now.get() + REPEAT_STOP_MS),
+        };
+        let order = Order::Stop {
+            task: run.task,
+            run: run.number,
+        };
+        self.orders.push((worker.entry.id.clone(), order));
+    }
+
+    /// Repeats orders to stop that are due.
+    pub(super) fn repeat_stops(&mut self, now: MonotonicMillis) {
+        for at in 0..self.workers.len() {
+            for position in 0..self.workers[at].runs.len() {
+                match self.workers[at].runs[position].phase {
+                    RunPhase::Stopping { next_order_at } if next_order_at <= now => {
+                        self.order_stop(at, position, now);
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    /// An order was answered, or surely was not.
+    pub fn order_answered(
+        &mut self,
+        id: &WorkerId,
+        order: &Order,
+        answer: OrderAnswer,
+        now: MonotonicMillis,
+        now_unix_ms: u64,
+    ) {
+        let Some(at) = self.worker_position(id) else {
+            return;
+        };
+        match answer {
+            OrderAnswer::Accepted { clock_ms } | OrderAnswer::Late { clock_ms } => {
+                if self.workers[at].read_clock(clock_ms, now) {
+                    self.begin_life(at, now, now_unix_ms);
+                    self.workers[at].read_clock(clock_ms, now);
+                    self.workers[at].next_hold_at = now;
+                }
+            }
+            OrderAnswer::Fenced => self.fence(id),
+            OrderAnswer::Replaced => return self.replaced(at, now, now_unix_ms),
+            OrderAnswer::Unknown | OrderAnswer::NotSent => {
+                self.suspect(at);
+                self.workers[at].next_hold_at = now;
+            }
+            _ => {}
+        }
+        match order {
+            Order::Start { task, run, .. } => {
+                self.start_answered(at, *task, *run, answer, now, now_unix_ms);
+            }
+            Order::Stop { task, run } => self.stop_answered(at, *task, *run, answer, now),
+            Order::Pace { .. } => {}
+        }
+    }
+
+    fn start_answered(
+        &mut self,
+        at: usize,
+        task: TaskId,
+        number: RunNumber,
+        answer: OrderAnswer,
+        now: MonotonicMillis,
+        now_unix_ms: u64,
+    ) {
+        let worker = &mut self.workers[at];
+        let Some(position) = worker.run_position(task, number) else {
+            return;
+        };
+        let starting = worker.runs[position].phase == RunPhase::Starting;
+        match answer {
+            OrderAnswer::Accepted { .. } if starting => {
+                worker.runs[position].phase = RunPhase::Running { confirmed_at: now };
+            }
+            OrderAnswer::Unknown if starting => worker.runs[position].phase = RunPhase::Unsure,
+            OrderAnswer::Accepted { .. } | OrderAnswer::Unknown => {}
+            _ => {
+                if matches!(answer, OrderAnswer::Unhealthy | OrderAnswer::Invalid) {
+                    worker.faults += 1.0;
+                }
+                if !matches!(answer, OrderAnswer::NotSent | OrderAnswer::Late { .. }) {
+                    worker.avoided_until = MonotonicMillis::new(now.get() + REFUSED_PAUSE_MS);
+                }
+                log::info!(
+                    "worker {} did not start {task}/{number}: {answer:?}",
+                    worker.entry.id
+                );
+                let run = worker.release(position, now);
+                self.end_run(at, &run, EndKind::Stopped, now, now_unix_ms);
+            }
+        }
+    }
+
+    fn stop_answered(
+        &mut self,
+        at: usize,
+        task: TaskId,
+        number: RunNumber,
+        answer: OrderAnswer,
+        now: MonotonicMillis,
+    ) {
+        let worker = &mut self.workers[at];
+        let Some(position) = worker.run_position(task, number) else {
+            return;
+        };
+        let run = &mut worker.runs[position];
+        if !matches!(run.phase, RunPhase::Stopping { .. }) {
+            return;
+        }
+        match answer {
+            OrderAnswer::Accepted { .. } | OrderAnswer::OldRun | OrderAnswer::Invalid => {
+                run.phase = RunPhase::Stopped { answered_at: now };
+                worker.next_hold_at = now;
+            }
+            _ => {
+                run.phase = RunPhase::Stopping {
+                    next_order_at: MonotonicMillis::new(now.get() + REPEAT_STOP_MS),
+                };
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-jobs/src/worker/book.rs
@@ -0,0 +1,255 @@
+//! The books that an owner keeps of one worker.
+
+use vanillafold_policy::MonotonicMillis;
+
+use super::{HoldReport, WorkerEntry};
+use crate::id::{JobId, RunNumber, TaskId};
+use crate::spec::Resources;
+
+/// How much slower than ours a worker's clock may run, in percent: the platform's bound.
+const CLOCK_SLACK_PERCENT: u64 = 2;
+/// Added to the end of a lease for rounding and the time of an answer, in milliseconds.
+const LEASE_MARGIN_MS: u64 = 150;
+
+/// How a run stands as far as its owner knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RunPhase {
+    /// The order to start is out.
+    Starting,
+    /// The order to start got no answer: it may still be carried out.
+    Unsure,
+    /// It runs; a look sent after this time that lacks it proves that it is gone.
+    Running { confirmed_at: MonotonicMillis },
+    /// The order to stop is to be sent, or is out. The run may still start.
+    Stopping { next_order_at: MonotonicMillis },
+    /// The order to stop was carried out; a look sent after this time that lacks the run proves
+    /// that it is gone.
+    Stopped { answered_at: MonotonicMillis },
+}
+
+/// A run that may take room on a worker.
+#[derive(Debug)]
+pub(crate) struct Run {
+    pub(crate) task: TaskId,
+    pub(crate) number: RunNumber,
+    pub(crate) phase: RunPhase,
+    /// What it takes of the worker's capacity.
+    pub(crate) booked: Resources,
+    /// What it counts against its organisation's limit.
+    pub(crate) needs: Resources,
+    pub(crate) tenant: String,
+    pub(crate) started_at: MonotonicMillis,
+    pub(crate) checkpoint: String,
+    pub(crate) percent: u32,
+    /// When a look first showed it at full work, or its last progress.
+    pub(crate) progressed_at: MonotonicMillis,
+    /// Tail of response times in milliseconds, or thousandths of a core.
+    pub(crate) load: u64,
+    pub(crate) persistent: bool,
+    pub(crate) fills: bool,
+    pub(crate) target_ms: u64,
+    /// The share of the processor that it was last told to use, in percent.
+    pub(crate) pace_percent: u32,
+    pub(crate) pace_ordered_at: MonotonicMillis,
+}
+
+impl Run {
+    /// Whether it counts as at work: neither stopping nor unsure.
+    pub(crate) const fn is_live(&self) -> bool {
+        matches!(self.phase, RunPhase::Starting | RunPhase::Running { .. })
+    }
+
+    /// Whether a look sent at `sent_at` that does not list it proves that it is gone.
+    pub(crate) fn absent_means_gone(&self, sent_at: MonotonicMillis) -> bool {
+        match self.phase {
+            RunPhase::Running { confirmed_at } => sent_at > confirmed_at,
+            RunPhase::Stopped { answered_at } => sent_at > answered_at,
+            RunPhase::Starting | RunPhase::Unsure | RunPhase::Stopping { .. } => false,
+        }
+    }
+}
+
+/// A reading of a worker's clock.
+#[derive(Debug, Clone, Copy)]
+struct ClockReading {
+    worker_ms: u64,
+    /// When the answer came: the worker's clock was at least here by then.
+    at: MonotonicMillis,
+}
+
+/// An end that was taken in and that the worker may not forget yet.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct UnnotedEnd {
+    pub(crate) number: u64,
+    /// The state of the job that must be stored before, if any.
+    pub(crate) needs: Option<(JobId, u64)>,
+}
+
+/// The books of one worker.
+#[derive(Debug)]
+pub(crate) struct Worker {
+    pub(crate) entry: WorkerEntry,
+    pub(crate) listed: bool,
+    /// It has answered a look in the life that is known.
+    pub(crate) heard: bool,
+    /// The last order or look got no answer.
+    pub(crate) suspect: bool,
+    /// No new work goes here: the VM is to be moved or maintained.
+    pub(crate) reserved: bool,
+    /// Until then no order about its machine is given.
+    pub(crate) no_duty_until: MonotonicMillis,
+    started_unix_ms: Option<u64>,
+    clock: Option<ClockReading>,
+    /// The latest deadline that any order may have carried, on the worker's clock.
+    lease_deadline_ms: u64,
+    pub(crate) runs: Vec<Run>,
+    pub(crate) used: Resources,
+    pub(crate) unnoted: Vec<UnnotedEnd>,
+    /// Ends up to here were taken in.
+    pub(crate) taken_in: u64,
+    /// Ends up to here may be forgotten.
+    pub(crate) last_seen: u64,
+    pub(crate) next_hold_at: MonotonicMillis,
+    /// Failed runs that no job explains, decayed; and when this was last brought up to date.
+    pub(crate) faults: f64,
+    pub(crate) faults_at: MonotonicMillis,
+    /// Until then it gets no work because of what it did.
+    pub(crate) avoided_until: MonotonicMillis,
+    /// Since when it has had nothing to do.
+    pub(crate) idle_since: MonotonicMillis,
+}
+
+impl Worker {
+    pub(crate) const fn new(entry: WorkerEntry, now: MonotonicMillis) -> Self {
+        Self {
+            entry,
+            listed: true,
+            heard: false,
+            suspect: false,
+            reserved: false,
+            no_duty_until: MonotonicMillis::ZERO,
+            started_unix_ms: None,
+            clock: None,
+            lease_deadline_ms: 0,
+            runs: Vec::new(),
+            used: Resources {
+                cpu_millis: 0,
+                memory_mib: 0,
+                gpus: 0,
+            },
+            unnoted: Vec::new(),
+            taken_in: 0,
+            last_seen: 0,
+            next_hold_at: now,
+            faults: 0.0,
+            faults_at: now,
+            avoided_until: MonotonicMillis::ZERO,
+            idle_since: now,
+        }
+    }
+
+    /// Whether new work may go here.
+    pub(crate) fn is_usable(&self, now: MonotonicMillis) -> bool {
+        self.listed
+            && self.entry.ready
+            && self.heard
+            && !self.suspect
+            && !self.reserved
+            && self.avoided_until <= now
+    }
+
+    pub(crate) fn run_position(&self, task: TaskId, number: RunNumber) -> Option<usize> {
+        let same = |run: &Run| run.task == task && run.number == number;
+        self.runs.iter().position(same)
+    }
+
+    pub(crate) fn book(&mut self, run: Run) {
+        self.used.add(run.booked);
+        self.runs.push(run);
+    }
+
+    pub(crate) fn release(&mut self, at: usize, now: MonotonicMillis) -> Run {
+        let run = self.runs.swap_remove(at);
+        self.used.remove(run.booked);
+        if self.runs.is_empty() {
+            self.idle_since = now;
+        }
+        run
+    }
+
+    /// Notes the worker's clock; true if it went back, which only a new life does.
+    pub(crate) fn read_clock(&mut self, worker_ms: u64, now: MonotonicMillis) -> bool {
+        let back = self
+            .clock
+            .is_some_and(|clock| worker_ms + LEASE_MARGIN_MS < clock.worker_ms);
+        let newer = self.clock.is_none_or(|clock| worker_ms >= clock.worker_ms);
+        if newer {
+            self.clock = Some(ClockReading {
+                worker_ms,
+                at: now,
+            });
+        }
+        back
+    }
+
+    /// A deadline for an order sent now that keeps what runs for `lease_ms`.
+    pub(crate) fn deadline_ms(&self, now: MonotonicMillis, lease_ms: u64) -> Option<u64> {
+        let clock = self.clock?;
+        Some(clock.worker_ms + now.since(clock.at).get() + lease_ms)
+    }
+
+    /// Notes that an order with this deadline is out.
+    pub(crate) fn lease(&mut self, deadline_ms: u64) {
+        self.lease_deadline_ms = self.lease_deadline_ms.max(deadline_ms);
+    }
+
+    /// When everything that was ever started here has surely lapsed.
+    pub(crate) fn lapsed_at(&self) -> Option<MonotonicMillis> {
+        let clock = self.clock?;
+        let left = self.lease_deadline_ms.saturating_sub(clock.worker_ms);
+        let longest = left + left * CLOCK_SLACK_PERCENT / 100 + LEASE_MARGIN_MS;
+        Some(MonotonicMillis::new(clock.at.get() + longest))
+    }
+
+    /// Whether `report` comes from another life than the one that is known.
+    pub(crate) fn is_new_life(&self, report: &HoldReport) -> bool {
+        match (self.started_unix_ms, report.started_unix_ms) {
+            (Some(known), Some(said)) => known != said,
+            _ => false,
+        }
+    }
+
+    /// Starts the books of another life. Runs whose start got no answer stay booked: the order
+    /// may still be carried out.
+    pub(crate) fn begin_life(&mut self) -> Vec<Run> {
+        self.clock = None;
+        self.lease_deadline_ms = 0;
+        self.unnoted.clear();
+        self.taken_in = 0;
+        self.last_seen = 0;
+        self.heard = false;
+        let mut gone = Vec::new();
+        let mut at = 0;
+        while at < self.runs.len() {
+            let unsure = matches!(
+                self.runs[at].phase,
+                RunPhase::Unsure | RunPhase::Stopping { .. }
+            );
+            match unsure {
+                true => at += 1,
+                false => {
+                    let run = self.runs.swap_remove(at);
+                    self.used.remove(run.booked);
+                    gone.push(run);
+                }
+            }
+        }
+        gone
+    }
+
+    pub(crate) const fn note_life(&mut self, started_unix_ms: Option<u64>) {
+        if started_unix_ms.is_some() {
+            self.started_unix_ms = started_unix_ms;
+        }
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-jobs/src/worker/mod.rs
@@ -0,0 +1,7 @@
+//! What is known of workers.
+
+mod book;
+mod report;
+
+pub(crate) use book::{Run, RunPhase, UnnotedEnd, Worker};
+pub use report::{EndKind, HoldReport, ListedEnd, ListedRun, OrderAnswer, WorkerEntry};
--- /dev/null
+++ b/crates/vanillafold-policy/src/jobs/admission.rs
@@ -0,0 +1,42 @@
+//! Which jobs are taken, and when the others may come back.
+
+/// How busy a pool is.
+#[derive(Debug, Clone, Copy)]
+pub struct PoolLoad {
+    /// What the waiting and running jobs of the pool still take, in core-milliseconds.
+    pub queued_core_ms: u64,
+    /// What the pool has, in cores.
+    pub cores: u64,
+    /// What the job takes, in core-milliseconds.
+    pub job_core_ms: u64,
+    /// Within what time an answer is still worth something, in milliseconds.
+    pub useful_ms: u64,
+}
+
+/// What becomes of a job that is handed in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It is taken.
+    Admit,
+    /// It is refused at once.
+    Refuse {
+        /// When its caller may come back, in milliseconds.
+        retry_after_ms: u64,
+    },
+}
+
+/// Decides on a job that is handed in.
+///
+/// Answers a burst that would fill the queue for longer than any answer is worth waiting for: a
+/// job that could only end after that time is refused at once, and its caller is told to come
+/// back when the queue has drained to half of it.
+#[must_use]
+pub fn admit(load: PoolLoad) -> Admission {
+    let drain_ms = (load.queued_core_ms + load.job_core_ms) / load.cores.max(1);
+    match drain_ms {
+        _ if load.queued_core_ms == 0 || drain_ms <= load.useful_ms => Admission::Admit,
+        _ => Admission::Refuse {
+            retry_after_ms: drain_ms - load.useful_ms / 2,
+        },
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-policy/src/jobs/upkeep.rs
@@ -0,0 +1,52 @@
+//! Which VM of a wave gets its upkeep next.
+
+/// A VM of a wave whose upkeep has not begun.
+#[derive(Debug, Clone, Copy)]
+pub struct UpkeepCandidate {
+    /// It is in the spare pool or idle.
+    pub empty: bool,
+    /// It gets no new work already.
+    pub reserved: bool,
+    /// Work that would be lost or has to be waited for, in core-milliseconds.
+    pub busy_core_ms: u64,
+    /// Persistent tasks that would have to move.
+    pub persistent: u32,
+    /// One of these may not be away now.
+    pub pinned: bool,
+}
+
+/// What to do with a wave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UpkeepChoice {
+    /// Begin the upkeep of this one, as an index.
+    Begin(usize),
+    /// Give this one no new work, as an index, so that it becomes empty.
+    Reserve(usize),
+    /// Nothing can be done now.
+    Wait,
+}
+
+/// Chooses for one free place of a wave.
+///
+/// Answers a wave over about half of a busy fleet with few places at a time: empty VMs go first,
+/// as their upkeep costs nobody anything; for the others the one with the least work gives up new
+/// work early, so that a place is never left unused.
+#[must_use]
+pub fn choose_upkeep(candidates: &[UpkeepCandidate]) -> UpkeepChoice {
+    let empty = candidates.iter().position(|candidate| candidate.empty);
+    let least = (0..candidates.len())
+        .filter(|at| !candidates[*at].pinned)
+        .min_by_key(|at| {
+            let candidate = &candidates[*at];
+            (
+                !candidate.reserved,
+                candidate.persistent,
+                candidate.busy_core_ms,
+            )
+        });
+    match (empty, least) {
+        (Some(at), _) => UpkeepChoice::Begin(at),
+        (None, Some(at)) => UpkeepChoice::Reserve(at),
+        (None, None) => UpkeepChoice::Wait,
+    }
+}
--- a/crates/vanillafold-policy/src/lib.rs
+++ b/crates/vanillafold-policy/src/lib.rs
@@ -1,16 +1,18 @@
-//! The decisions of vanillafold: routing and retries.
+//! The decisions of vanillafold: routing, retries, jobs and capacity.
 //!
 //! | to choose a target | [`TargetTable`], [`PickOptions`], [`PickedTarget`], [`PickRefusal`] |
 //! |---|---|
 //! | to tell how a send ended | [`Finish`], [`FailureKind`], [`NotRunReason`] |
 //! | to split connections | [`connections_allowed`], [`connection_share`], [`reaches`] |
 //! | to decide on a retry | [`RequestAttempts`], [`AttemptFailure`], [`Decision`], [`RetryBudget`] |
+//! | to order, admit and place jobs | [`jobs`] |
 //! | to measure against | [`baseline`] |
 //!
 //! Plain data and plain functions: no I/O and no clock. Times come in as [`MonotonicMillis`],
 //! random numbers as [`SplitMix`], so that a run with the same inputs gives the same decisions.
 
 pub mod baseline;
+pub mod jobs;
 mod random;
 mod retry;
 mod routing;
--- a/crates/vanillafold-wire/src/http/client.rs
+++ b/crates/vanillafold-wire/src/http/client.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Response};
+use http::{HeaderMap, Method, Request, Response};
 use monoio::net::TcpStream;
 use monoio::time::timeout;
 
@@ -83,6 +83,11 @@
         self
     }
 
+    /// Waits at most `timeout` for each answer from now on.
+    pub const fn set_timeout(&mut self, timeout: Duration) {
+        self.timeout = timeout;
+    }
+
     /// Sends a request and waits for the whole answer. Nothing is repeated.
     ///
     /// # Errors
@@ -110,6 +115,42 @@
         Ok(response)
     }
 
+    /// Sends requests in one piece and hands each answer to `take`, in order, as it comes.
+    ///
+    /// # Errors
+    ///
+    /// [`ClientError`], for all requests that `take` got no answer for; after any but
+    /// [`ClientError::Connect`] they may have had their effect.
+    pub async fn pipeline(
+        &mut self,
+        requests: Vec<Request<Bytes>>,
+        mut take: impl FnMut(Response<Bytes>),
+    ) -> Result<(), ClientError> {
+        let limit = self.timeout;
+        let kept = self.connection.take();
+        let (mut reader, mut writer) = match reuse(kept).await {
+            Some(connection) => connection,
+            None => self.connect().await?,
+        };
+        for request in &requests {
+            let framing = request_framing_of(request.body());
+            let path = request.uri().path();
+            let headers = request.headers().iter();
+            encode_request_head(writer.buffer(), request.method(), path, headers, framing);
+            writer.buffer().extend_from_slice(request.body());
+        }
+        let send = timeout(limit, writer.flush());
+        send.await
+            .map_err(|_| ClientError::TimedOut(limit))?
+            .map_err(ClientError::Write)?;
+        for request in &requests {
+            let answer = timeout(limit, answer_to(&mut reader, request.method()));
+            take(answer.await.map_err(|_| ClientError::TimedOut(limit))??);
+        }
+        self.connection = Some((reader, writer));
+        Ok(())
+    }
+
     async fn connect(&self) -> Result<(HttpReader, HttpWriter), ClientError> {
         let failed = |source| ClientError::Connect {
             address: self.address,
@@ -136,18 +177,29 @@
     headers: &HeaderMap,
     body: Bytes,
 ) -> Result<Response<Bytes>, ClientError> {
-    let framing = match body.len() {
-        0 => Framing::Empty,
-        length => Framing::Length(length as u64),
-    };
+    let framing = request_framing_of(&body);
     encode_request_head(writer.buffer(), &method, path, headers.iter(), framing);
     writer
         .body_piece(framing, body)
         .await
         .map_err(ClientError::Write)?;
     writer.flush().await.map_err(ClientError::Write)?;
+    answer_to(reader, &method).await
+}
+
+fn request_framing_of(body: &Bytes) -> Framing {
+    match body.len() {
+        0 => Framing::Empty,
+        length => Framing::Length(length as u64),
+    }
+}
+
+async fn answer_to(
+    reader: &mut HttpReader,
+    method: &Method,
+) -> Result<Response<Bytes>, ClientError> {
     let head = reader.response_head().await?;
-    let framing = response_framing(&method, head.status, &head.headers)?;
+    let framing = response_framing(method, head.status, &head.headers)?;
     let body = collect(reader, framing, MAX_ANSWER)
         .await?
         .ok_or(ClientError::TooLarge)?;
--- a/crates/vanillafold-wire/src/http/server.rs
+++ b/crates/vanillafold-wire/src/http/server.rs
@@ -18,7 +18,8 @@
 
 /// Serves a connection until its peer closes it or sends something malformed.
 ///
-/// Bodies larger than `max_body_bytes` are refused.
+/// Bodies larger than `max_body_bytes` are refused. The connection ends after an answer whose
+/// headers say so.
 pub async fn serve_connection<S: Service>(
     service: &S,
     mut reader: HttpReader,
@@ -57,6 +58,7 @@
         return false;
     };
     let (head, body) = response.into_parts();
+    let closes = closes || asks_to_close(&head.headers);
     let framing = match body.len() {
         0 => Framing::Empty,
         length => Framing::Length(length as u64),
--- /dev/null
+++ b/crates/vanillafold-wire/src/peer/call.rs
@@ -0,0 +1,200 @@
+//! Calls of another daemon, over an `h2` connection that is dialled when it is needed.
+//!
+//! For talk with few daemons that change, such as the owner of a shard: no heartbeats, no
+//! membership, and answers that may take their time.
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bincode::{Decode, Encode};
+use bytes::Bytes;
+use h2::client::SendRequest;
+use h2::server::SendResponse;
+use monoio::net::TcpStream;
+use monoio::time::timeout;
+
+use super::counted::wrap;
+use super::error::LinkEnd;
+use super::frame::{FrameReader, FrameWriter, decode, encode};
+use super::link::{REQUEST_PATH, client_builder, request_head, response_body};
+use super::statistics::Traffic;
+
+/// HTTP/2 streams that a caller may have open at one time: calls wait for stored records, so
+/// that many are open under load.
+const MAX_CALLS: u32 = 1_024;
+
+/// Why a call got no answer.
+#[derive(Debug, Clone, thiserror::Error)]
+#[non_exhaustive]
+pub enum CallError {
+    /// It never left.
+    #[error("not sent to {address}: {end}")]
+    NotSent {
+        /// Who was called.
+        address: SocketAddr,
+        /// Why.
+        end: LinkEnd,
+    },
+    /// It may have had its effect.
+    #[error("no answer from {address}: {end}")]
+    NoAnswer {
+        /// Who was called.
+        address: SocketAddr,
+        /// Why.
+        end: LinkEnd,
+    },
+}
+
+/// Answers calls.
+pub trait CallHandler: 'static {
+    /// What is asked.
+    type Request: Decode<()>;
+    /// What is answered.
+    type Answer: Encode;
+
+    /// Answers one call; `None` resets it without an answer.
+    fn answer(&self, request: Self::Request) -> impl Future<Output = Option<Self::Answer>>;
+}
+
+/// Calls one daemon, over one connection that is kept.
+#[derive(Debug)]
+pub struct Caller {
+    address: SocketAddr,
+    connect_timeout: Duration,
+    connection: RefCell<Option<SendRequest<Bytes>>>,
+}
+
+impl Caller {
+    /// A caller of `address` that waits at most `connect_timeout` for a connection.
+    #[must_use]
+    pub const fn new(address: SocketAddr, connect_timeout: Duration) -> Self {
+        Self {
+            address,
+            connect_timeout,
+            connection: RefCell::new(None),
+        }
+    }
+
+    /// Who is called.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Asks, and waits at most `limit` for the answer. Nothing is repeated.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError`]; after a call without an answer the next one dials anew.
+    pub async fn call<Q: Encode, A: Decode<()>>(
+        &self,
+        request: &Q,
+        limit: Duration,
+    ) -> Result<A, CallError> {
+        let not_sent = |end| CallError::NotSent {
+            address: self.address,
+            end,
+        };
+        let no_answer = |end| CallError::NoAnswer {
+            address: self.address,
+            end,
+        };
+        let mut frame = Vec::new();
+        encode(request, &mut frame).map_err(|error| not_sent(error.into()))?;
+        let sender = self.sender().await.map_err(not_sent)?;
+        let answer = match timeout(limit, exchange(sender, frame)).await {
+            Ok(answer) => answer,
+            Err(_) => Err(LinkEnd::Silent),
+        };
+        if answer.is_err() {
+            self.connection.borrow_mut().take();
+        }
+        let answer = answer.map_err(no_answer)?;
+        decode(&answer).map_err(|error| no_answer(error.into()))
+    }
+
+    async fn sender(&self) -> Result<SendRequest<Bytes>, LinkEnd> {
+        if let Some(sender) = self.connection.borrow().clone() {
+            return Ok(sender);
+        }
+        let dialled = timeout(self.connect_timeout, dial(self.address)).await;
+        let sender = dialled.map_err(|_| LinkEnd::ConnectTimeout)??;
+        *self.connection.borrow_mut() = Some(sender.clone());
+        Ok(sender)
+    }
+}
+
+async fn dial(address: SocketAddr) -> Result<SendRequest<Bytes>, LinkEnd> {
+    let connected = TcpStream::connect_addr(address).await;
+    let tcp = connected.map_err(|error| LinkEnd::Connect(error.kind()))?;
+    let io = wrap(tcp, Rc::new(Traffic::default()))
+        .map_err(|error| LinkEnd::Connect(error.kind()))?;
+    let (sender, connection) = client_builder()
+        .initial_max_send_streams(MAX_CALLS as usize)
+        .handshake(io)
+        .await?;
+    monoio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!("connection for calls to {address} ended: {error}");
+        }
+    });
+    Ok(sender)
+}
+
+async fn exchange(sender: SendRequest<Bytes>, frame: Vec<u8>) -> Result<Bytes, LinkEnd> {
+    let mut sender = sender.ready().await?;
+    let (response, stream) = sender.send_request(request_head(REQUEST_PATH), false)?;
+    let mut writer = FrameWriter::new(stream);
+    writer.write_encoded(frame).await?;
+    writer.finish()?;
+    let mut reader = FrameReader::new(response_body(response.await?)?);
+    reader.expect().await
+}
+
+/// Serves the calls of one accepted connection until it ends.
+pub async fn serve_calls<H: CallHandler>(tcp: TcpStream, handler: Rc<H>) {
+    if let Err(end) = serve(tcp, handler).await {
+        log::debug!("connection of a caller ended: {end}");
+    }
+}
+
+async fn serve<H: CallHandler>(tcp: TcpStream, handler: Rc<H>) -> Result<(), LinkEnd> {
+    let io = wrap(tcp, Rc::new(Traffic::default()))
+        .map_err(|error| LinkEnd::Connect(error.kind()))?;
+    let mut connection = super::link::server_builder()
+        .max_concurrent_streams(MAX_CALLS)
+        .handshake(io)
+        .await?;
+    while let Some(accepted) = connection.accept().await {
+        let (request, respond) = accepted?;
+        let handler = Rc::clone(&handler);
+        monoio::spawn(async move {
+            if let Err(end) = serve_one(request, respond, handler).await {
+                log::debug!("a call was not answered: {end}");
+            }
+        });
+    }
+    Ok(())
+}
+
+async fn serve_one<H: CallHandler>(
+    request: http::Request<h2::RecvStream>,
+    mut respond: SendResponse<Bytes>,
+    handler: Rc<H>,
+) -> Result<(), LinkEnd> {
+    let mut reader = FrameReader::new(request.into_body());
+    let question: H::Request = decode(&reader.expect().await?)?;
+    let Some(answer) = handler.answer(question).await else {
+        respond.send_reset(h2::Reason::CANCEL);
+        return Ok(());
+    };
+    let mut frame = Vec::new();
+    encode(&answer, &mut frame)?;
+    let stream = respond.send_response(http::Response::new(()), false)?;
+    let mut writer = FrameWriter::new(stream);
+    writer.write_encoded(frame).await?;
+    writer.finish()
+}
--- a/crates/vanillafold-wire/src/peer/mod.rs
+++ b/crates/vanillafold-wire/src/peer/mod.rs
@@ -6,6 +6,7 @@
 //! each accepted connection. See `docs/design/0004-peers.md`.
 
 mod backoff;
+mod call;
 mod clock;
 mod counted;
 mod dialer;
@@ -30,6 +31,7 @@
 mod supervisor;
 mod tasks;
 
+pub use call::{CallError, CallHandler, Caller, serve_calls};
 pub use clock::{BootClock, BootMillis};
 pub use error::{LinkEnd, PeerError};
 pub use frame::MAX_MESSAGE_BYTES;
@@ -44,6 +46,7 @@
     SnapshotRequest, UnavailableReason,
 };
 pub use set::{PeerHandle, PeerSet};
+pub use signal::{Notice, Signal, SignalWait};
 pub use settings::{ClusterName, LinkPace, MAX_MEMBERS, PeerAddress, PeerSettings, SharedToken};
 pub use statistics::{NamedCounter, PeerCounters, PeerStatistics, PeerTraffic};
 pub use status::{PeerState, PeerStatus};
--- a/crates/vanillafold-wire/src/peer/signal.rs
+++ b/crates/vanillafold-wire/src/peer/signal.rs
@@ -13,7 +13,7 @@
 
 /// A flag that is raised once; any number of tasks wait for it.
 #[derive(Debug, Default)]
-pub(crate) struct Signal {
+pub struct Signal {
     raised: Cell<bool>,
     next_id: Cell<u64>,
     // Sorted by id: ids are given out in rising order and appended on first poll.
@@ -21,7 +21,8 @@
 }
 
 impl Signal {
-    pub(crate) fn raise(&self) {
+    /// Raises the flag and wakes all that wait for it.
+    pub fn raise(&self) {
         self.raised.set(true);
         let waiting = self.waiting.take();
         for task in waiting {
@@ -29,19 +30,21 @@
         }
     }
 
-    pub(crate) fn is_raised(&self) -> bool {
+    /// Whether the flag was raised.
+    #[must_use]
+    pub fn is_raised(&self) -> bool {
         self.raised.get()
     }
 
     /// Ends when the signal is raised, at once if it was raised before.
-    pub(crate) fn wait(&self) -> SignalWait<'_> {
+    pub fn wait(&self) -> SignalWait<'_> {
         let id = self.next_id.get();
         self.next_id.set(id + 1);
         SignalWait { signal: self, id }
     }
 
     /// Runs a future until it is done or the signal is raised; the future is then dropped.
-    pub(crate) async fn cancel<F: Future>(&self, future: F) -> Option<F::Output> {
+    pub async fn cancel<F: Future>(&self, future: F) -> Option<F::Output> {
         let mut future = pin!(future);
         let mut raised = pin!(self.wait());
         poll_fn(|cx| match raised.as_mut().poll(cx) {
@@ -75,7 +78,7 @@
 
 /// Waits for a [`Signal`].
 #[derive(Debug)]
-pub(crate) struct SignalWait<'a> {
+pub struct SignalWait<'a> {
     signal: &'a Signal,
     id: u64,
 }
@@ -100,13 +103,14 @@
 
 /// A notice for one task; notices that come before it is taken count as one.
 #[derive(Debug, Default)]
-pub(crate) struct Notice {
+pub struct Notice {
     given: Cell<bool>,
     waker: RefCell<Option<Waker>>,
 }
 
 impl Notice {
-    pub(crate) fn give(&self) {
+    /// Gives a notice.
+    pub fn give(&self) {
         self.given.set(true);
         if let Some(waker) = self.waker.take() {
             waker.wake();
@@ -114,7 +118,7 @@
     }
 
     /// Ends when a notice has been given, and takes it.
-    pub(crate) async fn take(&self) {
+    pub async fn take(&self) {
         poll_fn(|cx| {
             if self.given.replace(false) {
                 return Poll::Ready(());
--- /dev/null
+++ b/crates/vanillafold/src/fleet/forward.rs
@@ -0,0 +1,65 @@
+//! A caller's request on its way to the owner.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use monoio::time::sleep;
+use vanillafold_wire::CallError;
+
+use super::hub::Fleet;
+use super::message::{FleetAnswer, FleetRequest};
+use super::platform::FleetPlatform;
+use super::settings::{CALL_TIMEOUT, COME_BACK_MS, OWNER_RETRY, OWNER_WAIT_MS};
+use super::time::now;
+
+impl<P: FleetPlatform> Fleet<P> {
+    /// Gets the owner's answer to a request. Requests may be repeated: the owner knows a job by
+    /// its id.
+    ///
+    /// Ends with [`FleetAnswer::Refused`] only if the request surely had no effect, and with
+    /// [`FleetAnswer::Undecided`] if that is not known within `limit_ms`.
+    pub async fn ask(self: &Rc<Self>, request: &FleetRequest, limit_ms: u64) -> FleetAnswer {
+        let began = now();
+        let mut sent = false;
+        loop {
+            let passed_ms = now().since(began).get();
+            let left_ms = limit_ms.saturating_sub(passed_ms);
+            if left_ms == 0 || (!sent && passed_ms > OWNER_WAIT_MS) {
+                break;
+            }
+            let limit = CALL_TIMEOUT.min(Duration::from_millis(left_ms));
+            match self.ask_once(request, limit).await {
+                Ok(FleetAnswer::NotOwner) => {}
+                Ok(FleetAnswer::Undecided) => sent = true,
+                Ok(answer) => return answer,
+                Err(CallError::NoAnswer { .. }) => sent = true,
+                Err(_) => {}
+            }
+            self.directory.doubtful.set(true);
+            self.group_changed.give();
+            sleep(OWNER_RETRY).await;
+        }
+        log::info!(sent = sent, waited_ms = now().since(began).get(); "no owner answered");
+        match sent {
+            true => FleetAnswer::Undecided,
+            false => FleetAnswer::Refused {
+                retry_after_ms: COME_BACK_MS,
+                overload: false,
+            },
+        }
+    }
+
+    async fn ask_once(
+        self: &Rc<Self>,
+        request: &FleetRequest,
+        limit: Duration,
+    ) -> Result<FleetAnswer, CallError> {
+        if let Some(office) = self.open_office() {
+            return Ok(office.answer(request.clone()).await);
+        }
+        match self.directory.owner() {
+            Some(owner) => self.call(&owner, request, limit).await,
+            None => Ok(FleetAnswer::NotOwner),
+        }
+    }
+}
--- /dev/null
+++ b/crates/vanillafold/src/fleet/membership.rs
@@ -0,0 +1,92 @@
+//! Keeps the daemon in the owners' group, and opens and closes its ownership.
+
+use std::rc::Rc;
+
+use monoio::time::sleep;
+use vanillafold_jobs::Epoch;
+
+use super::hub::Fleet;
+use super::office::Office;
+use super::platform::{FleetPlatform, Membership, MetadataStore};
+use super::settings::{
+    JOIN_INTERVAL, JOIN_RETRY, OWNERS_GROUP, SHARD_PARTITION, SHARDS_TOPIC,
+};
+use super::time::now;
+
+/// Joins again and again until the daemon stops.
+pub(crate) async fn keep<P: FleetPlatform>(fleet: Rc<Fleet<P>>) {
+    let mut store = fleet.platform.store();
+    let mut generation = 0;
+    let mut lost = false;
+    while !fleet.leaving.is_raised() {
+        let sent_at = now();
+        let ttl_ms = fleet.settings.member_ttl_ms;
+        let join = store.join(OWNERS_GROUP, &fleet.member, SHARDS_TOPIC, ttl_ms, generation);
+        let Some(joined) = fleet.leaving.cancel(join).await else {
+            return;
+        };
+        let wait = match joined {
+            Ok(membership) => {
+                if std::mem::replace(&mut lost, false) {
+                    log::info!("the store answers again");
+                }
+                fleet.confirmed_at.set(sent_at);
+                let changed = membership.generation != generation;
+                generation = membership.generation;
+                if changed {
+                    fleet.group_changed.give();
+                }
+                let released = apply(&fleet, &membership);
+                match released {
+                    // Joining again is what lets the next owner begin.
+                    true => continue,
+                    false => JOIN_INTERVAL,
+                }
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut lost, true) {
+                    log::warn!(error = error.to_string(); "the store does not answer");
+                }
+                JOIN_RETRY
+            }
+        };
+        let _ = fleet.leaving.cancel(sleep(wait)).await;
+    }
+}
+
+/// Opens or closes the ownership; true if one was closed.
+fn apply<P: FleetPlatform>(fleet: &Rc<Fleet<P>>, membership: &Membership) -> bool {
+    let holds = membership.partitions.contains(&SHARD_PARTITION);
+    let current = fleet.office.borrow().clone();
+    match current {
+        Some(office) if office.is_closed() => {
+            fleet.office.borrow_mut().take();
+            false
+        }
+        Some(office) if !holds => {
+            office.close("the shard went to another daemon");
+            fleet.office.borrow_mut().take();
+            true
+        }
+        None if holds => {
+            let epoch = Epoch::new(membership.generation);
+            let office = Office::open(fleet, epoch);
+            *fleet.office.borrow_mut() = Some(office);
+            false
+        }
+        _ => false,
+    }
+}
+
+/// Closes the ownership and leaves the group, so that another daemon takes over at once.
+pub(crate) async fn leave<P: FleetPlatform>(fleet: &Fleet<P>) {
+    let office = fleet.office.borrow_mut().take();
+    if let Some(office) = office {
+        office.hand_over().await;
+    }
+    let mut store = fleet.platform.store();
+    while let Err(error) = store.leave(OWNERS_GROUP, &fleet.member).await {
+        log::debug!(error = error.to_string(); "the owners' group was not left");
+        sleep(JOIN_RETRY).await;
+    }
+}
--- /dev/null
+++ b/crates/vanillafold/src/fleet/message.rs
@@ -0,0 +1,61 @@
+//! What daemons ask the owner of the shard, and what callers are told.
+
+use bincode::{Decode, Encode};
+use vanillafold_jobs::{JobId, JobSpec};
+
+/// A call of the owner.
+#[derive(Debug, Clone, Encode, Decode)]
+pub enum FleetRequest {
+    /// Take this job.
+    Submit(JobId, JobSpec),
+    /// How does it stand?
+    State(JobId),
+    /// Cancel it.
+    Cancel(JobId),
+    /// How many jobs of this queue have no task that has started?
+    Pending(String),
+    /// Are you there?
+    Ping {
+        /// The zone of the daemon that asks.
+        zone: String,
+        /// The latest epoch that it knows of.
+        epoch: u64,
+    },
+    /// Which configuration do you have, if it is later than this version?
+    Config(u64),
+}
+
+/// What the owner says.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub enum FleetAnswer {
+    /// The job is accepted and stored.
+    Accepted,
+    /// The job is not accepted and never runs.
+    Refused {
+        /// When its caller may come back, in milliseconds.
+        retry_after_ms: u64,
+        /// Because of load, not of a fault.
+        overload: bool,
+    },
+    /// The state, in words.
+    State(String),
+    /// There is no such job.
+    NoJob,
+    /// The job is cancelled, and that is stored; or it was over.
+    Cancelled,
+    /// So many.
+    Pending(u64),
+    /// The daemon that was asked owns the shard.
+    Pong {
+        /// Its epoch.
+        epoch: u64,
+        /// The version of its configuration.
+        config_version: u64,
+    },
+    /// The configuration record, as the operator wrote it; empty if there is none later.
+    Config(Vec<u8>),
+    /// The daemon that was asked does not own the shard, or not yet.
+    NotOwner,
+    /// It is not known whether the request had its effect.
+    Undecided,
+}
--- /dev/null
+++ b/crates/vanillafold/src/fleet/mod.rs
@@ -0,0 +1,33 @@
+//! Jobs on a fleet of leased workers: the daemon's loops around [`Shard`].
+//!
+//! | what the platform must do | [`FleetPlatform`], [`MetadataStore`], [`Looks`], [`Orders`], [`Machines`] |
+//! |---|---|
+//! | what the operator publishes | [`FleetConfig`], [`Route`], [`OperatorRecord`] |
+//! | the daemon | [`Fleet`], [`FleetSettings`] |
+//! | what callers are told | [`FleetAnswer`], [`Resolved`], [`RouteRefusal`] |
+//!
+//! [`Shard`]: vanillafold_jobs::Shard
+
+mod attend;
+mod config;
+mod directory;
+mod duty;
+mod follow;
+mod forward;
+mod hub;
+mod membership;
+mod message;
+mod office;
+mod platform;
+mod settings;
+mod time;
+mod writer;
+
+pub use config::{FleetConfig, OperatorRecord, Resolved, Route, RouteRefusal};
+pub use hub::{Fleet, FleetError};
+pub use message::{FleetAnswer, FleetRequest};
+pub use platform::{
+    AppendError, CloudError, FleetPlatform, Keyspace, KeyedRow, Looks, Machines, Membership,
+    MetadataStore, Newest, Orders, Ownership, Producer, StoreError, Tail,
+};
+pub use settings::FleetSettings;
--- /dev/null
+++ b/crates/vanillafold/src/fleet/settings.rs
@@ -0,0 +1,75 @@
+//! What a fleet daemon is run with.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What a fleet daemon is run with.
+#[derive(Debug, Clone)]
+pub struct FleetSettings {
+    /// The daemon's name.
+    pub daemon: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Where other daemons call it.
+    pub peers: SocketAddr,
+    /// Partitions of a topic at the platform.
+    pub partitions: u32,
+    /// How long a member of the owners' group stays one without joining again, in milliseconds.
+    pub member_ttl_ms: u64,
+    /// What the shard is run with.
+    pub shard: vanillafold_jobs::Settings,
+}
+
+/// The group whose members own shards.
+pub(crate) const OWNERS_GROUP: &str = "vanillafold-owners";
+/// The topic whose partitions stand for shards in that group.
+pub(crate) const SHARDS_TOPIC: &str = "vanillafold.shards";
+/// The name under which the owner of the shard writes, whoever it is.
+pub(crate) const SHARD_PRODUCER: &str = "shard-0";
+/// The partition of the one shard.
+pub(crate) const SHARD_PARTITION: u32 = 0;
+
+/// Between two joins: several fit into the time after which a member counts as gone.
+pub(crate) const JOIN_INTERVAL: Duration = Duration::from_millis(400);
+/// After a failed join.
+pub(crate) const JOIN_RETRY: Duration = Duration::from_millis(150);
+/// Between two looks at the owner by each other daemon; bounds how long a daemon that lost its
+/// owner stays ready.
+pub(crate) const PING_INTERVAL: Duration = Duration::from_millis(1_000);
+/// A daemon that has not reached the owner for so long is not ready, in milliseconds.
+pub(crate) const OWNER_CONTACT_MS: u64 = 3_500;
+/// An owner that is not confirmed by the store and not called from another zone for so long
+/// gives no orders, in milliseconds. Counts into the time that a new owner waits.
+pub(crate) const OWNER_ISOLATION_MS: u64 = 2_000;
+/// How long a call of another daemon may take to connect.
+pub(crate) const CALL_CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long a call of the owner may take before it is repeated.
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// How long a caller's request waits for an owner, in milliseconds: a takeover after a loss.
+pub(crate) const OWNER_WAIT_MS: u64 = 1_800;
+/// Between two tries to reach an owner.
+pub(crate) const OWNER_RETRY: Duration = Duration::from_millis(60);
+/// When a caller may come back that was refused because there is no owner or no store.
+pub(crate) const COME_BACK_MS: u64 = 1_000;
+/// Between two passes of the scheduler when nothing happens.
+pub(crate) const PASS_INTERVAL: Duration = Duration::from_millis(100);
+/// Least time between two passes: events of this time are handled together.
+pub(crate) const PASS_GAP: Duration = Duration::from_millis(4);
+/// Between two reads of the list of workers.
+pub(crate) const WORKER_LIST_INTERVAL: Duration = Duration::from_millis(400);
+/// Between two reads of the list of machines.
+pub(crate) const MACHINE_LIST_INTERVAL: Duration = Duration::from_millis(500);
+/// How long a read of the operator's records waits for the next one, in milliseconds.
+pub(crate) const OPERATOR_WAIT_MS: u64 = 10_000;
+/// After a failed read.
+pub(crate) const READ_RETRY: Duration = Duration::from_millis(250);
+/// The first wait for the answer to an append; doubled with each try. Some twenty times a usual
+/// answer.
+pub(crate) const APPEND_TIMEOUT: Duration = Duration::from_millis(250);
+/// The longest.
+pub(crate) const APPEND_TIMEOUT_MAX: Duration = Duration::from_secs(3);
+/// How long submissions are refused after the store did not answer, in milliseconds, before one
+/// is tried again.
+pub(crate) const STORE_PAUSE_MS: u64 = 500;
+/// How long records are collected before they are written together.
+pub(crate) const APPEND_DELAY: Duration = Duration::from_millis(4);
--- a/crates/vanillafold/src/lib.rs
+++ b/crates/vanillafold/src/lib.rs
@@ -6,6 +6,8 @@
 //! | the log's records and the fold over them | [`state`] |
 //! | the decisions | [`policy`] |
 //! | HTTP, the platform's edges | [`wire`] |
+//! | jobs on leased workers, without I/O | [`jobs`] |
+//! | a daemon that runs jobs on a fleet | [`fleet`] |
 //!
 //! # Examples
 //!
@@ -18,6 +20,7 @@
 //! Daemon::new(settings).run().expect("a daemon that starts");
 //! ```
 
+pub use vanillafold_jobs as jobs;
 pub use vanillafold_policy as policy;
 pub use vanillafold_state as state;
 pub use vanillafold_types as types;
@@ -29,6 +32,7 @@
 mod claim;
 mod counter;
 mod dispatch;
+pub mod fleet;
 mod follow;
 mod limit;
 mod logging;
@@ -39,10 +43,10 @@
 mod supervisor;
 mod wait;
 
-pub use logging::{LoggingError, start_logging};
+pub use logging::{LogOutput, LoggingError, start_logging};
 pub use peer::PeerStartError;
 pub use settings::{
     LimitSettings, PeerSettings, PlatformSettings, Secret, SecretError, Settings, SettingsError,
     Timeouts,
 };
-pub use supervisor::{Daemon, DaemonError};
+pub use supervisor::{Daemon, DaemonError, SignalWatch};
--- a/crates/vanillafold/src/logging/logger.rs
+++ b/crates/vanillafold/src/logging/logger.rs
@@ -8,17 +8,27 @@
 #[error("can't start logging: {0}")]
 pub struct LoggingError(#[from] FlexiLoggerError);
 
-/// Starts writing JSON lines of `level` and above to standard error, without a thread.
+/// Where log lines go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogOutput {
+    /// Standard error.
+    StandardError,
+    /// Standard output.
+    StandardOutput,
+}
+
+/// Starts writing JSON lines of `level` and above, without a thread.
 ///
 /// The handle must be kept for as long as logs are wanted.
 ///
 /// # Errors
 ///
 /// [`LoggingError`] if a logger is set already.
-pub fn start_logging(level: LevelFilter) -> Result<LoggerHandle, LoggingError> {
-    let handle = Logger::with(level)
-        .format(flexi_logger::json_format)
-        .log_to_stderr()
-        .start()?;
+pub fn start_logging(level: LevelFilter, output: LogOutput) -> Result<LoggerHandle, LoggingError> {
+    let logger = Logger::with(level).format(flexi_logger::json_format);
+    let handle = match output {
+        LogOutput::StandardError => logger.log_to_stderr().start()?,
+        LogOutput::StandardOutput => logger.log_to_stdout().start()?,
+    };
     Ok(handle)
 }
--- a/crates/vanillafold/src/logging/mod.rs
+++ b/crates/vanillafold/src/logging/mod.rs
@@ -2,4 +2,4 @@
 
 mod logger;
 
-pub use logger::{LoggingError, start_logging};
+pub use logger::{LogOutput, LoggingError, start_logging};
--- a/crates/vanillafold/src/main.rs
+++ b/crates/vanillafold/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use bpaf::{Args, OptionParser, ParseFailure, Parser, construct, long, positional};
-use vanillafold::{Daemon, Settings, start_logging};
+use vanillafold::{Daemon, LogOutput, Settings, start_logging};
 
 /// The settings or the arguments are wrong.
 const EXIT_SETTINGS: u8 = 2;
@@ -57,7 +57,7 @@
         println!("{}: the settings are good", options.settings.display());
         return ExitCode::SUCCESS;
     }
-    let started = start_logging(settings.log_level)
+    let started = start_logging(settings.log_level, LogOutput::StandardError)
         .map_err(|error| error.to_string())
         .and_then(|_handle| {
             Daemon::new(settings)
--- a/crates/vanillafold/src/supervisor/daemon.rs
+++ b/crates/vanillafold/src/supervisor/daemon.rs
@@ -12,7 +12,7 @@
 use vanillafold_state::Stream;
 use vanillafold_wire::platform::HttpPlatform;
 
-use super::signal::StopSignal;
+use super::signal::SignalWatch;
 use super::task::supervise;
 use crate::admin::serve_admin;
 use crate::append::{Change, write_records};
@@ -96,7 +96,7 @@
 }
 
 async fn run(settings: Settings, metrics: PrometheusHandle) -> Result<(), DaemonError> {
-    let mut signal = StopSignal::install()?;
+    let mut signal = SignalWatch::stop()?;
     let callers = Rc::new(listen(settings.callers, "callers")?);
     let admin = Rc::new(listen(settings.admin, "operators")?);
     let node = Node::new(settings, Counters::register());
--- a/crates/vanillafold/src/supervisor/mod.rs
+++ b/crates/vanillafold/src/supervisor/mod.rs
@@ -6,3 +6,4 @@
 mod task;
 
 pub use daemon::{Daemon, DaemonError};
+pub use signal::SignalWatch;
