Let ends of earlier owners wait until all workers are accounted for

Ruled out: the list of workers (all 48 were in it). Ends of runs that nobody booked are kept until all workers are heard; the newest run decides, failed runs always count. A worker is told what it may forget even if nothing runs there.

--- a/crates/vanillafold-jobs/src/shard/duties.rs
+++ b/crates/vanillafold-jobs/src/shard/duties.rs
@@ -235,7 +235,8 @@
     /// Plans upkeep and moves.
     pub(super) fn plan_duties(&mut self, now: MonotonicMillis) {
         let begin = self.taken_over_at.get() + self.settings.duty_pause_ms;
-        if !self.machines_listed || now.get() < begin || now < self.next_plan_at {
+        let early = now.get() < begin || now < self.next_plan_at;
+        if !self.machines_listed || self.unclear || early {
             return;
         }
         self.next_plan_at = MonotonicMillis::new(now.get() + PLAN_INTERVAL_MS);
--- a/crates/vanillafold-jobs/src/shard/ends.rs
+++ b/crates/vanillafold-jobs/src/shard/ends.rs
@@ -83,15 +83,7 @@
             }
             EndKind::Failed if !step_spec.persistent => {
                 step.set_status(task.index, TaskStatus::Waiting { since: now });
-                let counted = match step_spec.gang {
-                    true => 0,
-                    false => task.index,
-                };
-                let failed = job
-                    .step_progress(task.occurrence, task.step)
-                    .add_failed_run(counted);
-                job.version += 1;
-                self.after_failed(task.job, failed, now, now_unix_ms);
+                self.count_failed_run(task, now, now_unix_ms);
             }
             _ => step.set_status(task.index, TaskStatus::Waiting { since: now }),
         }
@@ -100,6 +92,31 @@
         }
     }
 
+    /// Counts a failed run of a task, or of its gang, and ends the job after too many.
+    pub(super) fn count_failed_run(
+        &mut self,
+        task: TaskId,
+        now: MonotonicMillis,
+        now_unix_ms: u64,
+    ) {
+        let Some(job) = self.job_mut(task.job).filter(|job| job.is_open()) else {
+            return;
+        };
+        let step = &job.spec.steps[usize::from(task.step)];
+        if step.persistent || job.occurrence_position(task.occurrence).is_none() {
+            return;
+        }
+        let counted = match step.gang {
+            true => 0,
+            false => task.index,
+        };
+        let failed = job
+            .step_progress(task.occurrence, task.step)
+            .add_failed_run(counted);
+        job.version += 1;
+        self.after_failed(task.job, failed, now, now_unix_ms);
+    }
+
     fn after_done(&mut self, task: TaskId, now: MonotonicMillis, now_unix_ms: u64) {
         self.mark_dirty(task.job);
         let Some(job) = self.job_mut(task.job) else {
@@ -174,7 +191,7 @@
         }
         if worker.faults >= AVOID_FAULTS {
             worker.avoided_until = MonotonicMillis::new(now.get() + AVOID_MS);
-            log::info!("worker {} avoided: recent failures {:.1}", worker.entry.id, worker.faults);
+            log::info!(worker = worker.entry.id.as_str(), faults = worker.faults; "worker avoided for a while");
         }
         if kind != EndKind::Done || run.persistent {
             return;
--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -12,7 +12,7 @@
 use crate::job::{Job, TaskStatus};
 use crate::record::{JobOutcome, Record};
 use crate::spec::Resources;
-use crate::worker::Worker;
+use crate::worker::{ListedEnd, Worker};
 
 /// The jobs of a shard and the books of its workers, for one ownership.
 #[derive(Debug)]
@@ -41,6 +41,8 @@
     pub(super) machines_listed: bool,
     /// Tasks may still run on workers that have not been heard.
     pub(super) unclear: bool,
+    /// Ends of earlier owners' runs that wait until all workers are accounted for.
+    pub(super) deferred: Vec<ListedEnd>,
     pub(super) fenced: bool,
     /// Sorted by name.
     pub(super) machines: Vec<Machine>,
@@ -84,6 +86,7 @@
             workers_listed: false,
             machines_listed: false,
             unclear: true,
+            deferred: Vec::new(),
             fenced: false,
             machines: Vec::new(),
             waves: Vec::new(),
@@ -106,7 +109,7 @@
         for (id, row) in progress {
             match shard.job_mut(id) {
                 Some(job) => job.progress = row,
-                None => log::warn!("progress of job {id} without its description: passed over"),
+                None => log::warn!(job = id.to_string(); "progress without a description passed over"),
             }
         }
         shard.resume(now, now_unix_ms);
--- a/crates/vanillafold-jobs/src/shard/schedule.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule.rs
@@ -29,7 +29,7 @@
     /// Starts what may start, stops what must stop, and plans for machines.
     pub fn schedule(&mut self, now: MonotonicMillis, now_unix_ms: u64) {
         self.lapse_workers(now, now_unix_ms);
-        self.resolve_unclear(now);
+        self.resolve_unclear(now, now_unix_ms);
         self.forget_old(now);
         self.repeat_stops(now);
         let timed: Vec<JobId> = self
@@ -53,7 +53,7 @@
 
     /// Tasks that could run on workers that have not been heard wait until all are heard, or
     /// until whatever an earlier owner started there is gone.
-    fn resolve_unclear(&mut self, now: MonotonicMillis) {
+    fn resolve_unclear(&mut self, now: MonotonicMillis, now_unix_ms: u64) {
         if !self.unclear {
             return;
         }
@@ -66,9 +66,10 @@
             return;
         }
         self.unclear = false;
+        self.take_in_deferred(now, now_unix_ms);
         log::info!(
-            "all workers accounted for {} after the takeover, all heard: {all_heard}",
-            now.since(self.taken_over_at)
+            after_ms = now.since(self.taken_over_at).get(), all_heard = all_heard;
+            "all workers accounted for after a takeover"
         );
         for job in &mut self.jobs {
             for occurrence in &mut job.occurrences {
--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -4,10 +4,10 @@
 
 use super::orders::{HoldPlan, Order};
 use super::root::Shard;
-use crate::id::{RunNumber, TaskId, WorkerId};
+use crate::id::{JobId, RunNumber, TaskId, WorkerId};
 use crate::job::TaskStatus;
 use crate::worker::{
-    EndKind, HoldReport, ListedEnd, ListedRun, OrderAnswer, Run, RunPhase, UnnotedEnd, Worker,
+    EndKind, EndNeeds, HoldReport, ListedEnd, ListedRun, OrderAnswer, Run, RunPhase, UnnotedEnd, Worker,
     WorkerEntry,
 };
 
@@ -36,7 +36,7 @@
                 Ok(at) => {
                     let worker = &mut self.workers[at];
                     if worker.entry.address != entry.address {
-                        log::info!("worker {} moved to {}", entry.id, entry.address);
+                        log::info!(worker = entry.id.as_str(), address = entry.address.to_string(); "worker has moved");
                         worker.suspect = true;
                         worker.next_hold_at = now;
                     }
@@ -71,21 +71,23 @@
         }
         let quick = !worker.heard || worker.suspect;
         let waiting = !worker.unnoted.is_empty();
-        if worker.runs.is_empty() && !quick && !waiting && worker.last_seen >= worker.taken_in {
+        if worker.runs.is_empty() && !quick && !waiting && worker.told_seen >= worker.taken_in {
             return HoldPlan::Idle;
         }
         let deadline_ms = worker.deadline_ms(now, lease_ms);
         if let Some(deadline_ms) = deadline_ms {
             worker.lease(deadline_ms);
         }
+        worker.sent_seen = match quick {
+            // The worker may have begun a new life, whose ends have not been seen.
+            true => 0,
+            false => worker.last_seen,
+        };
+        let untold = worker.sent_seen > worker.told_seen && worker.runs.is_empty();
         HoldPlan::Look {
             deadline_ms,
-            last_seen: match quick {
-                // The worker may have begun a new life, whose ends have not been seen.
-                true => 0,
-                false => worker.last_seen,
-            },
-            wait_ms: match quick || waiting {
+            last_seen: worker.sent_seen,
+            wait_ms: match quick || waiting || untold {
                 true => 0,
                 false => wait_ms,
             },
@@ -102,10 +104,11 @@
     /// Lets a worker forget the ends whose jobs are stored.
     fn note_stored_ends(&mut self, at: usize) {
         let stored = |shard: &Self, end: &UnnotedEnd| match end.needs {
-            Some((job, version)) => shard
+            EndNeeds::Nothing => true,
+            EndNeeds::Accounting(_) => false,
+            EndNeeds::Stored(job, version) => shard
                 .job(job)
                 .is_none_or(|job| job.spec_stored && job.stored_version >= version),
-            None => true,
         };
         let unnoted = &self.workers[at].unnoted;
         let count = unnoted.iter().take_while(|end| stored(self, end)).count();
@@ -138,21 +141,21 @@
     fn suspect(&mut self, at: usize) {
         let worker = &mut self.workers[at];
         if !worker.suspect {
-            log::info!("worker {} does not answer; {} runs", worker.entry.id, worker.runs.len());
+            log::info!(worker = worker.entry.id.as_str(), runs = worker.runs.len(); "worker does not answer");
         }
         worker.suspect = true;
     }
 
     fn fence(&mut self, id: &WorkerId) {
         if !self.fenced {
-            log::warn!("worker {id} has orders of an owner after epoch {}", self.epoch);
+            log::warn!(worker = id.as_str(), epoch = self.epoch.get(); "worker has orders of a later owner");
         }
         self.fenced = true;
     }
 
     /// Another worker answers at the address: nothing that was there runs any more.
     fn replaced(&mut self, at: usize, now: MonotonicMillis, now_unix_ms: u64) {
-        log::info!("worker {} was replaced", self.workers[at].entry.id);
+        log::info!(worker = self.workers[at].entry.id.as_str(); "worker was replaced");
         self.lose_runs(at, now, now_unix_ms);
         let worker = &mut self.workers[at];
         worker.suspect = true;
@@ -176,9 +179,8 @@
             let lapsed = worker.lapsed_at().is_some_and(|end| end < now);
             if worker.suspect && lapsed && !worker.runs.is_empty() {
                 log::info!(
-                    "leases of worker {} have ended: {} runs lost",
-                    worker.entry.id,
-                    worker.runs.len()
+                    worker = worker.entry.id.as_str(), runs = worker.runs.len();
+                    "leases have ended: runs lost"
                 );
                 self.lose_runs(at, now, now_unix_ms);
             }
@@ -212,10 +214,11 @@
             worker.lease(report.clock_ms + lease_ms);
         }
         if worker.suspect {
-            log::info!("worker {id} answers again");
+            log::info!(worker = id.as_str(); "worker answers again");
         }
         worker.heard = true;
         worker.suspect = false;
+        worker.told_seen = worker.told_seen.max(worker.sent_seen);
         for end in &report.ended {
             self.take_in_end(at, end, now, now_unix_ms);
         }
@@ -249,7 +252,7 @@
     }
 
     fn begin_life(&mut self, at: usize, now: MonotonicMillis, now_unix_ms: u64) {
-        log::info!("worker {} has started anew", self.workers[at].entry.id);
+        log::info!(worker = self.workers[at].entry.id.as_str(); "worker has started anew");
         let gone = self.workers[at].begin_life();
         for run in gone {
             self.end_run(at, &run, EndKind::Lapsed, now, now_unix_ms);
@@ -267,36 +270,73 @@
             return;
         }
         self.workers[at].taken_in = end.number;
-        match self.workers[at].run_position(end.task, end.run) {
+        let booked = self.workers[at].run_position(end.task, end.run);
+        let unclear = self
+            .placed_task(end.task)
+            .is_some_and(|task| task.status == TaskStatus::Unclear);
+        let needs = match booked {
             Some(position) => {
                 let mut run = self.workers[at].release(position, now);
                 run.checkpoint.clone_from(&end.checkpoint);
                 self.end_run(at, &run, end.kind, now, now_unix_ms);
+                self.end_needs(end.task.job)
             }
-            None => self.take_in_unknown_end(end, now, now_unix_ms),
-        }
-        let needs = self
-            .job(end.task.job)
-            .filter(|job| job.is_dirty())
-            .map(|job| (job.id, job.version));
+            None if unclear => {
+                self.deferred.push(end.clone());
+                EndNeeds::Accounting(end.task.job)
+            }
+            None => {
+                self.take_in_unknown_end(end, now, now_unix_ms);
+                self.end_needs(end.task.job)
+            }
+        };
         self.workers[at].unnoted.push(UnnotedEnd {
             number: end.number,
             needs,
         });
     }
 
-    /// An end of a run that an earlier owner started, or that was given up.
+    fn end_needs(&self, job: JobId) -> EndNeeds {
+        match self.job(job).filter(|job| job.is_dirty()) {
+            Some(job) => EndNeeds::Stored(job.id, job.version),
+            None => EndNeeds::Nothing,
+        }
+    }
+
+    /// An end of a run that an earlier owner started, or that was given up: the newest run of a
+    /// task decides, but failed runs always count.
     fn take_in_unknown_end(&mut self, end: &ListedEnd, now: MonotonicMillis, now_unix_ms: u64) {
-        let known = self.placed_task(end.task).map(|task| {
-            let idle = matches!(
-                task.status,
-                TaskStatus::Unclear | TaskStatus::Waiting { .. }
-            );
-            idle && end.run >= task.run
-        });
-        if known == Some(true) {
-            self.set_task_run(end.task, end.run);
-            self.note_end(end.task, end.kind, &end.checkpoint, now, now_unix_ms);
+        let Some(task) = self.placed_task(end.task) else {
+            return;
+        };
+        let idle = matches!(
+            task.status,
+            TaskStatus::Unclear | TaskStatus::Waiting { .. }
+        );
+        match end.kind {
+            _ if idle && end.run >= task.run => {
+                self.set_task_run(end.task, end.run);
+                self.note_end(end.task, end.kind, &end.checkpoint, now, now_unix_ms);
+            }
+            EndKind::Failed => self.count_failed_run(end.task, now, now_unix_ms),
+            _ => {}
+        }
+    }
+
+    /// Takes in the ends that had to wait until all workers were accounted for.
+    pub(super) fn take_in_deferred(&mut self, now: MonotonicMillis, now_unix_ms: u64) {
+        let mut deferred = std::mem::take(&mut self.deferred);
+        // The newest run of a task comes first and decides.
+        deferred.sort_by(|a, b| a.task.cmp(&b.task).then(b.run.cmp(&a.run)));
+        for end in &deferred {
+            self.take_in_unknown_end(end, now, now_unix_ms);
+        }
+        for at in 0..self.workers.len() {
+            for end in 0..self.workers[at].unnoted.len() {
+                if let EndNeeds::Accounting(job) = self.workers[at].unnoted[end].needs {
+                    self.workers[at].unnoted[end].needs = self.end_needs(job);
+                }
+            }
         }
     }
 
@@ -365,14 +405,10 @@
             pace_percent: listed.percent.max(1),
             pace_ordered_at: now,
         };
-        log::info!(
-            "run {}/{} found on worker {worker}: {}",
-            listed.task,
-            listed.run,
-            match wanted {
-                true => "taken over",
-                false => "to be stopped",
-            }
+        log::debug!(
+            task = listed.task.to_string(), run = listed.run.get(), worker = worker.as_str(),
+            taken_over = wanted;
+            "unknown run found"
         );
         self.add_usage(&run.tenant.clone(), run.needs);
         self.workers[at].book(run);
@@ -521,8 +557,9 @@
                     worker.avoided_until = MonotonicMillis::new(now.get() + REFUSED_PAUSE_MS);
                 }
                 log::info!(
-                    "worker {} did not start {task}/{number}: {answer:?}",
-                    worker.entry.id
+                    worker = worker.entry.id.as_str(), task = task.to_string(),
+                    run = number.get(), answer = format!("{answer:?}");
+                    "run not started"
                 );
                 let run = worker.release(position, now);
                 self.end_run(at, &run, EndKind::Stopped, now, now_unix_ms);
--- a/crates/vanillafold-jobs/src/worker/book.rs
+++ b/crates/vanillafold-jobs/src/worker/book.rs
@@ -81,8 +81,18 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct UnnotedEnd {
     pub(crate) number: u64,
-    /// The state of the job that must be stored before, if any.
-    pub(crate) needs: Option<(JobId, u64)>,
+    pub(crate) needs: EndNeeds,
+}
+
+/// What must happen before a worker may forget an end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum EndNeeds {
+    /// Nothing.
+    Nothing,
+    /// This version of the job must be stored.
+    Stored(JobId, u64),
+    /// All workers must be accounted for: a newer run of this job's task may be on another one.
+    Accounting(JobId),
 }
 
 /// The books of one worker.
@@ -109,6 +119,10 @@
     pub(crate) taken_in: u64,
     /// Ends up to here may be forgotten.
     pub(crate) last_seen: u64,
+    /// What the look that is out lets the worker forget.
+    pub(crate) sent_seen: u64,
+    /// The worker was told that ends up to here may be forgotten.
+    pub(crate) told_seen: u64,
     pub(crate) next_hold_at: MonotonicMillis,
     /// Failed runs that no job explains, decayed; and when this was last brought up to date.
     pub(crate) faults: f64,
@@ -140,6 +154,8 @@
             unnoted: Vec::new(),
             taken_in: 0,
             last_seen: 0,
+            sent_seen: 0,
+            told_seen: 0,
             next_hold_at: now,
             faults: 0.0,
             faults_at: now,
@@ -227,6 +243,8 @@
         self.unnoted.clear();
         self.taken_in = 0;
         self.last_seen = 0;
+        self.sent_seen = 0;
+        self.told_seen = 0;
         self.heard = false;
         let mut gone = Vec::new();
         let mut at = 0;
--- a/crates/vanillafold-jobs/src/worker/mod.rs
+++ b/crates/vanillafold-jobs/src/worker/mod.rs
@@ -3,5 +3,5 @@
 mod book;
 mod report;
 
-pub(crate) use book::{Run, RunPhase, UnnotedEnd, Worker};
+pub(crate) use book::{EndNeeds, Run, RunPhase, UnnotedEnd, Worker};
 pub use report::{EndKind, HoldReport, ListedEnd, ListedRun, OrderAnswer, WorkerEntry};
--- /dev/null
+++ b/crates/vanillafold-jobs/tests/shard/fixture.rs
@@ -0,0 +1,224 @@
+//! Shards, jobs and workers to begin with.
+
+use std::net::SocketAddr;
+
+use vanillafold_jobs::{
+    Batch, Catalogue, EndKind, Epoch, HoldPlan, HoldReport, JobId, JobSpec, ListedEnd, ListedRun,
+    Machine, MachineState, Order, PoolInfo, QueueInfo, Record, Resources, RunNumber, Settings,
+    Shard, StepSpec, TaskId, TenantInfo, WorkerEntry, WorkerId,
+};
+use vanillafold_policy::MonotonicMillis;
+
+/// The time of day at which tests begin.
+pub const BEGIN_UNIX_MS: u64 = 1_000_000_000;
+
+pub fn at(ms: u64) -> MonotonicMillis {
+    MonotonicMillis::new(100_000 + ms)
+}
+
+pub fn unix(ms: u64) -> u64 {
+    BEGIN_UNIX_MS + ms
+}
+
+pub fn settings() -> Settings {
+    Settings {
+        lease_ms: 4_500,
+        hold_wait_ms: 1_200,
+        hold_gap_ms: 25,
+        outwait_ms: 6_600,
+        keep_final_ms: 140_000,
+        duty_pause_ms: 3_700,
+        notice_ms: 4_500,
+        moves: true,
+    }
+}
+
+pub fn catalogue() -> Catalogue {
+    Catalogue {
+        version: 1,
+        queues: vec![QueueInfo {
+            name: "quotes".to_owned(),
+            pool: "pool-a".to_owned(),
+            priority: 0,
+            max_attempts: 3,
+            stretch_millis: 1_600,
+            target_latency_ms: 600,
+            advised: false,
+        }],
+        pools: vec![
+            PoolInfo {
+                name: "pool-a".to_owned(),
+                spare: false,
+            },
+            PoolInfo {
+                name: "spare".to_owned(),
+                spare: true,
+            },
+        ],
+        tenants: vec![TenantInfo {
+            name: "shop".to_owned(),
+            weight: 1,
+            limit: Resources {
+                cpu_millis: 100_000,
+                memory_mib: 0,
+                gpus: 0,
+            },
+        }],
+    }
+}
+
+pub fn job_id(number: u64) -> JobId {
+    format!("{number:016x}").parse().expect("a job id")
+}
+
+pub fn task(job: JobId, index: u16) -> TaskId {
+    TaskId {
+        job,
+        occurrence: 0,
+        step: 0,
+        index,
+    }
+}
+
+pub fn step(count: u32) -> StepSpec {
+    StepSpec {
+        count,
+        needs: Resources {
+            cpu_millis: 1_000,
+            memory_mib: 100,
+            gpus: 0,
+        },
+        estimate_ms: 1_000,
+        ..StepSpec::default()
+    }
+}
+
+pub fn job(steps: Vec<StepSpec>) -> JobSpec {
+    JobSpec {
+        queue: "quotes".to_owned(),
+        tenant: "shop".to_owned(),
+        text: "text".to_owned(),
+        steps,
+        repeat: None,
+        submitted_unix_ms: BEGIN_UNIX_MS,
+    }
+}
+
+pub fn worker(name: &str) -> WorkerId {
+    name.parse().expect("a worker id")
+}
+
+pub fn entry(name: &str) -> WorkerEntry {
+    let port = 1_000 + u16::from(name.as_bytes()[name.len() - 1]);
+    WorkerEntry {
+        id: worker(name),
+        pool: "pool-a".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+        zone: "zone-a".to_owned(),
+        ready: true,
+        capacity: Resources {
+            cpu_millis: 4_000,
+            memory_mib: 10_000,
+            gpus: 0,
+        },
+        labels: vec!["a".to_owned(), "r1".to_owned()],
+        started_unix_ms: Some(1),
+    }
+}
+
+pub fn machine(name: &str, worker_name: &str) -> Machine {
+    Machine {
+        name: name.to_owned(),
+        pool: "pool-a".to_owned(),
+        state: MachineState::Up,
+        capacity: entry(worker_name).capacity,
+        labels: Vec::new(),
+        worker: Some(worker(worker_name)),
+    }
+}
+
+/// A shard of epoch 5 with one stored job and workers that have not been heard.
+pub fn loaded(spec: JobSpec, workers: &[&str]) -> Shard {
+    let records = vec![Record::Spec(job_id(1), Box::new(spec))];
+    let mut shard = Shard::load(settings(), Epoch::new(5), records, at(0), unix(0));
+    shard.set_catalogue(catalogue());
+    shard.set_workers(workers.iter().map(|name| entry(name)).collect(), at(0));
+    let machines = workers.iter().map(|name| machine(name, name)).collect();
+    shard.set_machines(machines, at(0));
+    shard
+}
+
+/// A shard of epoch 5 without jobs, whose workers have been heard.
+pub fn running(workers: &[&str]) -> Shard {
+    let mut shard = Shard::load(settings(), Epoch::new(5), Vec::new(), at(0), unix(0));
+    shard.set_catalogue(catalogue());
+    shard.set_workers(workers.iter().map(|name| entry(name)).collect(), at(0));
+    let machines = workers.iter().map(|name| machine(name, name)).collect();
+    shard.set_machines(machines, at(0));
+    for name in workers {
+        hold(&mut shard, name, report(1), 0);
+    }
+    shard
+}
+
+pub fn report(clock_ms: u64) -> HoldReport {
+    HoldReport {
+        clock_ms,
+        started_unix_ms: Some(1),
+        running: Vec::new(),
+        ended: Vec::new(),
+    }
+}
+
+pub fn runs(task: TaskId, run: u64) -> ListedRun {
+    ListedRun {
+        task,
+        run: RunNumber::new(run),
+        checkpoint: String::new(),
+        percent: 100,
+        load: 0,
+    }
+}
+
+pub fn ended(number: u64, task: TaskId, run: u64, kind: EndKind) -> ListedEnd {
+    ListedEnd {
+        number,
+        task,
+        run: RunNumber::new(run),
+        kind,
+        checkpoint: String::new(),
+    }
+}
+
+/// A look that is sent and answered at `ms`.
+pub fn hold(shard: &mut Shard, name: &str, report: HoldReport, ms: u64) {
+    shard.hold_answered(&worker(name), report, at(ms), at(ms), unix(ms));
+}
+
+/// The tasks and runs that are started in a pass at `ms`, with their workers.
+pub fn starts(shard: &mut Shard, ms: u64) -> Vec<(TaskId, u64, String)> {
+    shard.schedule(at(ms), unix(ms));
+    let mut starts = Vec::new();
+    for (worker, order) in shard.take_orders() {
+        if let Order::Start { task, run, .. } = order {
+            starts.push((task, run.get(), worker.to_string()));
+        }
+    }
+    starts
+}
+
+/// What a look at `ms` would let the worker forget.
+pub fn last_seen(shard: &mut Shard, name: &str, ms: u64) -> Option<u64> {
+    match shard.plan_hold(&worker(name), at(ms)) {
+        HoldPlan::Look { last_seen, .. } => Some(last_seen),
+        _ => None,
+    }
+}
+
+/// Stores everything that there is to store.
+pub fn store(shard: &mut Shard) {
+    while let Some(batch) = shard.take_batch() {
+        let batch: Batch = batch;
+        shard.batch_stored(&batch);
+    }
+}
--- /dev/null
+++ b/crates/vanillafold-jobs/tests/shard/main.rs
@@ -0,0 +1,4 @@
+//! The state machine of a shard, event by event.
+
+mod fixture;
+mod takeover;
--- /dev/null
+++ b/crates/vanillafold-jobs/tests/shard/takeover.rs
@@ -0,0 +1,90 @@
+//! A new owner learns from the workers what runs.
+
+use vanillafold_jobs::EndKind;
+
+use crate::fixture::{
+    at, ended, hold, job, job_id, last_seen, loaded, report, runs, starts, step, store, task, unix,
+};
+
+#[test]
+fn an_old_end_does_not_restart_a_task_that_runs_on_a_worker_not_heard_yet() {
+    // Arrange: run 3 lapsed on w1, run 7 works on w2.
+    let task = task(job_id(1), 0);
+    let mut shard = loaded(job(vec![step(1)]), &["w1", "w2"]);
+    let mut first = report(10_000);
+    first.ended.push(ended(1, task, 3, EndKind::Lapsed));
+    let mut second = report(10_000);
+    second.running.push(runs(task, 7));
+
+    // Act
+    hold(&mut shard, "w1", first, 10);
+    let before = starts(&mut shard, 11);
+    hold(&mut shard, "w2", second, 20);
+    let after = starts(&mut shard, 21);
+
+    // Assert
+    assert_eq!(before, vec![]);
+    assert_eq!(after, vec![]);
+    assert_eq!(shard.booked_runs(), 1);
+}
+
+#[test]
+fn the_newest_end_decides_once_all_workers_are_heard() {
+    let task = task(job_id(1), 0);
+    let mut shard = loaded(job(vec![step(1)]), &["w1", "w2"]);
+    let mut first = report(10_000);
+    first.ended.push(ended(1, task, 3, EndKind::Lapsed));
+    let mut second = report(10_000);
+    second.ended.push(ended(1, task, 7, EndKind::Done));
+
+    hold(&mut shard, "w1", first, 10);
+    hold(&mut shard, "w2", second, 20);
+    let started = starts(&mut shard, 21);
+    let unstored = last_seen(&mut shard, "w2", 200);
+    store(&mut shard);
+    let stored = last_seen(&mut shard, "w2", 400);
+
+    assert_eq!(started, vec![]);
+    assert_eq!(unstored, Some(0));
+    assert_eq!(stored, Some(1));
+    assert_eq!(
+        shard.state(job_id(1)).map(|state| state.to_string()),
+        Some("completed".to_owned())
+    );
+}
+
+#[test]
+fn tasks_wait_for_a_silent_worker_until_its_leases_have_ended() {
+    let mut shard = loaded(job(vec![step(1)]), &["w1", "w2"]);
+
+    hold(&mut shard, "w1", report(10_000), 10);
+    let early = starts(&mut shard, 6_500);
+    hold(&mut shard, "w1", report(16_000), 6_590);
+    let late = starts(&mut shard, 6_601);
+
+    assert_eq!(early, vec![]);
+    assert_eq!(late.len(), 1);
+}
+
+#[test]
+fn a_job_waits_for_its_tasks_to_be_accounted_for_before_it_counts_failures_of_old_runs() {
+    let task = task(job_id(1), 0);
+    let mut shard = loaded(job(vec![step(1)]), &["w1", "w2"]);
+    let mut first = report(10_000);
+    first.ended.push(ended(1, task, 3, EndKind::Failed));
+    first.ended.push(ended(2, task, 4, EndKind::Failed));
+    let mut second = report(10_000);
+    second.ended.push(ended(1, task, 5, EndKind::Failed));
+
+    hold(&mut shard, "w1", first, 10);
+    hold(&mut shard, "w2", second, 20);
+    let started = starts(&mut shard, 21);
+    store(&mut shard);
+
+    assert_eq!(started, vec![]);
+    assert_eq!(
+        shard.state(job_id(1)).map(|state| state.to_string()),
+        Some("failed".to_owned())
+    );
+    let _ = (at(0), unix(0));
+}
--- a/crates/vanillafold/src/fleet/settings.rs
+++ b/crates/vanillafold/src/fleet/settings.rs
@@ -59,8 +59,10 @@
 pub(crate) const WORKER_LIST_INTERVAL: Duration = Duration::from_millis(400);
 /// Between two reads of the list of machines.
 pub(crate) const MACHINE_LIST_INTERVAL: Duration = Duration::from_millis(500);
-/// How long a read of the operator's records waits for the next one, in milliseconds.
-pub(crate) const OPERATOR_WAIT_MS: u64 = 10_000;
+/// How long a read of the operator's records waits for the next one, in milliseconds: a
+/// connection that has gone silent is noticed well within the time in which a configuration must
+/// be in force.
+pub(crate) const OPERATOR_WAIT_MS: u64 = 800;
 /// After a failed read.
 pub(crate) const READ_RETRY: Duration = Duration::from_millis(250);
 /// The first wait for the answer to an append; doubled with each try. Some twenty times a usual
@@ -71,5 +73,9 @@
 /// How long submissions are refused after the store did not answer, in milliseconds, before one
 /// is tried again.
 pub(crate) const STORE_PAUSE_MS: u64 = 500;
+/// The first pause after an append that the store did not take; doubled with each.
+pub(crate) const APPEND_RETRY: Duration = Duration::from_millis(40);
+/// The longest: what the store's return may cost on top.
+pub(crate) const APPEND_RETRY_MAX: Duration = Duration::from_millis(320);
 /// How long records are collected before they are written together.
 pub(crate) const APPEND_DELAY: Duration = Duration::from_millis(4);
--- a/crates/vanillafold/src/fleet/writer.rs
+++ b/crates/vanillafold/src/fleet/writer.rs
@@ -8,16 +8,13 @@
 
 use super::office::Office;
 use super::platform::{AppendError, FleetPlatform, Keyspace, MetadataStore, Producer, StoreError};
-use super::settings::{APPEND_DELAY, APPEND_TIMEOUT, APPEND_TIMEOUT_MAX, SHARD_PRODUCER};
+use super::settings::{APPEND_DELAY, APPEND_RETRY, APPEND_RETRY_MAX, APPEND_TIMEOUT, APPEND_TIMEOUT_MAX, SHARD_PRODUCER};
 use super::time::now;
 
-/// After a batch that the store did not take.
-const RETRY: Duration = Duration::from_millis(60);
-
 /// What became of a batch.
 enum Written {
     Stored,
-    Refused,
+    Refused(String),
     Superseded,
 }
 
@@ -26,6 +23,8 @@
     let mut store = office.fleet.platform.store();
     let mut sequence = 0;
     let mut usual = APPEND_TIMEOUT;
+    let mut pause = APPEND_RETRY;
+    let mut away = false;
     loop {
         let Some(batch) = office.with(Shard::take_batch).flatten() else {
             office.to_write.take().await;
@@ -40,6 +39,10 @@
         match append(&office, &mut store, producer, &batch, &mut usual).await {
             Written::Stored => {
                 sequence += 1;
+                pause = APPEND_RETRY;
+                if std::mem::replace(&mut away, false) {
+                    log::info!("the store takes records again");
+                }
                 office.store_away_until.set(0);
                 office.with(|shard| shard.batch_stored(&batch));
                 office.tell_stored();
@@ -51,11 +54,15 @@
                 }
                 office.events.give();
             }
-            Written::Refused => {
+            Written::Refused(reason) => {
+                if !std::mem::replace(&mut away, true) {
+                    log::warn!(reason = reason.as_str(), records = batch.records.len(); "the store takes no records");
+                }
                 let dropped = office.with(|shard| shard.batch_refused(&batch));
                 office.tell_dropped(&dropped.unwrap_or_default());
                 office.store_failed();
-                sleep(RETRY).await;
+                sleep(pause).await;
+                pause = (pause * 2).min(APPEND_RETRY_MAX);
             }
             Written::Superseded => office.close("a later owner has written"),
         }
@@ -100,15 +107,14 @@
                 return Written::Superseded;
             }
             Err(AppendError::Store(StoreError::Refused(reason))) if !unanswered => {
-                log::info!(reason = reason.as_str(), records = batch.records.len(); "append refused");
-                return Written::Refused;
+                return Written::Refused(reason);
             }
             Err(AppendError::Store(error)) => {
                 log::info!(error = error.to_string(), waited_ms = limit_ms; "append not answered");
                 unanswered |= matches!(error, StoreError::NoAnswer(_));
                 wait = (wait * 2).min(APPEND_TIMEOUT_MAX);
                 office.store_failed();
-                sleep(RETRY).await;
+                sleep(APPEND_RETRY).await;
             }
         }
     }
--- a/crates/vanillafold/src/logging/logger.rs
+++ b/crates/vanillafold/src/logging/logger.rs
@@ -3,6 +3,8 @@
 use flexi_logger::{FlexiLoggerError, Logger, LoggerHandle};
 use log::LevelFilter;
 
+use super::line::write_line;
+
 /// Why logging could not start.
 #[derive(Debug, thiserror::Error)]
 #[error("can't start logging: {0}")]
@@ -25,7 +27,7 @@
 ///
 /// [`LoggingError`] if a logger is set already.
 pub fn start_logging(level: LevelFilter, output: LogOutput) -> Result<LoggerHandle, LoggingError> {
-    let logger = Logger::with(level).format(flexi_logger::json_format);
+    let logger = Logger::with(level).format(write_line);
     let handle = match output {
         LogOutput::StandardError => logger.log_to_stderr().start()?,
         LogOutput::StandardOutput => logger.log_to_stdout().start()?,
