Count each failed run once, and each answer about a machine once

Failed runs are stored by number; an order is repeated only if it got no answer. Tests failed before.

--- a/crates/vanillafold-jobs/src/record/progress.rs
+++ b/crates/vanillafold-jobs/src/record/progress.rs
@@ -2,6 +2,8 @@
 
 use bincode::{Decode, Encode};
 
+use crate::id::RunNumber;
+
 /// How a job stands for good, or that it does not yet.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Encode, Decode)]
 pub enum JobOutcome {
@@ -45,8 +47,9 @@
 pub struct StepProgress {
     /// Tasks that have ended done, one bit each.
     pub done_bits: Vec<u8>,
-    /// Tasks with failed runs and how many, sorted by task.
-    pub failed_runs: Vec<(u16, u32)>,
+    /// Failed runs as task and run, sorted. The runs are named because a worker lists an end
+    /// again to the next owner until it has been told to forget it.
+    pub failed_runs: Vec<(u16, u64)>,
 }
 
 impl StepProgress {
@@ -75,22 +78,17 @@
     /// How many runs of a task have failed.
     #[must_use]
     pub fn failed_runs(&self, index: u16) -> u32 {
-        match self.failed_runs.binary_search_by_key(&index, |row| row.0) {
-            Ok(at) => self.failed_runs[at].1,
-            Err(_) => 0,
-        }
+        let count = self.failed_runs.iter().filter(|row| row.0 == index).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
     }
 
-    /// Counts a failed run and returns how many there are now.
-    pub fn add_failed_run(&mut self, index: u16) -> u32 {
-        match self.failed_runs.binary_search_by_key(&index, |row| row.0) {
-            Ok(at) => {
-                self.failed_runs[at].1 += 1;
-                self.failed_runs[at].1
-            }
+    /// Notes a failed run, unless it is known; true if it was not.
+    pub fn add_failed_run(&mut self, index: u16, run: RunNumber) -> bool {
+        match self.failed_runs.binary_search(&(index, run.get())) {
+            Ok(_) => false,
             Err(at) => {
-                self.failed_runs.insert(at, (index, 1));
-                1
+                self.failed_runs.insert(at, (index, run.get()));
+                true
             }
         }
     }
--- a/crates/vanillafold-jobs/src/shard/duties.rs
+++ b/crates/vanillafold-jobs/src/shard/duties.rs
@@ -88,8 +88,21 @@
     to_pool: Option<String>,
     /// The wave that it is away for.
     wave: Option<u64>,
+    /// The worker that the machine ran when it was ordered.
+    worker: Option<WorkerId>,
     at: MonotonicMillis,
-    answered: bool,
+    phase: OrderedPhase,
+}
+
+/// How an order about a machine stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OrderedPhase {
+    /// It is out.
+    Out,
+    /// It got no answer: it is repeated.
+    Unanswered,
+    /// It was carried out.
+    Done,
 }
 
 /// A wave that is under way.
@@ -129,7 +142,7 @@
                 }
                 (Ok(at), None) => machines[at].state == MachineState::Up,
             };
-            fresh || !ordered.answered || !settled
+            fresh || ordered.phase != OrderedPhase::Done || !settled
         });
     }
 
@@ -159,16 +172,18 @@
             MachineDuty::Move { machine, .. } | MachineDuty::Upkeep { machine, .. } => machine,
             MachineDuty::WaveStatus { .. } => return,
         };
-        let ordered = self.ordered.iter_mut().find(|row| row.machine == *machine);
-        if let Some(ordered) = ordered {
-            ordered.answered = true;
-            ordered.at = now;
-        }
+        let found = self.ordered.iter_mut().find(|row| row.machine == *machine);
+        let Some(ordered) = found.filter(|row| row.phase != OrderedPhase::Done) else {
+            return;
+        };
+        ordered.phase = OrderedPhase::Done;
+        ordered.at = now;
+        let worker = ordered.worker.clone();
         if let MachineDuty::Upkeep { machine, wave } = duty {
             self.note_begun(*wave, machine);
         }
-        // Everything on the machine has ended with its worker.
-        if let Some(at) = self.worker_of(machine) {
+        // Everything on the machine has ended with the worker that it had.
+        if let Some(at) = worker.and_then(|id| self.worker_position(&id)) {
             self.workers[at].listed = false;
             self.lose_runs(at, now, now_unix_ms);
         }
@@ -202,7 +217,10 @@
             return;
         };
         match unknown {
-            true => self.ordered[at].at = now,
+            true => {
+                self.ordered[at].at = now;
+                self.ordered[at].phase = OrderedPhase::Unanswered;
+            }
             false => {
                 self.ordered.remove(at);
                 if let Some(at) = self.worker_of(machine) {
@@ -251,10 +269,11 @@
 
     fn repeat_duties(&mut self, now: MonotonicMillis) {
         for row in &mut self.ordered {
-            if row.answered || now.since(row.at).get() < REPEAT_DUTY_MS {
+            let due = now.since(row.at).get() >= REPEAT_DUTY_MS;
+            if row.phase != OrderedPhase::Unanswered || !due {
                 continue;
             }
-            row.at = now;
+            row.phase = OrderedPhase::Out;
             self.duties.push(match (&row.to_pool, row.wave) {
                 (Some(pool), _) => MachineDuty::Move {
                     machine: row.machine.clone(),
@@ -347,9 +366,11 @@
         wave: Option<u64>,
         now: MonotonicMillis,
     ) {
-        if let Some(at) = self.worker_of(&machine) {
+        let worker = self.worker_of(&machine);
+        if let Some(at) = worker {
             self.workers[at].reserved = true;
         }
+        let worker = worker.map(|at| self.workers[at].entry.id.clone());
         self.duties.push(match &to_pool {
             Some(pool) => MachineDuty::Move {
                 machine: machine.clone(),
@@ -364,8 +385,9 @@
             machine,
             to_pool,
             wave,
+            worker,
             at: now,
-            answered: false,
+            phase: OrderedPhase::Out,
         });
     }
 
--- a/crates/vanillafold-jobs/src/shard/ends.rs
+++ b/crates/vanillafold-jobs/src/shard/ends.rs
@@ -3,7 +3,7 @@
 use vanillafold_policy::MonotonicMillis;
 
 use super::root::Shard;
-use crate::id::{JobId, TaskId};
+use crate::id::{JobId, RunNumber, TaskId};
 use crate::job::TaskStatus;
 use crate::record::JobOutcome;
 use crate::worker::{EndKind, Run};
@@ -83,7 +83,8 @@
             }
             EndKind::Failed if !step_spec.persistent => {
                 step.set_status(task.index, TaskStatus::Waiting { since: now });
-                self.count_failed_run(task, now, now_unix_ms);
+                let run = step.tasks[usize::from(task.index)].run;
+                self.count_failed_run(task, run, now, now_unix_ms);
             }
             _ => step.set_status(task.index, TaskStatus::Waiting { since: now }),
         }
@@ -96,6 +97,7 @@
     pub(super) fn count_failed_run(
         &mut self,
         task: TaskId,
+        run: RunNumber,
         now: MonotonicMillis,
         now_unix_ms: u64,
     ) {
@@ -110,11 +112,12 @@
             true => 0,
             false => task.index,
         };
-        let failed = job
-            .step_progress(task.occurrence, task.step)
-            .add_failed_run(counted);
-        job.version += 1;
-        self.after_failed(task.job, failed, now, now_unix_ms);
+        let progress = job.step_progress(task.occurrence, task.step);
+        if progress.add_failed_run(counted, run) {
+            let failed = progress.failed_runs(counted);
+            job.version += 1;
+            self.after_failed(task.job, failed, now, now_unix_ms);
+        }
     }
 
     fn after_done(&mut self, task: TaskId, now: MonotonicMillis, now_unix_ms: u64) {
--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -318,7 +318,7 @@
                 self.set_task_run(end.task, end.run);
                 self.note_end(end.task, end.kind, &end.checkpoint, now, now_unix_ms);
             }
-            EndKind::Failed => self.count_failed_run(end.task, now, now_unix_ms),
+            EndKind::Failed => self.count_failed_run(end.task, end.run, now, now_unix_ms),
             _ => {}
         }
     }
--- a/crates/vanillafold-jobs/tests/shard/main.rs
+++ b/crates/vanillafold-jobs/tests/shard/main.rs
@@ -2,3 +2,4 @@
 
 mod fixture;
 mod takeover;
+mod machines;
--- a/crates/vanillafold-jobs/tests/shard/takeover.rs
+++ b/crates/vanillafold-jobs/tests/shard/takeover.rs
@@ -1,9 +1,9 @@
 //! A new owner learns from the workers what runs.
 
-use vanillafold_jobs::EndKind;
+use vanillafold_jobs::{EndKind, Epoch, JobProgress, OccurrenceProgress, Record, RunNumber, Shard, StepProgress};
 
 use crate::fixture::{
-    at, ended, hold, job, job_id, last_seen, loaded, report, runs, starts, step, store, task, unix,
+    at, catalogue, ended, entry, machine, settings, unix, hold, job, job_id, last_seen, loaded, report, runs, starts, step, store, task,
 };
 
 #[test]
@@ -86,5 +86,38 @@
         shard.state(job_id(1)).map(|state| state.to_string()),
         Some("failed".to_owned())
     );
-    let _ = (at(0), unix(0));
+}
+
+#[test]
+fn a_failed_run_that_is_stored_does_not_count_again_when_its_worker_still_lists_it() {
+    // Arrange: two failed runs of three are stored; their worker was not told to forget them.
+    let task = task(job_id(1), 0);
+    let mut progress = StepProgress::default();
+    progress.add_failed_run(0, RunNumber::new(3));
+    progress.add_failed_run(0, RunNumber::new(4));
+    let progress = JobProgress {
+        occurrences: vec![OccurrenceProgress {
+            number: 0,
+            steps: vec![progress],
+        }],
+        ..JobProgress::default()
+    };
+    let records = vec![
+        Record::Spec(job_id(1), Box::new(job(vec![step(1)]))),
+        Record::Progress(job_id(1), progress),
+    ];
+    let mut shard = Shard::load(settings(), Epoch::new(5), records, at(0), unix(0));
+    shard.set_catalogue(catalogue());
+    shard.set_workers(vec![entry("w1")], at(0));
+    shard.set_machines(vec![machine("w1", "w1")], at(0));
+    let mut first = report(10_000);
+    first.ended.push(ended(1, task, 3, EndKind::Failed));
+    first.ended.push(ended(2, task, 4, EndKind::Failed));
+
+    // Act
+    hold(&mut shard, "w1", first, 10);
+    let started = starts(&mut shard, 11);
+
+    // Assert
+    assert_eq!(started.len(), 1);
 }
--- a/crates/vanillafold/src/fleet/duty.rs
+++ b/crates/vanillafold/src/fleet/duty.rs
@@ -7,7 +7,7 @@
 
 use super::office::Office;
 use super::platform::{CloudError, FleetPlatform, Keyspace, Machines, MetadataStore};
-use super::settings::{APPEND_TIMEOUT_MAX, MACHINE_LIST_INTERVAL, READ_RETRY};
+use super::settings::{APPEND_TIMEOUT, MACHINE_LIST_INTERVAL, READ_RETRY};
 use super::time::{now, unix_ms};
 
 /// Reads the list of machines again and again.
@@ -44,7 +44,7 @@
                 MachineDuty::WaveStatus { wave, completed } => {
                     let row = office.fleet.platform.wave_status(*wave, *completed);
                     let limit_ms =
-                        u64::try_from(APPEND_TIMEOUT_MAX.as_millis()).unwrap_or(u64::MAX);
+                        u64::try_from(APPEND_TIMEOUT.as_millis()).unwrap_or(u64::MAX);
                     let written = store.append(Keyspace::Status, None, &[row], limit_ms).await;
                     if let Err(error) = written {
                         log::info!(wave = *wave, error = error.to_string(); "status of a wave not written");
