Let the leases of silent workers end; leave changed machines' workers alone

Workers of moved machines stayed in the list for a while and were looked at. Requests with short deadlines were refused without one try.

--- a/crates/vanillafold-jobs/src/shard/duties.rs
+++ b/crates/vanillafold-jobs/src/shard/duties.rs
@@ -183,10 +183,12 @@
             self.note_begun(*wave, machine);
         }
         // Everything on the machine has ended with the worker that it had.
-        if let Some(at) = worker.and_then(|id| self.worker_position(&id)) {
-            self.workers[at].listed = false;
+        let Some(id) = worker else { return };
+        if let Some(at) = self.worker_position(&id) {
             self.lose_runs(at, now, now_unix_ms);
+            self.workers.remove(at);
         }
+        self.gone.push(id);
     }
 
     fn note_begun(&mut self, wave: u64, machine: &str) {
--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -32,6 +32,8 @@
     pub(super) finished: Vec<JobId>,
     /// Sorted by id.
     pub(super) workers: Vec<Worker>,
+    /// Workers that ended with a change of their machine and are still in the list of workers.
+    pub(super) gone: Vec<WorkerId>,
     /// What each organisation has running, sorted by name.
     pub(super) usage: Vec<(String, Resources)>,
     pub(super) orders: Vec<(WorkerId, Order)>,
@@ -80,6 +82,7 @@
             forget: Vec::new(),
             finished: Vec::new(),
             workers: Vec::new(),
+            gone: Vec::new(),
             usage: Vec::new(),
             orders: Vec::new(),
             taken_over_at: now,
--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -28,7 +28,11 @@
         for worker in &mut self.workers {
             worker.listed = false;
         }
+        self.gone.retain(|id| entries.iter().any(|entry| entry.id == *id));
         for entry in entries {
+            if self.gone.contains(&entry.id) {
+                continue;
+            }
             let found = self
                 .workers
                 .binary_search_by(|worker| worker.entry.id.cmp(&entry.id));
@@ -74,7 +78,11 @@
         if worker.runs.is_empty() && !quick && !waiting && worker.told_seen >= worker.taken_in {
             return HoldPlan::Idle;
         }
-        let deadline_ms = worker.deadline_ms(now, lease_ms);
+        // A worker that does not answer is given no more time, so that its leases end.
+        let deadline_ms = match quick {
+            true => None,
+            false => worker.deadline_ms(now, lease_ms),
+        };
         if let Some(deadline_ms) = deadline_ms {
             worker.lease(deadline_ms);
         }
--- a/crates/vanillafold-jobs/tests/shard/main.rs
+++ b/crates/vanillafold-jobs/tests/shard/main.rs
@@ -3,3 +3,4 @@
 mod fixture;
 mod takeover;
 mod machines;
+mod workers;
--- a/crates/vanillafold/src/fleet/forward.rs
+++ b/crates/vanillafold/src/fleet/forward.rs
@@ -21,12 +21,8 @@
     pub async fn ask(self: &Rc<Self>, request: &FleetRequest, limit_ms: u64) -> FleetAnswer {
         let began = now();
         let mut sent = false;
+        let mut left_ms = limit_ms;
         loop {
-            let passed_ms = now().since(began).get();
-            let left_ms = limit_ms.saturating_sub(passed_ms);
-            if left_ms == 0 || (!sent && passed_ms > OWNER_WAIT_MS) {
-                break;
-            }
             let limit = CALL_TIMEOUT.min(Duration::from_millis(left_ms));
             match self.ask_once(request, limit).await {
                 Ok(FleetAnswer::NotOwner) => {}
@@ -38,6 +34,11 @@
             self.directory.doubtful.set(true);
             self.group_changed.give();
             sleep(OWNER_RETRY).await;
+            let passed_ms = now().since(began).get();
+            left_ms = limit_ms.saturating_sub(passed_ms);
+            if left_ms == 0 || (!sent && passed_ms > OWNER_WAIT_MS) {
+                break;
+            }
         }
         log::info!(sent = sent, waited_ms = now().since(began).get(); "no owner answered");
         match sent {
