Keep only the owner in the owners' group; account for workers by machine and pool

Cause: every daemon was a member, so each one that came back moved the shard in the middle of a fault; a takeover waited for registrations of workers that had ended, and one silent worker held up every pool.

--- a/crates/vanillafold-jobs/src/job/job.rs
+++ b/crates/vanillafold-jobs/src/job/job.rs
@@ -85,6 +85,8 @@
     pub(crate) next_occurrence: u32,
     /// When it was handed in, on the owner's clock; for one that was loaded, worked out.
     pub(crate) accepted_at: MonotonicMillis,
+    /// Tasks may still run on workers that have not been heard.
+    pub(crate) unclear: bool,
     /// When the records may go.
     pub(crate) forget_at: Option<MonotonicMillis>,
 }
@@ -104,6 +106,7 @@
             occurrences: Vec::new(),
             next_occurrence: 0,
             accepted_at: now,
+            unclear: false,
             forget_at: None,
         }
     }
@@ -200,6 +203,21 @@
         self.spec.repeat.map_or(1, |repeat| repeat.count)
     }
 
+    /// All workers that may run its tasks have been heard: the tasks that were not found wait.
+    pub(crate) fn clear_up(&mut self, now: MonotonicMillis) {
+        self.unclear = false;
+        for occurrence in &mut self.occurrences {
+            for step in &mut occurrence.steps {
+                for index in 0..step.tasks.len() {
+                    if step.tasks[index].status == TaskStatus::Unclear {
+                        let index = u16::try_from(index).unwrap_or(u16::MAX);
+                        step.set_status(index, TaskStatus::Waiting { since: now });
+                    }
+                }
+            }
+        }
+    }
+
     /// Sets the outcome; the tasks are not needed any more.
     pub(crate) fn finish(&mut self, outcome: JobOutcome, now_unix_ms: u64) {
         self.progress.outcome = outcome;
--- a/crates/vanillafold-jobs/src/shard/duties.rs
+++ b/crates/vanillafold-jobs/src/shard/duties.rs
@@ -234,14 +234,13 @@
         }
     }
 
-    /// Whether the worker of a machine has been heard, or it has none.
+    /// Whether the worker that the platform says a machine runs has been heard. Workers that are
+    /// registered but run on no machine have ended.
     pub(super) fn machine_heard(&self, machine: &Machine) -> bool {
-        match &machine.worker {
-            Some(id) if machine.state == MachineState::Up => self
-                .worker_position(id)
-                .is_some_and(|at| self.workers[at].heard),
-            _ => true,
-        }
+        machine.worker.as_ref().is_none_or(|id| {
+            self.worker_position(id)
+                .is_some_and(|at| self.workers[at].heard)
+        })
     }
 
     fn worker_of(&self, machine: &str) -> Option<usize> {
@@ -421,12 +420,36 @@
         for position in 0..self.workers[at].runs.len() {
             let run = &self.workers[at].runs[position];
             let running = matches!(run.phase, RunPhase::Running { .. });
-            if run.persistent && running && self.may_miss_one(run) {
+            if run.persistent && running && self.may_miss_one(run) && self.fits_elsewhere(at, run, now)
+            {
                 self.order_stop(at, position, now);
             }
         }
     }
 
+    /// Whether another worker has room for a persistent run.
+    fn fits_elsewhere(&self, at: usize, run: &Run, now: MonotonicMillis) -> bool {
+        let Some(job) = self.job(run.task.job) else {
+            return true;
+        };
+        let step = &job.spec.steps[usize::from(run.task.step)];
+        let pool = &self.workers[at].entry.pool;
+        self.workers.iter().enumerate().any(|(other, worker)| {
+            let beside = worker.runs.iter().filter(|row| {
+                row.task.job == run.task.job
+                    && row.task.occurrence == run.task.occurrence
+                    && row.task.step == run.task.step
+            });
+            let labels = &worker.entry.labels;
+            other != at
+                && worker.entry.pool == *pool
+                && worker.is_usable(now)
+                && worker.entry.capacity.fits(worker.used, run.booked)
+                && (step.required_label.is_empty() || labels.contains(&step.required_label))
+                && (step.anti_affinity == 0 || beside.count() < step.anti_affinity as usize)
+        })
+    }
+
     /// Whether a step allows that this run is away by our action now.
     fn may_miss_one(&self, run: &Run) -> bool {
         let Some(job) = self.job(run.task.job) else {
@@ -492,7 +515,10 @@
                 continue;
             }
             let worker = machine.worker.as_ref().and_then(|id| self.worker_position(id));
-            let draining = worker.is_some_and(|at| !self.workers[at].entry.ready);
+            let draining = worker.is_some_and(|at| {
+                let worker = &self.workers[at];
+                !worker.entry.ready || worker.suspect || (worker.reserved && ordered.is_none())
+            });
             if !draining {
                 demands[pool].cpu_millis += machine.capacity.cpu_millis;
             }
@@ -575,6 +601,7 @@
                 }
             }
         }
-        wanted.max(u64::from(apart) * vm_cpu_millis)
+        let homeless = self.homeless.iter().filter(|row| *row == pool).count() as u64;
+        wanted.max(u64::from(apart) * vm_cpu_millis) + homeless * vm_cpu_millis
     }
 }
--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -55,6 +55,9 @@
     pub(super) dirty_waves: Vec<u64>,
     pub(super) ordered: Vec<Ordered>,
     pub(super) next_plan_at: MonotonicMillis,
+    /// Pools of persistent tasks that found no room in the last pass, one for each step.
+    pub(super) homeless: Vec<String>,
+    pub(super) preempt_at: MonotonicMillis,
     pub(super) duties: Vec<MachineDuty>,
     /// How long tasks of a queue really take, in percent of their estimates, sorted by queue.
     pub(super) learned: Vec<(String, f64)>,
@@ -97,6 +100,8 @@
             dirty_waves: Vec::new(),
             ordered: Vec::new(),
             next_plan_at: now,
+            homeless: Vec::new(),
+            preempt_at: now,
             duties: Vec::new(),
             learned: Vec::new(),
         };
@@ -132,7 +137,10 @@
             let age = now_unix_ms.saturating_sub(job.spec.submitted_unix_ms);
             job.accepted_at = MonotonicMillis::new(now.get().saturating_sub(age));
             match job.progress.outcome {
-                JobOutcome::Open => self.open.push(job.id),
+                JobOutcome::Open => {
+                    job.unclear = true;
+                    self.open.push(job.id);
+                }
                 _ => {
                     let ended = now_unix_ms.saturating_sub(job.progress.ended_unix_ms);
                     let left = self.settings.keep_final_ms.saturating_sub(ended);
@@ -142,7 +150,7 @@
             }
         }
         for id in self.open.clone() {
-            self.begin_due(id, &TaskStatus::Unclear, now_unix_ms);
+            self.begin_due(id, now, now_unix_ms);
         }
         self.unclear = !self.open.is_empty();
     }
@@ -220,10 +228,14 @@
     pub(super) fn begin_due(
         &mut self,
         id: JobId,
-        status: &TaskStatus,
+        now: MonotonicMillis,
         now_unix_ms: u64,
     ) {
         let Some(job) = self.job_mut(id) else { return };
+        let status = match job.unclear {
+            true => TaskStatus::Unclear,
+            false => TaskStatus::Waiting { since: now },
+        };
         let spec = Rc::clone(&job.spec);
         while job.next_occurrence < job.occurrence_count() {
             let number = job.next_occurrence;
@@ -235,7 +247,7 @@
             }
             job.next_occurrence += 1;
             if job.progress.completed.binary_search(&number).is_err() {
-                job.begin_occurrence(number, due, status);
+                job.begin_occurrence(number, due, &status);
             }
         }
     }
--- a/crates/vanillafold-jobs/src/shard/schedule.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule.rs
@@ -16,6 +16,14 @@
 /// The estimate of a task whose caller gave none, in milliseconds.
 const UNKNOWN_ESTIMATE_MS: u64 = 1_000;
 
+/// A persistent task that found no room for so long stops other work, in milliseconds: usual
+/// tasks end about as fast by themselves.
+const PREEMPT_AFTER_MS: u64 = 1_000;
+/// Between two preemptions, in milliseconds: what is being stopped still takes room meanwhile.
+const PREEMPT_INTERVAL_MS: u64 = 1_000;
+/// Failed runs after which a job of a queue that is gone has failed.
+const FORMER_QUEUE_ATTEMPTS: u32 = 3;
+
 /// A step with tasks that wait.
 #[derive(Debug)]
 struct Waiting {
@@ -39,11 +47,12 @@
             .filter(|id| self.job(*id).is_some_and(|job| job.spec.repeat.is_some()))
             .collect();
         for id in timed {
-            self.begin_due(id, &TaskStatus::Waiting { since: now }, now_unix_ms);
+            self.begin_due(id, now, now_unix_ms);
         }
         let mut waiting = self.waiting_steps(now, now_unix_ms);
         waiting.sort_by(|a, b| a.rank.cmp(&b.rank).then(a.job.cmp(&b.job)));
         let mut full = Vec::new();
+        self.homeless.clear();
         for step in waiting {
             self.start_step(&step, &mut full, now);
         }
@@ -51,40 +60,59 @@
         self.plan_duties(now);
     }
 
-    /// Tasks that could run on workers that have not been heard wait until all are heard, or
-    /// until whatever an earlier owner started there is gone.
+    /// Tasks that could run on workers that have not been heard wait until all workers of their
+    /// pool are heard, or until whatever an earlier owner started there is gone.
     fn resolve_unclear(&mut self, now: MonotonicMillis, now_unix_ms: u64) {
         if !self.unclear {
             return;
         }
         let outwaited = now.get() >= self.taken_over_at.get() + self.settings.outwait_ms;
-        let all_heard = self.workers_listed
-            && self.machines_listed
-            && self.workers.iter().all(|worker| worker.heard)
-            && self.machines.iter().all(|machine| self.machine_heard(machine));
-        if !outwaited && !all_heard {
+        if !outwaited && !(self.workers_listed && self.machines_listed) {
             return;
         }
-        self.unclear = false;
-        self.take_in_deferred(now, now_unix_ms);
-        log::info!(
-            after_ms = now.since(self.taken_over_at).get(), all_heard = all_heard;
-            "all workers accounted for after a takeover"
-        );
-        for job in &mut self.jobs {
-            for occurrence in &mut job.occurrences {
-                for step in &mut occurrence.steps {
-                    for index in 0..step.tasks.len() {
-                        if step.tasks[index].status == TaskStatus::Unclear {
-                            let index = u16::try_from(index).unwrap_or(u16::MAX);
-                            step.set_status(index, TaskStatus::Waiting { since: now });
-                        }
-                    }
-                }
+        let silent = match outwaited {
+            true => Vec::new(),
+            false => self.silent_pools(),
+        };
+        let mut clear = Vec::new();
+        for id in &self.open {
+            let Some(job) = self.job(*id).filter(|job| job.unclear) else {
+                continue;
+            };
+            let now_at = self.catalogue.queue(&job.spec.queue).map(|queue| &queue.pool);
+            let may_run_in = |pool: &String| *pool == job.spec.pool || Some(pool) == now_at;
+            if !silent.iter().any(may_run_in) {
+                clear.push(*id);
+            }
+        }
+        if silent.is_empty() {
+            self.unclear = false;
+            log::info!(
+                after_ms = now.since(self.taken_over_at).get(), outwaited = outwaited;
+                "all workers accounted for after a takeover"
+            );
+        }
+        self.take_in_deferred(&clear, now, now_unix_ms);
+        for id in clear {
+            if let Some(job) = self.job_mut(id) {
+                job.clear_up(now);
             }
         }
     }
 
+    /// The pools with workers that may run something and have not been heard.
+    fn silent_pools(&self) -> Vec<String> {
+        let mut silent: Vec<String> = self
+            .machines
+            .iter()
+            .filter(|machine| !self.machine_heard(machine))
+            .map(|machine| machine.pool.clone())
+            .collect();
+        silent.sort();
+        silent.dedup();
+        silent
+    }
+
     fn waiting_steps(&self, now: MonotonicMillis, now_unix_ms: u64) -> Vec<Waiting> {
         let mut waiting = Vec::new();
         for id in &self.open {
@@ -229,9 +257,7 @@
             return;
         };
         let spec = Rc::clone(&job.spec);
-        let Some(queue) = self.catalogue.queue(&spec.queue).cloned() else {
-            return;
-        };
+        let queue = self.queue_of(&spec);
         let step_spec = &spec.steps[usize::from(waiting.step)];
         let plain = step_spec.anti_affinity == 0
             && step_spec.required_label.is_empty()
@@ -255,6 +281,9 @@
             }
             let placed = self.place_task(waiting, &spec, &queue, index, &[], now);
             let Some(at) = placed else {
+                if step_spec.persistent {
+                    self.make_room(waiting, &spec, &queue, now);
+                }
                 if plain {
                     full.push((queue.pool.clone(), step_spec.clone()));
                 }
@@ -265,6 +294,80 @@
         }
     }
 
+    /// Asks for a VM for a persistent task that found no room, and, once it has waited for long
+    /// enough, stops work that need not run now.
+    fn make_room(
+        &mut self,
+        waiting: &Waiting,
+        spec: &JobSpec,
+        queue: &QueueInfo,
+        now: MonotonicMillis,
+    ) {
+        let step = &spec.steps[usize::from(waiting.step)];
+        self.homeless.push(queue.pool.clone());
+        let since = self.waiting_since(waiting).unwrap_or(now);
+        if now.since(since).get() < PREEMPT_AFTER_MS || now < self.preempt_at {
+            return;
+        }
+        let mut best: Option<(u64, usize)> = None;
+        for (at, worker) in self.workers.iter().enumerate() {
+            let suits = worker.entry.pool == queue.pool
+                && worker.is_usable(now)
+                && suits(worker, step)
+                && !is_crowded(worker, waiting, step, 0);
+            let mut kept = worker.used;
+            let mut stopped = 0;
+            for run in worker.runs.iter().filter(|run| !run.persistent) {
+                kept.remove(run.booked);
+                stopped += run.booked.cpu_millis;
+            }
+            if suits
+                && worker.entry.capacity.fits(kept, step.booked())
+                && best.is_none_or(|best| stopped < best.0)
+            {
+                best = Some((stopped, at));
+            }
+        }
+        let Some((_, at)) = best else { return };
+        self.preempt_at = MonotonicMillis::new(now.get() + PREEMPT_INTERVAL_MS);
+        let mut used = self.workers[at].used;
+        for position in 0..self.workers[at].runs.len() {
+            let run = &self.workers[at].runs[position];
+            if self.workers[at].entry.capacity.fits(used, step.booked()) {
+                return;
+            }
+            if !run.persistent && run.is_live() {
+                used.remove(run.booked);
+                log::info!(task = run.task.to_string(), by = waiting.job.to_string(); "run preempted");
+                self.order_stop(at, position, now);
+            }
+        }
+    }
+
+    fn waiting_since(&self, waiting: &Waiting) -> Option<MonotonicMillis> {
+        let index = *self.waiting_tasks(waiting).first()?;
+        match self.placed_task(task_id(waiting, index))?.status {
+            TaskStatus::Waiting { since } => Some(since),
+            _ => None,
+        }
+    }
+
+    /// The queue of a job; one that the configuration no longer has goes on where it was.
+    fn queue_of(&self, spec: &JobSpec) -> QueueInfo {
+        match self.catalogue.queue(&spec.queue) {
+            Some(queue) => queue.clone(),
+            None => QueueInfo {
+                name: spec.queue.clone(),
+                pool: spec.pool.clone(),
+                priority: 0,
+                max_attempts: FORMER_QUEUE_ATTEMPTS,
+                stretch_millis: 0,
+                target_latency_ms: 0,
+                advised: false,
+            },
+        }
+    }
+
     fn waiting_tasks(&self, waiting: &Waiting) -> Vec<u16> {
         let mut indexes = Vec::new();
         let Some(job) = self.job(waiting.job) else {
@@ -322,15 +425,9 @@
             for _ in planned.iter().filter(|other| **other == at) {
                 used.add(booked);
             }
-            let labelled = step.required_label.is_empty()
-                || worker.entry.labels.contains(&step.required_label);
-            if !labelled || !worker.entry.capacity.fits(used, booked) {
-                continue;
-            }
-            if step.anti_affinity > 0
-                && same_step(worker, waiting) + planned.iter().filter(|p| **p == at).count()
-                    >= step.anti_affinity as usize
-            {
+            let more = planned.iter().filter(|other| **other == at).count();
+            let crowded = is_crowded(worker, waiting, step, more);
+            if crowded || !suits(worker, step) || !worker.entry.capacity.fits(used, booked) {
                 continue;
             }
             let labels = &worker.entry.labels;
@@ -465,6 +562,15 @@
     }
 }
 
+fn suits(worker: &Worker, step: &StepSpec) -> bool {
+    step.required_label.is_empty() || worker.entry.labels.contains(&step.required_label)
+}
+
+/// Whether a worker has as many tasks of a step as it may, `more` of them planned.
+fn is_crowded(worker: &Worker, waiting: &Waiting, step: &StepSpec, more: usize) -> bool {
+    step.anti_affinity > 0 && same_step(worker, waiting) + more >= step.anti_affinity as usize
+}
+
 fn same_step(worker: &Worker, waiting: &Waiting) -> usize {
     let same = |run: &&Run| {
         run.task.job == waiting.job
--- a/crates/vanillafold-jobs/src/shard/submit.rs
+++ b/crates/vanillafold-jobs/src/shard/submit.rs
@@ -5,7 +5,7 @@
 
 use super::root::Shard;
 use crate::id::JobId;
-use crate::job::{Job, JobState, TaskStatus};
+use crate::job::{Job, JobState};
 use crate::record::JobOutcome;
 use crate::spec::JobSpec;
 
@@ -59,7 +59,7 @@
             self.open.insert(at, id);
         }
         self.mark_dirty(id);
-        self.begin_due(id, &TaskStatus::Waiting { since: now }, now_unix_ms);
+        self.begin_due(id, now, now_unix_ms);
         SubmitOutcome::Storing
     }
 
--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -331,9 +331,16 @@
         }
     }
 
-    /// Takes in the ends that had to wait until all workers were accounted for.
-    pub(super) fn take_in_deferred(&mut self, now: MonotonicMillis, now_unix_ms: u64) {
-        let mut deferred = std::mem::take(&mut self.deferred);
+    /// Takes in the ends of these jobs, sorted by id, that had to wait until all workers were
+    /// accounted for.
+    pub(super) fn take_in_deferred(
+        &mut self,
+        jobs: &[JobId],
+        now: MonotonicMillis,
+        now_unix_ms: u64,
+    ) {
+        let ready = |end: &mut ListedEnd| jobs.binary_search(&end.task.job).is_ok();
+        let mut deferred: Vec<ListedEnd> = self.deferred.extract_if(.., ready).collect();
         // The newest run of a task comes first and decides.
         deferred.sort_by(|a, b| a.task.cmp(&b.task).then(b.run.cmp(&a.run)));
         for end in &deferred {
@@ -341,7 +348,9 @@
         }
         for at in 0..self.workers.len() {
             for end in 0..self.workers[at].unnoted.len() {
-                if let EndNeeds::Accounting(job) = self.workers[at].unnoted[end].needs {
+                if let EndNeeds::Accounting(job) = self.workers[at].unnoted[end].needs
+                    && (jobs.binary_search(&job).is_ok() || self.open.binary_search(&job).is_err())
+                {
                     self.workers[at].unnoted[end].needs = self.end_needs(job);
                 }
             }
--- a/crates/vanillafold-jobs/src/spec/job.rs
+++ b/crates/vanillafold-jobs/src/spec/job.rs
@@ -16,6 +16,8 @@
 pub struct JobSpec {
     /// The queue.
     pub queue: String,
+    /// The pool that ran the queue's tasks when the job arrived.
+    pub pool: String,
     /// The organisation; empty on a queue that is open to all.
     pub tenant: String,
     /// The text that each task gets.
--- a/crates/vanillafold-jobs/tests/shard/fixture.rs
+++ b/crates/vanillafold-jobs/tests/shard/fixture.rs
@@ -96,6 +96,7 @@
 pub fn job(steps: Vec<StepSpec>) -> JobSpec {
     JobSpec {
         queue: "quotes".to_owned(),
+        pool: "pool-a".to_owned(),
         tenant: "shop".to_owned(),
         text: "text".to_owned(),
         steps,
--- a/crates/vanillafold/src/fleet/directory.rs
+++ b/crates/vanillafold/src/fleet/directory.rs
@@ -1,27 +1,34 @@
 //! Who owns the shard, as a daemon that does not knows it.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use monoio::time::{sleep, timeout};
+use vanillafold_policy::SplitMix;
 use vanillafold_wire::Caller;
 
 use super::config::OperatorRecord;
 use super::hub::Fleet;
 use super::message::{FleetAnswer, FleetRequest};
-use super::platform::{FleetPlatform, KeyedRow, MetadataStore};
+use super::platform::{FleetPlatform, KeyedRow, MetadataStore, Ownership};
 use super::settings::{
-    CALL_CONNECT_TIMEOUT, CALL_TIMEOUT, OWNERS_GROUP, PING_INTERVAL, READ_RETRY, SHARD_PARTITION,
+    CALL_CONNECT_TIMEOUT, CALL_TIMEOUT, OWNERS_GROUP, PING_INTERVAL, SHARD_PARTITION,
+    VACANCY_INTERVAL, VACANT_READS,
 };
 use super::time::now;
 
+/// The prime of the FNV-1a hash with 64 bits.
+const TURN_HASH_PRIME: u64 = 0x0000_0100_0000_01b3;
+/// Daemons spread their tries to become the owner over this time, in milliseconds: some thirty
+/// calls of the store.
+const TURN_RANGE_MS: u64 = 240;
+
 /// The owner that is known.
 #[derive(Debug, Default)]
 pub(crate) struct Directory {
     owner: RefCell<Option<Rc<Caller>>>,
     member: RefCell<String>,
-    /// The owner that is known does not answer, or is none.
-    pub(crate) doubtful: Cell<bool>,
 }
 
 impl Directory {
@@ -43,35 +50,74 @@
 }
 
 /// Keeps track of the owner, and of its configuration where the store can't be reached.
+///
+/// Only the owner stays in the owners' group, so that the group gives the shard to nobody else
+/// while it lives. The others join once the group has nobody who holds the shard.
 pub(crate) async fn keep<P: FleetPlatform>(fleet: Rc<Fleet<P>>) {
     let mut store = fleet.platform.store();
-    let mut read_owners = true;
+    let mut ever_known = false;
+    let mut vacant_reads = 0;
     loop {
-        if read_owners || fleet.directory.doubtful.replace(false) {
-            match store.owners(OWNERS_GROUP).await {
-                Ok(rows) => {
-                    let row = rows.iter().find(|row| row.partition == SHARD_PARTITION);
-                    if let Some(row) = row {
-                        fleet.directory.set(&row.member);
-                    }
+        if ping(&fleet).await {
+            ever_known = true;
+            vacant_reads = 0;
+            fleet.vacant.set(false);
+            // A call that fails is a reason to look sooner.
+            let _ = timeout(PING_INTERVAL, fleet.owner_doubtful.take()).await;
+            continue;
+        }
+        vacant_reads = match is_vacant(&fleet, &mut store).await {
+            true => vacant_reads + 1,
+            false => 0,
+        };
+        let enough = match ever_known {
+            true => VACANT_READS,
+            false => 1,
+        };
+        if vacant_reads >= enough && !fleet.vacant.get() {
+            // Daemons try one after the other: each that joins may move the shard once more.
+            sleep(turn(&fleet.settings.daemon)).await;
+            if is_vacant(&fleet, &mut store).await {
+                log::info!("the shard has no owner");
+                fleet.vacant.set(true);
+                fleet.vacancy.give();
+            }
+        }
+        sleep(VACANCY_INTERVAL).await;
+    }
+}
+
+/// Whether nobody holds the shard; an owner that is found is taken note of.
+async fn is_vacant<P: FleetPlatform>(fleet: &Fleet<P>, store: &mut P::Store) -> bool {
+    match store.owners(OWNERS_GROUP).await {
+        Ok(rows) => {
+            let holds = |row: &&Ownership| {
+                row.partition == SHARD_PARTITION && !row.member.is_empty()
+            };
+            match rows.iter().find(holds) {
+                Some(row) => {
+                    fleet.directory.set(&row.member);
+                    false
                 }
-                Err(error) => log::debug!(error = error.to_string(); "owners not read"),
+                None => true,
             }
         }
-        let known = ping(&fleet).await;
-        let wait = match known {
-            true => PING_INTERVAL,
-            false => READ_RETRY,
-        };
-        let changed = timeout(wait, fleet.group_changed.take()).await.is_ok();
-        read_owners = changed || !known;
-        if changed && !known {
-            sleep(READ_RETRY / 4).await;
+        Err(error) => {
+            log::debug!(error = error.to_string(); "owners not read");
+            false
         }
     }
 }
 
-/// Asks the owner whether it is there; true if it is, or if it is this daemon.
+/// How long a daemon waits before it tries to become the owner.
+fn turn(daemon: &str) -> Duration {
+    let mut random = SplitMix::new(daemon.bytes().fold(0, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(TURN_HASH_PRIME)
+    }));
+    Duration::from_millis(random.below(TURN_RANGE_MS))
+}
+
+/// Asks the owner whether it is there and in touch with the store; true if it is.
 async fn ping<P: FleetPlatform>(fleet: &Rc<Fleet<P>>) -> bool {
     if fleet.open_office().is_some() {
         return true;
@@ -87,6 +133,7 @@
         Ok(FleetAnswer::Pong {
             epoch,
             config_version,
+            unconfirmed_ms,
         }) => {
             let latest = fleet.latest_epoch.get();
             fleet.latest_epoch.set(latest.max(epoch));
@@ -97,7 +144,7 @@
             if config_version > known {
                 fetch_config(fleet, &owner, known).await;
             }
-            epoch >= latest
+            epoch >= latest && unconfirmed_ms <= fleet.settings.member_ttl_ms
         }
         Ok(_) => false,
         Err(error) => {
--- a/crates/vanillafold/src/fleet/forward.rs
+++ b/crates/vanillafold/src/fleet/forward.rs
@@ -31,8 +31,7 @@
                 Err(CallError::NoAnswer { .. }) => sent = true,
                 Err(_) => {}
             }
-            self.directory.doubtful.set(true);
-            self.group_changed.give();
+            self.owner_doubtful.give();
             sleep(OWNER_RETRY).await;
             let passed_ms = now().since(began).get();
             left_ms = limit_ms.saturating_sub(passed_ms);
--- a/crates/vanillafold/src/fleet/hub.rs
+++ b/crates/vanillafold/src/fleet/hub.rs
@@ -71,8 +71,11 @@
     pub(crate) draining: Cell<bool>,
     pub(crate) leaving: Signal,
     pub(crate) in_flight: Cell<usize>,
-    /// The group's membership has changed: the owner may have, too.
-    pub(crate) group_changed: Notice,
+    /// The owner may have changed.
+    pub(crate) owner_doubtful: Notice,
+    /// The shard has no owner: this daemon should try to become it.
+    pub(crate) vacant: Cell<bool>,
+    pub(crate) vacancy: Notice,
 }
 
 impl<P: FleetPlatform> Fleet<P> {
@@ -95,7 +98,9 @@
             draining: Cell::new(false),
             leaving: Signal::default(),
             in_flight: Cell::new(0),
-            group_changed: Notice::default(),
+            owner_doubtful: Notice::default(),
+            vacant: Cell::new(false),
+            vacancy: Notice::default(),
         })
     }
 
@@ -198,6 +203,7 @@
             (Some(office), FleetRequest::Ping { .. }) => FleetAnswer::Pong {
                 epoch: office.epoch().get(),
                 config_version: self.config().map_or(0, |config| config.version),
+                unconfirmed_ms: now().since(self.confirmed_at.get()).get(),
             },
             (Some(office), request) => office.answer(request).await,
             (None, _) => FleetAnswer::NotOwner,
--- a/crates/vanillafold/src/fleet/membership.rs
+++ b/crates/vanillafold/src/fleet/membership.rs
@@ -1,8 +1,9 @@
 //! Keeps the daemon in the owners' group, and opens and closes its ownership.
 
 use std::rc::Rc;
+use std::time::Duration;
 
-use monoio::time::sleep;
+use monoio::time::{sleep, timeout};
 use vanillafold_jobs::Epoch;
 
 use super::hub::Fleet;
@@ -13,12 +14,24 @@
 };
 use super::time::now;
 
-/// Joins again and again until the daemon stops.
+/// How long a daemon that is not in the group waits before it looks whether it should be.
+const IDLE_WAIT: Duration = Duration::from_secs(1);
+
+/// Joins as long as this daemon owns the shard or nobody does, until it stops.
 pub(crate) async fn keep<P: FleetPlatform>(fleet: Rc<Fleet<P>>) {
     let mut store = fleet.platform.store();
     let mut generation = 0;
     let mut lost = false;
     while !fleet.leaving.is_raised() {
+        let owns = fleet.office.borrow().is_some();
+        if !owns && !fleet.vacant.get() {
+            if generation > 0 {
+                withdraw(&fleet, &mut store).await;
+                generation = 0;
+            }
+            let _ = fleet.leaving.cancel(timeout(IDLE_WAIT, fleet.vacancy.take())).await;
+            continue;
+        }
         let sent_at = now();
         let ttl_ms = fleet.settings.member_ttl_ms;
         let join = store.join(OWNERS_GROUP, &fleet.member, SHARDS_TOPIC, ttl_ms, generation);
@@ -31,13 +44,8 @@
                     log::info!("the store answers again");
                 }
                 fleet.confirmed_at.set(sent_at);
-                let changed = membership.generation != generation;
                 generation = membership.generation;
-                if changed {
-                    fleet.group_changed.give();
-                }
-                let released = apply(&fleet, &membership);
-                match released {
+                match apply(&fleet, &membership) {
                     // Joining again is what lets the next owner begin.
                     true => continue,
                     false => JOIN_INTERVAL,
@@ -54,6 +62,14 @@
     }
 }
 
+/// Leaves the group to the owner.
+async fn withdraw<P: FleetPlatform>(fleet: &Fleet<P>, store: &mut P::Store) {
+    if let Err(error) = store.leave(OWNERS_GROUP, &fleet.member).await {
+        // Not joining again has the same effect, later.
+        log::debug!(error = error.to_string(); "the owners' group was not left");
+    }
+}
+
 /// Opens or closes the ownership; true if one was closed.
 fn apply<P: FleetPlatform>(fleet: &Rc<Fleet<P>>, membership: &Membership) -> bool {
     let holds = membership.partitions.contains(&SHARD_PARTITION);
--- a/crates/vanillafold/src/fleet/message.rs
+++ b/crates/vanillafold/src/fleet/message.rs
@@ -51,6 +51,8 @@
         epoch: u64,
         /// The version of its configuration.
         config_version: u64,
+        /// How long ago the store last confirmed it, in milliseconds.
+        unconfirmed_ms: u64,
     },
     /// The configuration record, as the operator wrote it; empty if there is none later.
     Config(Vec<u8>),
--- a/crates/vanillafold/src/fleet/office.rs
+++ b/crates/vanillafold/src/fleet/office.rs
@@ -148,12 +148,11 @@
         match request {
             FleetRequest::Submit(id, spec) => self.submit(id, spec).await,
             FleetRequest::Cancel(id) => self.cancel(id).await,
-            FleetRequest::State(id) => self
-                .with(|shard| match shard.state(id) {
-                    Some(state) => FleetAnswer::State(state.to_string()),
-                    None => FleetAnswer::NoJob,
-                })
-                .unwrap_or(FleetAnswer::NotOwner),
+            FleetRequest::State(id) => match self.with(|shard| shard.state(id)) {
+                Some(Some(state)) => FleetAnswer::State(state.to_string()),
+                Some(None) => self.no_job(),
+                None => FleetAnswer::NotOwner,
+            },
             FleetRequest::Pending(queue) => self
                 .with(|shard| FleetAnswer::Pending(shard.pending(&queue) as u64))
                 .unwrap_or(FleetAnswer::NotOwner),
@@ -187,7 +186,7 @@
     async fn cancel(&self, id: JobId) -> FleetAnswer {
         match self.with(|shard| shard.cancel(id, now(), unix_ms())) {
             None => FleetAnswer::NotOwner,
-            Some(CancelOutcome::Unknown) => FleetAnswer::NoJob,
+            Some(CancelOutcome::Unknown) => self.no_job(),
             Some(CancelOutcome::Over) => FleetAnswer::Cancelled,
             Some(CancelOutcome::Storing) => {
                 self.events.give();
@@ -196,6 +195,15 @@
         }
     }
 
+    /// An owner that the store has not confirmed lately may have a successor that knows the job.
+    fn no_job(&self) -> FleetAnswer {
+        let unconfirmed_ms = now().since(self.fleet.confirmed_at.get()).get();
+        match unconfirmed_ms <= self.fleet.settings.member_ttl_ms {
+            true => FleetAnswer::NoJob,
+            false => FleetAnswer::NotOwner,
+        }
+    }
+
     async fn wait(&self, job: JobId, waits_for: WaitsFor) -> FleetAnswer {
         let (tell, told) = oneshot::channel();
         self.waiters.borrow_mut().push(Waiter {
--- a/crates/vanillafold/src/fleet/settings.rs
+++ b/crates/vanillafold/src/fleet/settings.rs
@@ -33,6 +33,11 @@
 pub(crate) const JOIN_INTERVAL: Duration = Duration::from_millis(400);
 /// After a failed join.
 pub(crate) const JOIN_RETRY: Duration = Duration::from_millis(150);
+/// Between two looks for an owner while none answers.
+pub(crate) const VACANCY_INTERVAL: Duration = Duration::from_millis(120);
+/// So many reads in a row must show that nobody holds the shard: an owner that the store has
+/// forgotten in an outage joins again meanwhile.
+pub(crate) const VACANT_READS: u32 = 2;
 /// Between two looks at the owner by each other daemon; bounds how long a daemon that lost its
 /// owner stays ready.
 pub(crate) const PING_INTERVAL: Duration = Duration::from_millis(1_000);
