Let pings say how old they can be; one ownership for each epoch

A ping now echoes the owner's clock from its last answer. An ownership whose membership may have lapsed ends; an epoch is never used twice.

--- a/crates/vanillafold-jobs/src/shard/duties.rs
+++ b/crates/vanillafold-jobs/src/shard/duties.rs
@@ -161,6 +161,12 @@
         });
     }
 
+    /// Whether machines are on their way whose workers will come soon.
+    #[must_use]
+    pub const fn expects_workers(&self) -> bool {
+        !self.ordered.is_empty()
+    }
+
     /// Orders about machines since the last call.
     pub fn take_duties(&mut self) -> Vec<MachineDuty> {
         std::mem::take(&mut self.duties)
--- a/crates/vanillafold/src/fleet/attend.rs
+++ b/crates/vanillafold/src/fleet/attend.rs
@@ -12,7 +12,7 @@
 use super::platform::{
     FleetPlatform, KeyedRow, Keyspace, Looks, MetadataStore, Orders, StoreError,
 };
-use super::settings::{READ_RETRY, WORKER_LIST_INTERVAL};
+use super::settings::{READ_RETRY, WORKER_LIST_HURRY, WORKER_LIST_INTERVAL};
 use super::time::{now, unix_ms};
 
 /// What the office has of one worker.
@@ -162,7 +162,12 @@
                     merge(&mut rows, change);
                 }
                 take_in(&office, &rows);
-                sleep(WORKER_LIST_INTERVAL).await;
+                let expected = office.with(|shard| shard.expects_workers());
+                sleep(match expected {
+                    Some(true) => WORKER_LIST_HURRY,
+                    _ => WORKER_LIST_INTERVAL,
+                })
+                .await;
             }
             Err(StoreError::Trimmed) => next = None,
             Err(error) => {
--- a/crates/vanillafold/src/fleet/directory.rs
+++ b/crates/vanillafold/src/fleet/directory.rs
@@ -1,6 +1,6 @@
 //! Who owns the shard, as a daemon that does not knows it.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,7 +13,7 @@
 use super::message::{FleetAnswer, FleetRequest};
 use super::platform::{FleetPlatform, KeyedRow, MetadataStore, Ownership};
 use super::settings::{
-    CALL_CONNECT_TIMEOUT, CALL_TIMEOUT, OWNERS_GROUP, PING_INTERVAL, SHARD_PARTITION,
+    CALL_CONNECT_TIMEOUT, CALL_TIMEOUT, OWNERS_GROUP, PING_INTERVAL, PING_TIMEOUT, SHARD_PARTITION,
     VACANCY_INTERVAL, VACANT_READS,
 };
 use super::time::now;
@@ -29,6 +29,8 @@
 pub(crate) struct Directory {
     owner: RefCell<Option<Rc<Caller>>>,
     member: RefCell<String>,
+    /// The owner's clock at its last answer, in milliseconds.
+    seen_ms: Cell<u64>,
 }
 
 impl Directory {
@@ -42,6 +44,7 @@
             return;
         }
         member.clone_into(&mut self.member.borrow_mut());
+        self.seen_ms.set(0);
         let address = member.split('/').next().and_then(|text| text.parse().ok());
         log::info!(owner = member; "the shard has this owner");
         *self.owner.borrow_mut() =
@@ -128,13 +131,16 @@
     let request = FleetRequest::Ping {
         zone: fleet.settings.zone.clone(),
         epoch: fleet.latest_epoch.get(),
+        seen_ms: fleet.directory.seen_ms.get(),
     };
-    match fleet.call(&owner, &request, CALL_TIMEOUT).await {
+    match fleet.call(&owner, &request, PING_TIMEOUT).await {
         Ok(FleetAnswer::Pong {
             epoch,
             config_version,
+            clock_ms,
             unconfirmed_ms,
         }) => {
+            fleet.directory.seen_ms.set(clock_ms);
             let latest = fleet.latest_epoch.get();
             fleet.latest_epoch.set(latest.max(epoch));
             if epoch >= latest {
--- a/crates/vanillafold/src/fleet/hub.rs
+++ b/crates/vanillafold/src/fleet/hub.rs
@@ -63,12 +63,15 @@
     pub(crate) office: RefCell<Option<Rc<Office<P>>>>,
     pub(crate) directory: Directory,
     pub(crate) owner_heard_at: Cell<Option<MonotonicMillis>>,
-    /// When a daemon of another zone last called.
+    /// At this time, on this daemon's clock, a daemon of another zone was surely there.
     pub(crate) other_zone_at: Cell<MonotonicMillis>,
     pub(crate) latest_epoch: Cell<u64>,
+    /// The epoch of the last ownership of this process.
+    pub(crate) last_epoch: Cell<u64>,
     /// When the store last confirmed what this daemon holds.
     pub(crate) confirmed_at: Cell<MonotonicMillis>,
     pub(crate) draining: Cell<bool>,
+    ready: Cell<bool>,
     pub(crate) leaving: Signal,
     pub(crate) in_flight: Cell<usize>,
     /// The owner may have changed.
@@ -94,8 +97,10 @@
             owner_heard_at: Cell::new(None),
             other_zone_at: Cell::new(MonotonicMillis::ZERO),
             latest_epoch: Cell::new(0),
+            last_epoch: Cell::new(0),
             confirmed_at: Cell::new(MonotonicMillis::ZERO),
             draining: Cell::new(false),
+            ready: Cell::new(false),
             leaving: Signal::default(),
             in_flight: Cell::new(0),
             owner_doubtful: Notice::default(),
@@ -131,7 +136,15 @@
         let contact = self.owner_heard_at.get();
         let owner = self.open_office().is_some()
             || contact.is_some_and(|at| now().since(at).get() < OWNER_CONTACT_MS);
-        !self.draining.get() && self.config.borrow().is_some() && owner
+        let ready = !self.draining.get() && self.config.borrow().is_some() && owner;
+        if self.ready.replace(ready) != ready {
+            log::info!(
+                ready = ready, draining = self.draining.get(), owner = owner,
+                configured = self.config.borrow().is_some();
+                "readiness changed"
+            );
+        }
+        ready
     }
 
     /// Whether the daemon stops.
@@ -192,9 +205,15 @@
     }
 
     async fn answer_call(self: &Rc<Self>, request: FleetRequest) -> FleetAnswer {
-        if let FleetRequest::Ping { zone, epoch } = &request {
-            if *zone != self.settings.zone {
-                self.other_zone_at.set(now());
+        if let FleetRequest::Ping {
+            zone,
+            epoch,
+            seen_ms,
+        } = &request
+        {
+            let seen_at = MonotonicMillis::new(*seen_ms).min(now());
+            if *zone != self.settings.zone && seen_at > self.other_zone_at.get() {
+                self.other_zone_at.set(seen_at);
             }
             self.latest_epoch.set(self.latest_epoch.get().max(*epoch));
         }
@@ -203,6 +222,7 @@
             (Some(office), FleetRequest::Ping { .. }) => FleetAnswer::Pong {
                 epoch: office.epoch().get(),
                 config_version: self.config().map_or(0, |config| config.version),
+                clock_ms: now().get(),
                 unconfirmed_ms: now().since(self.confirmed_at.get()).get(),
             },
             (Some(office), request) => office.answer(request).await,
--- a/crates/vanillafold/src/fleet/membership.rs
+++ b/crates/vanillafold/src/fleet/membership.rs
@@ -10,7 +10,7 @@
 use super::office::Office;
 use super::platform::{FleetPlatform, Membership, MetadataStore};
 use super::settings::{
-    JOIN_INTERVAL, JOIN_RETRY, OWNERS_GROUP, SHARD_PARTITION, SHARDS_TOPIC,
+    JOIN_INTERVAL, JOIN_RETRY, OWNER_ISOLATION_MS, OWNERS_GROUP, SHARD_PARTITION, SHARDS_TOPIC,
 };
 use super::time::now;
 
@@ -43,9 +43,12 @@
                 if std::mem::replace(&mut lost, false) {
                     log::info!("the store answers again");
                 }
-                fleet.confirmed_at.set(sent_at);
+                let lapsed = sent_at.since(fleet.confirmed_at.get()).get() > OWNER_ISOLATION_MS
+                    && membership.generation != generation;
                 generation = membership.generation;
-                match apply(&fleet, &membership) {
+                let changed = apply(&fleet, &membership, lapsed);
+                fleet.confirmed_at.set(sent_at);
+                match changed {
                     // Joining again is what lets the next owner begin.
                     true => continue,
                     false => JOIN_INTERVAL,
@@ -70,8 +73,9 @@
     }
 }
 
-/// Opens or closes the ownership; true if one was closed.
-fn apply<P: FleetPlatform>(fleet: &Rc<Fleet<P>>, membership: &Membership) -> bool {
+/// Opens or closes the ownership; true if one was closed. If the membership may have `lapsed`,
+/// another daemon may have owned the shard meanwhile.
+fn apply<P: FleetPlatform>(fleet: &Rc<Fleet<P>>, membership: &Membership, lapsed: bool) -> bool {
     let holds = membership.partitions.contains(&SHARD_PARTITION);
     let current = fleet.office.borrow().clone();
     match current {
@@ -79,17 +83,26 @@
             fleet.office.borrow_mut().take();
             false
         }
-        Some(office) if !holds => {
-            office.close("the shard went to another daemon");
+        Some(office) if !holds || lapsed => {
+            office.close(match holds {
+                true => "the membership had lapsed",
+                false => "the shard went to another daemon",
+            });
             fleet.office.borrow_mut().take();
             true
         }
-        None if holds => {
+        None if holds && membership.generation > fleet.last_epoch.get() => {
             let epoch = Epoch::new(membership.generation);
+            fleet.last_epoch.set(membership.generation);
             let office = Office::open(fleet, epoch);
             *fleet.office.borrow_mut() = Some(office);
             false
         }
+        None if holds => {
+            // An epoch serves one ownership only: leaving makes the group begin another.
+            fleet.vacant.set(false);
+            false
+        }
         _ => false,
     }
 }
--- a/crates/vanillafold/src/fleet/message.rs
+++ b/crates/vanillafold/src/fleet/message.rs
@@ -20,6 +20,9 @@
         zone: String,
         /// The latest epoch that it knows of.
         epoch: u64,
+        /// The time of the last answer of this owner, on the owner's clock; 0 if there is none. A
+        /// call may arrive long after it was sent: this says how old it can be.
+        seen_ms: u64,
     },
     /// Which configuration do you have, if it is later than this version?
     Config(u64),
@@ -51,6 +54,8 @@
         epoch: u64,
         /// The version of its configuration.
         config_version: u64,
+        /// The owner's clock.
+        clock_ms: u64,
         /// How long ago the store last confirmed it, in milliseconds.
         unconfirmed_ms: u64,
     },
--- a/crates/vanillafold/src/fleet/settings.rs
+++ b/crates/vanillafold/src/fleet/settings.rs
@@ -41,6 +41,8 @@
 /// Between two looks at the owner by each other daemon; bounds how long a daemon that lost its
 /// owner stays ready.
 pub(crate) const PING_INTERVAL: Duration = Duration::from_millis(1_000);
+/// How long the owner may take to say that it is there: a slow owner's answer is late, not lost.
+pub(crate) const PING_TIMEOUT: Duration = Duration::from_millis(300);
 /// A daemon that has not reached the owner for so long is not ready, in milliseconds.
 pub(crate) const OWNER_CONTACT_MS: u64 = 3_500;
 /// An owner that is not confirmed by the store and not called from another zone for so long
@@ -62,6 +64,8 @@
 pub(crate) const PASS_GAP: Duration = Duration::from_millis(4);
 /// Between two reads of the list of workers.
 pub(crate) const WORKER_LIST_INTERVAL: Duration = Duration::from_millis(400);
+/// The same while machines are on their way to a pool: each waits for its worker to be found.
+pub(crate) const WORKER_LIST_HURRY: Duration = Duration::from_millis(100);
 /// Between two reads of the list of machines.
 pub(crate) const MACHINE_LIST_INTERVAL: Duration = Duration::from_millis(500);
 /// How long a read of the operator's records waits for the next one, in milliseconds: a
