Judge admission by organisation; begin duties soon after a takeover

An organisation's backlog is judged against its share of what the pool can reach; the pause between owners holds for machines that may have been ordered.

--- a/crates/vanillafold-jobs/src/shard/duties.rs
+++ b/crates/vanillafold-jobs/src/shard/duties.rs
@@ -259,7 +259,7 @@
 
     /// Plans upkeep and moves.
     pub(super) fn plan_duties(&mut self, now: MonotonicMillis) {
-        let begin = self.taken_over_at.get() + self.settings.duty_pause_ms;
+        let begin = self.taken_over_at.get() + LIST_LAG_MS;
         let early = now.get() < begin || now < self.next_plan_at;
         if !self.machines_listed || self.unclear || early {
             return;
@@ -294,8 +294,17 @@
         }
     }
 
-    fn is_ordered(&self, machine: &str) -> bool {
-        self.ordered.iter().any(|row| row.machine == machine)
+    /// Whether this owner may not order a machine now: it has, or an earlier owner may have
+    /// within the pause between two owners. An order begins a new life of the machine's worker,
+    /// so that one that has lived for long enough had no order.
+    fn is_ordered(&self, machine: &Machine, now: MonotonicMillis) -> bool {
+        let paused = now.get() < self.taken_over_at.get() + self.settings.duty_pause_ms;
+        let worker = machine.worker.as_ref().and_then(|id| self.worker_position(id));
+        let old = worker.is_some_and(|at| {
+            self.workers[at].lived_ms(now) > Some(self.settings.duty_pause_ms + LIST_LAG_MS)
+        });
+        let ordered = self.ordered.iter().any(|row| row.machine == machine.name);
+        ordered || (paused && !old)
     }
 
     fn plan_wave(&mut self, at: usize, now: MonotonicMillis) {
@@ -344,7 +353,7 @@
         let places = self.waves[at].wave.max_away.saturating_sub(away);
         let mut left: Vec<Machine> = left
             .into_iter()
-            .filter(|machine| machine.state == MachineState::Up && !self.is_ordered(&machine.name))
+            .filter(|machine| machine.state == MachineState::Up && !self.is_ordered(machine, now))
             .collect();
         for _ in 0..places {
             let candidates: Vec<UpkeepCandidate> =
@@ -529,7 +538,8 @@
                 demands[pool].cpu_millis += machine.capacity.cpu_millis;
             }
             let due = self.is_due(&machine.name);
-            if ordered.is_some() || machine.state != MachineState::Up || draining || due {
+            let barred = self.is_ordered(machine, now);
+            if barred || machine.state != MachineState::Up || draining || due {
                 continue;
             }
             let idle = match worker {
--- a/crates/vanillafold-jobs/src/shard/schedule.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule.rs
@@ -10,7 +10,7 @@
 use super::root::Shard;
 use crate::id::{JobId, RunNumber, TaskId};
 use crate::job::{Job, TaskStatus};
-use crate::spec::{JobSpec, StepSpec};
+use crate::spec::{JobSpec, Resources, StepSpec};
 use crate::worker::{Run, RunPhase, Worker};
 
 /// The estimate of a task whose caller gave none, in milliseconds.
@@ -21,6 +21,8 @@
 const PREEMPT_AFTER_MS: u64 = 1_000;
 /// Between two preemptions, in milliseconds: what is being stopped still takes room meanwhile.
 const PREEMPT_INTERVAL_MS: u64 = 1_000;
+/// An organisation is over its share from this part of it on, in percent: tasks are coarse.
+const OVER_SHARE_PERCENT: u64 = 125;
 /// Failed runs after which a job of a queue that is gone has failed.
 const FORMER_QUEUE_ATTEMPTS: u32 = 3;
 
@@ -115,6 +117,7 @@
 
     fn waiting_steps(&self, now: MonotonicMillis, now_unix_ms: u64) -> Vec<Waiting> {
         let mut waiting = Vec::new();
+        let over_share = self.over_share();
         for id in &self.open {
             let Some(job) = self.job(*id).filter(|job| job.spec_stored) else {
                 continue;
@@ -126,7 +129,7 @@
                         continue;
                     }
                     waiting.push(Waiting {
-                        rank: self.rank(job, occurrence.number, at, now, now_unix_ms),
+                        rank: self.rank(job, occurrence.number, at, &over_share, now, now_unix_ms),
                         job: *id,
                         occurrence: occurrence.number,
                         step: u16::try_from(at).unwrap_or(u16::MAX),
@@ -137,11 +140,28 @@
         waiting
     }
 
+    /// Organisations that have more running than their share of all that runs, sorted by name.
+    fn over_share(&self) -> Vec<String> {
+        let running: u64 = self.usage.iter().map(|row| row.1.cpu_millis).sum();
+        let weight = |name: &str| self.catalogue.tenant(name).map_or(0, |row| row.weight);
+        let weights: u64 = self
+            .usage
+            .iter()
+            .filter(|row| row.1.cpu_millis > 0)
+            .map(|row| weight(&row.0))
+            .sum();
+        let over = |row: &&(String, Resources)| {
+            row.1.cpu_millis * weights * 100 > running * weight(&row.0) * OVER_SHARE_PERCENT
+        };
+        self.usage.iter().filter(over).map(|row| row.0.clone()).collect()
+    }
+
     fn rank(
         &self,
         job: &Job,
         occurrence: u32,
         step: usize,
+        over_share: &[String],
         now: MonotonicMillis,
         now_unix_ms: u64,
     ) -> Rank {
@@ -161,11 +181,6 @@
         let remaining_ms = row.map_or(0, |row| {
             self.longest_chain(&job.spec, |at| !row.steps[at].is_done())
         });
-        let tenant = self.catalogue.tenant(&job.spec.tenant);
-        let used = self.usage(&job.spec.tenant).cpu_millis;
-        let weight = tenant.map_or(1, |tenant| tenant.weight.max(1));
-        #[allow(clippy::cast_precision_loss)] // thousandths of cores
-        let tenant_load = used as f64 / weight as f64;
         rank(&QueuedStep {
             persistent: job.spec.steps[step].persistent,
             priority: queue.map_or(0, |queue| queue.priority),
@@ -173,7 +188,7 @@
             until_late_ms: signed(objective_ms) - signed(passed_ms),
             remaining_ms,
             remaining_core_ms: self.remaining_core_ms(job),
-            tenant_load,
+            over_share: over_share.binary_search(&job.spec.tenant).is_ok(),
         })
     }
 
--- a/crates/vanillafold-jobs/src/shard/submit.rs
+++ b/crates/vanillafold-jobs/src/shard/submit.rs
@@ -72,35 +72,61 @@
         let pool = &queue.pool;
         let objective_ms =
             self.chain_ms(spec) * queue.stretch_millis / 1_000 + queue.target_latency_ms;
-        let of_pool = |worker: &&crate::worker::Worker| worker.entry.pool == *pool;
-        let cpu_millis: u64 = self
-            .workers
-            .iter()
-            .filter(of_pool)
-            .map(|worker| worker.entry.capacity.cpu_millis)
-            .sum();
+        let (own_core_ms, weights) = self.backlog(pool, &spec.tenant);
+        let cores = self.reachable_cpu_millis(pool) / 1_000;
+        let tenant = self.catalogue.tenant(&spec.tenant);
+        let weight = tenant.map_or(1, |tenant| tenant.weight.max(1));
+        let share = cores * weight / weights.max(weight);
+        let limit = tenant.map_or(0, |tenant| tenant.limit.cpu_millis / 1_000);
         admit(PoolLoad {
-            queued_core_ms: self.queued_core_ms(pool),
-            cores: cpu_millis / 1_000,
+            queued_core_ms: own_core_ms,
+            cores: match limit {
+                0 => share,
+                limit => share.min(limit),
+            },
             job_core_ms: self.work_core_ms(spec),
             useful_ms: objective_ms * USEFUL_OBJECTIVES,
         })
     }
 
-    /// What the open jobs of a pool still take, in core-milliseconds.
-    fn queued_core_ms(&self, pool: &str) -> u64 {
-        let mut total = 0;
+    /// What an organisation's open jobs in a pool still take, in core-milliseconds, and the sum
+    /// of the weights of all organisations with open jobs there.
+    fn backlog(&self, pool: &str, tenant: &str) -> (u64, u64) {
+        let mut own = 0;
+        let mut tenants: Vec<&str> = vec![tenant];
         for id in &self.open {
             let Some(job) = self.job(*id) else { continue };
             let here = self
                 .catalogue
                 .queue(&job.spec.queue)
                 .is_some_and(|queue| queue.pool == pool);
-            if here {
-                total += self.remaining_core_ms(job);
+            if !here {
+                continue;
+            }
+            if job.spec.tenant == tenant {
+                own += self.remaining_core_ms(job);
             }
+            if let Err(at) = tenants.binary_search(&job.spec.tenant.as_str()) {
+                tenants.insert(at, &job.spec.tenant);
+            }
+        }
+        let weight = |name: &&str| self.catalogue.tenant(name).map_or(1, |row| row.weight.max(1));
+        (own, tenants.iter().map(weight).sum())
+    }
+
+    /// What a pool has, and could get from the spare pool and from what others do not use.
+    fn reachable_cpu_millis(&self, pool: &str) -> u64 {
+        let mut total = 0;
+        for worker in self.workers.iter().filter(|worker| worker.listed) {
+            let capacity = worker.entry.capacity.cpu_millis;
+            total += match worker.entry.pool == pool {
+                true => capacity,
+                false if worker.runs.is_empty() => capacity,
+                false => 0,
+            };
         }
-        total
+        let off = self.machines.iter().filter(|machine| machine.worker.is_none());
+        total + off.map(|machine| machine.capacity.cpu_millis).sum::<u64>()
     }
 
     /// Cancels a job. Its tasks stop at once.
--- a/crates/vanillafold-jobs/src/worker/book.rs
+++ b/crates/vanillafold-jobs/src/worker/book.rs
@@ -214,6 +214,12 @@
         Some(clock.worker_ms + now.since(clock.at).get() + lease_ms)
     }
 
+    /// How long the worker has lived, by its own clock, which starts with it.
+    pub(crate) fn lived_ms(&self, now: MonotonicMillis) -> Option<u64> {
+        let clock = self.clock?;
+        Some(clock.worker_ms + now.since(clock.at).get())
+    }
+
     /// Notes that an order with this deadline is out.
     pub(crate) fn lease(&mut self, deadline_ms: u64) {
         self.lease_deadline_ms = self.lease_deadline_ms.max(deadline_ms);
--- a/crates/vanillafold-policy/src/jobs/admission.rs
+++ b/crates/vanillafold-policy/src/jobs/admission.rs
@@ -1,11 +1,13 @@
 //! Which jobs are taken, and when the others may come back.
 
-/// How busy a pool is.
+/// How busy a pool is with the work of one organisation.
 #[derive(Debug, Clone, Copy)]
 pub struct PoolLoad {
-    /// What the waiting and running jobs of the pool still take, in core-milliseconds.
+    /// What the organisation's waiting and running jobs in the pool still take, in
+    /// core-milliseconds.
     pub queued_core_ms: u64,
-    /// What the pool has, in cores.
+    /// Cores that the organisation may count on: its share of the pool, and of what the pool can
+    /// get from others, within its limit.
     pub cores: u64,
     /// What the job takes, in core-milliseconds.
     pub job_core_ms: u64,
@@ -27,9 +29,10 @@
 
 /// Decides on a job that is handed in.
 ///
-/// Answers a burst that would fill the queue for longer than any answer is worth waiting for: a
-/// job that could only end after that time is refused at once, and its caller is told to come
-/// back when the queue has drained to half of it.
+/// Answers one organisation that sends several times its usual and would fill the queue for
+/// longer than any answer is worth waiting for: its job that could only end after that time is
+/// refused at once, and its caller is told to come back when its queue has drained to half of
+/// it. The jobs of other organisations are taken, as their own share is free.
 #[must_use]
 pub fn admit(load: PoolLoad) -> Admission {
     let drain_ms = (load.queued_core_ms + load.job_core_ms) / load.cores.max(1);
--- a/crates/vanillafold-policy/src/jobs/order.rs
+++ b/crates/vanillafold-policy/src/jobs/order.rs
@@ -15,8 +15,8 @@
     pub remaining_ms: u64,
     /// What the job's tasks still take, in core-milliseconds.
     pub remaining_core_ms: u64,
-    /// Cores that its organisation has running, divided by its weight.
-    pub tenant_load: f64,
+    /// Its organisation has more running than its share.
+    pub over_share: bool,
 }
 
 /// A place in the order; smaller comes first.
@@ -35,8 +35,9 @@
 ///
 /// Answers a queue that asks for several times its room for some seconds: persistent work first,
 /// as it serves users all day; then jobs that have begun and can still end in time, so that room
-/// already spent on them is not wasted; then the other jobs that can end in time, those with the
-/// least work first, as more callers are served from the same room; late jobs last, oldest first.
+/// already spent on them is not wasted; then the other jobs that can end in time, those of
+/// organisations within their share before the others, and those with the least work first, as
+/// more callers are served from the same room; late jobs last, oldest first.
 #[must_use]
 pub fn rank(step: &QueuedStep) -> Rank {
     let remaining = i64::try_from(step.remaining_ms).unwrap_or(i64::MAX);
@@ -44,8 +45,9 @@
     let work = i64::try_from(step.remaining_core_ms).unwrap_or(i64::MAX);
     let (class, key) = match step {
         _ if step.persistent => (0, 0),
-        _ if slack < HOPELESS_SLACK_MS => (3, step.until_late_ms),
+        _ if slack < HOPELESS_SLACK_MS => (4, step.until_late_ms),
         _ if step.begun => (1, slack),
+        _ if step.over_share => (3, work),
         _ => (2, work),
     };
     Rank {
--- a/crates/vanillafold/src/fleet/membership.rs
+++ b/crates/vanillafold/src/fleet/membership.rs
@@ -23,6 +23,10 @@
     let mut generation = 0;
     let mut lost = false;
     while !fleet.leaving.is_raised() {
+        let closed = fleet.office.borrow().as_ref().is_some_and(|office| office.is_closed());
+        if closed {
+            fleet.office.borrow_mut().take();
+        }
         let owns = fleet.office.borrow().is_some();
         if !owns && !fleet.vacant.get() {
             if generation > 0 {
@@ -79,10 +83,6 @@
     let holds = membership.partitions.contains(&SHARD_PARTITION);
     let current = fleet.office.borrow().clone();
     match current {
-        Some(office) if office.is_closed() => {
-            fleet.office.borrow_mut().take();
-            false
-        }
         Some(office) if !holds || lapsed => {
             office.close(match holds {
                 true => "the membership had lapsed",
--- a/crates/vanillafold/src/fleet/settings.rs
+++ b/crates/vanillafold/src/fleet/settings.rs
@@ -30,7 +30,7 @@
 pub(crate) const SHARD_PARTITION: u32 = 0;
 
 /// Between two joins: several fit into the time after which a member counts as gone.
-pub(crate) const JOIN_INTERVAL: Duration = Duration::from_millis(400);
+pub(crate) const JOIN_INTERVAL: Duration = Duration::from_millis(250);
 /// After a failed join.
 pub(crate) const JOIN_RETRY: Duration = Duration::from_millis(150);
 /// Between two looks for an owner while none answers.
