Let pools follow the work that arrives; shed VMs sooner, but not of unknown pools

Cause: VMs were sent to the spare pool in the lead before any work had come and were missing in the first burst; a pool grew only as tasks queued up; spare machines were barred for 3.7 s after a takeover. A pool's needs count the rate at which work arrives; pools without work so far keep their VMs; machines that are there again wait lease less time away between owners; VMs idle for 0.5 s go.

--- a/crates/vanillafold-jobs/src/shard/duties.rs
+++ b/crates/vanillafold-jobs/src/shard/duties.rs
@@ -122,6 +122,9 @@
 const REPEAT_DUTY_MS: u64 = 400;
 /// Between two plans, in milliseconds: the list of machines is read about twice a second.
 const PLAN_INTERVAL_MS: u64 = 100;
+/// A pool should have this part of what arriving work asks for, in percent: some above, to clear
+/// what has waited meanwhile.
+const ARRIVAL_PERCENT: u64 = 120;
 /// Most orders about machines in one plan: the platform takes a limited rate from all daemons.
 const MAX_ORDERS_PER_PLAN: usize = 6;
 
@@ -295,13 +298,13 @@
     }
 
     /// Whether this owner may not order a machine now: it has, or an earlier owner may have
-    /// within the pause between two owners. An order begins a new life of the machine's worker,
-    /// so that one that has lived for long enough had no order.
+    /// within the pause between two owners. A machine is away for a while after an order and its
+    /// worker then begins a new life: one that has lived for long enough had no order.
     fn is_ordered(&self, machine: &Machine, now: MonotonicMillis) -> bool {
         let paused = now.get() < self.taken_over_at.get() + self.settings.duty_pause_ms;
         let worker = machine.worker.as_ref().and_then(|id| self.worker_position(id));
         let old = worker.is_some_and(|at| {
-            self.workers[at].lived_ms(now) > Some(self.settings.duty_pause_ms + LIST_LAG_MS)
+            self.workers[at].lived_ms(now) > Some(self.settings.duty_pause_ms)
         });
         let ordered = self.ordered.iter().any(|row| row.machine == machine.name);
         ordered || (paused && !old)
@@ -516,6 +519,7 @@
                 wanted_cpu_millis: 0,
                 cpu_millis: 0,
                 spare: pool.1,
+                known: self.arrivals.iter().any(|row| row.pool == pool.0),
             })
             .collect();
         let mut vms = Vec::new();
@@ -567,7 +571,7 @@
         for at in 0..pools.len() {
             demands[at].wanted_cpu_millis = self.wanted_cpu_millis(&pools[at].0, now);
         }
-        let moves = plan_moves(&demands, &vms, true);
+        let moves = plan_moves(&demands, &vms);
         for advice in moves.into_iter().take(MAX_ORDERS_PER_PLAN) {
             let machine = names[advice.vm].clone();
             self.order_machine(machine, Some(pools[advice.to].0.clone()), None, now);
@@ -588,7 +592,7 @@
 
     /// What a pool should have: running work, work that could start now, and a VM for each
     /// persistent task that must stand alone.
-    fn wanted_cpu_millis(&self, pool: &str, _now: MonotonicMillis) -> u64 {
+    fn wanted_cpu_millis(&self, pool: &str, now: MonotonicMillis) -> u64 {
         let mut wanted = 0;
         let mut vm_cpu_millis = 0;
         for worker in self.workers.iter().filter(|worker| worker.entry.pool == pool) {
@@ -617,6 +621,9 @@
                 }
             }
         }
+        let arriving = self.arrivals.iter().find(|row| row.pool == pool);
+        let arriving = arriving.map_or(0, |row| row.cpu_millis(now));
+        let wanted = wanted.max(arriving * ARRIVAL_PERCENT / 100);
         let homeless = self.homeless.iter().filter(|row| *row == pool).count() as u64;
         wanted.max(u64::from(apart) * vm_cpu_millis) + homeless * vm_cpu_millis
     }
--- a/crates/vanillafold-jobs/src/shard/mod.rs
+++ b/crates/vanillafold-jobs/src/shard/mod.rs
@@ -1,5 +1,6 @@
 //! The state machine of one shard.
 
+mod arrivals;
 mod catalogue;
 mod duties;
 mod ends;
--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -4,6 +4,7 @@
 
 use vanillafold_policy::MonotonicMillis;
 
+use super::arrivals::Arrivals;
 use super::catalogue::Catalogue;
 use super::duties::{Machine, MachineDuty, Ordered, WaveState};
 use super::orders::Order;
@@ -55,6 +56,8 @@
     pub(super) dirty_waves: Vec<u64>,
     pub(super) ordered: Vec<Ordered>,
     pub(super) next_plan_at: MonotonicMillis,
+    /// Work that has come lately, by pool.
+    pub(super) arrivals: Vec<Arrivals>,
     /// Pools of persistent tasks that found no room in the last pass, one for each step.
     pub(super) homeless: Vec<String>,
     pub(super) preempt_at: MonotonicMillis,
@@ -100,6 +103,7 @@
             dirty_waves: Vec::new(),
             ordered: Vec::new(),
             next_plan_at: now,
+            arrivals: Vec::new(),
             homeless: Vec::new(),
             preempt_at: now,
             duties: Vec::new(),
--- a/crates/vanillafold-jobs/src/shard/schedule.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule.rs
@@ -368,7 +368,7 @@
     }
 
     /// The queue of a job; one that the configuration no longer has goes on where it was.
-    fn queue_of(&self, spec: &JobSpec) -> QueueInfo {
+    pub(super) fn queue_of(&self, spec: &JobSpec) -> QueueInfo {
         match self.catalogue.queue(&spec.queue) {
             Some(queue) => queue.clone(),
             None => QueueInfo {
--- a/crates/vanillafold-jobs/src/shard/settings.rs
+++ b/crates/vanillafold-jobs/src/shard/settings.rs
@@ -14,7 +14,8 @@
     pub outwait_ms: u64,
     /// How long the records of a job that is over are kept, in milliseconds.
     pub keep_final_ms: u64,
-    /// The least time between orders of two owners for one machine, in milliseconds.
+    /// How long a machine that is there again after an order must wait for an order of another
+    /// owner, in milliseconds.
     pub duty_pause_ms: u64,
     /// A serving task is away when it is not at work for so long, in milliseconds.
     pub notice_ms: u64,
--- a/crates/vanillafold-jobs/src/shard/submit.rs
+++ b/crates/vanillafold-jobs/src/shard/submit.rs
@@ -3,6 +3,7 @@
 use vanillafold_policy::MonotonicMillis;
 use vanillafold_policy::jobs::{Admission, PoolLoad, admit};
 
+use super::arrivals::Arrivals;
 use super::root::Shard;
 use crate::id::JobId;
 use crate::job::{Job, JobState};
@@ -54,6 +55,7 @@
         if let Admission::Refuse { retry_after_ms } = self.admission(&spec) {
             return SubmitOutcome::Refused { retry_after_ms };
         }
+        self.note_arrival(&spec, now);
         self.jobs.insert(at, Box::new(Job::new(id, spec, now)));
         if let Err(at) = self.open.binary_search(&id) {
             self.open.insert(at, id);
@@ -63,6 +65,20 @@
         SubmitOutcome::Storing
     }
 
+    fn note_arrival(&mut self, spec: &JobSpec, now: MonotonicMillis) {
+        let core_ms = self.work_core_ms(spec);
+        if core_ms == 0 {
+            return;
+        }
+        let pool = self.queue_of(spec).pool;
+        let known = self.arrivals.iter().position(|row| row.pool == pool);
+        let at = known.unwrap_or_else(|| {
+            self.arrivals.push(Arrivals::new(pool, now));
+            self.arrivals.len() - 1
+        });
+        self.arrivals[at].add(core_ms, now);
+    }
+
     fn admission(&self, spec: &JobSpec) -> Admission {
         let timed = spec.repeat.is_some() || spec.steps.iter().any(|step| step.persistent);
         let queue = self.catalogue.queue(&spec.queue).filter(|_| !timed);
--- a/crates/vanillafold-jobs/tests/shard/workers.rs
+++ b/crates/vanillafold-jobs/tests/shard/workers.rs
@@ -81,9 +81,20 @@
 #[test]
 fn a_worker_whose_machine_changed_is_not_looked_at_while_the_list_still_has_it() {
     let mut shard = running(&["w1", "w2"]);
+    let wave = vanillafold_jobs::Wave {
+        number: 1,
+        machines: vec!["w1".to_owned()],
+        duration_ms: 20_000,
+        max_away: 1,
+    };
+    shard.add_wave(wave, at(0));
     starts(&mut shard, 7_000);
-    let duties = shard.take_duties();
-    shard.duty_done(&duties[0], at(7_010), unix(7_010));
+    let upkeep = shard
+        .take_duties()
+        .into_iter()
+        .find(|duty| matches!(duty, vanillafold_jobs::MachineDuty::Upkeep { .. }))
+        .expect("an order for upkeep");
+    shard.duty_done(&upkeep, at(7_010), unix(7_010));
     let entries = vec![crate::fixture::entry("w1"), crate::fixture::entry("w2")];
     shard.set_workers(entries, at(7_100));
 
--- a/crates/vanillafold-policy/src/jobs/capacity.rs
+++ b/crates/vanillafold-policy/src/jobs/capacity.rs
@@ -9,6 +9,8 @@
     pub cpu_millis: u64,
     /// It is the spare pool, whose VMs cost nothing.
     pub spare: bool,
+    /// Work has come to it, so that its needs are known.
+    pub known: bool,
 }
 
 /// A VM that could leave its pool now without ending any work.
@@ -36,16 +38,16 @@
 /// A pool keeps this much above what it wants, in percent.
 const KEEP_PERCENT: u64 = 115;
 /// A VM goes to the spare pool after it has been idle for this long, in milliseconds: a move there
-/// and back costs about as much as this time in a pool.
-const SHED_AFTER_IDLE_MS: u64 = 2_500;
+/// and back costs about as much as two seconds in a pool, and bursts are shorter than lulls.
+const SHED_AFTER_IDLE_MS: u64 = 500;
 
 /// Plans moves: VMs of the spare pool and idle VMs of other pools go to pools that are short, and
 /// VMs that nobody needs go to the spare pool.
 ///
 /// Answers queues that ask by turns for about twice their pool while the fleet as a whole is half
-/// idle. A VM that has work stays.
+/// idle. A VM that has work stays, and so does that of a pool to which no work has come yet.
 #[must_use]
-pub fn plan_moves(pools: &[PoolDemand], vms: &[SpareVm], may_shed: bool) -> Vec<MoveAdvice> {
+pub fn plan_moves(pools: &[PoolDemand], vms: &[SpareVm]) -> Vec<MoveAdvice> {
     let mut has: Vec<u64> = pools.iter().map(|pool| pool.cpu_millis).collect();
     let mut taken = vec![false; vms.len()];
     let mut moves = Vec::new();
@@ -72,11 +74,12 @@
         moves.push(MoveAdvice { vm, to });
     }
     let spare = pools.iter().position(|pool| pool.spare);
-    let Some(spare) = spare.filter(|_| may_shed) else {
+    let Some(spare) = spare else {
         return moves;
     };
     for (at, vm) in vms.iter().enumerate() {
         let idle = vm.pool != spare && vm.idle_ms >= SHED_AFTER_IDLE_MS;
+        let idle = idle && pools[vm.pool].known;
         if idle && !taken[at] && keeps(&has, vm) {
             has[vm.pool] -= vm.cpu_millis;
             moves.push(MoveAdvice { vm: at, to: spare });
