--- a/crates/vanillafold-jobs/src/lib.rs
+++ b/crates/vanillafold-jobs/src/lib.rs
@@ -22,7 +22,7 @@
 pub use record::{JobOutcome, JobProgress, OccurrenceProgress, Record, RecordError, StepProgress};
 pub use shard::{
     Batch, CancelOutcome, Catalogue, HoldPlan, Machine, MachineDuty, MachineState, Order, PoolInfo,
-    QueueInfo, Settings, Shard, SubmitOutcome, TenantInfo, Wave,
+    QueueInfo, Settings, Shard, SubmitOutcome, TenantInfo, Wave, WaveStatus,
 };
 pub use spec::{JobSpec, Repeat, Resources, SpecError, StepSpec};
 pub use worker::{EndKind, HoldReport, ListedEnd, ListedRun, OrderAnswer, WorkerEntry};
--- a/crates/vanillafold-jobs/src/shard/duties.rs
+++ b/crates/vanillafold-jobs/src/shard/duties.rs
@@ -71,13 +71,15 @@
         /// For this wave.
         wave: u64,
     },
-    /// Say how a wave stands.
-    WaveStatus {
-        /// The wave.
-        wave: u64,
-        /// All its machines have had their upkeep.
-        completed: bool,
-    },
+}
+
+/// How a wave stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WaveStatus {
+    /// The wave.
+    pub wave: u64,
+    /// All its machines have had their upkeep.
+    pub completed: bool,
 }
 
 /// A machine that was ordered to change.
@@ -111,8 +113,9 @@
     pub(super) wave: Wave,
     /// Machines that have begun their upkeep, sorted.
     pub(super) begun: Vec<String>,
-    told_running: bool,
-    told_completed: bool,
+    completed: bool,
+    /// What the operator was told last.
+    told: Option<bool>,
 }
 
 /// An order about a machine is not looked for in the list before this time, in milliseconds: the
@@ -125,8 +128,9 @@
 /// A pool should have this part of what arriving work asks for, in percent: some above, to clear
 /// what has waited meanwhile.
 const ARRIVAL_PERCENT: u64 = 120;
-/// Most orders about machines in one plan: the platform takes a limited rate from all daemons.
-const MAX_ORDERS_PER_PLAN: usize = 6;
+/// The part of the platform's rate of orders about machines that moves use, in percent: upkeep
+/// and repeats need the rest.
+const MOVES_RATE_PERCENT: u64 = 80;
 
 impl Shard {
     /// Takes in the list of machines.
@@ -159,11 +163,29 @@
         self.waves.push(WaveState {
             wave,
             begun,
-            told_running: false,
-            told_completed: false,
+            completed: false,
+            told: None,
         });
     }
 
+    /// The next status that the operator has not been told of.
+    #[must_use]
+    pub fn next_wave_status(&self) -> Option<WaveStatus> {
+        let untold = self.waves.iter().find(|state| state.told != Some(state.completed));
+        untold.map(|state| WaveStatus {
+            wave: state.wave.number,
+            completed: state.completed,
+        })
+    }
+
+    /// The operator has been told how a wave stands.
+    pub fn wave_told(&mut self, status: &WaveStatus) {
+        let state = self.waves.iter_mut().find(|row| row.wave.number == status.wave);
+        if let Some(state) = state {
+            state.told = Some(status.completed);
+        }
+    }
+
     /// Whether machines are on their way whose workers will come soon.
     #[must_use]
     pub const fn expects_workers(&self) -> bool {
@@ -179,7 +201,6 @@
     pub fn duty_done(&mut self, duty: &MachineDuty, now: MonotonicMillis, now_unix_ms: u64) {
         let machine = match duty {
             MachineDuty::Move { machine, .. } | MachineDuty::Upkeep { machine, .. } => machine,
-            MachineDuty::WaveStatus { .. } => return,
         };
         let found = self.ordered.iter_mut().find(|row| row.machine == *machine);
         let Some(ordered) = found.filter(|row| row.phase != OrderedPhase::Done) else {
@@ -215,14 +236,6 @@
     pub fn duty_failed(&mut self, duty: &MachineDuty, unknown: bool, now: MonotonicMillis) {
         let machine = match duty {
             MachineDuty::Move { machine, .. } | MachineDuty::Upkeep { machine, .. } => machine,
-            MachineDuty::WaveStatus { wave, completed } => {
-                let state = self.waves.iter_mut().find(|row| row.wave.number == *wave);
-                if let Some(state) = state {
-                    state.told_running = false;
-                    state.told_completed &= !completed;
-                }
-                return;
-            }
         };
         let Some(at) = self.ordered.iter().position(|row| row.machine == *machine) else {
             return;
@@ -313,16 +326,9 @@
     fn plan_wave(&mut self, at: usize, now: MonotonicMillis) {
         let state = &self.waves[at];
         let number = state.wave.number;
-        if state.told_completed {
+        if state.completed {
             return;
         }
-        if !state.told_running {
-            self.waves[at].told_running = true;
-            self.duties.push(MachineDuty::WaveStatus {
-                wave: number,
-                completed: false,
-            });
-        }
         let state = &self.waves[at];
         let mut left = Vec::new();
         let mut away = 0;
@@ -341,11 +347,8 @@
             }
         }
         if left.is_empty() && away == 0 {
-            self.waves[at].told_completed = true;
-            self.duties.push(MachineDuty::WaveStatus {
-                wave: number,
-                completed: true,
-            });
+            log::info!(wave = number; "wave completed");
+            self.waves[at].completed = true;
             return;
         }
         self.begin_upkeep(at, left, away, now);
@@ -572,7 +575,10 @@
             demands[at].wanted_cpu_millis = self.wanted_cpu_millis(&pools[at].0, now);
         }
         let moves = plan_moves(&demands, &vms);
-        for advice in moves.into_iter().take(MAX_ORDERS_PER_PLAN) {
+        let rate = self.settings.duties_per_s * MOVES_RATE_PERCENT / 100;
+        let most = (rate * PLAN_INTERVAL_MS / 1_000).max(1);
+        let most = usize::try_from(most).unwrap_or(usize::MAX);
+        for advice in moves.into_iter().take(most) {
             let machine = names[advice.vm].clone();
             self.order_machine(machine, Some(pools[advice.to].0.clone()), None, now);
         }
@@ -581,7 +587,7 @@
     /// Whether a machine still needs upkeep for a wave.
     fn is_due(&self, machine: &str) -> bool {
         self.waves.iter().any(|state| {
-            !state.told_completed
+            !state.completed
                 && state.wave.machines.iter().any(|name| name == machine)
                 && state
                     .begun
--- a/crates/vanillafold-jobs/src/shard/mod.rs
+++ b/crates/vanillafold-jobs/src/shard/mod.rs
@@ -14,7 +14,7 @@
 mod workers;
 
 pub use catalogue::{Catalogue, PoolInfo, QueueInfo, TenantInfo};
-pub use duties::{Machine, MachineDuty, MachineState, Wave};
+pub use duties::{Machine, MachineDuty, MachineState, Wave, WaveStatus};
 pub use orders::{HoldPlan, Order};
 pub use root::Shard;
 pub use settings::Settings;
--- a/crates/vanillafold-jobs/tests/shard/fixture.rs
+++ b/crates/vanillafold-jobs/tests/shard/fixture.rs
@@ -28,6 +28,7 @@
         outwait_ms: 6_600,
         keep_final_ms: 140_000,
         duty_pause_ms: 3_700,
+        duties_per_s: 64,
         notice_ms: 4_500,
         moves: true,
     }
--- a/crates/vanillafold/src/fleet/directory.rs
+++ b/crates/vanillafold/src/fleet/directory.rs
@@ -12,7 +12,7 @@
 use super::hub::Fleet;
 use super::message::{FleetAnswer, FleetRequest};
 use super::platform::{FleetPlatform, KeyedRow, MetadataStore, Ownership};
-use super::settings::{
+use super::settings::{FleetSettings,
     CALL_CONNECT_TIMEOUT, CALL_TIMEOUT, OWNERS_GROUP, PING_INTERVAL, PING_TIMEOUT, SHARD_PARTITION,
     VACANCY_INTERVAL, VACANT_READS,
 };
@@ -24,6 +24,12 @@
 /// calls of the store.
 const TURN_RANGE_MS: u64 = 240;
 
+/// The processor that an owner needs at its peak, in thousandths of a core: measured at 850 task
+/// starts a second.
+const OWNER_CPU_MILLIS: u64 = 250;
+/// A daemon without any processor would wait for so much longer, in milliseconds.
+const SMALL_TURN_MS: u64 = 700;
+
 /// The owner that is known.
 #[derive(Debug, Default)]
 pub(crate) struct Directory {
@@ -79,7 +85,7 @@
         };
         if vacant_reads >= enough && !fleet.vacant.get() {
             // Daemons try one after the other: each that joins may move the shard once more.
-            sleep(turn(&fleet.settings.daemon)).await;
+            sleep(turn(&fleet.settings)).await;
             if is_vacant(&fleet, &mut store).await {
                 log::info!("the shard has no owner");
                 fleet.vacant.set(true);
@@ -112,12 +118,14 @@
     }
 }
 
-/// How long a daemon waits before it tries to become the owner.
-fn turn(daemon: &str) -> Duration {
-    let mut random = SplitMix::new(daemon.bytes().fold(0, |hash, byte| {
+/// How long a daemon waits before it tries to become the owner. Small ones leave it to others.
+fn turn(settings: &FleetSettings) -> Duration {
+    let mut random = SplitMix::new(settings.daemon.bytes().fold(0, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(TURN_HASH_PRIME)
     }));
-    Duration::from_millis(random.below(TURN_RANGE_MS))
+    let missing = OWNER_CPU_MILLIS.saturating_sub(settings.cpu_millis);
+    let small_ms = SMALL_TURN_MS * missing / OWNER_CPU_MILLIS;
+    Duration::from_millis(small_ms + random.below(TURN_RANGE_MS))
 }
 
 /// Asks the owner whether it is there and in touch with the store; true if it is.
--- a/crates/vanillafold/src/fleet/duty.rs
+++ b/crates/vanillafold/src/fleet/duty.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 
 use monoio::time::sleep;
-use vanillafold_jobs::MachineDuty;
 
 use super::office::Office;
 use super::platform::{CloudError, FleetPlatform, Keyspace, Machines, MetadataStore};
@@ -28,45 +27,54 @@
     }
 }
 
-/// Carries out what the shard wants done with machines, one after the other.
+/// Carries out what the shard wants done with machines, all that waits together.
 pub(crate) async fn carry_out<P: FleetPlatform>(office: Rc<Office<P>>) {
     let mut cloud = office.fleet.platform.machines();
-    let mut store = office.fleet.platform.store();
     loop {
         office.to_do.take().await;
         let duties = office.duties.take();
-        for duty in duties {
-            if !office.may_order() {
-                office.with(|shard| shard.duty_failed(&duty, false, now()));
-                continue;
+        if duties.is_empty() {
+            continue;
+        }
+        if !office.may_order() {
+            for duty in &duties {
+                office.with(|shard| shard.duty_failed(duty, false, now()));
             }
-            match &duty {
-                MachineDuty::WaveStatus { wave, completed } => {
-                    let row = office.fleet.platform.wave_status(*wave, *completed);
-                    let limit_ms =
-                        u64::try_from(APPEND_TIMEOUT.as_millis()).unwrap_or(u64::MAX);
-                    let written = store.append(Keyspace::Status, None, &[row], limit_ms).await;
-                    if let Err(error) = written {
-                        log::info!(wave = *wave, error = error.to_string(); "status of a wave not written");
-                        office.with(|shard| shard.duty_failed(&duty, false, now()));
-                    }
+            continue;
+        }
+        let answered = |at: usize, outcome: Result<(), CloudError>| {
+            let duty = &duties[at];
+            log::info!(duty = format!("{duty:?}"), outcome = format!("{outcome:?}"); "machine ordered");
+            office.with(|shard| match outcome {
+                Ok(()) => shard.duty_done(duty, now(), unix_ms()),
+                Err(CloudError::Refused(_)) => shard.duty_failed(duty, false, now()),
+                Err(CloudError::NoAnswer(_)) => shard.duty_failed(duty, true, now()),
+            });
+        };
+        let holder = &office.fleet.settings.daemon;
+        cloud.order(holder, office.epoch(), &duties, answered).await;
+        office.events.give();
+    }
+}
+
+/// Tells the operator how waves stand.
+pub(crate) async fn tell_waves<P: FleetPlatform>(office: Rc<Office<P>>) {
+    let mut store = office.fleet.platform.store();
+    let limit_ms = u64::try_from(APPEND_TIMEOUT.as_millis()).unwrap_or(u64::MAX);
+    loop {
+        office.to_tell.take().await;
+        while let Some(status) = office.with(|shard| shard.next_wave_status()).flatten() {
+            let row = office.fleet.platform.wave_status(status.wave, status.completed);
+            match store.append(Keyspace::Status, None, &[row], limit_ms).await {
+                Ok(()) => {
+                    log::info!(wave = status.wave, completed = status.completed; "status of a wave written");
+                    office.with(|shard| shard.wave_told(&status));
                 }
-                _ => {
-                    let holder = &office.fleet.settings.daemon;
-                    let ordered = cloud.order(holder, office.epoch(), &duty).await;
-                    log::info!(duty = format!("{duty:?}"), outcome = format!("{ordered:?}"); "machine ordered");
-                    match ordered {
-                        Ok(()) => office.with(|shard| shard.duty_done(&duty, now(), unix_ms())),
-                        Err(CloudError::Refused(_)) => {
-                            office.with(|shard| shard.duty_failed(&duty, false, now()))
-                        }
-                        Err(CloudError::NoAnswer(_)) => {
-                            office.with(|shard| shard.duty_failed(&duty, true, now()))
-                        }
-                    };
+                Err(error) => {
+                    log::info!(wave = status.wave, error = error.to_string(); "status of a wave not written");
+                    sleep(READ_RETRY).await;
                 }
             }
         }
-        office.events.give();
     }
 }
--- a/crates/vanillafold/src/fleet/office.rs
+++ b/crates/vanillafold/src/fleet/office.rs
@@ -58,6 +58,8 @@
     pub(crate) store_away_until: Cell<u64>,
     pub(crate) duties: RefCell<Vec<vanillafold_jobs::MachineDuty>>,
     pub(crate) to_do: Notice,
+    /// A wave's status may have to be told.
+    pub(crate) to_tell: Notice,
 }
 
 impl<P: FleetPlatform> Office<P> {
@@ -76,6 +78,7 @@
             store_away_until: Cell::new(0),
             duties: RefCell::new(Vec::new()),
             to_do: Notice::default(),
+            to_tell: Notice::default(),
         });
         monoio::spawn(take_over(Rc::clone(&office)));
         office
@@ -301,6 +304,9 @@
             self.duties.borrow_mut().extend(duties);
             self.to_do.give();
         }
+        if self.with(|shard| shard.next_wave_status().is_some()).unwrap_or(false) {
+            self.to_tell.give();
+        }
         if self.with(|shard| shard.has_records()).unwrap_or(false) {
             self.to_write.give();
         }
@@ -344,6 +350,7 @@
     monoio::spawn(until_closed(Rc::clone(&office), attend::list_workers(Rc::clone(&office))));
     monoio::spawn(until_closed(Rc::clone(&office), duty::list_machines(Rc::clone(&office))));
     monoio::spawn(until_closed(Rc::clone(&office), duty::carry_out(Rc::clone(&office))));
+    monoio::spawn(until_closed(Rc::clone(&office), duty::tell_waves(Rc::clone(&office))));
     conduct(office).await;
 }
 
--- a/crates/vanillafold/src/fleet/platform.rs
+++ b/crates/vanillafold/src/fleet/platform.rs
@@ -183,9 +183,15 @@
     /// All machines.
     async fn list(&mut self) -> Result<Vec<Machine>, CloudError>;
 
-    /// Moves a machine or begins its upkeep.
-    async fn order(&mut self, holder: &str, epoch: Epoch, duty: &MachineDuty)
-    -> Result<(), CloudError>;
+    /// Sends orders about machines together and hands out each answer as it comes, each exactly
+    /// once.
+    async fn order(
+        &mut self,
+        holder: &str,
+        epoch: Epoch,
+        duties: &[MachineDuty],
+        answered: impl FnMut(usize, Result<(), CloudError>),
+    );
 }
 
 /// A platform.
--- a/crates/vanillafold/src/fleet/settings.rs
+++ b/crates/vanillafold/src/fleet/settings.rs
@@ -10,6 +10,8 @@
     pub daemon: String,
     /// Its availability zone.
     pub zone: String,
+    /// The processor that it may use, in thousandths of a core.
+    pub cpu_millis: u64,
     /// Where other daemons call it.
     pub peers: SocketAddr,
     /// Partitions of a topic at the platform.
