--- a/crates/vanillafold/src/fleet/directory.rs
+++ b/crates/vanillafold/src/fleet/directory.rs
@@ -12,7 +12,7 @@
 use super::hub::Fleet;
 use super::message::{FleetAnswer, FleetRequest};
 use super::platform::{FleetPlatform, KeyedRow, MetadataStore, Ownership};
-use super::settings::{FleetSettings,
+use super::settings::{FleetSettings, OWNER_CPU_MILLIS,
     CALL_CONNECT_TIMEOUT, CALL_TIMEOUT, OWNERS_GROUP, PING_INTERVAL, PING_TIMEOUT, SHARD_PARTITION,
     VACANCY_INTERVAL, VACANT_READS,
 };
@@ -24,9 +24,6 @@
 /// calls of the store.
 const TURN_RANGE_MS: u64 = 240;
 
-/// The processor that an owner needs at its peak, in thousandths of a core: measured at 850 task
-/// starts a second.
-const OWNER_CPU_MILLIS: u64 = 250;
 /// A daemon without any processor would wait for so much longer, in milliseconds.
 const SMALL_TURN_MS: u64 = 700;
 
@@ -75,10 +72,14 @@
             let _ = timeout(PING_INTERVAL, fleet.owner_doubtful.take()).await;
             continue;
         }
-        vacant_reads = match is_vacant(&fleet, &mut store).await {
-            true => vacant_reads + 1,
-            false => 0,
-        };
+        match is_vacant(&fleet, &mut store).await {
+            Some(true) => vacant_reads += 1,
+            Some(false) => {
+                vacant_reads = 0;
+                fleet.vacant.set(false);
+            }
+            None => vacant_reads = 0,
+        }
         let enough = match ever_known {
             true => VACANT_READS,
             false => 1,
@@ -86,7 +87,7 @@
         if vacant_reads >= enough && !fleet.vacant.get() {
             // Daemons try one after the other: each that joins may move the shard once more.
             sleep(turn(&fleet.settings)).await;
-            if is_vacant(&fleet, &mut store).await {
+            if is_vacant(&fleet, &mut store).await == Some(true) {
                 log::info!("the shard has no owner");
                 fleet.vacant.set(true);
                 fleet.vacancy.give();
@@ -96,8 +97,9 @@
     }
 }
 
-/// Whether nobody holds the shard; an owner that is found is taken note of.
-async fn is_vacant<P: FleetPlatform>(fleet: &Fleet<P>, store: &mut P::Store) -> bool {
+/// Whether nobody holds the shard, or `None` if the store does not say; an owner that is found is
+/// taken note of.
+async fn is_vacant<P: FleetPlatform>(fleet: &Fleet<P>, store: &mut P::Store) -> Option<bool> {
     match store.owners(OWNERS_GROUP).await {
         Ok(rows) => {
             let holds = |row: &&Ownership| {
@@ -106,14 +108,14 @@
             match rows.iter().find(holds) {
                 Some(row) => {
                     fleet.directory.set(&row.member);
-                    false
+                    Some(false)
                 }
-                None => true,
+                None => Some(true),
             }
         }
         Err(error) => {
             log::debug!(error = error.to_string(); "owners not read");
-            false
+            None
         }
     }
 }
@@ -138,6 +140,7 @@
     };
     let request = FleetRequest::Ping {
         zone: fleet.settings.zone.clone(),
+        cpu_millis: fleet.settings.cpu_millis,
         epoch: fleet.latest_epoch.get(),
         seen_ms: fleet.directory.seen_ms.get(),
     };
--- a/crates/vanillafold/src/fleet/hub.rs
+++ b/crates/vanillafold/src/fleet/hub.rs
@@ -16,7 +16,7 @@
 use super::message::{FleetAnswer, FleetRequest};
 use super::office::Office;
 use super::platform::FleetPlatform;
-use super::settings::{FleetSettings, OWNER_CONTACT_MS};
+use super::settings::{FleetSettings, OWNER_CONTACT_MS, OWNER_CPU_MILLIS};
 use super::time::{now, unix_ms};
 use super::{directory, follow, membership};
 
@@ -79,6 +79,8 @@
     /// The shard has no owner: this daemon should try to become it.
     pub(crate) vacant: Cell<bool>,
     pub(crate) vacancy: Notice,
+    /// A daemon with enough processor for an owner is there, and this one has less.
+    pub(crate) larger_daemon: Cell<bool>,
 }
 
 impl<P: FleetPlatform> Fleet<P> {
@@ -106,6 +108,7 @@
             owner_doubtful: Notice::default(),
             vacant: Cell::new(false),
             vacancy: Notice::default(),
+            larger_daemon: Cell::new(false),
         })
     }
 
@@ -207,10 +210,14 @@
     async fn answer_call(self: &Rc<Self>, request: FleetRequest) -> FleetAnswer {
         if let FleetRequest::Ping {
             zone,
+            cpu_millis,
             epoch,
             seen_ms,
         } = &request
         {
+            if self.settings.cpu_millis < OWNER_CPU_MILLIS && *cpu_millis >= OWNER_CPU_MILLIS {
+                self.larger_daemon.set(true);
+            }
             let seen_at = MonotonicMillis::new(*seen_ms).min(now());
             if *zone != self.settings.zone && seen_at > self.other_zone_at.get() {
                 self.other_zone_at.set(seen_at);
--- a/crates/vanillafold/src/fleet/membership.rs
+++ b/crates/vanillafold/src/fleet/membership.rs
@@ -27,6 +27,14 @@
         if closed {
             fleet.office.borrow_mut().take();
         }
+        if fleet.larger_daemon.replace(false)
+            && let Some(office) = fleet.open_office().filter(|office| office.is_settled())
+        {
+            log::info!(cpu_millis = fleet.settings.cpu_millis; "leaving the shard to a larger daemon");
+            office.hand_over().await;
+            fleet.office.borrow_mut().take();
+            fleet.vacant.set(false);
+        }
         let owns = fleet.office.borrow().is_some();
         if !owns && !fleet.vacant.get() {
             if generation > 0 {
--- a/crates/vanillafold/src/fleet/message.rs
+++ b/crates/vanillafold/src/fleet/message.rs
@@ -18,6 +18,8 @@
     Ping {
         /// The zone of the daemon that asks.
         zone: String,
+        /// The processor that it may use, in thousandths of a core.
+        cpu_millis: u64,
         /// The latest epoch that it knows of.
         epoch: u64,
         /// The time of the last answer of this owner, on the owner's clock; 0 if there is none. A
--- a/crates/vanillafold/src/fleet/office.rs
+++ b/crates/vanillafold/src/fleet/office.rs
@@ -8,6 +8,7 @@
 use vanillafold_jobs::{
     CancelOutcome, Epoch, JobId, Record, Shard, SubmitOutcome, Wave, WorkerId,
 };
+use vanillafold_policy::MonotonicMillis;
 use vanillafold_wire::{Notice, Signal};
 
 use super::attend::WorkerLink;
@@ -19,7 +20,7 @@
 };
 use super::settings::{
     APPEND_TIMEOUT, APPEND_TIMEOUT_MAX, COME_BACK_MS, OWNER_ISOLATION_MS, PASS_GAP, PASS_INTERVAL,
-    READ_RETRY, SHARD_PRODUCER, STORE_PAUSE_MS,
+    READ_RETRY, SHARD_PRODUCER, SMALL_OWNER_MS, STORE_PAUSE_MS,
 };
 use super::time::{now, unix_ms};
 use super::{attend, duty, writer};
@@ -46,6 +47,7 @@
 pub(crate) struct Office<P: FleetPlatform> {
     pub(crate) fleet: Rc<Fleet<P>>,
     epoch: Epoch,
+    opened_at: MonotonicMillis,
     pub(crate) shard: RefCell<Option<Shard>>,
     waiters: RefCell<Vec<Waiter>>,
     pub(crate) links: RefCell<Vec<Rc<WorkerLink>>>,
@@ -69,6 +71,7 @@
         let office = Rc::new(Self {
             fleet: Rc::clone(fleet),
             epoch,
+            opened_at: now(),
             shard: RefCell::new(None),
             waiters: RefCell::new(Vec::new()),
             links: RefCell::new(Vec::new()),
@@ -92,6 +95,11 @@
         !self.closed.is_raised() && self.shard.borrow().is_some()
     }
 
+    /// Whether it has stood for long enough to be handed over.
+    pub(crate) fn is_settled(&self) -> bool {
+        now().since(self.opened_at).get() >= SMALL_OWNER_MS
+    }
+
     pub(crate) fn is_closed(&self) -> bool {
         self.closed.is_raised()
     }
@@ -123,7 +131,7 @@
         if timeout(APPEND_TIMEOUT, flushed).await.is_err() {
             log::info!("the shard is handed over with records unwritten");
         }
-        self.close("this daemon stops");
+        self.close("handed over");
     }
 
     /// Runs `act` on the shard, if the ownership stands.
--- a/crates/vanillafold/src/fleet/settings.rs
+++ b/crates/vanillafold/src/fleet/settings.rs
@@ -35,6 +35,12 @@
 pub(crate) const JOIN_INTERVAL: Duration = Duration::from_millis(250);
 /// After a failed join.
 pub(crate) const JOIN_RETRY: Duration = Duration::from_millis(150);
+/// The processor that an owner should have, in thousandths of a core: enough for its peak at 850
+/// task starts a second (docs/CAPACITY.md).
+pub(crate) const OWNER_CPU_MILLIS: u64 = 250;
+/// A daemon with less hands the shard over to one that has it, but not sooner than this after it
+/// took over, in milliseconds: a takeover must not begin another.
+pub(crate) const SMALL_OWNER_MS: u64 = 2_500;
 /// Between two looks for an owner while none answers.
 pub(crate) const VACANCY_INTERVAL: Duration = Duration::from_millis(120);
 /// So many reads in a row must show that nobody holds the shard: an owner that the store has
