--- a/crates/vanillafold-wire/src/http/client.rs
+++ b/crates/vanillafold-wire/src/http/client.rs
@@ -9,6 +9,7 @@
 use monoio::net::TcpStream;
 use monoio::time::timeout;
 
+use super::reset::reset_on_close;
 use super::server::collect;
 use super::{
     BodyError, Framing, FramingError, HeadError, HttpReader, HttpWriter, encode_request_head,
@@ -55,6 +56,7 @@
 pub struct Client {
     address: SocketAddr,
     timeout: Duration,
+    resets: bool,
     connection: Option<(HttpReader, HttpWriter)>,
 }
 
@@ -66,6 +68,7 @@
         Self {
             address,
             timeout,
+            resets: false,
             connection: None,
         }
     }
@@ -76,6 +79,14 @@
         self.address
     }
 
+    /// Resets connections instead of closing them, so that a request that was given up is not
+    /// carried out later by what held it up on the way.
+    #[must_use]
+    pub const fn with_resets(mut self) -> Self {
+        self.resets = true;
+        self
+    }
+
     /// Waits at most `timeout` for each answer from now on.
     #[must_use]
     pub const fn with_timeout(mut self, timeout: Duration) -> Self {
@@ -157,11 +168,14 @@
             source,
         };
         // A bound of its own: the request has not left when it passes.
-        timeout(self.timeout, TcpStream::connect_addr(self.address))
+        let stream = timeout(self.timeout, TcpStream::connect_addr(self.address))
             .await
             .map_err(|_| failed(io::ErrorKind::TimedOut.into()))?
-            .map(split)
-            .map_err(failed)
+            .map_err(failed)?;
+        if self.resets {
+            reset_on_close(&stream).map_err(failed)?;
+        }
+        Ok(split(stream))
     }
 }
 
--- a/crates/vanillafold-wire/src/http/mod.rs
+++ b/crates/vanillafold-wire/src/http/mod.rs
@@ -11,6 +11,7 @@
 mod head;
 mod header;
 mod reader;
+mod reset;
 mod server;
 mod writer;
 
--- a/crates/vanillafold/src/fleet/directory.rs
+++ b/crates/vanillafold/src/fleet/directory.rs
@@ -42,6 +42,11 @@
         self.owner.borrow().clone()
     }
 
+    /// Whether this member owns the shard, as far as is known.
+    pub(crate) fn is(&self, member: &str) -> bool {
+        *self.member.borrow() == member
+    }
+
     fn set(&self, member: &str) {
         if *self.member.borrow() == member {
             return;
@@ -99,7 +104,7 @@
 
 /// Whether nobody holds the shard, or `None` if the store does not say; an owner that is found is
 /// taken note of.
-async fn is_vacant<P: FleetPlatform>(fleet: &Fleet<P>, store: &mut P::Store) -> Option<bool> {
+pub(crate) async fn is_vacant<P: FleetPlatform>(fleet: &Fleet<P>, store: &mut P::Store) -> Option<bool> {
     match store.owners(OWNERS_GROUP).await {
         Ok(rows) => {
             let holds = |row: &&Ownership| {
--- a/crates/vanillafold/src/fleet/membership.rs
+++ b/crates/vanillafold/src/fleet/membership.rs
@@ -6,6 +6,7 @@
 use monoio::time::{sleep, timeout};
 use vanillafold_jobs::Epoch;
 
+use super::directory;
 use super::hub::Fleet;
 use super::office::Office;
 use super::platform::{FleetPlatform, Membership, MetadataStore};
@@ -44,6 +45,9 @@
             let _ = fleet.leaving.cancel(timeout(IDLE_WAIT, fleet.vacancy.take())).await;
             continue;
         }
+        if owns && superseded(&fleet, &mut store).await {
+            continue;
+        }
         let sent_at = now();
         let ttl_ms = fleet.settings.member_ttl_ms;
         let join = store.join(OWNERS_GROUP, &fleet.member, SHARDS_TOPIC, ttl_ms, generation);
@@ -77,6 +81,26 @@
     }
 }
 
+/// Whether the shard went to another daemon while this one was out of touch; its ownership then
+/// ends. Joining without asking would take the shard back from its new owner.
+async fn superseded<P: FleetPlatform>(fleet: &Fleet<P>, store: &mut P::Store) -> bool {
+    let unconfirmed_ms = now().since(fleet.confirmed_at.get()).get();
+    if unconfirmed_ms <= OWNER_ISOLATION_MS {
+        return false;
+    }
+    match directory::is_vacant(fleet, store).await {
+        Some(false) if !fleet.directory.is(&fleet.member) => {
+            let office = fleet.office.borrow_mut().take();
+            if let Some(office) = office {
+                office.close("the shard went to another daemon meanwhile");
+            }
+            fleet.vacant.set(false);
+            true
+        }
+        _ => false,
+    }
+}
+
 /// Leaves the group to the owner.
 async fn withdraw<P: FleetPlatform>(fleet: &Fleet<P>, store: &mut P::Store) {
     if let Err(error) = store.leave(OWNERS_GROUP, &fleet.member).await {
