--- a/crates/vanillafold-jobs/src/job/job.rs
+++ b/crates/vanillafold-jobs/src/job/live.rs
@@ -133,12 +133,7 @@
     }
 
     /// Makes the tasks of an occurrence, with the progress that is known.
-    pub(crate) fn begin_occurrence(
-        &mut self,
-        number: u32,
-        due_unix_ms: u64,
-        status: &TaskStatus,
-    ) {
+    pub(crate) fn begin_occurrence(&mut self, number: u32, due_unix_ms: u64, status: &TaskStatus) {
         let known = match self.known_progress(number) {
             Some(at) => self.progress.occurrences[at].steps.as_slice(),
             None => &[],
--- a/crates/vanillafold-jobs/src/job/mod.rs
+++ b/crates/vanillafold-jobs/src/job/mod.rs
@@ -1,7 +1,7 @@
 //! A job while it is being worked on.
 
-mod job;
+mod live;
 mod state;
 
-pub(crate) use job::{Job, Task, TaskStatus};
+pub(crate) use live::{Job, Step, Task, TaskStatus};
 pub use state::JobState;
--- a/crates/vanillafold-jobs/src/lib.rs
+++ b/crates/vanillafold-jobs/src/lib.rs
@@ -21,8 +21,9 @@
 pub use job::JobState;
 pub use record::{JobOutcome, JobProgress, OccurrenceProgress, Record, RecordError, StepProgress};
 pub use shard::{
-    Batch, CancelOutcome, Catalogue, HoldPlan, Machine, MachineDuty, MachineState, Order, PoolInfo,
-    QueueInfo, Settings, Shard, SubmitOutcome, TenantInfo, Wave, WaveStatus,
+    Advice, AdviceQuery, Batch, CancelOutcome, Catalogue, HoldPlan, Machine, MachineDuty,
+    MachineState, Order, PoolInfo, QueueInfo, Settings, Shard, SubmitOutcome, TenantInfo, Wave,
+    WaveStatus,
 };
 pub use spec::{JobSpec, Repeat, Resources, SpecError, StepSpec};
 pub use worker::{EndKind, HoldReport, ListedEnd, ListedRun, OrderAnswer, WorkerEntry};
--- a/crates/vanillafold-jobs/src/record/mod.rs
+++ b/crates/vanillafold-jobs/src/record/mod.rs
@@ -1,7 +1,7 @@
 //! What is stored of jobs.
 
 mod progress;
-mod record;
+mod row;
 
 pub use progress::{JobOutcome, JobProgress, OccurrenceProgress, StepProgress};
-pub use record::{Record, RecordError};
+pub use row::{Record, RecordError};
--- a/crates/vanillafold-jobs/src/record/record.rs
+++ b/crates/vanillafold-jobs/src/record/row.rs
@@ -77,9 +77,7 @@
         let id: JobId = chars.as_str().parse().map_err(|_| wrong_key())?;
         match tag {
             Some(SPEC_TAG) => decoded(key, bytes).map(|spec| Self::Spec(id, Box::new(spec))),
-            Some(PROGRESS_TAG) => {
-                decoded(key, bytes).map(|progress| Self::Progress(id, progress))
-            }
+            Some(PROGRESS_TAG) => decoded(key, bytes).map(|progress| Self::Progress(id, progress)),
             _ => Err(wrong_key()),
         }
     }
--- a/crates/vanillafold-jobs/src/shard/duties.rs
+++ b/crates/vanillafold-jobs/src/shard/duties.rs
@@ -155,7 +155,11 @@
 
     /// Takes in a wave; one that is known is passed over.
     pub fn add_wave(&mut self, wave: Wave, _now: MonotonicMillis) {
-        if self.waves.iter().any(|known| known.wave.number == wave.number) {
+        if self
+            .waves
+            .iter()
+            .any(|known| known.wave.number == wave.number)
+        {
             return;
         }
         let stored = self.stored_waves.iter().find(|row| row.0 == wave.number);
@@ -171,7 +175,10 @@
     /// The next status that the operator has not been told of.
     #[must_use]
     pub fn next_wave_status(&self) -> Option<WaveStatus> {
-        let untold = self.waves.iter().find(|state| state.told != Some(state.completed));
+        let untold = self
+            .waves
+            .iter()
+            .find(|state| state.told != Some(state.completed));
         untold.map(|state| WaveStatus {
             wave: state.wave.number,
             completed: state.completed,
@@ -180,7 +187,10 @@
 
     /// The operator has been told how a wave stands.
     pub fn wave_told(&mut self, status: &WaveStatus) {
-        let state = self.waves.iter_mut().find(|row| row.wave.number == status.wave);
+        let state = self
+            .waves
+            .iter_mut()
+            .find(|row| row.wave.number == status.wave);
         if let Some(state) = state {
             state.told = Some(status.completed);
         }
@@ -225,7 +235,9 @@
         let Some(state) = self.waves.iter_mut().find(|row| row.wave.number == wave) else {
             return;
         };
-        let found = state.begun.binary_search_by(|name| name.as_str().cmp(machine));
+        let found = state
+            .begun
+            .binary_search_by(|name| name.as_str().cmp(machine));
         if let Err(at) = found {
             state.begun.insert(at, machine.to_owned());
             self.dirty_waves.push(wave);
@@ -266,7 +278,9 @@
     }
 
     fn worker_of(&self, machine: &str) -> Option<usize> {
-        let found = self.machines.binary_search_by(|row| row.name.as_str().cmp(machine));
+        let found = self
+            .machines
+            .binary_search_by(|row| row.name.as_str().cmp(machine));
         let worker = self.machines[found.ok()?].worker.as_ref()?;
         self.worker_position(worker)
     }
@@ -315,10 +329,12 @@
     /// worker then begins a new life: one that has lived for long enough had no order.
     fn is_ordered(&self, machine: &Machine, now: MonotonicMillis) -> bool {
         let paused = now.get() < self.taken_over_at.get() + self.settings.duty_pause_ms;
-        let worker = machine.worker.as_ref().and_then(|id| self.worker_position(id));
-        let old = worker.is_some_and(|at| {
-            self.workers[at].lived_ms(now) > Some(self.settings.duty_pause_ms)
-        });
+        let worker = machine
+            .worker
+            .as_ref()
+            .and_then(|id| self.worker_position(id));
+        let old = worker
+            .is_some_and(|at| self.workers[at].lived_ms(now) > Some(self.settings.duty_pause_ms));
         let ordered = self.ordered.iter().any(|row| row.machine == machine.name);
         ordered || (paused && !old)
     }
@@ -339,7 +355,10 @@
             let machine = &self.machines[machine];
             let begun = state.begun.binary_search(name).is_ok();
             let upkeep = machine.state == MachineState::Upkeep
-                || self.ordered.iter().any(|row| row.machine == *name && row.wave.is_some());
+                || self
+                    .ordered
+                    .iter()
+                    .any(|row| row.machine == *name && row.wave.is_some());
             match begun {
                 _ if upkeep => away += 1,
                 true => {}
@@ -362,8 +381,10 @@
             .filter(|machine| machine.state == MachineState::Up && !self.is_ordered(machine, now))
             .collect();
         for _ in 0..places {
-            let candidates: Vec<UpkeepCandidate> =
-                left.iter().map(|machine| self.upkeep_candidate(machine, now)).collect();
+            let candidates: Vec<UpkeepCandidate> = left
+                .iter()
+                .map(|machine| self.upkeep_candidate(machine, now))
+                .collect();
             match choose_upkeep(&candidates) {
                 UpkeepChoice::Wait => return,
                 UpkeepChoice::Reserve(chosen) => {
@@ -414,7 +435,10 @@
     }
 
     fn upkeep_candidate(&self, machine: &Machine, now: MonotonicMillis) -> UpkeepCandidate {
-        let worker = machine.worker.as_ref().and_then(|id| self.worker_position(id));
+        let worker = machine
+            .worker
+            .as_ref()
+            .and_then(|id| self.worker_position(id));
         let Some(at) = worker else {
             return UpkeepCandidate {
                 empty: machine.worker.is_none(),
@@ -426,7 +450,10 @@
         };
         let worker = &self.workers[at];
         let persistent = worker.runs.iter().filter(|run| run.persistent).count();
-        let pinned = worker.runs.iter().any(|run| run.persistent && !self.may_miss_one(run));
+        let pinned = worker
+            .runs
+            .iter()
+            .any(|run| run.persistent && !self.may_miss_one(run));
         UpkeepCandidate {
             empty: worker.runs.is_empty() && worker.no_duty_until <= now,
             reserved: worker.reserved,
@@ -441,7 +468,10 @@
         for position in 0..self.workers[at].runs.len() {
             let run = &self.workers[at].runs[position];
             let running = matches!(run.phase, RunPhase::Running { .. });
-            if run.persistent && running && self.may_miss_one(run) && self.fits_elsewhere(at, run, now)
+            if run.persistent
+                && running
+                && self.may_miss_one(run)
+                && self.fits_elsewhere(at, run, now)
             {
                 self.order_stop(at, position, now);
             }
@@ -503,9 +533,8 @@
         };
         let worker = &self.workers[at];
         let run = worker.run_position(id, task.run).map(|at| &worker.runs[at]);
-        run.is_some_and(|run| {
-            matches!(run.phase, RunPhase::Running { .. }) && run.percent >= 100
-        }) && !worker.suspect
+        run.is_some_and(|run| matches!(run.phase, RunPhase::Running { .. }) && run.percent >= 100)
+            && !worker.suspect
     }
 
     fn plan_moves(&mut self, now: MonotonicMillis) {
@@ -536,7 +565,10 @@
             if machine.state == MachineState::Down {
                 continue;
             }
-            let worker = machine.worker.as_ref().and_then(|id| self.worker_position(id));
+            let worker = machine
+                .worker
+                .as_ref()
+                .and_then(|id| self.worker_position(id));
             let draining = worker.is_some_and(|at| {
                 let worker = &self.workers[at];
                 !worker.entry.ready || worker.suspect || (worker.reserved && ordered.is_none())
@@ -601,7 +633,11 @@
     fn wanted_cpu_millis(&self, pool: &str, now: MonotonicMillis) -> u64 {
         let mut wanted = 0;
         let mut vm_cpu_millis = 0;
-        for worker in self.workers.iter().filter(|worker| worker.entry.pool == pool) {
+        for worker in self
+            .workers
+            .iter()
+            .filter(|worker| worker.entry.pool == pool)
+        {
             wanted += worker.used.cpu_millis;
             vm_cpu_millis = vm_cpu_millis.max(worker.entry.capacity.cpu_millis);
         }
--- a/crates/vanillafold-jobs/src/shard/ends.rs
+++ b/crates/vanillafold-jobs/src/shard/ends.rs
@@ -4,7 +4,7 @@
 
 use super::root::Shard;
 use crate::id::{JobId, RunNumber, TaskId};
-use crate::job::TaskStatus;
+use crate::job::{Step, TaskStatus};
 use crate::record::JobOutcome;
 use crate::worker::{EndKind, Run};
 
@@ -69,7 +69,8 @@
                 }
                 for index in 0..step_spec.count {
                     let index = u16::try_from(index).unwrap_or(u16::MAX);
-                    job.step_progress(task.occurrence, task.step).set_done(index);
+                    job.step_progress(task.occurrence, task.step)
+                        .set_done(index);
                 }
                 job.version += 1;
                 self.after_done(task, now, now_unix_ms);
@@ -128,7 +129,7 @@
         let Some(at) = job.occurrence_position(task.occurrence) else {
             return;
         };
-        if !job.occurrences[at].steps.iter().all(|step| step.is_done()) {
+        if !job.occurrences[at].steps.iter().all(Step::is_done) {
             return;
         }
         job.complete_occurrence(task.occurrence);
@@ -187,6 +188,9 @@
         let halves = now.since(worker.faults_at).get() as f64 / FAULT_HALF_LIFE_MS;
         worker.faults *= 0.5_f64.powf(halves);
         worker.faults_at = now;
+        if kind == EndKind::Failed {
+            worker.note_failed(run.task.job);
+        }
         match kind {
             EndKind::Done => worker.faults *= 0.5,
             EndKind::Failed if !failed_before && !run.persistent => worker.faults += 1.0,
--- a/crates/vanillafold-jobs/src/shard/mod.rs
+++ b/crates/vanillafold-jobs/src/shard/mod.rs
@@ -1,5 +1,6 @@
 //! The state machine of one shard.
 
+mod advice;
 mod arrivals;
 mod catalogue;
 mod duties;
@@ -13,6 +14,7 @@
 mod submit;
 mod workers;
 
+pub use advice::{Advice, AdviceQuery};
 pub use catalogue::{Catalogue, PoolInfo, QueueInfo, TenantInfo};
 pub use duties::{Machine, MachineDuty, MachineState, Wave, WaveStatus};
 pub use orders::{HoldPlan, Order};
--- a/crates/vanillafold-jobs/src/shard/pacing.rs
+++ b/crates/vanillafold-jobs/src/shard/pacing.rs
@@ -27,7 +27,11 @@
             let Some(worst_tail_percent) = worst else {
                 continue;
             };
-            for run in worker.runs.iter_mut().filter(|run| run.fills && run.is_live()) {
+            for run in worker
+                .runs
+                .iter_mut()
+                .filter(|run| run.fills && run.is_live())
+            {
                 if now.since(run.pace_ordered_at).get() < PACE_INTERVAL_MS {
                     continue;
                 }
--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -4,6 +4,7 @@
 
 use vanillafold_policy::MonotonicMillis;
 
+use super::advice::{AdviceQuery, StepAdvice};
 use super::arrivals::Arrivals;
 use super::catalogue::Catalogue;
 use super::duties::{Machine, MachineDuty, Ordered, WaveState};
@@ -22,7 +23,7 @@
     pub(super) epoch: Epoch,
     pub(super) catalogue: Catalogue,
     /// Sorted by id.
-    pub(super) jobs: Vec<Box<Job>>,
+    pub(super) jobs: Vec<Job>,
     /// Jobs with work left, sorted.
     pub(super) open: Vec<JobId>,
     /// Jobs with something to write, in the order in which it came up.
@@ -56,6 +57,8 @@
     pub(super) dirty_waves: Vec<u64>,
     pub(super) ordered: Vec<Ordered>,
     pub(super) next_plan_at: MonotonicMillis,
+    pub(super) advice: Vec<StepAdvice>,
+    pub(super) queries: Vec<AdviceQuery>,
     /// Work that has come lately, by pool.
     pub(super) arrivals: Vec<Arrivals>,
     /// Pools of persistent tasks that found no room in the last pass, one for each step.
@@ -103,6 +106,8 @@
             dirty_waves: Vec::new(),
             ordered: Vec::new(),
             next_plan_at: now,
+            advice: Vec::new(),
+            queries: Vec::new(),
             arrivals: Vec::new(),
             homeless: Vec::new(),
             preempt_at: now,
@@ -121,7 +126,9 @@
         for (id, row) in progress {
             match shard.job_mut(id) {
                 Some(job) => job.progress = row,
-                None => log::warn!(job = id.to_string(); "progress without a description passed over"),
+                None => {
+                    log::warn!(job = id.to_string(); "progress without a description passed over");
+                }
             }
         }
         shard.resume(now, now_unix_ms);
@@ -131,7 +138,7 @@
     fn insert_stored(&mut self, mut job: Job) {
         job.spec_stored = true;
         if let Err(at) = self.position(job.id) {
-            self.jobs.insert(at, Box::new(job));
+            self.jobs.insert(at, job);
         }
     }
 
@@ -202,12 +209,12 @@
     }
 
     pub(super) fn job(&self, id: JobId) -> Option<&Job> {
-        self.position(id).ok().map(|at| self.jobs[at].as_ref())
+        self.position(id).ok().map(|at| &self.jobs[at])
     }
 
     pub(super) fn job_mut(&mut self, id: JobId) -> Option<&mut Job> {
         let at = self.position(id).ok()?;
-        Some(self.jobs[at].as_mut())
+        Some(&mut self.jobs[at])
     }
 
     pub(super) fn worker_position(&self, id: &WorkerId) -> Option<usize> {
@@ -229,12 +236,7 @@
     }
 
     /// Begins the occurrences of a job that are due.
-    pub(super) fn begin_due(
-        &mut self,
-        id: JobId,
-        now: MonotonicMillis,
-        now_unix_ms: u64,
-    ) {
+    pub(super) fn begin_due(&mut self, id: JobId, now: MonotonicMillis, now_unix_ms: u64) {
         let Some(job) = self.job_mut(id) else { return };
         let status = match job.unclear {
             true => TaskStatus::Unclear,
--- a/crates/vanillafold-jobs/src/shard/schedule.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule.rs
@@ -41,6 +41,7 @@
         self.lapse_workers(now, now_unix_ms);
         self.resolve_unclear(now, now_unix_ms);
         self.forget_old(now);
+        self.forget_advice();
         self.repeat_stops(now);
         let timed: Vec<JobId> = self
             .open
@@ -69,7 +70,7 @@
             return;
         }
         let outwaited = now.get() >= self.taken_over_at.get() + self.settings.outwait_ms;
-        if !outwaited && !(self.workers_listed && self.machines_listed) {
+        if !(outwaited || (self.workers_listed && self.machines_listed)) {
             return;
         }
         let silent = match outwaited {
@@ -81,7 +82,10 @@
             let Some(job) = self.job(*id).filter(|job| job.unclear) else {
                 continue;
             };
-            let now_at = self.catalogue.queue(&job.spec.queue).map(|queue| &queue.pool);
+            let now_at = self
+                .catalogue
+                .queue(&job.spec.queue)
+                .map(|queue| &queue.pool);
             let may_run_in = |pool: &String| *pool == job.spec.pool || Some(pool) == now_at;
             if !silent.iter().any(may_run_in) {
                 clear.push(*id);
@@ -153,7 +157,11 @@
         let over = |row: &&(String, Resources)| {
             row.1.cpu_millis * weights * 100 > running * weight(&row.0) * OVER_SHARE_PERCENT
         };
-        self.usage.iter().filter(over).map(|row| row.0.clone()).collect()
+        self.usage
+            .iter()
+            .filter(over)
+            .map(|row| row.0.clone())
+            .collect()
     }
 
     fn rank(
@@ -169,10 +177,7 @@
         let objective_ms = queue.map_or(0, |queue| {
             self.chain_ms(&job.spec) * queue.stretch_millis / 1_000 + queue.target_latency_ms
         });
-        let row = job
-            .occurrences
-            .iter()
-            .find(|row| row.number == occurrence);
+        let row = job.occurrences.iter().find(|row| row.number == occurrence);
         let passed_ms = match row.map_or(0, |row| row.due_unix_ms) {
             0 => now.since(job.accepted_at).get(),
             due => now_unix_ms.saturating_sub(due),
@@ -274,9 +279,8 @@
         let spec = Rc::clone(&job.spec);
         let queue = self.queue_of(&spec);
         let step_spec = &spec.steps[usize::from(waiting.step)];
-        let plain = step_spec.anti_affinity == 0
-            && step_spec.required_label.is_empty()
-            && !step_spec.gang;
+        let plain =
+            step_spec.anti_affinity == 0 && step_spec.required_label.is_empty() && !step_spec.gang;
         let no_room = |row: &(String, StepSpec)| {
             row.0 == queue.pool
                 && step_spec.booked().cpu_millis >= row.1.booked().cpu_millis
@@ -294,8 +298,12 @@
             if !self.tenant_allows(&spec, step_spec, 1) {
                 return;
             }
-            let placed = self.place_task(waiting, &spec, &queue, index, &[], now);
+            let placed = self.place_task(waiting, &spec, &queue, &[], now);
             let Some(at) = placed else {
+                if queue.advised {
+                    self.ask_about(waiting, &spec, &queue, now);
+                    return;
+                }
                 if step_spec.persistent {
                     self.make_room(waiting, &spec, &queue, now);
                 }
@@ -359,6 +367,27 @@
         }
     }
 
+    /// Asks for advice about the workers with room for a step.
+    fn ask_about(
+        &mut self,
+        waiting: &Waiting,
+        spec: &JobSpec,
+        queue: &QueueInfo,
+        now: MonotonicMillis,
+    ) {
+        let step = &spec.steps[usize::from(waiting.step)];
+        let has_room = |worker: &&Worker| {
+            worker.entry.pool == queue.pool
+                && worker.is_usable(now)
+                && suits(worker, step)
+                && worker.entry.capacity.fits(worker.used, step.booked())
+        };
+        let candidates = self.workers.iter().filter(has_room);
+        let candidates = candidates.map(|worker| worker.entry.id.clone()).collect();
+        let key = (waiting.job, waiting.occurrence, waiting.step);
+        self.ask_advice(key, candidates, now);
+    }
+
     fn waiting_since(&self, waiting: &Waiting) -> Option<MonotonicMillis> {
         let index = *self.waiting_tasks(waiting).first()?;
         match self.placed_task(task_id(waiting, index))?.status {
@@ -413,7 +442,9 @@
 
     fn next_run(&self, waiting: &Waiting, index: u16) -> RunNumber {
         let id = task_id(waiting, index);
-        let run = self.placed_task(id).map_or(RunNumber::default(), |task| task.run);
+        let run = self
+            .placed_task(id)
+            .map_or(RunNumber::default(), |task| task.run);
         run.next(self.epoch)
     }
 
@@ -423,7 +454,6 @@
         waiting: &Waiting,
         spec: &JobSpec,
         queue: &QueueInfo,
-        index: u16,
         planned: &[usize],
         now: MonotonicMillis,
     ) -> Option<usize> {
@@ -440,6 +470,10 @@
             for _ in planned.iter().filter(|other| **other == at) {
                 used.add(booked);
             }
+            let key = (waiting.job, waiting.occurrence, waiting.step);
+            if queue.advised && self.ticket(key, &worker.entry.id, now).is_none() {
+                continue;
+            }
             let more = planned.iter().filter(|other| **other == at).count();
             let crowded = is_crowded(worker, waiting, step, more);
             if crowded || !suits(worker, step) || !worker.entry.capacity.fits(used, booked) {
@@ -455,7 +489,7 @@
                 filling: count(worker, |run| run.fills),
                 serving: count(worker, |run| run.target_ms > 0),
                 faults: worker.faults,
-                failed_here: false,
+                failed_here: worker.failed.contains(&waiting.job),
             });
         }
         let placement = Placement {
@@ -463,7 +497,6 @@
             fills: step.fills,
             serves: step.target_ms > 0,
         };
-        let _ = index;
         place(&candidates, placement).map(|chosen| places[chosen])
     }
 
@@ -495,9 +528,10 @@
             return;
         }
         let mut planned = Vec::with_capacity(members.len());
-        for index in &members {
-            match self.place_task(waiting, spec, queue, *index, &planned, now) {
+        for _ in &members {
+            match self.place_task(waiting, spec, queue, &planned, now) {
                 Some(at) => planned.push(at),
+                None if queue.advised => return self.ask_about(waiting, spec, queue, now),
                 None => return,
             }
         }
@@ -545,6 +579,8 @@
         });
         let id = worker.entry.id.clone();
         self.add_usage(&spec.tenant, step.needs);
+        let key = (waiting.job, waiting.occurrence, waiting.step);
+        let ticket = self.ticket(key, &id, now).unwrap_or("").to_owned();
         let mut checkpoint = String::new();
         if let Some(job) = self.job_mut(waiting.job) {
             job.progress.begun = true;
@@ -562,7 +598,7 @@
             spec: Rc::clone(spec),
             deadline_ms,
             checkpoint,
-            ticket: String::new(),
+            ticket,
         };
         self.orders.push((id, order));
     }
--- a/crates/vanillafold-jobs/src/shard/settings.rs
+++ b/crates/vanillafold-jobs/src/shard/settings.rs
@@ -5,6 +5,8 @@
 pub struct Settings {
     /// How long what runs on a worker goes on without being renewed, in milliseconds.
     pub lease_ms: u64,
+    /// The longest lease that a worker gives, in milliseconds.
+    pub max_lease_ms: u64,
     /// How long a look waits for an end, in milliseconds.
     pub hold_wait_ms: u64,
     /// The least time between two looks at one worker, in milliseconds.
--- a/crates/vanillafold-jobs/src/shard/storing.rs
+++ b/crates/vanillafold-jobs/src/shard/storing.rs
@@ -56,14 +56,18 @@
         while taken < self.dirty.len() && bytes < MAX_BATCH_BYTES {
             let id = self.dirty[taken];
             taken += 1;
-            let Some(job) = self.job_mut(id) else { continue };
+            let Some(job) = self.job_mut(id) else {
+                continue;
+            };
             if !job.spec_stored {
                 let spec = Box::new(job.spec.as_ref().clone());
                 batch.records.extend(Record::Spec(id, spec).encode());
             }
             if job.version > job.stored_version {
                 let progress = job.progress.clone();
-                batch.records.extend(Record::Progress(id, progress).encode());
+                batch
+                    .records
+                    .extend(Record::Progress(id, progress).encode());
             }
             job.writing_version = Some(job.version);
             job.writing_outcome = job.progress.outcome;
@@ -77,7 +81,9 @@
     /// A batch is stored.
     pub fn batch_stored(&mut self, batch: &Batch) {
         for id in &batch.jobs {
-            let Some(job) = self.job_mut(*id) else { continue };
+            let Some(job) = self.job_mut(*id) else {
+                continue;
+            };
             job.spec_stored = true;
             if let Some(version) = job.writing_version.take() {
                 job.stored_version = version;
@@ -147,11 +153,7 @@
                 !job.is_dirty() && job.forget_at.is_some_and(|forget_at| forget_at <= now)
             })
         };
-        let count = self
-            .finished
-            .iter()
-            .take_while(|id| old(self, id))
-            .count();
+        let count = self.finished.iter().take_while(|id| old(self, id)).count();
         let gone: Vec<JobId> = self.finished.drain(..count).collect();
         self.forget.extend(gone);
     }
--- a/crates/vanillafold-jobs/src/shard/submit.rs
+++ b/crates/vanillafold-jobs/src/shard/submit.rs
@@ -56,7 +56,7 @@
             return SubmitOutcome::Refused { retry_after_ms };
         }
         self.note_arrival(&spec, now);
-        self.jobs.insert(at, Box::new(Job::new(id, spec, now)));
+        self.jobs.insert(at, Job::new(id, spec, now));
         if let Err(at) = self.open.binary_search(&id) {
             self.open.insert(at, id);
         }
@@ -126,7 +126,11 @@
                 tenants.insert(at, &job.spec.tenant);
             }
         }
-        let weight = |name: &&str| self.catalogue.tenant(name).map_or(1, |row| row.weight.max(1));
+        let weight = |name: &&str| {
+            self.catalogue
+                .tenant(name)
+                .map_or(1, |row| row.weight.max(1))
+        };
         (own, tenants.iter().map(weight).sum())
     }
 
@@ -141,7 +145,10 @@
                 false => 0,
             };
         }
-        let off = self.machines.iter().filter(|machine| machine.worker.is_none());
+        let off = self
+            .machines
+            .iter()
+            .filter(|machine| machine.worker.is_none());
         total + off.map(|machine| machine.capacity.cpu_millis).sum::<u64>()
     }
 
--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -6,9 +6,10 @@
 use super::root::Shard;
 use crate::id::{JobId, RunNumber, TaskId, WorkerId};
 use crate::job::TaskStatus;
+use crate::spec::StepSpec;
 use crate::worker::{
-    EndKind, EndNeeds, HoldReport, ListedEnd, ListedRun, OrderAnswer, Run, RunPhase, UnnotedEnd, Worker,
-    WorkerEntry,
+    EndKind, EndNeeds, HoldReport, ListedEnd, ListedRun, OrderAnswer, Run, RunPhase, UnnotedEnd,
+    Worker, WorkerEntry,
 };
 
 /// After a failed look or order the next look follows after this time, in milliseconds: several
@@ -28,7 +29,8 @@
         for worker in &mut self.workers {
             worker.listed = false;
         }
-        self.gone.retain(|id| entries.iter().any(|entry| entry.id == *id));
+        self.gone
+            .retain(|id| entries.iter().any(|entry| entry.id == *id));
         for entry in entries {
             if self.gone.contains(&entry.id) {
                 continue;
@@ -201,7 +203,7 @@
     pub fn hold_answered(
         &mut self,
         id: &WorkerId,
-        report: HoldReport,
+        report: &HoldReport,
         sent_at: MonotonicMillis,
         now: MonotonicMillis,
         now_unix_ms: u64,
@@ -209,8 +211,8 @@
         let Some(at) = self.worker_position(id) else {
             return;
         };
-        if self.workers[at].is_new_life(&report) {
-            self.begin_life(at, now, now_unix_ms);
+        if self.workers[at].is_new_life(report) {
+            self.begin_life(at, report.clock_ms, now, now_unix_ms);
         }
         let lease_ms = self.settings.lease_ms;
         let gap_ms = self.settings.hold_gap_ms;
@@ -233,7 +235,7 @@
         for listed in &report.running {
             self.take_in_run(at, listed, now);
         }
-        self.drop_absent(at, &report, sent_at, now, now_unix_ms);
+        self.drop_absent(at, report, sent_at, now, now_unix_ms);
         let worker = &mut self.workers[at];
         let gap_ms = match worker.unnoted.is_empty() {
             true => gap_ms,
@@ -259,21 +261,24 @@
         hurried
     }
 
-    fn begin_life(&mut self, at: usize, now: MonotonicMillis, now_unix_ms: u64) {
+    fn begin_life(&mut self, at: usize, clock_ms: u64, now: MonotonicMillis, now_unix_ms: u64) {
         log::info!(worker = self.workers[at].entry.id.as_str(); "worker has started anew");
         let gone = self.workers[at].begin_life();
+        // Orders meant for the earlier life may have been carried out in this one: their deadlines
+        // are on another clock, and the worker shortens them to its longest lease.
+        self.workers[at].lease(clock_ms + self.settings.max_lease_ms);
+        // Stops what may still be started by an order that an earlier life got.
+        for mut run in self.workers[at].take_unanswered(now) {
+            run.phase = RunPhase::Stopping { next_order_at: now };
+            self.add_usage(&run.tenant.clone(), run.needs);
+            self.workers[at].book(run);
+        }
         for run in gone {
             self.end_run(at, &run, EndKind::Lapsed, now, now_unix_ms);
         }
     }
 
-    fn take_in_end(
-        &mut self,
-        at: usize,
-        end: &ListedEnd,
-        now: MonotonicMillis,
-        now_unix_ms: u64,
-    ) {
+    fn take_in_end(&mut self, at: usize, end: &ListedEnd, now: MonotonicMillis, now_unix_ms: u64) {
         if end.number <= self.workers[at].taken_in {
             return;
         }
@@ -408,9 +413,11 @@
                 true => RunPhase::Running { confirmed_at: now },
                 false => RunPhase::Stopping { next_order_at: now },
             },
-            booked: step.map(|step| step.booked()).unwrap_or_default(),
+            booked: step.map(StepSpec::booked).unwrap_or_default(),
             needs: step.map(|step| step.needs).unwrap_or_default(),
-            tenant: spec.as_ref().map_or(String::new(), |spec| spec.tenant.clone()),
+            tenant: spec
+                .as_ref()
+                .map_or(String::new(), |spec| spec.tenant.clone()),
             started_at: now,
             checkpoint: listed.checkpoint.clone(),
             percent: listed.percent,
@@ -522,12 +529,12 @@
             return;
         };
         match answer {
-            OrderAnswer::Accepted { clock_ms } | OrderAnswer::Late { clock_ms } => {
-                if self.workers[at].read_clock(clock_ms, now) {
-                    self.begin_life(at, now, now_unix_ms);
-                    self.workers[at].read_clock(clock_ms, now);
-                    self.workers[at].next_hold_at = now;
-                }
+            OrderAnswer::Accepted { clock_ms } | OrderAnswer::Late { clock_ms }
+                if self.workers[at].read_clock(clock_ms, now) =>
+            {
+                self.begin_life(at, clock_ms, now, now_unix_ms);
+                self.workers[at].read_clock(clock_ms, now);
+                self.workers[at].next_hold_at = now;
             }
             OrderAnswer::Fenced => self.fence(id),
             OrderAnswer::Replaced => return self.replaced(at, now, now_unix_ms),
@@ -564,21 +571,32 @@
             OrderAnswer::Accepted { .. } if starting => {
                 worker.runs[position].phase = RunPhase::Running { confirmed_at: now };
             }
-            OrderAnswer::Unknown if starting => worker.runs[position].phase = RunPhase::Unsure,
+            OrderAnswer::Unknown if starting => {
+                worker.runs[position].phase = RunPhase::Unsure;
+                worker.note_unanswered(position, now);
+            }
             OrderAnswer::Accepted { .. } | OrderAnswer::Unknown => {}
             _ => {
                 if matches!(answer, OrderAnswer::Unhealthy | OrderAnswer::Invalid) {
                     worker.faults += 1.0;
                 }
-                if !matches!(answer, OrderAnswer::NotSent | OrderAnswer::Late { .. }) {
+                let passing = matches!(
+                    answer,
+                    OrderAnswer::NotSent | OrderAnswer::Late { .. } | OrderAnswer::BadTicket
+                );
+                if !passing {
                     worker.avoided_until = MonotonicMillis::new(now.get() + REFUSED_PAUSE_MS);
                 }
+                let id = worker.entry.id.clone();
                 log::info!(
-                    worker = worker.entry.id.as_str(), task = task.to_string(),
+                    worker = id.as_str(), task = task.to_string(),
                     run = number.get(), answer = format!("{answer:?}");
                     "run not started"
                 );
                 let run = worker.release(position, now);
+                if answer == OrderAnswer::BadTicket {
+                    self.drop_ticket((task.job, task.occurrence, task.step), &id);
+                }
                 self.end_run(at, &run, EndKind::Stopped, now, now_unix_ms);
             }
         }
--- a/crates/vanillafold-jobs/src/worker/book.rs
+++ b/crates/vanillafold-jobs/src/worker/book.rs
@@ -11,6 +11,12 @@
 /// Added to the end of a lease for rounding and the time of an answer, in milliseconds.
 const LEASE_MARGIN_MS: u64 = 150;
 
+/// How long after it was sent an order may still be carried out, in milliseconds: what the
+/// platform says of orders without an answer.
+const LATEST_ORDER_MS: u64 = 12_000;
+/// Jobs with a failed run that are kept for each worker: they matter until the task has run again.
+const FAILED_KEPT: usize = 16;
+
 /// How a run stands as far as its owner knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RunPhase {
@@ -28,7 +34,7 @@
 }
 
 /// A run that may take room on a worker.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Run {
     pub(crate) task: TaskId,
     pub(crate) number: RunNumber,
@@ -114,6 +120,9 @@
     lease_deadline_ms: u64,
     pub(crate) runs: Vec<Run>,
     pub(crate) used: Resources,
+    /// Runs whose order to start got no answer, and when. In another life of the worker the order
+    /// may still be carried out, as neither its deadline nor an earlier stop means anything there.
+    unanswered: Vec<(Run, MonotonicMillis)>,
     pub(crate) unnoted: Vec<UnnotedEnd>,
     /// Ends up to here were taken in.
     pub(crate) taken_in: u64,
@@ -127,6 +136,8 @@
     /// Failed runs that no job explains, decayed; and when this was last brought up to date.
     pub(crate) faults: f64,
     pub(crate) faults_at: MonotonicMillis,
+    /// Jobs with a failed run here, the newest last; only so many are kept.
+    pub(crate) failed: Vec<JobId>,
     /// Until then it gets no work because of what it did.
     pub(crate) avoided_until: MonotonicMillis,
     /// Since when it has had nothing to do.
@@ -151,6 +162,7 @@
                 memory_mib: 0,
                 gpus: 0,
             },
+            unanswered: Vec::new(),
             unnoted: Vec::new(),
             taken_in: 0,
             last_seen: 0,
@@ -159,6 +171,7 @@
             next_hold_at: now,
             faults: 0.0,
             faults_at: now,
+            failed: Vec::new(),
             avoided_until: MonotonicMillis::ZERO,
             idle_since: now,
         }
@@ -174,6 +187,14 @@
             && self.avoided_until <= now
     }
 
+    /// Notes that a run of a job failed here.
+    pub(crate) fn note_failed(&mut self, job: JobId) {
+        if self.failed.len() == FAILED_KEPT {
+            self.failed.remove(0);
+        }
+        self.failed.push(job);
+    }
+
     pub(crate) fn run_position(&self, task: TaskId, number: RunNumber) -> Option<usize> {
         let same = |run: &Run| run.task == task && run.number == number;
         self.runs.iter().position(same)
@@ -200,10 +221,7 @@
             .is_some_and(|clock| worker_ms + LEASE_MARGIN_MS < clock.worker_ms);
         let newer = self.clock.is_none_or(|clock| worker_ms >= clock.worker_ms);
         if newer {
-            self.clock = Some(ClockReading {
-                worker_ms,
-                at: now,
-            });
+            self.clock = Some(ClockReading { worker_ms, at: now });
         }
         back
     }
@@ -241,10 +259,27 @@
         }
     }
 
-    /// Starts the books of another life. Runs whose start got no answer stay booked: the order
-    /// may still be carried out.
+    /// Notes that the order to start a run got no answer.
+    pub(crate) fn note_unanswered(&mut self, at: usize, now: MonotonicMillis) {
+        self.unanswered
+            .retain(|row| now.since(row.1).get() < LATEST_ORDER_MS);
+        self.unanswered.push((self.runs[at].clone(), now));
+    }
+
+    /// The runs that an order may still start in a new life and that are not booked.
+    pub(crate) fn take_unanswered(&mut self, now: MonotonicMillis) -> Vec<Run> {
+        let unanswered = std::mem::take(&mut self.unanswered);
+        let waits = |row: &(Run, MonotonicMillis)| now.since(row.1).get() < LATEST_ORDER_MS;
+        let runs = unanswered.into_iter().filter(waits).map(|row| row.0);
+        runs.filter(|run| self.run_position(run.task, run.number).is_none())
+            .collect()
+    }
+
+    /// Starts the books of another life. Runs whose order has no answer yet stay booked: it may
+    /// be carried out in this life, too.
     pub(crate) fn begin_life(&mut self) -> Vec<Run> {
         self.clock = None;
+        self.started_unix_ms = None;
         self.lease_deadline_ms = 0;
         self.unnoted.clear();
         self.taken_in = 0;
@@ -257,7 +292,7 @@
         while at < self.runs.len() {
             let unsure = matches!(
                 self.runs[at].phase,
-                RunPhase::Unsure | RunPhase::Stopping { .. }
+                RunPhase::Starting | RunPhase::Unsure | RunPhase::Stopping { .. }
             );
             match unsure {
                 true => at += 1,
--- a/crates/vanillafold-jobs/tests/shard/main.rs
+++ b/crates/vanillafold-jobs/tests/shard/main.rs
@@ -1,6 +1,6 @@
 //! The state machine of a shard, event by event.
 
 mod fixture;
-mod takeover;
 mod machines;
+mod takeover;
 mod workers;
--- a/crates/vanillafold-wire/src/lib.rs
+++ b/crates/vanillafold-wire/src/lib.rs
@@ -14,10 +14,11 @@
 pub mod platform;
 
 pub use peer::{
-    BootClock, BootMillis, CallError, CallHandler, Caller, ClusterName, LinkEnd, LinkPace, LoadEntry, LoadReport, LogStream,
-    MAX_CUSTOM_BYTES, MAX_MEMBERS, MAX_MESSAGE_BYTES, MAX_SNAPSHOT_CHUNK_BYTES, NamedCounter, Notice,
-    PROTOCOL_VERSION, PeerAddress, PeerCounters, PeerError, PeerHandle, PeerHandler, PeerMessage,
-    PeerRequest, PeerResponse, PeerSet, PeerSettings, PeerState, PeerStatistics, PeerStatus,
-    PeerTraffic, RecordBatch, RecordsRequest, RefusalReason, SharedToken, Signal, SignalWait, SnapshotChunk,
-    SnapshotRequest, StateSummary, UnavailableReason, Withdrawal, serve_calls,
+    BootClock, BootMillis, CallError, CallHandler, Caller, ClusterName, LinkEnd, LinkPace,
+    LoadEntry, LoadReport, LogStream, MAX_CUSTOM_BYTES, MAX_MEMBERS, MAX_MESSAGE_BYTES,
+    MAX_SNAPSHOT_CHUNK_BYTES, NamedCounter, Notice, PROTOCOL_VERSION, PeerAddress, PeerCounters,
+    PeerError, PeerHandle, PeerHandler, PeerMessage, PeerRequest, PeerResponse, PeerSet,
+    PeerSettings, PeerState, PeerStatistics, PeerStatus, PeerTraffic, RecordBatch, RecordsRequest,
+    RefusalReason, SharedToken, Signal, SignalWait, SnapshotChunk, SnapshotRequest, StateSummary,
+    UnavailableReason, Withdrawal, serve_calls,
 };
--- a/crates/vanillafold-wire/src/peer/call.rs
+++ b/crates/vanillafold-wire/src/peer/call.rs
@@ -130,8 +130,8 @@
 async fn dial(address: SocketAddr) -> Result<SendRequest<Bytes>, LinkEnd> {
     let connected = TcpStream::connect_addr(address).await;
     let tcp = connected.map_err(|error| LinkEnd::Connect(error.kind()))?;
-    let io = wrap(tcp, Rc::new(Traffic::default()))
-        .map_err(|error| LinkEnd::Connect(error.kind()))?;
+    let io =
+        wrap(tcp, Rc::new(Traffic::default())).map_err(|error| LinkEnd::Connect(error.kind()))?;
     let (sender, connection) = client_builder()
         .initial_max_send_streams(MAX_CALLS as usize)
         .handshake(io)
@@ -162,8 +162,8 @@
 }
 
 async fn serve<H: CallHandler>(tcp: TcpStream, handler: Rc<H>) -> Result<(), LinkEnd> {
-    let io = wrap(tcp, Rc::new(Traffic::default()))
-        .map_err(|error| LinkEnd::Connect(error.kind()))?;
+    let io =
+        wrap(tcp, Rc::new(Traffic::default())).map_err(|error| LinkEnd::Connect(error.kind()))?;
     let mut connection = super::link::server_builder()
         .max_concurrent_streams(MAX_CALLS)
         .handshake(io)
--- a/crates/vanillafold-wire/src/peer/mod.rs
+++ b/crates/vanillafold-wire/src/peer/mod.rs
@@ -46,7 +46,7 @@
     SnapshotRequest, UnavailableReason,
 };
 pub use set::{PeerHandle, PeerSet};
-pub use signal::{Notice, Signal, SignalWait};
 pub use settings::{ClusterName, LinkPace, MAX_MEMBERS, PeerAddress, PeerSettings, SharedToken};
+pub use signal::{Notice, Signal, SignalWait};
 pub use statistics::{NamedCounter, PeerCounters, PeerStatistics, PeerTraffic};
 pub use status::{PeerState, PeerStatus};
--- a/crates/vanillafold/src/fleet/attend.rs
+++ b/crates/vanillafold/src/fleet/attend.rs
@@ -35,7 +35,9 @@
 
 /// Starts the tasks of workers that are new, and ends those of workers that are gone or moved.
 pub(crate) fn keep_links<P: FleetPlatform>(office: &Rc<Office<P>>) {
-    let wanted = office.with(|shard| shard.worker_addresses()).unwrap_or_default();
+    let wanted = office
+        .with(|shard| shard.worker_addresses())
+        .unwrap_or_default();
     let mut links = office.links.borrow_mut();
     links.retain(|link| {
         let found = wanted.binary_search_by(|row| row.0.cmp(&link.id));
@@ -107,7 +109,7 @@
                     .await;
                 match looked {
                     Ok(report) => office.with(|shard| {
-                        shard.hold_answered(&link.id, report, sent_at, now(), unix_ms());
+                        shard.hold_answered(&link.id, &report, sent_at, now(), unix_ms());
                     }),
                     Err(answer) => office.with(|shard| {
                         shard.hold_failed(&link.id, answer, now(), unix_ms());
--- a/crates/vanillafold/src/fleet/directory.rs
+++ b/crates/vanillafold/src/fleet/directory.rs
@@ -12,9 +12,9 @@
 use super::hub::Fleet;
 use super::message::{FleetAnswer, FleetRequest};
 use super::platform::{FleetPlatform, KeyedRow, MetadataStore, Ownership};
-use super::settings::{FleetSettings, OWNER_CPU_MILLIS,
-    CALL_CONNECT_TIMEOUT, CALL_TIMEOUT, OWNERS_GROUP, PING_INTERVAL, PING_TIMEOUT, SHARD_PARTITION,
-    VACANCY_INTERVAL, VACANT_READS,
+use super::settings::{
+    CALL_CONNECT_TIMEOUT, CALL_TIMEOUT, FleetSettings, OWNER_CPU_MILLIS, OWNERS_GROUP,
+    PING_INTERVAL, PING_TIMEOUT, SHARD_PARTITION, VACANCY_INTERVAL, VACANT_READS,
 };
 use super::time::now;
 
@@ -104,12 +104,14 @@
 
 /// Whether nobody holds the shard, or `None` if the store does not say; an owner that is found is
 /// taken note of.
-pub(crate) async fn is_vacant<P: FleetPlatform>(fleet: &Fleet<P>, store: &mut P::Store) -> Option<bool> {
+pub(crate) async fn is_vacant<P: FleetPlatform>(
+    fleet: &Fleet<P>,
+    store: &mut P::Store,
+) -> Option<bool> {
     match store.owners(OWNERS_GROUP).await {
         Ok(rows) => {
-            let holds = |row: &&Ownership| {
-                row.partition == SHARD_PARTITION && !row.member.is_empty()
-            };
+            let holds =
+                |row: &&Ownership| row.partition == SHARD_PARTITION && !row.member.is_empty();
             match rows.iter().find(holds) {
                 Some(row) => {
                     fleet.directory.set(&row.member);
--- a/crates/vanillafold/src/fleet/duty.rs
+++ b/crates/vanillafold/src/fleet/duty.rs
@@ -64,7 +64,10 @@
     loop {
         office.to_tell.take().await;
         while let Some(status) = office.with(|shard| shard.next_wave_status()).flatten() {
-            let row = office.fleet.platform.wave_status(status.wave, status.completed);
+            let row = office
+                .fleet
+                .platform
+                .wave_status(status.wave, status.completed);
             match store.append(Keyspace::Status, None, &[row], limit_ms).await {
                 Ok(()) => {
                     log::info!(wave = status.wave, completed = status.completed; "status of a wave written");
--- a/crates/vanillafold/src/fleet/hub.rs
+++ b/crates/vanillafold/src/fleet/hub.rs
@@ -292,7 +292,10 @@
     }
 }
 
-pub(crate) fn listen(address: SocketAddr, purpose: &'static str) -> Result<TcpListener, FleetError> {
+pub(crate) fn listen(
+    address: SocketAddr,
+    purpose: &'static str,
+) -> Result<TcpListener, FleetError> {
     let options = ListenerOpts::new()
         .reuse_port(false)
         .reuse_addr(true)
--- a/crates/vanillafold/src/fleet/membership.rs
+++ b/crates/vanillafold/src/fleet/membership.rs
@@ -24,7 +24,11 @@
     let mut generation = 0;
     let mut lost = false;
     while !fleet.leaving.is_raised() {
-        let closed = fleet.office.borrow().as_ref().is_some_and(|office| office.is_closed());
+        let closed = fleet
+            .office
+            .borrow()
+            .as_ref()
+            .is_some_and(|office| office.is_closed());
         if closed {
             fleet.office.borrow_mut().take();
         }
@@ -42,7 +46,10 @@
                 withdraw(&fleet, &mut store).await;
                 generation = 0;
             }
-            let _ = fleet.leaving.cancel(timeout(IDLE_WAIT, fleet.vacancy.take())).await;
+            let _ = fleet
+                .leaving
+                .cancel(timeout(IDLE_WAIT, fleet.vacancy.take()))
+                .await;
             continue;
         }
         if owns && superseded(&fleet, &mut store).await {
@@ -50,7 +57,13 @@
         }
         let sent_at = now();
         let ttl_ms = fleet.settings.member_ttl_ms;
-        let join = store.join(OWNERS_GROUP, &fleet.member, SHARDS_TOPIC, ttl_ms, generation);
+        let join = store.join(
+            OWNERS_GROUP,
+            &fleet.member,
+            SHARDS_TOPIC,
+            ttl_ms,
+            generation,
+        );
         let Some(joined) = fleet.leaving.cancel(join).await else {
             return;
         };
--- a/crates/vanillafold/src/fleet/mod.rs
+++ b/crates/vanillafold/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 //!
 //! [`Shard`]: vanillafold_jobs::Shard
 
+mod advise;
 mod attend;
 mod config;
 mod directory;
@@ -27,7 +28,7 @@
 pub use hub::{Fleet, FleetError};
 pub use message::{FleetAnswer, FleetRequest};
 pub use platform::{
-    AppendError, CloudError, FleetPlatform, Keyspace, KeyedRow, Looks, Machines, Membership,
-    MetadataStore, Newest, Orders, Ownership, Producer, StoreError, Tail,
+    Advisor, AppendError, CloudError, FleetPlatform, KeyedRow, Keyspace, Looks, Machines,
+    Membership, MetadataStore, Newest, Orders, Ownership, Producer, StoreError, Tail,
 };
 pub use settings::FleetSettings;
--- a/crates/vanillafold/src/fleet/office.rs
+++ b/crates/vanillafold/src/fleet/office.rs
@@ -1,12 +1,13 @@
 //! An ownership of the shard: the state machine and the tasks around it.
 
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::rc::Rc;
 
 use local_sync::oneshot;
 use monoio::time::{sleep, timeout};
 use vanillafold_jobs::{
-    CancelOutcome, Epoch, JobId, Record, Shard, SubmitOutcome, Wave, WorkerId,
+    AdviceQuery, CancelOutcome, Epoch, JobId, Record, Shard, SubmitOutcome, Wave, WorkerId,
 };
 use vanillafold_policy::MonotonicMillis;
 use vanillafold_wire::{Notice, Signal};
@@ -23,7 +24,7 @@
     READ_RETRY, SHARD_PRODUCER, SMALL_OWNER_MS, STORE_PAUSE_MS,
 };
 use super::time::{now, unix_ms};
-use super::{attend, duty, writer};
+use super::{advise, attend, duty, writer};
 
 /// How long the owner waits for what is being written before it hands the shard over.
 const FLUSH_POLL: std::time::Duration = std::time::Duration::from_millis(5);
@@ -60,6 +61,9 @@
     pub(crate) store_away_until: Cell<u64>,
     pub(crate) duties: RefCell<Vec<vanillafold_jobs::MachineDuty>>,
     pub(crate) to_do: Notice,
+    pub(crate) queries: RefCell<VecDeque<AdviceQuery>>,
+    /// There are questions about placement.
+    pub(crate) to_ask: Notice,
     /// A wave's status may have to be told.
     pub(crate) to_tell: Notice,
 }
@@ -81,6 +85,8 @@
             store_away_until: Cell::new(0),
             duties: RefCell::new(Vec::new()),
             to_do: Notice::default(),
+            queries: RefCell::new(VecDeque::new()),
+            to_ask: Notice::default(),
             to_tell: Notice::default(),
         });
         monoio::spawn(take_over(Rc::clone(&office)));
@@ -286,8 +292,7 @@
         let unconfirmed_ms = at.since(self.fleet.confirmed_at.get()).get();
         let other_zone_ms = at.since(self.fleet.other_zone_at.get()).get();
         let superseded = self.fleet.latest_epoch.get() > self.epoch.get();
-        unconfirmed_ms < OWNER_ISOLATION_MS
-            || (!superseded && other_zone_ms < OWNER_ISOLATION_MS)
+        unconfirmed_ms < OWNER_ISOLATION_MS || (!superseded && other_zone_ms < OWNER_ISOLATION_MS)
     }
 
     /// Lets the scheduler run and sends what it gives out.
@@ -312,7 +317,15 @@
             self.duties.borrow_mut().extend(duties);
             self.to_do.give();
         }
-        if self.with(|shard| shard.next_wave_status().is_some()).unwrap_or(false) {
+        let queries = self.with(Shard::take_queries).unwrap_or_default();
+        if !queries.is_empty() {
+            self.queries.borrow_mut().extend(queries);
+            self.to_ask.give();
+        }
+        if self
+            .with(|shard| shard.next_wave_status().is_some())
+            .unwrap_or(false)
+        {
             self.to_tell.give();
         }
         if self.with(|shard| shard.has_records()).unwrap_or(false) {
@@ -354,11 +367,30 @@
     log::info!(epoch = office.epoch.get(), open_jobs = shard.open_jobs(); "shard taken over");
     *office.shard.borrow_mut() = Some(shard);
     office.fleet.owner_heard_at.set(Some(now()));
-    monoio::spawn(until_closed(Rc::clone(&office), writer::write(Rc::clone(&office))));
-    monoio::spawn(until_closed(Rc::clone(&office), attend::list_workers(Rc::clone(&office))));
-    monoio::spawn(until_closed(Rc::clone(&office), duty::list_machines(Rc::clone(&office))));
-    monoio::spawn(until_closed(Rc::clone(&office), duty::carry_out(Rc::clone(&office))));
-    monoio::spawn(until_closed(Rc::clone(&office), duty::tell_waves(Rc::clone(&office))));
+    monoio::spawn(until_closed(
+        Rc::clone(&office),
+        writer::write(Rc::clone(&office)),
+    ));
+    monoio::spawn(until_closed(
+        Rc::clone(&office),
+        attend::list_workers(Rc::clone(&office)),
+    ));
+    monoio::spawn(until_closed(
+        Rc::clone(&office),
+        duty::list_machines(Rc::clone(&office)),
+    ));
+    monoio::spawn(until_closed(
+        Rc::clone(&office),
+        duty::carry_out(Rc::clone(&office)),
+    ));
+    monoio::spawn(until_closed(
+        Rc::clone(&office),
+        advise::advise(Rc::clone(&office)),
+    ));
+    monoio::spawn(until_closed(
+        Rc::clone(&office),
+        duty::tell_waves(Rc::clone(&office)),
+    ));
     conduct(office).await;
 }
 
@@ -380,7 +412,10 @@
     let mut wait = APPEND_TIMEOUT;
     loop {
         let limit_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-        match store.append(Keyspace::Jobs, Some(producer), &[], limit_ms).await {
+        match store
+            .append(Keyspace::Jobs, Some(producer), &[], limit_ms)
+            .await
+        {
             Ok(()) => break,
             Err(AppendError::Store(error)) => {
                 log::info!(error = error.to_string(); "earlier owners not fenced yet");
--- a/crates/vanillafold/src/fleet/platform.rs
+++ b/crates/vanillafold/src/fleet/platform.rs
@@ -3,7 +3,10 @@
 
 use std::net::SocketAddr;
 
-use vanillafold_jobs::{Epoch, HoldReport, Machine, MachineDuty, Order, OrderAnswer, WorkerEntry, WorkerId};
+use vanillafold_jobs::{
+    Advice, AdviceQuery, Epoch, HoldReport, Machine, MachineDuty, Order, OrderAnswer, WorkerEntry,
+    WorkerId,
+};
 
 use super::config::OperatorRecord;
 
@@ -163,7 +166,12 @@
 /// Orders to one worker, over a connection of its own.
 pub trait Orders {
     /// Sends orders together and hands out each answer as it comes, each exactly once.
-    async fn send(&mut self, epoch: Epoch, orders: &[Order], answered: impl FnMut(usize, OrderAnswer));
+    async fn send(
+        &mut self,
+        epoch: Epoch,
+        orders: &[Order],
+        answered: impl FnMut(usize, OrderAnswer),
+    );
 }
 
 /// What a call about machines did.
@@ -194,6 +202,12 @@
     );
 }
 
+/// The platform's service for placement advice.
+pub trait Advisor {
+    /// Asks which workers may run a step; `None` if there was no answer.
+    async fn advise(&mut self, query: &AdviceQuery) -> Option<Advice>;
+}
+
 /// A platform.
 pub trait FleetPlatform: 'static {
     /// Its store.
@@ -204,6 +218,8 @@
     type Orders: Orders;
     /// Its machines.
     type Machines: Machines;
+    /// Its placement advice.
+    type Advisor: Advisor;
 
     /// A connection to the store.
     fn store(&self) -> Self::Store;
@@ -213,6 +229,8 @@
     fn orders(&self, worker: &WorkerId, address: SocketAddr) -> Self::Orders;
     /// A connection for machines.
     fn machines(&self) -> Self::Machines;
+    /// A connection to the service for placement advice, if there is one.
+    fn advisor(&self) -> Option<Self::Advisor>;
 
     /// Reads a record of the operator; `Ok(None)` for one that the system has no use for.
     ///
--- a/crates/vanillafold/src/fleet/writer.rs
+++ b/crates/vanillafold/src/fleet/writer.rs
@@ -8,7 +8,10 @@
 
 use super::office::Office;
 use super::platform::{AppendError, FleetPlatform, Keyspace, MetadataStore, Producer, StoreError};
-use super::settings::{APPEND_DELAY, APPEND_RETRY, APPEND_RETRY_MAX, APPEND_TIMEOUT, APPEND_TIMEOUT_MAX, SHARD_PRODUCER};
+use super::settings::{
+    APPEND_DELAY, APPEND_RETRY, APPEND_RETRY_MAX, APPEND_TIMEOUT, APPEND_TIMEOUT_MAX,
+    SHARD_PRODUCER,
+};
 use super::time::now;
 
 /// What became of a batch.
