Metrics at 9464/metrics; logs that never wait for their reader

Counters for requests, refusals, retries, takeovers, lost dependencies, appends, looks and orders; histograms for requests, appends, orders, waiting and takeovers.

--- a/crates/vanillafold-jobs/src/shard/orders.rs
+++ b/crates/vanillafold-jobs/src/shard/orders.rs
@@ -24,6 +24,8 @@
         checkpoint: String,
         /// The ticket of the placement advice; empty if there is none.
         ticket: String,
+        /// How long the task has waited for room, in milliseconds.
+        waited_ms: u64,
     },
     /// Stop a run, or keep it from starting.
     Stop {
--- a/crates/vanillafold-jobs/src/shard/schedule.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule.rs
@@ -582,10 +582,14 @@
         let key = (waiting.job, waiting.occurrence, waiting.step);
         let ticket = self.ticket(key, &id, now).unwrap_or("").to_owned();
         let mut checkpoint = String::new();
+        let mut waited_ms = 0;
         if let Some(job) = self.job_mut(waiting.job) {
             job.progress.begun = true;
             if let Some(at) = job.occurrence_position(waiting.occurrence) {
                 let step = &mut job.occurrences[at].steps[usize::from(waiting.step)];
+                if let TaskStatus::Waiting { since } = step.tasks[usize::from(index)].status {
+                    waited_ms = now.since(since).get();
+                }
                 step.set_status(index, TaskStatus::Placed { worker: id.clone() });
                 let row = &mut step.tasks[usize::from(index)];
                 row.run = number;
@@ -599,6 +603,7 @@
             deadline_ms,
             checkpoint,
             ticket,
+            waited_ms,
         };
         self.orders.push((id, order));
     }
--- a/crates/vanillafold/src/fleet/attend.rs
+++ b/crates/vanillafold/src/fleet/attend.rs
@@ -8,6 +8,7 @@
 use vanillafold_jobs::{HoldPlan, Order, OrderAnswer, WorkerId};
 use vanillafold_wire::{Notice, Signal};
 
+use super::metric;
 use super::office::Office;
 use super::platform::{
     FleetPlatform, KeyedRow, Keyspace, Looks, MetadataStore, Orders, StoreError,
@@ -107,6 +108,7 @@
                 let looked = looks
                     .look(office.epoch(), deadline_ms, last_seen, wait_ms)
                     .await;
+                metric::look(looked.is_ok());
                 match looked {
                     Ok(report) => office.with(|shard| {
                         shard.hold_answered(&link.id, &report, sent_at, now(), unix_ms());
@@ -130,7 +132,9 @@
         if orders.is_empty() {
             continue;
         }
+        let sent_at = now();
         let answered = |at: usize, answer: OrderAnswer| {
+            metric::order(&orders[at], answer, sent_at);
             office.with(|shard| {
                 shard.order_answered(&link.id, &orders[at], answer, now(), unix_ms());
             });
--- a/crates/vanillafold/src/fleet/duty.rs
+++ b/crates/vanillafold/src/fleet/duty.rs
@@ -4,6 +4,7 @@
 
 use monoio::time::sleep;
 
+use super::metric;
 use super::office::Office;
 use super::platform::{CloudError, FleetPlatform, Keyspace, Machines, MetadataStore};
 use super::settings::{APPEND_TIMEOUT, MACHINE_LIST_INTERVAL, READ_RETRY};
@@ -44,6 +45,7 @@
         }
         let answered = |at: usize, outcome: Result<(), CloudError>| {
             let duty = &duties[at];
+            metric::machine_order(outcome.is_ok());
             log::info!(duty = format!("{duty:?}"), outcome = format!("{outcome:?}"); "machine ordered");
             office.with(|shard| match outcome {
                 Ok(()) => shard.duty_done(duty, now(), unix_ms()),
--- a/crates/vanillafold/src/fleet/follow.rs
+++ b/crates/vanillafold/src/fleet/follow.rs
@@ -6,6 +6,7 @@
 
 use super::config::OperatorRecord;
 use super::hub::Fleet;
+use super::metric;
 use super::platform::{FleetPlatform, KeyedRow, Keyspace, MetadataStore, StoreError};
 use super::settings::{OPERATOR_WAIT_MS, READ_RETRY};
 
@@ -41,6 +42,7 @@
             Err(StoreError::Trimmed) => next = None,
             Err(error) => {
                 if !std::mem::replace(&mut lost, true) {
+                    metric::dependency_lost("store_reads");
                     log::warn!(error = error.to_string(); "the operator's records can't be read");
                 }
                 // Changes in an outage may be missed by a follower: begin with what is newest.
--- a/crates/vanillafold/src/fleet/forward.rs
+++ b/crates/vanillafold/src/fleet/forward.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use monoio::time::sleep;
+use vanillafold_policy::MonotonicMillis;
 use vanillafold_wire::CallError;
 
 use super::hub::Fleet;
 use super::message::{FleetAnswer, FleetRequest};
+use super::metric;
 use super::platform::FleetPlatform;
 use super::settings::{CALL_TIMEOUT, COME_BACK_MS, OWNER_RETRY, OWNER_WAIT_MS};
 use super::time::now;
@@ -20,6 +22,17 @@
     /// [`FleetAnswer::Undecided`] if that is not known within `limit_ms`.
     pub async fn ask(self: &Rc<Self>, request: &FleetRequest, limit_ms: u64) -> FleetAnswer {
         let began = now();
+        let answer = self.ask_until(request, limit_ms, began).await;
+        metric::request(request.kind(), answer.kind(), began);
+        answer
+    }
+
+    async fn ask_until(
+        self: &Rc<Self>,
+        request: &FleetRequest,
+        limit_ms: u64,
+        began: MonotonicMillis,
+    ) -> FleetAnswer {
         let mut sent = false;
         let mut left_ms = limit_ms;
         loop {
@@ -31,6 +44,7 @@
                 Err(CallError::NoAnswer { .. }) => sent = true,
                 Err(_) => {}
             }
+            metric::request_retried();
             self.owner_doubtful.give();
             sleep(OWNER_RETRY).await;
             let passed_ms = now().since(began).get();
--- a/crates/vanillafold/src/fleet/membership.rs
+++ b/crates/vanillafold/src/fleet/membership.rs
@@ -8,6 +8,7 @@
 
 use super::directory;
 use super::hub::Fleet;
+use super::metric;
 use super::office::Office;
 use super::platform::{FleetPlatform, Membership, MetadataStore};
 use super::settings::{
@@ -85,6 +86,7 @@
             }
             Err(error) => {
                 if !std::mem::replace(&mut lost, true) {
+                    metric::dependency_lost("store_group");
                     log::warn!(error = error.to_string(); "the store does not answer");
                 }
                 JOIN_RETRY
--- a/crates/vanillafold/src/fleet/message.rs
+++ b/crates/vanillafold/src/fleet/message.rs
@@ -68,3 +68,38 @@
     /// It is not known whether the request had its effect.
     Undecided,
 }
+
+impl FleetRequest {
+    /// The kind of the request, for logs and metrics.
+    #[must_use]
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Submit(..) => "submit",
+            Self::State(_) => "state",
+            Self::Cancel(_) => "cancel",
+            Self::Pending(_) => "pending",
+            Self::Ping { .. } => "ping",
+            Self::Config(_) => "config",
+        }
+    }
+}
+
+impl FleetAnswer {
+    /// The kind of the answer, for logs and metrics.
+    #[must_use]
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Refused { overload: true, .. } => "refused_load",
+            Self::Refused { .. } => "refused_fault",
+            Self::State(_) => "state",
+            Self::NoJob => "no_job",
+            Self::Cancelled => "cancelled",
+            Self::Pending(_) => "pending",
+            Self::Pong { .. } => "pong",
+            Self::Config(_) => "config",
+            Self::NotOwner => "not_owner",
+            Self::Undecided => "undecided",
+        }
+    }
+}
--- a/crates/vanillafold/src/fleet/mod.rs
+++ b/crates/vanillafold/src/fleet/mod.rs
@@ -18,6 +18,7 @@
 mod hub;
 mod membership;
 mod message;
+mod metric;
 mod office;
 mod platform;
 mod settings;
--- a/crates/vanillafold/src/fleet/office.rs
+++ b/crates/vanillafold/src/fleet/office.rs
@@ -16,6 +16,7 @@
 use super::config::FleetConfig;
 use super::hub::Fleet;
 use super::message::{FleetAnswer, FleetRequest};
+use super::metric;
 use super::platform::{
     AppendError, FleetPlatform, Keyspace, MetadataStore, Newest, Producer, StoreError,
 };
@@ -116,6 +117,7 @@
             return;
         }
         log::info!(epoch = self.epoch.get(), reason = reason; "ownership of the shard ends");
+        metric::ownership_ended();
         self.closed.raise();
         for waiter in self.waiters.take() {
             // The call may have been given up meanwhile.
@@ -180,6 +182,7 @@
     async fn submit(&self, id: JobId, spec: vanillafold_jobs::JobSpec) -> FleetAnswer {
         let known = self.with(|shard| shard.is_known(id)).unwrap_or(false);
         if !known && now().get() < self.store_away_until.get() {
+            metric::refusal("store_away");
             log::info!(job = id.to_string(), reason = "store away"; "job refused");
             return FleetAnswer::Refused {
                 retry_after_ms: COME_BACK_MS,
@@ -191,6 +194,7 @@
             Some(SubmitOutcome::Stored) => FleetAnswer::Accepted,
             Some(SubmitOutcome::Storing) => self.wait(id, WaitsFor::Description).await,
             Some(SubmitOutcome::Refused { retry_after_ms }) => {
+                metric::refusal("load");
                 log::info!(job = id.to_string(), retry_after_ms = retry_after_ms, reason = "load"; "job refused");
                 FleetAnswer::Refused {
                     retry_after_ms,
@@ -264,6 +268,7 @@
                 continue;
             }
             let waiter = waiters.swap_remove(at);
+            metric::refusal("store_refused");
             log::info!(job = waiter.job.to_string(), reason = "store refused"; "job refused");
             let answer = match waiter.waits_for {
                 WaitsFor::Description => FleetAnswer::Refused {
@@ -365,6 +370,7 @@
         shard.add_wave(wave.clone(), now());
     }
     log::info!(epoch = office.epoch.get(), open_jobs = shard.open_jobs(); "shard taken over");
+    metric::takeover(office.opened_at);
     *office.shard.borrow_mut() = Some(shard);
     office.fleet.owner_heard_at.set(Some(now()));
     monoio::spawn(until_closed(
--- a/crates/vanillafold/src/fleet/writer.rs
+++ b/crates/vanillafold/src/fleet/writer.rs
@@ -6,6 +6,7 @@
 use monoio::time::sleep;
 use vanillafold_jobs::{Batch, Shard};
 
+use super::metric;
 use super::office::Office;
 use super::platform::{AppendError, FleetPlatform, Keyspace, MetadataStore, Producer, StoreError};
 use super::settings::{
@@ -59,6 +60,7 @@
             }
             Written::Refused(reason) => {
                 if !std::mem::replace(&mut away, true) {
+                    metric::dependency_lost("store_writes");
                     log::warn!(reason = reason.as_str(), records = batch.records.len(); "the store takes no records");
                 }
                 let dropped = office.with(|shard| shard.batch_refused(&batch));
@@ -91,6 +93,7 @@
             .await;
         match appended {
             Ok(()) => {
+                metric::append("stored", began);
                 let took = Duration::from_millis(now().since(began).get());
                 *usual = match unanswered {
                     true => wait,
@@ -110,9 +113,11 @@
                 return Written::Superseded;
             }
             Err(AppendError::Store(StoreError::Refused(reason))) if !unanswered => {
+                metric::append("refused", began);
                 return Written::Refused(reason);
             }
             Err(AppendError::Store(error)) => {
+                metric::append("unanswered", began);
                 log::info!(error = error.to_string(), waited_ms = limit_ms; "append not answered");
                 unanswered |= matches!(error, StoreError::NoAnswer(_));
                 wait = (wait * 2).min(APPEND_TIMEOUT_MAX);
--- a/crates/vanillafold/src/lib.rs
+++ b/crates/vanillafold/src/lib.rs
@@ -43,10 +43,12 @@
 mod supervisor;
 mod wait;
 
-pub use logging::{LogOutput, LoggingError, start_logging};
+pub use logging::{LogOutput, LoggingError, bounded_logger, start_logging};
+/// Renders the page of metrics.
+pub use metrics_exporter_prometheus::PrometheusHandle;
 pub use peer::PeerStartError;
 pub use settings::{
     LimitSettings, PeerSettings, PlatformSettings, Secret, SecretError, Settings, SettingsError,
     Timeouts,
 };
-pub use supervisor::{Daemon, DaemonError, SignalWatch};
+pub use supervisor::{Daemon, DaemonError, SignalWatch, install_metrics};
--- /dev/null
+++ b/crates/vanillafold/src/logging/bounded.rs
@@ -0,0 +1,119 @@
+//! Standard output that never blocks and takes a bounded number of lines.
+
+use std::cell::RefCell;
+use std::fmt;
+use std::io::{self, Write};
+use std::os::fd::AsFd;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use flexi_logger::DeferredNow;
+use flexi_logger::writers::LogWriter;
+use log::Record;
+use rustix::fs::{OFlags, fcntl_getfl, fcntl_setfl};
+
+use super::line::write_line;
+
+/// Most lines in a second: some ten for each request of a usual burst, and little processor time.
+const LINES_PER_SECOND: u32 = 400;
+/// Most bytes that wait for a reader that has stopped; what comes later is counted and dropped.
+const MAX_WAITING_BYTES: usize = 256 * 1024;
+
+/// Writes lines without ever waiting for their reader.
+pub(crate) struct BoundedWriter<W> {
+    state: Mutex<RefCell<State<W>>>,
+}
+
+struct State<W> {
+    out: W,
+    waiting: Vec<u8>,
+    second: Instant,
+    lines: u32,
+    suppressed: u64,
+}
+
+impl<W> fmt::Debug for BoundedWriter<W> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("BoundedWriter").finish_non_exhaustive()
+    }
+}
+
+impl<W: Write + AsFd> BoundedWriter<W> {
+    /// Makes `out` return at once where it would wait.
+    ///
+    /// # Errors
+    ///
+    /// What the system says if it can't.
+    pub(crate) fn new(out: W) -> io::Result<Self> {
+        let flags = fcntl_getfl(out.as_fd())?;
+        fcntl_setfl(out.as_fd(), flags | OFlags::NONBLOCK)?;
+        Ok(Self {
+            state: Mutex::new(RefCell::new(State {
+                out,
+                waiting: Vec::new(),
+                second: Instant::now(),
+                lines: 0,
+                suppressed: 0,
+            })),
+        })
+    }
+}
+
+impl<W: Write> State<W> {
+    /// Adds a line, or counts it as suppressed.
+    fn add(&mut self, line: &[u8]) {
+        if self.second.elapsed() >= Duration::from_secs(1) {
+            self.second = Instant::now();
+            self.lines = 0;
+        }
+        let full = self.waiting.len() + line.len() > MAX_WAITING_BYTES;
+        if full || self.lines >= LINES_PER_SECOND {
+            self.suppressed += 1;
+            return;
+        }
+        if self.suppressed > 0 {
+            let told = format!(
+                "{{\"level\":\"WARN\",\"module\":\"logging\",\"event\":\"lines suppressed\",\"count\":{}}}\n",
+                self.suppressed
+            );
+            self.waiting.extend_from_slice(told.as_bytes());
+            self.suppressed = 0;
+        }
+        self.lines += 1;
+        self.waiting.extend_from_slice(line);
+    }
+
+    /// Writes what the reader takes now.
+    fn push(&mut self) {
+        while !self.waiting.is_empty() {
+            match self.out.write(&self.waiting) {
+                Ok(0) => return,
+                Ok(written) => {
+                    self.waiting.drain(..written);
+                }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                // The reader has stopped, or is gone: there is nowhere to say so.
+                Err(_) => return,
+            }
+        }
+    }
+}
+
+impl<W: Write + Send + 'static> LogWriter for BoundedWriter<W> {
+    fn write(&self, now: &mut DeferredNow, record: &Record) -> io::Result<()> {
+        let mut line = Vec::with_capacity(256);
+        write_line(&mut line, now, record)?;
+        line.push(b'\n');
+        let state = self.state.lock().map_err(|_| io::ErrorKind::Other)?;
+        let mut state = state.borrow_mut();
+        state.add(&line);
+        state.push();
+        Ok(())
+    }
+
+    fn flush(&self) -> io::Result<()> {
+        let state = self.state.lock().map_err(|_| io::ErrorKind::Other)?;
+        state.borrow_mut().push();
+        Ok(())
+    }
+}
--- a/crates/vanillafold/src/logging/mod.rs
+++ b/crates/vanillafold/src/logging/mod.rs
@@ -1,6 +1,7 @@
 //! Logs: a JSON object a line on standard error or standard output.
 
+mod bounded;
 mod line;
 mod logger;
 
-pub use logger::{LogOutput, LoggingError, start_logging};
+pub use logger::{LogOutput, LoggingError, bounded_logger, start_logging};
--- a/crates/vanillafold/src/supervisor/daemon.rs
+++ b/crates/vanillafold/src/supervisor/daemon.rs
@@ -87,7 +87,12 @@
     }
 }
 
-fn install_metrics() -> Result<PrometheusHandle, DaemonError> {
+/// Starts counting; the handle renders the page of metrics.
+///
+/// # Errors
+///
+/// [`DaemonError::Metrics`] if it has been started before.
+pub fn install_metrics() -> Result<PrometheusHandle, DaemonError> {
     let recorder = PrometheusBuilder::new().build_recorder();
     let handle = recorder.handle();
     metrics::set_global_recorder(recorder)
--- a/crates/vanillafold/src/supervisor/mod.rs
+++ b/crates/vanillafold/src/supervisor/mod.rs
@@ -5,5 +5,5 @@
 mod signal;
 mod task;
 
-pub use daemon::{Daemon, DaemonError};
+pub use daemon::{Daemon, DaemonError, install_metrics};
 pub use signal::SignalWatch;
