--- a/crates/vanillafold-jobs/src/shard/duties.rs
+++ b/crates/vanillafold-jobs/src/shard/duties.rs
@@ -154,7 +154,7 @@
     }
 
     /// Takes in a wave; one that is known is passed over.
-    pub fn add_wave(&mut self, wave: Wave, _now: MonotonicMillis) {
+    pub fn add_wave(&mut self, wave: Wave) {
         if self
             .waves
             .iter()
--- a/crates/vanillafold-jobs/src/shard/settings.rs
+++ b/crates/vanillafold-jobs/src/shard/settings.rs
@@ -21,8 +21,6 @@
     pub duty_pause_ms: u64,
     /// Orders about machines that the platform takes in a second.
     pub duties_per_s: u64,
-    /// A serving task is away when it is not at work for so long, in milliseconds.
-    pub notice_ms: u64,
     /// Whether machines may be moved between pools.
     pub moves: bool,
 }
--- a/crates/vanillafold-jobs/tests/shard/fixture.rs
+++ b/crates/vanillafold-jobs/tests/shard/fixture.rs
@@ -30,7 +30,6 @@
         keep_final_ms: 140_000,
         duty_pause_ms: 3_700,
         duties_per_s: 64,
-        notice_ms: 4_500,
         moves: true,
     }
 }
--- a/crates/vanillafold-jobs/tests/shard/machines.rs
+++ b/crates/vanillafold-jobs/tests/shard/machines.rs
@@ -1,6 +1,6 @@
 //! Moves and upkeep of machines.
 
-use vanillafold_jobs::{Machine, MachineDuty, MachineState};
+use vanillafold_jobs::{Machine, MachineDuty};
 
 use crate::fixture::{
     at, entry, hold, job, job_id, machine, report, running, starts, step, store, unix,
@@ -64,15 +64,12 @@
 #[test]
 fn upkeep_keeps_within_the_places_of_its_wave() {
     let mut shard = running(&["w1", "w2", "w3"]);
-    shard.add_wave(
-        vanillafold_jobs::Wave {
-            number: 1,
-            machines: vec!["w1".to_owned(), "w2".to_owned(), "w3".to_owned()],
-            duration_ms: 20_000,
-            max_away: 1,
-        },
-        at(0),
-    );
+    shard.add_wave(vanillafold_jobs::Wave {
+        number: 1,
+        machines: vec!["w1".to_owned(), "w2".to_owned(), "w3".to_owned()],
+        duration_ms: 20_000,
+        max_away: 1,
+    });
     starts(&mut shard, 4_000);
     let first = shard.take_duties();
     starts(&mut shard, 4_200);
@@ -84,7 +81,4 @@
     };
     assert_eq!(upkeeps(&first), 1);
     assert_eq!(upkeeps(&second), 0);
-    let mut away = machine("w1", "w1");
-    away.state = MachineState::Upkeep;
-    let _ = away;
 }
--- a/crates/vanillafold-standin/src/fleet/world.rs
+++ b/crates/vanillafold-standin/src/fleet/world.rs
@@ -720,7 +720,6 @@
         keep_final_ms: 140_000,
         duty_pause_ms: 1_700,
         duties_per_s: 64,
-        notice_ms: 4_500,
         moves: false,
     }
 }
--- a/crates/vanillafold/src/fleet/directory.rs
+++ b/crates/vanillafold/src/fleet/directory.rs
@@ -151,7 +151,7 @@
         epoch: fleet.latest_epoch.get(),
         seen_ms: fleet.directory.seen_ms.get(),
     };
-    match fleet.call(&owner, &request, PING_TIMEOUT).await {
+    match owner.call(&request, PING_TIMEOUT).await {
         Ok(FleetAnswer::Pong {
             epoch,
             config_version,
@@ -180,7 +180,7 @@
 
 async fn fetch_config<P: FleetPlatform>(fleet: &Rc<Fleet<P>>, owner: &Caller, known: u64) {
     let request = FleetRequest::Config(known);
-    let raw = match fleet.call(owner, &request, CALL_TIMEOUT).await {
+    let raw = match owner.call(&request, CALL_TIMEOUT).await {
         Ok(FleetAnswer::Config(raw)) if !raw.is_empty() => raw,
         Ok(_) => return,
         Err(error) => {
--- a/crates/vanillafold/src/fleet/forward.rs
+++ b/crates/vanillafold/src/fleet/forward.rs
@@ -72,7 +72,7 @@
             return Ok(office.answer(request.clone()).await);
         }
         match self.directory.owner() {
-            Some(owner) => self.call(&owner, request, limit).await,
+            Some(owner) => owner.call(request, limit).await,
             None => Ok(FleetAnswer::NotOwner),
         }
     }
--- a/crates/vanillafold/src/fleet/hub.rs
+++ b/crates/vanillafold/src/fleet/hub.rs
@@ -9,7 +9,7 @@
 use monoio::net::{ListenerOpts, TcpListener};
 use monoio::time::{sleep, timeout};
 use vanillafold_policy::MonotonicMillis;
-use vanillafold_wire::{CallHandler, Caller, Notice, Signal, serve_calls};
+use vanillafold_wire::{CallHandler, Notice, Signal, serve_calls};
 
 use super::config::FleetConfig;
 use super::directory::Directory;
@@ -244,16 +244,6 @@
             .filter(|config| config.config.version > version);
         FleetAnswer::Config(later.map_or(Vec::new(), |config| config.raw.as_ref().clone()))
     }
-
-    /// Asks the daemon at `caller`.
-    pub(crate) async fn call(
-        &self,
-        caller: &Caller,
-        request: &FleetRequest,
-        limit: Duration,
-    ) -> Result<FleetAnswer, vanillafold_wire::CallError> {
-        caller.call(request, limit).await
-    }
 }
 
 /// A request that is under way.
--- a/crates/vanillafold/src/fleet/settings.rs
+++ b/crates/vanillafold/src/fleet/settings.rs
@@ -14,8 +14,6 @@
     pub cpu_millis: u64,
     /// Where other daemons call it.
     pub peers: SocketAddr,
-    /// Partitions of a topic at the platform.
-    pub partitions: u32,
     /// How long a member of the owners' group stays one without joining again, in milliseconds.
     pub member_ttl_ms: u64,
     /// What the shard is run with.
