--- a/crates/vanillafold-jobs/src/shard/duties.rs
+++ b/crates/vanillafold-jobs/src/shard/duties.rs
@@ -642,15 +642,7 @@
             vm_cpu_millis = vm_cpu_millis.max(worker.entry.capacity.cpu_millis);
         }
         let mut apart = 0;
-        for id in &self.open {
-            let Some(job) = self.job(*id) else { continue };
-            let here = self
-                .catalogue
-                .queue(&job.spec.queue)
-                .is_some_and(|queue| queue.pool == pool);
-            if !here {
-                continue;
-            }
+        for job in self.open_jobs_of(pool) {
             for occurrence in &job.occurrences {
                 for (at, step) in occurrence.steps.iter().enumerate() {
                     let spec = &job.spec.steps[at];
--- a/crates/vanillafold-jobs/src/shard/submit.rs
+++ b/crates/vanillafold-jobs/src/shard/submit.rs
@@ -105,20 +105,21 @@
         })
     }
 
+    /// The open jobs whose queue a pool runs.
+    pub(super) fn open_jobs_of<'a>(&'a self, pool: &'a str) -> impl Iterator<Item = &'a Job> {
+        self.open.iter().filter_map(move |id| {
+            let job = self.job(*id)?;
+            let queue = self.catalogue.queue(&job.spec.queue)?;
+            (queue.pool == pool).then_some(job)
+        })
+    }
+
     /// What an organisation's open jobs in a pool still take, in core-milliseconds, and the sum
     /// of the weights of all organisations with open jobs there.
     fn backlog(&self, pool: &str, tenant: &str) -> (u64, u64) {
         let mut own = 0;
         let mut tenants: Vec<&str> = vec![tenant];
-        for id in &self.open {
-            let Some(job) = self.job(*id) else { continue };
-            let here = self
-                .catalogue
-                .queue(&job.spec.queue)
-                .is_some_and(|queue| queue.pool == pool);
-            if !here {
-                continue;
-            }
+        for job in self.open_jobs_of(pool) {
             if job.spec.tenant == tenant {
                 own += self.remaining_core_ms(job);
             }
--- a/crates/vanillafold/src/fleet/mod.rs
+++ b/crates/vanillafold/src/fleet/mod.rs
@@ -33,3 +33,4 @@
     Membership, MetadataStore, Newest, Orders, Ownership, Producer, StoreError, Tail,
 };
 pub use settings::FleetSettings;
+pub use time::unix_ms;
--- a/crates/vanillafold/src/fleet/time.rs
+++ b/crates/vanillafold/src/fleet/time.rs
@@ -11,7 +11,8 @@
 }
 
 /// The time of day, milliseconds since 1970; 0 on a clock before that.
-pub(crate) fn unix_ms() -> u64 {
+#[must_use]
+pub fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.map_or(0, |since| {
         u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
