Order unanswered starts again as the same run; look oftener after lost answers

A start without an answer was stopped and its task placed anew: the stop could end a task that was at work, and each loss cost several calls. A job counted as begun when the order was sent. A look whose answer is lost hid all ends of its worker for 1.7 s. Ruled out: the wait for an order's answer alone (500 to 300 to 120 ms: no change); orders in one pipeline. Change: a start that a look does not find is ordered again under its run number, which a worker starts once; after three orders, or if the worker should get no work, it is stopped as before. Jobs have begun when a worker says so. For 5 s after a lost answer looks wait 150 ms.

--- a/crates/vanillafold-jobs/src/shard/schedule.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule.rs
@@ -23,6 +23,9 @@
 const PREEMPT_INTERVAL_MS: u64 = 1_000;
 /// An organisation is over its share from this part of it on, in percent: tasks are coarse.
 const OVER_SHARE_PERCENT: u64 = 125;
+/// Orders to start one run before its task goes elsewhere: two lost answers in a row are rare, and
+/// a worker that swallows orders is left alone soon.
+const MAX_START_ORDERS: u32 = 3;
 /// Failed runs after which a job of a queue that is gone has failed.
 const FORMER_QUEUE_ATTEMPTS: u32 = 3;
 
@@ -551,18 +554,15 @@
         number: RunNumber,
         now: MonotonicMillis,
     ) {
-        let lease_ms = self.settings.lease_ms;
         let step = &spec.steps[usize::from(waiting.step)];
         let task = task_id(waiting, index);
         let worker = &mut self.workers[at];
-        let Some(deadline_ms) = worker.deadline_ms(now, lease_ms) else {
-            return;
-        };
-        worker.lease(deadline_ms);
+        let id = worker.entry.id.clone();
         worker.book(Run {
             task,
             number,
             phase: RunPhase::Starting,
+            start_orders: 0,
             booked: step.booked(),
             needs: step.needs,
             tenant: spec.tenant.clone(),
@@ -577,25 +577,50 @@
             pace_percent: 100,
             pace_ordered_at: now,
         });
-        let id = worker.entry.id.clone();
+        let position = worker.runs.len() - 1;
         self.add_usage(&spec.tenant, step.needs);
-        let key = (waiting.job, waiting.occurrence, waiting.step);
-        let ticket = self.ticket(key, &id, now).unwrap_or("").to_owned();
-        let mut checkpoint = String::new();
         let mut waited_ms = 0;
-        if let Some(job) = self.job_mut(waiting.job) {
-            job.progress.begun = true;
-            if let Some(at) = job.occurrence_position(waiting.occurrence) {
-                let step = &mut job.occurrences[at].steps[usize::from(waiting.step)];
-                if let TaskStatus::Waiting { since } = step.tasks[usize::from(index)].status {
-                    waited_ms = now.since(since).get();
-                }
-                step.set_status(index, TaskStatus::Placed { worker: id.clone() });
-                let row = &mut step.tasks[usize::from(index)];
-                row.run = number;
-                checkpoint.clone_from(&row.checkpoint);
+        if let Some(job) = self.job_mut(waiting.job)
+            && let Some(at) = job.occurrence_position(waiting.occurrence)
+        {
+            let step = &mut job.occurrences[at].steps[usize::from(waiting.step)];
+            if let TaskStatus::Waiting { since } = step.tasks[usize::from(index)].status {
+                waited_ms = now.since(since).get();
             }
+            step.set_status(index, TaskStatus::Placed { worker: id });
+            step.tasks[usize::from(index)].run = number;
         }
+        self.order_start(at, position, spec, waited_ms, now);
+    }
+
+    /// Gives out an order to start a booked run. The worker knows a run by its number, so that a
+    /// repeated order starts nothing twice.
+    fn order_start(
+        &mut self,
+        at: usize,
+        position: usize,
+        spec: &Rc<JobSpec>,
+        waited_ms: u64,
+        now: MonotonicMillis,
+    ) {
+        let lease_ms = self.settings.lease_ms;
+        let worker = &mut self.workers[at];
+        let Some(deadline_ms) = worker.deadline_ms(now, lease_ms) else {
+            // Only workers whose clock has been read get work: a look settles what is there.
+            worker.runs[position].phase = RunPhase::Unsure;
+            return;
+        };
+        worker.lease(deadline_ms);
+        let run = &mut worker.runs[position];
+        run.phase = RunPhase::Starting;
+        run.start_orders += 1;
+        let (task, number) = (run.task, run.number);
+        let id = worker.entry.id.clone();
+        let ticket = self.ticket((task.job, task.occurrence, task.step), &id, now);
+        let ticket = ticket.unwrap_or("").to_owned();
+        let checkpoint = self
+            .placed_task(task)
+            .map_or(String::new(), |row| row.checkpoint.clone());
         let order = Order::Start {
             task,
             run: number,
@@ -607,6 +632,28 @@
         };
         self.orders.push((id, order));
     }
+
+    /// A start without an answer that a look shows not to be there is ordered again under the
+    /// same number; after several, or if the worker should get no work, it is stopped, so that it
+    /// can't come later.
+    pub(super) fn repeat_start(&mut self, at: usize, position: usize, now: MonotonicMillis) {
+        let worker = &self.workers[at];
+        let run = &worker.runs[position];
+        let placed = self.placed_task(run.task).is_some_and(|task| {
+            task.run == run.number
+                && matches!(&task.status, TaskStatus::Placed { worker: on } if *on == worker.entry.id)
+        });
+        let takes_work = worker.listed && worker.entry.ready && !worker.reserved;
+        let again = placed && takes_work && run.start_orders < MAX_START_ORDERS;
+        let spec = self.job(run.task.job).map(|job| Rc::clone(&job.spec));
+        match spec.filter(|_| again) {
+            Some(spec) => self.order_start(at, position, &spec, 0, now),
+            None => {
+                let phase = RunPhase::Stopping { next_order_at: now };
+                self.workers[at].runs[position].phase = phase;
+            }
+        }
+    }
 }
 
 const fn task_id(waiting: &Waiting, index: u16) -> TaskId {
--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -12,9 +12,15 @@
     Worker, WorkerEntry,
 };
 
-/// After a failed look or order the next look follows after this time, in milliseconds: several
+/// After the second failed look in a row the next follows after this time, in milliseconds: several
 /// looks fit into the time within which a lease must be renewed.
 const RETRY_LOOK_MS: u64 = 250;
+/// For so long after an answer was lost a look waits less, in milliseconds: faults that swallow
+/// answers last some seconds.
+const LOST_ANSWER_MS: u64 = 5_000;
+/// How long such a look waits for an end, in milliseconds: a lost answer hides ends for this time and
+/// the time until it counts as lost.
+const LOST_ANSWER_WAIT_MS: u64 = 150;
 /// An order to stop that got no answer is repeated after this time, in milliseconds.
 const REPEAT_STOP_MS: u64 = 300;
 /// A worker that refused for now is left alone for this time, in milliseconds.
@@ -94,11 +100,15 @@
             false => worker.last_seen,
         };
         let untold = worker.sent_seen > worker.told_seen && worker.runs.is_empty();
+        let answers_lost = worker
+            .answer_lost_at
+            .is_some_and(|at| now.since(at).get() < LOST_ANSWER_MS);
         HoldPlan::Look {
             deadline_ms,
             last_seen: worker.sent_seen,
             wait_ms: match quick || waiting || untold {
                 true => 0,
+                false if answers_lost => wait_ms.min(LOST_ANSWER_WAIT_MS),
                 false => wait_ms,
             },
         }
@@ -140,16 +150,22 @@
         let Some(at) = self.worker_position(id) else {
             return;
         };
-        self.workers[at].next_hold_at = MonotonicMillis::new(now.get() + RETRY_LOOK_MS);
+        let worker = &mut self.workers[at];
+        let wait_ms = match worker.suspect {
+            true => RETRY_LOOK_MS,
+            false => 0,
+        };
+        worker.next_hold_at = MonotonicMillis::new(now.get() + wait_ms);
         match answer {
             OrderAnswer::Fenced => self.fence(id),
             OrderAnswer::Replaced => self.replaced(at, now, now_unix_ms),
-            _ => self.suspect(at),
+            _ => self.suspect(at, now),
         }
     }
 
-    fn suspect(&mut self, at: usize) {
+    fn suspect(&mut self, at: usize, now: MonotonicMillis) {
         let worker = &mut self.workers[at];
+        worker.answer_lost_at = Some(now);
         if !worker.suspect {
             log::info!(worker = worker.entry.id.as_str(), runs = worker.runs.len(); "worker does not answer");
         }
@@ -291,6 +307,7 @@
             Some(position) => {
                 let mut run = self.workers[at].release(position, now);
                 run.checkpoint.clone_from(&end.checkpoint);
+                self.mark_begun(end.task.job);
                 self.end_run(at, &run, end.kind, now, now_unix_ms);
                 self.end_needs(end.task.job)
             }
@@ -362,6 +379,13 @@
         }
     }
 
+    /// Notes that a task of a job has surely started.
+    fn mark_begun(&mut self, id: JobId) {
+        if let Some(job) = self.job_mut(id) {
+            job.progress.begun = true;
+        }
+    }
+
     fn set_task_run(&mut self, task: TaskId, run: RunNumber) {
         let Some(job) = self.job_mut(task.job) else {
             return;
@@ -377,7 +401,8 @@
         match self.workers[at].run_position(listed.task, listed.run) {
             Some(position) => {
                 let run = &mut self.workers[at].runs[position];
-                if run.phase == RunPhase::Unsure {
+                let found = run.phase == RunPhase::Unsure;
+                if found {
                     run.phase = RunPhase::Running { confirmed_at: now };
                 }
                 if listed.checkpoint != run.checkpoint || listed.percent != run.percent {
@@ -386,6 +411,9 @@
                 run.checkpoint.clone_from(&listed.checkpoint);
                 run.percent = listed.percent;
                 run.load = listed.load;
+                if found {
+                    self.mark_begun(listed.task.job);
+                }
             }
             None => self.take_in_unknown_run(at, listed, now),
         }
@@ -413,6 +441,7 @@
                 true => RunPhase::Running { confirmed_at: now },
                 false => RunPhase::Stopping { next_order_at: now },
             },
+            start_orders: 1,
             booked: step.map(StepSpec::booked).unwrap_or_default(),
             needs: step.map(|step| step.needs).unwrap_or_default(),
             tenant: spec
@@ -466,12 +495,11 @@
         };
         let mut position = 0;
         while position < self.workers[at].runs.len() {
-            let run = &mut self.workers[at].runs[position];
+            let run = &self.workers[at].runs[position];
             match run.phase {
                 _ if listed(run) => position += 1,
-                // Not there yet: an order to stop keeps the start from coming later.
                 RunPhase::Unsure => {
-                    run.phase = RunPhase::Stopping { next_order_at: now };
+                    self.repeat_start(at, position, now);
                     position += 1;
                 }
                 _ if run.absent_means_gone(sent_at) => {
@@ -539,7 +567,7 @@
             OrderAnswer::Fenced => self.fence(id),
             OrderAnswer::Replaced => return self.replaced(at, now, now_unix_ms),
             OrderAnswer::Unknown | OrderAnswer::NotSent => {
-                self.suspect(at);
+                self.suspect(at, now);
                 self.workers[at].next_hold_at = now;
             }
             _ => {}
@@ -570,12 +598,18 @@
         match answer {
             OrderAnswer::Accepted { .. } if starting => {
                 worker.runs[position].phase = RunPhase::Running { confirmed_at: now };
+                self.mark_begun(task.job);
             }
             OrderAnswer::Unknown if starting => {
                 worker.runs[position].phase = RunPhase::Unsure;
                 worker.note_unanswered(position, now);
             }
             OrderAnswer::Accepted { .. } | OrderAnswer::Unknown => {}
+            // An earlier order may have started the run, which has ended since: a look will tell.
+            _ if worker.runs[position].start_orders > 1 => {
+                worker.runs[position].phase = RunPhase::Stopping { next_order_at: now };
+                worker.next_hold_at = now;
+            }
             _ => {
                 if matches!(answer, OrderAnswer::Unhealthy | OrderAnswer::Invalid) {
                     worker.faults += 1.0;
--- a/crates/vanillafold-jobs/src/worker/book.rs
+++ b/crates/vanillafold-jobs/src/worker/book.rs
@@ -39,6 +39,8 @@
     pub(crate) task: TaskId,
     pub(crate) number: RunNumber,
     pub(crate) phase: RunPhase,
+    /// How many orders to start it have been given.
+    pub(crate) start_orders: u32,
     /// What it takes of the worker's capacity.
     pub(crate) booked: Resources,
     /// What it counts against its organisation's limit.
@@ -110,6 +112,8 @@
     pub(crate) heard: bool,
     /// The last order or look got no answer.
     pub(crate) suspect: bool,
+    /// When an order or look last got no answer.
+    pub(crate) answer_lost_at: Option<MonotonicMillis>,
     /// No new work goes here: the VM is to be moved or maintained.
     pub(crate) reserved: bool,
     /// Until then no order about its machine is given.
@@ -151,6 +155,7 @@
             listed: true,
             heard: false,
             suspect: false,
+            answer_lost_at: None,
             reserved: false,
             no_duty_until: MonotonicMillis::ZERO,
             started_unix_ms: None,
