Keep descriptions of open jobs only; read pages on after a failure; one claim for a vacant shard

Ruled out: the store (it answered others within 10 ms), processor time (0.06 of a core). Change: descriptions go with the first batch after a job is over and its runs have ended; runs without a description count as their whole worker. A daemon that finds the shard vacant claims it by an append that depends on where the claims ended: one succeeds and joins.

--- a/crates/vanillafold-jobs/src/record/row.rs
+++ b/crates/vanillafold-jobs/src/record/row.rs
@@ -25,6 +25,8 @@
     Progress(JobId, JobProgress),
     /// The machines of a wave that have begun their upkeep, sorted.
     Wave(u64, Vec<String>),
+    /// A job's description may go: the job is over, and its progress says how.
+    DropSpec(JobId),
     /// A job's records may go.
     Forget(JobId),
 }
@@ -54,6 +56,7 @@
             Self::Spec(id, spec) => vec![(format!("{SPEC_TAG}{id}"), value(spec.as_ref()))],
             Self::Progress(id, progress) => vec![(format!("{PROGRESS_TAG}{id}"), value(progress))],
             Self::Wave(number, begun) => vec![(format!("{WAVE_TAG}{number}"), value(begun))],
+            Self::DropSpec(id) => vec![(format!("{SPEC_TAG}{id}"), Vec::new())],
             Self::Forget(id) => vec![
                 (format!("{SPEC_TAG}{id}"), Vec::new()),
                 (format!("{PROGRESS_TAG}{id}"), Vec::new()),
--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -13,7 +13,7 @@
 use crate::id::{Epoch, JobId, WorkerId};
 use crate::job::{Job, TaskStatus};
 use crate::record::{JobOutcome, Record};
-use crate::spec::Resources;
+use crate::spec::{JobSpec, Resources};
 use crate::worker::{ListedEnd, Worker};
 
 /// The jobs of a shard and the books of its workers, for one ownership.
@@ -32,6 +32,8 @@
     pub(super) forget: Vec<JobId>,
     /// Jobs that are over, in the order of their end.
     pub(super) finished: Vec<JobId>,
+    /// Those whose description is still stored.
+    pub(super) described: Vec<JobId>,
     /// Sorted by id.
     pub(super) workers: Vec<Worker>,
     /// Workers that ended with a change of their machine and are still in the list of workers.
@@ -90,6 +92,7 @@
             dirty: Vec::new(),
             forget: Vec::new(),
             finished: Vec::new(),
+            described: Vec::new(),
             workers: Vec::new(),
             gone: Vec::new(),
             usage: Vec::new(),
@@ -120,12 +123,17 @@
                 Record::Spec(id, spec) => shard.insert_stored(Job::new(id, *spec, now)),
                 Record::Progress(id, row) => progress.push((id, row)),
                 Record::Wave(number, begun) => shard.stored_waves.push((number, begun)),
-                Record::Forget(_) => {}
+                Record::DropSpec(_) | Record::Forget(_) => {}
             }
         }
         for (id, row) in progress {
             match shard.job_mut(id) {
                 Some(job) => job.progress = row,
+                None if row.outcome != JobOutcome::Open => {
+                    let mut job = Job::new(id, JobSpec::forgotten(), now);
+                    job.progress = row;
+                    shard.insert_stored(job);
+                }
                 None => {
                     log::warn!(job = id.to_string(); "progress without a description passed over");
                 }
@@ -157,6 +165,9 @@
                     let left = self.settings.keep_final_ms.saturating_sub(ended);
                     job.forget_at = Some(MonotonicMillis::new(now.get() + left));
                     self.finished.push(job.id);
+                    if !job.spec.steps.is_empty() {
+                        self.described.push(job.id);
+                    }
                 }
             }
         }
--- a/crates/vanillafold-jobs/src/shard/storing.rs
+++ b/crates/vanillafold-jobs/src/shard/storing.rs
@@ -1,10 +1,13 @@
 //! What is written to the store, and what may go on once it is.
 
+use std::rc::Rc;
+
 use vanillafold_policy::MonotonicMillis;
 
 use super::root::Shard;
 use crate::id::JobId;
 use crate::record::Record;
+use crate::spec::JobSpec;
 
 /// Most bytes of one batch: well below the platform's limit for a call.
 const MAX_BATCH_BYTES: usize = 512 * 1024;
@@ -16,6 +19,8 @@
     pub records: Vec<(String, Vec<u8>)>,
     jobs: Vec<JobId>,
     forgotten: Vec<JobId>,
+    /// Jobs whose description goes.
+    stripped: Vec<JobId>,
     waves: Vec<u64>,
 }
 
@@ -40,6 +45,7 @@
             records: Vec::new(),
             jobs: Vec::new(),
             forgotten: std::mem::take(&mut self.forget),
+            stripped: Vec::new(),
             waves: std::mem::take(&mut self.dirty_waves),
         };
         for state in &self.waves {
@@ -75,9 +81,36 @@
             bytes = batch.records.iter().map(|row| row.1.len()).sum();
         }
         self.dirty.drain(..taken);
+        if !batch.records.is_empty() {
+            self.strip_finished(&mut batch);
+        }
         (!batch.records.is_empty()).then_some(batch)
     }
 
+    /// Lets the descriptions of jobs go that are over and run nowhere, so that a takeover reads little
+    /// more than the open jobs.
+    fn strip_finished(&mut self, batch: &mut Batch) {
+        let running = |id: JobId| {
+            let runs = self.workers.iter().flat_map(|worker| &worker.runs);
+            runs.into_iter().any(|run| run.task.job == id)
+        };
+        let is_over = |id: JobId| {
+            self.job(id).is_none_or(|job| {
+                let being_written = job.writing_version == Some(job.version);
+                !job.is_open() && (being_written || !job.is_dirty())
+            })
+        };
+        let (gone, kept) = self
+            .described
+            .iter()
+            .partition(|id| is_over(**id) && !running(**id));
+        batch.stripped = gone;
+        self.described = kept;
+        for id in &batch.stripped {
+            batch.records.extend(Record::DropSpec(*id).encode());
+        }
+    }
+
     /// A batch is stored.
     pub fn batch_stored(&mut self, batch: &Batch) {
         for id in &batch.jobs {
@@ -94,6 +127,11 @@
                 self.mark_dirty(*id);
             }
         }
+        for id in &batch.stripped {
+            if let Some(job) = self.job_mut(*id) {
+                job.spec = Rc::new(JobSpec::forgotten());
+            }
+        }
         for id in &batch.forgotten {
             if let Ok(at) = self.position(*id) {
                 self.jobs.remove(at);
@@ -119,6 +157,7 @@
             }
         }
         self.forget.extend_from_slice(&batch.forgotten);
+        self.described.extend_from_slice(&batch.stripped);
         self.dirty_waves.extend_from_slice(&batch.waves);
         dropped
     }
--- a/crates/vanillafold-jobs/src/shard/submit.rs
+++ b/crates/vanillafold-jobs/src/shard/submit.rs
@@ -174,6 +174,7 @@
         self.close_open(id);
         self.mark_dirty(id);
         self.finished.push(id);
+        self.described.push(id);
         let forget_at = MonotonicMillis::new(now.get() + self.settings.keep_final_ms);
         if let Some(job) = self.job_mut(id) {
             job.forget_at = Some(forget_at);
--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -434,6 +434,8 @@
         let step = spec
             .as_ref()
             .and_then(|spec| spec.steps.get(usize::from(listed.task.step)));
+        // A run whose description is gone may take all that the worker has.
+        let capacity = self.workers[at].entry.capacity;
         let run = Run {
             task: listed.task,
             number: listed.run,
@@ -442,7 +444,7 @@
                 false => RunPhase::Stopping { next_order_at: now },
             },
             start_orders: 1,
-            booked: step.map(StepSpec::booked).unwrap_or_default(),
+            booked: step.map_or(capacity, StepSpec::booked),
             needs: step.map(|step| step.needs).unwrap_or_default(),
             tenant: spec
                 .as_ref()
--- a/crates/vanillafold-jobs/src/spec/description.rs
+++ b/crates/vanillafold-jobs/src/spec/description.rs
@@ -128,6 +128,19 @@
 }
 
 impl JobSpec {
+    /// What is kept of the description of a job that is over: nothing.
+    pub(crate) const fn forgotten() -> Self {
+        Self {
+            queue: String::new(),
+            pool: String::new(),
+            tenant: String::new(),
+            text: String::new(),
+            steps: Vec::new(),
+            repeat: None,
+            submitted_unix_ms: 0,
+        }
+    }
+
     /// Checks what the types don't.
     ///
     /// # Errors
--- a/crates/vanillafold-jobs/tests/shard/main.rs
+++ b/crates/vanillafold-jobs/tests/shard/main.rs
@@ -2,5 +2,6 @@
 
 mod fixture;
 mod machines;
+mod storing;
 mod takeover;
 mod workers;
--- a/crates/vanillafold/src/fleet/attend.rs
+++ b/crates/vanillafold/src/fleet/attend.rs
@@ -11,7 +11,7 @@
 use super::metric;
 use super::office::Office;
 use super::platform::{
-    FleetPlatform, KeyedRow, Keyspace, Looks, MetadataStore, Orders, StoreError,
+    FleetPlatform, KeyedRow, Keyspace, Looks, MetadataStore, Newest, Orders, StoreError,
 };
 use super::settings::{READ_RETRY, WORKER_LIST_HURRY, WORKER_LIST_INTERVAL};
 use super::time::{now, unix_ms};
@@ -152,10 +152,14 @@
     let mut next = None;
     loop {
         let read = match next {
-            None => store.newest(Keyspace::Workers).await.map(|newest| {
-                rows.clear();
-                (newest.rows, newest.end)
-            }),
+            None => {
+                let mut newest = Newest::default();
+                let read = store.newest(Keyspace::Workers, &mut newest).await;
+                read.map(|()| {
+                    rows.clear();
+                    (newest.rows, newest.end.unwrap_or(0))
+                })
+            }
             Some(from) => store
                 .follow(Keyspace::Workers, from, 0)
                 .await
--- a/crates/vanillafold/src/fleet/directory.rs
+++ b/crates/vanillafold/src/fleet/directory.rs
@@ -11,21 +11,27 @@
 use super::config::OperatorRecord;
 use super::hub::Fleet;
 use super::message::{FleetAnswer, FleetRequest};
-use super::platform::{FleetPlatform, KeyedRow, MetadataStore, Ownership};
+use super::platform::{
+    AppendGuard, FleetPlatform, KeyedRow, Keyspace, MetadataStore, Newest, Ownership,
+};
 use super::settings::{
-    CALL_CONNECT_TIMEOUT, CALL_TIMEOUT, FleetSettings, OWNER_CPU_MILLIS, OWNERS_GROUP,
-    PING_INTERVAL, PING_TIMEOUT, SHARD_PARTITION, VACANCY_INTERVAL, VACANT_READS,
+    APPEND_TIMEOUT, CALL_CONNECT_TIMEOUT, CALL_TIMEOUT, FleetSettings, OWNER_CPU_MILLIS,
+    OWNERS_GROUP, PING_INTERVAL, PING_TIMEOUT, SHARD_PARTITION, VACANCY_INTERVAL, VACANT_READS,
 };
 use super::time::now;
 
 /// The prime of the FNV-1a hash with 64 bits.
 const TURN_HASH_PRIME: u64 = 0x0000_0100_0000_01b3;
-/// Daemons spread their tries to become the owner over this time, in milliseconds: some thirty
-/// calls of the store.
-const TURN_RANGE_MS: u64 = 240;
+/// Daemons spread their tries to become the owner over this time, in milliseconds: several calls of
+/// the store, so that most see the first one's claim before they send their own.
+const TURN_RANGE_MS: u64 = 60;
+
+/// A daemon without any processor would wait for so much longer, in milliseconds: twice the time in
+/// which a larger one, started at the same moment, finds the shard without an owner and joins.
+const SMALL_TURN_MS: u64 = 1_500;
 
-/// A daemon without any processor would wait for so much longer, in milliseconds.
-const SMALL_TURN_MS: u64 = 700;
+/// The key of the newest claim of the shard.
+const CLAIM_KEY: &str = "shard-0";
 
 /// The owner that is known.
 #[derive(Debug, Default)]
@@ -68,6 +74,7 @@
     let mut store = fleet.platform.store();
     let mut ever_known = false;
     let mut vacant_reads = 0;
+    let mut claims_end = None;
     loop {
         if ping(&fleet).await {
             ever_known = true;
@@ -78,7 +85,12 @@
             continue;
         }
         match is_vacant(&fleet, &mut store).await {
-            Some(true) => vacant_reads += 1,
+            Some(true) => {
+                if vacant_reads == 0 {
+                    claims_end = read_claims_end(&mut store).await;
+                }
+                vacant_reads += 1;
+            }
             Some(false) => {
                 vacant_reads = 0;
                 fleet.vacant.set(false);
@@ -90,12 +102,16 @@
             false => 1,
         };
         if vacant_reads >= enough && !fleet.vacant.get() {
-            // Daemons try one after the other: each that joins may move the shard once more.
             sleep(turn(&fleet.settings)).await;
-            if is_vacant(&fleet, &mut store).await == Some(true) {
-                log::info!("the shard has no owner");
-                fleet.vacant.set(true);
-                fleet.vacancy.give();
+            let still_vacant = is_vacant(&fleet, &mut store).await == Some(true);
+            match claims_end.filter(|_| still_vacant) {
+                Some(end) if claim(&fleet, &mut store, end).await => {
+                    log::info!(claims = end; "the shard has no owner: taking it");
+                    fleet.vacant.set(true);
+                    fleet.vacancy.give();
+                }
+                // Another one has claimed it, or the store does not say: look again.
+                _ => vacant_reads = 0,
             }
         }
         sleep(VACANCY_INTERVAL).await;
@@ -127,6 +143,36 @@
     }
 }
 
+/// Where the claims end, or `None` if the store does not say.
+async fn read_claims_end<S: MetadataStore>(store: &mut S) -> Option<u64> {
+    let mut claims = Newest::default();
+    match store.newest(Keyspace::Claims, &mut claims).await {
+        Ok(()) => claims.end,
+        Err(error) => {
+            log::debug!(error = error.to_string(); "claims not read");
+            None
+        }
+    }
+}
+
+/// Claims the shard, unless another daemon has since the claims ended at `end`: of all that find it
+/// without an owner, one joins the group. Each more that joins would move the shard once more.
+async fn claim<P: FleetPlatform>(fleet: &Fleet<P>, store: &mut P::Store, end: u64) -> bool {
+    let row = (CLAIM_KEY.to_owned(), fleet.member.clone().into_bytes());
+    let limit_ms = u64::try_from(APPEND_TIMEOUT.as_millis()).unwrap_or(u64::MAX);
+    let guard = AppendGuard::End(end);
+    match store
+        .append(Keyspace::Claims, guard, &[row], limit_ms)
+        .await
+    {
+        Ok(()) => true,
+        Err(error) => {
+            log::info!(claims = end, error = error.to_string(); "the shard was not claimed");
+            false
+        }
+    }
+}
+
 /// How long a daemon waits before it tries to become the owner. Small ones leave it to others.
 fn turn(settings: &FleetSettings) -> Duration {
     let mut random = SplitMix::new(settings.daemon.bytes().fold(0, |hash, byte| {
--- a/crates/vanillafold/src/fleet/duty.rs
+++ b/crates/vanillafold/src/fleet/duty.rs
@@ -6,7 +6,7 @@
 
 use super::metric;
 use super::office::Office;
-use super::platform::{CloudError, FleetPlatform, Keyspace, Machines, MetadataStore};
+use super::platform::{AppendGuard, CloudError, FleetPlatform, Keyspace, Machines, MetadataStore};
 use super::settings::{APPEND_TIMEOUT, MACHINE_LIST_INTERVAL, READ_RETRY};
 use super::time::{now, unix_ms};
 
@@ -70,7 +70,10 @@
                 .fleet
                 .platform
                 .wave_status(status.wave, status.completed);
-            match store.append(Keyspace::Status, None, &[row], limit_ms).await {
+            match store
+                .append(Keyspace::Status, AppendGuard::Free, &[row], limit_ms)
+                .await
+            {
                 Ok(()) => {
                     log::info!(wave = status.wave, completed = status.completed; "status of a wave written");
                     office.with(|shard| shard.wave_told(&status));
--- a/crates/vanillafold/src/fleet/follow.rs
+++ b/crates/vanillafold/src/fleet/follow.rs
@@ -7,7 +7,7 @@
 use super::config::OperatorRecord;
 use super::hub::Fleet;
 use super::metric;
-use super::platform::{FleetPlatform, KeyedRow, Keyspace, MetadataStore, StoreError};
+use super::platform::{FleetPlatform, KeyedRow, Keyspace, MetadataStore, Newest, StoreError};
 use super::settings::{OPERATOR_WAIT_MS, READ_RETRY};
 
 /// The key of the configuration.
@@ -20,10 +20,11 @@
     let mut lost = false;
     loop {
         let read = match next {
-            None => store
-                .newest(Keyspace::Operator)
-                .await
-                .map(|newest| (newest.rows, newest.end)),
+            None => {
+                let mut newest = Newest::default();
+                let read = store.newest(Keyspace::Operator, &mut newest).await;
+                read.map(|()| (newest.rows, newest.end.unwrap_or(0)))
+            }
             Some(from) => store
                 .follow(Keyspace::Operator, from, OPERATOR_WAIT_MS)
                 .await
--- a/crates/vanillafold/src/fleet/mod.rs
+++ b/crates/vanillafold/src/fleet/mod.rs
@@ -29,8 +29,8 @@
 pub use hub::{Fleet, FleetError};
 pub use message::{FleetAnswer, FleetRequest};
 pub use platform::{
-    Advisor, AppendError, CloudError, FleetPlatform, KeyedRow, Keyspace, Looks, Machines,
-    Membership, MetadataStore, Newest, Orders, Ownership, Producer, StoreError, Tail,
+    Advisor, AppendError, AppendGuard, CloudError, FleetPlatform, KeyedRow, Keyspace, Looks,
+    Machines, Membership, MetadataStore, Newest, Orders, Ownership, Producer, StoreError, Tail,
 };
 pub use settings::FleetSettings;
 pub use time::unix_ms;
--- a/crates/vanillafold/src/fleet/office.rs
+++ b/crates/vanillafold/src/fleet/office.rs
@@ -18,7 +18,7 @@
 use super::message::{FleetAnswer, FleetRequest};
 use super::metric;
 use super::platform::{
-    AppendError, FleetPlatform, Keyspace, MetadataStore, Newest, Producer, StoreError,
+    AppendError, AppendGuard, FleetPlatform, Keyspace, MetadataStore, Newest, Producer, StoreError,
 };
 use super::settings::{
     APPEND_TIMEOUT, APPEND_TIMEOUT_MAX, COME_BACK_MS, OWNER_ISOLATION_MS, PASS_GAP, PASS_INTERVAL,
@@ -419,7 +419,12 @@
     loop {
         let limit_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
         match store
-            .append(Keyspace::Jobs, Some(producer), &[], limit_ms)
+            .append(
+                Keyspace::Jobs,
+                AppendGuard::Producer(producer),
+                &[],
+                limit_ms,
+            )
             .await
         {
             Ok(()) => break,
@@ -431,9 +436,10 @@
             Err(error) => return Err(error.to_string()),
         }
     }
+    let mut newest = Newest::default();
     loop {
-        match store.newest(Keyspace::Jobs).await {
-            Ok(newest) => return Ok(newest),
+        match store.newest(Keyspace::Jobs, &mut newest).await {
+            Ok(()) => return Ok(newest),
             Err(StoreError::Trimmed) => return Ok(Newest::default()),
             Err(error) => {
                 log::info!(error = error.to_string(); "records not read yet");
--- a/crates/vanillafold/src/fleet/platform.rs
+++ b/crates/vanillafold/src/fleet/platform.rs
@@ -41,6 +41,9 @@
         /// The one that it expects.
         expected: u64,
     },
+    /// The keyspace does not end where it should.
+    #[error("others have appended meanwhile")]
+    Moved,
 }
 
 /// Keys with their newest values at the platform.
@@ -54,6 +57,8 @@
     Status,
     /// The records of the shard.
     Jobs,
+    /// Who tried to take the shard over.
+    Claims,
 }
 
 /// Who appends.
@@ -79,10 +84,21 @@
 /// The newest value of each key.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Newest {
-    /// The rows.
+    /// The rows, in the order of their keys.
     pub rows: Vec<KeyedRow>,
-    /// Changes after the first page was read are found from this offset on.
-    pub end: u64,
+    /// Changes after the first page was read are found from this offset on; `None` before that.
+    pub end: Option<u64>,
+}
+
+/// On what an append depends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AppendGuard {
+    /// On nothing.
+    Free,
+    /// No later epoch has written, and the sequence number is the next one.
+    Producer(Producer),
+    /// The keyspace ends at this offset.
+    End(u64),
 }
 
 /// Changes in their order.
@@ -134,13 +150,14 @@
     async fn append(
         &mut self,
         keyspace: Keyspace,
-        producer: Option<Producer>,
+        guard: AppendGuard,
         rows: &[(String, Vec<u8>)],
         timeout_ms: u64,
     ) -> Result<(), AppendError>;
 
-    /// Reads the newest value of each key.
-    async fn newest(&mut self, keyspace: Keyspace) -> Result<Newest, StoreError>;
+    /// Reads the newest value of each key, page by page, from the last key on that `newest` holds:
+    /// after an error a further call with it goes on where the one before ended.
+    async fn newest(&mut self, keyspace: Keyspace, newest: &mut Newest) -> Result<(), StoreError>;
 
     /// Reads changes from an offset on; waits for one if there is none.
     async fn follow(
--- a/crates/vanillafold/src/fleet/writer.rs
+++ b/crates/vanillafold/src/fleet/writer.rs
@@ -8,7 +8,9 @@
 
 use super::metric;
 use super::office::Office;
-use super::platform::{AppendError, FleetPlatform, Keyspace, MetadataStore, Producer, StoreError};
+use super::platform::{
+    AppendError, AppendGuard, FleetPlatform, Keyspace, MetadataStore, Producer, StoreError,
+};
 use super::settings::{
     APPEND_DELAY, APPEND_RETRY, APPEND_RETRY_MAX, APPEND_TIMEOUT, APPEND_TIMEOUT_MAX,
     SHARD_PRODUCER,
@@ -89,7 +91,12 @@
     loop {
         let limit_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
         let appended = store
-            .append(Keyspace::Jobs, Some(producer), &batch.records, limit_ms)
+            .append(
+                Keyspace::Jobs,
+                AppendGuard::Producer(producer),
+                &batch.records,
+                limit_ms,
+            )
             .await;
         match appended {
             Ok(()) => {
@@ -101,7 +108,7 @@
                 };
                 return Written::Stored;
             }
-            Err(AppendError::Fenced) => return Written::Superseded,
+            Err(AppendError::Fenced | AppendError::Moved) => return Written::Superseded,
             Err(AppendError::Sequence { expected }) if expected == producer.sequence + 1 => {
                 return Written::Stored;
             }
