Let upkeep end persistent tasks that may be away; keep such tasks off VMs that are due

Persistent tasks of a step leave one VM at a time; each took a stop, a start, its warm-up and up to 1.2 s until the next look showed it at work; some were moved to VMs that were due themselves. Change: where only persistent tasks run that may all be away and fit elsewhere, the upkeep itself ends them; looks at VMs where one warms up wait 200 ms; placement prefers VMs that are not due. Tasks on a VM whose order is out count as away.

--- a/crates/vanillafold-jobs/src/id/task.rs
+++ b/crates/vanillafold-jobs/src/id/task.rs
@@ -18,6 +18,18 @@
     pub index: u16,
 }
 
+impl TaskId {
+    /// The step of an occurrence that the task belongs to.
+    pub(crate) const fn step_id(&self) -> (JobId, u32, u16) {
+        (self.job, self.occurrence, self.step)
+    }
+
+    /// Whether `other` is another task of the same step of an occurrence.
+    pub(crate) fn is_beside(&self, other: Self) -> bool {
+        self.step_id() == other.step_id() && self.index != other.index
+    }
+}
+
 impl fmt::Display for TaskId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self {
--- a/crates/vanillafold-jobs/src/shard/duties.rs
+++ b/crates/vanillafold-jobs/src/shard/duties.rs
@@ -261,6 +261,7 @@
                 self.ordered.remove(at);
                 if let Some(at) = self.worker_of(machine) {
                     self.workers[at].reserved = false;
+                    self.workers[at].leaving = false;
                     let pause = now.get() + REPEAT_DUTY_MS;
                     self.workers[at].no_duty_until = MonotonicMillis::new(pause);
                 }
@@ -395,8 +396,13 @@
                     }
                 }
                 UpkeepChoice::Begin(chosen) => {
+                    let empty = candidates[chosen].empty;
                     let machine = left.swap_remove(chosen);
                     self.order_machine(machine.name, None, Some(number), now);
+                    if !empty {
+                        // The next plan knows where its tasks have gone.
+                        return;
+                    }
                 }
             }
         }
@@ -412,6 +418,7 @@
         let worker = self.worker_of(&machine);
         if let Some(at) = worker {
             self.workers[at].reserved = true;
+            self.workers[at].leaving = true;
         }
         let worker = worker.map(|at| self.workers[at].entry.id.clone());
         self.duties.push(match &to_pool {
@@ -442,6 +449,7 @@
         let Some(at) = worker else {
             return UpkeepCandidate {
                 empty: machine.worker.is_none(),
+                missable: false,
                 reserved: false,
                 busy_core_ms: 0,
                 persistent: 0,
@@ -454,8 +462,10 @@
             .runs
             .iter()
             .any(|run| run.persistent && !self.may_miss_one(run));
+        let free = worker.no_duty_until <= now && !worker.suspect;
         UpkeepCandidate {
             empty: worker.runs.is_empty() && worker.no_duty_until <= now,
+            missable: free && persistent > 0 && self.may_miss_all(at, now),
             reserved: worker.reserved,
             busy_core_ms: worker.used.cpu_millis,
             persistent: u32::try_from(persistent).unwrap_or(u32::MAX),
@@ -463,6 +473,21 @@
         }
     }
 
+    /// Whether only persistent tasks run on a worker that may all be away now and have room elsewhere.
+    fn may_miss_all(&self, at: usize, now: MonotonicMillis) -> bool {
+        self.workers[at].runs.iter().all(|run| {
+            let beside = self.workers[at]
+                .runs
+                .iter()
+                .filter(|row| run.task.is_beside(row.task));
+            let beside = u32::try_from(beside.count()).unwrap_or(u32::MAX);
+            run.persistent
+                && matches!(run.phase, RunPhase::Running { .. })
+                && self.may_miss(run, beside)
+                && self.fits_elsewhere(at, run, now)
+        })
+    }
+
     /// Stops persistent runs on a worker that is to become empty, as far as their steps allow.
     fn move_persistent(&mut self, at: usize, now: MonotonicMillis) {
         for position in 0..self.workers[at].runs.len() {
@@ -486,11 +511,8 @@
         let step = &job.spec.steps[usize::from(run.task.step)];
         let pool = &self.workers[at].entry.pool;
         self.workers.iter().enumerate().any(|(other, worker)| {
-            let beside = worker.runs.iter().filter(|row| {
-                row.task.job == run.task.job
-                    && row.task.occurrence == run.task.occurrence
-                    && row.task.step == run.task.step
-            });
+            let same_step = |row: &&Run| row.task.step_id() == run.task.step_id();
+            let beside = worker.runs.iter().filter(same_step);
             let labels = &worker.entry.labels;
             other != at
                 && worker.entry.pool == *pool
@@ -503,6 +525,12 @@
 
     /// Whether a step allows that this run is away by our action now.
     fn may_miss_one(&self, run: &Run) -> bool {
+        self.may_miss(run, 0)
+    }
+
+    /// Whether a step allows that this run and `more` at-work ones of its step are away by our action
+    /// now.
+    fn may_miss(&self, run: &Run, more: u32) -> bool {
         let Some(job) = self.job(run.task.job) else {
             return true;
         };
@@ -521,7 +549,7 @@
                 away += 1;
             }
         }
-        away < may_miss
+        away + more < may_miss
     }
 
     fn is_at_work(&self, id: crate::id::TaskId, task: &crate::job::Task) -> bool {
@@ -535,6 +563,7 @@
         let run = worker.run_position(id, task.run).map(|at| &worker.runs[at]);
         run.is_some_and(|run| matches!(run.phase, RunPhase::Running { .. }) && run.percent >= 100)
             && !worker.suspect
+            && !worker.leaving
     }
 
     fn plan_moves(&mut self, now: MonotonicMillis) {
@@ -616,6 +645,17 @@
         }
     }
 
+    /// Whether the machine of a worker still needs upkeep for a wave.
+    pub(super) fn is_worker_due(&self, worker: &WorkerId) -> bool {
+        let open = self.waves.iter().any(|state| !state.completed);
+        let on = |machine: &&Machine| machine.worker.as_ref() == Some(worker);
+        open && self
+            .machines
+            .iter()
+            .find(on)
+            .is_some_and(|machine| self.is_due(&machine.name))
+    }
+
     /// Whether a machine still needs upkeep for a wave.
     fn is_due(&self, machine: &str) -> bool {
         self.waves.iter().any(|state| {
--- a/crates/vanillafold-jobs/src/shard/schedule.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule.rs
@@ -483,6 +483,7 @@
                 continue;
             }
             let labels = &worker.entry.labels;
+            let leaves = step.persistent && self.is_worker_due(&worker.entry.id);
             places.push(at);
             candidates.push(Candidate {
                 free_cpu_millis: worker.entry.capacity.cpu_millis - used.cpu_millis,
@@ -492,6 +493,7 @@
                 filling: count(worker, |run| run.fills),
                 serving: count(worker, |run| run.target_ms > 0),
                 faults: worker.faults,
+                leaves,
                 failed_here: worker.failed.contains(&waiting.job),
             });
         }
@@ -675,11 +677,8 @@
 }
 
 fn same_step(worker: &Worker, waiting: &Waiting) -> usize {
-    let same = |run: &&Run| {
-        run.task.job == waiting.job
-            && run.task.occurrence == waiting.occurrence
-            && run.task.step == waiting.step
-    };
+    let step = (waiting.job, waiting.occurrence, waiting.step);
+    let same = |run: &&Run| run.task.step_id() == step;
     worker.runs.iter().filter(same).count()
 }
 
--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -25,6 +25,9 @@
 const REPEAT_STOP_MS: u64 = 300;
 /// A worker that refused for now is left alone for this time, in milliseconds.
 const REFUSED_PAUSE_MS: u64 = 500;
+/// How long a look waits at a worker where a persistent task is not fully at work yet, in
+/// milliseconds: a look returns for ends only, and upkeep elsewhere may wait for that task.
+const WARM_UP_WAIT_MS: u64 = 200;
 /// While ends wait for the store, looks are this far apart, in milliseconds.
 const STORE_WAIT_LOOK_MS: u64 = 100;
 
@@ -109,6 +112,7 @@
             wait_ms: match quick || waiting || untold {
                 true => 0,
                 false if answers_lost => wait_ms.min(LOST_ANSWER_WAIT_MS),
+                false if worker.is_warming_up() => wait_ms.min(WARM_UP_WAIT_MS),
                 false => wait_ms,
             },
         }
--- a/crates/vanillafold-jobs/src/worker/book.rs
+++ b/crates/vanillafold-jobs/src/worker/book.rs
@@ -116,6 +116,8 @@
     pub(crate) answer_lost_at: Option<MonotonicMillis>,
     /// No new work goes here: the VM is to be moved or maintained.
     pub(crate) reserved: bool,
+    /// An order about its machine is out, or may have been carried out: everything there may have ended.
+    pub(crate) leaving: bool,
     /// Until then no order about its machine is given.
     pub(crate) no_duty_until: MonotonicMillis,
     started_unix_ms: Option<u64>,
@@ -157,6 +159,7 @@
             suspect: false,
             answer_lost_at: None,
             reserved: false,
+            leaving: false,
             no_duty_until: MonotonicMillis::ZERO,
             started_unix_ms: None,
             clock: None,
@@ -192,6 +195,12 @@
             && self.avoided_until <= now
     }
 
+    /// Whether a persistent task is on the way to its full work.
+    pub(crate) fn is_warming_up(&self) -> bool {
+        let warming = |run: &Run| run.persistent && run.is_live() && run.percent < 100;
+        self.runs.iter().any(warming)
+    }
+
     /// Notes that a run of a job failed here.
     pub(crate) fn note_failed(&mut self, job: JobId) {
         if self.failed.len() == FAILED_KEPT {
--- a/crates/vanillafold-policy/src/jobs/placement.rs
+++ b/crates/vanillafold-policy/src/jobs/placement.rs
@@ -17,6 +17,8 @@
     pub serving: u32,
     /// Recent failures that are the worker's own, decayed.
     pub faults: f64,
+    /// A persistent task would soon have to leave it, for its upkeep.
+    pub leaves: bool,
     /// The task has failed there before.
     pub failed_here: bool,
 }
@@ -36,7 +38,8 @@
 ///
 /// Answers a fleet that is half idle while one pool is short: batch work is packed onto the VMs
 /// that are fullest, so that others become empty and can change their pool; persistent work that
-/// disturbs each other is spread; data on another rack makes a task several times slower, so the
+/// disturbs each other is spread, and kept off VMs that are due for upkeep, as a wave waits for each such
+/// task to be at work again elsewhere; data on another rack makes a task several times slower, so the
 /// right rack goes before packing; a worker that fails what it is given comes last.
 #[must_use]
 pub fn place(candidates: &[Candidate], task: Placement) -> Option<usize> {
@@ -49,6 +52,7 @@
         (
             candidate.failed_here,
             candidate.faults >= 1.0,
+            candidate.leaves,
             !candidate.near_data,
             !candidate.same_rack,
             disturbed,
--- a/crates/vanillafold-policy/src/jobs/upkeep.rs
+++ b/crates/vanillafold-policy/src/jobs/upkeep.rs
@@ -5,6 +5,9 @@
 pub struct UpkeepCandidate {
     /// It is in the spare pool or idle.
     pub empty: bool,
+    /// Only persistent tasks run there, each has room elsewhere, and their steps allow that all of
+    /// them are away now.
+    pub missable: bool,
     /// It gets no new work already.
     pub reserved: bool,
     /// Work that would be lost or has to be waited for, in core-milliseconds.
@@ -29,11 +32,14 @@
 /// Chooses for one free place of a wave.
 ///
 /// Answers a wave over about half of a busy fleet with few places at a time: empty VMs go first,
-/// as their upkeep costs nobody anything; for the others the one with the least work gives up new
-/// work early, so that a place is never left unused.
+/// as their upkeep costs nobody anything; then those where only persistent tasks run that may be away:
+/// the upkeep ends them at once, which is sooner over than a stop before it, and the steps that may
+/// miss few tasks at a time bound the whole wave. For the others the one with the least work gives up
+/// new work early, so that a place is never left unused.
 #[must_use]
 pub fn choose_upkeep(candidates: &[UpkeepCandidate]) -> UpkeepChoice {
     let empty = candidates.iter().position(|candidate| candidate.empty);
+    let ready = empty.or_else(|| candidates.iter().position(|candidate| candidate.missable));
     let least = (0..candidates.len())
         .filter(|at| !candidates[*at].pinned)
         .min_by_key(|at| {
@@ -44,7 +50,7 @@
                 candidate.busy_core_ms,
             )
         });
-    match (empty, least) {
+    match (ready, least) {
         (Some(at), _) => UpkeepChoice::Begin(at),
         (None, Some(at)) => UpkeepChoice::Reserve(at),
         (None, None) => UpkeepChoice::Wait,
--- a/crates/vanillafold-policy/tests/jobs.rs
+++ b/crates/vanillafold-policy/tests/jobs.rs
@@ -129,6 +129,7 @@
         filling: 0,
         serving: 0,
         faults: 0.0,
+        leaves: false,
         failed_here: false,
     }
 }
@@ -156,6 +157,23 @@
     assert_eq!(place(&[], task), None);
 }
 
+#[test]
+fn persistent_work_keeps_off_vms_that_are_due_for_upkeep() {
+    let due = Candidate {
+        leaves: true,
+        persistent: 1,
+        ..candidate(1_000)
+    };
+    let task = Placement {
+        persistent: true,
+        fills: false,
+        serves: true,
+    };
+
+    assert_eq!(place(&[due, candidate(9_000)], task), Some(1));
+    assert_eq!(place(&[due], task), Some(0));
+}
+
 #[test]
 fn filling_work_goes_where_nothing_serves() {
     let serving = Candidate {
@@ -250,6 +268,7 @@
 fn a_wave_takes_empty_vms_first_and_then_empties_the_one_with_least_work() {
     let busy = UpkeepCandidate {
         empty: false,
+        missable: false,
         reserved: false,
         busy_core_ms: 9_000,
         persistent: 0,
@@ -269,7 +288,15 @@
         ..busy
     };
 
+    let missable = UpkeepCandidate {
+        missable: true,
+        persistent: 2,
+        ..busy
+    };
+
     assert_eq!(choose_upkeep(&[busy, empty]), UpkeepChoice::Begin(1));
+    assert_eq!(choose_upkeep(&[lighter, missable]), UpkeepChoice::Begin(1));
+    assert_eq!(choose_upkeep(&[missable, empty]), UpkeepChoice::Begin(1));
     assert_eq!(
         choose_upkeep(&[busy, pinned, lighter]),
         UpkeepChoice::Reserve(2)
