--- a/crates/vanillafold-jobs/src/record/progress.rs
+++ b/crates/vanillafold-jobs/src/record/progress.rs
@@ -18,6 +18,19 @@
     Cancelled,
 }
 
+impl JobOutcome {
+    /// Its name in logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Open => "open",
+            Self::Completed => "completed",
+            Self::Failed => "failed",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
+
 /// How far a job is: all that must outlive its owner.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
 pub struct JobProgress {
--- a/crates/vanillafold-jobs/src/shard/schedule.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule.rs
@@ -618,6 +618,13 @@
         run.start_orders += 1;
         let (task, number) = (run.task, run.number);
         let id = worker.entry.id.clone();
+        if run.persistent || run.start_orders > 1 {
+            log::info!(
+                task = task.to_string(), run = number.get(), worker = id.as_str(),
+                waited_ms = waited_ms, order = run.start_orders;
+                "run ordered"
+            );
+        }
         let ticket = self.ticket((task.job, task.occurrence, task.step), &id, now);
         let ticket = ticket.unwrap_or("").to_owned();
         let checkpoint = self
--- a/crates/vanillafold-jobs/src/shard/submit.rs
+++ b/crates/vanillafold-jobs/src/shard/submit.rs
@@ -178,6 +178,12 @@
         let forget_at = MonotonicMillis::new(now.get() + self.settings.keep_final_ms);
         if let Some(job) = self.job_mut(id) {
             job.forget_at = Some(forget_at);
+            log::info!(
+                job = id.to_string(), queue = job.spec.queue.as_str(),
+                outcome = job.progress.outcome.name(),
+                took_ms = now.since(job.accepted_at).get();
+                "job over"
+            );
         }
         for at in 0..self.workers.len() {
             for run in 0..self.workers[at].runs.len() {
--- a/crates/vanillafold/src/fleet/office.rs
+++ b/crates/vanillafold/src/fleet/office.rs
@@ -253,8 +253,12 @@
                     continue;
                 }
             };
+            let waiter = waiters.swap_remove(at);
+            if answer == FleetAnswer::Accepted {
+                log::info!(job = waiter.job.to_string(), epoch = self.epoch.get(); "job accepted");
+            }
             // The call may have been given up meanwhile.
-            let _ = waiters.swap_remove(at).tell.send(answer);
+            let _ = waiter.tell.send(answer);
         }
     }
 
