Refuse at once and turn unready where no acting owner is reached; plan moves while workers are silent

Cause: in a zone that is cut off for 6 s daemons stayed ready for 3.5 s and held each request for 1.8 s; with the owner in it, they stayed ready all the time. Moves need the VMs that they touch to be heard only; upkeep of a silent one waits.

--- a/crates/vanillafold-jobs/src/shard/duties.rs
+++ b/crates/vanillafold-jobs/src/shard/duties.rs
@@ -292,7 +292,7 @@
     pub(super) fn plan_duties(&mut self, now: MonotonicMillis) {
         let begin = self.taken_over_at.get() + LIST_LAG_MS;
         let early = now.get() < begin || now < self.next_plan_at;
-        if !self.machines_listed || self.unclear || early {
+        if !self.machines_listed || early {
             return;
         }
         self.next_plan_at = MonotonicMillis::new(now.get() + PLAN_INTERVAL_MS);
@@ -446,7 +446,9 @@
             .worker
             .as_ref()
             .and_then(|id| self.worker_position(id));
-        let Some(at) = worker else {
+        // What earlier owners started on a worker that has not been heard may run there.
+        let silent = |at: &usize| self.unclear && !self.workers[*at].heard;
+        let Some(at) = worker.filter(|at| !silent(at)) else {
             return UpkeepCandidate {
                 empty: machine.worker.is_none(),
                 missable: false,
--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -405,7 +405,7 @@
         match self.workers[at].run_position(listed.task, listed.run) {
             Some(position) => {
                 let run = &mut self.workers[at].runs[position];
-                let found = run.phase == RunPhase::Unsure;
+                let found = matches!(run.phase, RunPhase::Starting | RunPhase::Unsure);
                 if found {
                     run.phase = RunPhase::Running { confirmed_at: now };
                 }
--- a/crates/vanillafold-jobs/tests/shard/machines.rs
+++ b/crates/vanillafold-jobs/tests/shard/machines.rs
@@ -1,9 +1,9 @@
 //! Moves and upkeep of machines.
 
-use vanillafold_jobs::{Machine, MachineDuty};
+use vanillafold_jobs::{Machine, MachineDuty, StepSpec, Wave};
 
 use crate::fixture::{
-    at, entry, hold, job, job_id, machine, report, running, starts, step, store, unix,
+    at, entry, hold, job, job_id, loaded, machine, report, running, runs, starts, step, store, unix,
 };
 
 fn spare(name: &str) -> Machine {
@@ -82,3 +82,84 @@
     assert_eq!(upkeeps(&first), 1);
     assert_eq!(upkeeps(&second), 0);
 }
+
+#[test]
+fn a_pool_grows_while_a_worker_of_an_earlier_owner_is_silent() {
+    // Arrange: after a takeover with an open job w2 stays silent; a new job asks for more than w1 has.
+    let mut shard = loaded(job(vec![step(1)]), &["w1", "w2"]);
+    let machines = vec![machine("w1", "w1"), machine("w2", "w2"), spare("m3")];
+    shard.set_machines(machines, at(0));
+    hold(&mut shard, "w1", &report(10_000), 10);
+    shard.submit(job_id(2), job(vec![step(16)]), at(5_000), unix(5_000));
+    store(&mut shard);
+
+    starts(&mut shard, 5_010);
+    let duties = shard.take_duties();
+
+    let expected = MachineDuty::Move {
+        machine: "m3".to_owned(),
+        pool: "pool-a".to_owned(),
+    };
+    assert_eq!(duties, vec![expected]);
+}
+
+#[test]
+fn a_vm_whose_worker_is_silent_after_a_takeover_has_no_upkeep_until_its_leases_have_ended() {
+    let mut shard = loaded(job(vec![step(1)]), &["w1", "w2"]);
+    hold(&mut shard, "w1", &report(10_000), 10);
+    shard.add_wave(Wave {
+        number: 1,
+        machines: vec!["w2".to_owned()],
+        duration_ms: 20_000,
+        max_away: 1,
+    });
+
+    starts(&mut shard, 5_010);
+    let early = shard.take_duties();
+    starts(&mut shard, 6_700);
+    let late = shard.take_duties();
+
+    let upkeep = MachineDuty::Upkeep {
+        machine: "w2".to_owned(),
+        wave: 1,
+    };
+    assert_eq!(early, vec![]);
+    assert!(late.contains(&upkeep), "found {late:?}");
+}
+
+#[test]
+fn upkeep_ends_a_persistent_task_that_may_be_away_without_a_stop_before() {
+    // Arrange: a persistent task is at work on one of two VMs; that one is due.
+    let mut shard = running(&["w1", "w2"]);
+    let lasting = StepSpec {
+        persistent: true,
+        anti_affinity: 1,
+        may_miss: Some(1),
+        ..step(1)
+    };
+    shard.submit(job_id(1), job(vec![lasting]), at(900), unix(900));
+    store(&mut shard);
+    let (task, run, on) = starts(&mut shard, 1_000).remove(0);
+    let mut shown = report(5_000);
+    shown.running.push(runs(task, run));
+    hold(&mut shard, &on, &shown, 5_000);
+    shard.add_wave(Wave {
+        number: 1,
+        machines: vec![on.clone()],
+        duration_ms: 20_000,
+        max_away: 1,
+    });
+
+    // Act
+    shard.schedule(at(5_010), unix(5_010));
+    let orders = shard.take_orders().len();
+    let duties = shard.take_duties();
+
+    // Assert
+    let upkeep = MachineDuty::Upkeep {
+        machine: on,
+        wave: 1,
+    };
+    assert_eq!(orders, 0);
+    assert!(duties.contains(&upkeep), "found {duties:?}");
+}
--- a/crates/vanillafold/src/fleet/directory.rs
+++ b/crates/vanillafold/src/fleet/directory.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use monoio::time::{sleep, timeout};
-use vanillafold_policy::SplitMix;
+use vanillafold_policy::{MonotonicMillis, SplitMix};
 use vanillafold_wire::Caller;
 
 use super::config::OperatorRecord;
@@ -15,8 +15,9 @@
     AppendGuard, FleetPlatform, KeyedRow, Keyspace, MetadataStore, Newest, Ownership,
 };
 use super::settings::{
-    APPEND_TIMEOUT, CALL_CONNECT_TIMEOUT, CALL_TIMEOUT, FleetSettings, OWNER_CPU_MILLIS,
-    OWNERS_GROUP, PING_INTERVAL, PING_TIMEOUT, SHARD_PARTITION, VACANCY_INTERVAL, VACANT_READS,
+    APPEND_TIMEOUT, CALL_CONNECT_TIMEOUT, CALL_TIMEOUT, FleetSettings, OWNER_CONTACT_MS,
+    OWNER_CPU_MILLIS, OWNERS_GROUP, PING_INTERVAL, PING_TIMEOUT, SHARD_PARTITION, VACANCY_INTERVAL,
+    VACANT_READS,
 };
 use super::time::now;
 
@@ -40,6 +41,10 @@
     member: RefCell<String>,
     /// The owner's clock at its last answer, in milliseconds.
     seen_ms: Cell<u64>,
+    /// The group was last seen without an owner.
+    vacant: Cell<bool>,
+    /// When the owner last changed.
+    changed_at: Cell<MonotonicMillis>,
 }
 
 impl Directory {
@@ -53,12 +58,19 @@
         *self.member.borrow() == member
     }
 
+    /// Whether an owner is awaited: there is none, or it has come so lately that it may still be
+    /// reading the records.
+    pub(crate) fn is_changing(&self) -> bool {
+        self.vacant.get() || now().since(self.changed_at.get()).get() < OWNER_CONTACT_MS
+    }
+
     fn set(&self, member: &str) {
         if *self.member.borrow() == member {
             return;
         }
         member.clone_into(&mut self.member.borrow_mut());
         self.seen_ms.set(0);
+        self.changed_at.set(now());
         let address = member.split('/').next().and_then(|text| text.parse().ok());
         log::info!(owner = member; "the shard has this owner");
         *self.owner.borrow_mut() =
@@ -128,15 +140,15 @@
         Ok(rows) => {
             let holds =
                 |row: &&Ownership| row.partition == SHARD_PARTITION && !row.member.is_empty();
-            match rows.iter().find(holds) {
-                Some(row) => {
-                    fleet.directory.set(&row.member);
-                    Some(false)
-                }
-                None => Some(true),
+            let holder = rows.iter().find(holds);
+            fleet.directory.vacant.set(holder.is_none());
+            if let Some(row) = holder {
+                fleet.directory.set(&row.member);
             }
+            Some(holder.is_none())
         }
         Err(error) => {
+            fleet.directory.vacant.set(false);
             log::debug!(error = error.to_string(); "owners not read");
             None
         }
@@ -203,11 +215,12 @@
             config_version,
             clock_ms,
             unconfirmed_ms,
+            acting,
         }) => {
             fleet.directory.seen_ms.set(clock_ms);
             let latest = fleet.latest_epoch.get();
             fleet.latest_epoch.set(latest.max(epoch));
-            if epoch >= latest {
+            if epoch >= latest && acting {
                 fleet.owner_heard_at.set(Some(now()));
             }
             let known = fleet.config().map_or(0, |config| config.version);
--- a/crates/vanillafold/src/fleet/forward.rs
+++ b/crates/vanillafold/src/fleet/forward.rs
@@ -33,6 +33,14 @@
         limit_ms: u64,
         began: MonotonicMillis,
     ) -> FleetAnswer {
+        if self.is_cut_off() {
+            log::info!(job = request.job(), reason = "cut off"; "request refused");
+            metric::refusal("cut_off");
+            return FleetAnswer::Refused {
+                retry_after_ms: COME_BACK_MS,
+                overload: false,
+            };
+        }
         let mut sent = false;
         let mut left_ms = limit_ms;
         loop {
@@ -53,7 +61,10 @@
                 break;
             }
         }
-        log::info!(sent = sent, waited_ms = now().since(began).get(); "no owner answered");
+        log::info!(
+            job = request.job(), sent = sent, waited_ms = now().since(began).get();
+            "no owner answered"
+        );
         match sent {
             true => FleetAnswer::Undecided,
             false => FleetAnswer::Refused {
--- a/crates/vanillafold/src/fleet/hub.rs
+++ b/crates/vanillafold/src/fleet/hub.rs
@@ -136,9 +136,10 @@
     /// Whether callers should come here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let contact = self.owner_heard_at.get();
-        let owner = self.open_office().is_some()
-            || contact.is_some_and(|at| now().since(at).get() < OWNER_CONTACT_MS);
+        let owner = match self.open_office() {
+            Some(office) => office.may_order(),
+            None => self.owner_heard_at.get().is_some_and(is_recent),
+        };
         let ready = !self.draining.get() && self.config.borrow().is_some() && owner;
         if self.ready.replace(ready) != ready {
             log::info!(
@@ -150,6 +151,18 @@
         ready
     }
 
+    /// Whether the daemon reaches no owner that acts, although none is about to take over: callers
+    /// are better served by daemons of other zones.
+    #[must_use]
+    pub fn is_cut_off(&self) -> bool {
+        match (self.open_office(), self.owner_heard_at.get()) {
+            (Some(office), _) => !office.may_order(),
+            (None, Some(heard_at)) => !is_recent(heard_at) && !self.directory.is_changing(),
+            // It has just started.
+            (None, None) => false,
+        }
+    }
+
     /// Whether the daemon stops.
     #[must_use]
     pub const fn is_draining(&self) -> bool {
@@ -231,6 +244,7 @@
                 config_version: self.config().map_or(0, |config| config.version),
                 clock_ms: now().get(),
                 unconfirmed_ms: now().since(self.confirmed_at.get()).get(),
+                acting: office.may_order(),
             },
             (Some(office), request) => office.answer(request).await,
             (None, _) => FleetAnswer::NotOwner,
@@ -246,6 +260,11 @@
     }
 }
 
+/// Whether an owner that was heard at that time still counts as there.
+fn is_recent(heard_at: MonotonicMillis) -> bool {
+    now().since(heard_at).get() < OWNER_CONTACT_MS
+}
+
 /// A request that is under way.
 #[derive(Debug)]
 pub struct UnderWay<P: FleetPlatform>(Rc<Fleet<P>>);
--- a/crates/vanillafold/src/fleet/message.rs
+++ b/crates/vanillafold/src/fleet/message.rs
@@ -60,6 +60,8 @@
         clock_ms: u64,
         /// How long ago the store last confirmed it, in milliseconds.
         unconfirmed_ms: u64,
+        /// It gives orders: it is not cut off from the store and the other zones.
+        acting: bool,
     },
     /// The configuration record, as the operator wrote it; empty if there is none later.
     Config(Vec<u8>),
@@ -70,6 +72,15 @@
 }
 
 impl FleetRequest {
+    /// The id of the job that it is about, for logs; empty if it is about none.
+    #[must_use]
+    pub fn job(&self) -> String {
+        match self {
+            Self::Submit(id, _) | Self::State(id) | Self::Cancel(id) => id.to_string(),
+            Self::Pending(_) | Self::Ping { .. } | Self::Config(_) => String::new(),
+        }
+    }
+
     /// The kind of the request, for logs and metrics.
     #[must_use]
     pub const fn kind(&self) -> &'static str {
--- a/crates/vanillafold/src/fleet/settings.rs
+++ b/crates/vanillafold/src/fleet/settings.rs
@@ -49,8 +49,9 @@
 pub(crate) const PING_INTERVAL: Duration = Duration::from_millis(1_000);
 /// How long the owner may take to say that it is there: a slow owner's answer is late, not lost.
 pub(crate) const PING_TIMEOUT: Duration = Duration::from_millis(300);
-/// A daemon that has not reached the owner for so long is not ready, in milliseconds.
-pub(crate) const OWNER_CONTACT_MS: u64 = 3_500;
+/// A daemon that has not reached the owner for so long is not ready, in milliseconds: a ping's interval
+/// and limit and one more try. The platform then sends callers elsewhere.
+pub(crate) const OWNER_CONTACT_MS: u64 = 1_600;
 /// An owner that is not confirmed by the store and not called from another zone for so long
 /// gives no orders, in milliseconds. Counts into the time that a new owner waits.
 pub(crate) const OWNER_ISOLATION_MS: u64 = 2_000;
