--- a/crates/vanillafold-jobs/src/shard/duties.rs
+++ b/crates/vanillafold-jobs/src/shard/duties.rs
@@ -225,7 +225,7 @@
         // Everything on the machine has ended with the worker that it had.
         let Some(id) = worker else { return };
         if let Some(at) = self.worker_position(&id) {
-            self.lose_runs(at, now, now_unix_ms);
+            self.lose_runs(at, |_| true, now, now_unix_ms);
             self.workers.remove(at);
         }
         self.gone.push(id);
--- a/crates/vanillafold-jobs/src/shard/schedule.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule.rs
@@ -565,6 +565,7 @@
             number,
             phase: RunPhase::Starting,
             start_orders: 0,
+            ordered_at: now,
             booked: step.booked(),
             needs: step.needs,
             tenant: spec.tenant.clone(),
@@ -616,6 +617,7 @@
         let run = &mut worker.runs[position];
         run.phase = RunPhase::Starting;
         run.start_orders += 1;
+        run.ordered_at = now;
         let (task, number) = (run.task, run.number);
         let id = worker.entry.id.clone();
         if run.persistent || run.start_orders > 1 {
--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -186,7 +186,7 @@
     /// Another worker answers at the address: nothing that was there runs any more.
     fn replaced(&mut self, at: usize, now: MonotonicMillis, now_unix_ms: u64) {
         log::info!(worker = self.workers[at].entry.id.as_str(); "worker was replaced");
-        self.lose_runs(at, now, now_unix_ms);
+        self.lose_runs(at, |_| true, now, now_unix_ms);
         let worker = &mut self.workers[at];
         worker.suspect = true;
         worker.heard = true;
@@ -195,9 +195,16 @@
         worker.next_hold_at = MonotonicMillis::new(now.get() + 4 * RETRY_LOOK_MS);
     }
 
-    pub(super) fn lose_runs(&mut self, at: usize, now: MonotonicMillis, now_unix_ms: u64) {
-        while !self.workers[at].runs.is_empty() {
-            let run = self.workers[at].release(0, now);
+    /// Ends those runs of a worker that are `gone`.
+    pub(super) fn lose_runs(
+        &mut self,
+        at: usize,
+        gone: impl Fn(&Run) -> bool,
+        now: MonotonicMillis,
+        now_unix_ms: u64,
+    ) {
+        while let Some(position) = self.workers[at].runs.iter().position(&gone) {
+            let run = self.workers[at].release(position, now);
             self.end_run(at, &run, EndKind::Lapsed, now, now_unix_ms);
         }
     }
@@ -207,12 +214,14 @@
         for at in 0..self.workers.len() {
             let worker = &self.workers[at];
             let lapsed = worker.lapsed_at().is_some_and(|end| end < now);
-            if worker.suspect && lapsed && !worker.runs.is_empty() {
+            let gone = |run: &Run| !run.may_still_start(now);
+            let lost = worker.runs.iter().filter(|run| gone(run)).count();
+            if worker.suspect && lapsed && lost > 0 {
                 log::info!(
-                    worker = worker.entry.id.as_str(), runs = worker.runs.len();
+                    worker = worker.entry.id.as_str(), runs = lost;
                     "leases have ended: runs lost"
                 );
-                self.lose_runs(at, now, now_unix_ms);
+                self.lose_runs(at, gone, now, now_unix_ms);
             }
         }
         let id_of_old = |worker: &Worker| worker.listed || !worker.runs.is_empty();
@@ -447,7 +456,8 @@
                 true => RunPhase::Running { confirmed_at: now },
                 false => RunPhase::Stopping { next_order_at: now },
             },
-            start_orders: 1,
+            start_orders: 0,
+            ordered_at: now,
             booked: step.map_or(capacity, StepSpec::booked),
             needs: step.map(|step| step.needs).unwrap_or_default(),
             tenant: spec
--- a/crates/vanillafold-jobs/src/worker/book.rs
+++ b/crates/vanillafold-jobs/src/worker/book.rs
@@ -39,8 +39,9 @@
     pub(crate) task: TaskId,
     pub(crate) number: RunNumber,
     pub(crate) phase: RunPhase,
-    /// How many orders to start it have been given.
+    /// How many orders to start it have been given, and when the newest was.
     pub(crate) start_orders: u32,
+    pub(crate) ordered_at: MonotonicMillis,
     /// What it takes of the worker's capacity.
     pub(crate) booked: Resources,
     /// What it counts against its organisation's limit.
@@ -67,6 +68,16 @@
         matches!(self.phase, RunPhase::Starting | RunPhase::Running { .. })
     }
 
+    /// Whether an order without an answer may still start it, if its worker starts again under its id:
+    /// the order's deadline and any stop mean nothing in another life.
+    pub(crate) fn may_still_start(&self, now: MonotonicMillis) -> bool {
+        let unanswered = matches!(
+            self.phase,
+            RunPhase::Starting | RunPhase::Unsure | RunPhase::Stopping { .. }
+        );
+        unanswered && self.start_orders > 0 && now.since(self.ordered_at).get() < LATEST_ORDER_MS
+    }
+
     /// Whether a look sent at `sent_at` that does not list it proves that it is gone.
     pub(crate) fn absent_means_gone(&self, sent_at: MonotonicMillis) -> bool {
         match self.phase {
--- a/crates/vanillafold-jobs/tests/shard/workers.rs
+++ b/crates/vanillafold-jobs/tests/shard/workers.rs
@@ -209,3 +209,18 @@
 
     assert_eq!(shard.worker_addresses().len(), 1);
 }
+
+#[test]
+fn an_unanswered_start_on_a_silent_worker_is_waited_out_as_another_life_might_carry_it_out() {
+    let (mut shard, first, _) = unanswered_start();
+    for ms in [1_500, 1_760, 2_020, 5_000, 9_000, 12_900] {
+        lose_look(&mut shard, first.as_str(), ms);
+    }
+
+    let after_its_lease = starts(&mut shard, 6_500);
+    let after_the_latest_order = starts(&mut shard, 13_010);
+
+    assert_eq!(after_its_lease, vec![]);
+    assert_eq!(after_the_latest_order.len(), 1);
+    assert_ne!(after_the_latest_order[0].2, first.to_string());
+}
--- a/crates/vanillafold-standin/src/fleet/verdict.rs
+++ b/crates/vanillafold-standin/src/fleet/verdict.rs
@@ -74,6 +74,12 @@
         /// How it stands.
         state: String,
     },
+    /// A task of a job that is over still runs after the calm.
+    #[error("{task} runs on although its job is over")]
+    RunsOn {
+        /// The task.
+        task: TaskId,
+    },
     /// Members of a gang waited alone for the others.
     #[error("{at_ms}: {task} waited alone for its gang")]
     Alone {
