Stop persistent tasks before an upkeep that an earlier owner may have ordered

Cause by reading, not by a trace of that play: the platform answers success for an upkeep that is done already. An owner that could no longer write has an upkeep carried out; the next owner does not know it, orders it again, takes the answer for the end of all that runs there, and starts persistent tasks elsewhere that run on there. Change: upkeep ends persistent tasks only in waves first seen 5 s or more after the takeover; in others they are stopped first as before. Test: a_persistent_task_is_stopped_before_an_upkeep_that_an_earlier_owner_may_have_ordered fails without it.

--- a/crates/vanillafold-jobs/src/shard/duties.rs
+++ b/crates/vanillafold-jobs/src/shard/duties.rs
@@ -111,6 +111,8 @@
 #[derive(Debug)]
 pub(super) struct WaveState {
     pub(super) wave: Wave,
+    /// When this owner first saw it.
+    seen_at: MonotonicMillis,
     /// Machines that have begun their upkeep, sorted.
     pub(super) begun: Vec<String>,
     completed: bool,
@@ -118,6 +120,9 @@
     told: Option<bool>,
 }
 
+/// A wave that comes so long after a takeover was not known to an earlier owner, in milliseconds:
+/// longer than daemons take to hear of it, one after the other.
+const WAVE_NEWS_MS: u64 = 5_000;
 /// An order about a machine is not looked for in the list before this time, in milliseconds: the
 /// list may be older than the order.
 const LIST_LAG_MS: u64 = 800;
@@ -154,7 +159,7 @@
     }
 
     /// Takes in a wave; one that is known is passed over.
-    pub fn add_wave(&mut self, wave: Wave) {
+    pub fn add_wave(&mut self, wave: Wave, now: MonotonicMillis) {
         if self
             .waves
             .iter()
@@ -166,6 +171,7 @@
         let begun = stored.map_or(Vec::new(), |row| row.1.clone());
         self.waves.push(WaveState {
             wave,
+            seen_at: now,
             begun,
             completed: false,
             told: None,
@@ -384,7 +390,7 @@
         for _ in 0..places {
             let candidates: Vec<UpkeepCandidate> = left
                 .iter()
-                .map(|machine| self.upkeep_candidate(machine, now))
+                .map(|machine| self.upkeep_candidate(&self.waves[at], machine, now))
                 .collect();
             match choose_upkeep(&candidates) {
                 UpkeepChoice::Wait => return,
@@ -441,7 +447,18 @@
         });
     }
 
-    fn upkeep_candidate(&self, machine: &Machine, now: MonotonicMillis) -> UpkeepCandidate {
+    /// Whether no earlier owner can have given orders for a wave. The platform calls an upkeep done
+    /// that an earlier owner ordered: what runs there by now then runs on.
+    fn is_first_owner_of(&self, state: &WaveState) -> bool {
+        state.seen_at.since(self.taken_over_at).get() >= WAVE_NEWS_MS
+    }
+
+    fn upkeep_candidate(
+        &self,
+        wave: &WaveState,
+        machine: &Machine,
+        now: MonotonicMillis,
+    ) -> UpkeepCandidate {
         let worker = machine
             .worker
             .as_ref()
@@ -467,7 +484,10 @@
         let free = worker.no_duty_until <= now && !worker.suspect;
         UpkeepCandidate {
             empty: worker.runs.is_empty() && worker.no_duty_until <= now,
-            missable: free && persistent > 0 && self.may_miss_all(at, now),
+            missable: free
+                && persistent > 0
+                && self.is_first_owner_of(wave)
+                && self.may_miss_all(at, now),
             reserved: worker.reserved,
             busy_core_ms: worker.used.cpu_millis,
             persistent: u32::try_from(persistent).unwrap_or(u32::MAX),
--- a/crates/vanillafold-jobs/tests/shard/machines.rs
+++ b/crates/vanillafold-jobs/tests/shard/machines.rs
@@ -64,12 +64,15 @@
 #[test]
 fn upkeep_keeps_within_the_places_of_its_wave() {
     let mut shard = running(&["w1", "w2", "w3"]);
-    shard.add_wave(vanillafold_jobs::Wave {
-        number: 1,
-        machines: vec!["w1".to_owned(), "w2".to_owned(), "w3".to_owned()],
-        duration_ms: 20_000,
-        max_away: 1,
-    });
+    shard.add_wave(
+        vanillafold_jobs::Wave {
+            number: 1,
+            machines: vec!["w1".to_owned(), "w2".to_owned(), "w3".to_owned()],
+            duration_ms: 20_000,
+            max_away: 1,
+        },
+        at(0),
+    );
     starts(&mut shard, 4_000);
     let first = shard.take_duties();
     starts(&mut shard, 4_200);
@@ -107,12 +110,15 @@
 fn a_vm_whose_worker_is_silent_after_a_takeover_has_no_upkeep_until_its_leases_have_ended() {
     let mut shard = loaded(job(vec![step(1)]), &["w1", "w2"]);
     hold(&mut shard, "w1", &report(10_000), 10);
-    shard.add_wave(Wave {
-        number: 1,
-        machines: vec!["w2".to_owned()],
-        duration_ms: 20_000,
-        max_away: 1,
-    });
+    shard.add_wave(
+        Wave {
+            number: 1,
+            machines: vec!["w2".to_owned()],
+            duration_ms: 20_000,
+            max_away: 1,
+        },
+        at(5_000),
+    );
 
     starts(&mut shard, 5_010);
     let early = shard.take_duties();
@@ -127,9 +133,9 @@
     assert!(late.contains(&upkeep), "found {late:?}");
 }
 
-#[test]
-fn upkeep_ends_a_persistent_task_that_may_be_away_without_a_stop_before() {
-    // Arrange: a persistent task is at work on one of two VMs; that one is due.
+/// What is ordered when a persistent task is at work on one of two VMs and a wave is seen `ms` after
+/// the takeover that makes that VM due: how many orders to workers, and whether its upkeep.
+fn upkeep_of_a_persistent_task(ms: u64) -> (usize, bool) {
     let mut shard = running(&["w1", "w2"]);
     let lasting = StepSpec {
         persistent: true,
@@ -143,23 +149,32 @@
     let mut shown = report(5_000);
     shown.running.push(runs(task, run));
     hold(&mut shard, &on, &shown, 5_000);
-    shard.add_wave(Wave {
-        number: 1,
-        machines: vec![on.clone()],
-        duration_ms: 20_000,
-        max_away: 1,
-    });
+    shard.add_wave(
+        Wave {
+            number: 1,
+            machines: vec![on.clone()],
+            duration_ms: 20_000,
+            max_away: 1,
+        },
+        at(ms),
+    );
 
-    // Act
     shard.schedule(at(5_010), unix(5_010));
     let orders = shard.take_orders().len();
-    let duties = shard.take_duties();
-
-    // Assert
     let upkeep = MachineDuty::Upkeep {
         machine: on,
         wave: 1,
     };
-    assert_eq!(orders, 0);
-    assert!(duties.contains(&upkeep), "found {duties:?}");
+    (orders, shard.take_duties().contains(&upkeep))
+}
+
+#[test]
+fn upkeep_ends_a_persistent_task_that_may_be_away_without_a_stop_before() {
+    assert_eq!(upkeep_of_a_persistent_task(5_000), (0, true));
+}
+
+#[test]
+fn a_persistent_task_is_stopped_before_an_upkeep_that_an_earlier_owner_may_have_ordered() {
+    // The platform would say "done" of that upkeep, and the task would run on.
+    assert_eq!(upkeep_of_a_persistent_task(4_990), (1, false));
 }
--- a/crates/vanillafold-jobs/tests/shard/workers.rs
+++ b/crates/vanillafold-jobs/tests/shard/workers.rs
@@ -196,7 +196,7 @@
         duration_ms: 20_000,
         max_away: 1,
     };
-    shard.add_wave(wave);
+    shard.add_wave(wave, at(0));
     starts(&mut shard, 7_000);
     let upkeep = shard
         .take_duties()
--- a/crates/vanillafold/src/fleet/office.rs
+++ b/crates/vanillafold/src/fleet/office.rs
@@ -156,7 +156,7 @@
     }
 
     pub(crate) fn add_wave(&self, wave: Wave) {
-        self.with(|shard| shard.add_wave(wave));
+        self.with(|shard| shard.add_wave(wave, now()));
         self.events.give();
     }
 
@@ -371,7 +371,7 @@
         shard.set_catalogue(config.catalogue.clone());
     }
     for wave in office.fleet.waves.borrow().iter() {
-        shard.add_wave(wave.clone());
+        shard.add_wave(wave.clone(), now());
     }
     log::info!(epoch = office.epoch.get(), open_jobs = shard.open_jobs(); "shard taken over");
     metric::takeover(office.opened_at);
