--- a/crates/vanillafold-jobs/tests/shard/storing.rs
+++ b/crates/vanillafold-jobs/tests/shard/storing.rs
@@ -7,9 +7,8 @@
     starts, step, task, unix,
 };
 
-/// The rows that a store holds after all batches, sorted by key.
-fn stored_rows(shard: &mut Shard) -> Vec<(String, Vec<u8>)> {
-    let mut rows: Vec<(String, Vec<u8>)> = Vec::new();
+/// Stores all batches over what a store holds; returns what it holds then, sorted by key.
+fn stored_over(mut rows: Vec<(String, Vec<u8>)>, shard: &mut Shard) -> Vec<(String, Vec<u8>)> {
     while let Some(batch) = shard.take_batch() {
         for (key, value) in &batch.records {
             rows.retain(|row| row.0 != *key);
@@ -23,6 +22,10 @@
     rows
 }
 
+fn stored_rows(shard: &mut Shard) -> Vec<(String, Vec<u8>)> {
+    stored_over(Vec::new(), shard)
+}
+
 fn records(rows: &[(String, Vec<u8>)]) -> Vec<Record> {
     let decode = |row: &(String, Vec<u8>)| Record::decode(&row.0, &row.1).expect("a record");
     rows.iter().map(decode).collect()
@@ -32,23 +35,14 @@
 fn rows_of_a_completed_job() -> Vec<(String, Vec<u8>)> {
     let mut shard = running(&["w1"]);
     shard.submit(job_id(1), job(vec![step(1)]), at(900), unix(900));
-    let mut rows = stored_rows(&mut shard);
+    let rows = stored_rows(&mut shard);
     let run = starts(&mut shard, 1_000)[0].1;
     let mut shown = report(2_000);
     shown
         .ended
         .push(ended(1, task(job_id(1), 0), run, EndKind::Done));
     hold(&mut shard, "w1", &shown, 2_000);
-    while let Some(batch) = shard.take_batch() {
-        for (key, value) in &batch.records {
-            rows.retain(|row| row.0 != *key);
-            if !value.is_empty() {
-                rows.push((key.clone(), value.clone()));
-            }
-        }
-        shard.batch_stored(&batch);
-    }
-    rows
+    stored_over(rows, &mut shard)
 }
 
 fn next_owner(rows: &[(String, Vec<u8>)]) -> Shard {
