Allow for stalls of the process in timeouts of HTTP and RPC exchanges

Cause: an owner with more work than processor time finds its timers expired before it has read the answers that have arrived. It took its own delay for silence of workers ("worker does not answer", "orders to a worker got no answer"), sent orders and polls again, gave up runs, and so had more work. The same holds for pings and submissions between daemons, and after a process was suspended.

Change: a timeout is waited out in four parts; a stall uses up one of them at most.

--- a/crates/vanillafold-wire/src/http/client.rs
+++ b/crates/vanillafold-wire/src/http/client.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response};
 use monoio::net::TcpStream;
-use monoio::time::timeout;
 
 use super::reset::enable_reset_on_close;
 use super::server::read_body;
@@ -15,6 +14,7 @@
     BodyError, Framing, FramingError, HeadError, HttpReader, HttpWriter, encode_request_head,
     response_framing, split,
 };
+use crate::timer::timeout_awake;
 
 /// Maximum size of a response's body that a [`Client`] accepts, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -121,7 +121,7 @@
             None => self.connect().await?,
         };
         let exchange = exchange(&mut connection, method, path, headers, body);
-        let response = timeout(limit, exchange)
+        let response = timeout_awake(limit, exchange)
             .await
             .map_err(|_| ClientError::TimedOut(limit))??;
         self.connection = Some(connection);
@@ -153,12 +153,12 @@
             encode_request_head(writer.buffer(), request.method(), path, headers, framing);
             writer.buffer().extend_from_slice(request.body());
         }
-        let send = timeout(limit, writer.flush());
+        let send = timeout_awake(limit, writer.flush());
         send.await
             .map_err(|_| ClientError::TimedOut(limit))?
             .map_err(ClientError::Write)?;
         for request in &requests {
-            let response = timeout(limit, read_response(&mut reader, request.method()));
+            let response = timeout_awake(limit, read_response(&mut reader, request.method()));
             on_response(response.await.map_err(|_| ClientError::TimedOut(limit))??);
         }
         self.connection = Some((reader, writer));
@@ -171,7 +171,7 @@
             source,
         };
         // The connection has a timeout of its own: when it expires, the request has not been sent.
-        let stream = timeout(self.timeout, TcpStream::connect_addr(self.address))
+        let stream = timeout_awake(self.timeout, TcpStream::connect_addr(self.address))
             .await
             .map_err(|_| failed(io::ErrorKind::TimedOut.into()))?
             .map_err(failed)?;
--- a/crates/vanillafold-wire/src/lib.rs
+++ b/crates/vanillafold-wire/src/lib.rs
@@ -8,10 +8,12 @@
 //! | RPC to a daemon, dialled on demand | [`RpcClient`], [`RpcHandler`], [`serve_rpcs`] |
 //! | Reachability and traffic of daemons | [`PeerStatus`], [`PeerState`], [`PeerStatistics`] |
 //! | Time that includes suspension of the VM | [`BootClock`], [`BootMillis`] |
+//! | Timeouts that allow for stalls of the process | [`timeout_awake`] |
 
 pub mod http;
 mod peer;
 pub mod platform;
+mod timer;
 
 pub use peer::{
     BootClock, BootMillis, ClusterName, Latch, LatchWait, LinkEnd, LinkTiming, LoadEntry,
@@ -22,3 +24,4 @@
     RefusalReason, RpcClient, RpcError, RpcHandler, SharedToken, SnapshotChunk, SnapshotRequest,
     StateSummary, UnavailableReason, Withdrawal, serve_rpcs,
 };
+pub use timer::{TimedOut, timeout_awake};
--- a/crates/vanillafold-wire/src/peer/rpc.rs
+++ b/crates/vanillafold-wire/src/peer/rpc.rs
@@ -15,13 +15,13 @@
 use h2::client::SendRequest;
 use h2::server::SendResponse;
 use monoio::net::TcpStream;
-use monoio::time::timeout;
 
 use super::counted::wrap;
 use super::error::LinkEnd;
 use super::frame::{FrameReader, FrameWriter, decode, encode};
 use super::link::{REQUEST_PATH, client_builder, request_head, response_body};
 use super::statistics::Traffic;
+use crate::timer::timeout_awake;
 
 /// Maximum number of concurrent RPCs, each on an HTTP/2 stream, on one connection. An RPC waits
 /// until its records are stored, so many are open at once under load.
@@ -106,7 +106,7 @@
         let mut frame = Vec::new();
         encode(request, &mut frame).map_err(|error| not_sent(error.into()))?;
         let sender = self.sender().await.map_err(not_sent)?;
-        let answer = match timeout(limit, exchange(sender, frame)).await {
+        let answer = match timeout_awake(limit, exchange(sender, frame)).await {
             Ok(answer) => answer,
             Err(_) => Err(LinkEnd::Silent),
         };
@@ -121,7 +121,7 @@
         if let Some(sender) = self.connection.borrow().clone() {
             return Ok(sender);
         }
-        let dialled = timeout(self.connect_timeout, dial(self.address)).await;
+        let dialled = timeout_awake(self.connect_timeout, dial(self.address)).await;
         let sender = dialled.map_err(|_| LinkEnd::ConnectTimeout)??;
         *self.connection.borrow_mut() = Some(sender.clone());
         Ok(sender)
