Answer requests in flight before a stopping daemon exits

Change: when that time is over, requests in flight are answered: refused if no owner can have received them, as undecided otherwise. The new test fails on the code before.

--- a/crates/vanillafold/src/fleet/daemon.rs
+++ b/crates/vanillafold/src/fleet/daemon.rs
@@ -30,7 +30,10 @@
 /// health checks, a second apart; until then callers must not see a refused connection.
 const UNREADY_GRACE: Duration = Duration::from_millis(2_500);
 /// Time that requests in flight may take after [`UNREADY_GRACE`].
-const DRAIN_TIMEOUT: Duration = Duration::from_millis(1_500);
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Time for sending the answers to requests that are given up after [`DRAIN_TIMEOUT`]. Together
+/// with the times before, a stop takes less than the 6 s after which the platform kills a process.
+const FINAL_ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time between two checks whether requests are in flight, and before a failed accept is repeated.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -88,6 +91,8 @@
     ready: Cell<bool>,
     /// Set when the daemon stops: ends the task that joins the owners' group.
     pub(crate) leaving: Latch,
+    /// Set when the daemon answers its requests in flight at once, because it is about to exit.
+    pub(crate) exiting: Latch,
     pub(crate) in_flight: Cell<usize>,
     /// Notified when a request could not be forwarded: the owner may have changed and must be
     /// checked before the next ping is due.
@@ -126,6 +131,7 @@
             draining: Cell::new(false),
             ready: Cell::new(false),
             leaving: Latch::default(),
+            exiting: Latch::default(),
             in_flight: Cell::new(0),
             recheck_owner: Notify::default(),
             shard_claimed: Cell::new(false),
@@ -230,7 +236,8 @@
     }
 
     /// Stops the daemon: hands the shard over, gives callers time to move to other daemons, and
-    /// waits for requests in flight.
+    /// waits for requests in flight. Those that take too long are answered as undecided, so that no
+    /// caller sees its connection close without an answer.
     pub async fn stop(&self) {
         log::info!(under_way = self.in_flight.get(); "stopping");
         self.draining.set(true);
@@ -244,13 +251,17 @@
             );
         }
         sleep(UNREADY_GRACE).await;
-        let drained = async {
-            while self.in_flight.get() > 0 {
-                sleep(DRAIN_CHECK_INTERVAL).await;
-            }
-        };
-        let is_drained = timeout(DRAIN_TIMEOUT, drained).await.is_ok();
-        log::info!(whole = is_drained, under_way = self.in_flight.get(); "stopped");
+        let is_drained = timeout(DRAIN_TIMEOUT, self.drained()).await.is_ok();
+        self.exiting.set();
+        let is_answered = timeout(FINAL_ANSWER_TIMEOUT, self.drained()).await.is_ok();
+        log::info!(whole = is_drained, answered = is_answered, under_way = self.in_flight.get(); "stopped");
+    }
+
+    /// Waits until no request is in flight.
+    async fn drained(&self) {
+        while self.in_flight.get() > 0 {
+            sleep(DRAIN_CHECK_INTERVAL).await;
+        }
     }
 
     /// Answers an RPC of another daemon.
--- a/crates/vanillafold/src/fleet/forward.rs
+++ b/crates/vanillafold/src/fleet/forward.rs
@@ -1,5 +1,6 @@
 //! Forwarding of callers' requests to the owner of the shard, with retries.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,7 +24,13 @@
     /// [`FleetAnswer::Undecided`] if its outcome is still unknown when the time is up.
     pub async fn forward(self: &Rc<Self>, request: &FleetRequest, limit_ms: u64) -> FleetAnswer {
         let began = now();
-        let answer = self.forward_until(request, limit_ms, began).await;
+        // Whether an owner may have received the request.
+        let sent = Cell::new(false);
+        let answered = self.forward_until(request, limit_ms, began, &sent);
+        let answer = match self.exiting.run_until_set(answered).await {
+            Some(answer) => answer,
+            None => unanswered(request, began, sent.get(), "the daemon exits"),
+        };
         metric::request(request.kind(), answer.kind(), began);
         answer
     }
@@ -35,6 +42,7 @@
         request: &FleetRequest,
         limit_ms: u64,
         began: MonotonicMillis,
+        sent: &Cell<bool>,
     ) -> FleetAnswer {
         if self.is_cut_off() {
             log::info!(job = request.job(), reason = "cut off"; "request refused");
@@ -44,37 +52,25 @@
                 overload: false,
             };
         }
-        let mut sent = false;
         let mut left_ms = limit_ms;
         loop {
             let rpc_timeout = RPC_TIMEOUT.min(Duration::from_millis(left_ms));
+            let sent_before = sent.replace(true);
             match self.forward_once(request, rpc_timeout).await {
-                Ok(FleetAnswer::NotOwner) => {}
-                Ok(FleetAnswer::Undecided) => sent = true,
+                Ok(FleetAnswer::Undecided) | Err(RpcError::NoAnswer { .. }) => {}
+                Ok(FleetAnswer::NotOwner) | Err(_) => sent.set(sent_before),
                 Ok(answer) => return answer,
-                Err(RpcError::NoAnswer { .. }) => sent = true,
-                Err(_) => {}
             }
             metric::request_retried();
             self.recheck_owner.notify_one();
             sleep(OWNER_RETRY_DELAY).await;
             let passed_ms = now().since(began).get();
             left_ms = limit_ms.saturating_sub(passed_ms);
-            if left_ms == 0 || (!sent && passed_ms > OWNER_WAIT_MS) {
+            if left_ms == 0 || (!sent.get() && passed_ms > OWNER_WAIT_MS) {
                 break;
             }
         }
-        log::info!(
-            job = request.job(), sent = sent, waited_ms = now().since(began).get();
-            "no owner answered the request in time"
-        );
-        match sent {
-            true => FleetAnswer::Undecided,
-            false => FleetAnswer::Refused {
-                retry_after_ms: RETRY_AFTER_MS,
-                overload: false,
-            },
-        }
+        unanswered(request, began, sent.get(), "no answer in time")
     }
 
     /// Sends a request to the owner once, or answers it if this daemon is the owner.
@@ -92,3 +88,24 @@
         }
     }
 }
+
+/// Returns the answer to a request that no owner has answered: refused only if none can have
+/// received it.
+fn unanswered(
+    request: &FleetRequest,
+    began: MonotonicMillis,
+    sent: bool,
+    reason: &str,
+) -> FleetAnswer {
+    log::info!(
+        job = request.job(), sent = sent, waited_ms = now().since(began).get(), reason = reason;
+        "no owner answered the request"
+    );
+    match sent {
+        true => FleetAnswer::Undecided,
+        false => FleetAnswer::Refused {
+            retry_after_ms: RETRY_AFTER_MS,
+            overload: false,
+        },
+    }
+}
--- a/crates/vanillafold/tests/fleet/ownership.rs
+++ b/crates/vanillafold/tests/fleet/ownership.rs
@@ -114,3 +114,32 @@
         assert_eq!(pages, vec!["", "w2", "w2", "w2", "w4", "w5"]);
     });
 }
+
+// A stop must not close a caller's connection without an answer, however long the owner takes: a
+// caller that gets nothing can't tell whether its job was accepted.
+#[test]
+fn a_stopping_daemon_answers_requests_that_the_owner_does_not_answer() {
+    run(async {
+        // Arrange: the daemon waits for an owner that can't store the job.
+        let state = new_store();
+        let owner = start(&state, "owner", 500);
+        wait_until("the owner is ready", || owner.fleet_daemon.is_ready()).await;
+        let other = start(&state, "other", 500);
+        wait_until("the other is ready", || other.fleet_daemon.is_ready()).await;
+        state.borrow_mut().hangs = true;
+        let answer = Rc::new(RefCell::new(None));
+        let daemon = Rc::clone(&other.fleet_daemon);
+        let received = Rc::clone(&answer);
+        monoio::spawn(async move {
+            let _in_flight = daemon.begin_request();
+            let result = daemon.forward(&submission(1), 60_000).await;
+            *received.borrow_mut() = Some(result);
+        });
+
+        // Act
+        other.fleet_daemon.stop().await;
+
+        // Assert
+        assert_eq!(*answer.borrow(), Some(FleetAnswer::Undecided));
+    });
+}
--- a/crates/vanillafold/tests/fleet/platform.rs
+++ b/crates/vanillafold/tests/fleet/platform.rs
@@ -50,6 +50,8 @@
     pub(crate) claims: u64,
     /// Number of claims rejected because another daemon had claimed the shard before.
     pub(crate) late_claims: u64,
+    /// Whether appends to the shard's records get no answer.
+    pub(crate) hangs: bool,
     /// Number of reads of the shard's records that still have to fail. Only reads of a later page
     /// than the first fail.
     pub(crate) failing_pages: u64,
@@ -173,6 +175,9 @@
         _timeout_ms: u64,
     ) -> Result<(), AppendError> {
         self.simulate_call().await?;
+        if keyspace == Keyspace::Jobs && self.0.state.borrow().hangs {
+            std::future::pending::<()>().await;
+        }
         let mut state = self.0.state.borrow_mut();
         match condition {
             AppendCondition::Producer(producer) if producer.epoch.get() < state.epoch => {
