--- a/crates/vanillafold-jobs/src/shard/mod.rs
+++ b/crates/vanillafold-jobs/src/shard/mod.rs
@@ -2,16 +2,19 @@
 
 mod advice;
 mod arrivals;
+mod backlog;
 mod catalogue;
 mod ends;
 mod orders;
 mod pacing;
+mod pool_index;
 mod root;
 mod schedule;
 mod settings;
 mod storing;
 mod submit;
 mod vm_operations;
+mod waiting;
 mod workers;
 
 pub use advice::{Advice, AdviceQuery};
--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -6,10 +6,12 @@
 
 use super::advice::{AdviceQuery, StepAdvice};
 use super::arrivals::Arrivals;
+use super::backlog::Backlog;
 use super::catalogue::Catalogue;
 use super::orders::Order;
 use super::settings::Settings;
 use super::vm_operations::{PendingOperation, Vm, VmOperation, WaveState};
+use super::waiting::WaitingJobs;
 use crate::id::{Epoch, JobId, WorkerId};
 use crate::job::{Job, TaskStatus};
 use crate::record::{JobOutcome, Record};
@@ -26,6 +28,10 @@
     pub(super) jobs: Vec<Job>,
     /// Ids of unfinished jobs, sorted.
     pub(super) open: Vec<JobId>,
+    /// Jobs with tasks that wait for a worker.
+    pub(super) waiting_jobs: WaitingJobs,
+    /// Unfinished jobs that run repeatedly.
+    pub(super) repeated_jobs: Vec<JobId>,
     /// Jobs with unstored changes, in the order in which they changed.
     pub(super) dirty: Vec<JobId>,
     /// Jobs whose records may be deleted now.
@@ -36,6 +42,8 @@
     pub(super) finished_with_spec: Vec<JobId>,
     /// Sorted by id.
     pub(super) workers: Vec<Worker>,
+    /// Incremented when workers are added or removed, or an address changes.
+    pub(super) workers_version: u64,
     /// Workers that an operation on their VM has ended and that are still in the list of workers.
     pub(super) removed_workers: Vec<WorkerId>,
     /// Resources that the runs of each organisation use, sorted by the organisation's name.
@@ -55,12 +63,16 @@
     pub(super) waves: Vec<WaveState>,
     /// VMs whose maintenance has started, by wave, as loaded from the store.
     pub(super) stored_waves: Vec<(u64, Vec<String>)>,
+    /// Workers on VMs that are due for maintenance, sorted.
+    pub(super) workers_due: Vec<WorkerId>,
     /// Waves with unstored changes.
     pub(super) dirty_waves: Vec<u64>,
     pub(super) pending_operations: Vec<PendingOperation>,
     pub(super) next_plan_at: MonotonicMillis,
     pub(super) advice: Vec<StepAdvice>,
     pub(super) advice_queries: Vec<AdviceQuery>,
+    /// Open work by pool and organisation, for admission control.
+    pub(super) backlog: Backlog,
     /// Recently submitted work, by pool.
     pub(super) arrivals: Vec<Arrivals>,
     /// Pools of persistent tasks that found no worker in the last scheduling pass, one entry per
@@ -92,11 +104,14 @@
             catalogue: Catalogue::default(),
             jobs: Vec::new(),
             open: Vec::new(),
+            waiting_jobs: WaitingJobs::default(),
+            repeated_jobs: Vec::new(),
             dirty: Vec::new(),
             deletable_jobs: Vec::new(),
             finished: Vec::new(),
             finished_with_spec: Vec::new(),
             workers: Vec::new(),
+            workers_version: 0,
             removed_workers: Vec::new(),
             usage: Vec::new(),
             orders: Vec::new(),
@@ -109,11 +124,13 @@
             vms: Vec::new(),
             waves: Vec::new(),
             stored_waves: Vec::new(),
+            workers_due: Vec::new(),
             dirty_waves: Vec::new(),
             pending_operations: Vec::new(),
             next_plan_at: now,
             advice: Vec::new(),
             advice_queries: Vec::new(),
+            backlog: Backlog::default(),
             arrivals: Vec::new(),
             unplaced_pools: Vec::new(),
             next_preemption_at: now,
@@ -154,6 +171,7 @@
     }
 
     fn resume(&mut self, now: MonotonicMillis, now_unix_ms: u64) {
+        let mut open = Vec::new();
         for job in &mut self.jobs {
             job.stored_outcome = job.progress.outcome;
             let age_ms = now_unix_ms.saturating_sub(job.spec.submitted_unix_ms);
@@ -161,7 +179,7 @@
             match job.progress.outcome {
                 JobOutcome::Open => {
                     job.unaccounted = true;
-                    self.open.push(job.id);
+                    open.push(job.id);
                 }
                 _ => {
                     let finished_for_ms = now_unix_ms.saturating_sub(job.progress.finished_unix_ms);
@@ -177,7 +195,8 @@
                 }
             }
         }
-        for id in self.open.clone() {
+        for id in open {
+            self.add_open_job(id);
             self.begin_due_occurrences(id, now, now_unix_ms);
         }
         self.unaccounted = !self.open.is_empty();
@@ -199,6 +218,10 @@
     pub fn set_catalogue(&mut self, catalogue: Catalogue) {
         if catalogue.version >= self.catalogue.version {
             self.catalogue = catalogue;
+            // The pool of a queue may have changed.
+            for id in &self.open {
+                self.waiting_jobs.mark_changed(*id);
+            }
         }
     }
 
@@ -230,8 +253,10 @@
         self.position(id).ok().map(|at| &self.jobs[at])
     }
 
+    /// Returns a job to be changed. The next scheduling pass examines it again.
     pub(super) fn job_mut(&mut self, id: JobId) -> Option<&mut Job> {
         let at = self.position(id).ok()?;
+        self.waiting_jobs.mark_changed(id);
         Some(&mut self.jobs[at])
     }
 
@@ -251,6 +276,18 @@
         if let Ok(at) = self.open.binary_search(&id) {
             self.open.remove(at);
         }
+        self.waiting_jobs.mark_changed(id);
+    }
+
+    /// Adds a job to those that are not finished.
+    pub(super) fn add_open_job(&mut self, id: JobId) {
+        if let Err(at) = self.open.binary_search(&id) {
+            self.open.insert(at, id);
+        }
+        self.waiting_jobs.mark_changed(id);
+        if self.job(id).is_some_and(|job| job.spec.repeat.is_some()) {
+            self.repeated_jobs.push(id);
+        }
     }
 
     /// Creates the tasks of the occurrences that are due.
--- a/crates/vanillafold-jobs/src/shard/schedule.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule.rs
@@ -9,6 +9,7 @@
 
 use super::catalogue::QueueInfo;
 use super::orders::Order;
+use super::pool_index::PoolIndex;
 use super::root::Shard;
 use crate::id::{JobId, RunNumber, TaskId};
 use crate::job::{Job, TaskStatus};
@@ -52,26 +53,29 @@
         self.collect_deletable_jobs(now);
         self.drop_finished_advice();
         self.retry_stops(now);
-        let repeated: Vec<JobId> = self
-            .open
-            .iter()
-            .copied()
-            .filter(|id| self.job(*id).is_some_and(|job| job.spec.repeat.is_some()))
-            .collect();
-        for id in repeated {
-            self.begin_due_occurrences(id, now, now_unix_ms);
-        }
-        let mut waiting = self.waiting_steps(now, now_unix_ms);
+        self.begin_repeated_jobs(now, now_unix_ms);
+        let mut index = PoolIndex::new(&self.workers, now);
+        let mut waiting = self.waiting_steps(&index, now, now_unix_ms);
         waiting.sort_by(|a, b| a.rank.cmp(&b.rank).then(a.job.cmp(&b.job)));
         let mut without_capacity = Vec::new();
         self.unplaced_pools.clear();
         for step in waiting {
-            self.start_step(&step, &mut without_capacity, now);
+            self.start_step(&step, &mut index, &mut without_capacity, now);
         }
         self.pace_best_effort(now);
         self.plan_vm_operations(now);
     }
 
+    /// Creates the tasks of the due occurrences of repeated jobs.
+    fn begin_repeated_jobs(&mut self, now: MonotonicMillis, now_unix_ms: u64) {
+        let open = &self.open;
+        self.repeated_jobs
+            .retain(|id| open.binary_search(id).is_ok());
+        for at in 0..self.repeated_jobs.len() {
+            self.begin_due_occurrences(self.repeated_jobs[at], now, now_unix_ms);
+        }
+    }
+
     /// After a takeover, releases unaccounted tasks for scheduling once they can't be running on a
     /// worker that has not responded: when all workers of their pools have responded, or when every
     /// lease of an earlier owner has expired.
@@ -129,28 +133,43 @@
         awaited_pools
     }
 
-    fn waiting_steps(&self, now: MonotonicMillis, now_unix_ms: u64) -> Vec<WaitingStep> {
+    /// Returns the steps with waiting tasks, without those for which no worker has enough free CPU.
+    fn waiting_steps(
+        &mut self,
+        index: &PoolIndex,
+        now: MonotonicMillis,
+        now_unix_ms: u64,
+    ) -> Vec<WaitingStep> {
+        let mut jobs = std::mem::take(&mut self.waiting_jobs);
+        jobs.refresh(|id| self.job(id), &self.catalogue);
         let mut waiting = Vec::new();
         let over_share = self.over_share();
-        for id in &self.open {
-            let Some(job) = self.job(*id).filter(|job| job.spec_stored) else {
+        for row in jobs.iter() {
+            let free_cpu_millis = index.largest_free_cpu_millis(&row.pool);
+            let has_room = |cpu_millis: u64| free_cpu_millis.is_some_and(|free| cpu_millis <= free);
+            if !row.may_preempt && !has_room(row.least_cpu_millis) {
+                continue;
+            }
+            let Some(job) = self.job(row.id) else {
                 continue;
             };
             for occurrence in &job.occurrences {
                 for (at, step) in occurrence.steps.iter().enumerate() {
                     let spec = &job.spec.steps[at];
-                    if step.waiting == 0 || !occurrence.may_start(spec) {
+                    let may_be_placed = spec.persistent || has_room(spec.reservation().cpu_millis);
+                    if step.waiting == 0 || !occurrence.may_start(spec) || !may_be_placed {
                         continue;
                     }
                     waiting.push(WaitingStep {
                         rank: self.rank(job, occurrence.number, at, &over_share, now, now_unix_ms),
-                        job: *id,
+                        job: row.id,
                         occurrence: occurrence.number,
                         step: u16::try_from(at).unwrap_or(u16::MAX),
                     });
                 }
             }
         }
+        self.waiting_jobs = jobs;
         waiting
     }
 
@@ -289,6 +308,7 @@
     fn start_step(
         &mut self,
         waiting: &WaitingStep,
+        index: &mut PoolIndex,
         without_capacity: &mut Vec<(String, StepSpec)>,
         now: MonotonicMillis,
     ) {
@@ -310,14 +330,14 @@
             return;
         }
         if step_spec.gang {
-            self.start_gang(waiting, &spec, &queue, now);
+            self.start_gang(waiting, &spec, &queue, index, now);
             return;
         }
-        for index in self.waiting_tasks(waiting) {
+        for task in self.waiting_tasks(waiting) {
             if !self.organisation_allows(&spec, step_spec, 1) {
                 return;
             }
-            let placed = self.place_task(waiting, &spec, &queue, &[], now);
+            let placed = self.place_task(waiting, &spec, &queue, index, &[], now);
             let Some(at) = placed else {
                 if queue.advised {
                     self.request_advice(waiting, &spec, &queue, now);
@@ -331,8 +351,9 @@
                 }
                 return;
             };
-            let run = self.next_run(waiting, index);
-            self.start_task(at, waiting, &spec, index, run, now);
+            let run = self.next_run(waiting, task);
+            self.start_task(at, waiting, &spec, task, run, now);
+            index.reserve(&self.workers[at], at, step_spec.reservation());
         }
     }
 
@@ -482,56 +503,54 @@
         waiting: &WaitingStep,
         spec: &JobSpec,
         queue: &QueueInfo,
+        index: &PoolIndex,
         planned: &[usize],
         now: MonotonicMillis,
     ) -> Option<usize> {
         let step = &spec.steps[usize::from(waiting.step)];
         let reservation = step.reservation();
         let rack = self.step_rack(waiting, step, planned);
-        let mut positions = Vec::new();
-        let mut candidates = Vec::new();
-        for (at, worker) in self.workers.iter().enumerate() {
-            if worker.entry.pool != queue.pool || !worker.accepts_tasks(now) {
-                continue;
-            }
+        let key = (waiting.job, waiting.occurrence, waiting.step);
+        let may_run = |at: &usize| {
+            let worker = &self.workers[*at];
             let mut used = worker.used;
-            for _ in planned.iter().filter(|other| **other == at) {
+            let mut more = 0;
+            for _ in planned.iter().filter(|other| *other == at) {
                 used.add(reservation);
+                more += 1;
             }
-            let key = (waiting.job, waiting.occurrence, waiting.step);
-            if queue.advised && self.ticket(key, &worker.entry.id, now).is_none() {
-                continue;
-            }
-            let more = planned.iter().filter(|other| **other == at).count();
-            let at_limit = is_at_anti_affinity_limit(worker, waiting, step, more);
-            if at_limit
-                || !has_required_label(worker, step)
-                || !worker.entry.capacity.fits(used, reservation)
-            {
-                continue;
-            }
+            worker.entry.capacity.fits(used, reservation)
+                && has_required_label(worker, step)
+                && !is_at_anti_affinity_limit(worker, waiting, step, more)
+                && (!queue.advised || self.ticket(key, &worker.entry.id, now).is_some())
+        };
+        let candidate = |at: &usize| {
+            let worker = &self.workers[*at];
             let labels = &worker.entry.labels;
-            let maintenance_due =
-                step.persistent && self.is_worker_due_for_maintenance(&worker.entry.id);
-            positions.push(at);
-            candidates.push(PlacementCandidate {
-                free_cpu_millis: worker.entry.capacity.cpu_millis - used.cpu_millis,
+            PlacementCandidate {
                 near_data: step.data_rack.is_empty() || labels.contains(&step.data_rack),
                 same_rack: rack.as_ref().is_none_or(|rack| labels.contains(rack)),
                 persistent_tasks: count(worker, |run| run.persistent),
                 best_effort_tasks: count(worker, |run| run.best_effort),
                 latency_sensitive_tasks: count(worker, |run| run.latency_target_ms > 0),
                 fault_score: worker.fault_score,
-                maintenance_due,
+                maintenance_due: step.persistent
+                    && self.is_worker_due_for_maintenance(&worker.entry.id),
                 failed_here: worker.failed_jobs.contains(&waiting.job),
-            });
-        }
+            }
+        };
         let profile = TaskProfile {
             persistent: step.persistent,
             best_effort: step.best_effort,
             latency_sensitive: step.latency_target_ms > 0,
         };
-        choose_worker(&candidates, profile).map(|chosen| positions[chosen])
+        let mut positions = Vec::new();
+        let candidates = index
+            .with_free_cpu(&queue.pool, reservation.cpu_millis)
+            .filter(may_run)
+            .inspect(|at| positions.push(*at));
+        let chosen = choose_worker(candidates.map(|at| candidate(&at)), profile);
+        chosen.map(|chosen| positions[chosen])
     }
 
     /// Returns the rack where the other tasks of a step run, if they must share one.
@@ -557,6 +576,7 @@
         waiting: &WaitingStep,
         spec: &Rc<JobSpec>,
         queue: &QueueInfo,
+        index: &mut PoolIndex,
         now: MonotonicMillis,
     ) {
         let step = &spec.steps[usize::from(waiting.step)];
@@ -568,7 +588,7 @@
         }
         let mut planned = Vec::with_capacity(members.len());
         for _ in &members {
-            match self.place_task(waiting, spec, queue, &planned, now) {
+            match self.place_task(waiting, spec, queue, index, &planned, now) {
                 Some(at) => planned.push(at),
                 None if queue.advised => return self.request_advice(waiting, spec, queue, now),
                 None => return,
@@ -576,8 +596,9 @@
         }
         let next = members.iter().map(|index| self.next_run(waiting, *index));
         let Some(run) = next.max() else { return };
-        for (index, at) in members.iter().zip(planned) {
-            self.start_task(at, waiting, spec, *index, run, now);
+        for (task, at) in members.iter().zip(planned) {
+            self.start_task(at, waiting, spec, *task, run, now);
+            index.reserve(&self.workers[at], at, step.reservation());
         }
     }
 
--- a/crates/vanillafold-jobs/src/shard/storing.rs
+++ b/crates/vanillafold-jobs/src/shard/storing.rs
@@ -68,6 +68,7 @@
             let Some(job) = self.job_mut(id) else {
                 continue;
             };
+            let first_record = batch.records.len();
             if !job.spec_stored {
                 let spec = Box::new(job.spec.as_ref().clone());
                 batch.records.extend(Record::Spec(id, spec).encode());
@@ -81,7 +82,8 @@
             job.writing_version = Some(job.version);
             job.writing_outcome = job.progress.outcome;
             batch.jobs.push(id);
-            bytes = batch.records.iter().map(|row| row.1.len()).sum();
+            let added = batch.records[first_record..].iter();
+            bytes += added.map(|row| row.1.len()).sum::<usize>();
         }
         self.dirty.drain(..taken);
         if !batch.records.is_empty() {
@@ -93,10 +95,17 @@
     /// Adds the deletion of descriptions of finished jobs without runs, so that a takeover reads
     /// little more than the open jobs.
     fn delete_finished_specs(&mut self, batch: &mut Batch) {
-        let has_runs = |id: JobId| {
-            let runs = self.workers.iter().flat_map(|worker| &worker.runs);
-            runs.into_iter().any(|run| run.task.job == id)
-        };
+        if self.finished_with_spec.is_empty() {
+            return;
+        }
+        self.finished_with_spec.sort_unstable();
+        let mut with_runs = Vec::new();
+        for run in self.workers.iter().flat_map(|worker| &worker.runs) {
+            if self.finished_with_spec.binary_search(&run.task.job).is_ok() {
+                with_runs.push(run.task.job);
+            }
+        }
+        with_runs.sort_unstable();
         let is_finished = |id: JobId| {
             self.job(id).is_none_or(|job| {
                 let being_written = job.writing_version == Some(job.version);
@@ -106,7 +115,7 @@
         let (removable, kept) = self
             .finished_with_spec
             .iter()
-            .partition(|id| is_finished(**id) && !has_runs(**id));
+            .partition(|id| is_finished(**id) && with_runs.binary_search(id).is_err());
         batch.spec_deleted = removable;
         self.finished_with_spec = kept;
         for id in &batch.spec_deleted {
--- a/crates/vanillafold-jobs/src/shard/submit.rs
+++ b/crates/vanillafold-jobs/src/shard/submit.rs
@@ -53,14 +53,12 @@
             Ok(_) => return SubmitOutcome::Storing,
             Err(at) => at,
         };
-        if let Admission::Refuse { retry_after_ms } = self.admission(&spec) {
+        if let Admission::Refuse { retry_after_ms } = self.admission(&spec, now) {
             return SubmitOutcome::Refused { retry_after_ms };
         }
         self.record_arrival(&spec, now);
         self.jobs.insert(at, Job::new(id, spec, now));
-        if let Err(at) = self.open.binary_search(&id) {
-            self.open.insert(at, id);
-        }
+        self.add_open_job(id);
         self.mark_dirty(id);
         self.begin_due_occurrences(id, now, now_unix_ms);
         SubmitOutcome::Storing
@@ -80,76 +78,32 @@
         self.arrivals[at].add(core_ms, now);
     }
 
-    fn admission(&self, spec: &JobSpec) -> Admission {
+    fn admission(&mut self, spec: &JobSpec, now: MonotonicMillis) -> Admission {
         let exempt = spec.repeat.is_some() || spec.steps.iter().any(|step| step.persistent);
         let queue = self.catalogue.queue(&spec.queue).filter(|_| !exempt);
-        let Some(queue) = queue else {
+        let Some(queue) = queue.cloned() else {
             return Admission::Admit;
         };
-        let pool = &queue.pool;
         let objective_ms =
             self.critical_path_ms(spec) * queue.stretch_permille / 1_000 + queue.target_latency_ms;
-        let (queued_core_ms, weights) = self.backlog(pool, &spec.organisation);
-        let cores = self.reachable_cpu_millis(pool) / 1_000;
+        let share = self.pool_share(&queue.pool, &spec.organisation, now);
         let organisation = self.catalogue.organisation(&spec.organisation);
-        let weight = organisation.map_or(1, |organisation| organisation.weight.max(1));
-        let share = cores * weight / weights.max(weight);
         let limit = organisation.map_or(0, |organisation| organisation.limit.cpu_millis / 1_000);
-        admit(AdmissionInput {
-            queued_core_ms,
+        let job_core_ms = self.work_core_ms(spec);
+        let admission = admit(AdmissionInput {
+            queued_core_ms: share.queued_core_ms,
             cores: match limit {
-                0 => share,
-                limit => share.min(limit),
+                0 => share.cores,
+                limit => share.cores.min(limit),
             },
-            job_core_ms: self.work_core_ms(spec),
+            job_core_ms,
             max_useful_latency_ms: objective_ms * MAX_USEFUL_LATENCY_FACTOR,
-        })
-    }
-
-    /// Returns the open jobs whose queue runs in the pool.
-    pub(super) fn open_jobs_of<'a>(&'a self, pool: &'a str) -> impl Iterator<Item = &'a Job> {
-        self.open.iter().filter_map(move |id| {
-            let job = self.job(*id)?;
-            let queue = self.catalogue.queue(&job.spec.queue)?;
-            (queue.pool == pool).then_some(job)
-        })
-    }
-
-    /// Returns the remaining work of an organisation's open jobs in a pool, in core-milliseconds,
-    /// and the sum of the weights of all organisations with open jobs there.
-    fn backlog(&self, pool: &str, organisation: &str) -> (u64, u64) {
-        let mut queued_core_ms = 0;
-        let mut organisations: Vec<&str> = vec![organisation];
-        for job in self.open_jobs_of(pool) {
-            if job.spec.organisation == organisation {
-                queued_core_ms += self.remaining_core_ms(job);
-            }
-            if let Err(at) = organisations.binary_search(&job.spec.organisation.as_str()) {
-                organisations.insert(at, &job.spec.organisation);
-            }
-        }
-        let weight = |name: &&str| {
-            self.catalogue
-                .organisation(name)
-                .map_or(1, |row| row.weight.max(1))
-        };
-        (queued_core_ms, organisations.iter().map(weight).sum())
-    }
-
-    /// Returns the capacity that a pool has or could get: its own workers, idle workers of other
-    /// pools, and VMs that are off.
-    fn reachable_cpu_millis(&self, pool: &str) -> u64 {
-        let mut total = 0;
-        for worker in self.workers.iter().filter(|worker| worker.listed) {
-            let capacity = worker.entry.capacity.cpu_millis;
-            total += match worker.entry.pool == pool {
-                true => capacity,
-                false if worker.runs.is_empty() => capacity,
-                false => 0,
-            };
+        });
+        if admission == Admission::Admit {
+            self.backlog
+                .add(&queue.pool, &spec.organisation, job_core_ms);
         }
-        let vms_off = self.vms.iter().filter(|vm| vm.worker.is_none());
-        total + vms_off.map(|vm| vm.capacity.cpu_millis).sum::<u64>()
+        admission
     }
 
     /// Cancels a job and issues stop orders for its runs.
--- a/crates/vanillafold-jobs/src/shard/vm_operations.rs
+++ b/crates/vanillafold-jobs/src/shard/vm_operations.rs
@@ -7,7 +7,7 @@
 
 use super::root::Shard;
 use crate::id::WorkerId;
-use crate::job::TaskStatus;
+use crate::job::{Job, TaskStatus};
 use crate::spec::Resources;
 use crate::worker::{Run, RunPhase};
 
@@ -95,6 +95,8 @@
     /// When the operation entered its phase.
     phase_since: MonotonicMillis,
     phase: OperationPhase,
+    /// Whether an earlier attempt got no answer and may have been carried out.
+    unanswered: bool,
 }
 
 /// Progress of an operation on a VM.
@@ -104,7 +106,8 @@
     Sent,
     /// The operation got no answer and will be repeated.
     Unanswered,
-    /// The platform has carried out the operation.
+    /// The platform has carried out the operation, or has refused to repeat one that it may have
+    /// carried out. The list of VMs shows its effect.
     Done,
 }
 
@@ -116,6 +119,8 @@
     seen_at: MonotonicMillis,
     /// VMs whose maintenance has started, sorted.
     pub(super) started: Vec<String>,
+    /// VMs whose maintenance has not started, sorted.
+    remaining: Vec<String>,
     completed: bool,
     /// The value of `completed` that was last reported to the operator.
     reported_completed: Option<bool>,
@@ -139,22 +144,53 @@
 const MOVES_RATE_PERCENT: u64 = 80;
 
 impl Shard {
-    /// Updates the list of VMs and drops the operations that have taken effect.
-    pub fn set_vms(&mut self, mut vms: Vec<Vm>, now: MonotonicMillis) {
+    /// Updates the list of VMs and drops the operations that have taken effect. `requested_at` is
+    /// when the list was requested: it does not show what was carried out later.
+    pub fn set_vms(&mut self, mut vms: Vec<Vm>, requested_at: MonotonicMillis) {
         vms.sort_by(|a, b| a.name.cmp(&b.name));
         self.vms = vms;
         self.vms_listed = true;
         let vms = &self.vms;
+        let mut not_carried_out = Vec::new();
         self.pending_operations.retain(|pending| {
-            let recent = now.since(pending.phase_since).get() < VM_LIST_LAG_MS;
+            let earliest_ms = pending.phase_since.get() + VM_LIST_LAG_MS;
+            let shows_effect = requested_at.get() >= earliest_ms;
+            if pending.phase != OperationPhase::Done || !shows_effect {
+                return true;
+            }
             let found = vms.binary_search_by(|row| row.name.cmp(&pending.vm));
-            let in_effect = match (found, &pending.to_pool) {
-                (Err(_), _) => true,
-                (Ok(at), Some(pool)) => vms[at].state == VmState::Up && vms[at].pool == *pool,
-                (Ok(at), None) => vms[at].state == VmState::Up,
-            };
-            recent || pending.phase != OperationPhase::Done || !in_effect
+            let Ok(at) = found else { return false };
+            let is_up = vms[at].state == VmState::Up;
+            match &pending.to_pool {
+                _ if is_up && pending.unanswered && vms[at].worker == pending.worker => {
+                    not_carried_out.extend(pending.worker.clone());
+                    false
+                }
+                Some(pool) => !is_up || vms[at].pool != *pool,
+                None => !is_up,
+            }
         });
+        for id in not_carried_out {
+            log::info!(worker = id.as_str(); "an operation on the worker's VM was not carried out; the worker stays in service");
+            if let Some(at) = self.worker_position(&id) {
+                self.workers[at].draining = false;
+                self.workers[at].vm_operation_pending = false;
+            }
+        }
+        self.refresh_workers_due();
+    }
+
+    /// Updates the list of workers whose VMs are due for maintenance.
+    fn refresh_workers_due(&mut self) {
+        let open = self.waves.iter().filter(|state| !state.completed);
+        let names = open.flat_map(|state| &state.remaining);
+        let worker_of = |name: &String| {
+            let found = self.vms.binary_search_by(|row| row.name.cmp(name));
+            self.vms[found.ok()?].worker.clone()
+        };
+        let mut due: Vec<WorkerId> = names.filter_map(worker_of).collect();
+        due.sort_unstable();
+        self.workers_due = due;
     }
 
     /// Adds a maintenance wave, unless it is known.
@@ -168,13 +204,18 @@
         }
         let stored = self.stored_waves.iter().find(|row| row.0 == wave.number);
         let started = stored.map_or(Vec::new(), |row| row.1.clone());
+        let is_remaining = |name: &&String| started.binary_search(*name).is_err();
+        let mut remaining: Vec<String> = wave.vms.iter().filter(is_remaining).cloned().collect();
+        remaining.sort_unstable();
         self.waves.push(WaveState {
             wave,
             seen_at: now,
             started,
+            remaining,
             completed: false,
             reported_completed: None,
         });
+        self.refresh_workers_due();
     }
 
     /// Returns the next wave status that has not been reported to the operator.
@@ -224,10 +265,13 @@
         let vm = match operation {
             VmOperation::Move { machine, .. } | VmOperation::Upkeep { machine, .. } => machine,
         };
-        let found = self.pending_operations.iter_mut().find(|row| row.vm == *vm);
-        let Some(pending) = found.filter(|row| row.phase != OperationPhase::Done) else {
+        let Ok(at) = self.pending_position(vm) else {
             return;
         };
+        let pending = &mut self.pending_operations[at];
+        if pending.phase == OperationPhase::Done {
+            return;
+        }
         pending.phase = OperationPhase::Done;
         pending.phase_since = now;
         let worker = pending.worker.clone();
@@ -239,8 +283,11 @@
         if let Some(at) = self.worker_position(&id) {
             self.end_lost_runs(at, |_| true, now, now_unix_ms);
             self.workers.remove(at);
+            self.workers_version += 1;
+        }
+        if let Err(at) = self.removed_workers.binary_search(&id) {
+            self.removed_workers.insert(at, id);
         }
-        self.removed_workers.push(id);
     }
 
     fn record_maintenance_started(&mut self, wave: u64, vm: &str) {
@@ -250,6 +297,10 @@
         let found = state.started.binary_search_by(|name| name.as_str().cmp(vm));
         if let Err(at) = found {
             state.started.insert(at, vm.to_owned());
+            let remaining = &mut state.remaining;
+            if let Ok(at) = remaining.binary_search_by(|name| name.as_str().cmp(vm)) {
+                remaining.remove(at);
+            }
             self.dirty_waves.push(wave);
         }
     }
@@ -264,15 +315,24 @@
         let vm = match operation {
             VmOperation::Move { machine, .. } | VmOperation::Upkeep { machine, .. } => machine,
         };
-        let Some(at) = self.pending_operations.iter().position(|row| row.vm == *vm) else {
+        let Ok(at) = self.pending_position(vm) else {
             return;
         };
-        match unknown {
-            true => {
-                self.pending_operations[at].phase_since = now;
-                self.pending_operations[at].phase = OperationPhase::Unanswered;
+        let pending = &mut self.pending_operations[at];
+        match pending.phase {
+            OperationPhase::Done => {}
+            _ if unknown => {
+                pending.phase_since = now;
+                pending.phase = OperationPhase::Unanswered;
+                pending.unanswered = true;
             }
-            false => {
+            // An earlier attempt may be the reason for the refusal: until the list of VMs shows
+            // otherwise, the VM counts as out of service.
+            _ if pending.unanswered => {
+                pending.phase_since = now;
+                pending.phase = OperationPhase::Done;
+            }
+            _ => {
                 self.pending_operations.remove(at);
                 if let Some(at) = self.worker_of_vm(vm) {
                     self.workers[at].draining = false;
@@ -284,6 +344,12 @@
         }
     }
 
+    /// Returns the position of a VM's pending operation, or where to insert one.
+    fn pending_position(&self, vm: &str) -> Result<usize, usize> {
+        self.pending_operations
+            .binary_search_by(|row| row.vm.as_str().cmp(vm))
+    }
+
     /// Returns whether the worker that the platform lists for a VM has responded, or the VM has no
     /// worker. Registered workers that no VM lists have ended, and nothing waits for them.
     pub(super) fn vm_worker_responded(&self, vm: &Vm) -> bool {
@@ -348,8 +414,7 @@
         let up_longer_than_pause = worker.is_some_and(|at| {
             self.workers[at].uptime_ms(now) > Some(self.settings.vm_operation_pause_ms)
         });
-        let pending = self.pending_operations.iter().any(|row| row.vm == vm.name);
-        pending || (paused && !up_longer_than_pause)
+        self.pending_position(&vm.name).is_ok() || (paused && !up_longer_than_pause)
     }
 
     fn plan_wave(&mut self, at: usize, now: MonotonicMillis) {
@@ -365,31 +430,33 @@
             let Ok(position) = self.vms.binary_search_by(|row| row.name.cmp(name)) else {
                 continue;
             };
-            let vm = &self.vms[position];
-            let started = state.started.binary_search(name).is_ok();
-            let in_maintenance = vm.state == VmState::Maintenance
-                || self
-                    .pending_operations
-                    .iter()
-                    .any(|row| row.vm == *name && row.wave.is_some());
-            match started {
-                _ if in_maintenance => unavailable += 1,
-                true => {}
-                false => remaining.push(vm.clone()),
+            let pending = self.pending_position(name);
+            let has_maintenance_pending =
+                pending.is_ok_and(|at| self.pending_operations[at].wave.is_some());
+            let started = state.remaining.binary_search(name).is_err();
+            match self.vms[position].state {
+                VmState::Maintenance => unavailable += 1,
+                _ if has_maintenance_pending => unavailable += 1,
+                _ if started => {}
+                _ => remaining.push(position),
             }
         }
         if remaining.is_empty() && unavailable == 0 {
             log::info!(wave = number; "maintenance wave completed");
             self.waves[at].completed = true;
+            self.refresh_workers_due();
             return;
         }
         self.start_maintenance(at, remaining, unavailable, now);
+        self.refresh_workers_due();
     }
 
+    /// Starts the maintenance of as many VMs as a wave allows, or drains them for it. `remaining`
+    /// holds the positions of its VMs whose maintenance has not started.
     fn start_maintenance(
         &mut self,
         at: usize,
-        remaining: Vec<Vm>,
+        mut remaining: Vec<usize>,
         unavailable: u32,
         now: MonotonicMillis,
     ) {
@@ -398,28 +465,37 @@
             .wave
             .max_unavailable
             .saturating_sub(unavailable);
-        let mut remaining: Vec<Vm> = remaining
-            .into_iter()
-            .filter(|vm| vm.state == VmState::Up && !self.is_operation_barred(vm, now))
+        remaining.retain(|position| {
+            let vm = &self.vms[*position];
+            vm.state == VmState::Up && !self.is_operation_barred(vm, now)
+        });
+        let mut candidates: Vec<MaintenanceCandidate> = remaining
+            .iter()
+            .map(|position| self.maintenance_candidate(&self.vms[*position], now))
             .collect();
-        for _ in 0..free_slots {
-            let candidates: Vec<MaintenanceCandidate> = remaining
-                .iter()
-                .map(|vm| self.maintenance_candidate(&self.waves[at], vm, now))
-                .collect();
-            match choose_maintenance(&candidates) {
+        let mut used_slots = 0;
+        while used_slots < free_slots {
+            let is_evictable = |chosen: usize| self.is_evictable(at, remaining[chosen], now);
+            match choose_maintenance(&candidates, is_evictable) {
                 MaintenanceChoice::Wait => return,
                 MaintenanceChoice::Drain(chosen) => {
-                    let vm = remaining.swap_remove(chosen);
-                    if let Some(at) = self.worker_of_vm(&vm.name) {
+                    // An eviction before this one may have made the VM's tasks indispensable.
+                    let current = self.maintenance_candidate(&self.vms[remaining[chosen]], now);
+                    if current.blocked {
+                        candidates[chosen] = current;
+                        continue;
+                    }
+                    candidates.swap_remove(chosen);
+                    let name = self.vms[remaining.swap_remove(chosen)].name.clone();
+                    if let Some(at) = self.worker_of_vm(&name) {
                         self.workers[at].draining = true;
                         self.evict_persistent(at, now);
                     }
                 }
                 MaintenanceChoice::Start(chosen) => {
-                    let empty = candidates[chosen].empty;
-                    let vm = remaining.swap_remove(chosen);
-                    self.start_operation(vm.name, None, Some(number), now);
+                    let empty = candidates.swap_remove(chosen).empty;
+                    let name = self.vms[remaining.swap_remove(chosen)].name.clone();
+                    self.start_operation(name, None, Some(number), now);
                     if !empty {
                         // The next candidate is chosen in the next pass, when it is known where the
                         // tasks of this VM were placed.
@@ -427,6 +503,7 @@
                     }
                 }
             }
+            used_slots += 1;
         }
     }
 
@@ -453,14 +530,17 @@
                 wave: wave.unwrap_or(0),
             },
         });
-        self.pending_operations.push(PendingOperation {
+        let at = self.pending_position(&vm).unwrap_or_else(|at| at);
+        let pending = PendingOperation {
             vm,
             to_pool,
             wave,
             worker,
             phase_since: now,
             phase: OperationPhase::Sent,
-        });
+            unanswered: false,
+        };
+        self.pending_operations.insert(at, pending);
     }
 
     /// Returns whether no earlier owner can have issued operations for a wave. If an earlier owner
@@ -470,19 +550,10 @@
         state.seen_at.since(self.taken_over_at).get() >= WAVE_PROPAGATION_MS
     }
 
-    fn maintenance_candidate(
-        &self,
-        wave: &WaveState,
-        vm: &Vm,
-        now: MonotonicMillis,
-    ) -> MaintenanceCandidate {
-        let worker = vm.worker.as_ref().and_then(|id| self.worker_position(id));
-        // Runs of earlier owners may still be in progress on a worker that has not responded.
-        let awaits_response = |at: &usize| self.unaccounted && !self.workers[*at].responded;
-        let Some(at) = worker.filter(|at| !awaits_response(at)) else {
+    fn maintenance_candidate(&self, vm: &Vm, now: MonotonicMillis) -> MaintenanceCandidate {
+        let Some(at) = self.maintainable_worker(vm) else {
             return MaintenanceCandidate {
                 empty: vm.worker.is_none(),
-                evictable: false,
                 draining: false,
                 used_cpu_millis: 0,
                 persistent_tasks: 0,
@@ -495,13 +566,8 @@
             .runs
             .iter()
             .any(|run| run.persistent && !self.may_be_unavailable(run));
-        let available = worker.no_vm_operation_before <= now && !worker.unresponsive;
         MaintenanceCandidate {
             empty: worker.runs.is_empty() && worker.no_vm_operation_before <= now,
-            evictable: available
-                && persistent_tasks > 0
-                && self.is_first_owner_of(wave)
-                && self.may_all_be_unavailable(at, now),
             draining: worker.draining,
             used_cpu_millis: worker.used.cpu_millis,
             persistent_tasks: u32::try_from(persistent_tasks).unwrap_or(u32::MAX),
@@ -509,6 +575,28 @@
         }
     }
 
+    /// Returns the position of the worker on a VM; `None` if there is none, or if runs of earlier
+    /// owners may still be in progress on it, because it has not responded.
+    fn maintainable_worker(&self, vm: &Vm) -> Option<usize> {
+        let at = self.worker_position(vm.worker.as_ref()?)?;
+        let awaits_response = self.unaccounted && !self.workers[at].responded;
+        (!awaits_response).then_some(at)
+    }
+
+    /// Returns whether the maintenance of a VM may end all runs on it: only persistent ones, which
+    /// other workers can take and whose steps allow all of them to be unavailable now.
+    fn is_evictable(&self, wave: usize, vm: usize, now: MonotonicMillis) -> bool {
+        let Some(at) = self.maintainable_worker(&self.vms[vm]) else {
+            return false;
+        };
+        let worker = &self.workers[at];
+        worker.runs.iter().any(|run| run.persistent)
+            && worker.no_vm_operation_before <= now
+            && !worker.unresponsive
+            && self.is_first_owner_of(&self.waves[wave])
+            && self.may_all_be_unavailable(at, now)
+    }
+
     /// Returns whether a worker has only persistent runs, which may all be unavailable now and fit
     /// on other workers.
     fn may_all_be_unavailable(&self, at: usize, now: MonotonicMillis) -> bool {
@@ -613,10 +701,12 @@
             .map(|pool| (pool.name.clone(), pool.spare))
             .collect();
         let position = |name: &str| pools.iter().position(|pool| pool.0 == name);
+        let demand_cpu_millis = self.demands_cpu_millis(&pools, now);
         let mut demands: Vec<PoolDemand> = pools
             .iter()
-            .map(|pool| PoolDemand {
-                demand_cpu_millis: 0,
+            .zip(demand_cpu_millis)
+            .map(|(pool, demand_cpu_millis)| PoolDemand {
+                demand_cpu_millis,
                 capacity_cpu_millis: 0,
                 spare: pool.1,
                 demand_known: self.arrivals.iter().any(|row| row.pool == pool.0),
@@ -625,7 +715,8 @@
         let mut vms = Vec::new();
         let mut names = Vec::new();
         for vm in &self.vms {
-            let pending = self.pending_operations.iter().find(|row| row.vm == vm.name);
+            let pending = self.pending_position(&vm.name);
+            let pending = pending.ok().map(|at| &self.pending_operations[at]);
             let pool = pending
                 .and_then(|row| row.to_pool.as_ref())
                 .unwrap_or(&vm.pool);
@@ -668,14 +759,10 @@
                 names.push(vm.name.clone());
             }
         }
-        for at in 0..pools.len() {
-            demands[at].demand_cpu_millis = self.demand_cpu_millis(&pools[at].0, now);
-        }
-        let moves = plan_moves(&demands, &vms);
         let rate = self.settings.vm_operations_per_s * MOVES_RATE_PERCENT / 100;
         let max_moves = (rate * PLAN_INTERVAL_MS / 1_000).max(1);
         let max_moves = usize::try_from(max_moves).unwrap_or(usize::MAX);
-        for vm_move in moves.into_iter().take(max_moves) {
+        for vm_move in plan_moves(&demands, &vms, max_moves) {
             let vm = names[vm_move.vm].clone();
             self.start_operation(vm, Some(pools[vm_move.to_pool].0.clone()), None, now);
         }
@@ -683,64 +770,85 @@
 
     /// Returns whether the VM of a worker still needs maintenance for an open wave.
     pub(super) fn is_worker_due_for_maintenance(&self, worker: &WorkerId) -> bool {
-        let open = self.waves.iter().any(|state| !state.completed);
-        let runs_worker = |vm: &&Vm| vm.worker.as_ref() == Some(worker);
-        open && self
-            .vms
-            .iter()
-            .find(runs_worker)
-            .is_some_and(|vm| self.is_due_for_maintenance(&vm.name))
+        self.workers_due.binary_search(worker).is_ok()
     }
 
     /// Returns whether a VM still needs maintenance for an open wave.
     fn is_due_for_maintenance(&self, vm: &str) -> bool {
         self.waves.iter().any(|state| {
-            !state.completed
-                && state.wave.vms.iter().any(|name| name == vm)
-                && state
-                    .started
-                    .binary_search_by(|name| name.as_str().cmp(vm))
-                    .is_err()
+            let found = state
+                .remaining
+                .binary_search_by(|name| name.as_str().cmp(vm));
+            !state.completed && found.is_ok()
         })
     }
 
-    /// Returns the capacity that a pool should have, in thousandths of a core. It is the largest of
-    /// three figures, plus one VM for each persistent step that found no worker: running work and
-    /// work that could start now; arriving work; and the VMs that persistent tasks with a limit of
-    /// tasks per worker need.
-    fn demand_cpu_millis(&self, pool: &str, now: MonotonicMillis) -> u64 {
-        let mut demand = 0;
-        let mut vm_cpu_millis = 0;
-        for worker in self
-            .workers
-            .iter()
-            .filter(|worker| worker.entry.pool == pool)
-        {
-            demand += worker.used.cpu_millis;
-            vm_cpu_millis = vm_cpu_millis.max(worker.entry.capacity.cpu_millis);
+    /// Returns the capacity that each pool should have, in thousandths of a core. It is the largest
+    /// of three figures, plus one VM for each persistent step that found no worker: running work
+    /// and work that could start now; arriving work; and the VMs that persistent tasks with a limit
+    /// of tasks per worker need.
+    fn demands_cpu_millis(&self, pools: &[(String, bool)], now: MonotonicMillis) -> Vec<u64> {
+        let position = |name: &str| pools.iter().position(|pool| pool.0 == name);
+        let mut demands = vec![PoolWork::default(); pools.len()];
+        for worker in &self.workers {
+            if let Some(at) = position(&worker.entry.pool) {
+                let work = &mut demands[at];
+                work.demand_cpu_millis += worker.used.cpu_millis;
+                work.vm_cpu_millis = work.vm_cpu_millis.max(worker.entry.capacity.cpu_millis);
+            }
         }
-        let mut min_vms = 0;
-        for job in self.open_jobs_of(pool) {
-            for occurrence in &job.occurrences {
-                for (at, step) in occurrence.steps.iter().enumerate() {
-                    let spec = &job.spec.steps[at];
-                    if occurrence.may_start(spec) {
-                        demand += u64::from(step.waiting) * spec.reservation().cpu_millis;
-                    }
-                    if spec.persistent && spec.anti_affinity > 0 {
-                        min_vms = min_vms.max(spec.count.div_ceil(spec.anti_affinity));
-                    }
+        for id in &self.open {
+            let Some(job) = self.job(*id) else { continue };
+            let queue = self.catalogue.queue(&job.spec.queue);
+            if let Some(at) = queue.and_then(|queue| position(&queue.pool)) {
+                demands[at].add_job(job);
+            }
+        }
+        for (work, (pool, _)) in demands.iter_mut().zip(pools) {
+            let arrivals = self.arrivals.iter().find(|row| row.pool == *pool);
+            work.arriving_cpu_millis = arrivals.map_or(0, |row| row.cpu_millis(now));
+            let unplaced = self.unplaced_pools.iter().filter(|row| *row == pool);
+            work.unplaced_steps = unplaced.count() as u64;
+        }
+        demands.iter().map(PoolWork::capacity_cpu_millis).collect()
+    }
+}
+
+/// The work of one pool, from which the capacity that it should have is computed.
+#[derive(Debug, Clone, Default)]
+struct PoolWork {
+    /// CPU of running work and of work that could start now, in thousandths of a core.
+    demand_cpu_millis: u64,
+    /// CPU that arriving work keeps busy, in thousandths of a core.
+    arriving_cpu_millis: u64,
+    /// CPU of the pool's largest VM, in thousandths of a core.
+    vm_cpu_millis: u64,
+    /// VMs that persistent tasks with a limit of tasks per worker need.
+    min_vms: u32,
+    /// Persistent steps that found no worker.
+    unplaced_steps: u64,
+}
+
+impl PoolWork {
+    fn add_job(&mut self, job: &Job) {
+        for occurrence in &job.occurrences {
+            for (step, spec) in occurrence.steps.iter().zip(&job.spec.steps) {
+                if step.waiting > 0 && occurrence.may_start(spec) {
+                    self.demand_cpu_millis +=
+                        u64::from(step.waiting) * spec.reservation().cpu_millis;
+                }
+                if spec.persistent && spec.anti_affinity > 0 {
+                    self.min_vms = self.min_vms.max(spec.count.div_ceil(spec.anti_affinity));
                 }
             }
         }
-        let arrivals = self.arrivals.iter().find(|row| row.pool == pool);
-        let arriving_cpu_millis = arrivals.map_or(0, |row| row.cpu_millis(now));
-        let demand = demand.max(arriving_cpu_millis * ARRIVAL_PERCENT / 100);
-        let unplaced_steps = self
-            .unplaced_pools
-            .iter()
-            .filter(|row| *row == pool)
-            .count() as u64;
-        demand.max(u64::from(min_vms) * vm_cpu_millis) + unplaced_steps * vm_cpu_millis
+    }
+
+    fn capacity_cpu_millis(&self) -> u64 {
+        let demand = self
+            .demand_cpu_millis
+            .max(self.arriving_cpu_millis * ARRIVAL_PERCENT / 100)
+            .max(u64::from(self.min_vms) * self.vm_cpu_millis);
+        demand + self.unplaced_steps * self.vm_cpu_millis
     }
 }
--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -35,36 +35,61 @@
 impl Shard {
     /// Updates the list of workers. A worker that is not in it gets no new tasks and is dropped
     /// once it has no runs.
-    pub fn set_workers(&mut self, entries: Vec<WorkerEntry>, now: MonotonicMillis) {
+    pub fn set_workers(&mut self, mut entries: Vec<WorkerEntry>, now: MonotonicMillis) {
+        entries.sort_unstable_by(|a, b| a.id.cmp(&b.id));
         self.workers_listed = true;
         for worker in &mut self.workers {
             worker.listed = false;
         }
-        self.removed_workers
-            .retain(|id| entries.iter().any(|entry| entry.id == *id));
+        let is_listed = |id: &WorkerId| entries.binary_search_by(|entry| entry.id.cmp(id)).is_ok();
+        self.removed_workers.retain(is_listed);
         for entry in entries {
-            if self.removed_workers.contains(&entry.id) {
-                continue;
-            }
-            let found = self
-                .workers
-                .binary_search_by(|worker| worker.entry.id.cmp(&entry.id));
-            match found {
-                Ok(at) => {
-                    let worker = &mut self.workers[at];
-                    if worker.entry.address != entry.address {
-                        log::info!(worker = entry.id.as_str(), address = entry.address.to_string(); "worker has a new address; it gets no new tasks until it answers a poll there");
-                        worker.unresponsive = true;
-                        worker.next_poll_at = now;
-                    }
-                    worker.listed = true;
-                    worker.entry = entry;
+            self.update_worker(entry, now);
+        }
+        self.drop_unlisted_workers();
+    }
+
+    /// Adds a worker to the list, or updates its entry there.
+    pub fn update_worker(&mut self, entry: WorkerEntry, now: MonotonicMillis) {
+        if self.removed_workers.binary_search(&entry.id).is_ok() {
+            return;
+        }
+        let found = self
+            .workers
+            .binary_search_by(|worker| worker.entry.id.cmp(&entry.id));
+        match found {
+            Ok(at) => {
+                let worker = &mut self.workers[at];
+                if worker.entry.address != entry.address {
+                    log::info!(worker = entry.id.as_str(), address = entry.address.to_string(); "worker has a new address; it gets no new tasks until it answers a poll there");
+                    worker.unresponsive = true;
+                    worker.next_poll_at = now;
+                    self.workers_version += 1;
                 }
-                Err(at) => self.workers.insert(at, Worker::new(entry, now)),
+                worker.listed = true;
+                worker.entry = entry;
+            }
+            Err(at) => {
+                self.workers.insert(at, Worker::new(entry, now));
+                self.workers_version += 1;
             }
         }
+    }
+
+    /// Drops the workers that are neither listed nor have runs.
+    fn drop_unlisted_workers(&mut self) {
+        let before = self.workers.len();
         self.workers
             .retain(|worker| worker.listed || !worker.runs.is_empty());
+        if self.workers.len() < before {
+            self.workers_version += 1;
+        }
+    }
+
+    /// Returns a number that changes with each change of [`worker_addresses`](Self::worker_addresses).
+    #[must_use]
+    pub const fn workers_version(&self) -> u64 {
+        self.workers_version
     }
 
     /// Returns the ids and addresses of all workers to poll.
@@ -235,8 +260,7 @@
                 self.end_lost_runs(at, is_lost, now, now_unix_ms);
             }
         }
-        let is_kept = |worker: &Worker| worker.listed || !worker.runs.is_empty();
-        self.workers.retain(is_kept);
+        self.drop_unlisted_workers();
     }
 
     /// Processes the answer to a poll.
--- a/crates/vanillafold-jobs/tests/shard/fixture.rs
+++ b/crates/vanillafold-jobs/tests/shard/fixture.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use vanillafold_jobs::{
-    Batch, Catalogue, EndKind, Epoch, JobId, JobSpec, ListedEnd, ListedRun, Order,
+    Batch, Catalogue, EndKind, Epoch, JobId, JobSpec, ListedEnd, ListedRun, Order, OrderAnswer,
     OrganisationInfo, PollPlan, PollReport, PoolInfo, QueueInfo, Record, Resources, RunNumber,
     Settings, Shard, StepSpec, TaskId, Vm, VmState, WorkerEntry, WorkerId,
 };
@@ -234,3 +234,15 @@
         shard.batch_stored(&batch);
     }
 }
+
+/// Answers the stop order of a run on a worker at `ms`, and a poll after it that no longer lists the
+/// run.
+pub(crate) fn stop_run(shard: &mut Shard, name: &str, task: TaskId, run: u64, ms: u64) {
+    let order = Order::Stop {
+        task,
+        run: RunNumber::new(run),
+    };
+    let answer = OrderAnswer::Accepted { clock_ms: ms };
+    shard.order_answered(&worker(name), &order, answer, at(ms), unix(ms));
+    poll(shard, name, &report(ms + 1), ms + 1);
+}
--- a/crates/vanillafold-jobs/tests/shard/main.rs
+++ b/crates/vanillafold-jobs/tests/shard/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the state machine of a shard, driven by single events.
 
 mod fixture;
+mod placement;
 mod storing;
 mod takeover;
 mod vms;
--- a/crates/vanillafold-jobs/tests/shard/vms.rs
+++ b/crates/vanillafold-jobs/tests/shard/vms.rs
@@ -1,6 +1,6 @@
 //! Moves and maintenance of VMs.
 
-use vanillafold_jobs::{StepSpec, Vm, VmOperation, Wave};
+use vanillafold_jobs::{Shard, StepSpec, Vm, VmOperation, Wave};
 
 use crate::fixture::{
     at, job, job_id, listed_run, poll, report, schedule_starts, shard_after_takeover,
@@ -194,3 +194,75 @@
 fn a_persistent_task_is_stopped_before_maintenance_that_an_earlier_owner_may_have_ordered() {
     assert_eq!(maintenance_under_a_persistent_task(4_990), (1, false));
 }
+
+/// Returns a shard with three empty VMs and a wave over them of which one may be unavailable, and
+/// the operation that it issued for the first.
+fn wave_in_progress() -> (Shard, VmOperation) {
+    let mut shard = shard_with_workers(&["w1", "w2", "w3"]);
+    let wave = Wave {
+        number: 1,
+        vms: vec!["w1".to_owned(), "w2".to_owned(), "w3".to_owned()],
+        duration_ms: 20_000,
+        max_unavailable: 1,
+    };
+    shard.add_wave(wave, at(0));
+    schedule_starts(&mut shard, 4_000);
+    let operation = shard.take_vm_operations().remove(0);
+    (shard, operation)
+}
+
+fn three_vms() -> Vec<Vm> {
+    vec![vm("w1", "w1"), vm("w2", "w2"), vm("w3", "w3")]
+}
+
+/// An overloaded owner processes a list of VMs more than a second after it has requested it. The
+/// list shows a VM as up whose maintenance has begun since.
+#[test]
+fn a_list_requested_before_a_maintenance_does_not_end_it() {
+    let (mut shard, operation) = wave_in_progress();
+    shard.vm_operation_done(&operation, at(4_010), unix(4_010));
+
+    shard.set_vms(three_vms(), at(4_005));
+    schedule_starts(&mut shard, 5_500);
+    let while_unknown = shard.take_vm_operations();
+    shard.set_vms(three_vms(), at(7_000));
+    schedule_starts(&mut shard, 7_100);
+    let while_up = shard.take_vm_operations();
+
+    assert_eq!(while_unknown, vec![]);
+    assert_eq!(while_up.len(), 1);
+}
+
+/// The answer to a maintenance order is lost, and the platform refuses the repeat because the VM is
+/// out of service. The VM counts against the wave's limit.
+#[test]
+fn a_refused_repeat_of_an_unanswered_maintenance_counts_as_carried_out() {
+    let (mut shard, operation) = wave_in_progress();
+    shard.vm_operation_failed(&operation, true, at(4_100));
+    schedule_starts(&mut shard, 4_600);
+    let repeated = shard.take_vm_operations();
+
+    shard.vm_operation_failed(&operation, false, at(4_610));
+    schedule_starts(&mut shard, 5_100);
+    let afterwards = shard.take_vm_operations();
+
+    assert_eq!(repeated, vec![operation]);
+    assert_eq!(afterwards, vec![]);
+}
+
+/// The platform refuses the repeat for another reason, and a later list shows the VM up with the
+/// same worker: its maintenance has not begun and is ordered again.
+#[test]
+fn an_unanswered_maintenance_that_was_not_carried_out_is_ordered_again() {
+    let (mut shard, operation) = wave_in_progress();
+    shard.vm_operation_failed(&operation, true, at(4_100));
+    schedule_starts(&mut shard, 4_600);
+    shard.take_vm_operations();
+    shard.vm_operation_failed(&operation, false, at(4_610));
+
+    shard.set_vms(three_vms(), at(5_500));
+    schedule_starts(&mut shard, 5_600);
+    let operations = shard.take_vm_operations();
+
+    assert_eq!(operations, vec![operation]);
+}
--- a/crates/vanillafold-policy/src/jobs/capacity.rs
+++ b/crates/vanillafold-policy/src/jobs/capacity.rs
@@ -43,7 +43,7 @@
 /// shorter than the pauses between them.
 const RELEASE_AFTER_IDLE_MS: u64 = 500;
 
-/// Returns the VM moves that bring capacity to the pools that are short of it.
+/// Returns the VM moves that bring capacity to the pools that are short of it, at most `limit`.
 ///
 /// VMs of the spare pool go first, then idle VMs of other pools, the longest idle first. VMs that
 /// no pool needs go to the spare pool.
@@ -52,9 +52,8 @@
 /// fleet as a whole is half idle. A VM that has work stays in its pool, and a pool that has had no
 /// work yet sends none of its VMs to the spare pool.
 #[must_use]
-pub fn plan_moves(pools: &[PoolDemand], vms: &[MovableVm]) -> Vec<VmMove> {
+pub fn plan_moves(pools: &[PoolDemand], vms: &[MovableVm], limit: usize) -> Vec<VmMove> {
     let mut capacity: Vec<u64> = pools.iter().map(|pool| pool.capacity_cpu_millis).collect();
-    let mut planned = vec![false; vms.len()];
     let mut moves = Vec::new();
     let is_short = |capacity: &[u64], pool: usize| {
         let demand = pools[pool].demand_cpu_millis;
@@ -64,7 +63,10 @@
         let remaining = capacity[vm.pool].saturating_sub(vm.cpu_millis);
         pools[vm.pool].spare || remaining * 100 >= pools[vm.pool].demand_cpu_millis * RETAIN_PERCENT
     };
-    loop {
+    // The preferred donor comes last, so that it is found and removed at little cost.
+    let mut donors: Vec<usize> = (0..vms.len()).collect();
+    donors.sort_by_key(|index| (pools[vms[*index].pool].spare, vms[*index].idle_ms));
+    while moves.len() < limit {
         let neediest = (0..pools.len())
             .filter(|pool| is_short(&capacity, *pool))
             .max_by_key(|pool| {
@@ -73,25 +75,24 @@
                     .saturating_sub(capacity[*pool])
             });
         let Some(to) = neediest else { break };
-        let donor = (0..vms.len())
-            .filter(|index| {
-                !planned[*index] && vms[*index].pool != to && can_release(&capacity, &vms[*index])
-            })
-            .max_by_key(|index| (pools[vms[*index].pool].spare, vms[*index].idle_ms));
-        let Some(vm) = donor else { break };
-        planned[vm] = true;
+        let donor = donors
+            .iter()
+            .rposition(|index| vms[*index].pool != to && can_release(&capacity, &vms[*index]));
+        let Some(position) = donor else { break };
+        let vm = donors.remove(position);
         capacity[vms[vm].pool] = capacity[vms[vm].pool].saturating_sub(vms[vm].cpu_millis);
         capacity[to] += vms[vm].cpu_millis;
         moves.push(VmMove { vm, to_pool: to });
     }
-    let spare = pools.iter().position(|pool| pool.spare);
-    let Some(spare) = spare else {
+    let Some(spare) = pools.iter().position(|pool| pool.spare) else {
         return moves;
     };
-    for (index, vm) in vms.iter().enumerate() {
+    donors.sort_unstable();
+    for index in donors {
+        let vm = &vms[index];
         let idle = vm.pool != spare && vm.idle_ms >= RELEASE_AFTER_IDLE_MS;
         let idle = idle && pools[vm.pool].demand_known;
-        if idle && !planned[index] && can_release(&capacity, vm) {
+        if moves.len() < limit && idle && can_release(&capacity, vm) {
             capacity[vm.pool] -= vm.cpu_millis;
             moves.push(VmMove {
                 vm: index,
--- a/crates/vanillafold-policy/src/jobs/maintenance.rs
+++ b/crates/vanillafold-policy/src/jobs/maintenance.rs
@@ -5,9 +5,6 @@
 pub struct MaintenanceCandidate {
     /// Whether nothing runs on the VM, because it is idle or in the spare pool.
     pub empty: bool,
-    /// Whether only persistent tasks run on the VM, another worker has capacity for each of them,
-    /// and their steps allow all of them to be unavailable now.
-    pub evictable: bool,
     /// Whether the VM is already being drained: it gets no new work, so that it becomes empty.
     pub draining: bool,
     /// CPU reserved by the runs on the VM, in thousandths of a core: a measure of the work that
@@ -31,7 +28,9 @@
     Wait,
 }
 
-/// Chooses what to do when a wave may make one more VM unavailable.
+/// Chooses what to do when a wave may make one more VM unavailable. `is_evictable` tells whether
+/// only persistent tasks run on the candidate at an index, another worker has capacity for each of
+/// them, and their steps allow all of them to be unavailable now.
 ///
 /// The rules suit a wave over about half of a busy fleet of which only few VMs may be unavailable
 /// at a time:
@@ -43,10 +42,16 @@
 /// - Of the other VMs, one that is already draining, or else the one with the fewest persistent
 ///   tasks and then the least reserved CPU, is drained early, so that the wave always has as many
 ///   VMs in maintenance as it may.
+///
+/// Whether a VM is evictable takes a search for other workers, so it is asked only while no VM is
+/// empty, and no further than the first that is.
 #[must_use]
-pub fn choose_maintenance(candidates: &[MaintenanceCandidate]) -> MaintenanceChoice {
+pub fn choose_maintenance(
+    candidates: &[MaintenanceCandidate],
+    mut is_evictable: impl FnMut(usize) -> bool,
+) -> MaintenanceChoice {
     let empty = candidates.iter().position(|candidate| candidate.empty);
-    let ready = empty.or_else(|| candidates.iter().position(|candidate| candidate.evictable));
+    let ready = empty.or_else(|| (0..candidates.len()).find(|index| is_evictable(*index)));
     let least = (0..candidates.len())
         .filter(|index| !candidates[*index].blocked)
         .min_by_key(|index| {
--- a/crates/vanillafold-policy/src/jobs/placement.rs
+++ b/crates/vanillafold-policy/src/jobs/placement.rs
@@ -3,8 +3,6 @@
 /// A worker that has capacity for the task and is allowed to run it.
 #[derive(Debug, Clone, Copy)]
 pub struct PlacementCandidate {
-    /// Free CPU before the task is placed, in thousandths of a core.
-    pub free_cpu_millis: u64,
     /// Whether the worker is on the rack of the step's data, or the step has no data rack.
     pub near_data: bool,
     /// Whether the worker is on the rack where other tasks of the step run. True also if no other
@@ -37,7 +35,8 @@
     pub latency_sensitive: bool,
 }
 
-/// Returns the index of the best candidate, or `None` if there are no candidates.
+/// Returns the index of the best candidate, or `None` if there are no candidates. The candidates must
+/// come in ascending order of free CPU.
 ///
 /// The rules suit a fleet that is half idle while one pool is short of VMs:
 ///
@@ -49,9 +48,15 @@
 /// - Tasks that disturb each other, best-effort and latency-sensitive ones, are spread.
 /// - Other work is packed onto the fullest VMs, so that others become empty and can move to another
 ///   pool.
+///
+/// While one pool gets thousands of tasks a second, most workers have nothing against them. The
+/// search ends at the first such candidate, so that its cost doesn't grow with the pool.
 #[must_use]
-pub fn choose_worker(candidates: &[PlacementCandidate], task: TaskProfile) -> Option<usize> {
-    let key = |candidate: &PlacementCandidate| {
+pub fn choose_worker(
+    candidates: impl IntoIterator<Item = PlacementCandidate>,
+    task: TaskProfile,
+) -> Option<usize> {
+    let drawbacks = |candidate: &PlacementCandidate| {
         let interfering_tasks = match task {
             _ if task.best_effort => {
                 candidate.latency_sensitive_tasks + candidate.best_effort_tasks
@@ -67,8 +72,17 @@
             !candidate.same_rack,
             interfering_tasks,
             task.persistent && candidate.persistent_tasks == 0,
-            candidate.free_cpu_millis,
         )
     };
-    (0..candidates.len()).min_by_key(|index| key(&candidates[*index]))
+    const NO_DRAWBACKS: (bool, bool, bool, bool, bool, u32, bool) =
+        (false, false, false, false, false, 0, false);
+    let mut best = None;
+    for (index, candidate) in candidates.into_iter().enumerate() {
+        match (drawbacks(&candidate), &best) {
+            (NO_DRAWBACKS, _) => return Some(index),
+            (found, Some((least, _))) if found >= *least => {}
+            (found, _) => best = Some((found, index)),
+        }
+    }
+    best.map(|(_, index)| index)
 }
--- a/crates/vanillafold-policy/tests/jobs.rs
+++ b/crates/vanillafold-policy/tests/jobs.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions about jobs, each under the kind of load that the decision is made for.
 
+use quickcheck::{Gen, QuickCheck};
 use vanillafold_policy::jobs::{
     Admission, AdmissionInput, MaintenanceCandidate, MaintenanceChoice, MovableVm, PaceInput,
     PlacementCandidate, PoolDemand, QueuedStep, TaskProfile, admit, choose_maintenance,
@@ -123,9 +124,8 @@
     assert_eq!(admit(usual), Admission::Admit);
 }
 
-fn candidate(free_cpu_millis: u64) -> PlacementCandidate {
+fn candidate() -> PlacementCandidate {
     PlacementCandidate {
-        free_cpu_millis,
         near_data: true,
         same_rack: true,
         persistent_tasks: 0,
@@ -141,11 +141,11 @@
 fn batch_work_is_packed_but_not_on_a_worker_that_fails_its_tasks() {
     let faulty = PlacementCandidate {
         fault_score: 2.0,
-        ..candidate(1_000)
+        ..candidate()
     };
     let off_rack = PlacementCandidate {
         near_data: false,
-        ..candidate(500)
+        ..candidate()
     };
     let task = TaskProfile {
         persistent: false,
@@ -154,13 +154,11 @@
     };
 
     assert_eq!(
-        choose_worker(
-            &[candidate(9_000), candidate(2_000), faulty, off_rack],
-            task
-        ),
-        Some(1)
+        choose_worker([off_rack, faulty, candidate(), candidate()], task),
+        Some(2)
     );
-    assert_eq!(choose_worker(&[], task), None);
+    assert_eq!(choose_worker([faulty, off_rack], task), Some(1));
+    assert_eq!(choose_worker([], task), None);
 }
 
 #[test]
@@ -168,7 +166,7 @@
     let due = PlacementCandidate {
         maintenance_due: true,
         persistent_tasks: 1,
-        ..candidate(1_000)
+        ..candidate()
     };
     let task = TaskProfile {
         persistent: true,
@@ -176,15 +174,15 @@
         latency_sensitive: true,
     };
 
-    assert_eq!(choose_worker(&[due, candidate(9_000)], task), Some(1));
-    assert_eq!(choose_worker(&[due], task), Some(0));
+    assert_eq!(choose_worker([due, candidate()], task), Some(1));
+    assert_eq!(choose_worker([due], task), Some(0));
 }
 
 #[test]
 fn best_effort_work_avoids_workers_with_latency_sensitive_tasks() {
     let with_latency_sensitive = PlacementCandidate {
         latency_sensitive_tasks: 1,
-        ..candidate(1_000)
+        ..candidate()
     };
     let task = TaskProfile {
         persistent: true,
@@ -193,7 +191,7 @@
     };
 
     assert_eq!(
-        choose_worker(&[with_latency_sensitive, candidate(9_000)], task),
+        choose_worker([with_latency_sensitive, candidate()], task),
         Some(1)
     );
 }
@@ -247,7 +245,7 @@
     ];
 
     // Act
-    let moves = plan_moves(&pools, &vms);
+    let moves = plan_moves(&pools, &vms, usize::MAX);
 
     // Assert
     let mut from: Vec<usize> = moves.iter().map(|row| vms[row.vm].pool).collect();
@@ -269,15 +267,14 @@
     ];
     let vms = [vm(0, 2_000), vm(0, 100)];
 
-    assert_eq!(plan_moves(&known, &vms).len(), 1);
-    assert_eq!(plan_moves(&unknown, &vms), vec![]);
+    assert_eq!(plan_moves(&known, &vms, usize::MAX).len(), 1);
+    assert_eq!(plan_moves(&unknown, &vms, usize::MAX), vec![]);
 }
 
 #[test]
 fn a_wave_starts_with_empty_vms_and_then_drains_the_one_with_the_least_work() {
     let busy = MaintenanceCandidate {
         empty: false,
-        evictable: false,
         draining: false,
         used_cpu_millis: 9_000,
         persistent_tasks: 0,
@@ -297,27 +294,80 @@
         ..busy
     };
 
+    let none = |_| false;
     let evictable = MaintenanceCandidate {
-        evictable: true,
         persistent_tasks: 2,
         ..busy
     };
 
     assert_eq!(
-        choose_maintenance(&[busy, empty]),
+        choose_maintenance(&[busy, empty], none),
         MaintenanceChoice::Start(1)
     );
     assert_eq!(
-        choose_maintenance(&[lighter, evictable]),
+        choose_maintenance(&[lighter, evictable], |index| index == 1),
         MaintenanceChoice::Start(1)
     );
     assert_eq!(
-        choose_maintenance(&[evictable, empty]),
+        choose_maintenance(&[evictable, empty], |index| index == 0),
         MaintenanceChoice::Start(1)
     );
     assert_eq!(
-        choose_maintenance(&[busy, blocked, lighter]),
+        choose_maintenance(&[busy, blocked, lighter], none),
         MaintenanceChoice::Drain(2)
     );
-    assert_eq!(choose_maintenance(&[blocked]), MaintenanceChoice::Wait);
+    assert_eq!(
+        choose_maintenance(&[blocked], none),
+        MaintenanceChoice::Wait
+    );
+}
+
+/// Returns a worker's candidate from 8 random bits.
+fn candidate_of_bits(bits: u8) -> PlacementCandidate {
+    PlacementCandidate {
+        near_data: bits & 1 == 0,
+        same_rack: bits & 2 == 0,
+        persistent_tasks: u32::from(bits >> 2 & 1),
+        best_effort_tasks: u32::from(bits >> 3 & 1),
+        latency_sensitive_tasks: u32::from(bits >> 4 & 1),
+        fault_score: f64::from(bits >> 5 & 1),
+        maintenance_due: bits & 64 != 0,
+        failed_here: bits & 128 != 0,
+    }
+}
+
+/// The search for a worker ends early. It must find the one that a search of all of them finds.
+#[test]
+fn the_first_candidate_without_drawbacks_is_the_best_of_all() {
+    fn is_best(bits: Vec<u8>, persistent: bool, best_effort: bool, sensitive: bool) -> bool {
+        let task = TaskProfile {
+            persistent,
+            best_effort,
+            latency_sensitive: sensitive,
+        };
+        let candidates: Vec<_> = bits.into_iter().map(candidate_of_bits).collect();
+        let interfering = |row: &PlacementCandidate| match task {
+            _ if best_effort => row.latency_sensitive_tasks + row.best_effort_tasks,
+            _ if sensitive => row.best_effort_tasks,
+            _ => 0,
+        };
+        let best_of_all = (0..candidates.len()).min_by_key(|at| {
+            let row = &candidates[*at];
+            (
+                row.failed_here,
+                row.fault_score >= 1.0,
+                row.maintenance_due,
+                !row.near_data,
+                !row.same_rack,
+                interfering(row),
+                persistent && row.persistent_tasks == 0,
+                *at,
+            )
+        });
+        choose_worker(candidates, task) == best_of_all
+    }
+    QuickCheck::new()
+        .tests(1_000)
+        .rng(Gen::from_size_and_seed(60, 1))
+        .quickcheck(is_best as fn(Vec<u8>, bool, bool, bool) -> bool);
 }
--- a/crates/vanillafold/src/fleet/ownership.rs
+++ b/crates/vanillafold/src/fleet/ownership.rs
@@ -58,6 +58,8 @@
     waiters: RefCell<Vec<Waiter>>,
     /// Links to the known workers, sorted by the workers' ids.
     pub(crate) links: RefCell<Vec<Rc<WorkerLink>>>,
+    /// Version of the shard's workers that `links` corresponds to.
+    pub(crate) linked_version: Cell<u64>,
     /// Set when the ownership ends.
     pub(crate) closed: Latch,
     /// Notified by events after which the scheduler should run.
@@ -89,6 +91,7 @@
             shard: RefCell::new(None),
             waiters: RefCell::new(Vec::new()),
             links: RefCell::new(Vec::new()),
+            linked_version: Cell::new(0),
             closed: Latch::default(),
             events: Notify::default(),
             records_ready: Notify::default(),
--- a/crates/vanillafold/src/fleet/vms.rs
+++ b/crates/vanillafold/src/fleet/vms.rs
@@ -17,9 +17,10 @@
 pub(crate) async fn list_vms<P: FleetPlatform>(ownership: Rc<ShardOwnership<P>>) {
     let mut cloud = ownership.daemon.platform.cloud();
     loop {
+        let requested_at = now();
         match cloud.list_vms().await {
             Ok(vms) => {
-                ownership.with(|shard| shard.set_vms(vms, now()));
+                ownership.with(|shard| shard.set_vms(vms, requested_at));
                 ownership.events.notify_one();
                 sleep(VM_LIST_INTERVAL).await;
             }
--- a/crates/vanillafold/src/fleet/workers.rs
+++ b/crates/vanillafold/src/fleet/workers.rs
@@ -6,7 +6,8 @@
 use std::rc::Rc;
 
 use monoio::time::{sleep, timeout};
-use vanillafold_jobs::{Order, OrderAnswer, PollPlan, WorkerId};
+use vanillafold_jobs::{Order, OrderAnswer, PollPlan, WorkerEntry, WorkerId};
+use vanillafold_policy::MonotonicMillis;
 use vanillafold_wire::{Latch, Notify};
 
 use super::metric;
@@ -45,6 +46,10 @@
 /// Starts the tasks of new workers, and ends those of workers that are gone or have another
 /// address.
 pub(crate) fn update_links<P: FleetPlatform>(ownership: &Rc<ShardOwnership<P>>) {
+    let version = ownership.with(|shard| shard.workers_version()).unwrap_or(0);
+    if ownership.linked_version.replace(version) == version {
+        return;
+    }
     let wanted = ownership
         .with(|shard| shard.worker_addresses())
         .unwrap_or_default();
@@ -158,19 +163,23 @@
     }
 }
 
-/// Reads the workers' registrations, then periodically their changes, and passes the list to the
-/// shard.
+/// A worker's registration: the record's key, and the entry; `None` if the record is malformed.
+type Registration = (String, Option<WorkerEntry>);
+
+/// Reads the workers' registrations, then periodically their changes, and passes them to the
+/// shard. Changes are passed at once, and the whole list every [`WORKER_LIST_INTERVAL`].
 pub(crate) async fn list_workers<P: FleetPlatform>(ownership: Rc<ShardOwnership<P>>) {
     let mut store = ownership.daemon.platform.store();
-    let mut rows: Vec<KeyedRow> = Vec::new();
+    let mut registrations: Vec<Registration> = Vec::new();
     let mut next = None;
+    let mut listed_at = None;
     loop {
         let read = match next {
             None => {
                 let mut latest = LatestRows::default();
                 let read = store.read_latest(Keyspace::Workers, &mut latest).await;
                 read.map(|()| {
-                    rows.clear();
+                    registrations.clear();
                     (latest.rows, latest.next_offset.unwrap_or(0))
                 })
             }
@@ -182,10 +191,22 @@
         match read {
             Ok((changes, end)) => {
                 next = Some(end);
+                let mut changed = false;
                 for change in changes {
-                    apply_change(&mut rows, change);
+                    changed |= apply_change(&ownership, &mut registrations, &change);
+                }
+                let is_recent =
+                    |at: MonotonicMillis| now().since(at).duration() < WORKER_LIST_INTERVAL;
+                if !listed_at.is_some_and(is_recent) {
+                    listed_at = Some(now());
+                    let entries = registrations.iter().filter_map(|row| row.1.clone());
+                    let entries = entries.collect();
+                    ownership.with(|shard| shard.set_workers(entries, now()));
+                    changed = true;
+                }
+                if changed {
+                    ownership.events.notify_one();
                 }
-                update_workers(&ownership, &rows);
                 let expected = ownership.with(|shard| shard.expects_workers());
                 sleep(match expected {
                     Some(true) => WORKER_LIST_FAST_INTERVAL,
@@ -202,29 +223,42 @@
     }
 }
 
-/// Applies a change to rows sorted by key.
-fn apply_change(rows: &mut Vec<KeyedRow>, change: KeyedRow) {
-    match rows.binary_search_by(|row| row.key.cmp(&change.key)) {
-        Ok(index) if change.value.is_empty() => {
-            rows.remove(index);
+/// Applies a change to the registrations, which are sorted by key, and passes a new or changed entry
+/// to the shard. Returns whether it did.
+fn apply_change<P: FleetPlatform>(
+    ownership: &Rc<ShardOwnership<P>>,
+    registrations: &mut Vec<Registration>,
+    change: &KeyedRow,
+) -> bool {
+    let found = registrations.binary_search_by(|row| row.0.cmp(&change.key));
+    if change.value.is_empty() {
+        if let Ok(index) = found {
+            registrations.remove(index);
         }
-        Ok(index) => rows[index] = change,
-        Err(_) if change.value.is_empty() => {}
-        Err(index) => rows.insert(index, change),
+        return false;
     }
-}
-
-/// Parses the registrations and passes the workers to the shard.
-fn update_workers<P: FleetPlatform>(ownership: &Rc<ShardOwnership<P>>, rows: &[KeyedRow]) {
-    let mut entries = Vec::with_capacity(rows.len());
-    for row in rows {
-        match ownership.daemon.platform.worker_entry(row) {
-            Ok(entry) => entries.push(entry),
-            Err(error) => {
-                log::debug!(key = row.key.as_str(), error = error; "malformed registration of a worker ignored");
-            }
+    let entry = match ownership.daemon.platform.worker_entry(change) {
+        Ok(entry) => Some(entry),
+        Err(error) => {
+            log::debug!(key = change.key.as_str(), error = error; "malformed registration of a worker ignored");
+            None
+        }
+    };
+    let is_changed = match found {
+        Ok(index) => {
+            let before = std::mem::replace(&mut registrations[index].1, entry.clone());
+            before != entry
+        }
+        Err(index) => {
+            registrations.insert(index, (change.key.clone(), entry.clone()));
+            true
+        }
+    };
+    match entry {
+        Some(entry) if is_changed => {
+            ownership.with(|shard| shard.update_worker(entry, now()));
+            true
         }
+        _ => false,
     }
-    ownership.with(|shard| shard.set_workers(entries, now()));
-    ownership.events.notify_one();
 }
