Do not stop at a run whose step has no description

A worker listed a run of a completed job, started late, while the batch that deletes the job's description was on its way; when the run ended, its step was looked up in the deleted description. A worker that reports a step which a job does not have had the same effect: one malformed message took the owner down.

Change: steps of reported tasks are looked up with a check.

Result: two new tests panic at the same line on the code before.

--- a/crates/vanillafold-jobs/src/shard/ends.rs
+++ b/crates/vanillafold-jobs/src/shard/ends.rs
@@ -4,8 +4,9 @@
 
 use super::root::Shard;
 use crate::id::{JobId, RunNumber, TaskId};
-use crate::job::{Step, TaskStatus};
+use crate::job::{Job, Step, TaskStatus};
 use crate::record::JobOutcome;
+use crate::spec::StepSpec;
 use crate::worker::{EndKind, Run};
 
 /// Half-life of the weight of a failed run in a worker's fault score, in milliseconds.
@@ -213,10 +214,10 @@
         if kind != EndKind::Done || run.persistent {
             return;
         }
-        let Some(job) = self.job(run.task.job) else {
+        let Some((job, step)) = self.described_step(run.task) else {
             return;
         };
-        let estimate_ms = job.spec.steps[usize::from(run.task.step)].estimate_ms;
+        let estimate_ms = step.estimate_ms;
         if estimate_ms == 0 {
             return;
         }
@@ -235,6 +236,14 @@
         }
     }
 
+    /// Returns a task's job and the description of its step; `None` if the job is unknown, its
+    /// description has been deleted, or a worker has reported a step that the job does not have.
+    pub(super) fn described_step(&self, task: TaskId) -> Option<(&Job, &StepSpec)> {
+        let job = self.job(task.job)?;
+        let step = job.spec.steps.get(usize::from(task.step))?;
+        Some((job, step))
+    }
+
     /// Returns whether any run of the task's job has failed before, in an occurrence that has not
     /// completed. The next failure is then attributed to the job and not to the worker.
     fn job_has_failed_run(&self, task: TaskId) -> bool {
--- a/crates/vanillafold-jobs/src/shard/vm_operations.rs
+++ b/crates/vanillafold-jobs/src/shard/vm_operations.rs
@@ -630,10 +630,9 @@
 
     /// Returns whether another worker has capacity for a persistent run.
     fn fits_elsewhere(&self, at: usize, run: &Run, now: MonotonicMillis) -> bool {
-        let Some(job) = self.job(run.task.job) else {
+        let Some((_, step)) = self.described_step(run.task) else {
             return true;
         };
-        let step = &job.spec.steps[usize::from(run.task.step)];
         let pool = &self.workers[at].entry.pool;
         self.workers.iter().enumerate().any(|(other, worker)| {
             let same_step = |row: &&Run| row.task.step_id() == run.task.step_id();
@@ -656,11 +655,11 @@
     /// Returns whether the step's limit allows the scheduler to make this run and `more` fully
     /// running ones of its step unavailable now.
     fn allows_unavailable(&self, run: &Run, more: u32) -> bool {
-        let Some(job) = self.job(run.task.job) else {
+        let Some((job, spec)) = self.described_step(run.task) else {
             return true;
         };
         let step = usize::from(run.task.step);
-        let Some(max_unavailable) = job.spec.steps[step].max_unavailable else {
+        let Some(max_unavailable) = spec.max_unavailable else {
             return true;
         };
         let Some(at) = job.occurrence_position(run.task.occurrence) else {
--- a/crates/vanillafold-jobs/tests/shard/storing.rs
+++ b/crates/vanillafold-jobs/tests/shard/storing.rs
@@ -1,6 +1,6 @@
 //! Contents of the store, and what a new owner loads from it.
 
-use vanillafold_jobs::{EndKind, Epoch, Record, Shard, SubmitOutcome};
+use vanillafold_jobs::{EndKind, Epoch, Order, Record, Shard, SubmitOutcome, TaskId};
 
 use crate::fixture::{
     at, catalogue, job, job_id, listed_end, listed_run, poll, report, schedule_starts, settings,
@@ -140,3 +140,60 @@
 
     assert_eq!(beside, vec![]);
 }
+
+/// The store is deleting the description of a completed job when a worker lists a run of it, started
+/// by an order that was carried out late. The run then ends without a description.
+#[test]
+fn a_late_run_of_a_completed_job_may_end_after_the_description_is_deleted() {
+    // Arrange: the batch that deletes the description is on its way.
+    let mut shard = shard_with_workers(&["w1"]);
+    shard.submit(job_id(1), job(vec![step(1)]), at(900), unix(900));
+    stored_rows(&mut shard);
+    let run = schedule_starts(&mut shard, 1_000)[0].1;
+    let mut done = report(2_000);
+    done.ended
+        .push(listed_end(1, task(job_id(1), 0), run, EndKind::Done));
+    poll(&mut shard, "w1", &done, 2_000);
+    let batch = shard.take_batch().expect("the outcome is to be stored");
+    let mut late = report(2_100);
+    late.running.push(listed_run(task(job_id(1), 0), run + 1));
+    poll(&mut shard, "w1", &late, 2_100);
+    shard.batch_stored(&batch);
+
+    // Act
+    let mut ended = report(2_900);
+    ended
+        .ended
+        .push(listed_end(2, task(job_id(1), 0), run + 1, EndKind::Done));
+    poll(&mut shard, "w1", &ended, 2_900);
+
+    // Assert
+    assert_eq!(shard.run_count(), 0);
+}
+
+/// A worker that reports runs of steps and tasks that a job does not have must not stop the owner.
+#[test]
+fn a_run_of_an_unknown_step_is_stopped() {
+    let mut shard = shard_with_workers(&["w1"]);
+    shard.submit(job_id(1), job(vec![step(1)]), at(900), unix(900));
+    stored_rows(&mut shard);
+    let unknown = TaskId {
+        step: 99,
+        index: 99,
+        ..task(job_id(1), 0)
+    };
+    let mut listed = report(2_000);
+    listed.running.push(listed_run(unknown, 7));
+    poll(&mut shard, "w1", &listed, 2_000);
+    shard.schedule(at(2_010), unix(2_010));
+    let orders = shard.take_orders();
+
+    let mut ended = report(2_900);
+    ended.ended.push(listed_end(1, unknown, 7, EndKind::Done));
+    ended.ended.push(listed_end(2, unknown, 8, EndKind::Failed));
+    poll(&mut shard, "w1", &ended, 2_900);
+
+    let is_stop = |row: &(_, Order)| matches!(row.1, Order::Stop { task, .. } if task == unknown);
+    assert!(orders.iter().any(is_stop));
+    assert_eq!(shard.run_count(), 0);
+}
