Control the flow of orders; let steps preempt independently

Change: a window bounds the unanswered start orders and shrinks when answers take more than 150 ms; timeouts follow the latency; polls of a worker are spread as it grows; the list of VMs takes at most a fifth of the link; submissions that can't be started in time at the measured rate are refused at once. Orders are not sent after the permission to act has run out while they were queued or the process was suspended. Each waiting step preempts on a worker of its own. A line is logged when a persistent task finds no worker.

--- a/crates/vanillafold-jobs/src/shard/backlog.rs
+++ b/crates/vanillafold-jobs/src/shard/backlog.rs
@@ -51,6 +51,8 @@
     computed_at: Option<MonotonicMillis>,
     /// Sorted by the pool's name.
     pools: Vec<PoolBacklog>,
+    /// Tasks that wait for a worker, in all pools.
+    waiting_tasks: u64,
 }
 
 /// The share of a pool that an organisation can count on.
@@ -61,6 +63,8 @@
     /// Its share of the reachable capacity, by weight among the organisations with open jobs, in
     /// cores.
     pub(super) cores: u64,
+    /// Tasks of all organisations that wait for a worker, in all pools.
+    pub(super) waiting_tasks: u64,
 }
 
 impl Backlog {
@@ -81,8 +85,9 @@
     }
 
     /// Adds the work of a job that was admitted.
-    pub(super) fn add(&mut self, pool: &str, organisation: &str, core_ms: u64) {
+    pub(super) fn add(&mut self, pool: &str, organisation: &str, core_ms: u64, tasks: u64) {
         self.pool_mut(pool).add(organisation, core_ms);
+        self.waiting_tasks += tasks;
     }
 }
 
@@ -102,6 +107,7 @@
             let organisation = self.catalogue.organisation(name);
             organisation.map_or(1, |row| row.weight.max(1))
         };
+        let waiting_tasks = self.backlog.waiting_tasks;
         let row = self.backlog.pool_mut(pool);
         let found = row
             .work
@@ -115,6 +121,7 @@
         PoolShare {
             queued_core_ms: found.map_or(0, |at| row.work[at].core_ms),
             cores: row.reachable_cpu_millis / 1_000 * own_weight / weights,
+            waiting_tasks,
         }
     }
 
@@ -122,12 +129,16 @@
         let mut backlog = Backlog {
             computed_at: Some(now),
             pools: Vec::new(),
+            waiting_tasks: 0,
         };
         for id in &self.open {
             let Some(job) = self.job(*id) else { continue };
+            let steps = job.occurrences.iter().flat_map(|row| &row.steps);
+            let waiting = steps.map(|step| u64::from(step.waiting));
+            backlog.waiting_tasks += waiting.sum::<u64>();
             if let Some(queue) = self.catalogue.queue(&job.spec.queue) {
                 let core_ms = self.remaining_core_ms(job);
-                backlog.add(&queue.pool, &job.spec.organisation, core_ms);
+                backlog.add(&queue.pool, &job.spec.organisation, core_ms, 0);
             }
         }
         // Idle workers of other pools and VMs that are off can move to any pool.
--- a/crates/vanillafold-jobs/src/shard/mod.rs
+++ b/crates/vanillafold-jobs/src/shard/mod.rs
@@ -11,6 +11,7 @@
 mod root;
 mod schedule;
 mod settings;
+mod start_rate;
 mod storing;
 mod submit;
 mod vm_operations;
--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use vanillafold_policy::MonotonicMillis;
+use vanillafold_policy::jobs::OrderFlow;
 
 use super::advice::{AdviceQuery, StepAdvice};
 use super::arrivals::Arrivals;
@@ -10,6 +11,7 @@
 use super::catalogue::Catalogue;
 use super::orders::Order;
 use super::settings::Settings;
+use super::start_rate::StartRate;
 use super::vm_operations::{PendingOperation, Vm, VmOperation, WaveState};
 use super::waiting::WaitingJobs;
 use crate::id::{Epoch, JobId, WorkerId};
@@ -49,6 +51,12 @@
     /// Resources that the runs of each organisation use, sorted by the organisation's name.
     pub(super) usage: Vec<(String, Resources)>,
     pub(super) orders: Vec<(WorkerId, Order)>,
+    /// Flow control of orders and polls.
+    pub(super) flow: OrderFlow,
+    /// Start orders that the scheduling pass in progress may still issue.
+    pub(super) start_budget: usize,
+    /// Recent rate of starts, and whether it limits what can be started.
+    pub(super) start_rate: StartRate,
     pub(super) taken_over_at: MonotonicMillis,
     /// Whether the list of workers, and that of VMs, has been read since the takeover.
     pub(super) workers_listed: bool,
@@ -78,7 +86,9 @@
     /// Pools of persistent tasks that found no worker in the last scheduling pass, one entry per
     /// step.
     pub(super) unplaced_pools: Vec<String>,
-    pub(super) next_preemption_at: MonotonicMillis,
+    /// Steps for which runs were preempted lately, and when.
+    pub(super) preemptions: Vec<((JobId, u32, u16), MonotonicMillis)>,
+    pub(super) next_unplaced_log_at: MonotonicMillis,
     pub(super) vm_operations: Vec<VmOperation>,
     /// Observed durations of tasks as a multiple of their estimates, averaged by queue and sorted
     /// by the queue's name.
@@ -115,6 +125,9 @@
             removed_workers: Vec::new(),
             usage: Vec::new(),
             orders: Vec::new(),
+            flow: OrderFlow::default(),
+            start_budget: 0,
+            start_rate: StartRate::new(now),
             taken_over_at: now,
             workers_listed: false,
             vms_listed: false,
@@ -133,14 +146,20 @@
             backlog: Backlog::default(),
             arrivals: Vec::new(),
             unplaced_pools: Vec::new(),
-            next_preemption_at: now,
+            preemptions: Vec::new(),
+            next_unplaced_log_at: now,
             vm_operations: Vec::new(),
             duration_ratios: Vec::new(),
         };
         let mut progress = Vec::new();
         for record in records {
             match record {
-                Record::Spec(id, spec) => shard.insert_stored(Job::new(id, *spec, now)),
+                Record::Spec(id, spec) => match spec.check() {
+                    Ok(()) => shard.insert_stored(Job::new(id, *spec, now)),
+                    Err(error) => {
+                        log::warn!(job = id.to_string(), error = error.to_string(); "stored description of a job is invalid; the job is ignored");
+                    }
+                },
                 Record::Progress(id, row) => progress.push((id, row)),
                 Record::Wave(number, started) => shard.stored_waves.push((number, started)),
                 Record::DeleteSpec(_) | Record::DeleteJob(_) => {}
--- a/crates/vanillafold-jobs/src/shard/schedule.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule.rs
@@ -16,14 +16,16 @@
 use crate::spec::{JobSpec, Resources, StepSpec};
 use crate::worker::{Run, RunPhase, Worker};
 
+/// Minimum time between two log lines about persistent tasks that find no worker, in milliseconds.
+const UNPLACED_LOG_INTERVAL_MS: u64 = 2_000;
 /// Assumed duration of a task without an estimate, in milliseconds.
 const DEFAULT_ESTIMATE_MS: u64 = 1_000;
 
 /// How long a persistent task waits for a worker before it preempts other runs, in milliseconds.
 /// Other tasks usually end by themselves in about this time.
 const PREEMPT_AFTER_MS: u64 = 1_000;
-/// Time between two preemptions, in milliseconds. Runs that are being stopped still hold their
-/// reservations meanwhile.
+/// Time between two preemptions for one step, in milliseconds. Runs that are being stopped still
+/// hold their reservations meanwhile.
 const PREEMPT_INTERVAL_MS: u64 = 1_000;
 /// An organisation counts as over its share if it uses more than this percentage of it. The margin
 /// is needed because tasks are coarse units.
@@ -59,13 +61,25 @@
         waiting.sort_by(|a, b| a.rank.cmp(&b.rank).then(a.job.cmp(&b.job)));
         let mut without_capacity = Vec::new();
         self.unplaced_pools.clear();
+        let unanswered = self.unanswered_starts();
+        let budget = self.flow.window().saturating_sub(unanswered);
+        self.start_budget = budget;
         for step in waiting {
             self.start_step(&step, &mut index, &mut without_capacity, now);
         }
+        let starts = (budget - self.start_budget) as u64;
+        self.start_rate.record(starts, self.start_budget == 0, now);
         self.pace_best_effort(now);
         self.plan_vm_operations(now);
     }
 
+    /// Returns the number of start orders without an answer from workers that answer others.
+    fn unanswered_starts(&self) -> usize {
+        let answering = self.workers.iter().filter(|worker| !worker.unresponsive);
+        let runs = answering.flat_map(|worker| &worker.runs);
+        runs.filter(|run| run.phase == RunPhase::Starting).count()
+    }
+
     /// Creates the tasks of the due occurrences of repeated jobs.
     fn begin_repeated_jobs(&mut self, now: MonotonicMillis, now_unix_ms: u64) {
         let open = &self.open;
@@ -334,7 +348,7 @@
             return;
         }
         for task in self.waiting_tasks(waiting) {
-            if !self.organisation_allows(&spec, step_spec, 1) {
+            if self.start_budget == 0 || !self.organisation_allows(&spec, step_spec, 1) {
                 return;
             }
             let placed = self.place_task(waiting, &spec, &queue, index, &[], now);
@@ -359,7 +373,9 @@
 
     /// Requests a VM for a persistent task that found no worker. Once the task has waited for
     /// [`PREEMPT_AFTER_MS`], preempts runs that are not persistent on the worker where the least
-    /// CPU has to be freed.
+    /// CPU has to be freed. Steps preempt independently of each other, each on a worker where no run
+    /// is being stopped, because a lost rack or a maintenance wave displaces tasks of many steps at
+    /// once.
     fn request_vm_or_preempt(
         &mut self,
         waiting: &WaitingStep,
@@ -370,13 +386,18 @@
         let step = &spec.steps[usize::from(waiting.step)];
         self.unplaced_pools.push(queue.pool.clone());
         let since = self.waiting_since(waiting).unwrap_or(now);
-        if now.since(since).get() < PREEMPT_AFTER_MS || now < self.next_preemption_at {
+        let step_id = (waiting.job, waiting.occurrence, waiting.step);
+        self.preemptions
+            .retain(|row| now.since(row.1).get() < PREEMPT_INTERVAL_MS);
+        let recent = self.preemptions.iter().any(|row| row.0 == step_id);
+        if now.since(since).get() < PREEMPT_AFTER_MS || recent {
             return;
         }
         let mut best: Option<(u64, usize)> = None;
         for (at, worker) in self.workers.iter().enumerate() {
             let is_suitable = worker.entry.pool == queue.pool
                 && worker.accepts_tasks(now)
+                && worker.runs.iter().all(Run::is_live)
                 && has_required_label(worker, step)
                 && !is_at_anti_affinity_limit(worker, waiting, step, 0);
             let mut kept = worker.used;
@@ -392,8 +413,11 @@
                 best = Some((stopped, at));
             }
         }
-        let Some((_, at)) = best else { return };
-        self.next_preemption_at = MonotonicMillis::new(now.get() + PREEMPT_INTERVAL_MS);
+        let Some((_, at)) = best else {
+            self.log_unplaced(waiting, queue, now.since(since).get(), now);
+            return;
+        };
+        self.preemptions.push((step_id, now));
         let mut used = self.workers[at].used;
         for position in 0..self.workers[at].runs.len() {
             let run = &self.workers[at].runs[position];
@@ -412,6 +436,32 @@
         }
     }
 
+    /// Logs why a persistent task finds no worker, at most once every [`UNPLACED_LOG_INTERVAL_MS`].
+    fn log_unplaced(
+        &mut self,
+        waiting: &WaitingStep,
+        queue: &QueueInfo,
+        waited_ms: u64,
+        now: MonotonicMillis,
+    ) {
+        if now < self.next_unplaced_log_at {
+            return;
+        }
+        self.next_unplaced_log_at = MonotonicMillis::new(now.get() + UNPLACED_LOG_INTERVAL_MS);
+        let in_pool = |worker: &&Worker| worker.entry.pool == queue.pool;
+        let count = |counts: fn(&Worker) -> bool| {
+            let workers = self.workers.iter().filter(in_pool);
+            workers.filter(|worker| counts(worker)).count()
+        };
+        log::info!(
+            job = waiting.job.to_string(), pool = queue.pool.as_str(), waited_ms = waited_ms,
+            workers = count(|_| true), draining = count(|worker| worker.draining),
+            unresponsive = count(|worker| worker.unresponsive),
+            not_ready = count(|worker| !worker.entry.ready || !worker.listed);
+            "no worker can take a persistent task, not even by preemption"
+        );
+    }
+
     /// Queries placement advice for the workers that have capacity for a step.
     fn request_advice(
         &mut self,
@@ -581,7 +631,11 @@
     ) {
         let step = &spec.steps[usize::from(waiting.step)];
         let members = self.waiting_tasks(waiting);
+        // A gang that is larger than the window goes out when no other start is unanswered.
+        let exceeds_budget =
+            members.len() > self.start_budget && self.start_budget < self.flow.window();
         if members.len() != step.count as usize
+            || exceeds_budget
             || !self.organisation_allows(spec, step, u64::from(step.count))
         {
             return;
@@ -636,6 +690,7 @@
             pace_ordered_at: now,
         });
         let position = worker.runs.len() - 1;
+        self.start_budget = self.start_budget.saturating_sub(1);
         self.add_usage(&spec.organisation, step.needs);
         let mut waited_ms = 0;
         if let Some(job) = self.job_mut(waiting.job)
--- a/crates/vanillafold-jobs/src/shard/submit.rs
+++ b/crates/vanillafold-jobs/src/shard/submit.rs
@@ -96,12 +96,15 @@
                 0 => share.cores,
                 limit => share.cores.min(limit),
             },
+            waiting_tasks: share.waiting_tasks,
+            starts_per_s: self.start_rate.limit_per_s(),
             job_core_ms,
             max_useful_latency_ms: objective_ms * MAX_USEFUL_LATENCY_FACTOR,
         });
         if admission == Admission::Admit {
+            let tasks = spec.steps.iter().map(|step| u64::from(step.count)).sum();
             self.backlog
-                .add(&queue.pool, &spec.organisation, job_core_ms);
+                .add(&queue.pool, &spec.organisation, job_core_ms, tasks);
         }
         admission
     }
--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -99,6 +99,20 @@
         self.workers.iter().map(row).collect()
     }
 
+    /// Returns how long to wait for the answer to an order, in milliseconds.
+    #[must_use]
+    pub const fn order_timeout_ms(&self) -> u64 {
+        self.flow.timeout_ms()
+    }
+
+    /// Records how long an order took to be answered, or waited for an answer that did not come.
+    pub fn order_took(&mut self, latency_ms: u64, answer: OrderAnswer, now: MonotonicMillis) {
+        match answer {
+            OrderAnswer::Unknown | OrderAnswer::NotSent => self.flow.unanswered(latency_ms),
+            _ => self.flow.answered(latency_ms, now),
+        }
+    }
+
     /// Plans the next poll of a worker.
     pub fn plan_poll(&mut self, id: &WorkerId, now: MonotonicMillis) -> PollPlan {
         let Some(at) = self.worker_position(id) else {
@@ -279,7 +293,9 @@
             self.begin_incarnation(at, report.clock_ms, now, now_unix_ms);
         }
         let lease_ms = self.settings.lease_ms;
-        let interval_ms = self.settings.min_poll_interval_ms;
+        let interval_ms = self
+            .flow
+            .poll_interval_ms(self.settings.min_poll_interval_ms);
         let worker = &mut self.workers[at];
         worker.set_started(report.started_unix_ms);
         worker.read_clock(report.clock_ms, now);
@@ -305,11 +321,16 @@
             true => interval_ms,
             false => STORE_PENDING_POLL_INTERVAL_MS,
         };
+        worker.polled_at = now;
         worker.next_poll_at = MonotonicMillis::new(now.get() + interval_ms);
     }
 
-    /// Returns the workers that can be polled at once because a stored batch lets them forget ends.
+    /// Returns the workers whose poll can be planned anew because a stored batch lets them forget
+    /// ends.
     pub fn expedite_polls(&mut self, now: MonotonicMillis) -> Vec<WorkerId> {
+        let interval_ms = self
+            .flow
+            .poll_interval_ms(self.settings.min_poll_interval_ms);
         let mut worker_ids = Vec::new();
         for at in 0..self.workers.len() {
             if self.workers[at].unacknowledged.is_empty() {
@@ -318,7 +339,8 @@
             self.acknowledge_stored_ends(at);
             let worker = &mut self.workers[at];
             if worker.unacknowledged.is_empty() && !worker.unresponsive {
-                worker.next_poll_at = now;
+                let earliest_ms = worker.polled_at.get() + interval_ms;
+                worker.next_poll_at = now.max(MonotonicMillis::new(earliest_ms));
                 worker_ids.push(worker.entry.id.clone());
             }
         }
--- a/crates/vanillafold-jobs/src/worker/state.rs
+++ b/crates/vanillafold-jobs/src/worker/state.rs
@@ -159,6 +159,8 @@
     /// Highest acknowledged end that has reached the worker with a poll that was answered.
     pub(crate) delivered_ack: u64,
     pub(crate) next_poll_at: MonotonicMillis,
+    /// When the last poll was answered.
+    pub(crate) polled_at: MonotonicMillis,
     /// Number of recent failed runs and refusals that are attributed to the worker, because the job
     /// had no failed run before, decayed exponentially; `fault_score_at` is the time of the last
     /// update.
@@ -199,6 +201,7 @@
             sent_ack: 0,
             delivered_ack: 0,
             next_poll_at: now,
+            polled_at: MonotonicMillis::ZERO,
             fault_score: 0.0,
             fault_score_at: now,
             failed_jobs: Vec::new(),
--- a/crates/vanillafold-jobs/tests/shard/fixture.rs
+++ b/crates/vanillafold-jobs/tests/shard/fixture.rs
@@ -246,3 +246,18 @@
     shard.order_answered(&worker(name), &order, answer, at(ms), unix(ms));
     poll(shard, name, &report(ms + 1), ms + 1);
 }
+
+/// Accepts the start order of a run on a worker at `ms`.
+pub(crate) fn accept_start(shard: &mut Shard, name: &str, task: TaskId, run: u64, ms: u64) {
+    let order = Order::Start {
+        task,
+        run: RunNumber::new(run),
+        spec: std::rc::Rc::new(job(Vec::new())),
+        deadline_ms: 0,
+        checkpoint: String::new(),
+        ticket: String::new(),
+        waited_ms: 0,
+    };
+    let answer = OrderAnswer::Accepted { clock_ms: ms };
+    shard.order_answered(&worker(name), &order, answer, at(ms), unix(ms));
+}
--- a/crates/vanillafold-jobs/tests/shard/placement.rs
+++ b/crates/vanillafold-jobs/tests/shard/placement.rs
@@ -1,6 +1,6 @@
 //! Placement of a burst, with more waiting tasks than the pool has room for.
 
-use vanillafold_jobs::{Resources, StepSpec};
+use vanillafold_jobs::{Order, Resources, StepSpec};
 
 use crate::fixture::{
     at, job, job_id, schedule_starts, shard_with_workers, step, store_batches, unix,
@@ -65,3 +65,43 @@
     assert_eq!(jobs(&in_gaps), vec![job_id(3)]);
     assert_eq!(jobs(&after), vec![job_id(2)]);
 }
+
+/// A rack was lost or is under maintenance, and persistent tasks of three jobs wait while other work
+/// fills the pool. Each must run again within 3 s, so they can't preempt one after the other.
+#[test]
+fn persistent_tasks_of_several_jobs_preempt_at_the_same_time() {
+    // Arrange: short tasks fill all workers.
+    let mut shard = shard_with_workers(&["w1", "w2", "w3"]);
+    shard.submit(job_id(1), job(vec![step_of_cores(12, 1)]), at(10), unix(10));
+    store_batches(&mut shard);
+    let filling = schedule_starts(&mut shard, 20);
+    for (task, run, on) in &filling {
+        crate::fixture::accept_start(&mut shard, on, *task, *run, 30);
+    }
+    let persistent_step = StepSpec {
+        persistent: true,
+        anti_affinity: 1,
+        ..step_of_cores(1, 2)
+    };
+    for number in 2..=4 {
+        let spec = job(vec![persistent_step.clone()]);
+        shard.submit(job_id(number), spec, at(100), unix(100));
+    }
+    store_batches(&mut shard);
+    let early = schedule_starts(&mut shard, 110);
+
+    // Act
+    shard.schedule(at(1_200), unix(1_200));
+    let orders = shard.take_orders();
+
+    // Assert: two tasks of one core are stopped on each worker.
+    let stops = |name: &str| {
+        let is_stop = |row: &&(vanillafold_jobs::WorkerId, Order)| {
+            row.0.as_str() == name && matches!(row.1, Order::Stop { .. })
+        };
+        orders.iter().filter(is_stop).count()
+    };
+    assert_eq!(filling.len(), 12);
+    assert_eq!(early, vec![]);
+    assert_eq!(["w1", "w2", "w3"].map(stops), [2, 2, 2]);
+}
--- a/crates/vanillafold-policy/src/jobs/mod.rs
+++ b/crates/vanillafold-policy/src/jobs/mod.rs
@@ -1,8 +1,9 @@
-//! Scheduling decisions about jobs: queue order, admission, placement, pacing of best-effort tasks,
-//! pool capacity and maintenance.
+//! Scheduling decisions about jobs: queue order, admission, placement, flow control of orders,
+//! pacing of best-effort tasks, pool capacity and maintenance.
 
 mod admission;
 mod capacity;
+mod flow;
 mod maintenance;
 mod order;
 mod pace;
@@ -10,6 +11,7 @@
 
 pub use admission::{Admission, AdmissionInput, admit};
 pub use capacity::{MovableVm, PoolDemand, VmMove, plan_moves};
+pub use flow::OrderFlow;
 pub use maintenance::{MaintenanceCandidate, MaintenanceChoice, choose_maintenance};
 pub use order::{QueuedStep, Rank, rank};
 pub use pace::{PaceInput, next_pace};
--- a/crates/vanillafold-policy/tests/jobs.rs
+++ b/crates/vanillafold-policy/tests/jobs.rs
@@ -1,9 +1,10 @@
 //! Tests of the decisions about jobs, each under the kind of load that the decision is made for.
 
 use quickcheck::{Gen, QuickCheck};
+use vanillafold_policy::MonotonicMillis;
 use vanillafold_policy::jobs::{
-    Admission, AdmissionInput, MaintenanceCandidate, MaintenanceChoice, MovableVm, PaceInput,
-    PlacementCandidate, PoolDemand, QueuedStep, TaskProfile, admit, choose_maintenance,
+    Admission, AdmissionInput, MaintenanceCandidate, MaintenanceChoice, MovableVm, OrderFlow,
+    PaceInput, PlacementCandidate, PoolDemand, QueuedStep, TaskProfile, admit, choose_maintenance,
     choose_worker, next_pace, plan_moves, rank,
 };
 
@@ -109,6 +110,8 @@
     let flooding = AdmissionInput {
         queued_core_ms: 900_000,
         cores: 60,
+        waiting_tasks: 0,
+        starts_per_s: None,
         job_core_ms: 6_000,
         max_useful_latency_ms: 8_000,
     };
@@ -124,6 +127,123 @@
     assert_eq!(admit(usual), Admission::Admit);
 }
 
+/// All queues together ask for five times the starts that the owner's link carries: 3,000 tasks wait
+/// at 150 starts a second, and the result of a job is of no use after 8 s.
+#[test]
+fn a_job_that_the_owner_cannot_start_in_time_is_refused_at_once() {
+    let overloaded = AdmissionInput {
+        queued_core_ms: 0,
+        cores: 60,
+        waiting_tasks: 3_000,
+        starts_per_s: Some(150),
+        job_core_ms: 6_000,
+        max_useful_latency_ms: 8_000,
+    };
+    let usual = AdmissionInput {
+        starts_per_s: None,
+        ..overloaded
+    };
+    let nearly_drained = AdmissionInput {
+        waiting_tasks: 900,
+        ..overloaded
+    };
+
+    let refused = Admission::Refuse {
+        retry_after_ms: 20_000 - 4_000,
+    };
+    assert_eq!(admit(overloaded), refused);
+    assert_eq!(admit(usual), Admission::Admit);
+    assert_eq!(admit(nearly_drained), Admission::Admit);
+}
+
+/// What became of the orders of a burst that were sent through a link of limited rate.
+#[derive(Debug, PartialEq, Eq)]
+struct LinkLoad {
+    answered_in_time: u64,
+    timed_out: u64,
+    longest_wait_ms: u64,
+}
+
+/// Sends orders for 20 s through a link that carries `per_s`, while more tasks wait than it carries,
+/// and returns what became of those of the last 10 s. `window` and `timeout_ms` follow the flow, or
+/// not.
+fn send_through_link(
+    per_s: u64,
+    window: impl Fn(&OrderFlow) -> usize,
+    timeout_ms: impl Fn(&OrderFlow) -> u64,
+) -> LinkLoad {
+    let mut flow = OrderFlow::default();
+    // Each order with the time when it was sent and its timeout, the oldest first.
+    let mut unanswered: std::collections::VecDeque<(u64, u64)> = std::collections::VecDeque::new();
+    let mut load = LinkLoad {
+        answered_in_time: 0,
+        timed_out: 0,
+        longest_wait_ms: 0,
+    };
+    let mut carried = 0;
+    for now_ms in 0..20_000 {
+        while unanswered.len() < window(&flow) {
+            unanswered.push_back((now_ms, timeout_ms(&flow)));
+        }
+        carried += per_s;
+        while carried >= 1_000 {
+            carried -= 1_000;
+            let Some((sent_ms, limit_ms)) = unanswered.pop_front() else {
+                break;
+            };
+            let wait_ms = now_ms - sent_ms + 3;
+            let in_time = wait_ms <= limit_ms;
+            match in_time {
+                true => flow.answered(wait_ms, MonotonicMillis::new(now_ms)),
+                false => flow.unanswered(limit_ms),
+            }
+            if now_ms >= 10_000 {
+                load.answered_in_time += u64::from(in_time);
+                load.timed_out += u64::from(!in_time);
+                load.longest_wait_ms = load.longest_wait_ms.max(wait_ms);
+            }
+        }
+    }
+    load
+}
+
+/// The users' small twin: a link of 2 Mbit/s carries about 200 orders a second, and the queues ask
+/// for 350.
+#[test]
+fn on_a_narrow_link_orders_neither_pile_up_nor_time_out() {
+    let without = send_through_link(200, |_| 256, |_| 120);
+    let with = send_through_link(200, OrderFlow::window, OrderFlow::timeout_ms);
+
+    assert_eq!(without.answered_in_time, 0);
+    assert_eq!(with.timed_out, 0);
+    assert!(with.longest_wait_ms <= 300, "found {with:?}");
+    assert!(with.answered_in_time >= 1_900, "found {with:?}");
+}
+
+/// The users' large site: 2,600 starts a second, which the owner's link carries at once.
+#[test]
+fn on_a_wide_link_the_window_does_not_limit_a_burst() {
+    let load = send_through_link(3_000, OrderFlow::window, OrderFlow::timeout_ms);
+
+    assert_eq!(load.timed_out, 0);
+    assert!(load.answered_in_time >= 29_000, "found {load:?}");
+}
+
+/// Some workers that don't answer must not slow the orders to the others.
+#[test]
+fn silent_workers_hardly_change_the_timeout() {
+    let mut flow = OrderFlow::default();
+    for at in 0..10_000 {
+        match at % 20 {
+            0 => flow.unanswered(flow.timeout_ms()),
+            _ => flow.answered(3, MonotonicMillis::new(at)),
+        }
+    }
+
+    assert!(flow.timeout_ms() <= 200, "found {} ms", flow.timeout_ms());
+    assert!(flow.window() >= 256, "found {}", flow.window());
+}
+
 fn candidate() -> PlacementCandidate {
     PlacementCandidate {
         near_data: true,
--- a/crates/vanillafold/src/fleet/platform.rs
+++ b/crates/vanillafold/src/fleet/platform.rs
@@ -188,24 +188,27 @@
     /// Polls the worker for its runs and their ends. `deadline_ms`, on the worker's clock, extends
     /// the leases of its runs; with `None` they are not renewed. The worker may forget the ends up
     /// to number `acknowledged_end`. It waits up to `wait_ms` for a further run to end before it
-    /// answers. Returns the answer of a worker that rejected the poll as an error.
+    /// answers, and the poll ends without an answer `timeout_ms` later. Returns the answer of a
+    /// worker that rejected the poll as an error.
     async fn poll(
         &mut self,
         epoch: Epoch,
         deadline_ms: Option<u64>,
         acknowledged_end: u64,
         wait_ms: u64,
+        timeout_ms: u64,
     ) -> Result<PollReport, OrderAnswer>;
 }
 
 /// A connection for sending orders to one worker.
 pub trait OrderSender {
     /// Sends orders together and calls `answered` exactly once for each, with its index: as its
-    /// answer arrives, or when none can arrive any more.
+    /// answer arrives, or when none has arrived within `timeout_ms` after the one before.
     async fn send(
         &mut self,
         epoch: Epoch,
         orders: &[Order],
+        timeout_ms: u64,
         answered: impl FnMut(usize, OrderAnswer),
     );
 }
--- a/crates/vanillafold/src/fleet/settings.rs
+++ b/crates/vanillafold/src/fleet/settings.rs
@@ -76,13 +76,18 @@
 pub(crate) const SCHEDULE_INTERVAL: Duration = Duration::from_millis(100);
 /// Minimum time between two scheduling passes; the events of this time are handled together.
 pub(crate) const MIN_SCHEDULE_INTERVAL: Duration = Duration::from_millis(4);
+/// Added to the timeout of a poll, in milliseconds, for a worker with much to list.
+pub(crate) const POLL_TIMEOUT_MARGIN_MS: u64 = 130;
 /// Time between two reads of the workers' registrations.
 pub(crate) const WORKER_LIST_INTERVAL: Duration = Duration::from_millis(400);
 /// Time between two reads of the workers' registrations while VMs are moving to a pool: a moved VM
 /// is idle until its worker has been found.
 pub(crate) const WORKER_LIST_FAST_INTERVAL: Duration = Duration::from_millis(100);
-/// Time between two reads of the list of VMs.
+/// Minimum time between two reads of the list of VMs.
 pub(crate) const VM_LIST_INTERVAL: Duration = Duration::from_millis(500);
+/// Multiple of the time that a read of the list of VMs takes before the next one begins. On a link
+/// that is busy the list takes at most a fifth of it.
+pub(crate) const VM_LIST_PAUSE_FACTOR: u32 = 4;
 /// Time for which a read of the operator's records waits for the next one. It is short enough that
 /// a silent connection is noticed well before a new configuration must be in force.
 pub(crate) const OPERATOR_WAIT_MS: u64 = 800;
--- a/crates/vanillafold/src/fleet/vms.rs
+++ b/crates/vanillafold/src/fleet/vms.rs
@@ -10,7 +10,7 @@
 use super::platform::{
     AppendCondition, CloudApi, CloudError, FleetPlatform, Keyspace, MetadataStore,
 };
-use super::settings::{APPEND_TIMEOUT, READ_RETRY_DELAY, VM_LIST_INTERVAL};
+use super::settings::{APPEND_TIMEOUT, READ_RETRY_DELAY, VM_LIST_INTERVAL, VM_LIST_PAUSE_FACTOR};
 use super::time::{now, unix_ms};
 
 /// Reads the list of VMs periodically and passes it to the shard.
@@ -22,7 +22,8 @@
             Ok(vms) => {
                 ownership.with(|shard| shard.set_vms(vms, requested_at));
                 ownership.events.notify_one();
-                sleep(VM_LIST_INTERVAL).await;
+                let took = now().since(requested_at).duration();
+                sleep(VM_LIST_INTERVAL.max(took * VM_LIST_PAUSE_FACTOR)).await;
             }
             Err(error) => {
                 log::debug!(error = error.to_string(); "reading the list of VMs failed; retrying");
--- a/crates/vanillafold/src/fleet/workers.rs
+++ b/crates/vanillafold/src/fleet/workers.rs
@@ -16,7 +16,9 @@
     FleetPlatform, KeyedRow, Keyspace, LatestRows, MetadataStore, OrderSender, StoreError,
     WorkerPoller,
 };
-use super::settings::{READ_RETRY_DELAY, WORKER_LIST_FAST_INTERVAL, WORKER_LIST_INTERVAL};
+use super::settings::{
+    POLL_TIMEOUT_MARGIN_MS, READ_RETRY_DELAY, WORKER_LIST_FAST_INTERVAL, WORKER_LIST_INTERVAL,
+};
 use super::time::{now, unix_ms};
 
 /// Link from the ownership to one worker, served by a task that polls the worker and one that sends
@@ -120,8 +122,17 @@
                 wait_ms,
             } => {
                 let sent_at = now();
+                let timeout_ms = ownership
+                    .with(|shard| shard.order_timeout_ms())
+                    .unwrap_or_default();
                 let polled = poller
-                    .poll(ownership.epoch(), deadline_ms, acknowledged_end, wait_ms)
+                    .poll(
+                        ownership.epoch(),
+                        deadline_ms,
+                        acknowledged_end,
+                        wait_ms,
+                        timeout_ms + POLL_TIMEOUT_MARGIN_MS,
+                    )
                     .await;
                 metric::poll(polled.is_ok());
                 match polled {
@@ -157,7 +168,25 @@
                 shard.order_answered(&link.id, &orders[index], answer, now(), unix_ms());
             });
         };
-        sender.send(ownership.epoch(), &orders, answered).await;
+        // The permission may have run out while the process was suspended or the orders waited.
+        if !ownership.may_send_orders() {
+            for index in 0..orders.len() {
+                answered(index, OrderAnswer::NotSent);
+            }
+            continue;
+        }
+        let timeout_ms = ownership
+            .with(|shard| shard.order_timeout_ms())
+            .unwrap_or_default();
+        let mut answered_and_timed = |index: usize, answer: OrderAnswer| {
+            let latency_ms = now().since(sent_at).get();
+            ownership.with(|shard| shard.order_took(latency_ms, answer, now()));
+            answered(index, answer);
+        };
+        let epoch = ownership.epoch();
+        sender
+            .send(epoch, &orders, timeout_ms, &mut answered_and_timed)
+            .await;
         link.poll_now.notify_one();
         ownership.events.notify_one();
     }
--- a/crates/vanillafold/tests/fleet/platform.rs
+++ b/crates/vanillafold/tests/fleet/platform.rs
@@ -268,6 +268,7 @@
         _deadline_ms: Option<u64>,
         _acknowledged_end: u64,
         _wait_ms: u64,
+        _timeout_ms: u64,
     ) -> Result<PollReport, OrderAnswer> {
         Err(OrderAnswer::NotSent)
     }
@@ -278,6 +279,7 @@
         &mut self,
         _epoch: Epoch,
         orders: &[Order],
+        _timeout_ms: u64,
         mut answered: impl FnMut(usize, OrderAnswer),
     ) {
         for index in 0..orders.len() {
