Let an owner that lost the store learn of the new owner before it joins

Another daemon took over after 1.7 s; when the network recovered at 39.0 s, a join that the earlier owner had sent meanwhile reached the store and dealt the shard anew: both ownerships ended, a third daemon took over at 39.5 s, and jobs waited for workers twice. The check for a new owner let the join pass when its own read of the store failed.

Change: without an answer to that read there is no join.

--- a/crates/vanillafold/src/fleet/membership.rs
+++ b/crates/vanillafold/src/fleet/membership.rs
@@ -58,7 +58,8 @@
                 .await;
             continue;
         }
-        if owns && close_if_superseded(&daemon, &mut store).await {
+        if owns && !may_join_again(&daemon, &mut store).await {
+            let _ = daemon.leaving.run_until_set(sleep(JOIN_RETRY_DELAY)).await;
             continue;
         }
         let sent_at = now();
@@ -103,18 +104,20 @@
     }
 }
 
-/// Ends this daemon's ownership, and returns true, if the shard went to another daemon while this
-/// one had no contact with the store. Joining without this check would take the shard back from its
-/// new owner.
-async fn close_if_superseded<P: FleetPlatform>(
-    daemon: &FleetDaemon<P>,
-    store: &mut P::Store,
-) -> bool {
+/// Returns whether an owner may join the group. After a loss of contact with the store it may only
+/// once the store has told it that the shard has not gone to another daemon; if it has, this ends
+/// the ownership.
+///
+/// A join without this knowledge would take the shard back from its new owner. That holds also for
+/// one that can't reach the store yet: when the network recovers, the store receives it before this
+/// daemon can learn anything.
+async fn may_join_again<P: FleetPlatform>(daemon: &FleetDaemon<P>, store: &mut P::Store) -> bool {
     let unconfirmed_ms = now().since(daemon.confirmed_at.get()).get();
     if unconfirmed_ms <= OWNER_ISOLATION_MS {
-        return false;
+        return true;
     }
     match owner::read_vacancy(daemon, store).await {
+        None => false,
         Some(false) if !daemon.owner_view.is_owner(&daemon.member) => {
             let ownership = daemon.ownership.borrow_mut().take();
             if let Some(ownership) = ownership {
@@ -123,9 +126,9 @@
                 );
             }
             daemon.shard_claimed.set(false);
-            true
+            false
         }
-        _ => false,
+        Some(_) => true,
     }
 }
 
--- a/crates/vanillafold/tests/fleet/ownership.rs
+++ b/crates/vanillafold/tests/fleet/ownership.rs
@@ -143,3 +143,46 @@
         assert_eq!(*answer.borrow(), Some(FleetAnswer::Undecided));
     });
 }
+
+// The zone of the owner is cut off, and another daemon takes over. When the network recovers, the
+// store receives what the earlier owner sent last. If that is a join, the shard goes back to it, and
+// callers see two more takeovers.
+#[test]
+fn an_owner_that_lost_the_store_does_not_join_before_it_knows_the_new_owner() {
+    run(async {
+        // Arrange: another daemon owns the shard since the owner was cut off.
+        let state = new_store();
+        let cut_off = start(&state, "cut-off", 500);
+        wait_until("the owner is ready", || cut_off.fleet_daemon.is_ready()).await;
+        let other = start(&state, "other", 500);
+        wait_until("the other is ready", || other.fleet_daemon.is_ready()).await;
+        cut_off.store_unreachable.set(true);
+        wait_until("the other takes over", || {
+            state.borrow().owner() == Some("other") && other.fleet_daemon.is_ready()
+        })
+        .await;
+        wait_until("the earlier owner is isolated", || {
+            cut_off.fleet_daemon.is_cut_off()
+        })
+        .await;
+        let joins_before = state.borrow().unreachable_joins;
+        let reads_before = state.borrow().unreachable_owner_reads;
+
+        // Act
+        wait_until("the earlier owner has tried several times", || {
+            state.borrow().unreachable_owner_reads >= reads_before + 4
+        })
+        .await;
+        let joins_after = state.borrow().unreachable_joins;
+        cut_off.store_unreachable.set(false);
+        wait_until("the earlier owner follows the new one", || {
+            cut_off.fleet_daemon.is_ready()
+        })
+        .await;
+
+        // Assert
+        assert_eq!(joins_after, joins_before);
+        assert_eq!(state.borrow().owner(), Some("other"));
+        assert_eq!(state.borrow().takeovers, 2);
+    });
+}
--- a/crates/vanillafold/tests/fleet/platform.rs
+++ b/crates/vanillafold/tests/fleet/platform.rs
@@ -50,6 +50,11 @@
     pub(crate) claims: u64,
     /// Number of claims rejected because another daemon had claimed the shard before.
     pub(crate) late_claims: u64,
+    /// Number of joins that were sent while the store was unreachable. The store may receive the
+    /// last one when the network recovers.
+    pub(crate) unreachable_joins: u64,
+    /// Number of reads of the group's members that failed because the store was unreachable.
+    pub(crate) unreachable_owner_reads: u64,
     /// Whether appends to the shard's records get no answer.
     pub(crate) hangs: bool,
     /// Number of reads of the shard's records that still have to fail. Only reads of a later page
@@ -124,6 +129,9 @@
         ttl_ms: u64,
         _generation: u64,
     ) -> Result<Membership, StoreError> {
+        if self.0.store_unreachable.get() {
+            self.0.state.borrow_mut().unreachable_joins += 1;
+        }
         self.simulate_call().await?;
         let mut state = self.0.state.borrow_mut();
         state.expire_members();
@@ -157,6 +165,9 @@
     }
 
     async fn partition_owners(&mut self, _group: &str) -> Result<Vec<PartitionOwner>, StoreError> {
+        if self.0.store_unreachable.get() {
+            self.0.state.borrow_mut().unreachable_owner_reads += 1;
+        }
         self.simulate_call().await?;
         let mut state = self.0.state.borrow_mut();
         state.expire_members();
