Move persistent tasks off VMs due for maintenance one by one

A VM was drained only when all persistent tasks on it might be unavailable at the same time. A step that may miss one task moves them one after the other, and stood still while another step's task on the same VM was not movable.

Change: each persistent task with such a limit moves as soon as its own step allows it and a VM that is not due has room; not while such tasks wait for room in that pool. The new test fails on the code before.

--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -77,6 +77,7 @@
     pub(super) dirty_waves: Vec<u64>,
     pub(super) pending_operations: Vec<PendingOperation>,
     pub(super) next_plan_at: MonotonicMillis,
+    pub(super) next_evacuation_at: MonotonicMillis,
     pub(super) advice: Vec<StepAdvice>,
     pub(super) advice_queries: Vec<AdviceQuery>,
     /// Open work by pool and organisation, for admission control.
@@ -141,6 +142,7 @@
             dirty_waves: Vec::new(),
             pending_operations: Vec::new(),
             next_plan_at: now,
+            next_evacuation_at: now,
             advice: Vec::new(),
             advice_queries: Vec::new(),
             backlog: Backlog::default(),
--- a/crates/vanillafold-jobs/src/shard/vm_operations.rs
+++ b/crates/vanillafold-jobs/src/shard/vm_operations.rs
@@ -9,7 +9,7 @@
 use crate::id::WorkerId;
 use crate::job::{Job, TaskStatus};
 use crate::spec::Resources;
-use crate::worker::{Run, RunPhase};
+use crate::worker::{Run, RunPhase, Worker};
 
 /// State of a VM on the platform.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -139,6 +139,9 @@
 /// Capacity planned for arriving work, in percent of the CPU that the work keeps busy. The excess
 /// clears the work that queues up until the capacity is there.
 const ARRIVAL_PERCENT: u64 = 120;
+/// Time between two passes that move persistent tasks off VMs that are due for maintenance, in
+/// milliseconds: a fraction of the time that one of them takes to start elsewhere.
+const EVACUATION_INTERVAL_MS: u64 = 200;
 /// Part of the platform's rate limit for VM operations that moves may use, in percent. Maintenance
 /// and repeats need the rest.
 const MOVES_RATE_PERCENT: u64 = 80;
@@ -447,10 +450,59 @@
             self.refresh_workers_due();
             return;
         }
-        self.start_maintenance(at, remaining, unavailable, now);
+        self.start_maintenance(at, remaining.clone(), unavailable, now);
+        if self.next_evacuation_at <= now {
+            self.next_evacuation_at = MonotonicMillis::new(now.get() + EVACUATION_INTERVAL_MS);
+            self.evacuate_persistent(&remaining, now);
+        }
         self.refresh_workers_due();
     }
 
+    /// Stops persistent runs on VMs that are due for maintenance, as far as the limits of their
+    /// steps allow and other VMs have capacity, so that they start there. `remaining` holds the
+    /// positions of the VMs.
+    ///
+    /// A step that may miss one task moves one after the other, and the step with the most tasks on
+    /// such VMs determines how long the wave takes. If its tasks waited for the other tasks on their
+    /// VMs to be movable too, the step would stand still for most of the time.
+    fn evacuate_persistent(&mut self, remaining: &[usize], now: MonotonicMillis) {
+        for position in remaining {
+            let Some(at) = self.maintainable_worker(&self.vms[*position]) else {
+                continue;
+            };
+            let worker = &self.workers[at];
+            // A pool in which such tasks wait already has no room for more.
+            let has_room = !self.unplaced_pools.contains(&worker.entry.pool);
+            let is_barred = worker.vm_operation_pending || worker.no_vm_operation_before > now;
+            if !has_room || worker.unresponsive || is_barred {
+                continue;
+            }
+            for run_at in 0..self.workers[at].runs.len() {
+                let run = &self.workers[at].runs[run_at];
+                let is_running = matches!(run.phase, RunPhase::Running { .. });
+                if run.persistent
+                    && is_running
+                    && self.has_unavailability_limit(run)
+                    && self.may_be_unavailable(run)
+                    && self.fits_where(run, now, |other| !self.is_due(other))
+                {
+                    self.order_stop(at, run_at, now);
+                }
+            }
+        }
+    }
+
+    /// Returns whether the VM of a worker is due for maintenance.
+    fn is_due(&self, worker: &Worker) -> bool {
+        self.is_worker_due_for_maintenance(&worker.entry.id)
+    }
+
+    /// Returns whether a run's step limits how many of its tasks may be unavailable.
+    fn has_unavailability_limit(&self, run: &Run) -> bool {
+        let step = self.described_step(run.task);
+        step.is_some_and(|(_, step)| step.max_unavailable.is_some())
+    }
+
     /// Starts the maintenance of as many VMs as a wave allows, or drains them for it. `remaining`
     /// holds the positions of its VMs whose maintenance has not started.
     fn start_maintenance(
@@ -630,16 +682,31 @@
 
     /// Returns whether another worker has capacity for a persistent run.
     fn fits_elsewhere(&self, at: usize, run: &Run, now: MonotonicMillis) -> bool {
-        let Some((_, step)) = self.described_step(run.task) else {
+        let here = &self.workers[at].entry;
+        self.fits_where(run, now, |worker| {
+            worker.entry.pool == here.pool && worker.entry.id != here.id
+        })
+    }
+
+    /// Returns whether a worker for which `may_run` is true has capacity for a persistent run, in
+    /// the pool where the run's queue is served.
+    fn fits_where(
+        &self,
+        run: &Run,
+        now: MonotonicMillis,
+        may_run: impl Fn(&Worker) -> bool,
+    ) -> bool {
+        let Some((job, step)) = self.described_step(run.task) else {
             return true;
         };
-        let pool = &self.workers[at].entry.pool;
-        self.workers.iter().enumerate().any(|(other, worker)| {
+        let queue = self.catalogue.queue(&job.spec.queue);
+        let pool = queue.map_or(&job.spec.pool, |queue| &queue.pool);
+        self.workers.iter().any(|worker| {
             let same_step = |row: &&Run| row.task.step_id() == run.task.step_id();
             let step_runs = worker.runs.iter().filter(same_step);
             let labels = &worker.entry.labels;
-            other != at
-                && worker.entry.pool == *pool
+            worker.entry.pool == *pool
+                && may_run(worker)
                 && worker.accepts_tasks(now)
                 && worker.entry.capacity.fits(worker.used, run.reservation)
                 && (step.required_label.is_empty() || labels.contains(&step.required_label))
--- a/crates/vanillafold-jobs/tests/shard/vms.rs
+++ b/crates/vanillafold-jobs/tests/shard/vms.rs
@@ -1,6 +1,6 @@
 //! Moves and maintenance of VMs.
 
-use vanillafold_jobs::{Shard, StepSpec, Vm, VmOperation, Wave};
+use vanillafold_jobs::{Order, Shard, StepSpec, Vm, VmOperation, Wave};
 
 use crate::fixture::{
     at, job, job_id, listed_run, poll, report, schedule_starts, shard_after_takeover,
@@ -266,3 +266,63 @@
 
     assert_eq!(operations, vec![operation]);
 }
+
+/// Two steps each have a task on both VMs of a wave, and each step may miss one. One of them is
+/// moving a task already, so that no VM can be emptied. The other step must not wait for it: the
+/// step with the most tasks on such VMs determines how long the wave takes.
+#[test]
+fn a_persistent_task_moves_off_a_vm_while_another_one_there_may_not() {
+    // Arrange: w1 and w2 run a task of each step, of which the first step's on w1 is not yet fully
+    // running. w3 and w4 are free.
+    let mut shard = shard_with_workers(&["w1", "w2"]);
+    let persistent_step = StepSpec {
+        persistent: true,
+        anti_affinity: 1,
+        max_unavailable: Some(1),
+        ..step(2)
+    };
+    for number in 1..=2 {
+        let spec = job(vec![persistent_step.clone()]);
+        shard.submit(job_id(number), spec, at(900), unix(900));
+    }
+    store_batches(&mut shard);
+    let starts = schedule_starts(&mut shard, 1_000);
+    for name in ["w1", "w2"] {
+        let mut poll_report = report(2_000);
+        for (task, run, _) in starts.iter().filter(|start| start.2 == name) {
+            let mut listed = listed_run(*task, *run);
+            if name == "w1" && task.job == job_id(1) {
+                listed.percent = 50;
+            }
+            poll_report.running.push(listed);
+        }
+        poll(&mut shard, name, &poll_report, 2_000);
+    }
+    let names = ["w1", "w2", "w3", "w4"];
+    shard.set_workers(names.map(worker_entry).to_vec(), at(2_100));
+    shard.set_vms(names.map(|name| vm(name, name)).to_vec(), at(2_100));
+    for name in ["w3", "w4"] {
+        poll(&mut shard, name, &report(2_100), 2_100);
+    }
+    let wave = Wave {
+        number: 1,
+        vms: vec!["w2".to_owned()],
+        duration_ms: 20_000,
+        max_unavailable: 1,
+    };
+    shard.add_wave(wave, at(2_200));
+
+    // Act
+    shard.schedule(at(2_300), unix(2_300));
+    let orders = shard.take_orders();
+
+    // Assert: only the second job's task on w2 is stopped.
+    let mut stopped = Vec::new();
+    for (worker, order) in orders {
+        if let Order::Stop { task, .. } = order {
+            stopped.push((worker.to_string(), task.job));
+        }
+    }
+    assert_eq!(starts.len(), 4);
+    assert_eq!(stopped, vec![("w2".to_owned(), job_id(2))]);
+}
