--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -78,6 +78,7 @@
     pub(super) pending_operations: Vec<PendingOperation>,
     pub(super) next_plan_at: MonotonicMillis,
     pub(super) next_evacuation_at: MonotonicMillis,
+    pub(super) next_wave_log_at: MonotonicMillis,
     pub(super) advice: Vec<StepAdvice>,
     pub(super) advice_queries: Vec<AdviceQuery>,
     /// Open work by pool and organisation, for admission control.
@@ -143,6 +144,7 @@
             pending_operations: Vec::new(),
             next_plan_at: now,
             next_evacuation_at: now,
+            next_wave_log_at: now,
             advice: Vec::new(),
             advice_queries: Vec::new(),
             backlog: Backlog::default(),
--- a/crates/vanillafold-jobs/src/shard/vm_operations.rs
+++ b/crates/vanillafold-jobs/src/shard/vm_operations.rs
@@ -139,6 +139,8 @@
 /// Capacity planned for arriving work, in percent of the CPU that the work keeps busy. The excess
 /// clears the work that queues up until the capacity is there.
 const ARRIVAL_PERCENT: u64 = 120;
+/// Time between two log lines about the progress of a maintenance wave, in milliseconds.
+const WAVE_LOG_INTERVAL_MS: u64 = 2_000;
 /// Time between two passes that move persistent tasks off VMs that are due for maintenance, in
 /// milliseconds: a fraction of the time that one of them takes to start elsewhere.
 const EVACUATION_INTERVAL_MS: u64 = 200;
@@ -450,6 +452,7 @@
             self.refresh_workers_due();
             return;
         }
+        self.log_wave(number, &remaining, unavailable, now);
         self.start_maintenance(at, remaining.clone(), unavailable, now);
         if self.next_evacuation_at <= now {
             self.next_evacuation_at = MonotonicMillis::new(now.get() + EVACUATION_INTERVAL_MS);
@@ -458,6 +461,38 @@
         self.refresh_workers_due();
     }
 
+    /// Logs the progress of a wave and what its next VM waits for, at most once every
+    /// [`WAVE_LOG_INTERVAL_MS`].
+    fn log_wave(
+        &mut self,
+        number: u64,
+        remaining: &[usize],
+        unavailable: u32,
+        now: MonotonicMillis,
+    ) {
+        if now < self.next_wave_log_at {
+            return;
+        }
+        self.next_wave_log_at = MonotonicMillis::new(now.get() + WAVE_LOG_INTERVAL_MS);
+        let Some(vm) = remaining.first().map(|position| &self.vms[*position]) else {
+            return;
+        };
+        let worker = vm.worker.as_ref().and_then(|id| self.worker_position(id));
+        let worker = worker.map(|at| &self.workers[at]);
+        let persistent = worker.map_or(0, |worker| {
+            worker.runs.iter().filter(|run| run.persistent).count()
+        });
+        log::info!(
+            wave = number, remaining = remaining.len(), in_maintenance = unavailable,
+            next_vm = vm.name.as_str(), state = format!("{:?}", vm.state),
+            has_worker = vm.worker.is_some(), known = worker.is_some(),
+            barred = self.is_operation_barred(vm, now),
+            unresponsive = worker.is_some_and(|worker| worker.unresponsive),
+            runs = worker.map_or(0, |worker| worker.runs.len()), persistent_runs = persistent;
+            "maintenance wave in progress"
+        );
+    }
+
     /// Stops persistent runs on VMs that are due for maintenance, as far as the limits of their
     /// steps allow and other VMs have capacity, so that they start there. `remaining` holds the
     /// positions of the VMs.
