Do not stop a persistent task after unanswered starts while its step may not miss it

By reading: after three start orders without an answer a run is stopped; it may have started meanwhile, and the stop ends it while another task of its step is away.

Change: such a start is repeated instead, under the same run number. The new test fails without it.

A registration is a struct.

--- a/crates/vanillafold-jobs/src/shard/schedule.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule.rs
@@ -758,6 +758,9 @@
     /// Repeats an unanswered start order under the same run number, after a poll that did not list
     /// the run. Stops the run instead, so that it can't start later, if [`MAX_START_ORDERS`] have
     /// been sent, the worker must not get new tasks, or the task is no longer placed there.
+    ///
+    /// A persistent task may have started since the poll. It is not stopped after
+    /// [`MAX_START_ORDERS`] while its step may not miss it.
     pub(super) fn retry_start(&mut self, at: usize, position: usize, now: MonotonicMillis) {
         let worker = &self.workers[at];
         let run = &worker.runs[position];
@@ -766,7 +769,9 @@
                 && matches!(&task.status, TaskStatus::Placed { worker: on } if *on == worker.entry.id)
         });
         let accepts_work = worker.listed && worker.entry.ready && !worker.draining;
-        let may_repeat = placed && accepts_work && run.start_orders < MAX_START_ORDERS;
+        let is_indispensable = run.persistent && !self.may_be_unavailable(run);
+        let may_repeat =
+            placed && accepts_work && (run.start_orders < MAX_START_ORDERS || is_indispensable);
         let spec = self.job(run.task.job).map(|job| Rc::clone(&job.spec));
         match spec.filter(|_| may_repeat) {
             Some(spec) => self.order_start(at, position, &spec, 0, now),
--- a/crates/vanillafold-jobs/tests/shard/workers.rs
+++ b/crates/vanillafold-jobs/tests/shard/workers.rs
@@ -1,6 +1,6 @@
 //! Workers that stop responding, and the runs that may still be in progress on them.
 
-use vanillafold_jobs::{EndKind, Order, OrderAnswer, PollPlan, Shard, WorkerId};
+use vanillafold_jobs::{EndKind, Order, OrderAnswer, PollPlan, Shard, StepSpec, WorkerId};
 
 use crate::fixture::{
     at, job, job_id, listed_end, listed_run, poll, report, schedule_starts, shard_with_workers,
@@ -246,3 +246,34 @@
     assert_eq!(after_the_latest_order.len(), 1);
     assert_ne!(after_the_latest_order[0].2, first.to_string());
 }
+
+/// Answers to orders are lost while two tasks of a step that may miss one start. Either may run by
+/// the time a stop order arrives, which would end it while the other one is not at work yet.
+#[test]
+fn a_persistent_task_that_its_step_may_not_miss_is_not_stopped_after_unanswered_starts() {
+    // Arrange
+    let mut shard = shard_with_workers(&["w1"]);
+    let persistent_step = StepSpec {
+        persistent: true,
+        max_unavailable: Some(1),
+        ..step(2)
+    };
+    shard.submit(job_id(1), job(vec![persistent_step]), at(900), unix(900));
+    store_batches(&mut shard);
+
+    // Act: each order gets no answer, and each poll lists nothing.
+    let mut kinds = Vec::new();
+    for round in 0..6 {
+        let ms = 1_000 + round * 400;
+        shard.schedule(at(ms), unix(ms));
+        for (worker, order) in shard.take_orders() {
+            kinds.push(matches!(order, Order::Start { .. }));
+            let lost = OrderAnswer::Unknown;
+            shard.order_answered(&worker, &order, lost, at(ms + 200), unix(ms + 200));
+        }
+        poll(&mut shard, "w1", &report(ms + 300), ms + 300);
+    }
+
+    // Assert
+    assert_eq!(kinds, vec![true; 12]);
+}
--- a/crates/vanillafold/src/fleet/workers.rs
+++ b/crates/vanillafold/src/fleet/workers.rs
@@ -192,8 +192,14 @@
     }
 }
 
-/// A worker's registration: the record's key, and the entry; `None` if the record is malformed.
-type Registration = (String, Option<WorkerEntry>);
+/// A worker's registration in the store.
+#[derive(Debug)]
+struct Registration {
+    /// Key of the record.
+    key: String,
+    /// `None` if the record is malformed.
+    entry: Option<WorkerEntry>,
+}
 
 /// Reads the workers' registrations, then periodically their changes, and passes them to the
 /// shard. Changes are passed at once, and the whole list every [`WORKER_LIST_INTERVAL`].
@@ -228,7 +234,7 @@
                     |at: MonotonicMillis| now().since(at).duration() < WORKER_LIST_INTERVAL;
                 if !listed_at.is_some_and(is_recent) {
                     listed_at = Some(now());
-                    let entries = registrations.iter().filter_map(|row| row.1.clone());
+                    let entries = registrations.iter().filter_map(|row| row.entry.clone());
                     let entries = entries.collect();
                     ownership.with(|shard| shard.set_workers(entries, now()));
                     changed = true;
@@ -259,7 +265,7 @@
     registrations: &mut Vec<Registration>,
     change: &KeyedRow,
 ) -> bool {
-    let found = registrations.binary_search_by(|row| row.0.cmp(&change.key));
+    let found = registrations.binary_search_by(|row| row.key.cmp(&change.key));
     if change.value.is_empty() {
         if let Ok(index) = found {
             registrations.remove(index);
@@ -275,11 +281,15 @@
     };
     let is_changed = match found {
         Ok(index) => {
-            let before = std::mem::replace(&mut registrations[index].1, entry.clone());
+            let before = std::mem::replace(&mut registrations[index].entry, entry.clone());
             before != entry
         }
         Err(index) => {
-            registrations.insert(index, (change.key.clone(), entry.clone()));
+            let registration = Registration {
+                key: change.key.clone(),
+                entry: entry.clone(),
+            };
+            registrations.insert(index, registration);
             true
         }
     };
