Let a task wait for all workers when a run that was taken over ends

The earlier owner, turned away by the store, had run a task three times; the new owner took over the third run while it was in progress, it failed, and its task was started again 49 ms later, before the other workers' failed runs were counted. The same order of events could start a task that a silent worker still runs.

Change: while a job is not accounted for, a run that ends leaves its task unaccounted too. The new test starts the task on the code before.

--- a/crates/vanillafold-jobs/src/shard/ends.rs
+++ b/crates/vanillafold-jobs/src/shard/ends.rs
@@ -57,6 +57,12 @@
         };
         let spec = std::rc::Rc::clone(&job.spec);
         let step_spec = &spec.steps[usize::from(task.step)];
+        // While workers have not responded, one of them may run the task or hold a failed run of it
+        // that counts.
+        let unfinished = match job.unaccounted {
+            true => TaskStatus::Unaccounted,
+            false => TaskStatus::Waiting { since: now },
+        };
         let Some(at) = job.occurrence_position(task.occurrence) else {
             return;
         };
@@ -86,11 +92,11 @@
                 self.complete_if_done(task, now, now_unix_ms);
             }
             EndKind::Failed if !step_spec.persistent => {
-                step.set_status(task.index, TaskStatus::Waiting { since: now });
+                step.set_status(task.index, unfinished);
                 let run = step.tasks[usize::from(task.index)].run;
                 self.count_failed_run(task, run, now, now_unix_ms);
             }
-            _ => step.set_status(task.index, TaskStatus::Waiting { since: now }),
+            _ => step.set_status(task.index, unfinished),
         }
         if step_spec.gang {
             self.share_gang_checkpoint(task);
--- a/crates/vanillafold-jobs/tests/shard/takeover.rs
+++ b/crates/vanillafold-jobs/tests/shard/takeover.rs
@@ -159,3 +159,32 @@
         Some("completed".to_owned())
     );
 }
+
+/// The new owner takes over a run that is in progress, and the run fails before the other worker has
+/// responded. That worker holds two more failed runs of the task, so that no attempt is left.
+#[test]
+fn a_task_whose_run_was_taken_over_is_not_restarted_before_all_workers_have_responded() {
+    let task = task(job_id(1), 0);
+    let mut shard = shard_after_takeover(job(vec![step(1)]), &["w1", "w2"]);
+    let mut running = report(10_000);
+    running.running.push(listed_run(task, 7));
+    let mut failed = report(10_100);
+    failed.ended.push(listed_end(1, task, 7, EndKind::Failed));
+    let mut earlier = report(10_000);
+    earlier.ended.push(listed_end(1, task, 5, EndKind::Failed));
+    earlier.ended.push(listed_end(2, task, 6, EndKind::Failed));
+
+    poll(&mut shard, "w1", &running, 10);
+    poll(&mut shard, "w1", &failed, 110);
+    let before = schedule_starts(&mut shard, 120);
+    poll(&mut shard, "w2", &earlier, 130);
+    let after = schedule_starts(&mut shard, 140);
+    store_batches(&mut shard);
+
+    assert_eq!(before, vec![]);
+    assert_eq!(after, vec![]);
+    assert_eq!(
+        shard.state(job_id(1)).map(|state| state.to_string()),
+        Some("failed".to_owned())
+    );
+}
