--- a/crates/vanillafold/src/fleet/daemon.rs
+++ b/crates/vanillafold/src/fleet/daemon.rs
@@ -30,7 +30,7 @@
 /// health checks, a second apart; until then callers must not see a refused connection.
 const UNREADY_GRACE: Duration = Duration::from_millis(2_500);
 /// Time that requests in flight may take after [`UNREADY_GRACE`].
-const DRAIN_TIMEOUT: Duration = Duration::from_millis(1_200);
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time for sending the answers to requests that are given up after [`DRAIN_TIMEOUT`]. Together
 /// with the times before, a stop takes less than the 6 s after which the platform kills a process.
 const FINAL_ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
