Count a completed run whatever run of its task is the newest; say and write things once

Found by reading: an owner that has taken over a newer run, which has failed since, ignored the end of an older run that had completed, acknowledged it and started the task again. The new test starts it on the code before.

An eviction asked for room in the pool of the VM and in that of the job's queue, so that a persistent task whose queue had moved to another pool could not leave a VM. It asks in the queue's pool, where the task would start.

The loop over persistent runs stood twice, a wave three times in the tests. Comments of admission, flow, start rate and the worker's client say what the code does.

--- a/crates/vanillafold-jobs/src/shard/start_rate.rs
+++ b/crates/vanillafold-jobs/src/shard/start_rate.rs
@@ -5,7 +5,7 @@
 /// Period over which starts are counted, in milliseconds.
 const PERIOD_MS: u64 = 1_000;
 
-/// Counts starts by period, and whether tasks had to wait for the flow control of orders.
+/// Counts starts by period, and whether the flow control of orders was the limit.
 #[derive(Debug)]
 pub(super) struct StartRate {
     period_began_at: MonotonicMillis,
@@ -26,8 +26,8 @@
         }
     }
 
-    /// Records the result of a scheduling pass: the number of starts, and whether flow control left
-    /// tasks waiting for which there was room.
+    /// Records the result of a scheduling pass: the number of starts, and whether they used up what
+    /// flow control allows.
     pub(super) fn record(&mut self, starts: u64, limited: bool, now: MonotonicMillis) {
         let elapsed_ms = now.since(self.period_began_at).get();
         if elapsed_ms >= PERIOD_MS {
--- a/crates/vanillafold-jobs/src/shard/waves.rs
+++ b/crates/vanillafold-jobs/src/shard/waves.rs
@@ -234,17 +234,29 @@
             if !has_room || worker.unresponsive || is_barred {
                 continue;
             }
-            for run_at in 0..self.workers[at].runs.len() {
-                let run = &self.workers[at].runs[run_at];
-                let is_running = matches!(run.phase, RunPhase::Running { .. });
-                if run.persistent
-                    && is_running
-                    && self.has_unavailability_limit(run)
-                    && self.may_be_unavailable(run)
-                    && self.fits_where(run, now, |other| !self.is_due(other))
-                {
-                    self.order_stop(at, run_at, now);
-                }
+            self.stop_persistent(at, now, |shard, run| {
+                shard.has_unavailability_limit(run)
+                    && shard.fits_where(run, now, |other| !shard.is_due(other))
+            });
+        }
+    }
+
+    /// Stops the persistent runs on a worker for which `may_move` is true, as far as the limits of
+    /// their steps allow.
+    fn stop_persistent(
+        &mut self,
+        at: usize,
+        now: MonotonicMillis,
+        may_move: impl Fn(&Self, &Run) -> bool,
+    ) {
+        for position in 0..self.workers[at].runs.len() {
+            let run = &self.workers[at].runs[position];
+            if run.persistent
+                && matches!(run.phase, RunPhase::Running { .. })
+                && self.may_be_unavailable(run)
+                && may_move(self, run)
+            {
+                self.order_stop(at, position, now);
             }
         }
     }
@@ -413,25 +425,13 @@
         if self.is_settling(now) {
             return;
         }
-        for position in 0..self.workers[at].runs.len() {
-            let run = &self.workers[at].runs[position];
-            let running = matches!(run.phase, RunPhase::Running { .. });
-            if run.persistent
-                && running
-                && self.may_be_unavailable(run)
-                && self.fits_elsewhere(at, run, now)
-            {
-                self.order_stop(at, position, now);
-            }
-        }
+        self.stop_persistent(at, now, |shard, run| shard.fits_elsewhere(at, run, now));
     }
 
     /// Returns whether another worker has capacity for a persistent run.
     fn fits_elsewhere(&self, at: usize, run: &Run, now: MonotonicMillis) -> bool {
-        let here = &self.workers[at].entry;
-        self.fits_where(run, now, |worker| {
-            worker.entry.pool == here.pool && worker.entry.id != here.id
-        })
+        let here = &self.workers[at].entry.id;
+        self.fits_where(run, now, |worker| worker.entry.id != *here)
     }
 
     /// Returns whether a worker for which `may_run` is true has capacity for a persistent run, in
--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -412,8 +412,8 @@
     }
 
     /// Processes the end of a run that is not tracked, because an earlier owner started it or it
-    /// was treated as lost. The newest run of a task decides its status, but failed runs always
-    /// count.
+    /// was treated as lost. The newest run of a task decides its status, but a completed one
+    /// completes it, and failed runs always count.
     fn process_untracked_end(&mut self, end: &ListedEnd, now: MonotonicMillis, now_unix_ms: u64) {
         let Some(task) = self.open_task(end.task) else {
             return;
@@ -422,8 +422,12 @@
             task.status,
             TaskStatus::Unaccounted | TaskStatus::Waiting { .. }
         );
+        let is_newest = end.run >= task.run;
         match end.kind {
-            _ if unplaced && end.run >= task.run => {
+            EndKind::Done if unplaced && !is_newest => {
+                self.apply_end(end.task, end.kind, &end.checkpoint, now, now_unix_ms);
+            }
+            _ if unplaced && is_newest => {
                 self.set_task_run(end.task, end.run);
                 self.apply_end(end.task, end.kind, &end.checkpoint, now, now_unix_ms);
             }
--- a/crates/vanillafold-jobs/tests/shard/takeover.rs
+++ b/crates/vanillafold-jobs/tests/shard/takeover.rs
@@ -188,3 +188,29 @@
         Some("failed".to_owned())
     );
 }
+
+/// A run that the earlier owner had treated as lost has completed on a worker that responds late.
+/// The newer run was taken over and has failed: its task must not start again.
+#[test]
+fn an_older_run_that_completed_keeps_its_task_from_starting_again() {
+    let task = task(job_id(1), 0);
+    let mut shard = shard_after_takeover(job(vec![step(1)]), &["w1", "w2"]);
+    let mut running = report(10_000);
+    running.running.push(listed_run(task, 7));
+    let mut failed = report(10_100);
+    failed.ended.push(listed_end(1, task, 7, EndKind::Failed));
+    let mut done = report(10_000);
+    done.ended.push(listed_end(1, task, 5, EndKind::Done));
+
+    poll(&mut shard, "w1", &running, 10);
+    poll(&mut shard, "w1", &failed, 110);
+    poll(&mut shard, "w2", &done, 130);
+    let started = schedule_starts(&mut shard, 140);
+    store_batches(&mut shard);
+
+    assert_eq!(started, vec![]);
+    assert_eq!(
+        shard.state(job_id(1)).map(|state| state.to_string()),
+        Some("completed".to_owned())
+    );
+}
--- a/crates/vanillafold-jobs/tests/shard/vms.rs
+++ b/crates/vanillafold-jobs/tests/shard/vms.rs
@@ -195,17 +195,24 @@
     assert_eq!(maintenance_under_a_persistent_task(4_990), (1, false));
 }
 
+/// Returns a wave of which one VM may be unavailable.
+fn wave_over(vms: Vec<String>) -> Wave {
+    Wave {
+        number: 1,
+        vms,
+        duration_ms: 20_000,
+        max_unavailable: 1,
+    }
+}
+
 /// Returns a shard with three empty VMs and a wave over them of which one may be unavailable, and
 /// the operation that it issued for the first.
 fn wave_in_progress() -> (Shard, VmOperation) {
     let mut shard = shard_with_workers(&["w1", "w2", "w3"]);
-    let wave = Wave {
-        number: 1,
-        vms: vec!["w1".to_owned(), "w2".to_owned(), "w3".to_owned()],
-        duration_ms: 20_000,
-        max_unavailable: 1,
-    };
-    shard.add_wave(wave, at(0));
+    shard.add_wave(
+        wave_over(vec!["w1".to_owned(), "w2".to_owned(), "w3".to_owned()]),
+        at(0),
+    );
     schedule_starts(&mut shard, 4_000);
     let operation = shard.take_vm_operations().remove(0);
     (shard, operation)
@@ -304,13 +311,7 @@
     for name in ["w3", "w4"] {
         poll(&mut shard, name, &report(2_100), 2_100);
     }
-    let wave = Wave {
-        number: 1,
-        vms: vec!["w2".to_owned()],
-        duration_ms: 20_000,
-        max_unavailable: 1,
-    };
-    shard.add_wave(wave, at(2_200));
+    shard.add_wave(wave_over(vec!["w2".to_owned()]), at(2_200));
 
     // Act
     shard.schedule(at(2_300), unix(2_300));
@@ -342,13 +343,7 @@
         .push(listed_run(crate::fixture::task(job_id(1), 0), 7));
     poll(&mut shard, "w1", &running, 10);
     poll(&mut shard, "w2", &report(10_000), 10);
-    let wave = Wave {
-        number: 1,
-        vms: vec!["w1".to_owned()],
-        duration_ms: 20_000,
-        max_unavailable: 1,
-    };
-    shard.add_wave(wave, at(20));
+    shard.add_wave(wave_over(vec!["w1".to_owned()]), at(20));
     shard.schedule(at(ms), unix(ms));
     let is_stop = |row: &(_, Order)| matches!(row.1, Order::Stop { .. });
     let orders = shard.take_orders();
--- a/crates/vanillafold-policy/src/jobs/admission.rs
+++ b/crates/vanillafold-policy/src/jobs/admission.rs
@@ -43,7 +43,8 @@
 ///
 /// Guards as well against a burst of all queues together that asks for more starts than the owner
 /// can send. A job whose tasks could only start after `max_useful_latency_ms` is refused, whoever
-/// sends it, and its caller is asked to return when half of the waiting tasks are started.
+/// sends it, and its caller is asked to return when the waiting tasks take half of that time to
+/// start.
 #[must_use]
 pub fn admit(input: AdmissionInput) -> Admission {
     let drain_ms = (input.queued_core_ms + input.job_core_ms) / input.cores.max(1);
--- a/crates/vanillafold-policy/src/jobs/flow.rs
+++ b/crates/vanillafold-policy/src/jobs/flow.rs
@@ -19,7 +19,7 @@
 const MAX_TIMEOUT_MS: f64 = 800.0;
 /// Latency above which orders are waiting for this daemon's link or processor, in milliseconds.
 const MAX_QUEUEING_MS: u64 = 150;
-/// Orders that may be unanswered at first: those of a burst on a site with an idle owner.
+/// Window in orders before any latency is known.
 const INITIAL_WINDOW: f64 = 256.0;
 /// Minimum window in orders. With the usual latency it still carries thousands of orders a second.
 const MIN_WINDOW: f64 = 16.0;
--- a/crates/vanillafold-policy/tests/jobs.rs
+++ b/crates/vanillafold-policy/tests/jobs.rs
@@ -207,8 +207,7 @@
     load
 }
 
-/// The users' small twin: a link of 2 Mbit/s carries about 200 orders a second, and the queues ask
-/// for 350.
+/// A link of 2 Mbit/s carries about 200 orders a second, and the queues ask for 350.
 #[test]
 fn on_a_narrow_link_orders_neither_pile_up_nor_time_out() {
     let without = send_through_link(200, |_| 256, |_| 120);
@@ -220,7 +219,7 @@
     assert!(with.answered_in_time >= 1_900, "found {with:?}");
 }
 
-/// The users' large site: 2,600 starts a second, which the owner's link carries at once.
+/// A burst of 2,600 starts a second, which the owner's link carries at once.
 #[test]
 fn on_a_wide_link_the_window_does_not_limit_a_burst() {
     let load = send_through_link(3_000, OrderFlow::window, OrderFlow::timeout_ms);
@@ -281,7 +280,7 @@
     (most, progress.remaining)
 }
 
-/// The users' large site: a wave over half of the fleet begins 0.6 s before a burst that needs all
+/// A wave over half of a fleet of 1,100 VMs begins 0.6 s before a burst that needs all
 /// VMs.
 #[test]
 fn a_wave_leaves_most_vms_to_the_burst_and_ends_in_time() {
