Name the runs of a lost worker in the log, and count lost workers

Change: 'worker lost with its runs' names the runs with the evidence, the fresh ones apart; vanillafold_worker_losses_total counts lost workers by evidence. No decision changes.

--- a/crates/vanillafold-jobs/src/lib.rs
+++ b/crates/vanillafold-jobs/src/lib.rs
@@ -21,8 +21,8 @@
 pub use job::JobState;
 pub use record::{JobOutcome, JobProgress, OccurrenceProgress, Record, RecordError, StepProgress};
 pub use shard::{
-    Advice, AdviceQuery, Batch, CancelOutcome, Catalogue, Order, OrganisationInfo, PollPlan,
-    PoolInfo, QueueInfo, Settings, Shard, SubmitOutcome, Vm, VmOperation, VmState, Wave,
+    Advice, AdviceQuery, Batch, CancelOutcome, Catalogue, LossCounts, Order, OrganisationInfo,
+    PollPlan, PoolInfo, QueueInfo, Settings, Shard, SubmitOutcome, Vm, VmOperation, VmState, Wave,
     WaveStatus,
 };
 pub use spec::{JobSpec, Repeat, Resources, SpecError, StepSpec};
--- a/crates/vanillafold-jobs/src/shard/mod.rs
+++ b/crates/vanillafold-jobs/src/shard/mod.rs
@@ -5,6 +5,7 @@
 mod backlog;
 mod catalogue;
 mod ends;
+mod losses;
 mod moves;
 mod orders;
 mod pacing;
@@ -22,6 +23,7 @@
 
 pub use advice::{Advice, AdviceQuery};
 pub use catalogue::{Catalogue, OrganisationInfo, PoolInfo, QueueInfo};
+pub use losses::LossCounts;
 pub use orders::{Order, PollPlan};
 pub use root::Shard;
 pub use settings::Settings;
--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -9,6 +9,7 @@
 use super::arrivals::Arrivals;
 use super::backlog::Backlog;
 use super::catalogue::Catalogue;
+use super::losses::LossCounts;
 use super::orders::Order;
 use super::settings::Settings;
 use super::start_rate::StartRate;
@@ -47,6 +48,7 @@
     pub(super) workers: Vec<Worker>,
     /// Incremented when workers are added or removed, or an address changes.
     pub(super) workers_version: u64,
+    pub(super) loss_counts: LossCounts,
     /// Workers that an operation on their VM has ended and that are still in the list of workers.
     pub(super) removed_workers: Vec<WorkerId>,
     /// Resources that the runs of each organisation use, sorted by the organisation's name.
@@ -125,6 +127,7 @@
             finished_with_spec: Vec::new(),
             workers: Vec::new(),
             workers_version: 0,
+            loss_counts: LossCounts::default(),
             removed_workers: Vec::new(),
             usage: Vec::new(),
             orders: Vec::new(),
--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -8,8 +8,8 @@
 use crate::job::TaskStatus;
 use crate::spec::StepSpec;
 use crate::worker::{
-    AckCondition, EndKind, ListedEnd, ListedRun, OrderAnswer, PollReport, Run, RunPhase,
-    UnacknowledgedEnd, Worker, WorkerEntry,
+    AckCondition, EndKind, ListedEnd, ListedRun, LossEvidence, OrderAnswer, PollReport, Run,
+    RunPhase, UnacknowledgedEnd, Worker, WorkerEntry,
 };
 
 /// Time until the next poll after the second and each further failed poll in a row, in
@@ -235,6 +235,7 @@
     /// Ends all runs of a worker because another worker answers at its address.
     fn worker_replaced(&mut self, at: usize, now: MonotonicMillis, now_unix_ms: u64) {
         log::info!(worker = self.workers[at].entry.id.as_str(); "another worker answers at the address; runs of the earlier one are lost");
+        self.record_worker_loss(at, LossEvidence::Replaced, |_| true);
         self.end_lost_runs(at, |_| true, now, now_unix_ms);
         let worker = &mut self.workers[at];
         worker.unresponsive = true;
@@ -271,6 +272,7 @@
                     worker = worker.entry.id.as_str(), runs = lost_runs;
                     "leases of an unresponsive worker have expired; these runs are lost"
                 );
+                self.record_worker_loss(at, LossEvidence::LeasesExpired, is_lost);
                 self.end_lost_runs(at, is_lost, now, now_unix_ms);
             }
         }
@@ -299,6 +301,7 @@
         let worker = &mut self.workers[at];
         worker.set_started(report.started_unix_ms);
         worker.read_clock(report.clock_ms, now);
+        worker.answered_at = now;
         if !worker.responded {
             // An earlier owner may have granted leases up to this time.
             worker.extend_lease(report.clock_ms + lease_ms);
@@ -355,6 +358,7 @@
         now_unix_ms: u64,
     ) {
         log::info!(worker = self.workers[at].entry.id.as_str(); "worker has restarted");
+        self.record_worker_loss(at, LossEvidence::Restarted, |_| true);
         let lost = self.workers[at].begin_incarnation();
         // Orders for the previous incarnation may have been carried out in this one. Their
         // deadlines refer to another clock, and the worker caps them at its maximum lease.
@@ -663,6 +667,9 @@
             }
             _ => {}
         }
+        if !matches!(answer, OrderAnswer::Unknown | OrderAnswer::NotSent) {
+            self.workers[at].answered_at = now;
+        }
         match order {
             Order::Start { task, run, .. } => {
                 self.start_answered(at, *task, *run, answer, now, now_unix_ms);
--- a/crates/vanillafold-jobs/src/worker/state.rs
+++ b/crates/vanillafold-jobs/src/worker/state.rs
@@ -15,6 +15,9 @@
 /// How long after sending an unanswered order may still be carried out, in milliseconds. The
 /// platform guarantees this bound.
 const MAX_ORDER_DELAY_MS: u64 = 12_000;
+/// How long a run counts as fresh, in milliseconds. A task that crashes its worker at the start does
+/// so in this time.
+const FRESH_RUN_MS: u64 = 1_000;
 /// Number of jobs with a failed run that are remembered for each worker. An entry matters only
 /// until the failed task has run again.
 const MAX_FAILED_JOBS: usize = 16;
@@ -72,6 +75,12 @@
         matches!(self.phase, RunPhase::Starting | RunPhase::Running { .. })
     }
 
+    /// Returns whether the run is not known to have lasted for [`FRESH_RUN_MS`], if its worker last
+    /// answered at `answered_at`.
+    pub(crate) const fn is_fresh(&self, answered_at: MonotonicMillis) -> bool {
+        answered_at.since(self.started_at).get() < FRESH_RUN_MS
+    }
+
     /// Returns whether an unanswered order may still start the run if its worker restarts under the
     /// same id. Neither the order's deadline nor a stop order is effective in another incarnation.
     pub(crate) fn may_still_start(&self, now: MonotonicMillis) -> bool {
@@ -130,6 +139,8 @@
     /// Whether the last order or poll got no answer from the worker. Also true if the worker has a
     /// new address and has not answered there yet, or has been replaced by another worker.
     pub(crate) unresponsive: bool,
+    /// When an order or poll was last answered.
+    pub(crate) answered_at: MonotonicMillis,
     /// When an order or poll last got no answer.
     pub(crate) answer_lost_at: Option<MonotonicMillis>,
     /// Whether the worker gets no new tasks because its VM is to be moved or maintained.
@@ -181,6 +192,7 @@
             listed: true,
             responded: false,
             unresponsive: false,
+            answered_at: MonotonicMillis::ZERO,
             answer_lost_at: None,
             draining: false,
             vm_operation_pending: false,
--- a/crates/vanillafold/src/fleet/metric.rs
+++ b/crates/vanillafold/src/fleet/metric.rs
@@ -1,7 +1,7 @@
 //! Metrics of a fleet daemon, as listed in docs/METRICS.md.
 
 use metrics::{counter, histogram};
-use vanillafold_jobs::{Order, OrderAnswer};
+use vanillafold_jobs::{LossCounts, Order, OrderAnswer};
 use vanillafold_policy::MonotonicMillis;
 
 use super::time::now;
@@ -91,3 +91,15 @@
     };
     counter!("vanillafold_machine_orders_total", "outcome" => outcome).increment(1);
 }
+
+/// Counts the workers that were lost with runs since `before`.
+pub(crate) fn worker_losses(before: LossCounts, now: LossCounts) {
+    let rows = [
+        ("restarted", now.restarted - before.restarted),
+        ("replaced", now.replaced - before.replaced),
+        ("leases_expired", now.leases_expired - before.leases_expired),
+    ];
+    for (evidence, count) in rows.into_iter().filter(|row| row.1 > 0) {
+        counter!("vanillafold_worker_losses_total", "evidence" => evidence).increment(count);
+    }
+}
--- a/crates/vanillafold/src/fleet/ownership.rs
+++ b/crates/vanillafold/src/fleet/ownership.rs
@@ -7,7 +7,8 @@
 use local_sync::oneshot;
 use monoio::time::{sleep, timeout};
 use vanillafold_jobs::{
-    AdviceQuery, CancelOutcome, Epoch, JobId, Record, Shard, SubmitOutcome, Wave, WorkerId,
+    AdviceQuery, CancelOutcome, Epoch, JobId, LossCounts, Record, Shard, SubmitOutcome, Wave,
+    WorkerId,
 };
 use vanillafold_policy::MonotonicMillis;
 use vanillafold_wire::{Latch, Notify};
@@ -60,6 +61,8 @@
     pub(crate) links: RefCell<Vec<Rc<WorkerLink>>>,
     /// Version of the shard's workers that `links` corresponds to.
     pub(crate) linked_version: Cell<u64>,
+    /// Lost workers that the metrics have counted.
+    counted_losses: Cell<LossCounts>,
     /// Set when the ownership ends.
     pub(crate) closed: Latch,
     /// Notified by events after which the scheduler should run.
@@ -92,6 +95,7 @@
             waiters: RefCell::new(Vec::new()),
             links: RefCell::new(Vec::new()),
             linked_version: Cell::new(0),
+            counted_losses: Cell::new(LossCounts::default()),
             closed: Latch::default(),
             events: Notify::default(),
             records_ready: Notify::default(),
@@ -334,6 +338,9 @@
             return;
         }
         self.with(|shard| shard.schedule(now(), unix_ms()));
+        if let Some(losses) = self.with(|shard| shard.loss_counts()) {
+            metric::worker_losses(self.counted_losses.replace(losses), losses);
+        }
         let fenced = self.with(|shard| shard.is_fenced()).unwrap_or(false);
         if fenced {
             self.close("a worker has received a request of a later owner");
