--- a/crates/vanillafold-jobs/tests/shard/workers.rs
+++ b/crates/vanillafold-jobs/tests/shard/workers.rs
@@ -1,6 +1,8 @@
 //! Workers that stop responding, and the runs that may still be in progress on them.
 
-use vanillafold_jobs::{EndKind, Order, OrderAnswer, PollPlan, Shard, StepSpec, WorkerId};
+use vanillafold_jobs::{
+    EndKind, Order, OrderAnswer, PollPlan, Resources, Shard, StepSpec, WorkerEntry, WorkerId,
+};
 
 use crate::fixture::{
     at, job, job_id, listed_end, listed_run, poll, report, schedule_starts, shard_with_workers,
@@ -277,3 +279,49 @@
     // Assert
     assert_eq!(kinds, vec![true; 12]);
 }
+
+/// The repeated order started the run although the worker's capacity had shrunk meanwhile.
+#[test]
+fn an_unanswered_start_is_not_repeated_on_a_worker_whose_capacity_has_shrunk_below_it() {
+    let (mut shard, first, _) = unanswered_start();
+    let shrunk = WorkerEntry {
+        capacity: Resources {
+            cpu_millis: 500,
+            ..worker_entry(first.as_str()).capacity
+        },
+        ..worker_entry(first.as_str())
+    };
+    shard.update_worker(shrunk, at(1_505));
+
+    poll(&mut shard, first.as_str(), &report(1_510), 1_510);
+    let order = first_order(&mut shard, 1_511).expect("an order");
+
+    assert!(matches!(order.1, Order::Stop { .. }), "{order:?}");
+}
+
+/// A worker with less capacity than its runs reserve gets no task until enough of them have ended.
+#[test]
+fn a_worker_whose_capacity_shrinks_and_grows_gets_tasks_only_for_the_room_it_has() {
+    let with_cpu = |cpu_millis: u64| WorkerEntry {
+        capacity: Resources {
+            cpu_millis,
+            ..worker_entry("w1").capacity
+        },
+        ..worker_entry("w1")
+    };
+    let mut shard = shard_with_workers(&["w1"]);
+    shard.submit(job_id(1), job(vec![step(3)]), at(900), unix(900));
+    store_batches(&mut shard);
+    let first = schedule_starts(&mut shard, 1_000);
+    shard.submit(job_id(2), job(vec![step(3)]), at(1_050), unix(1_050));
+    store_batches(&mut shard);
+
+    shard.update_worker(with_cpu(2_000), at(1_100));
+    let while_shrunk = schedule_starts(&mut shard, 1_200);
+    shard.update_worker(with_cpu(5_000), at(1_300));
+    let after_growth = schedule_starts(&mut shard, 1_400);
+
+    assert_eq!(first.len(), 3);
+    assert_eq!(while_shrunk, vec![]);
+    assert_eq!(after_growth.len(), 2);
+}
--- a/crates/vanillafold-standin/src/job_simulation/options.rs
+++ b/crates/vanillafold-standin/src/job_simulation/options.rs
@@ -24,6 +24,10 @@
     pub delayed_order_permille: u64,
     /// The chance that the store becomes unavailable for some seconds.
     pub store_outage_permille_per_s: u64,
+    /// The share of jobs, in thousandths, with a task that crashes each worker that starts it.
+    pub deadly_job_permille: u64,
+    /// The chance that a worker's capacity shrinks, or grows back.
+    pub capacity_change_permille_per_s: u64,
 }
 
 impl Default for SimulationOptions {
@@ -38,6 +42,8 @@
             worker_crash_permille_per_s: 60,
             delayed_order_permille: 30,
             store_outage_permille_per_s: 80,
+            deadly_job_permille: 0,
+            capacity_change_permille_per_s: 0,
         }
     }
 }
--- a/crates/vanillafold-standin/src/job_simulation/violation.rs
+++ b/crates/vanillafold-standin/src/job_simulation/violation.rs
@@ -52,6 +52,22 @@
         /// The task concerned.
         task: TaskId,
     },
+    /// A task that crashes its workers was started three times more after three had crashed.
+    #[error("{at_ms} ms: {task} started three times more after three workers had crashed under it")]
+    CrashesExceeded {
+        /// The simulated time of the violation.
+        at_ms: u64,
+        /// The task concerned.
+        task: TaskId,
+    },
+    /// A job failed, though no task of it crashes workers or has failed as often as allowed.
+    #[error(
+        "job {job} failed, though none of its tasks crashes workers or failed as often as allowed"
+    )]
+    GivenUpWithoutCause {
+        /// The job's id.
+        job: JobId,
+    },
     /// A task was started more than 3 s after the cancellation of its job was acknowledged.
     #[error("{at_ms} ms: {task} started after its job was cancelled")]
     StartAfterCancellation {
--- a/crates/vanillafold-standin/tests/jobs_world/main.rs
+++ b/crates/vanillafold-standin/tests/jobs_world/main.rs
@@ -111,6 +111,66 @@
     assert_eq!(violations(0..SEEDS, options), Vec::<String>::new());
 }
 
+/// Lost runs were not counted, so a task that crashes its workers took one after the other.
+#[test]
+fn a_task_that_crashes_its_workers_is_given_up_and_the_tasks_beside_it_are_not() {
+    let options = SimulationOptions {
+        owner_loss_permille_per_s: 0,
+        worker_partition_permille_per_s: 0,
+        worker_crash_permille_per_s: 0,
+        delayed_order_permille: 0,
+        store_outage_permille_per_s: 0,
+        deadly_job_permille: 100,
+        ..SimulationOptions::default()
+    };
+
+    assert_eq!(violations(0..SEEDS, options), Vec::<String>::new());
+}
+
+/// The next owner has to know how many workers have crashed under a task.
+#[test]
+fn tasks_that_crash_their_workers_are_given_up_across_lost_owners_and_store_outages() {
+    let options = SimulationOptions {
+        worker_crash_permille_per_s: 0,
+        worker_partition_permille_per_s: 0,
+        delayed_order_permille: 0,
+        deadly_job_permille: 100,
+        ..SimulationOptions::default()
+    };
+
+    assert_eq!(violations(0..SEEDS, options), Vec::<String>::new());
+}
+
+/// Workers that crash by themselves or are cut off say nothing about their tasks.
+#[test]
+fn tasks_that_crash_their_workers_are_told_apart_from_other_losses_of_workers() {
+    let options = SimulationOptions {
+        owner_loss_permille_per_s: 0,
+        delayed_order_permille: 0,
+        store_outage_permille_per_s: 0,
+        deadly_job_permille: 100,
+        ..SimulationOptions::default()
+    };
+
+    assert_eq!(violations(0..SEEDS, options), Vec::<String>::new());
+}
+
+/// An unanswered start order was repeated on a worker whose capacity had shrunk meanwhile.
+#[test]
+fn no_start_exceeds_the_capacity_of_a_worker_that_has_shrunk() {
+    let options = SimulationOptions {
+        owner_loss_permille_per_s: 100,
+        worker_partition_permille_per_s: 0,
+        worker_crash_permille_per_s: 0,
+        delayed_order_permille: 100,
+        store_outage_permille_per_s: 0,
+        capacity_change_permille_per_s: 300,
+        ..SimulationOptions::default()
+    };
+
+    assert_eq!(violations(0..SEEDS, options), Vec::<String>::new());
+}
+
 /// Fails by a known fault, listed in KNOWN-RED.txt: a restarted worker keeps its id but loses its
 /// clock and its record of stopped runs, so it executes delayed orders from before its restart.
 #[test]
