Do not repeat a start on a worker whose capacity has shrunk below its runs

A worker that does not guard its capacity was taken over it (LIMIT). Cause: a start without an answer is repeated after each poll that does not list the run, and only the placement of a task compared capacity; a capacity that shrank in between was not looked at again. Why this works: every start order now compares the reservations with the registered capacity. The run is stopped instead, and its task placed elsewhere; one that its step may not miss waits while an order may still start it.

--- a/crates/vanillafold-jobs/src/shard/schedule.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule.rs
@@ -757,10 +757,12 @@
 
     /// Repeats an unanswered start order under the same run number, after a poll that did not list
     /// the run. Stops the run instead, so that it can't start later, if [`MAX_START_ORDERS`] have
-    /// been sent, the worker must not get new tasks, or the task is no longer placed there.
+    /// been sent, the worker must not get new tasks or has less capacity than its runs reserve, or
+    /// the task is no longer placed there.
     ///
     /// A persistent task may have started since the poll. It is not stopped after
-    /// [`MAX_START_ORDERS`] while its step may not miss it.
+    /// [`MAX_START_ORDERS`], nor for lack of capacity while an order may still start it, as long as
+    /// its step may not miss it.
     pub(super) fn retry_start(&mut self, at: usize, position: usize, now: MonotonicMillis) {
         let worker = &self.workers[at];
         let run = &worker.runs[position];
@@ -768,13 +770,19 @@
             task.run == run.number
                 && matches!(&task.status, TaskStatus::Placed { worker: on } if *on == worker.entry.id)
         });
-        let accepts_work = worker.listed && worker.entry.ready && !worker.draining;
+        let has_capacity = worker
+            .entry
+            .capacity
+            .fits(worker.used, Resources::default());
+        let may_stay = placed && worker.listed && worker.entry.ready && !worker.draining;
         let is_indispensable = run.persistent && !self.may_be_unavailable(run);
         let may_repeat =
-            placed && accepts_work && (run.start_orders < MAX_START_ORDERS || is_indispensable);
+            may_stay && has_capacity && (run.start_orders < MAX_START_ORDERS || is_indispensable);
+        let may_wait = may_stay && is_indispensable && run.may_still_start(now);
         let spec = self.job(run.task.job).map(|job| Rc::clone(&job.spec));
         match spec.filter(|_| may_repeat) {
             Some(spec) => self.order_start(at, position, &spec, 0, now),
+            None if may_wait => {}
             None => {
                 let phase = RunPhase::Stopping { next_order_at: now };
                 self.workers[at].runs[position].phase = phase;
