Do not send a request to a third target after two broke their connections under it

Callers of the HTTP daemon: an idempotent request that crashes its target was sent to up to three targets for each try of its caller. Non-idempotent ones were and are sent once. Cause: a connection that breaks after a part of the request was written counted as any failed send, of which three are allowed. Change: the request is given up after the second broken connection, with the code that says that it may have run.

--- a/crates/vanillafold-policy/src/lib.rs
+++ b/crates/vanillafold-policy/src/lib.rs
@@ -20,9 +20,9 @@
 
 pub use random::SplitMix;
 pub use retry::{
-    AttemptFailure, MAX_REROUTES, MAX_SENDS, MIN_RETRIES_PER_SECOND, MIN_RETRY_REMAINING,
-    RETRY_BURST, RequestAttempts, RequestProperties, RetryAllowance, RetryBudget, RetryDecision,
-    RetryReason, StopReason,
+    AttemptFailure, MAX_LOST_CONNECTIONS, MAX_REROUTES, MAX_SENDS, MIN_RETRIES_PER_SECOND,
+    MIN_RETRY_REMAINING, RETRY_BURST, RequestAttempts, RequestProperties, RetryAllowance,
+    RetryBudget, RetryDecision, RetryReason, StopReason,
 };
 pub use routing::{
     DaemonMember, FailureKind, HealthCheck, HealthCheckResult, Member, MemberState, NotRunReason,
--- a/crates/vanillafold-policy/src/retry/attempts.rs
+++ b/crates/vanillafold-policy/src/retry/attempts.rs
@@ -7,6 +7,9 @@
 
 /// Maximum number of sends of one request, without those that a full or leaving target refused.
 pub const MAX_SENDS: u32 = 3;
+/// Maximum number of connections that may break under one request after a part of it was written.
+/// The request may have crashed these targets, and would crash the next one.
+pub const MAX_LOST_CONNECTIONS: u32 = 2;
 /// Maximum number of reroutes: how often a request goes to another target because one was full or
 /// leaving.
 ///
@@ -86,6 +89,8 @@
     DeadlineNear,
     /// The request was sent [`MAX_SENDS`] times.
     MaxSends,
+    /// [`MAX_LOST_CONNECTIONS`] targets broke the connection after a part of the request was written.
+    MaxLostConnections,
     /// The request was rerouted [`MAX_REROUTES`] times, and the last target was full or leaving
     /// too.
     MaxReroutes,
@@ -99,6 +104,7 @@
     properties: RequestProperties,
     sends: u32,
     reroutes: u32,
+    lost_connections: u32,
     may_have_run: Option<ResultCode>,
 }
 
@@ -110,6 +116,7 @@
             properties,
             sends: 0,
             reroutes: 0,
+            lost_connections: 0,
             may_have_run: None,
         }
     }
@@ -165,6 +172,9 @@
             true => self.reroutes += 1,
             false => self.sends += 1,
         }
+        if failure == AttemptFailure::Lost {
+            self.lost_connections += 1;
+        }
         if failure.may_have_run() {
             self.may_have_run = Some(failure.code());
         }
@@ -188,6 +198,9 @@
             _ if remaining_ms < MIN_RETRY_REMAINING => Some(StopReason::DeadlineNear),
             _ if reroute && self.reroutes > MAX_REROUTES => Some(StopReason::MaxReroutes),
             _ if reroute => None,
+            _ if self.lost_connections >= MAX_LOST_CONNECTIONS => {
+                Some(StopReason::MaxLostConnections)
+            }
             _ if self.sends >= MAX_SENDS => Some(StopReason::MaxSends),
             _ if !budget.try_spend(now) => Some(StopReason::BudgetSpent),
             _ => None,
@@ -242,6 +255,7 @@
             Self::BodyNotReplayable => "body_not_replayable",
             Self::DeadlineNear => "deadline_near",
             Self::MaxSends => "max_sends",
+            Self::MaxLostConnections => "max_lost_connections",
             Self::MaxReroutes => "max_reroutes",
             Self::BudgetSpent => "budget_spent",
         }
--- a/crates/vanillafold-policy/src/retry/mod.rs
+++ b/crates/vanillafold-policy/src/retry/mod.rs
@@ -5,8 +5,8 @@
 mod failure;
 
 pub use attempts::{
-    MAX_REROUTES, MAX_SENDS, MIN_RETRY_REMAINING, RequestAttempts, RequestProperties,
-    RetryDecision, RetryReason, StopReason,
+    MAX_LOST_CONNECTIONS, MAX_REROUTES, MAX_SENDS, MIN_RETRY_REMAINING, RequestAttempts,
+    RequestProperties, RetryDecision, RetryReason, StopReason,
 };
 pub use budget::{MIN_RETRIES_PER_SECOND, RETRY_BURST, RetryAllowance, RetryBudget};
 pub use failure::AttemptFailure;
