--- a/crates/vanillafold-jobs/src/shard/losses.rs
+++ b/crates/vanillafold-jobs/src/shard/losses.rs
@@ -165,8 +165,8 @@
         let Some(job) = self.job_mut(task.job).filter(|job| job.is_open()) else {
             return;
         };
-        // The members of a gang count as one. A run whose start was unanswered stays tracked when its
-        // worker has restarted, but is not ordered there again.
+        // The members of a gang count as one, and so do the incarnations of a worker in which an
+        // unanswered start may be carried out.
         let same_run = |other: &SuspectRun| other.is_of(task) && other.run == row.run;
         let known = job.suspect_runs.iter().position(same_run);
         match known {
@@ -349,8 +349,8 @@
     /// reported as lost with their workers.
     ///
     /// A run that was started long ago has lasted long enough to clear its task. The first runs of
-    /// tasks are not stored. If a worker of the job's pool has crashed a short
-    /// time ago, it may have been under one of them, so the next starts are stored.
+    /// tasks are not stored: if a worker of the job's pool has crashed a short time ago, it may have
+    /// been under one of them, so the next starts are stored.
     pub(super) fn count_unreported_runs(&mut self, id: JobId, now: MonotonicMillis) {
         let pool = self.job(id).map(|job| self.queue_of(&job.spec).pool);
         let crashed_lately = self.workers.iter().any(|worker| {
@@ -365,7 +365,8 @@
         for at in 0..job.suspect_runs.len() {
             let row = &job.suspect_runs[at];
             let occurrence = job.occurrence_position(row.occurrence);
-            let step = occurrence.map(|at| &job.occurrences[at].steps[usize::from(row.step)]);
+            let steps = occurrence.map(|at| &job.occurrences[at].steps);
+            let step = steps.and_then(|steps| steps.get(usize::from(row.step)));
             let task = step.and_then(|step| step.tasks.get(usize::from(row.index)));
             let unreported = task.is_some_and(|task| task.status == TaskStatus::Unaccounted);
             let age_ms = now_unix_ms.saturating_sub(row.recorded_unix_ms);
--- a/crates/vanillafold-jobs/src/shard/schedule.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule.rs
@@ -646,14 +646,14 @@
         queue: &QueueInfo,
         index: &PoolIndex,
         planned: &[usize],
-        (index_of_task, placement): (u16, SuspectPlacement),
+        (task_index, placement): (u16, SuspectPlacement),
         now: MonotonicMillis,
     ) -> Option<usize> {
         let step = &spec.steps[usize::from(waiting.step)];
         let reservation = step.reservation();
         let rack = self.step_rack(waiting, step, planned);
         let places_of_losses = match placement.is_suspect() {
-            true => self.places_of_losses(task_id(waiting, index_of_task)),
+            true => self.places_of_losses(task_id(waiting, task_index)),
             false => Vec::new(),
         };
         let key = (waiting.job, waiting.occurrence, waiting.step);
--- a/crates/vanillafold-jobs/src/shard/vm_operations.rs
+++ b/crates/vanillafold-jobs/src/shard/vm_operations.rs
@@ -132,17 +132,18 @@
     }
 
     /// Keeps the name of its VM with each worker, as the list no longer shows it once the worker is
-    /// lost.
+    /// lost. A worker stays on one VM.
     fn name_vms_of_workers(&mut self) {
+        let unnamed = |at: &usize| self.workers[*at].vm.is_empty();
+        let unnamed: Vec<usize> = (0..self.workers.len()).filter(unnamed).collect();
+        if unnamed.is_empty() {
+            return;
+        }
         for vm in &self.vms {
             let Some(id) = &vm.worker else { continue };
-            let found = self
-                .workers
-                .binary_search_by(|worker| worker.entry.id.cmp(id));
-            if let Ok(at) = found
-                && self.workers[at].vm != vm.name
-            {
-                self.workers[at].vm.clone_from(&vm.name);
+            let found = unnamed.binary_search_by(|at| self.workers[*at].entry.id.cmp(id));
+            if let Ok(found) = found {
+                self.workers[unnamed[found]].vm.clone_from(&vm.name);
             }
         }
     }
