Require two prompt losses of starts that certainly ran to give a task up

Cause: three losses of which the newest was prompt and alone were taken as proof; a start without an answer passed for a prompt loss if the worker had answered within 50 ms before. Change: a prompt loss needs a start that was answered, or whose connection was closed; two of them are needed, also after losses of other kinds. Evidence: a_task_is_not_given_up_for_one_prompt_loss_after_others_that_were_not failed with the former rule. Why this works: two prompt losses under one task, the newest with nothing else that could have caused it, are left to chance only if workers crash by themselves within 250 ms of its starts, twice.

--- a/crates/vanillafold-jobs/src/shard/losses.rs
+++ b/crates/vanillafold-jobs/src/shard/losses.rs
@@ -99,7 +99,7 @@
             .iter()
             .filter(may_be_cause)
             .map(|run| {
-                let prompt = is_prompt_loss(run, worker.answered_at, silent_since);
+                let prompt = is_prompt_loss(run, silent_since);
                 (self.suspect_id(run.task), run.number, prompt)
             })
             .collect();
@@ -142,7 +142,7 @@
         let is_unexplained = |row: &Worker| {
             let since = row.silent_since.filter(|since| is_close(*since));
             since.is_some_and(|since| {
-                let explains = |run: &Run| is_prompt_loss(run, row.answered_at, since);
+                let explains = |run: &Run| is_prompt_loss(run, since);
                 !row.runs.iter().any(explains)
             })
         };
@@ -458,21 +458,17 @@
     }
 }
 
-/// Returns whether the start order of a run has certainly reached the worker while it ran, if the
-/// worker last answered at `answered_at`.
+/// Returns whether the start order of a run has probably reached the worker while it ran, if the
+/// worker last answered at `answered_at`. It may yet be carried out late, without having started.
 const fn has_reached_worker(run: &Run, answered_at: MonotonicMillis) -> bool {
     let alive_before_ms = run.started_at.since(answered_at).get();
     run.has_started() || run.connection_lost || alive_before_ms <= ALIVE_BEFORE_START_MS
 }
 
-/// Returns whether a worker stopped answering right after the start of a run, and not before it.
-const fn is_prompt_loss(
-    run: &Run,
-    answered_at: MonotonicMillis,
-    silent_since: MonotonicMillis,
-) -> bool {
+/// Returns whether a worker had certainly started a run and stopped answering right after that.
+const fn is_prompt_loss(run: &Run, silent_since: MonotonicMillis) -> bool {
     silent_since.since(run.started_at).get() <= PROMPT_LOSS_MS
-        && has_reached_worker(run, answered_at)
+        && (run.has_started() || run.connection_lost)
 }
 
 /// What is known of a worker that was silent.
--- a/crates/vanillafold-policy/src/jobs/suspicion.rs
+++ b/crates/vanillafold-policy/src/jobs/suspicion.rs
@@ -6,14 +6,12 @@
 
 /// Number of losses from which a task is started apart from others that might cause a loss.
 const ISOLATED_FROM_LOSSES: u32 = 2;
-/// Number of losses after which the task is given up, if the newest came right after its start and
-/// has no other possible cause: workers seldom crash three times under one task for other reasons.
-const LOSSES_TO_GIVE_UP: u32 = 3;
-/// The same if all losses came right after a start. The platform allows no fewer.
+/// Number of losses right after a start from which the task is given up, if the newest is one of them
+/// and has no other possible cause. The platform allows no fewer crashes.
 const PROMPT_LOSSES_TO_GIVE_UP: u32 = 2;
-/// The same if the newest loss came later, or has other possible causes but all came right after a
-/// start. The platform allows five starts if each crashes a worker; one is left for a loss that a
-/// change of owner hides.
+/// The same for any losses, the newest without another possible cause; or for losses right after a
+/// start that all have other possible causes. The platform allows five starts if each crashes a
+/// worker; one is left for a loss that a change of owner hides.
 const MAX_LOSSES: u32 = 4;
 /// How long a task waits for evidence whether the newest lost worker has crashed, in milliseconds.
 /// Crashed workers are usually back in this time.
@@ -33,7 +31,8 @@
     /// Whether the lost workers ran on more than one VM: a worker that crashes again and again says
     /// more about its VM than about the task.
     pub several_vms: bool,
-    /// Whether the newest lost worker stopped answering right after the start of the task's run.
+    /// Whether the newest lost worker had certainly started the task's run, and stopped answering
+    /// right after that.
     pub newest_prompt: bool,
     /// Number of lost workers that did.
     pub prompt_losses: u32,
@@ -61,12 +60,12 @@
 #[must_use]
 pub const fn is_given_up(history: LossHistory) -> bool {
     let is_proven = history.newest_crashed && history.newest_alone && history.several_vms;
-    let enough = match history {
-        _ if history.prompt_losses == history.losses => PROMPT_LOSSES_TO_GIVE_UP,
-        _ if history.newest_prompt => LOSSES_TO_GIVE_UP,
-        _ => MAX_LOSSES,
-    };
-    (is_proven && history.losses >= enough) || history.prompt_losses >= MAX_LOSSES
+    match history {
+        _ if history.prompt_losses >= MAX_LOSSES => true,
+        _ if !is_proven => false,
+        _ if history.newest_prompt => history.prompt_losses >= PROMPT_LOSSES_TO_GIVE_UP,
+        _ => history.losses >= MAX_LOSSES,
+    }
 }
 
 /// Returns where a task that has waited for `waited_ms` may be started.
--- a/crates/vanillafold-policy/tests/jobs.rs
+++ b/crates/vanillafold-policy/tests/jobs.rs
@@ -572,7 +572,7 @@
         .quickcheck(is_best as fn(Vec<u16>, bool, bool, bool) -> bool);
 }
 
-/// Returns a history of losses on several VMs, of which the newest came right after a start.
+/// Returns a history of losses on several VMs that all came right after a start.
 fn losses(losses: u32, newest_crashed: bool, newest_alone: bool) -> LossHistory {
     LossHistory {
         losses,
@@ -580,7 +580,7 @@
         newest_alone,
         several_vms: true,
         newest_prompt: true,
-        prompt_losses: 1,
+        prompt_losses: losses,
     }
 }
 
@@ -588,28 +588,32 @@
 /// a worker that is only cut off was not crashed by any.
 #[test]
 fn a_task_is_given_up_only_for_crashes_that_nothing_else_can_have_caused() {
-    let prompt = |history: LossHistory| LossHistory {
-        prompt_losses: history.losses,
-        ..history
+    let on_one_vm = LossHistory {
+        several_vms: false,
+        ..losses(3, true, true)
     };
 
-    assert!(!is_given_up(prompt(losses(1, true, true))));
-    assert!(is_given_up(prompt(losses(2, true, true))));
-    assert!(!is_given_up(prompt(losses(2, true, false))));
-    assert!(!is_given_up(prompt(losses(2, false, true))));
-    assert!(!is_given_up(losses(2, true, true)));
-    assert!(is_given_up(losses(3, true, true)));
+    assert!(!is_given_up(losses(1, true, true)));
+    assert!(is_given_up(losses(2, true, true)));
     assert!(!is_given_up(losses(3, true, false)));
     assert!(!is_given_up(losses(3, false, true)));
-    let on_one_vm = LossHistory {
-        several_vms: false,
+    assert!(!is_given_up(on_one_vm));
+}
+
+/// One loss may be a coincidence, and losses that no owner saw may have had any cause.
+#[test]
+fn a_task_is_not_given_up_for_one_prompt_loss_after_others_that_were_not() {
+    let one_prompt = LossHistory {
+        prompt_losses: 1,
         ..losses(3, true, true)
     };
-    assert!(!is_given_up(on_one_vm));
     let late = LossHistory {
         newest_prompt: false,
+        prompt_losses: 2,
         ..losses(3, true, true)
     };
+
+    assert!(!is_given_up(one_prompt));
     assert!(!is_given_up(late));
 }
 
@@ -617,7 +621,13 @@
 /// were started on them meanwhile.
 #[test]
 fn losses_with_other_possible_causes_never_give_a_task_up() {
-    assert!(!is_given_up(losses(9, true, false)));
+    let storm = LossHistory {
+        newest_prompt: false,
+        prompt_losses: 3,
+        ..losses(9, true, false)
+    };
+
+    assert!(!is_given_up(storm));
 }
 
 /// The platform allows five starts of a task that crashes its workers.
@@ -625,6 +635,7 @@
 fn a_task_that_crashes_its_workers_late_is_given_up_before_its_fifth_start() {
     let late = LossHistory {
         newest_prompt: false,
+        prompt_losses: 0,
         ..losses(4, true, true)
     };
 
@@ -634,12 +645,7 @@
 /// A full pool may have no place where the task is the only possible cause.
 #[test]
 fn a_task_under_which_four_workers_were_lost_right_after_its_start_is_given_up() {
-    let prompt = LossHistory {
-        prompt_losses: 4,
-        ..losses(4, true, false)
-    };
-
-    assert!(is_given_up(prompt));
+    assert!(is_given_up(losses(4, true, false)));
 }
 
 #[test]
