Give a task up after four losses of which three were prompt

Change: of four losses three have to be prompt. Evidence: a_task_under_which_four_workers_were_lost_right_after_its_start_is_given_up holds that case.

--- a/crates/vanillafold-policy/src/jobs/suspicion.rs
+++ b/crates/vanillafold-policy/src/jobs/suspicion.rs
@@ -9,10 +9,13 @@
 /// Number of losses right after a start from which the task is given up, if the newest is one of them
 /// and has no other possible cause. The platform allows no fewer crashes.
 const PROMPT_LOSSES_TO_GIVE_UP: u32 = 2;
-/// The same for any losses, the newest without another possible cause; or for losses right after a
-/// start that all have other possible causes. The platform allows five starts if each crashes a
+/// The same for any losses, the newest without another possible cause; or for losses that have other
+/// possible causes but came right after a start. The platform allows five starts if each crashes a
 /// worker; one is left for a loss that a change of owner hides.
 const MAX_LOSSES: u32 = 4;
+/// How many of [`MAX_LOSSES`] losses with other possible causes have to come right after a start. An
+/// owner that takes over cannot tell that of the loss before.
+const MIN_PROMPT_OF_MAX_LOSSES: u32 = 3;
 /// How long a task waits for evidence whether the newest lost worker has crashed, in milliseconds.
 /// Crashed workers are usually back in this time.
 const MAX_EVIDENCE_WAIT_MS: u64 = 2_000;
@@ -60,8 +63,9 @@
 #[must_use]
 pub const fn is_given_up(history: LossHistory) -> bool {
     let is_proven = history.newest_crashed && history.newest_alone && history.several_vms;
+    let is_likely = history.prompt_losses >= MIN_PROMPT_OF_MAX_LOSSES;
     match history {
-        _ if history.prompt_losses >= MAX_LOSSES => true,
+        _ if history.losses >= MAX_LOSSES && is_likely => true,
         _ if !is_proven => false,
         _ if history.newest_prompt => history.prompt_losses >= PROMPT_LOSSES_TO_GIVE_UP,
         _ => history.losses >= MAX_LOSSES,
--- a/crates/vanillafold-policy/tests/jobs.rs
+++ b/crates/vanillafold-policy/tests/jobs.rs
@@ -623,7 +623,7 @@
 fn losses_with_other_possible_causes_never_give_a_task_up() {
     let storm = LossHistory {
         newest_prompt: false,
-        prompt_losses: 3,
+        prompt_losses: 2,
         ..losses(9, true, false)
     };
 
@@ -645,7 +645,14 @@
 /// A full pool may have no place where the task is the only possible cause.
 #[test]
 fn a_task_under_which_four_workers_were_lost_right_after_its_start_is_given_up() {
+    let one_unseen = LossHistory {
+        prompt_losses: 3,
+        ..losses(4, true, false)
+    };
+
     assert!(is_given_up(losses(4, true, false)));
+    assert!(is_given_up(one_unseen));
+    assert!(!is_given_up(losses(3, true, false)));
 }
 
 #[test]
