Count a silent worker once; one copy of start orders in the tests; plain names

Cause: the runs of a silent worker whose start was unanswered are lost up to 12 s later than the others. Each time the worker counted as lost again, and the runs that were left seemed to be its only possible causes. Found by reading. Change: the worker's other fresh runs count as possible causes, and it counts once for each silence. Evidence: a_silent_worker_whose_runs_are_lost_at_different_times_counts_once counted 2 without the change. Also: the fixture of the crash tests gave answers of a restarted worker an earlier time; it has one function for answers to start orders now. Two tests more: the next owner counts stored losses, and cuts do not count. The emulator and tests say 'crashing' for tasks that crash their workers; the evaluation of suspects looks a task up once.

--- a/crates/vanillafold-jobs/src/shard/ends.rs
+++ b/crates/vanillafold-jobs/src/shard/ends.rs
@@ -52,6 +52,10 @@
         now: MonotonicMillis,
         now_unix_ms: u64,
     ) {
+        // The end of a gang member that lost another one says nothing about that one's worker.
+        if !matches!(kind, EndKind::GangMemberEnded | EndKind::GangIncomplete) {
+            self.record_suspect_end(task, kind == EndKind::Done);
+        }
         let Some(job) = self.job_mut(task.job).filter(|job| job.is_open()) else {
             return;
         };
@@ -70,15 +74,6 @@
         if !checkpoint.is_empty() {
             step.tasks[usize::from(task.index)].checkpoint = checkpoint.to_owned();
         }
-        let run = step.tasks[usize::from(task.index)].run;
-        // The end of a gang member that lost another one says nothing about that one's worker.
-        if !matches!(kind, EndKind::GangMemberEnded | EndKind::GangIncomplete) {
-            self.record_suspect_end(task, run, kind == EndKind::Done);
-        }
-        let Some(job) = self.job_mut(task.job) else {
-            return;
-        };
-        let step = &mut job.occurrences[at].steps[usize::from(task.step)];
         match kind {
             EndKind::Done if step_spec.gang && !step_spec.persistent => {
                 for index in 0..step.tasks.len() {
--- a/crates/vanillafold-jobs/src/shard/losses.rs
+++ b/crates/vanillafold-jobs/src/shard/losses.rs
@@ -77,7 +77,14 @@
         }
         let is_fresh = |run: &Run| run.is_fresh(worker.answered_at);
         log_loss(worker.entry.id.as_str(), evidence, &lost, is_fresh);
+        let silent_since = worker.silent_since.unwrap_or(now);
+        // Runs whose start was unanswered are lost later than the others of a silent worker.
+        let is_counted = self
+            .recent_losses
+            .iter()
+            .any(|loss| loss.worker == worker.entry.id && loss.silent_since == silent_since);
         match evidence {
+            _ if is_counted => {}
             LossEvidence::Restarted => self.loss_counts.restarted += 1,
             LossEvidence::Replaced => self.loss_counts.replaced += 1,
             LossEvidence::LeasesExpired => self.loss_counts.leases_expired += 1,
@@ -86,12 +93,11 @@
         if !worker.entry.ready || worker.vm_operation_pending {
             return;
         }
-        let silent_since = worker.silent_since.unwrap_or(now);
-        let fresh = lost.iter().filter(|run| is_fresh(run));
+        let fresh = worker.runs.iter().filter(|run| is_fresh(run));
         let mut fresh: Vec<TaskId> = fresh.map(|run| self.suspect_id(run.task)).collect();
         fresh.sort_unstable();
         fresh.dedup();
-        let may_be_cause = |run: &&&Run| match fresh.is_empty() {
+        let may_be_cause = |run: &&&Run| match fresh.is_empty() && !is_counted {
             true => worker.answered_at.since(run.started_at).get() < CLEARED_AFTER_MS,
             false => is_fresh(run) && has_reached_worker(run, worker.answered_at),
         };
@@ -105,7 +111,7 @@
             .collect();
         suspects.sort_unstable();
         suspects.dedup_by_key(|row| row.0);
-        let alone = fresh.len() == 1 && !self.is_lost_with_others(at, silent_since);
+        let alone = fresh.len() == 1 && !is_counted && !self.is_lost_with_others(at, silent_since);
         let state = match evidence {
             LossEvidence::Restarted | LossEvidence::Replaced => SuspectState::WorkerCrashed,
             LossEvidence::LeasesExpired => SuspectState::WorkerSilent,
@@ -234,11 +240,15 @@
         self.suspect_jobs.binary_search(&job).is_ok()
     }
 
-    /// Records that a run ended while its worker went on, so that the run has caused no loss.
-    pub(super) fn record_suspect_end(&mut self, task: TaskId, run: RunNumber, done: bool) {
+    /// Records that the newest run of a task ended while its worker went on, so that it has caused no
+    /// loss.
+    pub(super) fn record_suspect_end(&mut self, task: TaskId, done: bool) {
         if !self.has_suspects(task.job) {
             return;
         }
+        let Some(run) = self.open_task(task).map(|task| task.run) else {
+            return;
+        };
         let task = self.suspect_id(task);
         let Some(job) = self.job_mut(task.job) else {
             return;
@@ -383,18 +393,16 @@
 
     /// Clears the suspects whose run has lasted, and gives up the tasks that have crashed their
     /// workers.
-    pub(super) fn judge_suspects(&mut self, now: MonotonicMillis, now_unix_ms: u64) {
+    pub(super) fn evaluate_suspects(&mut self, now: MonotonicMillis, now_unix_ms: u64) {
         for id in self.suspect_jobs.clone() {
             self.clear_lasting_runs(id);
             let Some(job) = self.job(id).filter(|job| job.is_open()) else {
                 continue;
             };
             let rows = job.suspect_runs.iter();
-            let guilty = rows.map(|row| row_task(id, row)).find(|task| {
-                let history = loss_history(job, *task);
-                is_given_up(history)
-            });
-            if let Some(task) = guilty {
+            let mut tasks = rows.map(|row| row_task(id, row));
+            let given_up = tasks.find(|task| is_given_up(loss_history(job, *task)));
+            if let Some(task) = given_up {
                 self.give_up(task, now, now_unix_ms);
             }
         }
--- a/crates/vanillafold-jobs/src/shard/schedule.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule.rs
@@ -57,7 +57,7 @@
         self.pass_unix_ms = now_unix_ms;
         self.expire_leases(now, now_unix_ms);
         self.resolve_unaccounted(now, now_unix_ms);
-        self.judge_suspects(now, now_unix_ms);
+        self.evaluate_suspects(now, now_unix_ms);
         self.collect_deletable_jobs(now);
         self.drop_finished_advice();
         self.retry_stops(now);
--- a/crates/vanillafold-jobs/tests/shard/crashes.rs
+++ b/crates/vanillafold-jobs/tests/shard/crashes.rs
@@ -1,13 +1,13 @@
 //! Tasks that crash the workers that start them, and the tasks that share these workers.
 
 use vanillafold_jobs::{
-    Epoch, JobId, JobSpec, JobState, Order, OrderAnswer, Repeat, RunNumber, Shard, StepSpec,
-    TaskId, Vm, WorkerEntry,
+    Epoch, JobId, JobSpec, JobState, OrderAnswer, Record, Repeat, Shard, StepSpec, TaskId, Vm,
+    WorkerEntry,
 };
 
 use crate::fixture::{
-    accept_start, at, catalogue, job, job_id, listed_run, poll, report, schedule_starts, settings,
-    step, store_batches, task, unix, vm, worker, worker_entry,
+    answer_start, at, catalogue, job, job_id, listed_run, poll, report, schedule_starts, settings,
+    shard_with_workers, step, store_batches, task, unix, vm, worker, worker_entry,
 };
 
 /// How long a crashed worker is away, in milliseconds.
@@ -23,6 +23,8 @@
     /// When the next worker starts; `None` while one runs.
     back_at_ms: Option<u64>,
     started_ms: u64,
+    /// Whether orders and polls get no answer although the worker runs.
+    is_cut_off: bool,
     runs: Vec<(TaskId, u64)>,
 }
 
@@ -32,15 +34,17 @@
     }
 }
 
-/// A pool whose workers crash 10 ms after they have started a task of `deadly`, and register under
+/// A pool whose workers crash 10 ms after they have started a task of `crashing`, and register under
 /// a new id when they are back.
 struct Pool {
     shard: Shard,
     now_ms: u64,
     vms: Vec<SimulatedVm>,
-    deadly: Vec<TaskId>,
+    crashing: Vec<TaskId>,
     /// Tasks in the order of their starts.
     started: Vec<TaskId>,
+    /// Stored records, by key.
+    records: Vec<(String, Vec<u8>)>,
 }
 
 impl Pool {
@@ -52,14 +56,16 @@
             lives: 0,
             back_at_ms: None,
             started_ms: 0,
+            is_cut_off: false,
             runs: Vec::new(),
         });
         let mut pool = Self {
             shard,
             now_ms: 0,
             vms: vms.collect(),
-            deadly: Vec::new(),
+            crashing: Vec::new(),
             started: Vec::new(),
+            records: Vec::new(),
         };
         pool.list();
         pool
@@ -68,7 +74,7 @@
     fn submit(&mut self, id: JobId, spec: JobSpec) {
         let now_ms = self.now_ms;
         self.shard.submit(id, spec, at(now_ms), unix(now_ms));
-        store_batches(&mut self.shard);
+        self.store();
     }
 
     fn list(&mut self) {
@@ -97,7 +103,7 @@
             for (task, run, name) in schedule_starts(&mut self.shard, self.now_ms) {
                 self.start(task, run, &name);
             }
-            store_batches(&mut self.shard);
+            self.store();
         }
     }
 
@@ -123,7 +129,7 @@
         for row in &self.vms {
             let name = row.worker_name();
             self.shard.plan_poll(&worker(&name), at(now_ms));
-            if row.back_at_ms.is_some() {
+            if row.back_at_ms.is_some() || row.is_cut_off {
                 let lost = OrderAnswer::Unknown;
                 self.shard
                     .poll_failed(&worker(&name), lost, at(now_ms), unix(now_ms));
@@ -140,41 +146,58 @@
     fn start(&mut self, task: TaskId, run: u64, name: &str) {
         let found = self.vms.iter().position(|row| row.worker_name() == name);
         let row = &mut self.vms[found.expect("a worker")];
+        let answer = match row.back_at_ms {
+            Some(_) => OrderAnswer::NotSent,
+            None => OrderAnswer::Accepted {
+                clock_ms: self.now_ms - row.started_ms + 1,
+            },
+        };
+        answer_start(&mut self.shard, name, (task, run), answer, self.now_ms);
         if row.back_at_ms.is_some() {
-            let order = Order::Start {
-                task,
-                run: RunNumber::new(run),
-                spec: std::rc::Rc::new(job(Vec::new())),
-                deadline_ms: 0,
-                checkpoint: String::new(),
-                ticket: String::new(),
-                waited_ms: 0,
-            };
-            let answer = OrderAnswer::NotSent;
-            self.shard.order_answered(
-                &worker(name),
-                &order,
-                answer,
-                at(self.now_ms),
-                unix(self.now_ms),
-            );
             return;
         }
         self.started.push(task);
-        accept_start(
-            &mut self.shard,
-            name,
-            task,
-            run,
-            self.now_ms - row.started_ms + 1,
-        );
         row.runs.push((task, run));
-        if self.deadly.contains(&task) {
+        if self.crashing.contains(&task) {
             row.runs.clear();
             row.back_at_ms = Some(self.now_ms + CRASH_DOWN_MS);
         }
     }
 
+    /// Stores all batches.
+    fn store(&mut self) {
+        while let Some(batch) = self.shard.take_batch() {
+            for (key, value) in &batch.records {
+                self.records.retain(|row| row.0 != *key);
+                if !value.is_empty() {
+                    self.records.push((key.clone(), value.clone()));
+                }
+            }
+            self.shard.batch_stored(&batch);
+        }
+    }
+
+    /// Replaces the owner by one of the next epoch, which knows what is stored.
+    fn change_owner(&mut self) {
+        let decode = |row: &(String, Vec<u8>)| Record::decode(&row.0, &row.1).ok();
+        let records = self.records.iter().filter_map(decode).collect();
+        let epoch = Epoch::new(self.shard.epoch().get() + 1);
+        let (now, now_unix_ms) = (at(self.now_ms), unix(self.now_ms));
+        self.shard = Shard::load(settings(), epoch, records, now, now_unix_ms);
+        self.shard.set_catalogue(catalogue());
+        self.list();
+    }
+
+    /// Cuts the VM with a run of a task off for `rounds` rounds; the run goes on.
+    fn cut_off(&mut self, task: TaskId, rounds: u64) {
+        let runs_task = |row: &SimulatedVm| row.runs.iter().any(|run| run.0 == task);
+        let index = self.vms.iter().position(runs_task).expect("a run");
+        self.vms[index].is_cut_off = true;
+        self.run(rounds);
+        self.vms[index].is_cut_off = false;
+        self.vms[index].runs.clear();
+    }
+
     fn starts(&self, task: TaskId) -> usize {
         self.started.iter().filter(|row| **row == task).count()
     }
@@ -195,7 +218,7 @@
 #[test]
 fn a_task_that_crashes_each_worker_is_given_up_before_its_fourth_start() {
     let mut pool = Pool::new(&["m1", "m2", "m3", "m4"]);
-    pool.deadly.push(task(job_id(1), 0));
+    pool.crashing.push(task(job_id(1), 0));
     pool.submit(job_id(1), job(vec![step(1)]));
 
     pool.run(400);
@@ -237,7 +260,7 @@
     ];
     for (name, step, repeat) in kinds {
         let mut pool = Pool::new(&["m1", "m2", "m3", "m4"]);
-        pool.deadly.push(task(job_id(1), 0));
+        pool.crashing.push(task(job_id(1), 0));
         let spec = JobSpec {
             repeat,
             ..job(vec![step])
@@ -260,7 +283,7 @@
         pool.submit(job_id(number), job(vec![persistent(1)]));
     }
     pool.run(5);
-    pool.deadly.push(task(job_id(1), 0));
+    pool.crashing.push(task(job_id(1), 0));
     pool.submit(job_id(1), job(vec![step(1)]));
 
     pool.run(500);
@@ -280,7 +303,7 @@
 fn two_tasks_that_crash_their_workers_are_both_given_up() {
     let mut pool = Pool::new(&["m1", "m2", "m3", "m4"]);
     for number in 1..=2 {
-        pool.deadly.push(task(job_id(number), 0));
+        pool.crashing.push(task(job_id(number), 0));
         pool.submit(job_id(number), job(vec![step(1)]));
     }
     pool.submit(job_id(3), job(vec![persistent(4)]));
@@ -291,3 +314,66 @@
     assert_eq!(pool.state(job_id(2)), Some(JobState::Failed));
     assert_eq!(pool.state(job_id(3)), Some(JobState::Running));
 }
+
+/// The losses that an owner had seen were gone with it.
+#[test]
+fn the_next_owner_counts_the_losses_that_the_one_before_has_stored() {
+    let mut pool = Pool::new(&["m1", "m2", "m3", "m4"]);
+    let crashing = task(job_id(1), 0);
+    pool.crashing.push(crashing);
+    pool.submit(job_id(1), job(vec![step(1)]));
+    while pool.starts(crashing) < 2 {
+        pool.run(1);
+    }
+    pool.run(60);
+    let starts_before = pool.starts(crashing);
+
+    pool.change_owner();
+    pool.run(500);
+
+    assert_eq!(pool.state(job_id(1)), Some(JobState::Failed));
+    assert!(starts_before >= 2);
+    assert!(pool.starts(crashing) <= 4);
+}
+
+/// A worker that is cut off loses its runs too, but answers again in the same life.
+#[test]
+fn a_task_whose_workers_are_cut_off_again_and_again_is_not_given_up() {
+    let mut pool = Pool::new(&["m1", "m2", "m3"]);
+    let cut_off = task(job_id(1), 0);
+    pool.submit(job_id(1), job(vec![persistent(1)]));
+    pool.run(5);
+
+    for _ in 0..6 {
+        pool.cut_off(cut_off, 60);
+        pool.run(40);
+    }
+
+    assert_eq!(pool.state(job_id(1)), Some(JobState::Running));
+    assert!(pool.starts(cut_off) >= 6);
+}
+
+/// Each run that was lost later counted as another lost worker, and seemed to be the only possible
+/// cause of that loss.
+#[test]
+fn a_silent_worker_whose_runs_are_lost_at_different_times_counts_once() {
+    let mut shard = shard_with_workers(&["w1"]);
+    shard.submit(job_id(1), job(vec![step(2)]), at(900), unix(900));
+    store_batches(&mut shard);
+    let starts = schedule_starts(&mut shard, 1_000);
+    let answers = [
+        OrderAnswer::Accepted { clock_ms: 1_010 },
+        OrderAnswer::Unknown,
+    ];
+    for (start, answer) in starts.iter().zip(answers) {
+        answer_start(&mut shard, "w1", (start.0, start.1), answer, 1_010);
+    }
+    for ms in [1_100, 7_000, 14_000] {
+        let lost = OrderAnswer::Unknown;
+        shard.poll_failed(&worker("w1"), lost, at(ms), unix(ms));
+        shard.schedule(at(ms), unix(ms));
+    }
+
+    assert_eq!(shard.run_count(), 0);
+    assert_eq!(shard.loss_counts().leases_expired, 1);
+}
--- a/crates/vanillafold-jobs/tests/shard/fixture.rs
+++ b/crates/vanillafold-jobs/tests/shard/fixture.rs
@@ -248,8 +248,14 @@
     poll(shard, name, &report(ms + 1), ms + 1);
 }
 
-/// Accepts the start order of a run on a worker at `ms`.
-pub(crate) fn accept_start(shard: &mut Shard, name: &str, task: TaskId, run: u64, ms: u64) {
+/// Answers the start order of a run on a worker at `ms`.
+pub(crate) fn answer_start(
+    shard: &mut Shard,
+    name: &str,
+    (task, run): (TaskId, u64),
+    answer: OrderAnswer,
+    ms: u64,
+) {
     let order = Order::Start {
         task,
         run: RunNumber::new(run),
@@ -259,6 +265,11 @@
         ticket: String::new(),
         waited_ms: 0,
     };
-    let answer = OrderAnswer::Accepted { clock_ms: ms };
     shard.order_answered(&worker(name), &order, answer, at(ms), unix(ms));
 }
+
+/// Accepts the start order of a run on a worker at `ms`.
+pub(crate) fn accept_start(shard: &mut Shard, name: &str, task: TaskId, run: u64, ms: u64) {
+    let answer = OrderAnswer::Accepted { clock_ms: ms };
+    answer_start(shard, name, (task, run), answer, ms);
+}
--- a/crates/vanillafold-policy/tests/jobs.rs
+++ b/crates/vanillafold-policy/tests/jobs.rs
@@ -584,8 +584,8 @@
     }
 }
 
-/// A task that shared its lost workers with others is an innocent one at least as often as not, and
-/// a worker that is only cut off was not crashed by any.
+/// A task that shared its lost workers with others may have nothing to do with these losses, and no
+/// task has crashed a worker that is only cut off.
 #[test]
 fn a_task_is_given_up_only_for_crashes_that_nothing_else_can_have_caused() {
     let on_one_vm = LossHistory {
@@ -621,13 +621,13 @@
 /// were started on them meanwhile.
 #[test]
 fn losses_with_other_possible_causes_never_give_a_task_up() {
-    let storm = LossHistory {
+    let outages = LossHistory {
         newest_prompt: false,
         prompt_losses: 2,
         ..losses(9, true, false)
     };
 
-    assert!(!is_given_up(storm));
+    assert!(!is_given_up(outages));
 }
 
 /// The platform allows five starts of a task that crashes its workers.
--- a/crates/vanillafold-standin/src/job_simulation/options.rs
+++ b/crates/vanillafold-standin/src/job_simulation/options.rs
@@ -25,7 +25,7 @@
     /// The chance that the store becomes unavailable for some seconds.
     pub store_outage_permille_per_s: u64,
     /// The share of jobs, in thousandths, with a task that crashes each worker that starts it.
-    pub deadly_job_permille: u64,
+    pub crashing_job_permille: u64,
     /// The chance that a worker's capacity shrinks, or grows back.
     pub capacity_change_permille_per_s: u64,
 }
@@ -42,7 +42,7 @@
             worker_crash_permille_per_s: 60,
             delayed_order_permille: 30,
             store_outage_permille_per_s: 80,
-            deadly_job_permille: 0,
+            crashing_job_permille: 0,
             capacity_change_permille_per_s: 0,
         }
     }
--- a/crates/vanillafold-standin/src/job_simulation/simulation.rs
+++ b/crates/vanillafold-standin/src/job_simulation/simulation.rs
@@ -28,7 +28,7 @@
 /// number of these that breaks the invariant.
 const COUNTED_CRASHES: u32 = 3;
 /// Text of a job whose first task crashes each worker that starts it.
-const DEADLY_TEXT: &str = "deadly";
+const CRASHING_TEXT: &str = "crashing";
 /// No task may start later than this after the cancellation of its job was acknowledged.
 const CANCEL_GRACE_MS: u64 = 3_000;
 
@@ -91,7 +91,7 @@
 
 /// What a task that crashes its workers has done so far, for the checks.
 #[derive(Debug)]
-struct DeadlyTask {
+struct CrashingTask {
     task: TaskId,
     crashes: u32,
     /// Starts after [`COUNTED_CRASHES`] crashes.
@@ -120,7 +120,7 @@
     acknowledged_failures: Vec<(TaskId, u32)>,
     /// Failed runs of each task.
     failures: Vec<(TaskId, u32)>,
-    deadly: Vec<DeadlyTask>,
+    crashing: Vec<CrashingTask>,
     /// Tasks that ran on a worker when it crashed by itself, once for each such crash.
     crashed_beside: Vec<TaskId>,
     /// The number of start orders that were executed.
@@ -138,10 +138,10 @@
         let mut jobs = Vec::new();
         for number in 0..options.jobs {
             let mut job = random_job(number, options.fault_phase_ms, &mut random);
-            let is_deadly = options.deadly_job_permille > 0
-                && random.next_u64() % 1_000 < options.deadly_job_permille;
-            if is_deadly {
-                make_deadly(&mut job, &mut random);
+            let is_crashing = options.crashing_job_permille > 0
+                && random.next_u64() % 1_000 < options.crashing_job_permille;
+            if is_crashing {
+                make_crashing(&mut job, &mut random);
             }
             jobs.push(job);
         }
@@ -162,7 +162,7 @@
             completed: Vec::new(),
             acknowledged_failures: Vec::new(),
             failures: Vec::new(),
-            deadly: Vec::new(),
+            crashing: Vec::new(),
             crashed_beside: Vec::new(),
             starts: 0,
         }
@@ -247,9 +247,9 @@
                 if run.profile.crashes_after_ms.is_none() {
                     continue;
                 }
-                match self.deadly.iter_mut().find(|row| row.task == run.task) {
+                match self.crashing.iter_mut().find(|row| row.task == run.task) {
                     Some(row) => row.crashes += 1,
-                    None => self.deadly.push(DeadlyTask {
+                    None => self.crashing.push(CrashingTask {
                         task: run.task,
                         crashes: 1,
                         later_starts: 0,
@@ -265,7 +265,7 @@
 
     /// Counts a start of a task that crashes its workers.
     fn check_crashes(&mut self, task: TaskId) -> Result<(), Violation> {
-        let found = self.deadly.iter_mut().find(|row| row.task == task);
+        let found = self.crashing.iter_mut().find(|row| row.task == task);
         let Some(row) = found.filter(|row| row.crashes >= COUNTED_CRASHES) else {
             return Ok(());
         };
@@ -382,7 +382,7 @@
                 let without_faults = self.options.owner_loss_permille_per_s == 0
                     && self.options.worker_partition_permille_per_s == 0
                     && self.options.worker_crash_permille_per_s == 0
-                    && self.options.deadly_job_permille == 0
+                    && self.options.crashing_job_permille == 0
                     && self.options.delayed_order_permille == 0;
                 match without_faults {
                     true => Err(Violation::IncompleteGang {
@@ -835,10 +835,10 @@
         for job in self.jobs.iter().filter(|job| job.accepted) {
             let state = shard.state(job.id);
             let persistent = job.spec.steps.iter().any(|step| step.persistent);
-            let deadly = job.spec.text == DEADLY_TEXT;
+            let crashing = job.spec.text == CRASHING_TEXT;
             let attempts_used = |row: &(TaskId, u32)| row.0.job == job.id && row.1 >= MAX_ATTEMPTS;
             if state == Some(JobState::Failed)
-                && !deadly
+                && !crashing
                 && !self.failures.iter().any(attempts_used)
                 && !self.had_two_crashes(job.id)
             {
@@ -847,8 +847,8 @@
             let is_expected = match state {
                 Some(JobState::Completed) => !persistent,
                 Some(JobState::Cancelled) => job.cancel_at_ms.is_some(),
-                Some(JobState::Failed) => !persistent || deadly || self.had_two_crashes(job.id),
-                Some(JobState::Running) if persistent && !deadly => true,
+                Some(JobState::Failed) => !persistent || crashing || self.had_two_crashes(job.id),
+                Some(JobState::Running) if persistent && !crashing => true,
                 Some(JobState::Queued | JobState::Running) => !self.has_free_capacity(),
                 _ => false,
             };
@@ -880,7 +880,7 @@
         },
         duration_ms: 100 + random.next_u64() % 1_500,
         fails: spec.text == "poison" || random.next_bool(0.04),
-        crashes_after_ms: match spec.text == DEADLY_TEXT && task.step == 0 && task.index == 0 {
+        crashes_after_ms: match spec.text == CRASHING_TEXT && task.step == 0 && task.index == 0 {
             true => Some([0, 10, 300][(task.job.get() % 3) as usize]),
             false => None,
         },
@@ -889,8 +889,8 @@
 
 /// Makes the first task of a job crash each worker that starts it, and its first step of a random
 /// kind.
-fn make_deadly(job: &mut CallerJob, random: &mut Random) {
-    job.spec.text = DEADLY_TEXT.to_owned();
+fn make_crashing(job: &mut CallerJob, random: &mut Random) {
+    job.spec.text = CRASHING_TEXT.to_owned();
     let kind = random.next_u64() % 5;
     let step = &mut job.spec.steps[0];
     match kind {
--- a/crates/vanillafold-standin/tests/jobs_world/main.rs
+++ b/crates/vanillafold-standin/tests/jobs_world/main.rs
@@ -120,7 +120,7 @@
         worker_crash_permille_per_s: 0,
         delayed_order_permille: 0,
         store_outage_permille_per_s: 0,
-        deadly_job_permille: 100,
+        crashing_job_permille: 100,
         ..SimulationOptions::default()
     };
 
@@ -128,13 +128,13 @@
 }
 
 /// Returns options for lost owners beside tasks that crash their workers.
-fn lost_owners_and_deadly_tasks(store_outage_permille_per_s: u64) -> SimulationOptions {
+fn lost_owners_and_crashing_tasks(store_outage_permille_per_s: u64) -> SimulationOptions {
     SimulationOptions {
         worker_crash_permille_per_s: 0,
         worker_partition_permille_per_s: 0,
         delayed_order_permille: 0,
         store_outage_permille_per_s,
-        deadly_job_permille: 100,
+        crashing_job_permille: 100,
         ..SimulationOptions::default()
     }
 }
@@ -149,7 +149,7 @@
 /// listed in KNOWN-RED.txt: three owners in a row are lost shortly after a start.
 #[test]
 fn tasks_that_crash_their_workers_are_not_started_too_often_across_lost_owners() {
-    let options = lost_owners_and_deadly_tasks(0);
+    let options = lost_owners_and_crashing_tasks(0);
     let other = violations(0..SEEDS, options).into_iter();
     let other = other.filter(|violation| !violation.contains("failed, though"));
 
@@ -159,7 +159,7 @@
 /// Which of the runs on a worker that crashed while there was no owner caused that is not known.
 #[test]
 fn tasks_beside_one_that_crashes_its_workers_are_not_given_up_across_lost_owners() {
-    let options = lost_owners_and_deadly_tasks(0);
+    let options = lost_owners_and_crashing_tasks(0);
 
     assert_eq!(
         violations_with("failed, though", options),
@@ -171,7 +171,7 @@
 /// then takes its counts with it.
 #[test]
 fn tasks_that_crash_their_workers_are_given_up_across_lost_owners_and_store_outages() {
-    let options = lost_owners_and_deadly_tasks(80);
+    let options = lost_owners_and_crashing_tasks(80);
 
     assert_eq!(violations(0..SEEDS, options), Vec::<String>::new());
 }
@@ -200,7 +200,7 @@
         owner_loss_permille_per_s: 0,
         delayed_order_permille: 0,
         store_outage_permille_per_s: 0,
-        deadly_job_permille: 100,
+        crashing_job_permille: 100,
         ..SimulationOptions::default()
     };
 
--- a/crates/vanillafold/src/fleet/metric.rs
+++ b/crates/vanillafold/src/fleet/metric.rs
@@ -92,17 +92,20 @@
     counter!("vanillafold_machine_orders_total", "outcome" => outcome).increment(1);
 }
 
-/// Counts the workers that were lost with runs, and the tasks given up for that, since `before`.
-pub(crate) fn worker_losses(before: LossCounts, now: LossCounts) {
+/// Counts the workers that were lost with runs, and the tasks given up for that, between two readings.
+pub(crate) fn worker_losses(before: LossCounts, after: LossCounts) {
     let rows = [
-        ("restarted", now.restarted - before.restarted),
-        ("replaced", now.replaced - before.replaced),
-        ("leases_expired", now.leases_expired - before.leases_expired),
+        ("restarted", after.restarted - before.restarted),
+        ("replaced", after.replaced - before.replaced),
+        (
+            "leases_expired",
+            after.leases_expired - before.leases_expired,
+        ),
     ];
     for (evidence, count) in rows.into_iter().filter(|row| row.1 > 0) {
         counter!("vanillafold_worker_losses_total", "evidence" => evidence).increment(count);
     }
-    let given_up = now.tasks_given_up - before.tasks_given_up;
+    let given_up = after.tasks_given_up - before.tasks_given_up;
     if given_up > 0 {
         counter!("vanillafold_tasks_given_up_total").increment(given_up);
     }
