Review case 5: machines are not used any more after a repeated upkeep

Shown by review/5/run.sh: the store turns the owner away for 7 s during a wave; the next owner repeats four upkeeps and ignores these machines from then on, so that 4 of 8 lasting tasks never run.

--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -23,6 +23,7 @@
         "ticket" => ticket(setting),
         "moved-queue" => moved_queue(setting),
         "two-owners" => two_owners(setting),
+        "repeated-upkeep" => repeated_upkeep(setting),
         "removed-queue" => removed_queue(setting),
         _ => None,
     }
@@ -173,7 +174,7 @@
 }
 
 /// A lasting job whose queue has been moved to another service twice since it was handed in. The owner
-/// of the shard is killed, up to five times.
+/// of the shard is killed, up to eight times.
 fn moved_queue(setting: &Setting) -> Option<bool> {
     let mut runners = vec![("svc-a", "za", CPU, MEM_MB); 2];
     runners.extend(vec![("svc-b", "zb", CPU, MEM_MB); 12]);
@@ -194,7 +195,7 @@
     world.store.put("keyed.op", "config", &to(4, "svc-c"));
     ms(5_000);
     let mut violations = check::twice(&world.trace.events());
-    for _ in 0..5 {
+    for _ in 0..8 {
         let owner = world.owner()?;
         if setting.trouble {
             world.note(&format!("daemon {owner}, which owns the shard, is killed"));
@@ -270,6 +271,55 @@
     Some(finish(&world, &violations))
 }
 
+/// A wave of upkeep, during which the store turns the owner of the shard away for 7 s. A lasting job with
+/// a task for each machine is handed in afterwards.
+fn repeated_upkeep(setting: &Setting) -> Option<bool> {
+    const MACHINES: usize = 8;
+    let runners = vec![("svc", "za", CPU, MEM_MB); MACHINES];
+    let zones = ["za", "za", "zb", "zb"];
+    let config = config(1, &[route("desk", "/desk/", "svc")], &["svc"]);
+    let world = World::start(setting.record, &zones, &runners, &config)?;
+    ms(2_000);
+    world.note("the operator asks for the upkeep of all machines, four at a time");
+    let names = (0..MACHINES).map(|at| format!("m-{at:05}"));
+    let wave = Wave {
+        number: 1,
+        machines: names.collect(),
+        max_count: 4,
+    };
+    world.cloud.ask(wave, 8);
+    ms(1_000);
+    let owner = world.owner()?;
+    if setting.trouble {
+        world.note(&format!(
+            "the store turns daemon {owner}, which owns the shard, away (503)"
+        ));
+        world.store.set_mode(owner, Mode::Busy);
+    }
+    ms(7_000);
+    world.store.set_mode(owner, Mode::Up);
+    world.note(&format!("the store serves daemon {owner}"));
+    ms(5_000);
+    let path = format!("/desk/{JOB}");
+    let body = r#"{"spec":"lasts=0","steps":[{"count":8,"cpu":1300,"mem_mb":3100,"estimate_ms":700,"persistent":true,"anti_affinity":1}]}"#;
+    submit(&world, 0, &path, body).then_some(())?;
+    ms(14_000);
+    let most = most_at_work(&world, 6_000);
+    world.note(&format!(
+        "at most {most} of {MACHINES} tasks of the job were at work in 6 s"
+    ));
+    let (_, state) = world.client(1, "GET", &path, "");
+    let idle = world.cloud.runners().len() - most;
+    let mut violations = Vec::new();
+    if most < MACHINES {
+        violations.push(format!(
+            "LOST: {} tasks of {path} have nothing running for 6 s, from 14 s after it was accepted, while {idle} machines are up and idle; it is shown as {state}",
+            MACHINES - most
+        ));
+    }
+    Some(finish(&world, &violations))
+}
+
 /// A route is removed from the configuration while one of its jobs, which can never be done, runs.
 fn removed_queue(setting: &Setting) -> Option<bool> {
     const MAX_ATTEMPTS: u64 = 2;
