--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -1,6 +1,7 @@
 //! The cases, by name. Each returns whether the rule was broken, or `None` if it could not run.
 
 use std::path::PathBuf;
+use std::sync::atomic::Ordering;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
--- a/review/standin/src/cloud.rs
+++ b/review/standin/src/cloud.rs
@@ -2,6 +2,7 @@
 //! (`fencing_required` is false), and the list of the orders that it got.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -60,6 +61,8 @@
 }
 
 pub struct Cloud {
+    /// Calls for advice so far.
+    pub advice_calls: AtomicU64,
     state: Mutex<State>,
     bounds: Bounds,
     store: Arc<Store>,
@@ -89,6 +92,7 @@
             }
         };
         Arc::new(Self {
+            advice_calls: AtomicU64::new(0),
             state: Mutex::new(State {
                 watched: "none".to_owned(),
                 away: Vec::new(),
@@ -122,6 +126,7 @@
         serve(Arc::new(move |request: &Request| {
             let body = request.json();
             let step = body.get("step").text();
+            cloud.advice_calls.fetch_add(1, Ordering::Relaxed);
             let asked = body.get("workers").list();
             thread::sleep(Duration::from_millis(20 + 2 * asked.len() as u64));
             let expires = cloud.trace.now_ms() + valid_ms;
