--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -159,11 +159,15 @@
             .iter()
             .for_each(|row| row.start_again());
     }
-    ms(14_000);
+    ms(4_000);
+    let calls = world.cloud.advice_calls.load(Ordering::Relaxed);
+    ms(10_000);
     let most = most_at_work(&world, 6_000);
     world.note(&format!(
         "at most {most} tasks of the job were at work in 6 s"
     ));
+    let more = world.cloud.advice_calls.load(Ordering::Relaxed) - calls;
+    world.note(&format!("{more} calls for advice in 16 s, {calls} before"));
     let (_, state) = world.client(1, "GET", &path, "");
     let mut violations = Vec::new();
     if most == 0 {
