--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -179,7 +179,7 @@
 }
 
 /// A lasting job whose queue has been moved to another service twice since it was handed in. The owner
-/// of the shard is killed, up to eight times.
+/// of the shard is stopped with SIGTERM and started again, up to eight times.
 fn moved_queue(setting: &Setting) -> Option<bool> {
     let mut runners = vec![("svc-a", "za", CPU, MEM_MB); 2];
     runners.extend(vec![("svc-b", "zb", CPU, MEM_MB); 12]);
@@ -203,15 +203,14 @@
     for _ in 0..8 {
         let owner = world.owner()?;
         if setting.trouble {
-            world.note(&format!("daemon {owner}, which owns the shard, is killed"));
-            world.daemons[owner].kill();
-        }
-        ms(1_000);
-        if setting.trouble {
-            world.note(&format!("daemon {owner} starts again"));
+            world.note(&format!(
+                "daemon {owner}, which owns the shard, gets SIGTERM"
+            ));
+            world.daemons[owner].stop(Duration::from_secs(6));
+            world.note(&format!("daemon {owner} has ended and starts again"));
             world.daemons[owner].start()?;
         }
-        ms(9_000);
+        ms(4_000);
         violations = check::twice(&world.trace.events());
         if !violations.is_empty() {
             break;
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -4,12 +4,12 @@
 use std::fmt::Write as _;
 use std::fs;
 use std::io::Write as _;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::cloud::Cloud;
 use super::http::call;
@@ -71,6 +71,19 @@
         }
     }
 
+    /// Sends SIGTERM, then SIGKILL after `grace`, as the platform does to stop a process.
+    pub fn stop(&mut self, grace: Duration) {
+        if let Some(child) = &mut self.child {
+            let id = child.id().to_string();
+            let _ = Command::new("kill").args(["-TERM", &id]).status();
+            let until = Instant::now() + grace;
+            while Instant::now() < until && matches!(child.try_wait(), Ok(None)) {
+                thread::sleep(Duration::from_millis(20));
+            }
+        }
+        self.kill();
+    }
+
     pub fn is_ready(&self) -> bool {
         let limit = Duration::from_millis(500);
         let answer = call(
@@ -163,17 +176,19 @@
             1 + pid % 251,
             11 + index
         );
-        let port = |port: u16| SocketAddr::new(ip.parse().unwrap(), port);
+        let front = free_port(&ip)?;
+        let ready = free_port(&ip)?;
+        let peers = free_port(&ip)?.port();
         let store = self.store.listen(index);
         let mut text = String::new();
         let _ = write!(
             text,
             "node = \"edge-{zone}-{index}\"\nrole = \"fleet\"\nmachine_class = \"edge\"\n\
              serves = [\"edge\"]\nip = \"{ip}\"\nzone = \"{zone}\"\nregion = \"home\"\n\
-             port_range = [7000,7015]\nseeds = []\nbootstrap = true\ncounts_as_loss = false\n\
+             port_range = [{peers},{peers}]\nseeds = []\nbootstrap = true\ncounts_as_loss = false\n\
              discovery = \"platform\"\nentry = \"vip\"\nheartbeat_ms = 1500\norders = \"call\"\n\
              advice = \"{advice}\"\n\n[zones]\nza = \"home\"\nzb = \"home\"\nzc = \"home\"\n\n[listen]\n\
-             front = \"{ip}:8340\"\nready = \"{ip}:8343\"\n\n[limits]\ncpu_share = 0.25\ncores = 1\n\
+             front = \"{front}\"\nready = \"{ready}\"\n\n[limits]\ncpu_share = 0.25\ncores = 1\n\
              memory_mb = 260\nmax_fds = 4100\nlink_mbps = 1000.0\ndisk_mb = 0\n\n[bounds]\n\
              contact_ms = 3000\nack_timeout_ms = 4000\ngrace_s = 6\nconfig_apply_ms = 2000\n\
              max_hold_ms = 10000\nstop_timeout_ms = 900\ngang_timeout_ms = 3000\ncancel_ms = 3000\n\
@@ -188,8 +203,8 @@
         fs::write(&settings, text).ok()?;
         let mut daemon = Daemon {
             ip: ip.clone(),
-            front: port(8340),
-            ready: port(8343),
+            front,
+            ready,
             settings,
             log: self.directory.join(format!("daemon-{index}.log")),
             child: None,
@@ -210,7 +225,7 @@
     }
 
     fn wait_ready(&self, limit: Duration) -> Option<()> {
-        let began = std::time::Instant::now();
+        let began = Instant::now();
         while !self.daemons.iter().all(Daemon::is_ready) {
             if began.elapsed() > limit {
                 self.note("the daemons did not become ready");
@@ -273,6 +288,12 @@
     }
 }
 
+/// Returns an address whose port is free now.
+fn free_port(ip: &str) -> Option<SocketAddr> {
+    let listener = TcpListener::bind((ip, 0)).ok()?;
+    listener.local_addr().ok()
+}
+
 fn unique() -> u64 {
     super::runner::unix_ms() % 1_000_000
 }
