Log of which attempt a delivery is, and submissions older than a refusal

A call to the owner now carries the latest reading of the owner's clock that the daemon had when it received the request, and the number of the delivery. A daemon logs each request that it delivered more than once, and the kind of each that it answers without an owner. No decision changes.

--- a/crates/vanillafold-jobs/src/lib.rs
+++ b/crates/vanillafold-jobs/src/lib.rs
@@ -5,6 +5,7 @@
 //! | ids and numbers | [`JobId`], [`TaskId`], [`RunNumber`], [`Epoch`], [`WorkerId`] |
 //! | stored records | [`Record`], [`JobProgress`], [`JobOutcome`] |
 //! | the state machine of one shard | [`Shard`], [`Order`], [`Settings`] |
+//! | deliveries of submissions, and refusals | [`Refusals`], [`DeliveryCheck`] |
 //! | registration, reports and answers of workers | [`WorkerEntry`], [`PollReport`], [`OrderAnswer`] |
 //!
 //! [`Shard`] is driven by events that carry the current time. It returns the [`Order`]s to send to
@@ -15,6 +16,7 @@
 mod record;
 mod shard;
 mod spec;
+mod submission;
 mod worker;
 
 pub use id::{Epoch, IdError, JobId, RunNumber, TaskId, WorkerId};
@@ -29,4 +31,5 @@
     WaveStatus,
 };
 pub use spec::{JobSpec, Repeat, Resources, SpecError, StepSpec};
+pub use submission::{DeliveryCheck, Refusals};
 pub use worker::{EndKind, ListedEnd, ListedRun, OrderAnswer, PollReport, WorkerEntry};
--- a/crates/vanillafold/src/fleet/daemon.rs
+++ b/crates/vanillafold/src/fleet/daemon.rs
@@ -12,7 +12,7 @@
 use vanillafold_wire::{Latch, Notify, RpcHandler, serve_rpcs};
 
 use super::config::FleetConfig;
-use super::message::{FleetAnswer, FleetRequest};
+use super::message::{FleetAnswer, FleetRequest, IncomingCall, OwnerTime};
 use super::owner::OwnerView;
 use super::ownership::ShardOwnership;
 use super::platform::FleetPlatform;
@@ -205,6 +205,18 @@
         RequestGuard(Rc::clone(self))
     }
 
+    /// Returns the latest reading of the owner's clock, which is the daemon's own clock if it owns
+    /// the shard.
+    pub(crate) fn owner_time(&self) -> OwnerTime {
+        match self.active_ownership() {
+            Some(ownership) => OwnerTime {
+                epoch: ownership.epoch().get(),
+                clock_ms: now().get(),
+            },
+            None => self.owner_view.clock(),
+        }
+    }
+
     /// Returns the daemon's ownership if the takeover is complete and the ownership has not ended.
     pub(crate) fn active_ownership(&self) -> Option<Rc<ShardOwnership<P>>> {
         let ownership = self.ownership.borrow();
@@ -265,7 +277,12 @@
     }
 
     /// Answers an RPC of another daemon.
-    async fn answer_rpc(self: &Rc<Self>, request: FleetRequest) -> FleetAnswer {
+    async fn answer_rpc(self: &Rc<Self>, call: IncomingCall) -> FleetAnswer {
+        let IncomingCall {
+            received_at,
+            delivery,
+            request,
+        } = call;
         if let FleetRequest::Ping {
             zone,
             cpu_millis,
@@ -292,7 +309,7 @@
                 unconfirmed_ms: now().since(self.confirmed_at.get()).get(),
                 may_send_orders: ownership.may_send_orders(),
             },
-            (Some(ownership), request) => ownership.answer(request).await,
+            (Some(ownership), request) => ownership.answer(request, received_at, delivery).await,
             (None, _) => FleetAnswer::NotOwner,
         }
     }
@@ -326,11 +343,11 @@
 struct PeerRpcHandler<P: FleetPlatform>(Rc<FleetDaemon<P>>);
 
 impl<P: FleetPlatform> RpcHandler for PeerRpcHandler<P> {
-    type Request = FleetRequest;
+    type Request = IncomingCall;
     type Answer = FleetAnswer;
 
-    async fn answer(&self, request: FleetRequest) -> Option<FleetAnswer> {
-        Some(self.0.answer_rpc(request).await)
+    async fn answer(&self, call: IncomingCall) -> Option<FleetAnswer> {
+        Some(self.0.answer_rpc(call).await)
     }
 }
 
--- a/crates/vanillafold/src/fleet/forward.rs
+++ b/crates/vanillafold/src/fleet/forward.rs
@@ -9,12 +9,23 @@
 use vanillafold_wire::RpcError;
 
 use super::daemon::FleetDaemon;
-use super::message::{FleetAnswer, FleetRequest};
+use super::message::{FleetAnswer, FleetRequest, OutgoingCall, OwnerTime};
 use super::metric;
 use super::platform::FleetPlatform;
 use super::settings::{OWNER_RETRY_DELAY, OWNER_WAIT_MS, RETRY_AFTER_MS, RPC_TIMEOUT};
 use super::time::now;
 
+/// A caller's request while it is being forwarded.
+struct Forwarding<'a> {
+    request: &'a FleetRequest,
+    began: MonotonicMillis,
+    received_at: OwnerTime,
+    /// Attempts to deliver the request, including those that were not sent.
+    deliveries: Cell<u32>,
+    /// Whether an owner may have received the request.
+    sent: Cell<bool>,
+}
+
 impl<P: FleetPlatform> FleetDaemon<P> {
     /// Returns the owner's answer to a request; answers it directly if this daemon is the owner.
     /// Unanswered requests are repeated until `limit_ms` have passed, which is safe because the
@@ -23,29 +34,33 @@
     /// Returns [`FleetAnswer::Refused`] only if the request surely had no effect, and
     /// [`FleetAnswer::Undecided`] if its outcome is still unknown when the time is up.
     pub async fn forward(self: &Rc<Self>, request: &FleetRequest, limit_ms: u64) -> FleetAnswer {
-        let began = now();
-        // Whether an owner may have received the request.
-        let sent = Cell::new(false);
-        let answered = self.forward_until(request, limit_ms, began, &sent);
+        let forwarding = Forwarding {
+            request,
+            began: now(),
+            received_at: self.owner_time(),
+            deliveries: Cell::new(0),
+            sent: Cell::new(false),
+        };
+        let answered = self.forward_until(&forwarding, limit_ms);
         let answer = match self.exiting.run_until_set(answered).await {
             Some(answer) => answer,
-            None => unanswered(request, began, sent.get(), "the daemon exits"),
+            None => forwarding.unanswered("the daemon exits"),
         };
-        metric::request(request.kind(), answer.kind(), began);
+        forwarding.log_repetitions(&answer);
+        metric::request(request.kind(), answer.kind(), forwarding.began);
         answer
     }
 
-    /// Repeats a request until it is answered, or until `limit_ms` after `began`; one that surely
+    /// Repeats a request until it is answered, or until `limit_ms` after it began; one that surely
     /// never reached an owner, only until [`OWNER_WAIT_MS`].
     async fn forward_until(
         self: &Rc<Self>,
-        request: &FleetRequest,
+        forwarding: &Forwarding<'_>,
         limit_ms: u64,
-        began: MonotonicMillis,
-        sent: &Cell<bool>,
     ) -> FleetAnswer {
+        let Forwarding { request, sent, .. } = forwarding;
         if self.is_cut_off() {
-            log::info!(job = request.job(), reason = "cut off"; "request refused");
+            log::info!(job = request.job(), kind = request.kind(), reason = "cut off"; "request refused");
             metric::refusal("cut_off");
             return FleetAnswer::Refused {
                 retry_after_ms: RETRY_AFTER_MS,
@@ -56,7 +71,8 @@
         loop {
             let rpc_timeout = RPC_TIMEOUT.min(Duration::from_millis(left_ms));
             let sent_before = sent.replace(true);
-            match self.forward_once(request, rpc_timeout).await {
+            forwarding.deliveries.set(forwarding.deliveries.get() + 1);
+            match self.forward_once(forwarding, rpc_timeout).await {
                 Ok(FleetAnswer::Undecided) | Err(RpcError::NoAnswer { .. }) => {}
                 Ok(FleetAnswer::NotOwner) | Err(_) => sent.set(sent_before),
                 Ok(answer) => return answer,
@@ -64,48 +80,67 @@
             metric::request_retried();
             self.recheck_owner.notify_one();
             sleep(OWNER_RETRY_DELAY).await;
-            let passed_ms = now().since(began).get();
+            let passed_ms = now().since(forwarding.began).get();
             left_ms = limit_ms.saturating_sub(passed_ms);
             if left_ms == 0 || (!sent.get() && passed_ms > OWNER_WAIT_MS) {
                 break;
             }
         }
-        unanswered(request, began, sent.get(), "no answer in time")
+        forwarding.unanswered("no answer in time")
     }
 
     /// Sends a request to the owner once, or answers it if this daemon is the owner.
     async fn forward_once(
         self: &Rc<Self>,
-        request: &FleetRequest,
+        forwarding: &Forwarding<'_>,
         rpc_timeout: Duration,
     ) -> Result<FleetAnswer, RpcError> {
+        let call = OutgoingCall {
+            received_at: forwarding.received_at,
+            delivery: forwarding.deliveries.get(),
+            request: forwarding.request,
+        };
         if let Some(ownership) = self.active_ownership() {
-            return Ok(ownership.answer(request.clone()).await);
+            let request = call.request.clone();
+            return Ok(ownership
+                .answer(request, call.received_at, call.delivery)
+                .await);
         }
         match self.owner_view.client() {
-            Some(client) => client.call(request, rpc_timeout).await,
+            Some(client) => client.call(&call, rpc_timeout).await,
             None => Ok(FleetAnswer::NotOwner),
         }
     }
 }
 
-/// Returns the answer to a request that no owner has answered: refused only if none can have
-/// received it.
-fn unanswered(
-    request: &FleetRequest,
-    began: MonotonicMillis,
-    sent: bool,
-    reason: &str,
-) -> FleetAnswer {
-    log::info!(
-        job = request.job(), sent = sent, waited_ms = now().since(began).get(), reason = reason;
-        "no owner answered the request"
-    );
-    match sent {
-        true => FleetAnswer::Undecided,
-        false => FleetAnswer::Refused {
-            retry_after_ms: RETRY_AFTER_MS,
-            overload: false,
-        },
+impl Forwarding<'_> {
+    /// Returns the answer to a request that no owner has answered: refused only if none can have
+    /// received it.
+    fn unanswered(&self, reason: &str) -> FleetAnswer {
+        log::info!(
+            job = self.request.job(), kind = self.request.kind(), sent = self.sent.get(),
+            deliveries = self.deliveries.get(), waited_ms = now().since(self.began).get(),
+            reason = reason;
+            "no owner answered the request"
+        );
+        match self.sent.get() {
+            true => FleetAnswer::Undecided,
+            false => FleetAnswer::Refused {
+                retry_after_ms: RETRY_AFTER_MS,
+                overload: false,
+            },
+        }
+    }
+
+    /// Logs the answer to a request that had to be delivered more than once.
+    fn log_repetitions(&self, answer: &FleetAnswer) {
+        if self.deliveries.get() > 1 {
+            log::info!(
+                job = self.request.job(), kind = self.request.kind(),
+                deliveries = self.deliveries.get(), unanswered = self.sent.get(),
+                received_epoch = self.received_at.epoch, answer = answer.kind();
+                "request delivered more than once"
+            );
+        }
     }
 }
--- a/crates/vanillafold/src/fleet/message.rs
+++ b/crates/vanillafold/src/fleet/message.rs
@@ -3,6 +3,46 @@
 use bincode::{Decode, Encode};
 use vanillafold_jobs::{JobId, JobSpec};
 
+/// Reading of the clock of the shard's owner.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Encode, Decode)]
+pub(crate) struct OwnerTime {
+    /// Epoch of the ownership; 0 if no owner has been reached yet.
+    pub(crate) epoch: u64,
+    /// The owner's monotonic clock, in milliseconds.
+    pub(crate) clock_ms: u64,
+}
+
+/// A request as it is sent to the owner. Has the encoding of [`IncomingCall`].
+#[derive(Debug, Encode)]
+pub(crate) struct OutgoingCall<'a> {
+    /// Latest reading of the owner's clock that the sender had when it received the request from
+    /// the caller; the default for a request of the sender itself.
+    pub(crate) received_at: OwnerTime,
+    /// Number of the attempt to deliver the request, from 1.
+    pub(crate) delivery: u32,
+    /// What the sender asks for.
+    pub(crate) request: &'a FleetRequest,
+}
+
+impl<'a> OutgoingCall<'a> {
+    /// Returns the call for a request that no caller has made.
+    pub(crate) fn internal(request: &'a FleetRequest) -> Self {
+        Self {
+            received_at: OwnerTime::default(),
+            delivery: 1,
+            request,
+        }
+    }
+}
+
+/// A request as the owner receives it; see [`OutgoingCall`].
+#[derive(Debug, Decode)]
+pub(crate) struct IncomingCall {
+    pub(crate) received_at: OwnerTime,
+    pub(crate) delivery: u32,
+    pub(crate) request: FleetRequest,
+}
+
 /// Request of a daemon to the owner of the shard. Encoded as bincode: the order of the variants and
 /// fields is part of the protocol.
 #[derive(Debug, Clone, Encode, Decode)]
--- a/crates/vanillafold/src/fleet/metric.rs
+++ b/crates/vanillafold/src/fleet/metric.rs
@@ -30,6 +30,11 @@
     counter!("vanillafold_refusals_total", "reason" => reason).increment(1);
 }
 
+/// Counts a submission of an unknown job that may have been refused since a daemon received it.
+pub(crate) fn stale_submission() {
+    counter!("vanillafold_stale_submissions_total").increment(1);
+}
+
 /// Records a completed takeover of the shard and the time that it took.
 pub(crate) fn takeover(began: MonotonicMillis) {
     counter!("vanillafold_takeovers_total").increment(1);
--- a/crates/vanillafold/src/fleet/owner.rs
+++ b/crates/vanillafold/src/fleet/owner.rs
@@ -10,7 +10,7 @@
 
 use super::config::OperatorRecord;
 use super::daemon::FleetDaemon;
-use super::message::{FleetAnswer, FleetRequest};
+use super::message::{FleetAnswer, FleetRequest, OutgoingCall, OwnerTime};
 use super::platform::{
     AppendCondition, FleetPlatform, KeyedRow, Keyspace, LatestRows, MetadataStore, PartitionOwner,
 };
@@ -43,8 +43,8 @@
     client: RefCell<Option<Rc<RpcClient>>>,
     /// The owner's name in the owners' group; empty until the first is found.
     member: RefCell<String>,
-    /// The owner's clock at its last answer; 0 if it has not answered yet.
-    owner_clock_ms: Cell<u64>,
+    /// The owner's clock at its last answer to a ping; the default if it has not answered yet.
+    clock: Cell<OwnerTime>,
     /// Whether the last read of the group showed the shard without an owner.
     vacant: Cell<bool>,
     /// Time at which the owner last changed.
@@ -57,6 +57,11 @@
         self.client.borrow().clone()
     }
 
+    /// Returns the latest reading of the owner's clock.
+    pub(crate) fn clock(&self) -> OwnerTime {
+        self.clock.get()
+    }
+
     /// Returns whether `member` is the last known owner of the shard.
     pub(crate) fn is_owner(&self, member: &str) -> bool {
         *self.member.borrow() == member
@@ -74,7 +79,7 @@
             return;
         }
         member.clone_into(&mut self.member.borrow_mut());
-        self.owner_clock_ms.set(0);
+        self.clock.set(OwnerTime::default());
         self.changed_at.set(now());
         let address = member.split('/').next().and_then(|text| text.parse().ok());
         log::info!(owner = member; "new owner of the shard");
@@ -217,9 +222,12 @@
         zone: daemon.settings.zone.clone(),
         cpu_millis: daemon.settings.cpu_millis,
         epoch: daemon.latest_epoch.get(),
-        owner_clock_ms: daemon.owner_view.owner_clock_ms.get(),
+        owner_clock_ms: daemon.owner_view.clock.get().clock_ms,
     };
-    match client.call(&request, PING_TIMEOUT).await {
+    match client
+        .call(&OutgoingCall::internal(&request), PING_TIMEOUT)
+        .await
+    {
         Ok(FleetAnswer::Pong {
             epoch,
             config_version,
@@ -227,7 +235,7 @@
             unconfirmed_ms,
             may_send_orders,
         }) => {
-            daemon.owner_view.owner_clock_ms.set(clock_ms);
+            daemon.owner_view.clock.set(OwnerTime { epoch, clock_ms });
             let latest = daemon.latest_epoch.get();
             daemon.latest_epoch.set(latest.max(epoch));
             if epoch >= latest && may_send_orders {
@@ -254,7 +262,10 @@
     known: u64,
 ) {
     let request = FleetRequest::Config(known);
-    let raw = match client.call(&request, RPC_TIMEOUT).await {
+    let raw = match client
+        .call(&OutgoingCall::internal(&request), RPC_TIMEOUT)
+        .await
+    {
         Ok(FleetAnswer::Config(raw)) if !raw.is_empty() => raw,
         Ok(_) => return,
         Err(error) => {
--- a/crates/vanillafold/src/fleet/ownership.rs
+++ b/crates/vanillafold/src/fleet/ownership.rs
@@ -7,15 +7,15 @@
 use local_sync::oneshot;
 use monoio::time::{sleep, timeout};
 use vanillafold_jobs::{
-    AdviceQuery, CancelOutcome, Epoch, JobId, LossCounts, Record, Shard, SubmitOutcome, Wave,
-    WorkerId,
+    AdviceQuery, CancelOutcome, DeliveryCheck, Epoch, JobId, JobSpec, LossCounts, Record, Refusals,
+    Shard, SubmitOutcome, Wave, WorkerId,
 };
 use vanillafold_policy::MonotonicMillis;
 use vanillafold_wire::{Latch, Notify};
 
 use super::config::FleetConfig;
 use super::daemon::FleetDaemon;
-use super::message::{FleetAnswer, FleetRequest};
+use super::message::{FleetAnswer, FleetRequest, OwnerTime};
 use super::metric;
 use super::platform::{
     AppendCondition, AppendError, FleetPlatform, Keyspace, LatestRows, MetadataStore, Producer,
@@ -57,6 +57,8 @@
     /// State of the shard; `None` until the takeover is complete.
     pub(crate) shard: RefCell<Option<Shard>>,
     waiters: RefCell<Vec<Waiter>>,
+    /// Jobs that were refused a short time ago.
+    refusals: RefCell<Refusals>,
     /// Links to the known workers, sorted by the workers' ids.
     pub(crate) links: RefCell<Vec<Rc<WorkerLink>>>,
     /// Version of the shard's workers that `links` corresponds to.
@@ -93,6 +95,7 @@
             opened_at: now(),
             shard: RefCell::new(None),
             waiters: RefCell::new(Vec::new()),
+            refusals: RefCell::default(),
             links: RefCell::new(Vec::new()),
             linked_version: Cell::new(0),
             counted_losses: Cell::new(LossCounts::default()),
@@ -182,10 +185,17 @@
 
     // --- Requests --------------------------------------------------------------------------
 
-    /// Answers a request of a caller; answers others with [`FleetAnswer::NotOwner`].
-    pub(crate) async fn answer(&self, request: FleetRequest) -> FleetAnswer {
+    /// Answers a request of a caller; answers others with [`FleetAnswer::NotOwner`]. `received_at`
+    /// is the latest reading of the owner's clock that the daemon had when it received the request,
+    /// and `delivery` counts its attempts to deliver it.
+    pub(crate) async fn answer(
+        &self,
+        request: FleetRequest,
+        received_at: OwnerTime,
+        delivery: u32,
+    ) -> FleetAnswer {
         match request {
-            FleetRequest::Submit(id, spec) => self.submit(id, spec).await,
+            FleetRequest::Submit(id, spec) => self.submit(id, spec, received_at, delivery).await,
             FleetRequest::Cancel(id) => self.cancel(id).await,
             FleetRequest::State(id) => match self.with(|shard| shard.state(id)) {
                 Some(Some(state)) => FleetAnswer::State(state.to_string()),
@@ -199,28 +209,68 @@
         }
     }
 
-    async fn submit(&self, id: JobId, spec: vanillafold_jobs::JobSpec) -> FleetAnswer {
+    async fn submit(
+        &self,
+        id: JobId,
+        spec: JobSpec,
+        received_at: OwnerTime,
+        delivery: u32,
+    ) -> FleetAnswer {
         let known = self.with(|shard| shard.is_known(id)).unwrap_or(false);
+        let check = self.check_delivery(id, received_at);
+        if !known && check != DeliveryCheck::Current {
+            metric::stale_submission();
+            log::info!(
+                job = id.to_string(), check = format!("{check:?}"), delivery = delivery,
+                received_epoch = received_at.epoch, epoch = self.epoch.get(),
+                age_ms = now().get().saturating_sub(received_at.clock_ms);
+                "submission may have been refused since it was received"
+            );
+        }
         if !known && now().get() < self.store_unavailable_until_ms.get() {
-            metric::refusal("store_away");
-            log::info!(job = id.to_string(), reason = "store away"; "job refused");
-            return FleetAnswer::Refused {
-                retry_after_ms: RETRY_AFTER_MS,
-                overload: false,
-            };
+            return self.refuse(id, "store_away", "store away", RETRY_AFTER_MS, false);
         }
         match self.with(|shard| shard.submit(id, spec, now(), unix_ms())) {
             None => FleetAnswer::NotOwner,
             Some(SubmitOutcome::Stored) => FleetAnswer::Accepted,
             Some(SubmitOutcome::Storing) => self.wait(id, AwaitedRecord::Spec).await,
             Some(SubmitOutcome::Refused { retry_after_ms }) => {
-                metric::refusal("load");
-                log::info!(job = id.to_string(), retry_after_ms = retry_after_ms, reason = "load"; "job refused");
-                FleetAnswer::Refused {
-                    retry_after_ms,
-                    overload: true,
-                }
+                self.refuse(id, "load", "load", retry_after_ms, true)
+            }
+        }
+    }
+
+    /// Checks whether a submission may have been refused since it was received. One that was
+    /// received before its daemon reached this owner may have been refused by an earlier owner.
+    fn check_delivery(&self, id: JobId, received_at: OwnerTime) -> DeliveryCheck {
+        match received_at.epoch == self.epoch.get() {
+            true => {
+                let received_at = MonotonicMillis::new(received_at.clock_ms);
+                self.refusals.borrow().check(id, received_at, now())
             }
+            false => DeliveryCheck::Outdated,
+        }
+    }
+
+    /// Records and returns the refusal of a job.
+    fn refuse(
+        &self,
+        id: JobId,
+        metric_reason: &'static str,
+        reason: &str,
+        retry_after_ms: u64,
+        overload: bool,
+    ) -> FleetAnswer {
+        self.refusals.borrow_mut().add(id, now());
+        metric::refusal(metric_reason);
+        log::info!(
+            job = id.to_string(), reason = reason, retry_after_ms = retry_after_ms,
+            epoch = self.epoch.get(), unconfirmed_ms = now().since(self.daemon.confirmed_at.get()).get();
+            "job refused"
+        );
+        FleetAnswer::Refused {
+            retry_after_ms,
+            overload,
         }
     }
 
@@ -295,13 +345,14 @@
                 continue;
             }
             let waiter = waiters.swap_remove(index);
-            metric::refusal("store_refused");
-            log::info!(job = waiter.job.to_string(), reason = "store refused"; "job refused");
             let answer = match waiter.awaited {
-                AwaitedRecord::Spec => FleetAnswer::Refused {
-                    retry_after_ms: RETRY_AFTER_MS,
-                    overload: false,
-                },
+                AwaitedRecord::Spec => self.refuse(
+                    waiter.job,
+                    "store_refused",
+                    "store refused",
+                    RETRY_AFTER_MS,
+                    false,
+                ),
                 AwaitedRecord::Outcome => FleetAnswer::NoJob,
             };
             // The request may have been abandoned in the meantime.
