--- a/crates/vanillafold/tests/fleet/fixture.rs
+++ b/crates/vanillafold/tests/fleet/fixture.rs
@@ -11,6 +11,7 @@
 use vanillafold_jobs::{JobId, JobSpec, Resources, Settings, StepSpec};
 
 use crate::platform::{StoreState, TestPlatform};
+use crate::relay::Relay;
 
 /// Time after which a test fails whose condition does not hold.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -21,6 +22,7 @@
 pub(crate) struct TestDaemon {
     pub(crate) fleet_daemon: Rc<FleetDaemon<TestPlatform>>,
     pub(crate) store_unreachable: Rc<Cell<bool>>,
+    pub(crate) peer_address: SocketAddr,
 }
 
 /// Runs a test on a single-threaded runtime with a timer.
@@ -67,16 +69,36 @@
 
 /// Starts a daemon on a store. All test daemons are in the same zone.
 pub(crate) fn start(state: &Rc<RefCell<StoreState>>, name: &str, cpu_millis: u64) -> TestDaemon {
+    start_daemon(state, name, cpu_millis, None)
+}
+
+/// Starts a daemon that reaches the owner through a relay.
+pub(crate) fn start_behind(
+    state: &Rc<RefCell<StoreState>>,
+    name: &str,
+    relay: &Relay,
+) -> TestDaemon {
+    start_daemon(state, name, 500, Some(relay.address))
+}
+
+fn start_daemon(
+    state: &Rc<RefCell<StoreState>>,
+    name: &str,
+    cpu_millis: u64,
+    relay_address: Option<SocketAddr>,
+) -> TestDaemon {
     let store_unreachable = Rc::new(Cell::new(false));
     let platform = TestPlatform {
         state: Rc::clone(state),
         store_unreachable: Rc::clone(&store_unreachable),
+        relay_address,
     };
+    let peer_address = free_address();
     let settings = FleetSettings {
         daemon_name: name.to_owned(),
         zone: "zone-a".to_owned(),
         cpu_millis,
-        peer_address: free_address(),
+        peer_address,
         member_ttl_ms: 1_000,
         shard: shard_settings(),
     };
@@ -85,6 +107,7 @@
     TestDaemon {
         fleet_daemon,
         store_unreachable,
+        peer_address,
     }
 }
 
--- a/crates/vanillafold/tests/fleet/main.rs
+++ b/crates/vanillafold/tests/fleet/main.rs
@@ -4,3 +4,5 @@
 mod fixture;
 mod ownership;
 mod platform;
+mod refusals;
+mod relay;
--- a/crates/vanillafold/tests/fleet/platform.rs
+++ b/crates/vanillafold/tests/fleet/platform.rs
@@ -55,6 +55,8 @@
     pub(crate) unreachable_joins: u64,
     /// Number of reads of the group's members that failed because the store was unreachable.
     pub(crate) unreachable_owner_reads: u64,
+    /// Whether the store refuses records of the shard.
+    pub(crate) refuses_records: bool,
     /// Whether appends to the shard's records get no answer.
     pub(crate) hangs: bool,
     /// Number of reads of the shard's records that still have to fail. Only reads of a later page
@@ -77,6 +79,12 @@
         }
     }
 
+    /// Returns whether a record of a job is stored.
+    pub(crate) fn has_job(&self, number: u64) -> bool {
+        let id = format!("{number:016x}");
+        self.jobs.iter().any(|row| row.0.contains(&id))
+    }
+
     /// Returns the name of the daemon that owns the shard.
     pub(crate) fn owner(&self) -> Option<&str> {
         self.members.last()?.name.split('/').nth(1)
@@ -98,6 +106,18 @@
     pub(crate) state: Rc<RefCell<StoreState>>,
     /// Whether the daemon is cut off from the store.
     pub(crate) store_unreachable: Rc<Cell<bool>>,
+    /// Address at which the daemon reaches the others; their own if there is none.
+    pub(crate) relay_address: Option<SocketAddr>,
+}
+
+impl TestPlatform {
+    /// Returns the name under which this daemon sees a member, which begins with its address.
+    fn seen_name(&self, name: &str) -> String {
+        match (self.relay_address, name.split_once('/')) {
+            (Some(address), Some((_, rest))) => format!("{address}/{rest}"),
+            _ => name.to_owned(),
+        }
+    }
 }
 
 /// A daemon's connection to the store.
@@ -173,7 +193,7 @@
         state.expire_members();
         let to_owner = |row: &Member| PartitionOwner {
             partition: 0,
-            member: row.name.clone(),
+            member: self.0.seen_name(&row.name),
         };
         Ok(state.members.last().map(to_owner).into_iter().collect())
     }
@@ -189,6 +209,9 @@
         if keyspace == Keyspace::Jobs && self.0.state.borrow().hangs {
             std::future::pending::<()>().await;
         }
+        if keyspace == Keyspace::Jobs && !rows.is_empty() && self.0.state.borrow().refuses_records {
+            return Err(AppendError::Store(StoreError::Refused("full".to_owned())));
+        }
         let mut state = self.0.state.borrow_mut();
         match condition {
             AppendCondition::Producer(producer) if producer.epoch.get() < state.epoch => {
