Do not act on a submission that is older than a refusal of its job

Callers saw a job run that had been answered 429 or 503, which promises that it never runs. Three tests failed before: a delivery was accepted after its repetition, after a later submission, and by the next owner after the one before, had been refused.

Cause: a refusal was the answer to one delivery. A daemon repeats a delivery that gets no answer in 1.2 s, and a caller repeats a request at another daemon; the earlier bytes may still be held by a cut link, or lie in the socket of a process that stands still. The owner kept nothing of a refusal, so it accepted the job when they arrived.

Every delivery now says before which time of the owner's clock its request had surely not arrived: from the last answer to a ping, and from ticks of the daemon's event loop, which are late when the process stood still. A cancellation of an unknown job counts as a refusal. Later owners act on nothing received before them, so no refusal has to be stored.

--- a/crates/vanillafold/src/fleet/daemon.rs
+++ b/crates/vanillafold/src/fleet/daemon.rs
@@ -8,11 +8,11 @@
 
 use monoio::net::{ListenerOpts, TcpListener};
 use monoio::time::{sleep, timeout};
-use vanillafold_policy::MonotonicMillis;
+use vanillafold_policy::{ARRIVAL_TICK_MS, ArrivalClock, MonotonicMillis};
 use vanillafold_wire::{Latch, Notify, RpcHandler, serve_rpcs};
 
 use super::config::FleetConfig;
-use super::message::{FleetAnswer, FleetRequest, IncomingCall, OwnerTime};
+use super::message::{FleetAnswer, FleetRequest, IncomingCall};
 use super::owner::OwnerView;
 use super::ownership::ShardOwnership;
 use super::platform::FleetPlatform;
@@ -93,6 +93,7 @@
     pub(crate) leaving: Latch,
     /// Set when the daemon answers its requests in flight at once, because it is about to exit.
     pub(crate) exiting: Latch,
+    arrival_clock: RefCell<ArrivalClock>,
     pub(crate) in_flight: Cell<usize>,
     /// Notified when a request could not be forwarded: the owner may have changed and must be
     /// checked before the next ping is due.
@@ -132,6 +133,7 @@
             ready: Cell::new(false),
             leaving: Latch::default(),
             exiting: Latch::default(),
+            arrival_clock: RefCell::new(ArrivalClock::new(now())),
             in_flight: Cell::new(0),
             recheck_owner: Notify::default(),
             shard_claimed: Cell::new(false),
@@ -151,6 +153,7 @@
         monoio::spawn(membership::maintain(Rc::clone(self)));
         monoio::spawn(operator::read_records(Rc::clone(self)));
         monoio::spawn(owner::track(Rc::clone(self)));
+        monoio::spawn(run_arrival_clock(Rc::clone(self)));
         Ok(())
     }
 
@@ -205,16 +208,9 @@
         RequestGuard(Rc::clone(self))
     }
 
-    /// Returns the latest reading of the owner's clock, which is the daemon's own clock if it owns
-    /// the shard.
-    pub(crate) fn owner_time(&self) -> OwnerTime {
-        match self.active_ownership() {
-            Some(ownership) => OwnerTime {
-                epoch: ownership.epoch().get(),
-                clock_ms: now().get(),
-            },
-            None => self.owner_view.clock(),
-        }
+    /// Returns a time that is not later than the arrival of a request that is read now.
+    pub(crate) fn earliest_arrival(&self) -> MonotonicMillis {
+        self.arrival_clock.borrow().earliest_arrival()
     }
 
     /// Returns the daemon's ownership if the takeover is complete and the ownership has not ended.
@@ -280,9 +276,12 @@
     async fn answer_rpc(self: &Rc<Self>, call: IncomingCall) -> FleetAnswer {
         let IncomingCall {
             received_at,
+            latest_epoch,
             delivery,
             request,
         } = call;
+        self.latest_epoch
+            .set(self.latest_epoch.get().max(latest_epoch));
         if let FleetRequest::Ping {
             zone,
             cpu_millis,
@@ -339,6 +338,13 @@
     }
 }
 
+async fn run_arrival_clock<P: FleetPlatform>(daemon: Rc<FleetDaemon<P>>) {
+    loop {
+        sleep(Duration::from_millis(ARRIVAL_TICK_MS)).await;
+        daemon.arrival_clock.borrow_mut().tick(now());
+    }
+}
+
 /// Answers the RPCs of other daemons.
 struct PeerRpcHandler<P: FleetPlatform>(Rc<FleetDaemon<P>>);
 
--- a/crates/vanillafold/src/fleet/forward.rs
+++ b/crates/vanillafold/src/fleet/forward.rs
@@ -19,7 +19,8 @@
 struct Forwarding<'a> {
     request: &'a FleetRequest,
     began: MonotonicMillis,
-    received_at: OwnerTime,
+    /// Time before which the request had surely not arrived.
+    arrived_at: MonotonicMillis,
     /// Attempts to deliver the request, including those that were not sent.
     deliveries: Cell<u32>,
     /// Whether an owner may have received the request.
@@ -31,13 +32,15 @@
     /// Unanswered requests are repeated until `limit_ms` have passed, which is safe because the
     /// owner identifies a job by its id.
     ///
-    /// Returns [`FleetAnswer::Refused`] only if the request surely had no effect, and
-    /// [`FleetAnswer::Undecided`] if its outcome is still unknown when the time is up.
+    /// Returns [`FleetAnswer::Refused`] for a submission only if the owner has refused its job,
+    /// [`FleetAnswer::Undecided`] if the outcome is still unknown when the time is up, and
+    /// [`FleetAnswer::Unconfirmed`] if no owner has received the request: another daemon may have
+    /// delivered an earlier request about the same job.
     pub async fn forward(self: &Rc<Self>, request: &FleetRequest, limit_ms: u64) -> FleetAnswer {
         let forwarding = Forwarding {
             request,
             began: now(),
-            received_at: self.owner_time(),
+            arrived_at: self.earliest_arrival(),
             deliveries: Cell::new(0),
             sent: Cell::new(false),
         };
@@ -60,12 +63,8 @@
     ) -> FleetAnswer {
         let Forwarding { request, sent, .. } = forwarding;
         if self.is_cut_off() {
-            log::info!(job = request.job(), kind = request.kind(), reason = "cut off"; "request refused");
-            metric::refusal("cut_off");
-            return FleetAnswer::Refused {
-                retry_after_ms: RETRY_AFTER_MS,
-                overload: false,
-            };
+            log::info!(job = request.job(), kind = request.kind(), reason = "cut off"; "request not forwarded");
+            return forwarding.not_sent();
         }
         let mut left_ms = limit_ms;
         loop {
@@ -95,27 +94,33 @@
         forwarding: &Forwarding<'_>,
         rpc_timeout: Duration,
     ) -> Result<FleetAnswer, RpcError> {
-        let call = OutgoingCall {
-            received_at: forwarding.received_at,
-            delivery: forwarding.deliveries.get(),
-            request: forwarding.request,
-        };
+        let request = forwarding.request;
+        let delivery = forwarding.deliveries.get();
         if let Some(ownership) = self.active_ownership() {
-            let request = call.request.clone();
+            let received_at = OwnerTime {
+                epoch: ownership.epoch().get(),
+                clock_ms: forwarding.arrived_at.get(),
+            };
             return Ok(ownership
-                .answer(request, call.received_at, call.delivery)
+                .answer(request.clone(), received_at, delivery)
                 .await);
         }
-        match self.owner_view.client() {
-            Some(client) => client.call(&call, rpc_timeout).await,
-            None => Ok(FleetAnswer::NotOwner),
-        }
+        let received_at = self.owner_view.owner_time(forwarding.arrived_at);
+        let (Some(client), Some(received_at)) = (self.owner_view.client(), received_at) else {
+            return Ok(FleetAnswer::NotOwner);
+        };
+        let call = OutgoingCall {
+            received_at,
+            latest_epoch: self.latest_epoch.get(),
+            delivery,
+            request,
+        };
+        client.call(&call, rpc_timeout).await
     }
 }
 
 impl Forwarding<'_> {
-    /// Returns the answer to a request that no owner has answered: refused only if none can have
-    /// received it.
+    /// Returns the answer to a request that no owner has answered.
     fn unanswered(&self, reason: &str) -> FleetAnswer {
         log::info!(
             job = self.request.job(), kind = self.request.kind(), sent = self.sent.get(),
@@ -125,10 +130,16 @@
         );
         match self.sent.get() {
             true => FleetAnswer::Undecided,
-            false => FleetAnswer::Refused {
-                retry_after_ms: RETRY_AFTER_MS,
-                overload: false,
-            },
+            false => self.not_sent(),
+        }
+    }
+
+    /// Returns the answer to a request that surely reached no owner.
+    fn not_sent(&self) -> FleetAnswer {
+        let retry_after_ms = RETRY_AFTER_MS;
+        FleetAnswer::Refused {
+            retry_after_ms,
+            overload: false,
         }
     }
 
@@ -138,7 +149,7 @@
             log::info!(
                 job = self.request.job(), kind = self.request.kind(),
                 deliveries = self.deliveries.get(), unanswered = self.sent.get(),
-                received_epoch = self.received_at.epoch, answer = answer.kind();
+                answer = answer.kind();
                 "request delivered more than once"
             );
         }
--- a/crates/vanillafold/src/fleet/message.rs
+++ b/crates/vanillafold/src/fleet/message.rs
@@ -6,7 +6,7 @@
 /// Reading of the clock of the shard's owner.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Encode, Decode)]
 pub(crate) struct OwnerTime {
-    /// Epoch of the ownership; 0 if no owner has been reached yet.
+    /// Epoch of the ownership; 0 if there is no reading.
     pub(crate) epoch: u64,
     /// The owner's monotonic clock, in milliseconds.
     pub(crate) clock_ms: u64,
@@ -15,9 +15,11 @@
 /// A request as it is sent to the owner. Has the encoding of [`IncomingCall`].
 #[derive(Debug, Encode)]
 pub(crate) struct OutgoingCall<'a> {
-    /// Latest reading of the owner's clock that the sender had when it received the request from
-    /// the caller; the default for a request of the sender itself.
+    /// Time before which the caller's request had surely not arrived at the sender; the default for
+    /// a request of the sender itself.
     pub(crate) received_at: OwnerTime,
+    /// Latest epoch of an ownership that the sender knows of.
+    pub(crate) latest_epoch: u64,
     /// Number of the attempt to deliver the request, from 1.
     pub(crate) delivery: u32,
     /// What the sender asks for.
@@ -29,6 +31,7 @@
     pub(crate) fn internal(request: &'a FleetRequest) -> Self {
         Self {
             received_at: OwnerTime::default(),
+            latest_epoch: 0,
             delivery: 1,
             request,
         }
@@ -39,6 +42,7 @@
 #[derive(Debug, Decode)]
 pub(crate) struct IncomingCall {
     pub(crate) received_at: OwnerTime,
+    pub(crate) latest_epoch: u64,
     pub(crate) delivery: u32,
     pub(crate) request: FleetRequest,
 }
@@ -80,7 +84,8 @@
 pub enum FleetAnswer {
     /// The job is accepted, and its record is stored.
     Accepted,
-    /// The request had no effect; a submitted job was not accepted and never runs.
+    /// The request had no effect. A submitted job was not accepted and never runs, unless a caller
+    /// submits it again after this answer.
     Refused {
         /// Time after which the caller may retry, in milliseconds.
         retry_after_ms: u64,
@@ -117,6 +122,12 @@
     NotOwner,
     /// It is unknown whether the request had an effect.
     Undecided,
+    /// This delivery of the request had no effect, but an earlier request about the same job may
+    /// have had one or may have one later.
+    Unconfirmed {
+        /// Time after which the caller may send the request again, in milliseconds.
+        retry_after_ms: u64,
+    },
 }
 
 impl FleetRequest {
@@ -130,6 +141,12 @@
         }
     }
 
+    /// Returns whether the request changes nothing.
+    #[must_use]
+    pub const fn is_read(&self) -> bool {
+        !matches!(self, Self::Submit(..) | Self::Cancel(_))
+    }
+
     /// Returns the kind of the request, for log lines and metrics.
     #[must_use]
     pub const fn kind(&self) -> &'static str {
@@ -160,6 +177,7 @@
             Self::Config(_) => "config",
             Self::NotOwner => "not_owner",
             Self::Undecided => "undecided",
+            Self::Unconfirmed { .. } => "unconfirmed",
         }
     }
 }
--- a/crates/vanillafold/src/fleet/owner.rs
+++ b/crates/vanillafold/src/fleet/owner.rs
@@ -32,6 +32,9 @@
 /// daemon, started at the same moment, finds the shard without an owner and joins.
 const SMALL_DAEMON_DELAY_MS: u64 = 1_500;
 
+/// Two clocks that run for some time differ by at most this part of it.
+const CLOCK_DRIFT_DIVISOR: u64 = 50;
+
 /// Key of the claims of the shard in [`Keyspace::Claims`].
 const CLAIM_KEY: &str = "shard-0";
 
@@ -43,8 +46,9 @@
     client: RefCell<Option<Rc<RpcClient>>>,
     /// The owner's name in the owners' group; empty until the first is found.
     member: RefCell<String>,
-    /// The owner's clock at its last answer to a ping; the default if it has not answered yet.
-    clock: Cell<OwnerTime>,
+    /// The owner's clock at its last answer to a ping, and when the answer was read; `None` if it
+    /// has not answered yet.
+    reading: Cell<Option<(OwnerTime, MonotonicMillis)>>,
     /// Whether the last read of the group showed the shard without an owner.
     vacant: Cell<bool>,
     /// Time at which the owner last changed.
@@ -57,9 +61,17 @@
         self.client.borrow().clone()
     }
 
-    /// Returns the latest reading of the owner's clock.
-    pub(crate) fn clock(&self) -> OwnerTime {
-        self.clock.get()
+    /// Returns a time on the owner's clock that is not later than `at`, a recent time on this
+    /// daemon's clock; `None` if the owner has not answered yet.
+    pub(crate) fn owner_time(&self, at: MonotonicMillis) -> Option<OwnerTime> {
+        let (reading, read_at) = self.reading.get()?;
+        let (after_ms, before_ms) = (at.since(read_at).get(), read_at.since(at).get());
+        let drift_ms = (after_ms + before_ms).div_ceil(CLOCK_DRIFT_DIVISOR);
+        let clock_ms = reading.clock_ms.saturating_add(after_ms);
+        Some(OwnerTime {
+            epoch: reading.epoch,
+            clock_ms: clock_ms.saturating_sub(before_ms.saturating_add(drift_ms)),
+        })
     }
 
     /// Returns whether `member` is the last known owner of the shard.
@@ -79,7 +91,7 @@
             return;
         }
         member.clone_into(&mut self.member.borrow_mut());
-        self.clock.set(OwnerTime::default());
+        self.reading.set(None);
         self.changed_at.set(now());
         let address = member.split('/').next().and_then(|text| text.parse().ok());
         log::info!(owner = member; "new owner of the shard");
@@ -218,11 +230,12 @@
     let Some(client) = daemon.owner_view.client() else {
         return false;
     };
+    let last_reading = daemon.owner_view.reading.get();
     let request = FleetRequest::Ping {
         zone: daemon.settings.zone.clone(),
         cpu_millis: daemon.settings.cpu_millis,
         epoch: daemon.latest_epoch.get(),
-        owner_clock_ms: daemon.owner_view.clock.get().clock_ms,
+        owner_clock_ms: last_reading.map_or(0, |(reading, _)| reading.clock_ms),
     };
     match client
         .call(&OutgoingCall::internal(&request), PING_TIMEOUT)
@@ -235,7 +248,8 @@
             unconfirmed_ms,
             may_send_orders,
         }) => {
-            daemon.owner_view.clock.set(OwnerTime { epoch, clock_ms });
+            let reading = OwnerTime { epoch, clock_ms };
+            daemon.owner_view.reading.set(Some((reading, now())));
             let latest = daemon.latest_epoch.get();
             daemon.latest_epoch.set(latest.max(epoch));
             if epoch >= latest && may_send_orders {
--- a/crates/vanillafold/src/fleet/ownership.rs
+++ b/crates/vanillafold/src/fleet/ownership.rs
@@ -185,9 +185,9 @@
 
     // --- Requests --------------------------------------------------------------------------
 
-    /// Answers a request of a caller; answers others with [`FleetAnswer::NotOwner`]. `received_at`
-    /// is the latest reading of the owner's clock that the daemon had when it received the request,
-    /// and `delivery` counts its attempts to deliver it.
+    /// Answers a request of a caller; answers others with [`FleetAnswer::NotOwner`]. The
+    /// request had surely not arrived at its daemon before `received_at`; `delivery` counts the
+    /// daemon's attempts to deliver it.
     pub(crate) async fn answer(
         &self,
         request: FleetRequest,
@@ -217,57 +217,64 @@
         delivery: u32,
     ) -> FleetAnswer {
         let known = self.with(|shard| shard.is_known(id)).unwrap_or(false);
-        let check = self.check_delivery(id, received_at);
-        if !known && check != DeliveryCheck::Current {
+        let check = match known {
+            true => DeliveryCheck::Current,
+            false => self.check_delivery(id, received_at),
+        };
+        if check != DeliveryCheck::Current {
             metric::stale_submission();
             log::info!(
                 job = id.to_string(), check = format!("{check:?}"), delivery = delivery,
                 received_epoch = received_at.epoch, epoch = self.epoch.get(),
                 age_ms = now().get().saturating_sub(received_at.clock_ms);
-                "submission may have been refused since it was received"
+                "submission not acted on: its job may have been refused since it was received"
             );
         }
+        match check {
+            DeliveryCheck::Current => {}
+            DeliveryCheck::Refused | DeliveryCheck::Outdated => {
+                return FleetAnswer::Unconfirmed { retry_after_ms: 0 };
+            }
+        }
         if !known && now().get() < self.store_unavailable_until_ms.get() {
-            return self.refuse(id, "store_away", "store away", RETRY_AFTER_MS, false);
+            return self.refuse(id, "store_away", RETRY_AFTER_MS, false);
         }
         match self.with(|shard| shard.submit(id, spec, now(), unix_ms())) {
             None => FleetAnswer::NotOwner,
             Some(SubmitOutcome::Stored) => FleetAnswer::Accepted,
             Some(SubmitOutcome::Storing) => self.wait(id, AwaitedRecord::Spec).await,
             Some(SubmitOutcome::Refused { retry_after_ms }) => {
-                self.refuse(id, "load", "load", retry_after_ms, true)
+                self.refuse(id, "load", retry_after_ms, true)
             }
         }
     }
 
     /// Checks whether a submission may have been refused since it was received. One that was
-    /// received before its daemon reached this owner may have been refused by an earlier owner.
+    /// received before this ownership may have been refused by an earlier owner.
     fn check_delivery(&self, id: JobId, received_at: OwnerTime) -> DeliveryCheck {
-        match received_at.epoch == self.epoch.get() {
-            true => {
-                let received_at = MonotonicMillis::new(received_at.clock_ms);
-                self.refusals.borrow().check(id, received_at, now())
-            }
+        let received_ms = MonotonicMillis::new(received_at.clock_ms);
+        match received_at.epoch == self.epoch.get() && received_ms >= self.opened_at {
+            true => self.refusals.borrow().check(id, received_ms, now()),
             false => DeliveryCheck::Outdated,
         }
     }
 
-    /// Records and returns the refusal of a job.
+    /// Returns the refusal of a job that this owner does not know. It holds for all submissions
+    /// that were received before: the owner does not act on them any more, nor does a later owner.
     fn refuse(
         &self,
         id: JobId,
-        metric_reason: &'static str,
-        reason: &str,
+        reason: &'static str,
         retry_after_ms: u64,
         overload: bool,
     ) -> FleetAnswer {
-        self.refusals.borrow_mut().add(id, now());
-        metric::refusal(metric_reason);
         log::info!(
             job = id.to_string(), reason = reason, retry_after_ms = retry_after_ms,
-            epoch = self.epoch.get(), unconfirmed_ms = now().since(self.daemon.confirmed_at.get()).get();
+            epoch = self.epoch.get();
             "job refused"
         );
+        metric::refusal(reason);
+        self.refusals.borrow_mut().add(id, now());
         FleetAnswer::Refused {
             retry_after_ms,
             overload,
@@ -277,7 +284,13 @@
     async fn cancel(&self, id: JobId) -> FleetAnswer {
         match self.with(|shard| shard.cancel(id, now(), unix_ms())) {
             None => FleetAnswer::NotOwner,
-            Some(CancelOutcome::Unknown) => self.answer_unknown_job(),
+            Some(CancelOutcome::Unknown) => {
+                let answer = self.answer_unknown_job();
+                if answer == FleetAnswer::NoJob {
+                    self.refusals.borrow_mut().add(id, now());
+                }
+                answer
+            }
             Some(CancelOutcome::Finished) => FleetAnswer::Cancelled,
             Some(CancelOutcome::Storing) => {
                 self.events.notify_one();
@@ -346,13 +359,9 @@
             }
             let waiter = waiters.swap_remove(index);
             let answer = match waiter.awaited {
-                AwaitedRecord::Spec => self.refuse(
-                    waiter.job,
-                    "store_refused",
-                    "store refused",
-                    RETRY_AFTER_MS,
-                    false,
-                ),
+                AwaitedRecord::Spec => {
+                    self.refuse(waiter.job, "store_refused", RETRY_AFTER_MS, false)
+                }
                 AwaitedRecord::Outcome => FleetAnswer::NoJob,
             };
             // The request may have been abandoned in the meantime.
