Answer 504 in place of 503 where no owner has been asked

A daemon that is cut off, or finds no owner in 1.8 s, answered submissions with 503, although an earlier submission of the job through another daemon may have been stored, or be on its way. The test a_daemon_that_reaches_no_owner_does_not_refuse_a_job_that_is_accepted failed with Refused. Only the owner knows; such a daemon now answers submissions and cancellations with 504 and Retry-After. Reads get 503 as before.

--- a/crates/vanillafold/src/fleet/forward.rs
+++ b/crates/vanillafold/src/fleet/forward.rs
@@ -137,9 +137,12 @@
     /// Returns the answer to a request that surely reached no owner.
     fn not_sent(&self) -> FleetAnswer {
         let retry_after_ms = RETRY_AFTER_MS;
-        FleetAnswer::Refused {
-            retry_after_ms,
-            overload: false,
+        match self.request.is_read() {
+            true => FleetAnswer::Refused {
+                retry_after_ms,
+                overload: false,
+            },
+            false => FleetAnswer::Unconfirmed { retry_after_ms },
         }
     }
 
