Refuse jobs only while the store confirms the ownership

An owner that the store turns away went on to refuse submissions for as long as it acted, while its successor had accepted the same job through another daemon: the test an_owner_that_the_store_has_replaced_does_not_refuse_... failed with Refused.

--- a/crates/vanillafold/src/fleet/ownership.rs
+++ b/crates/vanillafold/src/fleet/ownership.rs
@@ -261,6 +261,7 @@
 
     /// Returns the refusal of a job that this owner does not know. It holds for all submissions
     /// that were received before: the owner does not act on them any more, nor does a later owner.
+    /// An owner that may have been replaced refuses nothing, as its successor may have the job.
     fn refuse(
         &self,
         id: JobId,
@@ -268,11 +269,15 @@
         retry_after_ms: u64,
         overload: bool,
     ) -> FleetAnswer {
+        let confirmed = self.is_confirmed();
         log::info!(
             job = id.to_string(), reason = reason, retry_after_ms = retry_after_ms,
-            epoch = self.epoch.get();
+            epoch = self.epoch.get(), confirmed = confirmed;
             "job refused"
         );
+        if !confirmed {
+            return FleetAnswer::Unconfirmed { retry_after_ms };
+        }
         metric::refusal(reason);
         self.refusals.borrow_mut().add(id, now());
         FleetAnswer::Refused {
@@ -281,6 +286,14 @@
         }
     }
 
+    /// Returns whether no other daemon can own the shard: the store has confirmed the membership
+    /// recently, and no later ownership is known.
+    fn is_confirmed(&self) -> bool {
+        let unconfirmed_ms = now().since(self.daemon.confirmed_at.get()).get();
+        let superseded = self.daemon.latest_epoch.get() > self.epoch.get();
+        unconfirmed_ms <= self.daemon.settings.member_ttl_ms && !superseded
+    }
+
     async fn cancel(&self, id: JobId) -> FleetAnswer {
         match self.with(|shard| shard.cancel(id, now(), unix_ms())) {
             None => FleetAnswer::NotOwner,
@@ -302,8 +315,7 @@
     /// Returns the answer for a job that this owner does not know. If the store has not confirmed
     /// the owner recently, another daemon may have taken the shard over and know the job.
     fn answer_unknown_job(&self) -> FleetAnswer {
-        let unconfirmed_ms = now().since(self.daemon.confirmed_at.get()).get();
-        match unconfirmed_ms <= self.daemon.settings.member_ttl_ms {
+        match self.is_confirmed() {
             true => FleetAnswer::NoJob,
             false => FleetAnswer::NotOwner,
         }
