--- a/crates/vanillafold-standin/src/lib.rs
+++ b/crates/vanillafold-standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! | module | content |
 //! |---|---|
 //! | [`audit`] | checks traces against the invariants of the system |
+//! | [`fleet`] | fleet daemons as processes among stand-ins of the users' platform |
 //! | [`job_simulation`] | a simulation of workers that drives the job state machine, without I/O |
 //! | [`link`] | TCP relays that lose, hold or delay traffic |
 //! | [`load`] | load generators: callers in an open or closed loop |
@@ -17,6 +18,7 @@
 //! Nothing in this package is shipped. `docs/PROTOCOLS.md` specifies the protocols and traces.
 
 pub mod audit;
+pub mod fleet;
 pub mod job_simulation;
 pub mod link;
 pub mod load;
--- a/crates/vanillafold-standin/src/rig/child.rs
+++ b/crates/vanillafold-standin/src/rig/child.rs
@@ -54,16 +54,37 @@
         arguments: &[String],
         logs: &Path,
     ) -> Result<Self, RigError> {
-        let log = logs.join(format!("{name}.log"));
-        let errors = File::options()
-            .create(true)
-            .append(true)
-            .open(&log)
-            .map_err(RigError::io(format!("opening {}", log.display())))?;
+        let log = open_log(name, logs)?;
+        Self::spawn(name, program, arguments, Stdio::piped(), log)
+    }
+
+    /// Starts `program`. Its standard output and standard error are appended to `{name}.log` in the
+    /// directory `logs`.
+    ///
+    /// # Errors
+    ///
+    /// [`RigError::Io`] if the log can't be opened or the program can't be started.
+    pub fn start_logged(
+        name: &str,
+        program: &Path,
+        arguments: &[String],
+        logs: &Path,
+    ) -> Result<Self, RigError> {
+        let output = open_log(name, logs)?.into();
+        Self::spawn(name, program, arguments, output, open_log(name, logs)?)
+    }
+
+    fn spawn(
+        name: &str,
+        program: &Path,
+        arguments: &[String],
+        output: Stdio,
+        errors: File,
+    ) -> Result<Self, RigError> {
         let mut process = Command::new(program)
             .args(arguments)
             .stdin(Stdio::null())
-            .stdout(Stdio::piped())
+            .stdout(output)
             .stderr(errors)
             .spawn()
             .map_err(RigError::io(format!("starting {}", program.display())))?;
@@ -176,6 +197,15 @@
     }
 }
 
+fn open_log(name: &str, logs: &Path) -> Result<File, RigError> {
+    let log = logs.join(format!("{name}.log"));
+    File::options()
+        .create(true)
+        .append(true)
+        .open(&log)
+        .map_err(RigError::io(format!("opening {}", log.display())))
+}
+
 impl Drop for Child {
     fn drop(&mut self) {
         // Killing fails only if the process has already ended.
