Give the calls between fleet daemons a version

Calls carry bincode without a version.

Their path now names the version of the encoding; a call of another version is answered with 404, not read, and counts as not sent.

--- a/crates/vanillafold-wire/src/peer/rpc.rs
+++ b/crates/vanillafold-wire/src/peer/rpc.rs
@@ -19,7 +19,7 @@
 use super::counted::wrap;
 use super::error::LinkEnd;
 use super::frame::{FrameReader, FrameWriter, decode, encode};
-use super::link::{REQUEST_PATH, client_builder, request_head, response_body};
+use super::link::{client_builder, request_head, response_body};
 use super::statistics::Traffic;
 use crate::timer::timeout_awake;
 
@@ -31,7 +31,7 @@
 #[derive(Debug, Clone, thiserror::Error)]
 #[non_exhaustive]
 pub enum RpcError {
-    /// The request was not sent.
+    /// The request was not sent, or the other daemon does not serve its path.
     #[error("not sent to {address}: {end}")]
     NotSent {
         /// The address of the daemon that the RPC was for.
@@ -51,6 +51,9 @@
 
 /// Answers RPCs.
 pub trait RpcHandler: 'static {
+    /// The HTTP path of the RPCs. It names the version of their encoding, so that daemons of
+    /// different versions don't misread each other: requests for any other path get status 404.
+    const PATH: &'static str;
     /// The request that a client sends.
     type Request: Decode<()>;
     /// The answer that is sent back.
@@ -64,16 +67,19 @@
 #[derive(Debug)]
 pub struct RpcClient {
     address: SocketAddr,
+    path: &'static str,
     connect_timeout: Duration,
     connection: RefCell<Option<SendRequest<Bytes>>>,
 }
 
 impl RpcClient {
-    /// Returns a client for `address` that waits at most `connect_timeout` for a connection.
+    /// Returns a client for RPCs with the path `path` to `address`, which waits at most
+    /// `connect_timeout` for a connection.
     #[must_use]
-    pub const fn new(address: SocketAddr, connect_timeout: Duration) -> Self {
+    pub const fn new(address: SocketAddr, path: &'static str, connect_timeout: Duration) -> Self {
         Self {
             address,
+            path,
             connect_timeout,
             connection: RefCell::new(None),
         }
@@ -106,14 +112,17 @@
         let mut frame = Vec::new();
         encode(request, &mut frame).map_err(|error| not_sent(error.into()))?;
         let sender = self.sender().await.map_err(not_sent)?;
-        let answer = match timeout_awake(limit, exchange(sender, frame)).await {
+        let answer = match timeout_awake(limit, exchange(sender, self.path, frame)).await {
             Ok(answer) => answer,
             Err(_) => Err(LinkEnd::Silent),
         };
         if answer.is_err() {
             self.connection.borrow_mut().take();
         }
-        let answer = answer.map_err(no_answer)?;
+        let answer = answer.map_err(|end| match end {
+            LinkEnd::HttpStatus(_) => not_sent(end),
+            _ => no_answer(end),
+        })?;
         decode(&answer).map_err(|error| no_answer(error.into()))
     }
 
@@ -145,9 +154,13 @@
     Ok(sender)
 }
 
-async fn exchange(sender: SendRequest<Bytes>, frame: Vec<u8>) -> Result<Bytes, LinkEnd> {
+async fn exchange(
+    sender: SendRequest<Bytes>,
+    path: &str,
+    frame: Vec<u8>,
+) -> Result<Bytes, LinkEnd> {
     let mut sender = sender.ready().await?;
-    let (response, stream) = sender.send_request(request_head(REQUEST_PATH), false)?;
+    let (response, stream) = sender.send_request(request_head(path), false)?;
     let mut writer = FrameWriter::new(stream);
     writer.write_encoded(frame).await?;
     writer.finish()?;
@@ -186,6 +199,13 @@
     mut respond: SendResponse<Bytes>,
     handler: Rc<H>,
 ) -> Result<(), LinkEnd> {
+    if request.uri().path() != H::PATH {
+        log::warn!(found = request.uri().path(), expected = H::PATH; "RPC of a daemon of another version rejected");
+        let mut response = http::Response::new(());
+        *response.status_mut() = http::StatusCode::NOT_FOUND;
+        respond.send_response(response, true)?;
+        return Ok(());
+    }
     let mut reader = FrameReader::new(request.into_body());
     let message: H::Request = decode(&reader.expect().await?)?;
     let Some(answer) = handler.answer(message).await else {
--- a/crates/vanillafold/src/fleet/daemon.rs
+++ b/crates/vanillafold/src/fleet/daemon.rs
@@ -12,7 +12,7 @@
 use vanillafold_wire::{Latch, Notify, RpcHandler, serve_rpcs};
 
 use super::config::FleetConfig;
-use super::message::{FleetAnswer, FleetRequest, IncomingCall};
+use super::message::{FleetAnswer, FleetRequest, IncomingCall, RPC_PATH};
 use super::owner::OwnerView;
 use super::ownership::ShardOwnership;
 use super::platform::FleetPlatform;
@@ -349,6 +349,8 @@
 struct PeerRpcHandler<P: FleetPlatform>(Rc<FleetDaemon<P>>);
 
 impl<P: FleetPlatform> RpcHandler for PeerRpcHandler<P> {
+    const PATH: &'static str = RPC_PATH;
+
     type Request = IncomingCall;
     type Answer = FleetAnswer;
 
--- a/crates/vanillafold/src/fleet/message.rs
+++ b/crates/vanillafold/src/fleet/message.rs
@@ -3,6 +3,9 @@
 use bincode::{Decode, Encode};
 use vanillafold_jobs::{JobId, JobSpec};
 
+/// Path of the calls between fleet daemons; its number changes with their encoding.
+pub(crate) const RPC_PATH: &str = "/fleet/2";
+
 /// Reading of the clock of the shard's owner.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Encode, Decode)]
 pub(crate) struct OwnerTime {
--- a/crates/vanillafold/src/fleet/owner.rs
+++ b/crates/vanillafold/src/fleet/owner.rs
@@ -10,7 +10,7 @@
 
 use super::config::OperatorRecord;
 use super::daemon::FleetDaemon;
-use super::message::{FleetAnswer, FleetRequest, OutgoingCall, OwnerTime};
+use super::message::{FleetAnswer, FleetRequest, OutgoingCall, OwnerTime, RPC_PATH};
 use super::platform::{
     AppendCondition, FleetPlatform, KeyedRow, Keyspace, LatestRows, MetadataStore, PartitionOwner,
 };
@@ -96,7 +96,7 @@
         let address = member.split('/').next().and_then(|text| text.parse().ok());
         log::info!(owner = member; "new owner of the shard");
         *self.client.borrow_mut() =
-            address.map(|address| Rc::new(RpcClient::new(address, RPC_CONNECT_TIMEOUT)));
+            address.map(|address| Rc::new(RpcClient::new(address, RPC_PATH, RPC_CONNECT_TIMEOUT)));
     }
 }
 
