Limit the memory that a stored record may claim when it is decoded

What operators would see: a record among the shard's whose bytes were not written by a daemon (or were cut or overwritten) ends the process of the owner that takes the shard over, and then that of the next one, and so on: no job is served any more until the record is gone.

Cause: bincode reserves memory for the length that a value states before it reads an element, and records were decoded without a limit. A length of u64::MAX panics with "capacity overflow", one of 2^40 aborts.

Evidence, before: records::a_length_that_no_value_can_have_is_an_error and records::an_owner_takes_over_whatever_the_records_hold panicked with "capacity overflow" in Record::decode (alloc/raw_vec), the first at the first record.

--- a/crates/vanillafold-jobs/src/record/row.rs
+++ b/crates/vanillafold-jobs/src/record/row.rs
@@ -1,14 +1,21 @@
 //! Encoding of records as keys and values of the store.
 
-use bincode::config::{Configuration, LittleEndian, Varint};
+use bincode::config::{Configuration, Limit, LittleEndian, Varint};
 use bincode::{Decode, Encode};
 
 use super::{JobProgress, SuspectRun};
 use crate::id::JobId;
 use crate::spec::JobSpec;
 
+/// Maximum memory that a decoded value takes, in bytes. The decoder reserves memory for the length
+/// that a value states before it reads the elements.
+const MAX_DECODED_BYTES: usize = 16 << 20;
+
 /// Encoding of record values.
 const ENCODING: Configuration<LittleEndian, Varint> = bincode::config::standard();
+/// The same encoding, with a limit for what is decoded.
+const DECODING: Configuration<LittleEndian, Varint, Limit<MAX_DECODED_BYTES>> =
+    ENCODING.with_limit::<MAX_DECODED_BYTES>();
 /// First character of the key of a job's description.
 const SPEC_TAG: char = 'j';
 /// First character of the key of a job's progress.
@@ -114,7 +121,7 @@
         key: key.to_owned(),
         reason,
     };
-    match bincode::decode_from_slice(bytes, ENCODING) {
+    match bincode::decode_from_slice(bytes, DECODING) {
         Ok((value, used)) if used == bytes.len() => Ok(value),
         Ok(_) => Err(invalid_value("trailing bytes after the value".to_owned())),
         Err(error) => Err(invalid_value(error.to_string())),
--- a/crates/vanillafold-jobs/tests/shard/main.rs
+++ b/crates/vanillafold-jobs/tests/shard/main.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod fixture;
 mod placement;
+mod records;
 mod storing;
 mod takeover;
 mod vms;
