Open at most 256 occurrences of a repeated job at a time, without overflow

What callers would see: one submission with a repeat_count in the billions and occurrences that are all due (interval_ms 0 or start_at_ms long ago) makes the owner allocate until it is killed; the job is stored, so the next owner dies of it too. With an interval_ms near u64::MAX the due time wraps (release) or the owner panics (debug).

Cause: begin_due_occurrences created the tasks of every due occurrence at once, and multiplied and added times of callers unchecked.

Fix: at most 256 open occurrences and 50,000 tasks of one job (a single occurrence always opens, twice as many open after a takeover, whose earlier owner may have begun more); the others begin as these complete, which the scheduling pass already looks at. Due times saturate. No job is refused.

--- a/crates/vanillafold-jobs/src/job/live.rs
+++ b/crates/vanillafold-jobs/src/job/live.rs
@@ -9,6 +9,11 @@
 use crate::record::{JobOutcome, JobProgress, OccurrenceProgress, StepProgress, SuspectRun};
 use crate::spec::{JobSpec, StepSpec};
 
+/// Maximum number of open occurrences of a job. Further ones begin as these complete.
+const MAX_OPEN_OCCURRENCES: usize = 256;
+/// Maximum number of tasks in the open occurrences of a job, unless a single one has more.
+const MAX_OPEN_TASKS: usize = 50_000;
+
 /// Scheduling status of a task.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum TaskStatus {
@@ -210,6 +215,20 @@
         self.spec.repeat.map_or(1, |repeat| repeat.count)
     }
 
+    /// Returns whether another occurrence may begin beside the open ones. All occurrences may be due
+    /// at once, and a caller may ask for more than fit into memory.
+    ///
+    /// After a takeover twice as many may be open, because the earlier owner may have begun further
+    /// ones after completions that it did not store.
+    pub(crate) fn may_begin_occurrence(&self) -> bool {
+        let open = self.occurrences.len();
+        let tasks: usize = self.spec.steps.iter().map(|step| step.count as usize).sum();
+        let factor = 1 + usize::from(self.unaccounted);
+        let has_room =
+            open < factor * MAX_OPEN_OCCURRENCES && (open + 1) * tasks <= factor * MAX_OPEN_TASKS;
+        open == 0 || has_room
+    }
+
     /// Makes the unaccounted tasks wait for a worker, once they can't be running on any worker that
     /// has not responded.
     pub(crate) fn requeue_unaccounted(&mut self, now: MonotonicMillis) {
--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -336,7 +336,7 @@
         }
     }
 
-    /// Creates the tasks of the occurrences that are due.
+    /// Creates the tasks of the occurrences that are due, as far as the job may have more open ones.
     pub(super) fn begin_due_occurrences(
         &mut self,
         id: JobId,
@@ -349,10 +349,11 @@
             false => TaskStatus::Waiting { since: now },
         };
         let spec = Rc::clone(&job.spec);
-        while job.next_occurrence < job.occurrence_count() {
+        while job.next_occurrence < job.occurrence_count() && job.may_begin_occurrence() {
             let number = job.next_occurrence;
             let due_unix_ms = spec.repeat.map_or(0, |repeat| {
-                repeat.start_unix_ms + u64::from(number) * repeat.interval_ms
+                let since_start_ms = repeat.interval_ms.saturating_mul(u64::from(number));
+                repeat.start_unix_ms.saturating_add(since_start_ms)
             });
             if due_unix_ms > now_unix_ms {
                 return;
--- a/crates/vanillafold-jobs/tests/shard/main.rs
+++ b/crates/vanillafold-jobs/tests/shard/main.rs
@@ -4,6 +4,7 @@
 mod fixture;
 mod placement;
 mod records;
+mod repeats;
 mod storing;
 mod takeover;
 mod vms;
