Fit stored progress to the job's description when a shard is loaded

What operators would see: the owner ends (index out of bounds) when a worker reports the end of a task whose stored progress has fewer steps than the description, and so does each next owner; or a job that counts as completed too early or never, because its completed occurrences are listed twice or don't exist.

Cause: Shard::load took the progress of a job as it was, and the code after it relies on a row for each step, and on sorted rows, occurrences and failed runs.

Fix: Job::restore_progress keeps what the description has: occurrences and tasks that exist, one row for each step, sorted and without repeats. Names of a wave's VMs are sorted for the same reason.

--- a/crates/vanillafold-jobs/src/job/live.rs
+++ b/crates/vanillafold-jobs/src/job/live.rs
@@ -166,6 +166,28 @@
         });
     }
 
+    /// Sets the stored progress. What does not belong to the job's description is left out: its other
+    /// parts, and the record, may come from another writer.
+    pub(crate) fn restore_progress(&mut self, mut progress: JobProgress) {
+        let count = self.occurrence_count();
+        progress.completed.retain(|number| *number < count);
+        progress.completed.sort_unstable();
+        progress.completed.dedup();
+        let completed = &progress.completed;
+        let rows = &mut progress.occurrences;
+        rows.retain(|row| row.number < count && completed.binary_search(&row.number).is_err());
+        rows.sort_by_key(|row| row.number);
+        rows.dedup_by_key(|row| row.number);
+        for row in rows {
+            row.steps
+                .resize_with(self.spec.steps.len(), StepProgress::default);
+            for (step, spec) in row.steps.iter_mut().zip(&self.spec.steps) {
+                step.restrict_to(spec.count);
+            }
+        }
+        self.progress = progress;
+    }
+
     fn progress_position(&self, number: u32) -> Option<usize> {
         self.progress
             .occurrences
--- a/crates/vanillafold-jobs/src/record/progress.rs
+++ b/crates/vanillafold-jobs/src/record/progress.rs
@@ -82,6 +82,18 @@
         self.done_bits[at] |= 1 << (index % 8);
     }
 
+    /// Removes what a step with this number of tasks can't have, and sorts the failed runs.
+    pub(crate) fn restrict_to(&mut self, count: u32) {
+        let bytes = count.div_ceil(8) as usize;
+        self.done_bits.truncate(bytes);
+        if let Some(last) = self.done_bits.get_mut(bytes.saturating_sub(1)) {
+            *last &= u8::MAX >> (bytes as u32 * 8 - count);
+        }
+        self.failed_runs.retain(|row| u32::from(row.0) < count);
+        self.failed_runs.sort_unstable();
+        self.failed_runs.dedup();
+    }
+
     /// Returns the number of completed tasks.
     #[must_use]
     pub fn done_count(&self) -> u32 {
--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -180,13 +180,16 @@
                 },
                 Record::Progress(id, row) => progress.push((id, row)),
                 Record::Suspects(id, runs) => suspects.push((id, runs)),
-                Record::Wave(number, started) => shard.stored_waves.push((number, started)),
+                Record::Wave(number, mut started) => {
+                    started.sort_unstable();
+                    shard.stored_waves.push((number, started));
+                }
                 Record::DeleteSpec(_) | Record::DeleteJob(_) => {}
             }
         }
         for (id, row) in progress {
             match shard.job_mut(id) {
-                Some(job) => job.progress = row,
+                Some(job) => job.restore_progress(row),
                 None if row.outcome != JobOutcome::Open => {
                     let mut job = Job::new(id, JobSpec::deleted(), now);
                     job.progress = row;
--- a/crates/vanillafold-jobs/tests/shard/records.rs
+++ b/crates/vanillafold-jobs/tests/shard/records.rs
@@ -1,12 +1,14 @@
 //! Tests of stored records that this version of the daemon did not write.
 
 use vanillafold_jobs::{
-    Epoch, JobOutcome, JobProgress, JobSpec, OccurrenceProgress, Record, Repeat, Shard,
-    StepProgress, SuspectRun, SuspectState,
+    EndKind, Epoch, JobOutcome, JobProgress, JobSpec, OccurrenceProgress, Record, Repeat, Shard,
+    StepProgress, SuspectRun, SuspectState, TaskId,
 };
 use vanillafold_policy::SplitMix;
 
-use crate::fixture::{at, catalogue, job, job_id, settings, step, unix};
+use crate::fixture::{
+    at, catalogue, job, job_id, listed_end, poll, report, settings, step, unix, worker_entry,
+};
 
 /// Seed of the mutations.
 const SEED: u64 = 0x7265_636f_7264;
@@ -148,3 +150,75 @@
         assert!(shard.open_jobs() <= 1);
     }
 }
+
+/// Returns a shard whose job has this stored progress, and whose worker has responded.
+fn shard_with_progress(progress: JobProgress) -> Shard {
+    let records = vec![
+        Record::Spec(job_id(1), Box::new(spec())),
+        Record::Progress(job_id(1), progress),
+    ];
+    let mut shard = Shard::load(settings(), Epoch::new(5), records, at(0), unix(0));
+    shard.set_catalogue(catalogue());
+    shard.set_workers(vec![worker_entry("w1")], at(0));
+    shard
+}
+
+fn task_of(occurrence: u32, step: u16, index: u16) -> TaskId {
+    TaskId {
+        job: job_id(1),
+        occurrence,
+        step,
+        index,
+    }
+}
+
+#[test]
+fn progress_without_a_row_for_each_step_takes_ends_of_all_steps() {
+    let mut odd = progress();
+    odd.occurrences[0].steps.truncate(1);
+    let mut shard = shard_with_progress(odd);
+    shard.schedule(at(2_000), unix(2_000));
+
+    let mut ended = report(2_000);
+    ended.ended = vec![listed_end(1, task_of(1, 1, 0), 1, EndKind::Done)];
+    poll(&mut shard, "w1", &ended, 2_000);
+    let batch = shard.take_batch().expect("a change to store");
+
+    let stored = Record::decode(&batch.records[0].0, &batch.records[0].1);
+    let Ok(Record::Progress(_, stored)) = stored else {
+        panic!("expected progress, found {stored:?}");
+    };
+    let steps = &stored.occurrences[0].steps;
+    assert!(steps[0].is_done(0) && steps[0].is_done(1) && steps[1].is_done(0));
+}
+
+#[test]
+fn progress_keeps_only_what_the_description_has() {
+    let mut odd = progress();
+    odd.completed = vec![9, 0, 0];
+    odd.occurrences[0].steps[0].done_bits = vec![255, 255];
+    odd.occurrences[0].steps[0].failed_runs = vec![(700, 1), (2, 9), (2, 9), (1, 4)];
+    odd.occurrences.insert(
+        0,
+        OccurrenceProgress {
+            number: u32::MAX,
+            steps: Vec::new(),
+        },
+    );
+    let mut shard = shard_with_progress(odd);
+    shard.schedule(at(2_000), unix(2_000));
+
+    let mut ended = report(2_000);
+    ended.ended = vec![listed_end(1, task_of(1, 1, 0), 1, EndKind::Done)];
+    poll(&mut shard, "w1", &ended, 2_000);
+    let batch = shard.take_batch().expect("a change to store");
+
+    let stored = Record::decode(&batch.records[0].0, &batch.records[0].1);
+    let Ok(Record::Progress(_, stored)) = stored else {
+        panic!("expected progress, found {stored:?}");
+    };
+    assert_eq!(stored.completed, [0]);
+    assert_eq!(stored.occurrences.len(), 1);
+    assert_eq!(stored.occurrences[0].steps[0].done_count(), 3);
+    assert_eq!(stored.occurrences[0].steps[0].failed_runs, [(1, 4), (2, 9)]);
+}
