Saturate the shard's arithmetic on numbers of callers, workers and operators

What callers and operators would see: numbers that their types allow and that nobody means (a task that needs 2^64-1 millicores, an estimate, a latency target, a clock or a capacity near the end of the range, a stretch or weight of that size) wrap in a release build. A task that needs more than any worker has then fits on each that has work, as used + needed wraps; a deadline wraps into the past, so that the leases of a worker's runs count as expired; shares, ranks and demands are those of other jobs. A debug build ends.

Cause: sums and products over what callers, workers and the operator's records carry were unchecked.

Fix: sums and products of such numbers saturate; amounts that would fit only with a sum beyond the range do not fit; shares by weight are computed with 128 bits. The CPU share of an adopted run is at most 100 percent.

--- a/crates/vanillafold-jobs/src/id/number.rs
+++ b/crates/vanillafold-jobs/src/id/number.rs
@@ -67,6 +67,7 @@
     /// than those of an earlier one, so run numbers need not be stored.
     #[must_use]
     pub fn next(self, epoch: Epoch) -> Self {
-        Self((self.0 + 1).max((epoch.0 << RUN_BITS) + 1))
+        let first = epoch.0.saturating_mul(1 << RUN_BITS).saturating_add(1);
+        Self(self.0.saturating_add(1).max(first))
     }
 }
--- a/crates/vanillafold-jobs/src/shard/advice.rs
+++ b/crates/vanillafold-jobs/src/shard/advice.rs
@@ -73,7 +73,7 @@
             return;
         };
         step_advice.not_before = now;
-        let expires_at = MonotonicMillis::new(sent_at.get() + advice.valid_ms);
+        let expires_at = MonotonicMillis::new(sent_at.get().saturating_add(advice.valid_ms));
         for worker in &query.workers {
             if let Err(at) = step_advice.queried.binary_search(worker) {
                 step_advice.queried.insert(at, worker.clone());
--- a/crates/vanillafold-jobs/src/shard/backlog.rs
+++ b/crates/vanillafold-jobs/src/shard/backlog.rs
@@ -32,7 +32,10 @@
             .work
             .binary_search_by(|row| row.organisation.as_str().cmp(organisation));
         match found {
-            Ok(at) => self.work[at].core_ms += core_ms,
+            Ok(at) => {
+                let work = &mut self.work[at];
+                work.core_ms = work.core_ms.saturating_add(core_ms);
+            }
             Err(at) => {
                 let row = OrganisationWork {
                     organisation: organisation.to_owned(),
@@ -113,14 +116,18 @@
             .work
             .binary_search_by(|work| work.organisation.as_str().cmp(organisation));
         let own_weight = weight(organisation);
-        let weights: u64 = row.work.iter().map(|work| weight(&work.organisation)).sum();
+        let others = row
+            .work
+            .iter()
+            .map(|work| u128::from(weight(&work.organisation)));
         let weights = match found {
-            Ok(_) => weights,
-            Err(_) => weights + own_weight,
+            Ok(_) => others.sum::<u128>(),
+            Err(_) => others.sum::<u128>() + u128::from(own_weight),
         };
+        let cores = u128::from(row.reachable_cpu_millis / 1_000) * u128::from(own_weight) / weights;
         PoolShare {
             queued_core_ms: found.map_or(0, |at| row.work[at].core_ms),
-            cores: row.reachable_cpu_millis / 1_000 * own_weight / weights,
+            cores: u64::try_from(cores).unwrap_or(u64::MAX),
             waiting_tasks,
         }
     }
@@ -142,7 +149,7 @@
             }
         }
         // Idle workers of other pools and VMs that are off can move to any pool.
-        let mut movable_cpu_millis = 0;
+        let mut movable_cpu_millis: u64 = 0;
         for pool in &self.catalogue.pools {
             backlog.pool_mut(&pool.name);
         }
@@ -151,22 +158,26 @@
             let Resources { cpu_millis, .. } = worker.entry.capacity;
             let is_idle = worker.runs.is_empty();
             if is_idle {
-                movable_cpu_millis += cpu_millis;
+                movable_cpu_millis = movable_cpu_millis.saturating_add(cpu_millis);
             }
             let found = backlog
                 .pools
                 .binary_search_by(|row| row.pool.cmp(&worker.entry.pool));
             if let Ok(at) = found {
-                backlog.pools[at].reachable_cpu_millis += cpu_millis;
+                let reachable = &mut backlog.pools[at].reachable_cpu_millis;
+                *reachable = reachable.saturating_add(cpu_millis);
                 if is_idle {
-                    idle[at] += cpu_millis;
+                    idle[at] = idle[at].saturating_add(cpu_millis);
                 }
             }
         }
         let vms_off = self.vms.iter().filter(|vm| vm.worker.is_none());
-        movable_cpu_millis += vms_off.map(|vm| vm.capacity.cpu_millis).sum::<u64>();
+        for vm in vms_off {
+            movable_cpu_millis = movable_cpu_millis.saturating_add(vm.capacity.cpu_millis);
+        }
         for (row, idle) in backlog.pools.iter_mut().zip(idle) {
-            row.reachable_cpu_millis += movable_cpu_millis - idle;
+            let movable = movable_cpu_millis.saturating_sub(idle);
+            row.reachable_cpu_millis = row.reachable_cpu_millis.saturating_add(movable);
         }
         backlog
     }
--- a/crates/vanillafold-jobs/src/shard/moves.rs
+++ b/crates/vanillafold-jobs/src/shard/moves.rs
@@ -52,7 +52,8 @@
                 !worker.entry.ready || worker.unresponsive || (worker.draining && pending.is_none())
             });
             if !unavailable {
-                demands[pool].capacity_cpu_millis += vm.capacity.cpu_millis;
+                let capacity = &mut demands[pool].capacity_cpu_millis;
+                *capacity = capacity.saturating_add(vm.capacity.cpu_millis);
             }
             let maintenance_due = self.is_due_for_maintenance(&vm.name);
             let barred = self.is_operation_barred(vm, now);
@@ -100,7 +101,9 @@
         for worker in &self.workers {
             if let Some(at) = position(&worker.entry.pool) {
                 let work = &mut demands[at];
-                work.demand_cpu_millis += worker.used.cpu_millis;
+                work.demand_cpu_millis = work
+                    .demand_cpu_millis
+                    .saturating_add(worker.used.cpu_millis);
                 work.vm_cpu_millis = work.vm_cpu_millis.max(worker.entry.capacity.cpu_millis);
             }
         }
@@ -141,8 +144,10 @@
         for occurrence in &job.occurrences {
             for (step, spec) in occurrence.steps.iter().zip(&job.spec.steps) {
                 if step.waiting > 0 && occurrence.may_start(spec) {
-                    self.demand_cpu_millis +=
-                        u64::from(step.waiting) * spec.reservation().cpu_millis;
+                    let waiting = u64::from(step.waiting);
+                    self.demand_cpu_millis = self
+                        .demand_cpu_millis
+                        .saturating_add(waiting.saturating_mul(spec.reservation().cpu_millis));
                 }
                 if spec.persistent && spec.anti_affinity > 0 {
                     self.min_vms = self.min_vms.max(spec.count.div_ceil(spec.anti_affinity));
@@ -154,8 +159,8 @@
     fn capacity_cpu_millis(&self) -> u64 {
         let demand = self
             .demand_cpu_millis
-            .max(self.arriving_cpu_millis * ARRIVAL_PERCENT / 100)
-            .max(u64::from(self.min_vms) * self.vm_cpu_millis);
-        demand + self.unplaced_steps * self.vm_cpu_millis
+            .max(self.arriving_cpu_millis.saturating_mul(ARRIVAL_PERCENT) / 100)
+            .max(u64::from(self.min_vms).saturating_mul(self.vm_cpu_millis));
+        demand.saturating_add(self.unplaced_steps.saturating_mul(self.vm_cpu_millis))
     }
 }
--- a/crates/vanillafold-jobs/src/shard/pacing.rs
+++ b/crates/vanillafold-jobs/src/shard/pacing.rs
@@ -18,7 +18,8 @@
             if worker.unresponsive || !worker.runs.iter().any(|run| run.best_effort) {
                 continue;
             }
-            let tail_percent = |run: &crate::worker::Run| run.load * 100 / run.latency_target_ms;
+            let tail_percent =
+                |run: &crate::worker::Run| run.load.saturating_mul(100) / run.latency_target_ms;
             let worst = worker
                 .runs
                 .iter()
--- a/crates/vanillafold-jobs/src/shard/pool_index.rs
+++ b/crates/vanillafold-jobs/src/shard/pool_index.rs
@@ -94,7 +94,7 @@
     pub(super) fn reserve(&mut self, worker: &Worker, position: usize, reservation: Resources) {
         let after = free_cpu_millis(worker);
         let before = FreeWorker {
-            free_cpu_millis: after + reservation.cpu_millis,
+            free_cpu_millis: after.saturating_add(reservation.cpu_millis),
             position,
         };
         let row = self.row_mut(&worker.entry.pool);
--- a/crates/vanillafold-jobs/src/shard/schedule.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule.rs
@@ -29,7 +29,7 @@
 const PREEMPT_INTERVAL_MS: u64 = 1_000;
 /// An organisation counts as over its share if it uses more than this percentage of it. The margin
 /// is needed because tasks are coarse units.
-const OVER_SHARE_PERCENT: u64 = 125;
+const OVER_SHARE_PERCENT: u128 = 125;
 /// Maximum number of start orders for one run; after that the run is stopped and its task is placed
 /// elsewhere. Two lost answers in a row are rare, and a worker that loses orders soon gets no new
 /// tasks.
@@ -197,20 +197,23 @@
     /// Returns the organisations that use more than their share of all running work, sorted by
     /// name.
     fn over_share(&self) -> Vec<String> {
-        let running: u64 = self.usage.iter().map(|row| row.1.cpu_millis).sum();
+        let running = |row: &(String, Resources)| u128::from(row.1.cpu_millis);
+        let all_running: u128 = self.usage.iter().map(running).sum();
         let weight = |name: &str| {
             self.catalogue
                 .organisation(name)
-                .map_or(0, |row| row.weight)
+                .map_or(0, |row| u128::from(row.weight))
         };
-        let weights: u64 = self
+        let weights: u128 = self
             .usage
             .iter()
             .filter(|row| row.1.cpu_millis > 0)
             .map(|row| weight(&row.0))
             .sum();
         let is_over_share = |row: &&(String, Resources)| {
-            row.1.cpu_millis * weights * 100 > running * weight(&row.0) * OVER_SHARE_PERCENT
+            let own = running(row).saturating_mul(weights);
+            let share = all_running.saturating_mul(weight(&row.0));
+            own.saturating_mul(100) > share.saturating_mul(OVER_SHARE_PERCENT)
         };
         self.usage
             .iter()
@@ -229,10 +232,7 @@
         now_unix_ms: u64,
     ) -> Rank {
         let queue = self.catalogue.queue(&job.spec.queue);
-        let objective_ms = queue.map_or(0, |queue| {
-            self.critical_path_ms(&job.spec) * queue.stretch_permille / 1_000
-                + queue.target_latency_ms
-        });
+        let objective_ms = queue.map_or(0, |queue| self.objective_ms(&job.spec, queue));
         let row = job.occurrences.iter().find(|row| row.number == occurrence);
         let elapsed_ms = match row.map_or(0, |row| row.due_unix_ms) {
             0 => now.since(job.submitted_at).get(),
@@ -246,7 +246,7 @@
             persistent: job.spec.steps[step].persistent,
             priority: queue.map_or(0, |queue| queue.priority),
             job_started: job.progress.started,
-            until_late_ms: signed(objective_ms) - signed(elapsed_ms),
+            until_late_ms: signed(objective_ms).saturating_sub(signed(elapsed_ms)),
             remaining_ms,
             remaining_core_ms: self.remaining_core_ms(job),
             over_share: over_share.binary_search(&job.spec.organisation).is_ok(),
@@ -271,6 +271,20 @@
         expected_ms
     }
 
+    /// Returns the work of a number of a step's tasks, in core-milliseconds.
+    fn core_ms(&self, queue: &str, step: &StepSpec, tasks: u64) -> u64 {
+        let cpu_millis = tasks.saturating_mul(step.needs.cpu_millis);
+        cpu_millis.saturating_mul(self.expected_ms(queue, step)) / 1_000
+    }
+
+    /// Returns the latency within which a job of a queue should complete, in milliseconds.
+    pub(super) fn objective_ms(&self, spec: &JobSpec, queue: &QueueInfo) -> u64 {
+        let stretched = self
+            .critical_path_ms(spec)
+            .saturating_mul(queue.stretch_permille);
+        (stretched / 1_000).saturating_add(queue.target_latency_ms)
+    }
+
     /// Returns the length of the critical path over the steps for which `counts` is true, in
     /// milliseconds.
     fn critical_path_where_ms(&self, spec: &JobSpec, counts: impl Fn(usize) -> bool) -> u64 {
@@ -281,7 +295,7 @@
                 true => self.expected_ms(&spec.queue, step),
                 false => 0,
             };
-            ends.push(before.max().unwrap_or(0) + own);
+            ends.push(before.max().unwrap_or(0).saturating_add(own));
         }
         ends.into_iter().max().unwrap_or(0)
     }
@@ -293,28 +307,24 @@
 
     /// Returns the work of all tasks of a job without its persistent ones, in core-milliseconds.
     pub(super) fn work_core_ms(&self, spec: &JobSpec) -> u64 {
-        let of_step = |step: &StepSpec| {
-            u64::from(step.count) * step.needs.cpu_millis * self.expected_ms(&spec.queue, step)
-                / 1_000
-        };
+        let of_step = |step: &StepSpec| self.core_ms(&spec.queue, step, u64::from(step.count));
         spec.steps
             .iter()
             .filter(|step| !step.persistent)
             .map(of_step)
-            .sum()
+            .fold(0, u64::saturating_add)
     }
 
     /// Returns the remaining work of a job without its persistent tasks, in core-milliseconds.
     pub(super) fn remaining_core_ms(&self, job: &Job) -> u64 {
-        let mut total = 0;
+        let mut total: u64 = 0;
         for occurrence in &job.occurrences {
             for (at, step) in occurrence.steps.iter().enumerate() {
                 let spec = &job.spec.steps[at];
                 let remaining = step.tasks.len() as u64 - u64::from(step.done);
                 if !spec.persistent {
-                    total +=
-                        remaining * spec.needs.cpu_millis * self.expected_ms(&job.spec.queue, spec)
-                            / 1_000;
+                    let core_ms = self.core_ms(&job.spec.queue, spec, remaining);
+                    total = total.saturating_add(core_ms);
                 }
             }
         }
@@ -494,7 +504,7 @@
             let mut stopped = 0;
             for run in worker.runs.iter().filter(|run| !run.persistent) {
                 kept.subtract(run.reservation);
-                stopped += run.reservation.cpu_millis;
+                stopped = run.reservation.cpu_millis.saturating_add(stopped);
             }
             if is_suitable
                 && worker.entry.capacity.fits(kept, step.reservation())
@@ -620,9 +630,9 @@
             return true;
         };
         let mut more = step.needs;
-        more.cpu_millis *= count;
-        more.memory_mib *= count;
-        more.gpus *= count;
+        more.cpu_millis = more.cpu_millis.saturating_mul(count);
+        more.memory_mib = more.memory_mib.saturating_mul(count);
+        more.gpus = more.gpus.saturating_mul(count);
         organisation
             .limit
             .allows(self.usage(&spec.organisation), more)
--- a/crates/vanillafold-jobs/src/shard/submit.rs
+++ b/crates/vanillafold-jobs/src/shard/submit.rs
@@ -84,8 +84,7 @@
         let Some(queue) = queue.cloned() else {
             return Admission::Admit;
         };
-        let objective_ms =
-            self.critical_path_ms(spec) * queue.stretch_permille / 1_000 + queue.target_latency_ms;
+        let objective_ms = self.objective_ms(spec, &queue);
         let share = self.pool_share(&queue.pool, &spec.organisation, now);
         let organisation = self.catalogue.organisation(&spec.organisation);
         let limit = organisation.map_or(0, |organisation| organisation.limit.cpu_millis / 1_000);
@@ -99,7 +98,7 @@
             waiting_tasks: share.waiting_tasks,
             starts_per_s: self.start_rate.limit_per_s(),
             job_core_ms,
-            max_useful_latency_ms: objective_ms * MAX_USEFUL_LATENCY_FACTOR,
+            max_useful_latency_ms: objective_ms.saturating_mul(MAX_USEFUL_LATENCY_FACTOR),
         });
         if admission == Admission::Admit {
             let tasks = spec.steps.iter().map(|step| u64::from(step.count)).sum();
--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -312,7 +312,7 @@
         worker.silent_since = None;
         if !worker.responded {
             // An earlier owner may have granted leases up to this time.
-            worker.extend_lease(report.clock_ms + lease_ms);
+            worker.extend_lease(report.clock_ms.saturating_add(lease_ms));
         }
         if worker.unresponsive {
             log::info!(worker = id.as_str(); "worker answers again");
@@ -370,7 +370,8 @@
         let lost = self.workers[at].begin_incarnation();
         // Orders for the previous incarnation may have been carried out in this one. Their
         // deadlines refer to another clock, and the worker caps them at its maximum lease.
-        self.workers[at].extend_lease(clock_ms + self.settings.max_lease_ms);
+        let deadline_ms = clock_ms.saturating_add(self.settings.max_lease_ms);
+        self.workers[at].extend_lease(deadline_ms);
         // Stops runs that an order to a previous incarnation may still start.
         for mut run in self.workers[at].take_unanswered_starts(now) {
             run.phase = RunPhase::Stopping { next_order_at: now };
@@ -560,7 +561,7 @@
             suspect: false,
             isolated: false,
             latency_target_ms: step.map_or(0, |step| step.latency_target_ms),
-            pace_percent: listed.percent.max(1),
+            pace_percent: listed.percent.clamp(1, 100),
             pace_ordered_at: now,
         };
         log::debug!(
--- a/crates/vanillafold-jobs/src/spec/resources.rs
+++ b/crates/vanillafold-jobs/src/spec/resources.rs
@@ -14,11 +14,11 @@
 }
 
 impl Resources {
-    /// Adds `other` to the amount.
+    /// Adds `other`; each component stops at the largest number.
     pub fn add(&mut self, other: Self) {
-        self.cpu_millis += other.cpu_millis;
-        self.memory_mib += other.memory_mib;
-        self.gpus += other.gpus;
+        self.cpu_millis = self.cpu_millis.saturating_add(other.cpu_millis);
+        self.memory_mib = self.memory_mib.saturating_add(other.memory_mib);
+        self.gpus = self.gpus.saturating_add(other.gpus);
     }
 
     /// Subtracts `other`; each component stops at zero.
@@ -31,9 +31,15 @@
     /// Returns whether `more` fits into the capacity `self` beside `used`.
     #[must_use]
     pub const fn fits(self, used: Self, more: Self) -> bool {
-        used.cpu_millis + more.cpu_millis <= self.cpu_millis
-            && used.memory_mib + more.memory_mib <= self.memory_mib
-            && used.gpus + more.gpus <= self.gpus
+        const fn within(capacity: u64, used: u64, more: u64) -> bool {
+            match used.checked_add(more) {
+                Some(sum) => sum <= capacity,
+                None => false,
+            }
+        }
+        within(self.cpu_millis, used.cpu_millis, more.cpu_millis)
+            && within(self.memory_mib, used.memory_mib, more.memory_mib)
+            && within(self.gpus, used.gpus, more.gpus)
     }
 
     /// Returns whether `used` and `more` together stay within the limit `self`, where a component
@@ -41,7 +47,11 @@
     #[must_use]
     pub const fn allows(self, used: Self, more: Self) -> bool {
         const fn within(limit: u64, used: u64, more: u64) -> bool {
-            limit == 0 || more == 0 || used + more <= limit
+            match used.checked_add(more) {
+                _ if limit == 0 || more == 0 => true,
+                Some(sum) => sum <= limit,
+                None => false,
+            }
         }
         within(self.cpu_millis, used.cpu_millis, more.cpu_millis)
             && within(self.memory_mib, used.memory_mib, more.memory_mib)
--- a/crates/vanillafold-jobs/src/worker/state.rs
+++ b/crates/vanillafold-jobs/src/worker/state.rs
@@ -123,6 +123,13 @@
     at: MonotonicMillis,
 }
 
+impl ClockReading {
+    /// Returns the time that the worker's clock shows at `now`, as far as the reading tells.
+    const fn read_at(self, now: MonotonicMillis) -> u64 {
+        self.worker_ms.saturating_add(now.since(self.at).get())
+    }
+}
+
 /// An end that was processed but must not be acknowledged to the worker yet.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct UnacknowledgedEnd {
@@ -327,7 +334,7 @@
     pub(crate) fn read_clock(&mut self, worker_ms: u64, now: MonotonicMillis) -> bool {
         let back = self
             .clock
-            .is_some_and(|clock| worker_ms + LEASE_MARGIN_MS < clock.worker_ms);
+            .is_some_and(|clock| worker_ms.saturating_add(LEASE_MARGIN_MS) < clock.worker_ms);
         let newer = self.clock.is_none_or(|clock| worker_ms >= clock.worker_ms);
         if newer {
             self.clock = Some(ClockReading { worker_ms, at: now });
@@ -339,13 +346,13 @@
     /// the clock has been read.
     pub(crate) fn deadline_ms(&self, now: MonotonicMillis, lease_ms: u64) -> Option<u64> {
         let clock = self.clock?;
-        Some(clock.worker_ms + now.since(clock.at).get() + lease_ms)
+        Some(clock.read_at(now).saturating_add(lease_ms))
     }
 
     /// Returns the worker's uptime, estimated from its clock, which starts at zero with the worker.
     pub(crate) fn uptime_ms(&self, now: MonotonicMillis) -> Option<u64> {
         let clock = self.clock?;
-        Some(clock.worker_ms + now.since(clock.at).get())
+        Some(clock.read_at(now))
     }
 
     /// Records that an order or poll with this deadline was sent.
@@ -357,8 +364,9 @@
     pub(crate) fn leases_expired_at(&self) -> Option<MonotonicMillis> {
         let clock = self.clock?;
         let left = self.lease_deadline_ms.saturating_sub(clock.worker_ms);
-        let longest = left + left * MAX_CLOCK_DRIFT_PERCENT / 100 + LEASE_MARGIN_MS;
-        Some(MonotonicMillis::new(clock.at.get() + longest))
+        let drift = left.saturating_mul(MAX_CLOCK_DRIFT_PERCENT) / 100;
+        let longest = left.saturating_add(drift + LEASE_MARGIN_MS);
+        Some(MonotonicMillis::new(clock.at.get().saturating_add(longest)))
     }
 
     /// Returns whether `report` comes from an incarnation other than the known one.
--- a/crates/vanillafold-policy/src/jobs/admission.rs
+++ b/crates/vanillafold-policy/src/jobs/admission.rs
@@ -47,10 +47,10 @@
 /// start.
 #[must_use]
 pub fn admit(input: AdmissionInput) -> Admission {
-    let drain_ms = (input.queued_core_ms + input.job_core_ms) / input.cores.max(1);
-    let start_ms = input
-        .starts_per_s
-        .map_or(0, |per_s| input.waiting_tasks * 1_000 / per_s.max(1));
+    let drain_ms = input.queued_core_ms.saturating_add(input.job_core_ms) / input.cores.max(1);
+    let start_ms = input.starts_per_s.map_or(0, |per_s| {
+        input.waiting_tasks.saturating_mul(1_000) / per_s.max(1)
+    });
     match drain_ms {
         _ if start_ms > input.max_useful_latency_ms => Admission::Refuse {
             retry_after_ms: start_ms - input.max_useful_latency_ms / 2,
--- a/crates/vanillafold-policy/src/jobs/capacity.rs
+++ b/crates/vanillafold-policy/src/jobs/capacity.rs
@@ -43,6 +43,11 @@
 /// shorter than the pauses between them.
 const RELEASE_AFTER_IDLE_MS: u64 = 500;
 
+/// Returns a number of hundredths of an amount, for comparisons.
+fn percent(amount: u64, percent: u64) -> u128 {
+    u128::from(amount) * u128::from(percent)
+}
+
 /// Returns the VM moves that bring capacity to the pools that are short of it, at most `limit`.
 ///
 /// VMs of the spare pool go first, then idle VMs of other pools, the longest idle first. VMs that
@@ -57,11 +62,12 @@
     let mut moves = Vec::new();
     let is_short = |capacity: &[u64], pool: usize| {
         let demand = pools[pool].demand_cpu_millis;
-        !pools[pool].spare && demand * 100 > capacity[pool] * SHORTAGE_PERCENT
+        !pools[pool].spare && percent(demand, 100) > percent(capacity[pool], SHORTAGE_PERCENT)
     };
     let can_release = |capacity: &[u64], vm: &MovableVm| {
         let remaining = capacity[vm.pool].saturating_sub(vm.cpu_millis);
-        pools[vm.pool].spare || remaining * 100 >= pools[vm.pool].demand_cpu_millis * RETAIN_PERCENT
+        let demand = pools[vm.pool].demand_cpu_millis;
+        pools[vm.pool].spare || percent(remaining, 100) >= percent(demand, RETAIN_PERCENT)
     };
     // The preferred donor comes last, so that it is found and removed at little cost.
     let mut donors: Vec<usize> = (0..vms.len()).collect();
@@ -81,7 +87,7 @@
         let Some(position) = donor else { break };
         let vm = donors.remove(position);
         capacity[vms[vm].pool] = capacity[vms[vm].pool].saturating_sub(vms[vm].cpu_millis);
-        capacity[to] += vms[vm].cpu_millis;
+        capacity[to] = capacity[to].saturating_add(vms[vm].cpu_millis);
         moves.push(VmMove { vm, to_pool: to });
     }
     let Some(spare) = pools.iter().position(|pool| pool.spare) else {
@@ -93,7 +99,7 @@
         let idle = vm.pool != spare && vm.idle_ms >= RELEASE_AFTER_IDLE_MS;
         let idle = idle && pools[vm.pool].demand_known;
         if moves.len() < limit && idle && can_release(&capacity, vm) {
-            capacity[vm.pool] -= vm.cpu_millis;
+            capacity[vm.pool] = capacity[vm.pool].saturating_sub(vm.cpu_millis);
             moves.push(VmMove {
                 vm: index,
                 to_pool: spare,
--- a/crates/vanillafold-policy/src/jobs/maintenance.rs
+++ b/crates/vanillafold-policy/src/jobs/maintenance.rs
@@ -98,11 +98,14 @@
 /// that falls behind uses more, up to its limit.
 #[must_use]
 pub fn paced_unavailable(wave: WaveProgress) -> u32 {
-    let paced_ms = wave.duration_ms * PACED_PERCENT / 100;
+    let paced_ms = wave.duration_ms.saturating_mul(PACED_PERCENT) / 100;
     let left_ms = paced_ms.saturating_sub(wave.elapsed_ms);
     let needed = match left_ms {
         0 => return wave.max_unavailable,
-        left_ms => (wave.remaining * wave.vm_unavailable_ms).div_ceil(left_ms),
+        left_ms => wave
+            .remaining
+            .saturating_mul(wave.vm_unavailable_ms)
+            .div_ceil(left_ms),
     };
     let paced = u32::try_from(needed.max(MIN_PACED_VMS)).unwrap_or(u32::MAX);
     paced.min(wave.max_unavailable)
--- a/crates/vanillafold-policy/src/jobs/pace.rs
+++ b/crates/vanillafold-policy/src/jobs/pace.rs
@@ -31,6 +31,6 @@
         100.. => 0,
         SHRINK_FROM_PERCENT.. => (input.percent / 2).max(MIN_PERCENT),
         GROW_BELOW_PERCENT.. => input.percent,
-        _ => (input.percent + GROW_STEP_PERCENT).min(100),
+        _ => input.percent.saturating_add(GROW_STEP_PERCENT).min(100),
     }
 }
