Page the store's newest records past whatever other writers left there

What operators would see: one key or item of another writer among the runners' (or the operator's) records, and the owner knows no runner at all: each read of the list fails, again and again, or repeats a page for ever with growing memory, or ends early without a word. Tasks wait; nothing is logged above debug. The same for the shard's own records at a takeover.

Cause: the last key of a page went into the next request unescaped (a space, & # % + CR LF: another key, a request that the store can't read, or a line of the attacker's choice); an item with a field of another type failed its page; bytes that are not UTF-8 failed it; a page that added no row ended the read. In the log of changes a record longer than the read was read again for ever, and an offset near 2^64 overflowed.

Fix: keys are percent-encoded; each item is parsed on its own; the place in the paging is the last key seen, not the last row kept; a read whose first record is cut is StoreError::Unreadable, after which followers read the latest values. What is ignored gives one log line for each name and reason (IgnoredInput), of bounded length and number, also for unreadable keys.

--- a/crates/vanillafold/src/fleet/mod.rs
+++ b/crates/vanillafold/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 mod config;
 mod daemon;
 mod forward;
+mod ignored;
 mod membership;
 mod message;
 mod metric;
@@ -31,6 +32,7 @@
 
 pub use config::{FleetConfig, OperatorRecord, ResolvedRoute, Route, RouteError};
 pub use daemon::{FleetDaemon, FleetStartError};
+pub use ignored::IgnoredInput;
 pub use message::{FleetAnswer, FleetRequest};
 pub use platform::{
     Advisor, AppendCondition, AppendError, Changes, CloudApi, CloudError, FleetPlatform, KeyedRow,
--- a/crates/vanillafold/src/fleet/operator.rs
+++ b/crates/vanillafold/src/fleet/operator.rs
@@ -40,7 +40,7 @@
                     apply_row(&daemon, row);
                 }
             }
-            Err(StoreError::Trimmed) => next = None,
+            Err(StoreError::Trimmed | StoreError::Unreadable(_)) => next = None,
             Err(error) => {
                 if !std::mem::replace(&mut reads_failing, true) {
                     metric::dependency_lost("store_reads");
--- a/crates/vanillafold/src/fleet/platform.rs
+++ b/crates/vanillafold/src/fleet/platform.rs
@@ -28,6 +28,9 @@
     /// The store no longer keeps the changes from the requested offset on.
     #[error("the store has removed the records from the requested offset on")]
     Trimmed,
+    /// The change at the requested offset can't be read, and none after it.
+    #[error("the changes from the requested offset on can't be read: {0}")]
+    Unreadable(String),
 }
 
 /// Error of an append.
@@ -92,6 +95,9 @@
 pub struct LatestRows {
     /// Rows read so far, sorted by key.
     pub rows: Vec<KeyedRow>,
+    /// Last key read so far, also if its row was ignored because it can't be read; `None` before
+    /// the first.
+    pub last_key: Option<String>,
     /// Offset from which [`MetadataStore::read_changes`] returns every change made after the first
     /// page was read; `None` until that page has been read.
     pub next_offset: Option<u64>,
@@ -166,7 +172,8 @@
         timeout_ms: u64,
     ) -> Result<(), AppendError>;
 
-    /// Reads the latest value of each key, page by page, starting after the last key in `latest`.
+    /// Reads the latest value of each key, page by page, starting after `latest.last_key`. Rows that
+    /// can't be read are ignored.
     /// After an error, a further call with the same `latest` continues where the failed one ended.
     async fn read_latest(
         &mut self,
@@ -174,7 +181,9 @@
         latest: &mut LatestRows,
     ) -> Result<(), StoreError>;
 
-    /// Reads changes starting at offset `from`; waits up to `wait_ms` for one if there is none.
+    /// Reads changes starting at offset `from`; waits up to `wait_ms` for one if there is none. Rows
+    /// that can't be read are ignored. After [`StoreError::Unreadable`] the latest values have to be
+    /// read instead.
     async fn read_changes(
         &mut self,
         keyspace: Keyspace,
--- a/crates/vanillafold/src/fleet/workers.rs
+++ b/crates/vanillafold/src/fleet/workers.rs
@@ -249,7 +249,7 @@
                 })
                 .await;
             }
-            Err(StoreError::Trimmed) => next = None,
+            Err(StoreError::Trimmed | StoreError::Unreadable(_)) => next = None,
             Err(error) => {
                 log::debug!(error = error.to_string(); "reading the workers' registrations failed; retrying");
                 sleep(READ_RETRY_DELAY).await;
