Read each row of a worker's answer on its own, and no clock that it lacks

What operators would see: a worker with one run or end whose row can't be read (a number like 1e999, deep nesting, another type, bytes that are not UTF-8) fails every poll: it counts as silent, its leases run out, its tasks are started elsewhere, and it is never used again, with a warning at each poll. A row with an odd run number was left out, and the run then counted as ended while it went on: its task ran twice. An order that was carried out and answered without a readable clock counted as a restart of the worker: all its runs were lost to the owner, and their tasks ran twice.

Cause: the answer was parsed as a whole, and what a default stood for was taken as read: a missing row as the end of its run, clock 0 as a new clock.

A report says whether it has runs that can't be read; then no run counts as ended because it is not listed, and during a takeover the worker does not count as accounted for.

--- a/crates/vanillafold-jobs/examples/shard_cost.rs
+++ b/crates/vanillafold-jobs/examples/shard_cost.rs
@@ -233,6 +233,7 @@
                 started_unix_ms: Some(worker.incarnation),
                 running: worker.runs.iter().map(|run| listed(run.0, run.1)).collect(),
                 ended: worker.ended.clone(),
+                ..PollReport::default()
             };
             self.costs.measure("poll", || {
                 shard.poll_answered(&worker.id, &report, at(now_ms), at(now_ms), now_ms);
@@ -254,7 +255,9 @@
                     .push((*task, *run, now_ms + 600 + self.random.below(400)));
             }
             let shard = &mut self.shard;
-            let answer = OrderAnswer::Accepted { clock_ms: now_ms };
+            let answer = OrderAnswer::Accepted {
+                clock_ms: Some(now_ms),
+            };
             self.costs.measure("answer", || {
                 shard.order_answered(&id, &order, answer, at(now_ms), now_ms);
             });
--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -305,6 +305,7 @@
         let interval_ms = self
             .flow
             .poll_interval_ms(self.settings.min_poll_interval_ms);
+        let is_taking_over = self.unaccounted;
         let worker = &mut self.workers[at];
         worker.set_started(report.started_unix_ms);
         worker.read_clock(report.clock_ms, now);
@@ -317,7 +318,8 @@
         if worker.unresponsive {
             log::info!(worker = id.as_str(); "worker answers again");
         }
-        worker.responded = true;
+        // An unreadable run may be one of an earlier owner, which is then not accounted for.
+        worker.responded |= !(report.has_unreadable_runs && is_taking_over);
         worker.unresponsive = false;
         worker.delivered_ack = worker.delivered_ack.max(worker.sent_ack);
         for end in &report.ended {
@@ -609,7 +611,7 @@
                     self.retry_start(at, position, now);
                     position += 1;
                 }
-                _ if run.absent_means_gone(sent_at) => {
+                _ if run.absent_means_gone(sent_at) && !report.has_unreadable_runs => {
                     let run = self.workers[at].remove_run(position, now);
                     self.end_run(at, &run, EndKind::LeaseExpired, now, now_unix_ms);
                 }
@@ -664,9 +666,12 @@
             return;
         };
         match answer {
-            OrderAnswer::Accepted { clock_ms } | OrderAnswer::Late { clock_ms }
-                if self.workers[at].read_clock(clock_ms, now) =>
-            {
+            OrderAnswer::Accepted {
+                clock_ms: Some(clock_ms),
+            }
+            | OrderAnswer::Late {
+                clock_ms: Some(clock_ms),
+            } if self.workers[at].read_clock(clock_ms, now) => {
                 self.begin_incarnation(at, clock_ms, now, now_unix_ms);
                 self.workers[at].read_clock(clock_ms, now);
                 self.workers[at].next_poll_at = now;
--- a/crates/vanillafold-jobs/src/worker/report.rs
+++ b/crates/vanillafold-jobs/src/worker/report.rs
@@ -84,6 +84,9 @@
     pub started_unix_ms: Option<u64>,
     /// Runs in progress.
     pub running: Vec<ListedRun>,
+    /// Whether the worker lists further runs that can't be read. A run that is not in `running` may
+    /// then be in progress.
+    pub has_unreadable_runs: bool,
     /// Ends that the owner has not acknowledged, in the order of their sequence numbers.
     pub ended: Vec<ListedEnd>,
 }
@@ -93,8 +96,8 @@
 pub enum OrderAnswer {
     /// The order was carried out.
     Accepted {
-        /// Time on the worker's clock, in milliseconds.
-        clock_ms: u64,
+        /// Time on the worker's clock, in milliseconds; `None` if the answer does not tell.
+        clock_ms: Option<u64>,
     },
     /// Rejected: the worker has seen a later owner.
     Fenced,
@@ -102,8 +105,8 @@
     OldRun,
     /// Rejected: the order's deadline had passed on the worker's clock.
     Late {
-        /// Time on the worker's clock, in milliseconds.
-        clock_ms: u64,
+        /// Time on the worker's clock, in milliseconds; `None` if the answer does not tell.
+        clock_ms: Option<u64>,
     },
     /// Rejected: the worker has not enough free capacity.
     NoRoom,
--- a/crates/vanillafold-jobs/tests/shard/crashes.rs
+++ b/crates/vanillafold-jobs/tests/shard/crashes.rs
@@ -149,7 +149,7 @@
         let answer = match row.back_at_ms {
             Some(_) => OrderAnswer::NotSent,
             None => OrderAnswer::Accepted {
-                clock_ms: self.now_ms - row.started_ms + 1,
+                clock_ms: Some(self.now_ms - row.started_ms + 1),
             },
         };
         answer_start(&mut self.shard, name, (task, run), answer, self.now_ms);
@@ -362,7 +362,9 @@
     store_batches(&mut shard);
     let starts = schedule_starts(&mut shard, 1_000);
     let answers = [
-        OrderAnswer::Accepted { clock_ms: 1_010 },
+        OrderAnswer::Accepted {
+            clock_ms: Some(1_010),
+        },
         OrderAnswer::Unknown,
     ];
     for (start, answer) in starts.iter().zip(answers) {
--- a/crates/vanillafold-jobs/tests/shard/extremes.rs
+++ b/crates/vanillafold-jobs/tests/shard/extremes.rs
@@ -300,14 +300,15 @@
                 _ => Some(1),
             },
             running,
+            has_unreadable_runs: self.below(5) == 0,
             ended: (0..self.below(3)).map(|_| self.end()).collect(),
         }
     }
 
     fn answer(&mut self, ms: u64) -> OrderAnswer {
         let clock_ms = match self.below(4) {
-            0 => self.number(),
-            _ => ms,
+            0 => self.flag().then(|| self.number()),
+            _ => Some(ms),
         };
         match self.below(12) {
             0 => OrderAnswer::OldRun,
--- a/crates/vanillafold-jobs/tests/shard/main.rs
+++ b/crates/vanillafold-jobs/tests/shard/main.rs
@@ -8,5 +8,6 @@
 mod repeats;
 mod storing;
 mod takeover;
+mod unreadable;
 mod vms;
 mod workers;
--- /dev/null
+++ b/crates/vanillafold-jobs/tests/shard/unreadable.rs
@@ -0,0 +1,100 @@
+//! Answers of workers of which a part can't be read.
+
+use vanillafold_jobs::{OrderAnswer, PollReport, Shard, TaskId};
+
+use crate::fixture::{
+    accept_start, answer_start, at, job, job_id, listed_run, poll, report, schedule_starts,
+    shard_after_takeover, shard_with_workers, step, store_batches, task, unix,
+};
+
+/// Returns a report that lists these runs and others that can't be read.
+fn unreadable_report(clock_ms: u64, runs: &[(TaskId, u64)]) -> PollReport {
+    PollReport {
+        running: runs.iter().map(|run| listed_run(run.0, run.1)).collect(),
+        has_unreadable_runs: true,
+        ..report(clock_ms)
+    }
+}
+
+/// Returns a shard whose worker w1 runs two tasks, and their runs.
+fn shard_with_two_runs() -> (Shard, Vec<(TaskId, u64)>) {
+    let mut shard = shard_with_workers(&["w1"]);
+    shard.submit(job_id(1), job(vec![step(2)]), at(900), unix(900));
+    store_batches(&mut shard);
+    let started = schedule_starts(&mut shard, 1_000);
+    for (task, run, _) in &started {
+        accept_start(&mut shard, "w1", *task, *run, 1_010);
+    }
+    (shard, started.iter().map(|row| (row.0, row.1)).collect())
+}
+
+/// If the run counted as ended, its task would run twice.
+#[test]
+fn a_run_whose_row_cannot_be_read_goes_on() {
+    let (mut shard, runs) = shard_with_two_runs();
+
+    let mut restarted = Vec::new();
+    for ms in [1_100, 1_300, 1_500] {
+        poll(&mut shard, "w1", &unreadable_report(ms, &runs[..1]), ms);
+        restarted.extend(schedule_starts(&mut shard, ms + 1));
+    }
+
+    assert_eq!(restarted, vec![]);
+    assert_eq!(shard.run_count(), 2);
+}
+
+#[test]
+fn a_run_that_a_readable_answer_does_not_list_is_lost() {
+    let (mut shard, runs) = shard_with_two_runs();
+
+    poll(
+        &mut shard,
+        "w1",
+        &unreadable_report(1_100, &runs[..1]),
+        1_100,
+    );
+    let mut readable = report(1_300);
+    readable.running.push(listed_run(runs[0].0, runs[0].1));
+    poll(&mut shard, "w1", &readable, 1_300);
+    let restarted = schedule_starts(&mut shard, 1_301);
+
+    assert_eq!(restarted.len(), 1);
+    assert_eq!(restarted[0].0, runs[1].0);
+}
+
+/// The unreadable run may be the task's, which an earlier owner started.
+#[test]
+fn a_task_that_may_be_an_unreadable_run_waits_for_the_leases_of_the_earlier_owner() {
+    let mut shard = shard_after_takeover(job(vec![step(1)]), &["w1", "w2"]);
+    poll(&mut shard, "w2", &report(10_000), 10);
+
+    let mut early = Vec::new();
+    for ms in (20..6_500).step_by(500) {
+        poll(&mut shard, "w1", &unreadable_report(10_000 + ms, &[]), ms);
+        early.extend(schedule_starts(&mut shard, ms + 1));
+    }
+    let late = schedule_starts(&mut shard, 6_700);
+
+    assert_eq!(early, vec![]);
+    assert_eq!(late.len(), 1);
+    assert_eq!(late[0].0, task(job_id(1), 0));
+}
+
+/// A clock that went back means that the worker has restarted, and its runs with it.
+#[test]
+fn an_answer_without_a_clock_does_not_end_the_runs_of_its_worker() {
+    let mut shard = shard_with_workers(&["w1"]);
+    poll(&mut shard, "w1", &report(500_000), 900);
+    shard.submit(job_id(1), job(vec![step(2)]), at(900), unix(900));
+    store_batches(&mut shard);
+    let started = schedule_starts(&mut shard, 1_000);
+
+    for ((task, run, _), clock_ms) in started.iter().zip([Some(500_110), None]) {
+        let answer = OrderAnswer::Accepted { clock_ms };
+        answer_start(&mut shard, "w1", (*task, *run), answer, 1_010);
+    }
+    let restarted = schedule_starts(&mut shard, 1_020);
+
+    assert_eq!(restarted, vec![]);
+    assert_eq!(shard.run_count(), 2);
+}
--- a/crates/vanillafold-jobs/tests/shard/workers.rs
+++ b/crates/vanillafold-jobs/tests/shard/workers.rs
@@ -94,7 +94,9 @@
     let before_poll = first_order(&mut shard, 1_505);
     poll(&mut shard, first.as_str(), &report(1_510), 1_510);
     let (again, repeated) = first_order(&mut shard, 1_511).expect("a second order");
-    let accepted = OrderAnswer::Accepted { clock_ms: 1_520 };
+    let accepted = OrderAnswer::Accepted {
+        clock_ms: Some(1_520),
+    };
     shard.order_answered(&again, &repeated, accepted, at(1_520), unix(1_520));
     let after = first_order(&mut shard, 1_521).map(|row| format!("{:?}", row.1));
 
@@ -124,7 +126,9 @@
     poll(&mut shard, first.as_str(), &report(ms), ms);
     let (worker, stop) = first_order(&mut shard, ms + 1).expect("an order");
     let unproved = schedule_starts(&mut shard, ms + 2);
-    let accepted = OrderAnswer::Accepted { clock_ms: ms + 3 };
+    let accepted = OrderAnswer::Accepted {
+        clock_ms: Some(ms + 3),
+    };
     shard.order_answered(&worker, &stop, accepted, at(ms + 3), unix(ms + 3));
     let still_unproved = schedule_starts(&mut shard, ms + 4);
     poll(&mut shard, first.as_str(), &report(ms + 10), ms + 10);
--- a/crates/vanillafold-standin/src/job_simulation/simulation.rs
+++ b/crates/vanillafold-standin/src/job_simulation/simulation.rs
@@ -622,7 +622,7 @@
             }
             return Ok(());
         }
-        let clock_ms = self.workers[index].clock_ms(now);
+        let clock_ms = Some(self.workers[index].clock_ms(now));
         let answer = match result {
             OrderResult::Executed | OrderResult::AlreadyRunning => {
                 OrderAnswer::Accepted { clock_ms }
--- a/crates/vanillafold-standin/src/job_simulation/worker.rs
+++ b/crates/vanillafold-standin/src/job_simulation/worker.rs
@@ -249,6 +249,7 @@
             started_unix_ms: Some(self.started_ms),
             running: self.runs.iter().map(listed).collect(),
             ended: self.ended.clone(),
+            ..PollReport::default()
         }
     }
 
