Name malformed registrations and operator's records once in the log

What operators would see: nothing. A registration that can't be read was logged at debug level, which is not written, so that a machine that is not used for that reason has no line that says so; a record of the operator was logged again with each read.

Cause: log::debug for registrations, one warning a read for records.

Fix: both go through IgnoredInput: a warning with key and reason, of bounded length, once until the record is readable again or deleted.

Tests (new): an in-memory platform has lists with odd entries among good ones (a port out of range, no text, 5,000 characters) in pages of two rows, and 20 changes of one odd entry followed by good ones: all good ones are polled, the log has one line for each odd entry. The same for configurations. The state before was read from the code, not run: debug lines are filtered out.

--- a/crates/vanillafold/src/fleet/operator.rs
+++ b/crates/vanillafold/src/fleet/operator.rs
@@ -6,6 +6,7 @@
 
 use super::config::OperatorRecord;
 use super::daemon::FleetDaemon;
+use super::ignored::IgnoredInput;
 use super::metric;
 use super::platform::{FleetPlatform, KeyedRow, Keyspace, LatestRows, MetadataStore, StoreError};
 use super::settings::{OPERATOR_WAIT_MS, READ_RETRY_DELAY};
@@ -18,6 +19,7 @@
     let mut store = daemon.platform.store();
     let mut next = None;
     let mut reads_failing = false;
+    let mut ignored = IgnoredInput::new("record of the operator");
     loop {
         let read = match next {
             None => {
@@ -37,7 +39,7 @@
                 }
                 next = Some(end);
                 for row in &rows {
-                    apply_row(&daemon, row);
+                    apply_row(&daemon, row, &mut ignored);
                 }
             }
             Err(StoreError::Trimmed | StoreError::Unreadable(_)) => next = None,
@@ -57,11 +59,19 @@
 
 /// Applies a record of the operator: activates a later configuration or adds a new wave. A deleted
 /// record changes nothing.
-fn apply_row<P: FleetPlatform>(daemon: &FleetDaemon<P>, row: &KeyedRow) {
+fn apply_row<P: FleetPlatform>(
+    daemon: &FleetDaemon<P>,
+    row: &KeyedRow,
+    ignored: &mut IgnoredInput,
+) {
     if row.value.is_empty() {
-        return;
+        return ignored.resolve(&row.key);
     }
-    match daemon.platform.operator_record(row) {
+    let record = daemon.platform.operator_record(row);
+    if record.is_ok() {
+        ignored.resolve(&row.key);
+    }
+    match record {
         Ok(Some(OperatorRecord::Config(config))) => {
             daemon.adopt_config(*config, row.value.clone(), "store");
         }
@@ -76,8 +86,6 @@
             }
         }
         Ok(None) => {}
-        Err(error) => {
-            log::warn!(key = row.key.as_str(), error = error; "malformed record of the operator ignored");
-        }
+        Err(error) => ignored.report(&row.key, &error),
     }
 }
--- a/crates/vanillafold/src/fleet/workers.rs
+++ b/crates/vanillafold/src/fleet/workers.rs
@@ -10,6 +10,7 @@
 use vanillafold_policy::MonotonicMillis;
 use vanillafold_wire::{Latch, Notify};
 
+use super::ignored::IgnoredInput;
 use super::metric;
 use super::ownership::ShardOwnership;
 use super::platform::{
@@ -206,6 +207,7 @@
 pub(crate) async fn list_workers<P: FleetPlatform>(ownership: Rc<ShardOwnership<P>>) {
     let mut store = ownership.daemon.platform.store();
     let mut registrations: Vec<Registration> = Vec::new();
+    let mut ignored = IgnoredInput::new("registration of a worker");
     let mut next = None;
     let mut listed_at = None;
     loop {
@@ -228,7 +230,7 @@
                 next = Some(end);
                 let mut changed = false;
                 for change in changes {
-                    changed |= apply_change(&ownership, &mut registrations, &change);
+                    changed |= apply_change(&ownership, &mut registrations, &change, &mut ignored);
                 }
                 let is_recent =
                     |at: MonotonicMillis| now().since(at).duration() < WORKER_LIST_INTERVAL;
@@ -264,18 +266,23 @@
     ownership: &Rc<ShardOwnership<P>>,
     registrations: &mut Vec<Registration>,
     change: &KeyedRow,
+    ignored: &mut IgnoredInput,
 ) -> bool {
     let found = registrations.binary_search_by(|row| row.key.cmp(&change.key));
     if change.value.is_empty() {
+        ignored.resolve(&change.key);
         if let Ok(index) = found {
             registrations.remove(index);
         }
         return false;
     }
     let entry = match ownership.daemon.platform.worker_entry(change) {
-        Ok(entry) => Some(entry),
+        Ok(entry) => {
+            ignored.resolve(&change.key);
+            Some(entry)
+        }
         Err(error) => {
-            log::debug!(key = change.key.as_str(), error = error; "malformed registration of a worker ignored");
+            ignored.report(&change.key, &error);
             None
         }
     };
--- a/crates/vanillafold/tests/fleet/main.rs
+++ b/crates/vanillafold/tests/fleet/main.rs
@@ -2,5 +2,7 @@
 //! platform.
 
 mod fixture;
+mod followers;
+mod log_lines;
 mod ownership;
 mod platform;
--- a/crates/vanillafold/tests/fleet/platform.rs
+++ b/crates/vanillafold/tests/fleet/platform.rs
@@ -14,8 +14,8 @@
     OrderSender, PartitionOwner, StoreError, WorkerPoller,
 };
 use vanillafold_jobs::{
-    Advice, AdviceQuery, Epoch, Order, OrderAnswer, PollReport, Vm, VmOperation, WorkerEntry,
-    WorkerId,
+    Advice, AdviceQuery, Epoch, Order, OrderAnswer, PollReport, Resources, Vm, VmOperation,
+    WorkerEntry, WorkerId,
 };
 
 /// Latency of the store.
@@ -60,6 +60,14 @@
     /// Number of reads of the shard's records that still have to fail. Only reads of a later page
     /// than the first fail.
     pub(crate) failing_pages: u64,
+    /// Registrations of workers, sorted by key, and their changes. A value is an address.
+    pub(crate) workers: Vec<(String, Vec<u8>)>,
+    pub(crate) worker_changes: Vec<(String, Vec<u8>)>,
+    /// Changes of the operator's records after the first configuration. A value of one byte below
+    /// 255 is a configuration of this version.
+    pub(crate) operator_changes: Vec<(String, Vec<u8>)>,
+    /// Workers that a connection for polls was made for.
+    pub(crate) polled: Vec<String>,
     /// For each read of a page of the shard's records, the key after which it starts.
     pub(crate) pages: Vec<String>,
 }
@@ -226,7 +234,8 @@
             let rows: Vec<(String, Vec<u8>)> = match keyspace {
                 Keyspace::Operator => vec![("config".to_owned(), vec![1])],
                 Keyspace::Jobs => state.jobs.clone(),
-                Keyspace::Workers | Keyspace::Status | Keyspace::Claims => Vec::new(),
+                Keyspace::Workers => state.workers.clone(),
+                Keyspace::Status | Keyspace::Claims => Vec::new(),
             };
             if keyspace == Keyspace::Jobs {
                 state.pages.push(last.to_owned());
@@ -237,7 +246,7 @@
             }
             let end = match keyspace {
                 Keyspace::Claims => state.claims,
-                _ => 1,
+                _ => 0,
             };
             let left = rows.into_iter().filter(|row| row.0.as_str() > last);
             let page: Vec<KeyedRow> = left
@@ -254,15 +263,23 @@
 
     async fn read_changes(
         &mut self,
-        _keyspace: Keyspace,
+        keyspace: Keyspace,
         from: u64,
         wait_ms: u64,
     ) -> Result<Changes, StoreError> {
         self.simulate_call().await?;
         sleep(Duration::from_millis(wait_ms)).await;
+        let state = self.0.state.borrow();
+        let changes = match keyspace {
+            Keyspace::Workers => state.worker_changes.as_slice(),
+            Keyspace::Operator => state.operator_changes.as_slice(),
+            _ => &[],
+        };
+        let first = usize::try_from(from).unwrap_or(usize::MAX);
+        let rows = changes.iter().skip(first).cloned();
         Ok(Changes {
-            rows: Vec::new(),
-            next_offset: from,
+            rows: rows.map(|(key, value)| KeyedRow { key, value }).collect(),
+            next_offset: from.max(changes.len() as u64),
         })
     }
 }
@@ -334,7 +351,8 @@
         TestStore(self.clone())
     }
 
-    fn poller(&self, _worker: &WorkerId, _address: SocketAddr) -> EmptyPlatform {
+    fn poller(&self, worker: &WorkerId, _address: SocketAddr) -> EmptyPlatform {
+        self.state.borrow_mut().polled.push(worker.to_string());
         EmptyPlatform
     }
 
@@ -350,16 +368,29 @@
         None
     }
 
-    fn operator_record(&self, _row: &KeyedRow) -> Result<Option<OperatorRecord>, String> {
+    fn operator_record(&self, row: &KeyedRow) -> Result<Option<OperatorRecord>, String> {
+        let [version @ 0..=254] = row.value[..] else {
+            return Err("expected a version".to_owned());
+        };
         let config = FleetConfig {
-            version: 1,
+            version: u64::from(version),
             ..FleetConfig::default()
         };
         Ok(Some(OperatorRecord::Config(Box::new(config))))
     }
 
-    fn worker_entry(&self, _row: &KeyedRow) -> Result<WorkerEntry, String> {
-        Err("there are no workers".to_owned())
+    fn worker_entry(&self, row: &KeyedRow) -> Result<WorkerEntry, String> {
+        let address = std::str::from_utf8(&row.value).map_err(|error| error.to_string())?;
+        Ok(WorkerEntry {
+            id: row.key.parse().map_err(|_| "no id".to_owned())?,
+            pool: "pool-a".to_owned(),
+            address: address.parse().map_err(|_| "no address".to_owned())?,
+            zone: "zone-a".to_owned(),
+            ready: true,
+            capacity: Resources::default(),
+            labels: Vec::new(),
+            started_unix_ms: None,
+        })
     }
 
     fn wave_status(&self, wave: u64, _completed: bool) -> (String, Vec<u8>) {
