--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -70,6 +70,8 @@
     /// Whether the list of workers, and that of VMs, has been read since the takeover.
     pub(super) workers_listed: bool,
     pub(super) vms_listed: bool,
+    /// Whether the newest list of VMs had rows that can't be read.
+    pub(super) has_unreadable_vms: bool,
     /// Whether tasks may still run on workers that have not responded since the takeover.
     pub(super) unaccounted: bool,
     /// Ends of earlier owners' runs, deferred until all workers are accounted for.
@@ -146,6 +148,7 @@
             pass_unix_ms: now_unix_ms,
             workers_listed: false,
             vms_listed: false,
+            has_unreadable_vms: false,
             unaccounted: true,
             deferred_ends: Vec::new(),
             fenced: false,
--- a/crates/vanillafold-jobs/src/shard/schedule.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule.rs
@@ -104,7 +104,8 @@
             return;
         }
         let wait_over = now.get() >= self.taken_over_at.get() + self.settings.takeover_wait_ms;
-        if !(wait_over || (self.workers_listed && self.vms_listed)) {
+        let is_listed = self.workers_listed && self.vms_listed && !self.has_unreadable_vms;
+        if !(wait_over || is_listed) {
             return;
         }
         let awaited_pools = match wait_over {
--- a/crates/vanillafold-jobs/src/shard/vm_operations.rs
+++ b/crates/vanillafold-jobs/src/shard/vm_operations.rs
@@ -95,8 +95,26 @@
 impl Shard {
     /// Updates the list of VMs and drops the operations that have taken effect. `requested_at` is
     /// when the list was requested: it does not show what was carried out later.
-    pub fn set_vms(&mut self, mut vms: Vec<Vm>, requested_at: MonotonicMillis) {
+    pub fn set_vms(&mut self, vms: Vec<Vm>, requested_at: MonotonicMillis) {
+        self.has_unreadable_vms = false;
+        self.replace_vms(vms, requested_at);
+    }
+
+    /// Updates the list of VMs by one that has further rows, which can't be read. Known VMs that it
+    /// does not show stay as they are: they may be under maintenance, and their workers in use.
+    pub fn set_readable_vms(&mut self, mut vms: Vec<Vm>, requested_at: MonotonicMillis) {
+        vms.sort_by(|a, b| a.name.cmp(&b.name));
+        let is_shown = |vm: &Vm| vms.binary_search_by(|row| row.name.cmp(&vm.name)).is_ok();
+        let kept = self.vms.iter().filter(|vm| !is_shown(vm)).cloned();
+        let kept: Vec<Vm> = kept.collect();
+        vms.extend(kept);
+        self.has_unreadable_vms = true;
+        self.replace_vms(vms, requested_at);
+    }
+
+    fn replace_vms(&mut self, mut vms: Vec<Vm>, requested_at: MonotonicMillis) {
         vms.sort_by(|a, b| a.name.cmp(&b.name));
+        vms.dedup_by(|a, b| a.name == b.name);
         self.vms = vms;
         self.vms_listed = true;
         let vms = &self.vms;
--- a/crates/vanillafold-jobs/tests/shard/unreadable.rs
+++ b/crates/vanillafold-jobs/tests/shard/unreadable.rs
@@ -1,10 +1,10 @@
 //! Answers of workers of which a part can't be read.
 
-use vanillafold_jobs::{OrderAnswer, PollReport, Shard, TaskId};
+use vanillafold_jobs::{OrderAnswer, PollReport, Shard, TaskId, Wave};
 
 use crate::fixture::{
     accept_start, answer_start, at, job, job_id, listed_run, poll, report, schedule_starts,
-    shard_after_takeover, shard_with_workers, step, store_batches, task, unix,
+    shard_after_takeover, shard_with_workers, step, store_batches, task, unix, vm,
 };
 
 /// Returns a report that lists these runs and others that can't be read.
@@ -98,3 +98,37 @@
     assert_eq!(restarted, vec![]);
     assert_eq!(shard.run_count(), 2);
 }
+
+/// The worker of the VM whose row can't be read may run the task for an earlier owner.
+#[test]
+fn a_takeover_with_an_unreadable_vm_waits_for_the_leases_of_the_earlier_owner() {
+    let mut shard = shard_after_takeover(job(vec![step(1)]), &["w1", "w2"]);
+    shard.set_readable_vms(vec![vm("w1", "w1")], at(1));
+    poll(&mut shard, "w1", &report(10_000), 10);
+    poll(&mut shard, "w2", &report(10_000), 10);
+
+    let early = schedule_starts(&mut shard, 6_000);
+    let late = schedule_starts(&mut shard, 6_700);
+
+    assert_eq!((early.len(), late.len()), (0, 1));
+}
+
+/// A VM whose row can't be read for a moment has not had its maintenance.
+#[test]
+fn a_wave_waits_for_a_vm_whose_row_cannot_be_read() {
+    let mut shard = shard_with_workers(&["w1", "w2"]);
+    let wave = Wave {
+        number: 3,
+        vms: vec!["w2".to_owned()],
+        duration_ms: 60_000,
+        max_unavailable: 1,
+    };
+    shard.add_wave(wave, at(1_000));
+
+    shard.set_readable_vms(vec![vm("w1", "w1")], at(5_000));
+    shard.schedule(at(5_100), unix(5_100));
+
+    let status = shard.next_wave_status().expect("a status");
+    assert!(!status.completed);
+    assert_eq!(shard.take_vm_operations().len(), 1);
+}
--- a/crates/vanillafold/src/fleet/mod.rs
+++ b/crates/vanillafold/src/fleet/mod.rs
@@ -37,7 +37,7 @@
 pub use platform::{
     Advisor, AppendCondition, AppendError, Changes, CloudApi, CloudError, FleetPlatform, KeyedRow,
     Keyspace, LatestRows, Membership, MetadataStore, OrderSender, PartitionOwner, Producer,
-    StoreError, WorkerPoller,
+    StoreError, VmList, WorkerPoller,
 };
 pub use settings::FleetSettings;
 pub use time::unix_ms;
--- a/crates/vanillafold/src/fleet/platform.rs
+++ b/crates/vanillafold/src/fleet/platform.rs
@@ -234,10 +234,19 @@
     NoAnswer(String),
 }
 
+/// The VMs as the platform lists them.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct VmList {
+    /// VMs whose row could be read.
+    pub vms: Vec<Vm>,
+    /// Whether the platform lists further VMs, whose rows can't be read.
+    pub has_unreadable_vms: bool,
+}
+
 /// A connection to the platform's API for VMs.
 pub trait CloudApi {
     /// Lists all VMs.
-    async fn list_vms(&mut self) -> Result<Vec<Vm>, CloudError>;
+    async fn list_vms(&mut self) -> Result<VmList, CloudError>;
 
     /// Sends operations on VMs together, as the daemon named `daemon_name`, and calls `answered`
     /// exactly once for each, with its index: as its answer arrives, or when none can arrive any
--- a/crates/vanillafold/src/fleet/vms.rs
+++ b/crates/vanillafold/src/fleet/vms.rs
@@ -19,8 +19,11 @@
     loop {
         let requested_at = now();
         match cloud.list_vms().await {
-            Ok(vms) => {
-                ownership.with(|shard| shard.set_vms(vms, requested_at));
+            Ok(list) => {
+                ownership.with(|shard| match list.has_unreadable_vms {
+                    true => shard.set_readable_vms(list.vms, requested_at),
+                    false => shard.set_vms(list.vms, requested_at),
+                });
                 ownership.events.notify_one();
                 let took = now().since(requested_at).duration();
                 sleep(VM_LIST_INTERVAL.max(took * VM_LIST_PAUSE_FACTOR)).await;
--- a/crates/vanillafold/tests/fleet/platform.rs
+++ b/crates/vanillafold/tests/fleet/platform.rs
@@ -11,10 +11,10 @@
 use vanillafold::fleet::{
     Advisor, AppendCondition, AppendError, Changes, CloudApi, CloudError, FleetConfig,
     FleetPlatform, KeyedRow, Keyspace, LatestRows, Membership, MetadataStore, OperatorRecord,
-    OrderSender, PartitionOwner, StoreError, WorkerPoller,
+    OrderSender, PartitionOwner, StoreError, VmList, WorkerPoller,
 };
 use vanillafold_jobs::{
-    Advice, AdviceQuery, Epoch, Order, OrderAnswer, PollReport, Resources, Vm, VmOperation,
+    Advice, AdviceQuery, Epoch, Order, OrderAnswer, PollReport, Resources, VmOperation,
     WorkerEntry, WorkerId,
 };
 
@@ -317,8 +317,8 @@
 }
 
 impl CloudApi for EmptyPlatform {
-    async fn list_vms(&mut self) -> Result<Vec<Vm>, CloudError> {
-        Ok(Vec::new())
+    async fn list_vms(&mut self) -> Result<VmList, CloudError> {
+        Ok(VmList::default())
     }
 
     async fn send_vm_operations(
