Drop a later epoch that the store refutes

What operators would see: one bad ping (or pong) with an epoch near 2^64, and the daemon that got it never counts an owner as reached again: it is not ready and claims to be cut off until it is restarted. If it is the owner, it stops sending orders as soon as the store is away, although the other zones reach it.

Cause: the latest epoch that a daemon knows of only ever rose, on the word of any peer.

Evidence, before: both tests of fleet/epochs.rs failed: the daemon (and the owner without the store) was not ready 3.5 s after the ping.

Fix: an epoch is a generation of the owners' group, so an answer of the store to a join bounds it. A daemon outside the group drops a later epoch once an owner that the store has just confirmed answers with an earlier one and the store then names that owner. A later owner that exists is never forgotten: the store would name it, or its generation.

--- a/crates/vanillafold/src/fleet/daemon.rs
+++ b/crates/vanillafold/src/fleet/daemon.rs
@@ -78,7 +78,8 @@
     /// is the clock reading of an answer of this daemon that the other one has sent back in a later
     /// ping.
     pub(crate) other_zone_seen_at: Cell<MonotonicMillis>,
-    /// Latest epoch of an ownership, of any daemon, that this daemon knows of.
+    /// Latest epoch of an ownership, of any daemon, that this daemon knows of. Other daemons tell it;
+    /// the store's answers bound it.
     pub(crate) latest_epoch: Cell<u64>,
     /// Epoch of this process's last ownership.
     pub(crate) last_epoch: Cell<u64>,
--- a/crates/vanillafold/src/fleet/membership.rs
+++ b/crates/vanillafold/src/fleet/membership.rs
@@ -83,6 +83,9 @@
                     > OWNER_ISOLATION_MS
                     && membership.generation != generation;
                 generation = membership.generation;
+                // An epoch is a generation: one above the newest was never given out.
+                let latest = daemon.latest_epoch.get();
+                daemon.latest_epoch.set(latest.min(generation));
                 let ownership_closed = apply_membership(&daemon, &membership, may_have_expired);
                 daemon.confirmed_at.set(sent_at);
                 match ownership_closed {
--- a/crates/vanillafold/src/fleet/owner.rs
+++ b/crates/vanillafold/src/fleet/owner.rs
@@ -49,6 +49,8 @@
     vacant: Cell<bool>,
     /// Time at which the owner last changed.
     changed_at: Cell<MonotonicMillis>,
+    /// Epoch of the owner, if its last answer came while the store had confirmed it recently.
+    confirmed_epoch: Cell<Option<u64>>,
 }
 
 impl OwnerView {
@@ -75,6 +77,7 @@
         }
         member.clone_into(&mut self.member.borrow_mut());
         self.owner_clock_ms.set(0);
+        self.confirmed_epoch.set(None);
         self.changed_at.set(now());
         let address = member.split('/').next().and_then(|text| text.parse().ok());
         log::info!(owner = member; "new owner of the shard");
@@ -113,6 +116,10 @@
             Some(false) => {
                 vacant_reads = 0;
                 daemon.shard_claimed.set(false);
+                // The store has the owner that answered: a later epoch was never given out.
+                if let Some(epoch) = daemon.owner_view.confirmed_epoch.take() {
+                    daemon.latest_epoch.set(epoch);
+                }
             }
             None => vacant_reads = 0,
         }
@@ -219,6 +226,7 @@
         epoch: daemon.latest_epoch.get(),
         owner_clock_ms: daemon.owner_view.owner_clock_ms.get(),
     };
+    daemon.owner_view.confirmed_epoch.set(None);
     match client.call(&request, PING_TIMEOUT).await {
         Ok(FleetAnswer::Pong {
             epoch,
@@ -237,7 +245,10 @@
             if config_version > known {
                 fetch_config(daemon, &client, known).await;
             }
-            epoch >= latest && unconfirmed_ms <= daemon.settings.member_ttl_ms
+            let is_confirmed = unconfirmed_ms <= daemon.settings.member_ttl_ms;
+            let confirmed_epoch = is_confirmed.then_some(epoch);
+            daemon.owner_view.confirmed_epoch.set(confirmed_epoch);
+            epoch >= latest && is_confirmed
         }
         Ok(_) => false,
         Err(error) => {
--- a/crates/vanillafold/tests/fleet/fixture.rs
+++ b/crates/vanillafold/tests/fleet/fixture.rs
@@ -21,6 +21,8 @@
 pub(crate) struct TestDaemon {
     pub(crate) fleet_daemon: Rc<FleetDaemon<TestPlatform>>,
     pub(crate) store_unreachable: Rc<Cell<bool>>,
+    /// Where it takes the RPCs of other daemons.
+    pub(crate) peer_address: SocketAddr,
 }
 
 /// Runs a test on a single-threaded runtime with a timer.
@@ -65,8 +67,19 @@
     }
 }
 
-/// Starts a daemon on a store. All test daemons are in the same zone.
+/// Starts a daemon on a store, in the zone of most tests.
 pub(crate) fn start(state: &Rc<RefCell<StoreState>>, name: &str, cpu_millis: u64) -> TestDaemon {
+    start_in("zone-a", state, name, cpu_millis)
+}
+
+/// Starts a daemon on a store, in a zone.
+pub(crate) fn start_in(
+    zone: &str,
+    state: &Rc<RefCell<StoreState>>,
+    name: &str,
+    cpu_millis: u64,
+) -> TestDaemon {
+    let peer_address = free_address();
     let store_unreachable = Rc::new(Cell::new(false));
     let platform = TestPlatform {
         state: Rc::clone(state),
@@ -74,9 +87,9 @@
     };
     let settings = FleetSettings {
         daemon_name: name.to_owned(),
-        zone: "zone-a".to_owned(),
+        zone: zone.to_owned(),
         cpu_millis,
-        peer_address: free_address(),
+        peer_address,
         member_ttl_ms: 1_000,
         shard: shard_settings(),
     };
@@ -85,6 +98,7 @@
     TestDaemon {
         fleet_daemon,
         store_unreachable,
+        peer_address,
     }
 }
 
--- a/crates/vanillafold/tests/fleet/main.rs
+++ b/crates/vanillafold/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Tests of fleet daemons that run in one process, connected over loopback, on an in-memory
 //! platform.
 
+mod epochs;
 mod fixture;
 mod followers;
 mod log_lines;
