Refuse a job whose description the store can't take

What callers would see: a submission with a text of nearly 256 KB in a field such as image is taken; the store refuses its record for its size, the owner writes it again and again, and no job is accepted or answered any more until the shard moves (and the caller repeats it there). Another daemon than the owner can't forward it, since a frame has 128 KiB, and answers 503 or 504.

Cause: a record of the store has at most 262,144 bytes, as a body may have, and only the job's text had a limit.

That the writer repeats an append with status 400 or 413 for ever was read from the code (fleet/writer.rs), not run.

Fix: a submitted description whose size in the store may be above 128 KiB gets 400 with the size found and expected; stored ones are not checked, so that nothing is lost at a takeover.

--- a/crates/vanillafold-jobs/src/spec/description.rs
+++ b/crates/vanillafold-jobs/src/spec/description.rs
@@ -10,6 +10,13 @@
 const MAX_STEPS: usize = 64;
 /// Maximum number of tasks in a step. Task indexes have 16 bits, and a step must fit into a pool.
 const MAX_TASKS: u32 = 10_000;
+/// Maximum size of a submitted description in the store, in bytes. The store takes no record above a
+/// size of its own, and one that it does not take would hold up all that are written after it.
+const MAX_STORED_BYTES: usize = 128 * 1024;
+/// Upper bound for what a number takes in the store, in bytes.
+const NUMBER_BYTES: usize = 9;
+/// Number of the fields of a step whose size in the store is bounded.
+const STEP_NUMBERS: usize = 20;
 
 /// A job as described by its caller.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
@@ -117,6 +124,12 @@
         /// Number of tasks found.
         count: u32,
     },
+    /// The description is too large.
+    #[error("expected a description of at most {MAX_STORED_BYTES} bytes, found {bytes}")]
+    TooLarge {
+        /// Upper bound for its size in the store, in bytes.
+        bytes: usize,
+    },
     /// A step depends on itself or on a later step.
     #[error("step {step}: expected steps before it in its dependencies, found {after}")]
     After {
@@ -128,6 +141,31 @@
 }
 
 impl JobSpec {
+    /// Checks a description that a caller submits: the limits of [`check`](Self::check), and that it
+    /// can be stored.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first [`SpecError`] that is found.
+    pub fn check_submission(&self) -> Result<(), SpecError> {
+        self.check()?;
+        match self.stored_bytes() {
+            ..=MAX_STORED_BYTES => Ok(()),
+            bytes => Err(SpecError::TooLarge { bytes }),
+        }
+    }
+
+    /// Returns an upper bound for the size of the description in the store, in bytes.
+    fn stored_bytes(&self) -> usize {
+        let of_step = |step: &StepSpec| {
+            let texts = step.required_label.len() + step.data_rack.len() + step.image.len();
+            texts + NUMBER_BYTES * (step.after.len() + STEP_NUMBERS)
+        };
+        let names = self.queue.len() + self.pool.len() + self.organisation.len();
+        let steps: usize = self.steps.iter().map(of_step).sum();
+        names + self.text.len() + steps + NUMBER_BYTES * STEP_NUMBERS
+    }
+
     /// Returns an empty description, which replaces that of a finished job in memory.
     pub(crate) const fn deleted() -> Self {
         Self {
