Check a job's description where the owner takes it

What operators would see: a submission forwarded with a description that no daemon of this version lets through (a step after one that does not exist, 2^32 tasks) ends the owner, and the daemon that forwarded it sends it to the next owner until its caller's time is up.

Cause: descriptions are checked where a caller's request is read; the owner took what another daemon forwarded as it was.

Evidence, before: peers.rs: "index out of bounds: the len is 1 but the index is 7" (job/live.rs, may_start), SIGABRT.

Fix: the owner checks a description of a job that it doesn't know, refuses an invalid one (nothing was done), logs why and counts it (reason invalid).

--- a/crates/vanillafold/src/fleet/ownership.rs
+++ b/crates/vanillafold/src/fleet/ownership.rs
@@ -209,6 +209,17 @@
                 overload: false,
             };
         }
+        // The daemon that took the request may run another version.
+        if let Err(error) = spec.check_submission()
+            && !known
+        {
+            metric::refusal("invalid");
+            log::warn!(job = id.to_string(), error = error.to_string(), reason = "invalid"; "job refused");
+            return FleetAnswer::Refused {
+                retry_after_ms: RETRY_AFTER_MS,
+                overload: false,
+            };
+        }
         match self.with(|shard| shard.submit(id, spec, now(), unix_ms())) {
             None => FleetAnswer::NotOwner,
             Some(SubmitOutcome::Stored) => FleetAnswer::Accepted,
--- a/crates/vanillafold/tests/fleet/main.rs
+++ b/crates/vanillafold/tests/fleet/main.rs
@@ -6,4 +6,5 @@
 mod followers;
 mod log_lines;
 mod ownership;
+mod peers;
 mod platform;
