--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -70,6 +70,8 @@
     /// Whether the list of workers, and that of VMs, has been read since the takeover.
     pub(super) workers_listed: bool,
     pub(super) vms_listed: bool,
+    /// Whether the newest list of VMs had rows that can't be read.
+    pub(super) has_unreadable_vms: bool,
     /// Whether tasks may still run on workers that have not responded since the takeover.
     pub(super) unaccounted: bool,
     /// Ends of earlier owners' runs, deferred until all workers are accounted for.
@@ -146,6 +148,7 @@
             pass_unix_ms: now_unix_ms,
             workers_listed: false,
             vms_listed: false,
+            has_unreadable_vms: false,
             unaccounted: true,
             deferred_ends: Vec::new(),
             fenced: false,
@@ -180,13 +183,16 @@
                 },
                 Record::Progress(id, row) => progress.push((id, row)),
                 Record::Suspects(id, runs) => suspects.push((id, runs)),
-                Record::Wave(number, started) => shard.stored_waves.push((number, started)),
+                Record::Wave(number, mut started) => {
+                    started.sort_unstable();
+                    shard.stored_waves.push((number, started));
+                }
                 Record::DeleteSpec(_) | Record::DeleteJob(_) => {}
             }
         }
         for (id, row) in progress {
             match shard.job_mut(id) {
-                Some(job) => job.progress = row,
+                Some(job) => job.restore_progress(row),
                 None if row.outcome != JobOutcome::Open => {
                     let mut job = Job::new(id, JobSpec::deleted(), now);
                     job.progress = row;
@@ -336,7 +342,7 @@
         }
     }
 
-    /// Creates the tasks of the occurrences that are due.
+    /// Creates the tasks of the occurrences that are due, as far as the job may have more open ones.
     pub(super) fn begin_due_occurrences(
         &mut self,
         id: JobId,
@@ -349,10 +355,11 @@
             false => TaskStatus::Waiting { since: now },
         };
         let spec = Rc::clone(&job.spec);
-        while job.next_occurrence < job.occurrence_count() {
+        while job.next_occurrence < job.occurrence_count() && job.may_begin_occurrence() {
             let number = job.next_occurrence;
             let due_unix_ms = spec.repeat.map_or(0, |repeat| {
-                repeat.start_unix_ms + u64::from(number) * repeat.interval_ms
+                let since_start_ms = repeat.interval_ms.saturating_mul(u64::from(number));
+                repeat.start_unix_ms.saturating_add(since_start_ms)
             });
             if due_unix_ms > now_unix_ms {
                 return;
--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -305,6 +305,7 @@
         let interval_ms = self
             .flow
             .poll_interval_ms(self.settings.min_poll_interval_ms);
+        let is_taking_over = self.unaccounted;
         let worker = &mut self.workers[at];
         worker.set_started(report.started_unix_ms);
         worker.read_clock(report.clock_ms, now);
@@ -312,12 +313,13 @@
         worker.silent_since = None;
         if !worker.responded {
             // An earlier owner may have granted leases up to this time.
-            worker.extend_lease(report.clock_ms + lease_ms);
+            worker.extend_lease(report.clock_ms.saturating_add(lease_ms));
         }
         if worker.unresponsive {
             log::info!(worker = id.as_str(); "worker answers again");
         }
-        worker.responded = true;
+        // An unreadable run may be one of an earlier owner, which is then not accounted for.
+        worker.responded |= !(report.has_unreadable_runs && is_taking_over);
         worker.unresponsive = false;
         worker.delivered_ack = worker.delivered_ack.max(worker.sent_ack);
         for end in &report.ended {
@@ -370,7 +372,8 @@
         let lost = self.workers[at].begin_incarnation();
         // Orders for the previous incarnation may have been carried out in this one. Their
         // deadlines refer to another clock, and the worker caps them at its maximum lease.
-        self.workers[at].extend_lease(clock_ms + self.settings.max_lease_ms);
+        let deadline_ms = clock_ms.saturating_add(self.settings.max_lease_ms);
+        self.workers[at].extend_lease(deadline_ms);
         // Stops runs that an order to a previous incarnation may still start.
         for mut run in self.workers[at].take_unanswered_starts(now) {
             run.phase = RunPhase::Stopping { next_order_at: now };
@@ -560,7 +563,7 @@
             suspect: false,
             isolated: false,
             latency_target_ms: step.map_or(0, |step| step.latency_target_ms),
-            pace_percent: listed.percent.max(1),
+            pace_percent: listed.percent.clamp(1, 100),
             pace_ordered_at: now,
         };
         log::debug!(
@@ -608,7 +611,7 @@
                     self.retry_start(at, position, now);
                     position += 1;
                 }
-                _ if run.absent_means_gone(sent_at) => {
+                _ if run.absent_means_gone(sent_at) && !report.has_unreadable_runs => {
                     let run = self.workers[at].remove_run(position, now);
                     self.end_run(at, &run, EndKind::LeaseExpired, now, now_unix_ms);
                 }
@@ -663,9 +666,12 @@
             return;
         };
         match answer {
-            OrderAnswer::Accepted { clock_ms } | OrderAnswer::Late { clock_ms }
-                if self.workers[at].read_clock(clock_ms, now) =>
-            {
+            OrderAnswer::Accepted {
+                clock_ms: Some(clock_ms),
+            }
+            | OrderAnswer::Late {
+                clock_ms: Some(clock_ms),
+            } if self.workers[at].read_clock(clock_ms, now) => {
                 self.begin_incarnation(at, clock_ms, now, now_unix_ms);
                 self.workers[at].read_clock(clock_ms, now);
                 self.workers[at].next_poll_at = now;
--- a/crates/vanillafold-jobs/tests/shard/main.rs
+++ b/crates/vanillafold-jobs/tests/shard/main.rs
@@ -1,9 +1,13 @@
 //! Tests of the state machine of a shard, driven by single events.
 
 mod crashes;
+mod extremes;
 mod fixture;
 mod placement;
+mod records;
+mod repeats;
 mod storing;
 mod takeover;
+mod unreadable;
 mod vms;
 mod workers;
--- a/crates/vanillafold/src/fleet/mod.rs
+++ b/crates/vanillafold/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 //! |---|---|
 //! | operator's configuration | [`FleetConfig`], [`Route`], [`OperatorRecord`] |
 //! | the daemon | [`FleetDaemon`], [`FleetSettings`] |
+//! | calls between daemons | [`OutgoingCall`], [`FleetRequest`], [`OwnerTime`] |
 //! | answers to callers | [`FleetAnswer`], [`ResolvedRoute`], [`RouteError`] |
 //!
 //! [`Shard`]: vanillafold_jobs::Shard
@@ -16,6 +17,7 @@
 mod config;
 mod daemon;
 mod forward;
+mod ignored;
 mod membership;
 mod message;
 mod metric;
@@ -31,11 +33,12 @@
 
 pub use config::{FleetConfig, OperatorRecord, ResolvedRoute, Route, RouteError};
 pub use daemon::{FleetDaemon, FleetStartError};
-pub use message::{FleetAnswer, FleetRequest};
+pub use ignored::IgnoredInput;
+pub use message::{FleetAnswer, FleetRequest, OutgoingCall, OwnerTime, RPC_PATH};
 pub use platform::{
     Advisor, AppendCondition, AppendError, Changes, CloudApi, CloudError, FleetPlatform, KeyedRow,
     Keyspace, LatestRows, Membership, MetadataStore, OrderSender, PartitionOwner, Producer,
-    StoreError, WorkerPoller,
+    StoreError, VmList, WorkerPoller,
 };
 pub use settings::FleetSettings;
 pub use time::unix_ms;
--- a/crates/vanillafold/src/fleet/ownership.rs
+++ b/crates/vanillafold/src/fleet/ownership.rs
@@ -239,6 +239,13 @@
         if !known && now().get() < self.store_unavailable_until_ms.get() {
             return self.refuse(id, "store_away", RETRY_AFTER_MS, false);
         }
+        // The daemon that took the request may run another version.
+        if let Err(error) = spec.check_submission()
+            && !known
+        {
+            log::warn!(job = id.to_string(), error = error.to_string(); "submission of an invalid job");
+            return self.refuse(id, "invalid", RETRY_AFTER_MS, false);
+        }
         match self.with(|shard| shard.submit(id, spec, now(), unix_ms())) {
             None => FleetAnswer::NotOwner,
             Some(SubmitOutcome::Stored) => FleetAnswer::Accepted,
--- a/crates/vanillafold/tests/fleet/main.rs
+++ b/crates/vanillafold/tests/fleet/main.rs
@@ -1,8 +1,12 @@
 //! Tests of fleet daemons that run in one process, connected over loopback, on an in-memory
 //! platform.
 
+mod epochs;
 mod fixture;
+mod followers;
+mod log_lines;
 mod ownership;
+mod peers;
 mod platform;
 mod refusals;
 mod relay;
