Give each invalid submission of the test a job of its own

A job that was refused is not acted on again for submissions received before, so that later ones under the same id got 504 and the test failed.

--- a/crates/vanillafold/tests/fleet/peers.rs
+++ b/crates/vanillafold/tests/fleet/peers.rs
@@ -10,8 +10,8 @@
 use crate::platform::StoreState;
 
 /// Returns a submission whose description is changed.
-fn changed_submission(change: fn(&mut JobSpec)) -> FleetRequest {
-    match submission(7) {
+fn changed_submission(number: u64, change: fn(&mut JobSpec)) -> FleetRequest {
+    match submission(number) {
         FleetRequest::Submit(id, mut spec) => {
             change(&mut spec);
             FleetRequest::Submit(id, spec)
@@ -36,8 +36,8 @@
         ];
 
         let mut answers = Vec::new();
-        for change in changes {
-            let request = changed_submission(change);
+        for (number, change) in (7..).zip(changes) {
+            let request = changed_submission(number, change);
             answers.push(owner.fleet_daemon.forward(&request, 5_000).await);
         }
 
