--- a/crates/vanillafold/tests/fleet/main.rs
+++ b/crates/vanillafold/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod epochs;
 mod fixture;
 mod followers;
+mod frames;
 mod log_lines;
 mod ownership;
 mod peers;
