Count a VM once that a maintenance wave names several times

What operators would see: a wave whose list names a VM twice orders its maintenance twice, at once: the VM may go out of service again after it is back, and it uses two of the places that the wave has.

Cause: the names of a wave were taken as they are, and the check for a pending operation comes before the loop that starts them.

Fix: add_wave keeps the first of equal names; the order stays.

--- a/crates/vanillafold-jobs/src/shard/waves.rs
+++ b/crates/vanillafold-jobs/src/shard/waves.rs
@@ -64,8 +64,8 @@
 const EVACUATION_INTERVAL_MS: u64 = 200;
 
 impl Shard {
-    /// Adds a maintenance wave, unless it is known.
-    pub fn add_wave(&mut self, wave: Wave, now: MonotonicMillis) {
+    /// Adds a maintenance wave, unless it is known. A VM that it names several times counts once.
+    pub fn add_wave(&mut self, mut wave: Wave, now: MonotonicMillis) {
         if self
             .waves
             .iter()
@@ -73,6 +73,11 @@
         {
             return;
         }
+        let mut names = Vec::with_capacity(wave.vms.len());
+        wave.vms.retain(|name| {
+            let found = names.binary_search(name);
+            found.map_err(|at| names.insert(at, name.clone())).is_err()
+        });
         let stored = self.stored_waves.iter().find(|row| row.0 == wave.number);
         let started = stored.map_or(Vec::new(), |row| row.1.clone());
         let is_remaining = |name: &&String| started.binary_search(*name).is_err();
--- a/crates/vanillafold-jobs/tests/shard/vms.rs
+++ b/crates/vanillafold-jobs/tests/shard/vms.rs
@@ -94,6 +94,31 @@
     assert_eq!(maintenance_count(&second), 0);
 }
 
+/// A second operation would take the VM out of service again after the first.
+#[test]
+fn a_vm_that_a_wave_names_twice_has_one_maintenance() {
+    let mut shard = shard_with_workers(&["w1", "w2", "w3"]);
+    let names = ["w1", "w1", "w2", "w1", "w2"];
+    let wave = Wave {
+        number: 1,
+        vms: names.map(str::to_owned).into(),
+        duration_ms: 20_000,
+        max_unavailable: 3,
+    };
+    shard.add_wave(wave, at(0));
+
+    schedule_starts(&mut shard, 4_000);
+    let mut operations = Vec::new();
+    for operation in shard.take_vm_operations() {
+        if let VmOperation::Upkeep { machine, .. } = operation {
+            operations.push(machine);
+        }
+    }
+
+    operations.sort();
+    assert_eq!(operations, ["w1", "w2"]);
+}
+
 /// A worker that has not responded to the new owner must not delay the moves of other VMs until its
 /// leases have expired.
 #[test]
