Tell operators that a change may still be applied when its append is unanswered

What operators saw: "the platform did not append the change: " or "can't read the log: ...", exit status 1, "not taken"; the change came into force seconds later, or was in force already. For a new key this left a key in force that the operator was told does not exist.

Cause: the publisher treated ten unanswered appends like ten refused ones, and gave up with a read error if the log could not be read back after an append that had not been turned away. Neither says anything about appends that are still under way to the platform.

Evidence: the gate in front of the platform closes the tool's connection and keeps the append, which it delivers after the tool has ended.

an_edit_that_may_still_be_applied_is_not_reported_as_not_applied: ToolRun { status: Some(1), stderr: "the platform did not append the change: \n" } an_edit_that_cannot_be_read_back_is_not_reported_as_not_applied: ToolRun { status: Some(1), stderr: "can't read the log: the platform is not available: 503 Service Unavailable\n" }

Why this works: "did not append" is said only if the platform turned away each attempt. After any other attempt the tool goes on reading until its attempts are used up, and then says that the change may have been or may still be applied, with exit status 3. A refusal that was read back stays final: of several copies of a record only the first counts.

--- a/crates/vanillafold-standin/tests/daemon/operator.rs
+++ b/crates/vanillafold-standin/tests/daemon/operator.rs
@@ -395,6 +395,61 @@
     assert_eq!(published, succeeded("nothing to change\n"));
 }
 
+#[test]
+fn an_edit_that_may_still_be_applied_is_not_reported_as_not_applied() {
+    let deployment = start_platform_only();
+    apply(&deployment, "day.ini");
+    let gate = start_gate(&deployment);
+    gate.cut_callers();
+
+    // Each append stays under way to the platform when its connection ends.
+    let run = wait_for_run(start_limit_edit(&deployment, &gate, 60));
+    gate.open();
+
+    assert_eq!(run.status, Some(3), "{run:?}");
+    assert_eq!(run.stdout, "");
+    let unknown = "the change may have been applied, or may still be: ";
+    assert!(run.stderr.starts_with(unknown), "{run:?}");
+    wait_until("the edit is applied", || {
+        apply(&deployment, "limit-60.ini") == succeeded("nothing to change\n")
+    });
+}
+
+#[test]
+fn an_edit_that_cannot_be_read_back_is_not_reported_as_not_applied() {
+    let deployment = start_platform_only();
+    apply(&deployment, "day.ini");
+    let gate = start_gate(&deployment);
+    let tool = start_limit_edit(&deployment, &gate, 60);
+    wait_until("the append of the edit is held", || gate.held_count() >= 1);
+
+    deployment.post_platform_control("faults", "outage=true");
+    gate.cut_callers();
+    let run = wait_for_run(tool);
+    deployment.post_platform_control("faults", "outage=false");
+    gate.open();
+
+    assert_eq!(run.status, Some(3), "{run:?}");
+    assert_eq!(run.stdout, "");
+    let unknown = "the change may have been applied, or may still be: ";
+    assert!(run.stderr.starts_with(unknown), "{run:?}");
+    wait_until("the edit is applied", || {
+        apply(&deployment, "limit-60.ini") == succeeded("nothing to change\n")
+    });
+}
+
+#[test]
+fn an_edit_that_the_platform_turned_away_is_reported_as_not_applied() {
+    let deployment = start_platform_only();
+    deployment.post_platform_control("faults", "append_rate=0");
+
+    let applied = apply(&deployment, "day.ini");
+
+    let errors = "the platform did not append the change: the record was not appended: \
+                  429 Too Many Requests; try again later\n";
+    assert_eq!(applied, failed(1, errors));
+}
+
 #[test]
 fn an_outage_of_the_platform_is_reported() {
     let deployment = start_platform_only();
--- a/crates/vanillafoldctl/src/command/mod.rs
+++ b/crates/vanillafoldctl/src/command/mod.rs
@@ -5,5 +5,5 @@
 mod key;
 
 pub(crate) use apply::apply;
-pub(crate) use daemon::{fence, release};
-pub(crate) use key::{give, withdraw};
+pub(crate) use daemon::{DaemonError, fence, release};
+pub(crate) use key::{KeyError, give, withdraw};
--- a/crates/vanillafoldctl/src/main.rs
+++ b/crates/vanillafoldctl/src/main.rs
@@ -12,12 +12,16 @@
 mod command;
 mod publish;
 
-use publish::Publisher;
+use command::{DaemonError, KeyError};
+use publish::{PublishError, Publisher};
 
-/// The exit status if the log could not be read or the change was not appended or not accepted.
+/// The exit status if the log could not be read before the change was sent, or the change was not
+/// appended or not accepted.
 const EXIT_FAILED: u8 = 1;
 /// The exit status if the catalogue file or the arguments are invalid.
 const EXIT_INVALID_INPUT: u8 = 2;
+/// The exit status if the change may have been or may still be appended.
+const EXIT_UNKNOWN: u8 = 3;
 /// The maximum width of a line of help, in characters.
 const HELP_WIDTH: usize = 100;
 
@@ -93,7 +97,7 @@
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("vanillafoldctl: catalogue edits, keys and daemons")
-        .footer("Exit status: 0 done, 1 not taken, 2 wrong file or arguments")
+        .footer("Exit status: 0 done, 1 not taken, 2 wrong file or arguments, 3 not known")
 }
 
 fn key_commands() -> impl Parser<Command> {
@@ -168,6 +172,37 @@
     }
 }
 
+impl From<PublishError> for Failure {
+    fn from(error: PublishError) -> Self {
+        let status = match error {
+            PublishError::Unknown(_) => EXIT_UNKNOWN,
+            _ => EXIT_FAILED,
+        };
+        Self {
+            status,
+            message: error.to_string(),
+        }
+    }
+}
+
+impl From<KeyError> for Failure {
+    fn from(error: KeyError) -> Self {
+        match error {
+            KeyError::Publish(error) => error.into(),
+            other => Self::failed(other),
+        }
+    }
+}
+
+impl From<DaemonError> for Failure {
+    fn from(error: DaemonError) -> Self {
+        match error {
+            DaemonError::Publish(error) => error.into(),
+            other => Self::failed(other),
+        }
+    }
+}
+
 fn read_catalogue(file: &PathBuf) -> Result<CatalogueFile, Failure> {
     let name = file.display().to_string();
     let text = fs::read_to_string(file)
@@ -178,10 +213,8 @@
     })
 }
 
-async fn open_publisher(common: &CommonOptions) -> Result<Publisher, Failure> {
-    Publisher::open(common.platform, common.author.clone())
-        .await
-        .map_err(Failure::failed)
+async fn open_publisher(common: &CommonOptions) -> Result<Publisher, PublishError> {
+    Publisher::open(common.platform, common.author.clone()).await
 }
 
 async fn run(command: Command) -> Result<String, Failure> {
@@ -193,10 +226,9 @@
         Command::Apply { common, file } => {
             let text = read_catalogue(&file)?;
             let mut publisher = open_publisher(&common).await?;
-            match command::apply(&mut publisher, &text).await {
-                Ok(Some(offset)) => Ok(format!("applied at offset {offset}")),
-                Ok(None) => Ok("nothing to change".to_owned()),
-                Err(error) => Err(Failure::failed(error)),
+            match command::apply(&mut publisher, &text).await? {
+                Some(offset) => Ok(format!("applied at offset {offset}")),
+                None => Ok("nothing to change".to_owned()),
             }
         }
         Command::GiveKey {
@@ -206,26 +238,22 @@
             team,
         } => {
             let mut publisher = open_publisher(&common).await?;
-            let given = command::give(&mut publisher, id, owner, team).await;
-            let given = given.map_err(Failure::failed)?;
+            let given = command::give(&mut publisher, id, owner, team).await?;
             Ok(format!("key={}\noffset={}", given.text, given.offset))
         }
         Command::FenceDaemon { common, daemon } => {
             let mut publisher = open_publisher(&common).await?;
-            let fenced = command::fence(&mut publisher, daemon).await;
-            let offset = fenced.map_err(Failure::failed)?;
+            let offset = command::fence(&mut publisher, daemon).await?;
             Ok(format!("fenced at offset {offset}"))
         }
         Command::ReleaseDaemon { common, daemon } => {
             let mut publisher = open_publisher(&common).await?;
-            let released = command::release(&mut publisher, daemon).await;
-            let offset = released.map_err(Failure::failed)?;
+            let offset = command::release(&mut publisher, daemon).await?;
             Ok(format!("released at offset {offset}"))
         }
         Command::WithdrawKey { common, id } => {
             let mut publisher = open_publisher(&common).await?;
-            let withdrawn = command::withdraw(&mut publisher, id).await;
-            let offset = withdrawn.map_err(Failure::failed)?;
+            let offset = command::withdraw(&mut publisher, id).await?;
             Ok(format!("withdrawn at offset {offset}"))
         }
     }
--- a/crates/vanillafoldctl/src/publish/publisher.rs
+++ b/crates/vanillafoldctl/src/publish/publisher.rs
@@ -31,9 +31,16 @@
     /// The change can't be encoded as a record, for example because it is too large.
     #[error("can't encode the change: {0}")]
     Encode(#[from] RecordError),
-    /// No attempt to append the record was confirmed by reading it back; holds the last error.
+    /// The platform turned every attempt to append the record away; holds the last error.
     #[error("the platform did not append the change: {0}")]
     NotAppended(String),
+    /// An attempt to append the record was not turned away, and the record could not be read back;
+    /// holds the last error.
+    #[error(
+        "the change may have been applied, or may still be: {0}; read the log before you make it \
+         again"
+    )]
+    Unknown(String),
     /// The record was appended, but the change in it was refused.
     #[error("refused at offset {offset}: {reason}")]
     Refused {
@@ -181,19 +188,32 @@
     /// after the append took effect; repeating it is safe, because of several records with the same
     /// author and sequence number only the first takes effect.
     async fn append(&mut self, stream: Stream, record: &Bytes) -> Result<Outcome, PublishError> {
-        let mut last_error = String::new();
+        // Once one attempt was not turned away, its record may land at any time.
+        let mut may_land = false;
+        let mut last_error = String::from("the record was not read back");
         for _ in 0..MAX_ATTEMPTS {
             let appending = self.platform.append(stream.as_str(), record.clone());
             match appending.await {
-                Ok(_) | Err(AppendError::Unknown { .. }) => self.catch_up(stream).await?,
+                Ok(_) => may_land = true,
+                Err(AppendError::Unknown { reason }) => {
+                    may_land = true;
+                    last_error = reason;
+                }
+                Err(_) if may_land => {}
                 Err(error) => last_error = error.to_string(),
             }
+            if may_land && let Err(error) = self.catch_up(stream).await {
+                last_error = error.to_string();
+            }
             match self.state.outcome(stream, &self.author, self.sequence) {
                 Some(outcome) => return Ok(outcome),
                 None => sleep(RETRY_WAIT).await,
             }
         }
-        Err(PublishError::NotAppended(last_error))
+        match may_land {
+            true => Err(PublishError::Unknown(last_error)),
+            false => Err(PublishError::NotAppended(last_error)),
+        }
     }
 
     /// Reads `stream` up to its end and applies its records to the state.
