Answer 407 claim_unavailable as "may have run"

What callers saw: a booking ran, its answer was lost, and the repeat with the same id at another daemon was answered 407, "not-run". A caller that believes it books again under a new id.

Cause: 407 was taken for the fate of the repeat alone, which indeed was not sent. But an earlier delivery needs the grants of two of three owners only, and those two may be just the ones that the second daemon can't reach, or that have not yet told a restarted owner what it forgot. So too few conclusive answers never show that no other delivery of the id ran or runs.

Evidence: three daemons in three zones; the third is down during the booking and starts again while the other two are stopped.

a_repeat_is_not_called_not_run_by_a_daemon_that_cannot_know_it: left: ("407", "not-run") right: ("407", "may-have-run")

Why this works: "not-run" is left to refusals that follow a granted claim, which shows that no other delivery of the id holds one, and to those that say something about this delivery alone. The repeat itself was not sent and its claim is released, so the text now asks to send it again with the same id.

Cost: a first delivery that finds no two owners is called "may have run" too.

--- a/crates/vanillafold-standin/tests/fleet.rs
+++ b/crates/vanillafold-standin/tests/fleet.rs
@@ -1,5 +1,5 @@
-//! Daemons as real processes: units of a team's limit, fencing and releasing daemons, and peer
-//! connections.
+//! Daemons as real processes: units of a team's limit, claims of request ids, fencing and releasing
+//! daemons, and peer connections.
 
 mod common;
 
@@ -10,7 +10,7 @@
 use common::{block_on, headers, request};
 use http::{HeaderMap, Method};
 use vanillafold_standin::rig::{
-    Cluster, DaemonSpec, KeyWithSecret, Layout, built_programs, reserve_rig_addresses,
+    Cluster, DaemonSpec, KeyWithSecret, Layout, Signal, built_programs, reserve_rig_addresses,
 };
 use vanillafold_types::ResultCode;
 
@@ -29,16 +29,33 @@
 class = normal
 pool = quotes
 teams = cafes
+
+[queue bookings]
+owner = ops@shop.example
+class = normal
+pool = quotes
+open = yes
 ";
 /// A time-out long enough that only a fault in the code reaches it.
 const TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Starts a cluster with one runner. Connections to the addresses that `relay_addresses` returns go
+/// Starts a cluster of one zone. Connections to the addresses that `relay_addresses` returns go
 /// through relays.
 fn start(rig: u8, daemons: u8, relay_addresses: impl Fn(&Layout) -> Vec<SocketAddr>) -> Cluster {
+    start_layout(
+        rig,
+        Layout::new(rig, 1, daemons, &POOLS, 1),
+        relay_addresses,
+    )
+}
+
+fn start_layout(
+    rig: u8,
+    layout: Layout,
+    relay_addresses: impl Fn(&Layout) -> Vec<SocketAddr>,
+) -> Cluster {
     reserve_rig_addresses(rig);
     let directory = env::temp_dir().join(format!("vanillafold-fleet-{rig}"));
-    let layout = Layout::new(rig, 1, daemons, &POOLS, 1);
     let relay_addresses = relay_addresses(&layout);
     let programs = built_programs();
     Cluster::start(layout, &relay_addresses, CATALOGUE, &directory, &programs).expect("a cluster")
@@ -126,6 +143,44 @@
     assert_eq!(refused, number(ResultCode::TeamLimit));
 }
 
+/// Sends a non-idempotent request with this id; returns the result code and the outcome.
+fn book(spec: &DaemonSpec, id: &str) -> (String, String) {
+    let answer = block_on(request(
+        spec.caller_address,
+        Method::POST,
+        "/queues/bookings/work",
+        &headers(&[("vf-request-id", id), ("vf-deadline-ms", "1000")]),
+        "",
+    ));
+    let answer = answer.expect("an answer");
+    let outcome = answer.headers().get("vf-outcome").expect("an outcome");
+    let outcome = outcome.to_str().expect("text").to_owned();
+    (code(answer.headers()), outcome)
+}
+
+/// The daemon that takes the repeat has started again and reaches neither of the two that know of
+/// the first delivery.
+#[test]
+fn a_repeat_is_not_called_not_run_by_a_daemon_that_cannot_know_it() {
+    let mut cluster = start_layout(106, Layout::new(106, 3, 1, &POOLS, 1), |_| Vec::new());
+    let daemons = daemon_specs(&cluster);
+    cluster.kill_daemon(&daemons[2].name).expect("killed");
+    let first = book(&daemons[0], "booking-1");
+    for daemon in &daemons[..2] {
+        let frozen = cluster.signal_daemon(&daemon.name, Signal::Stop);
+        frozen.expect("a signal");
+    }
+    cluster.start_daemon(&daemons[2].name).expect("started");
+    cluster.wait_serving(&daemons[2].name).expect("ready");
+
+    let repeat = book(&daemons[2], "booking-1");
+
+    let answered = number(ResultCode::Answered);
+    assert_eq!(first, (answered, "answer".to_owned()));
+    let unavailable = number(ResultCode::ClaimUnavailable);
+    assert_eq!(repeat, (unavailable, "may-have-run".to_owned()));
+}
+
 /// An operator may fence a lost daemon once and may release only what there is to release; the
 /// second command, a release without an earlier incarnation and an unknown name are refused.
 #[test]
--- a/crates/vanillafold-types/src/code/result_code.rs
+++ b/crates/vanillafold-types/src/code/result_code.rs
@@ -118,8 +118,9 @@
 
     /// A non-idempotent request with this id was accepted before.
     DuplicateRequest = 406, 409, MayHaveRun, "duplicate_request", "a non-idempotent request with this id was accepted before and may have run; ask for its effect, or use a new id for new work";
-    /// Fewer daemons than the quorum for a claim of the request id could be reached.
-    ClaimUnavailable = 407, 503, NotRun, "claim_unavailable", "too few daemons that must agree on this request id can be reached; try again, or leave Vf-Request-Id out";
+    /// Fewer daemons than the quorum for a claim of the request id could be reached. Those that could
+    /// not be may know of an earlier request with it.
+    ClaimUnavailable = 407, 503, MayHaveRun, "claim_unavailable", "too few daemons that must agree on this request id can be reached to tell whether a request with it may have run; send it again with the same id";
 
     /// The daemon has no configuration yet.
     NotReady = 500, 503, NotRun, "not_ready", "the daemon has no configuration yet; use another daemon";
