Let a daemon that started from a peer's state recover its claims

What a caller could see: a non-idempotent request runs twice, the second time after a repeat at another daemon. Found by reading; not seen on machines.

Cause: an owner that has never joined counts its claim table as complete as soon as its join is read back. Whether it has joined before was read from the roster at its start, and that may be a peer's state during an outage of the platform, older than the join of an earlier incarnation. This one's granted claims are then forgotten, while the daemon grants their ids again.

Evidence: a daemon starts from a peer's state and then reads the joins of an earlier incarnation and of its own from the log.

a_daemon_that_started_from_a_peers_state_may_have_forgotten_claims: assertion failed: !node.claims.borrow().is_complete(node.boot_ms())

Why this works: "never joined" is now concluded only from a control stream that was read to its end by a read that began after this process did. An earlier incarnation grants claims only once its own join was read back, so that such a read shows its join. In all other cases the claims come from the other owners, or the window has to pass.

--- a/crates/vanillafold/src/node/configuration.rs
+++ b/crates/vanillafold/src/node/configuration.rs
@@ -37,7 +37,7 @@
             Stream::Control => {
                 self.control_caught_up.set(true);
                 freshness.control_at = freshness.control_at.max(Some(began_at));
-                self.join_fleet();
+                self.join_fleet(Some(began_at));
             }
         }
         self.freshness.set(freshness);
@@ -82,7 +82,7 @@
     pub(crate) fn note_state_from_peer(&self) {
         self.catalogue_caught_up.set(true);
         self.control_caught_up.set(true);
-        self.join_fleet();
+        self.join_fleet(None);
     }
 
     /// Returns the time since the start of the last read that reached the end of `stream`; `None`
@@ -103,19 +103,23 @@
         self.superseded.set();
     }
 
-    /// Submits the join record of this incarnation to the log, once.
-    fn join_fleet(&self) {
+    /// Submits the join record of this incarnation to the log, once. `read_at` is when the read of
+    /// the control stream began that reached its end, if there was one.
+    fn join_fleet(&self, read_at: Option<BootMillis>) {
         if self.shares_identity.get() || self.join_submitted.replace(true) {
             return;
         }
-        // A daemon that has never joined cannot have lost claims in a restart.
-        let known = self
+        // A daemon that has never joined cannot have lost claims in a restart. An older state may
+        // lack the join of an earlier incarnation.
+        let is_read_since_start = read_at.is_some_and(|at| at >= self.started_at);
+        let is_known = self
             .state
             .borrow()
             .roster()
             .member(&self.settings.name)
             .is_some();
-        self.is_first_incarnation.set(!known);
+        self.is_first_incarnation
+            .set(is_read_since_start && !is_known);
         let join = ControlChange::Join {
             daemon: self.settings.name.clone(),
             vm: self.settings.vm.clone(),
--- a/crates/vanillafold/src/node/shared.rs
+++ b/crates/vanillafold/src/node/shared.rs
@@ -74,6 +74,8 @@
     pub(super) shares_identity: Cell<bool>,
     pub(super) control_caught_up: Cell<bool>,
     started: Instant,
+    /// When this process started.
+    pub(super) started_at: BootMillis,
     pub(super) freshness: Cell<Freshness>,
     request_number: Cell<u64>,
     claim_number: Cell<u64>,
@@ -94,9 +96,9 @@
         let incarnation = u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX);
         let daemon_header = HeaderValue::from_str(settings.name.as_str())
             .unwrap_or_else(|_| HeaderValue::from_static("unknown"));
-        let started_ms = BootClock::now().get();
+        let started_at = BootMillis::new(BootClock::now().get());
         let window_ms = settings.timeouts.claim_window_ms;
-        let claims = ClaimTable::new(window_ms, started_ms + window_ms.get());
+        let claims = ClaimTable::new(window_ms, started_at.get() + window_ms.get());
         let incarnation = Incarnation::new(incarnation);
         let escrow = Escrow::new(
             &settings.name,
@@ -135,6 +137,7 @@
             shares_identity: Cell::new(false),
             control_caught_up: Cell::new(false),
             started: Instant::now(),
+            started_at,
             request_number: Cell::new(0),
             claim_number: Cell::new(0),
         })
--- a/crates/vanillafold/src/node/tests.rs
+++ b/crates/vanillafold/src/node/tests.rs
@@ -25,25 +25,27 @@
     "cafes".parse().expect("a team")
 }
 
-/// Returns a state whose control stream holds one record: `daemon` joins with `incarnation`.
-fn joined(daemon: &DaemonId, incarnation: Incarnation) -> State {
+/// Returns a state whose control stream holds one join of `daemon` for each of `incarnations`.
+fn joined(daemon: &DaemonId, incarnations: &[Incarnation]) -> State {
     let mut state = State::new();
     let stream = Stream::Control;
-    let record = ControlRecord {
-        author: Author {
-            id: daemon.as_str().parse().expect("an author"),
-            incarnation,
-        },
-        sequence: Sequence::new(1),
-        as_of: state.next_offset(stream),
-        change: ControlChange::Join {
-            daemon: daemon.clone(),
-            vm: "vm".parse().expect("a vm"),
-            incarnation,
-        },
-    };
-    let bytes = record.encode().expect("a small record");
-    let _ = state.apply(stream, state.next_offset(stream), &bytes);
+    for incarnation in incarnations.iter().copied() {
+        let record = ControlRecord {
+            author: Author {
+                id: daemon.as_str().parse().expect("an author"),
+                incarnation,
+            },
+            sequence: Sequence::new(1),
+            as_of: state.next_offset(stream),
+            change: ControlChange::Join {
+                daemon: daemon.clone(),
+                vm: "vm".parse().expect("a vm"),
+                incarnation,
+            },
+        };
+        let bytes = record.encode().expect("a small record");
+        let _ = state.apply(stream, state.next_offset(stream), &bytes);
+    }
     state
 }
 
@@ -55,7 +57,7 @@
     let mut escrow = Escrow::new(&daemon, INCARNATION, fleet, EscrowSettings::default());
     let now = BootMillis::new(BootClock::now().get());
     set_limit(&mut escrow, limit);
-    escrow.update_roster(joined(&daemon, INCARNATION).roster(), now);
+    escrow.update_roster(joined(&daemon, &[INCARNATION]).roster(), now);
     escrow.mark_fresh(now);
     Rc::new(RefCell::new(escrow))
 }
@@ -145,7 +147,7 @@
     let node = node();
     let name = node.settings.name.clone();
 
-    catch_up(&node, joined(&name, node.incarnation));
+    catch_up(&node, joined(&name, &[node.incarnation]));
 
     assert!(node.superseded.is_set());
     assert_eq!(node.queue("quotes").err(), Some(ResultCode::Stopping));
@@ -159,7 +161,7 @@
     let node = node();
     let name = node.settings.name.clone();
 
-    catch_up(&node, joined(&name, INCARNATION));
+    catch_up(&node, joined(&name, &[INCARNATION]));
 
     assert!(!node.superseded.is_set());
     assert_eq!(node.queue("quotes").err(), Some(ResultCode::UnknownQueue));
@@ -169,3 +171,27 @@
         "the join waits to be written"
     );
 }
+
+/// The peer's state may be older than the join of an earlier incarnation, which granted claims.
+#[test]
+fn a_daemon_that_started_from_a_peers_state_may_have_forgotten_claims() {
+    let node = node();
+    let name = node.settings.name.clone();
+    node.merge_state(State::new()).expect("an equal state");
+    node.note_state_from_peer();
+
+    catch_up(&node, joined(&name, &[INCARNATION, node.incarnation]));
+
+    assert!(!node.claims.borrow().is_complete(node.boot_ms()));
+}
+
+#[test]
+fn the_first_incarnation_of_a_daemon_has_forgotten_no_claims() {
+    let node = node();
+    let name = node.settings.name.clone();
+    catch_up(&node, State::new());
+
+    catch_up(&node, joined(&name, &[node.incarnation]));
+
+    assert!(node.claims.borrow().is_complete(node.boot_ms()));
+}
