Refuse a request whose claim its owners may have forgotten

What a caller could see: a booking ran twice. The first delivery waited for a slot for longer than the claim window, the repeat at another connection was granted the same id, and both were sent when slots came free.

Cause: a claim was good until the request's deadline, but owners forget it after claim_window_ms. Nothing relates the two: deadlines go up to an hour, the window may be set to any time below it, and a VM that is suspended does not see its deadline pass while the owners' windows do.

Evidence: a daemon with a window of 8 s, all slots in use for 13 s, a booking that waits, and a repeat with the same id once the claim is forgotten.

a_request_whose_claim_has_expired_is_not_sent: Answer { status: 200, headers: [("vf-outcome", "answer"), ...] } left: Some("answer") right: Some("not-run")

--- a/crates/vanillafold-standin/tests/daemon/main.rs
+++ b/crates/vanillafold-standin/tests/daemon/main.rs
@@ -3,6 +3,7 @@
 
 mod answer;
 mod body;
+mod claim;
 mod connection;
 mod fixture;
 mod framing;
--- a/crates/vanillafold/src/claim/claimer.rs
+++ b/crates/vanillafold/src/claim/claimer.rs
@@ -5,12 +5,13 @@
 
 use local_sync::mpsc::unbounded;
 use monoio::time::timeout_at;
-use vanillafold_state::{CLAIM_QUORUM, ClaimAnswer, ClaimId, ClaimToken, claim_owners};
-use vanillafold_types::DaemonId;
+use vanillafold_state::{BootMillis, CLAIM_QUORUM, ClaimAnswer, ClaimId, ClaimToken, claim_owners};
+use vanillafold_types::{DaemonId, Millis};
 use vanillafold_wire::{PeerRequest, PeerResponse};
 
 use super::message::{ClaimRequest, ClaimResponse};
 use crate::caller::CallerRequest;
+use crate::limit::escrow_settings;
 use crate::node::Node;
 use crate::peer::codec::{decode, encode};
 
@@ -18,6 +19,10 @@
 /// peer protocol.
 const PAGE_RECORDS: usize = 1_000;
 
+/// By how much an owner may take a claim for older than it is: ages are told in whole seconds when
+/// one owner copies them from another.
+const MAX_AGE_ERROR_MS: Millis = Millis::new(2_000);
+
 /// Why an id could not be claimed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ClaimError {
@@ -32,10 +37,20 @@
     node: Rc<Node>,
     id: ClaimId,
     token: ClaimToken,
+    /// When the owners were asked, by the clock that counts suspended time.
+    asked_at: BootMillis,
     may_have_run: Cell<bool>,
 }
 
 impl ClaimGuard {
+    /// Returns whether no owner can have forgotten the claim yet.
+    pub(crate) fn is_in_force(&self) -> bool {
+        let drift = escrow_settings(&self.node.settings).clock_drift;
+        let age_ms = self.node.boot_time().since(self.asked_at).get();
+        let most_ms = age_ms + drift.of_rounded_up(age_ms) + MAX_AGE_ERROR_MS.get();
+        most_ms < self.node.settings.timeouts.claim_window_ms.get()
+    }
+
     /// Records that the request is about to be sent, so that the claim is not released.
     pub(crate) fn mark_sent(&self) {
         self.may_have_run.set(true);
@@ -76,6 +91,7 @@
         node: Rc::clone(node),
         id,
         token,
+        asked_at: node.boot_time(),
         may_have_run: Cell::new(false),
     };
     let (answer_sender, mut answers) = unbounded::channel();
--- a/crates/vanillafold/src/dispatch/dispatcher.rs
+++ b/crates/vanillafold/src/dispatch/dispatcher.rs
@@ -195,6 +195,15 @@
             let code = self.attempts.refusal_code(ResultCode::DeadlineBeforeStart);
             return AttemptResult::Finished(self.refusal(code));
         }
+        // A repeat of the request may have claimed the id once this claim was forgotten.
+        if self
+            .claim
+            .as_ref()
+            .is_some_and(|claim| !claim.is_in_force())
+        {
+            let code = self.attempts.refusal_code(ResultCode::DeadlineBeforeStart);
+            return AttemptResult::Finished(self.refusal(code));
+        }
         // The team's key may have been withdrawn while the request waited.
         if let Err(code) = self.request.reauthorize(self.node) {
             return AttemptResult::Finished(self.refusal(self.attempts.refusal_code(code)));
