Write a withdrawal to the log if the daemon that was asked for it is lost

What operators saw: a daemon withdraws a key in an outage of the platform, 202 "withdrawn; the log follows", and dies. The log never followed: once the other daemons had started again, requests with the key ran that had been refused.

Cause: only the daemon that was asked queued the record. The others keep an early withdrawal in memory, and tell it to each other.

Evidence: two daemons, an outage, a withdrawal at the first, which is killed; then the platform is back.

Why this works: each daemon that hears of a withdrawal looks again after 22 s plus a random delay. If the platform was in reach before and after that and the log still lacks the record, it queues the record too. The daemon that was asked tries at least every 20 s, so in normal operation nobody else writes; a second record of the same key changes nothing.

--- a/crates/vanillafold-standin/tests/recovery.rs
+++ b/crates/vanillafold-standin/tests/recovery.rs
@@ -509,6 +509,45 @@
     assert!(daemons.iter().all(|daemon| is_withdrawn(daemon, &key)));
 }
 
+/// The operator was told that the log follows, so another daemon must write it if the one that was
+/// asked can't.
+#[test]
+fn a_key_withdrawn_at_a_daemon_that_is_lost_in_an_outage_is_recorded_after_it() {
+    // Arrange
+    let mut cluster = start(94, 2, 1);
+    let daemons = daemon_specs(&cluster);
+    let key = cluster.give_key("cafes-1", "cafes").expect("a key");
+    wait_for(&cluster, "the key", |_| {
+        daemons
+            .iter()
+            .all(|daemon| result_code_with_key(daemon, &key) == ResultCode::Answered.number())
+    });
+    cluster.set_platform_faults("outage=true").expect("faults");
+    let withdrawal = "/keys/cafes-1/withdraw";
+    cluster
+        .call(Method::POST, daemons[0].admin_address, withdrawal, "")
+        .expect("a withdrawal");
+    wait_for(&cluster, "the withdrawal at the peer", |_| {
+        result_code_with_key(&daemons[1], &key) == ResultCode::WithdrawnKey.number()
+    });
+
+    // Act
+    cluster.kill_daemon(&daemons[0].name).expect("killed");
+    cluster.set_platform_faults("outage=false").expect("faults");
+    wait_for(&cluster, "the withdrawal in the log", |cluster| {
+        state_value(cluster, &daemons[1], "catalogue_next") == "4"
+    });
+    cluster.kill_daemon(&daemons[1].name).expect("killed");
+    cluster.start_daemon(&daemons[1].name).expect("started");
+    wait_for(&cluster, "the start", |cluster| {
+        is_ready(cluster, &daemons[1])
+    });
+
+    // Assert
+    let code = result_code_with_key(&daemons[1], &key);
+    assert_eq!(code, ResultCode::WithdrawnKey.number());
+}
+
 #[test]
 fn a_key_is_withdrawn_only_with_the_operators_credential() {
     // Arrange
--- a/crates/vanillafold/src/peer/handler.rs
+++ b/crates/vanillafold/src/peer/handler.rs
@@ -81,7 +81,7 @@
                 self.apply_loads(changed);
             }
             PeerMessage::Withdrawal(withdrawal) => {
-                self.node.state.borrow_mut().withdraw_early(withdrawal.key);
+                recover::note_withdrawal(&self.node, withdrawal.key);
             }
             PeerMessage::Custom(bytes) => match codec::decode(&bytes) {
                 Some(NodeMessage::Escrow {
--- a/crates/vanillafold/src/recover/mod.rs
+++ b/crates/vanillafold/src/recover/mod.rs
@@ -21,5 +21,5 @@
 pub(crate) use peer_records::follow_peer_records;
 pub(crate) use peer_start::restore_from_peers;
 pub(crate) use shared::Recovery;
-pub(crate) use withdrawal::withdraw_key;
+pub(crate) use withdrawal::{note_withdrawal, withdraw_key};
 pub(crate) use writer::write_snapshots;
--- a/crates/vanillafold/src/recover/withdrawal.rs
+++ b/crates/vanillafold/src/recover/withdrawal.rs
@@ -1,6 +1,10 @@
 //! Early withdrawal of a key: it takes effect before its record is read from the log.
 
+use std::rc::Rc;
+use std::time::Duration;
+
 use log::info;
+use monoio::time::sleep;
 use vanillafold_state::CatalogueChange;
 use vanillafold_types::KeyId;
 use vanillafold_wire::{PeerError, PeerMessage, Withdrawal};
@@ -8,6 +12,13 @@
 use crate::append::Change;
 use crate::node::Node;
 
+/// How long the daemon that was asked for a withdrawal has to write its record, while the platform
+/// is reachable. It is longer than the longest pause between two appends of that daemon.
+const WRITE_GRACE: Duration = Duration::from_secs(22);
+/// Range of the random delay after the grace, per daemon of the fleet, so that normally only one
+/// other daemon writes the record.
+const DELAY_PER_DAEMON_MS: u64 = 200;
+
 /// Why a withdrawal is incomplete. It is in force on this daemon, and may safely be repeated.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum WithdrawalError {
@@ -46,3 +57,37 @@
         false => Err(WithdrawalError::NotQueued),
     }
 }
+
+/// Withdraws a key of which a peer has told. If its record is not read from the log in time, the
+/// daemon that was asked for it may be lost, and this one queues the record too.
+pub(crate) fn note_withdrawal(node: &Rc<Node>, key: KeyId) {
+    if node.state.borrow_mut().withdraw_early(key.clone()) {
+        monoio::spawn(queue_if_unwritten(Rc::clone(node), key));
+    }
+}
+
+async fn queue_if_unwritten(node: Rc<Node>, key: KeyId) {
+    let range_ms = node.fleet().len() as u64 * DELAY_PER_DAEMON_MS;
+    let change = Change::Catalogue(CatalogueChange::WithdrawKey(key.clone()));
+    while !node.shutdown.is_set() {
+        let was_reachable = node.recovery.is_platform_reachable(node.boot_time());
+        let delay_ms = node.rng.borrow_mut().below(range_ms);
+        sleep(WRITE_GRACE + Duration::from_millis(delay_ms)).await;
+        let is_unwritten = node
+            .state
+            .borrow()
+            .early_withdrawals()
+            .any(|known| *known == key);
+        let is_reachable = node.recovery.is_platform_reachable(node.boot_time());
+        match is_unwritten {
+            false => return,
+            true if was_reachable && is_reachable && node.writer.submit(change.clone()) => {
+                info!(
+                    "queued the record of the withdrawal of key {key}, which no daemon has written"
+                );
+                return;
+            }
+            true => {}
+        }
+    }
+}
