Play six sequences that break a refusal or its answer

fleet_refusals (processes): - a_request_that_waits_behind_another_one_...: the arrival clock dates a request when it is parsed. A pipelined one has lain in the reader's buffer since before the refusal; its job was answered 503 and ran. - a_request_whose_connection_is_accepted_late_...: no file was left for its connection (EMFILE). The event loop ticks on while the connection waits to be accepted; the job was answered 503 and ran.

fleet (in one process): - an_owner_whose_membership_expired_early_...: memberships may expire while the store is down, before their time to live. The owner counts as confirmed all the same and answers 503 for a job that its successor has stored. - an_owner_that_joins_again_after_another_ownership_...: between the time to live (1 s) and OWNER_ISOLATION_MS (2 s) the owner joins again without a look at the group and goes on with its old epoch. It counts as confirmed. - a_replaced_owner_does_not_answer_that_a_cancelled_job_does_not_exist: notify_dropped answers cancellations with 410 without is_confirmed. - a_request_at_the_owner_is_answered_when_its_time_is_up_...: the limit of forward holds for calls to another daemon only.

--- a/crates/vanillafold-standin/src/fleet/daemon.rs
+++ b/crates/vanillafold-standin/src/fleet/daemon.rs
@@ -110,6 +110,18 @@
         }
     }
 
+    /// Sets how many files and sockets the process may have open, if it runs.
+    ///
+    /// # Errors
+    ///
+    /// [`RigError::Io`] if the limit can't be set.
+    pub fn limit_files(&self, limit: u64) -> Result<(), RigError> {
+        match self.process.borrow().as_ref() {
+            Some(child) => child.limit_files(limit),
+            None => Ok(()),
+        }
+    }
+
     /// Returns whether the process runs.
     #[must_use]
     pub fn is_running(&self) -> bool {
--- a/crates/vanillafold-standin/src/rig/child.rs
+++ b/crates/vanillafold-standin/src/rig/child.rs
@@ -186,6 +186,20 @@
             .map_err(RigError::io(command))
     }
 
+    /// Sets how many files and sockets the process may have open (the soft limit).
+    ///
+    /// # Errors
+    ///
+    /// [`RigError::Io`] if `prlimit` can't be started.
+    pub fn limit_files(&self, limit: u64) -> Result<(), RigError> {
+        let (process, limit) = (self.process.id().to_string(), format!("--nofile={limit}:"));
+        Command::new("prlimit")
+            .args(["--pid", &process, &limit])
+            .status()
+            .map(|_| ())
+            .map_err(RigError::io("limiting the open files of a process"))
+    }
+
     /// Sends SIGTERM and waits until the process ends.
     ///
     /// # Errors
--- a/crates/vanillafold-standin/tests/fleet_refusals.rs
+++ b/crates/vanillafold-standin/tests/fleet_refusals.rs
@@ -5,6 +5,8 @@
 #[allow(dead_code)]
 mod programs;
 
+use std::io::Write as _;
+use std::net::TcpStream;
 use std::path::Path;
 use std::time::Duration;
 
@@ -24,6 +26,9 @@
 /// How long a caller that gives up early waits.
 const SHORT_PATIENCE: Duration = Duration::from_millis(300);
 
+/// Most files that a daemon may have open, unless a test lowers the limit.
+const FILE_LIMIT: u64 = 1_024;
+
 /// Pause between two submissions of other jobs.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -335,3 +340,72 @@
         assert_refusal_holds(world, job(1), &outcome).await;
     });
 }
+
+/// Returns a caller's submission of a job as it is sent to a daemon.
+fn request_text(job: JobId) -> String {
+    let body = r#"{"spec":"ms=100","steps":[{"count":1,"cpu":500,"mem_mb":64,"estimate_ms":100}]}"#;
+    let length = body.len();
+    format!(
+        "POST /batch/{job} HTTP/1.1\r\nHost: jobs.example\r\nAuthorization: Token k5n2w8\r\n\
+         Content-Type: application/json\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// The first try waits behind another request on its connection until the caller's next try has
+/// been refused.
+#[test]
+fn a_request_that_waits_behind_another_one_is_not_accepted_after_a_refusal() {
+    play("pipelined_request", async |world, owner| {
+        let [first, second] = others(world, owner)[..2] else {
+            panic!("too few daemons");
+        };
+        let relay = world.peer_relay(first, owner).expect("a relay");
+        let caller = world.caller();
+        world.journal().fault("connections to the owner are cut");
+        relay.set_all(Gates::both(Gate::Held));
+        let address = world.daemons()[first].caller_address();
+        let mut connection = TcpStream::connect(address).expect("a connection");
+        let requests = request_text(job(2)) + &request_text(job(1));
+        let sent = connection.write_all(requests.as_bytes());
+        sent.expect("two requests are sent");
+        sleep(SHORT_PATIENCE).await;
+        drop(connection);
+
+        world.store().add_fault(APPENDS_REFUSED);
+        let outcome = caller.submit(second, job(1), SHAPE, CALLER_TIMEOUT).await;
+
+        world.store().remove_fault(APPENDS_REFUSED);
+        wait_for_acceptance(world, owner).await;
+        world.journal().fault("what was held arrives");
+        relay.set_all(Gates::default());
+        assert!(refused(&outcome), "{outcome:?}");
+        assert_refusal_holds(world, job(1), &outcome).await;
+    });
+}
+
+/// The daemon that takes the first try has no file left for its connection until the caller's next
+/// try has been refused.
+#[test]
+fn a_request_whose_connection_is_accepted_late_is_not_accepted_after_a_refusal() {
+    play("no_files_left", async |world, owner| {
+        let [first, second] = others(world, owner)[..2] else {
+            panic!("too few daemons");
+        };
+        let caller = world.caller();
+        let daemon = &world.daemons()[first];
+        world.journal().fault("a daemon has no files left");
+        daemon.limit_files(3).expect("a limit");
+
+        let abandoned = caller.submit(first, job(1), SHAPE, SHORT_PATIENCE).await;
+        world.store().add_fault(APPENDS_REFUSED);
+        let outcome = caller.submit(second, job(1), SHAPE, CALLER_TIMEOUT).await;
+
+        assert_eq!(abandoned, Outcome::Unanswered);
+        assert!(refused(&outcome), "{outcome:?}");
+        world.store().remove_fault(APPENDS_REFUSED);
+        wait_for_acceptance(world, owner).await;
+        world.journal().fault("the daemon may open files again");
+        daemon.limit_files(FILE_LIMIT).expect("a limit");
+        assert_refusal_holds(world, job(1), &outcome).await;
+    });
+}
--- a/crates/vanillafold/tests/fleet/platform.rs
+++ b/crates/vanillafold/tests/fleet/platform.rs
@@ -90,6 +90,12 @@
         self.members.last()?.name.split('/').nth(1)
     }
 
+    /// Removes all members at once, as an outage of the store may do.
+    pub(crate) fn forget_members(&mut self) {
+        self.members.clear();
+        self.generation += 1;
+    }
+
     /// Removes members that have not joined again within their time to live.
     fn expire_members(&mut self) {
         let is_alive =
--- a/crates/vanillafold/tests/fleet/refusals.rs
+++ b/crates/vanillafold/tests/fleet/refusals.rs
@@ -2,8 +2,10 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
-use vanillafold::fleet::FleetAnswer;
+use monoio::time::{sleep, timeout};
+use vanillafold::fleet::{FleetAnswer, FleetRequest};
 
 use crate::fixture::{
     TestDaemon, run, start, start_behind, submission, submit_until_accepted, wait_until,
@@ -58,6 +60,27 @@
     }
 }
 
+impl Pair {
+    /// Lets the distant daemon reach the owner no more, and waits until it looks for another one.
+    async fn cut_off_distant(&self) {
+        self.relay.hold_connections();
+        self.relay.refuse_connections();
+        wait_until("it is cut off", || self.distant.fleet_daemon.is_cut_off()).await;
+    }
+
+    /// Submits a job at the owner in the background.
+    fn submit_at_owner(&self, number: u64) {
+        let daemon = Rc::clone(&self.owner.fleet_daemon);
+        monoio::spawn(async move { daemon.forward(&submission(number), 500).await });
+    }
+}
+
+/// Returns a request that cancels the job of [`submission`].
+fn cancellation(number: u64) -> FleetRequest {
+    let id = format!("{number:016x}").parse();
+    FleetRequest::Cancel(id.expect("a job id"))
+}
+
 fn is_refused(answer: &FleetAnswer) -> bool {
     matches!(answer, FleetAnswer::Refused { .. })
 }
@@ -173,3 +196,87 @@
         assert!(!is_refused(&distant), "{distant:?}");
     });
 }
+
+/// While the store is down, memberships may expire before their time to live. The other daemon can't
+/// reach the owner and takes over as soon as the store answers it; the owner is still turned away.
+#[test]
+fn an_owner_whose_membership_expired_early_does_not_refuse_a_job_that_its_successor_accepted() {
+    run(async {
+        let pair = start_pair().await;
+        pair.cut_off_distant().await;
+        pair.owner.store_unreachable.set(true);
+        pair.state.borrow_mut().forget_members();
+        pair.submit_at_owner(3);
+
+        submit_until_accepted(&pair.distant, 2).await;
+        let replaced = pair.owner.fleet_daemon.forward(&submission(2), 500).await;
+
+        assert!(!is_refused(&replaced), "{replaced:?}");
+    });
+}
+
+/// The owner loses the store for longer than the time to live of its membership and joins again
+/// before it counts as isolated. Meanwhile another daemon owned the shard.
+#[test]
+fn an_owner_that_joins_again_after_another_ownership_does_not_refuse_a_job_accepted_in_it() {
+    run(async {
+        let pair = start_pair().await;
+        pair.cut_off_distant().await;
+        pair.owner.store_unreachable.set(true);
+        wait_until("the other daemon owns the shard", || {
+            pair.state.borrow().owner() == Some("distant")
+        })
+        .await;
+        submit_until_accepted(&pair.distant, 2).await;
+
+        pair.state.borrow_mut().refuses_records = true;
+        pair.owner.store_unreachable.set(false);
+        wait_until("the first owner has joined again", || {
+            pair.state.borrow().owner() == Some("owner")
+        })
+        .await;
+        let returned = pair.owner.fleet_daemon.forward(&submission(2), 500).await;
+
+        assert!(!is_refused(&returned), "{returned:?}");
+    });
+}
+
+/// The job is submitted and cancelled at an owner that has been replaced, and dropped there when its
+/// write of another job fails. The successor has accepted it.
+#[test]
+fn a_replaced_owner_does_not_answer_that_a_cancelled_job_does_not_exist() {
+    run(async {
+        // Arrange: the owner, which has lost the store, writes a job.
+        let pair = start_pair().await;
+        pair.cut_off_distant().await;
+        pair.owner.store_unreachable.set(true);
+        wait_until("the other daemon owns the shard", || {
+            pair.state.borrow().owner() == Some("distant")
+        })
+        .await;
+        submit_until_accepted(&pair.distant, 2).await;
+        pair.submit_at_owner(3);
+        sleep(Duration::from_millis(20)).await;
+
+        // Act
+        pair.submit_at_owner(2);
+        sleep(Duration::from_millis(10)).await;
+        let answer = pair.owner.fleet_daemon.forward(&cancellation(2), 500).await;
+
+        assert_ne!(answer, FleetAnswer::NoJob);
+    });
+}
+
+#[test]
+fn a_request_at_the_owner_is_answered_when_its_time_is_up_while_the_store_hangs() {
+    run(async {
+        let pair = start_pair().await;
+        pair.state.borrow_mut().hangs = true;
+
+        let request = submission(2);
+        let answered = pair.owner.fleet_daemon.forward(&request, 500);
+        let answer = timeout(Duration::from_secs(10), answered).await;
+
+        assert_eq!(answer.ok().map(|answer| answer.kind()), Some("undecided"));
+    });
+}
