Date a caller's request by its first byte and by its connection

A request was dated when it was parsed. One that had waited behind another on its connection, or in a connection that could not be accepted for want of files, was taken as new although its job had been refused meanwhile: callers got 503 and the job ran.

A connection now dates its requests: by the arrival clock if their first bytes had not arrived when it began to wait, otherwise by the request before or, for the first, by the connection. Connections accepted within 1 s of a failed accept are as old as the first failure. A connection whose requests follow each other too closely to be dated is closed after 5 s.

--- a/crates/vanillafold-policy/src/lib.rs
+++ b/crates/vanillafold-policy/src/lib.rs
@@ -6,7 +6,7 @@
 //! | To split a VM's connections between daemons | [`connections_allowed`], [`connection_share`], [`is_assigned`] |
 //! | To decide on a retry | [`RequestAttempts`], [`AttemptFailure`], [`RetryDecision`], [`RetryBudget`] |
 //! | To admit, order and place jobs, and to plan VM moves and maintenance | [`jobs`] |
-//! | To date the input of an event loop | [`ArrivalClock`] |
+//! | To date the input of an event loop | [`ArrivalClock`], [`ConnectionClock`] |
 //! | Baselines for comparison | [`baseline`] |
 //!
 //! The crate does no I/O and reads no clock. Callers pass the time as [`MonotonicMillis`] and
@@ -31,4 +31,4 @@
     TargetLimits, TargetStatus, TargetTable, TargetView, connection_share, connections_allowed,
     is_assigned,
 };
-pub use time::{ARRIVAL_TICK_MS, ArrivalClock, MonotonicMillis};
+pub use time::{ARRIVAL_TICK_MS, ArrivalClock, ConnectionClock, MonotonicMillis};
--- a/crates/vanillafold-policy/src/time/mod.rs
+++ b/crates/vanillafold-policy/src/time/mod.rs
@@ -3,5 +3,5 @@
 mod arrival;
 mod monotonic;
 
-pub use arrival::{ARRIVAL_TICK_MS, ArrivalClock};
+pub use arrival::{ARRIVAL_TICK_MS, ArrivalClock, ConnectionClock};
 pub use monotonic::MonotonicMillis;
--- a/crates/vanillafold-wire/src/http/server.rs
+++ b/crates/vanillafold-wire/src/http/server.rs
@@ -1,17 +1,33 @@
 //! A simple HTTP server for small messages, for administration and for the stand-in.
 
 use std::future::Future;
+use std::pin::pin;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
+use monoio::time::timeout;
 
 use super::{
-    BodyError, BodyReader, Framing, HttpReader, HttpWriter, RequestHead, asks_to_close,
+    BodyError, BodyReader, Framing, HeadError, HttpReader, HttpWriter, RequestHead, asks_to_close,
     encode_response_head, encode_response_to_head_request, request_framing,
 };
 
+/// Time in which the runtime learns that a connection has bytes to read: it polls connections before
+/// timers.
+const READINESS_TIME: Duration = Duration::from_millis(1);
+
 /// Handles requests and responses that are held in memory as a whole.
 pub trait Service {
+    /// Called before the connection waits for a request, the first or the next one.
+    fn awaits_request(&self) {}
+
+    /// Called when the first bytes of a request have been read. `has_waited` says whether they had
+    /// not arrived when the connection began to wait.
+    fn begins_request(&self, has_waited: bool) {
+        let _ = has_waited;
+    }
+
     /// Handles one request and returns its response; `None` closes the connection without one.
     fn answer(&self, request: Request<Bytes>) -> impl Future<Output = Option<Response<Bytes>>>;
 }
@@ -27,7 +43,15 @@
     mut writer: HttpWriter,
     max_body_bytes: usize,
 ) {
-    while let Ok(head) = reader.read_request_head().await {
+    loop {
+        service.awaits_request();
+        let Ok(has_waited) = wait_for_request(&mut reader).await else {
+            break;
+        };
+        service.begins_request(has_waited);
+        let Ok(head) = reader.read_request_head().await else {
+            break;
+        };
         let Ok(framing) = request_framing(&head.headers) else {
             let _ = send_empty_response(&mut writer, StatusCode::BAD_REQUEST).await;
             break;
@@ -47,6 +71,15 @@
     writer.close().await;
 }
 
+/// Waits for the first bytes of a request; returns whether they had not arrived yet.
+async fn wait_for_request(reader: &mut HttpReader) -> Result<bool, HeadError> {
+    let mut message = pin!(reader.wait_for_message());
+    match timeout(READINESS_TIME, message.as_mut()).await {
+        Ok(arrived) => arrived.map(|()| false),
+        Err(_) => message.await.map(|()| true),
+    }
+}
+
 /// Answers one request and returns whether the connection can serve another.
 async fn handle_request<S: Service>(
     service: &S,
--- a/crates/vanillafold/src/fleet/daemon.rs
+++ b/crates/vanillafold/src/fleet/daemon.rs
@@ -12,6 +12,7 @@
 use vanillafold_wire::{Latch, Notify, RpcHandler, serve_rpcs};
 
 use super::config::FleetConfig;
+use super::connection::CallerConnection;
 use super::message::{FleetAnswer, FleetRequest, IncomingCall, RPC_PATH};
 use super::owner::OwnerView;
 use super::ownership::ShardOwnership;
@@ -94,7 +95,7 @@
     pub(crate) leaving: Latch,
     /// Set when the daemon answers its requests in flight at once, because it is about to exit.
     pub(crate) exiting: Latch,
-    arrival_clock: RefCell<ArrivalClock>,
+    pub(crate) arrival_clock: RefCell<ArrivalClock>,
     pub(crate) in_flight: Cell<usize>,
     /// Notified when a request could not be forwarded: the owner may have changed and must be
     /// checked before the next ping is due.
@@ -103,6 +104,8 @@
     pub(crate) shard_claimed: Cell<bool>,
     /// Notified when `shard_claimed` is set.
     pub(crate) claim_made: Notify,
+    /// Notified when the membership in the owners' group should be confirmed at once.
+    pub(crate) join_wanted: Notify,
     /// Whether a daemon with enough CPU for an owner has sent an RPC, while this one has less.
     pub(crate) larger_daemon_seen: Cell<bool>,
 }
@@ -139,6 +142,7 @@
             recheck_owner: Notify::default(),
             shard_claimed: Cell::new(false),
             claim_made: Notify::default(),
+            join_wanted: Notify::default(),
             larger_daemon_seen: Cell::new(false),
         })
     }
@@ -209,9 +213,15 @@
         RequestGuard(Rc::clone(self))
     }
 
-    /// Returns a time that is not later than the arrival of a request that is read now.
-    pub(crate) fn earliest_arrival(&self) -> MonotonicMillis {
-        self.arrival_clock.borrow().earliest_arrival()
+    /// Notes that no caller's connection can be accepted, so that connections wait.
+    pub fn accept_failed(&self) {
+        self.arrival_clock.borrow_mut().accept_failed(now());
+    }
+
+    /// Begins to serve a caller's connection that is accepted now.
+    #[must_use]
+    pub fn begin_connection(self: &Rc<Self>) -> CallerConnection<P> {
+        CallerConnection::new(Rc::clone(self))
     }
 
     /// Returns the daemon's ownership if the takeover is complete and the ownership has not ended.
--- a/crates/vanillafold/src/fleet/forward.rs
+++ b/crates/vanillafold/src/fleet/forward.rs
@@ -19,7 +19,7 @@
 struct Forwarding<'a> {
     request: &'a FleetRequest,
     began: MonotonicMillis,
-    /// Time before which the request had surely not arrived.
+    /// Time before which the request had not arrived.
     arrived_at: MonotonicMillis,
     /// Attempts to deliver the request, including those that were not sent.
     deliveries: Cell<u32>,
@@ -32,15 +32,31 @@
     /// Unanswered requests are repeated until `limit_ms` have passed, which is safe because the
     /// owner identifies a job by its id.
     ///
+    /// A request that does not come from a [`CallerConnection`] counts as one that the daemon was
+    /// waiting for.
+    ///
     /// Returns [`FleetAnswer::Refused`] for a submission only if the owner has refused its job,
     /// [`FleetAnswer::Undecided`] if the outcome is still unknown when the time is up, and
     /// [`FleetAnswer::Unconfirmed`] if no owner has received the request: another daemon may have
     /// delivered an earlier request about the same job.
+    ///
+    /// [`CallerConnection`]: super::CallerConnection
     pub async fn forward(self: &Rc<Self>, request: &FleetRequest, limit_ms: u64) -> FleetAnswer {
+        let arrived_at = self.arrival_clock.borrow().earliest_arrival();
+        self.forward_from(arrived_at, request, limit_ms).await
+    }
+
+    /// Forwards a request that had not arrived before `arrived_at`.
+    pub(super) async fn forward_from(
+        self: &Rc<Self>,
+        arrived_at: MonotonicMillis,
+        request: &FleetRequest,
+        limit_ms: u64,
+    ) -> FleetAnswer {
         let forwarding = Forwarding {
             request,
             began: now(),
-            arrived_at: self.earliest_arrival(),
+            arrived_at,
             deliveries: Cell::new(0),
             sent: Cell::new(false),
         };
--- a/crates/vanillafold/src/fleet/mod.rs
+++ b/crates/vanillafold/src/fleet/mod.rs
@@ -7,7 +7,7 @@
 //! | interface to the platform | [`FleetPlatform`], [`MetadataStore`], [`WorkerPoller`], [`OrderSender`], [`CloudApi`] |
 //! |---|---|
 //! | operator's configuration | [`FleetConfig`], [`Route`], [`OperatorRecord`] |
-//! | the daemon | [`FleetDaemon`], [`FleetSettings`] |
+//! | the daemon | [`FleetDaemon`], [`CallerConnection`], [`FleetSettings`] |
 //! | calls between daemons | [`OutgoingCall`], [`FleetRequest`], [`OwnerTime`] |
 //! | answers to callers | [`FleetAnswer`], [`ResolvedRoute`], [`RouteError`] |
 //!
@@ -15,6 +15,7 @@
 
 mod advise;
 mod config;
+mod connection;
 mod daemon;
 mod forward;
 mod ignored;
@@ -32,6 +33,7 @@
 mod writer;
 
 pub use config::{FleetConfig, OperatorRecord, ResolvedRoute, Route, RouteError};
+pub use connection::CallerConnection;
 pub use daemon::{FleetDaemon, FleetStartError};
 pub use ignored::IgnoredInput;
 pub use message::{FleetAnswer, FleetRequest, OutgoingCall, OwnerTime, RPC_PATH};
