Confirm the ownership after a refusal was decided, not before

An owner refused, and answered that a job is unknown, for the time to live of its membership after the last join. That is no proof: a membership may expire early while the store is down, an owner may join again after another one had the shard, and a cancellation was answered 410 without any check. The successor's jobs were refused.

Such an answer now waits for a join sent after the decision, made at once and shared by all answers of 20 ms; it counts only if the group's generation is still the ownership's epoch, since the generation rises with each change. If the store does not answer within 150 ms, or did not the last time, the caller gets 504 with the same Retry-After. A submission dated by the clock of another epoch is dated and delivered again, instead of 504.

--- a/crates/vanillafold/src/fleet/membership.rs
+++ b/crates/vanillafold/src/fleet/membership.rs
@@ -6,6 +6,7 @@
 
 use monoio::time::{sleep, timeout};
 use vanillafold_jobs::Epoch;
+use vanillafold_policy::MonotonicMillis;
 
 use super::daemon::FleetDaemon;
 use super::metric;
@@ -13,8 +14,8 @@
 use super::ownership::ShardOwnership;
 use super::platform::{FleetPlatform, Membership, MetadataStore};
 use super::settings::{
-    JOIN_INTERVAL, JOIN_RETRY_DELAY, OWNER_ISOLATION_MS, OWNERS_GROUP, SHARD_PARTITION,
-    SHARDS_TOPIC,
+    JOIN_INTERVAL, JOIN_RETRY_DELAY, MIN_JOIN_INTERVAL, OWNER_ISOLATION_MS, OWNERS_GROUP,
+    SHARD_PARTITION, SHARDS_TOPIC,
 };
 use super::time::now;
 
@@ -88,6 +89,7 @@
                 daemon.latest_epoch.set(latest.min(generation));
                 let ownership_closed = apply_membership(&daemon, &membership, may_have_expired);
                 daemon.confirmed_at.set(sent_at);
+                confirm_ownership(&daemon, generation, sent_at);
                 match ownership_closed {
                     // The next owner can start only once this daemon has joined again or left the
                     // group.
@@ -100,10 +102,32 @@
                     metric::dependency_lost("store_group");
                     log::warn!(error = error.to_string(); "joining the owners' group failed; retrying");
                 }
+                if let Some(ownership) = daemon.ownership.borrow().as_ref() {
+                    ownership.confirmation_failed();
+                }
                 JOIN_RETRY_DELAY
             }
         };
-        let _ = daemon.leaving.run_until_set(sleep(delay)).await;
+        let wait = async {
+            sleep(MIN_JOIN_INTERVAL).await;
+            let _ = timeout(delay - MIN_JOIN_INTERVAL, daemon.join_wanted.notified()).await;
+        };
+        let _ = daemon.leaving.run_until_set(wait).await;
+    }
+}
+
+/// Tells the ownership that no other daemon owned the shard until the join at `sent_at` reached the
+/// store: the group has not changed since the ownership began.
+fn confirm_ownership<P: FleetPlatform>(
+    daemon: &FleetDaemon<P>,
+    generation: u64,
+    sent_at: MonotonicMillis,
+) {
+    let ownership = daemon.ownership.borrow();
+    match ownership.as_ref() {
+        Some(ownership) if ownership.epoch().get() == generation => ownership.confirm(sent_at),
+        Some(ownership) => ownership.confirmation_failed(),
+        None => {}
     }
 }
 
--- a/crates/vanillafold/src/fleet/ownership.rs
+++ b/crates/vanillafold/src/fleet/ownership.rs
@@ -22,7 +22,7 @@
     StoreError,
 };
 use super::settings::{
-    APPEND_TIMEOUT, APPEND_TIMEOUT_MAX, MIN_OWNERSHIP_MS, MIN_SCHEDULE_INTERVAL,
+    APPEND_TIMEOUT, APPEND_TIMEOUT_MAX, CONFIRM_TIMEOUT, MIN_OWNERSHIP_MS, MIN_SCHEDULE_INTERVAL,
     OWNER_ISOLATION_MS, READ_RETRY_DELAY, RETRY_AFTER_MS, SCHEDULE_INTERVAL, SHARD_PRODUCER,
     STORE_BACKOFF_MS,
 };
@@ -45,7 +45,17 @@
 pub(crate) struct Waiter {
     job: JobId,
     awaited: AwaitedRecord,
-    answer: oneshot::Sender<FleetAnswer>,
+    answer: oneshot::Sender<Resolution>,
+}
+
+/// What became of the record that a request waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Resolution {
+    Stored,
+    /// The job was dropped before its record was in an append.
+    Dropped,
+    /// The ownership ended.
+    Unknown,
 }
 
 /// An ownership of the shard by this daemon, from the start of its takeover to its end.
@@ -57,6 +67,10 @@
     /// State of the shard; `None` until the takeover is complete.
     pub(crate) shard: RefCell<Option<Shard>>,
     waiters: RefCell<Vec<Waiter>>,
+    /// Answers that wait until the store has confirmed the ownership after a time.
+    unconfirmed: RefCell<Vec<(MonotonicMillis, oneshot::Sender<()>)>>,
+    /// Whether the last attempt to confirm the ownership failed.
+    confirmation_failed: Cell<bool>,
     /// Jobs that were refused a short time ago.
     refusals: RefCell<Refusals>,
     /// Links to the known workers, sorted by the workers' ids.
@@ -95,6 +109,8 @@
             opened_at: now(),
             shard: RefCell::new(None),
             waiters: RefCell::new(Vec::new()),
+            unconfirmed: RefCell::default(),
+            confirmation_failed: Cell::new(false),
             refusals: RefCell::default(),
             links: RefCell::new(Vec::new()),
             linked_version: Cell::new(0),
@@ -140,9 +156,10 @@
         log::info!(epoch = self.epoch.get(), reason = reason; "ownership of the shard ends");
         metric::ownership_ended();
         self.closed.set();
+        self.unconfirmed.take();
         for waiter in self.waiters.take() {
             // The request may have been abandoned in the meantime.
-            let _ = waiter.answer.send(FleetAnswer::Undecided);
+            let _ = waiter.answer.send(Resolution::Unknown);
         }
     }
 
@@ -199,7 +216,7 @@
             FleetRequest::Cancel(id) => self.cancel(id).await,
             FleetRequest::State(id) => match self.with(|shard| shard.state(id)) {
                 Some(Some(state)) => FleetAnswer::State(state.to_string()),
-                Some(None) => self.answer_unknown_job(),
+                Some(None) => self.answer_unknown_job().await,
                 None => FleetAnswer::NotOwner,
             },
             FleetRequest::Pending(queue) => self
@@ -217,51 +234,48 @@
         delivery: u32,
     ) -> FleetAnswer {
         let known = self.with(|shard| shard.is_known(id)).unwrap_or(false);
-        let check = match known {
-            true => DeliveryCheck::Current,
-            false => self.check_delivery(id, received_at),
-        };
-        if check != DeliveryCheck::Current {
-            metric::stale_submission();
-            log::info!(
-                job = id.to_string(), check = format!("{check:?}"), delivery = delivery,
-                received_epoch = received_at.epoch, epoch = self.epoch.get(),
-                age_ms = now().get().saturating_sub(received_at.clock_ms);
-                "submission not acted on: its job may have been refused since it was received"
-            );
+        if !known && received_at.epoch != self.epoch.get() {
+            // The daemon dates the request again once it has reached this owner.
+            return FleetAnswer::NotOwner;
         }
-        match check {
-            DeliveryCheck::Current => {}
-            DeliveryCheck::Refused | DeliveryCheck::Outdated => {
+        match self.check_delivery(id, MonotonicMillis::new(received_at.clock_ms)) {
+            check if !known && check != DeliveryCheck::Current => {
+                metric::stale_submission();
+                log::info!(
+                    job = id.to_string(), check = format!("{check:?}"), delivery = delivery,
+                    epoch = self.epoch.get(),
+                    age_ms = now().get().saturating_sub(received_at.clock_ms);
+                    "submission not acted on: its job may have been refused since it was received"
+                );
                 return FleetAnswer::Unconfirmed { retry_after_ms: 0 };
             }
+            _ => {}
         }
         if !known && now().get() < self.store_unavailable_until_ms.get() {
-            return self.refuse(id, "store_away", RETRY_AFTER_MS, false);
+            return self.refuse(id, "store_away", RETRY_AFTER_MS, false).await;
         }
         // The daemon that took the request may run another version.
         if let Err(error) = spec.check_submission()
             && !known
         {
             log::warn!(job = id.to_string(), error = error.to_string(); "submission of an invalid job");
-            return self.refuse(id, "invalid", RETRY_AFTER_MS, false);
+            return self.refuse(id, "invalid", RETRY_AFTER_MS, false).await;
         }
         match self.with(|shard| shard.submit(id, spec, now(), unix_ms())) {
             None => FleetAnswer::NotOwner,
             Some(SubmitOutcome::Stored) => FleetAnswer::Accepted,
             Some(SubmitOutcome::Storing) => self.wait(id, AwaitedRecord::Spec).await,
             Some(SubmitOutcome::Refused { retry_after_ms }) => {
-                self.refuse(id, "load", retry_after_ms, true)
+                self.refuse(id, "load", retry_after_ms, true).await
             }
         }
     }
 
     /// Checks whether a submission may have been refused since it was received. One that was
     /// received before this ownership may have been refused by an earlier owner.
-    fn check_delivery(&self, id: JobId, received_at: OwnerTime) -> DeliveryCheck {
-        let received_ms = MonotonicMillis::new(received_at.clock_ms);
-        match received_at.epoch == self.epoch.get() && received_ms >= self.opened_at {
-            true => self.refusals.borrow().check(id, received_ms, now()),
+    fn check_delivery(&self, id: JobId, received_at: MonotonicMillis) -> DeliveryCheck {
+        match received_at >= self.opened_at {
+            true => self.refusals.borrow().check(id, received_at, now()),
             false => DeliveryCheck::Outdated,
         }
     }
@@ -269,48 +283,77 @@
     /// Returns the refusal of a job that this owner does not know. It holds for all submissions
     /// that were received before: the owner does not act on them any more, nor does a later owner.
     /// An owner that may have been replaced refuses nothing, as its successor may have the job.
-    fn refuse(
+    async fn refuse(
         &self,
         id: JobId,
         reason: &'static str,
         retry_after_ms: u64,
         overload: bool,
     ) -> FleetAnswer {
-        let confirmed = self.is_confirmed();
+        self.refusals.borrow_mut().add(id, now());
+        if !self.confirm_now().await {
+            log::info!(
+                job = id.to_string(), reason = reason, retry_after_ms = retry_after_ms,
+                epoch = self.epoch.get();
+                "job not accepted; not refused, as the store has not confirmed the ownership"
+            );
+            return FleetAnswer::Unconfirmed { retry_after_ms };
+        }
+        metric::refusal(reason);
         log::info!(
             job = id.to_string(), reason = reason, retry_after_ms = retry_after_ms,
-            epoch = self.epoch.get(), confirmed = confirmed;
+            epoch = self.epoch.get();
             "job refused"
         );
-        if !confirmed {
-            return FleetAnswer::Unconfirmed { retry_after_ms };
-        }
-        metric::refusal(reason);
-        self.refusals.borrow_mut().add(id, now());
         FleetAnswer::Refused {
             retry_after_ms,
             overload,
         }
     }
 
-    /// Returns whether no other daemon can own the shard: the store has confirmed the membership
-    /// recently, and no later ownership is known.
-    fn is_confirmed(&self) -> bool {
-        let unconfirmed_ms = now().since(self.daemon.confirmed_at.get()).get();
+    /// Waits until the store has confirmed, after now, that no other daemon has owned the shard
+    /// since this ownership began. Returns false if it does not soon, or if the last attempt failed.
+    async fn confirm_now(&self) -> bool {
         let superseded = self.daemon.latest_epoch.get() > self.epoch.get();
-        unconfirmed_ms <= self.daemon.settings.member_ttl_ms && !superseded
+        if superseded || self.closed.is_set() || self.confirmation_failed.get() {
+            return false;
+        }
+        let (confirmed, confirmation) = oneshot::channel();
+        self.unconfirmed.borrow_mut().push((now(), confirmed));
+        self.daemon.join_wanted.notify_one();
+        matches!(timeout(CONFIRM_TIMEOUT, confirmation).await, Ok(Ok(())))
+    }
+
+    /// Notes that no other daemon has owned the shard from the beginning of this ownership until
+    /// after `at`.
+    pub(crate) fn confirm(&self, at: MonotonicMillis) {
+        self.confirmation_failed.set(false);
+        let mut unconfirmed = self.unconfirmed.borrow_mut();
+        let mut index = 0;
+        while index < unconfirmed.len() {
+            match unconfirmed[index].0 <= at {
+                true => {
+                    // The answer may not wait any more.
+                    let _ = unconfirmed.swap_remove(index).1.send(());
+                }
+                false => index += 1,
+            }
+        }
+        if !unconfirmed.is_empty() {
+            self.daemon.join_wanted.notify_one();
+        }
+    }
+
+    /// Notes that the store did not confirm the ownership: nothing is refused until it does.
+    pub(crate) fn confirmation_failed(&self) {
+        self.confirmation_failed.set(true);
+        self.unconfirmed.borrow_mut().clear();
     }
 
     async fn cancel(&self, id: JobId) -> FleetAnswer {
         match self.with(|shard| shard.cancel(id, now(), unix_ms())) {
             None => FleetAnswer::NotOwner,
-            Some(CancelOutcome::Unknown) => {
-                let answer = self.answer_unknown_job();
-                if answer == FleetAnswer::NoJob {
-                    self.refusals.borrow_mut().add(id, now());
-                }
-                answer
-            }
+            Some(CancelOutcome::Unknown) => self.cancel_unknown_job(id).await,
             Some(CancelOutcome::Finished) => FleetAnswer::Cancelled,
             Some(CancelOutcome::Storing) => {
                 self.events.notify_one();
@@ -319,10 +362,17 @@
         }
     }
 
-    /// Returns the answer for a job that this owner does not know. If the store has not confirmed
-    /// the owner recently, another daemon may have taken the shard over and know the job.
-    fn answer_unknown_job(&self) -> FleetAnswer {
-        match self.is_confirmed() {
+    /// Answers the cancellation of a job that this owner does not know. Submissions of the job that
+    /// were received before are not acted on any more.
+    async fn cancel_unknown_job(&self, id: JobId) -> FleetAnswer {
+        self.refusals.borrow_mut().add(id, now());
+        self.answer_unknown_job().await
+    }
+
+    /// Returns the answer for a job that this owner does not know. If the store does not confirm
+    /// the owner, another daemon may have taken the shard over and know the job.
+    async fn answer_unknown_job(&self) -> FleetAnswer {
+        match self.confirm_now().await {
             true => FleetAnswer::NoJob,
             false => FleetAnswer::NotOwner,
         }
@@ -337,7 +387,16 @@
             answer,
         });
         self.records_ready.notify_one();
-        answered.await.unwrap_or(FleetAnswer::Undecided)
+        match (answered.await.unwrap_or(Resolution::Unknown), awaited) {
+            (Resolution::Stored, AwaitedRecord::Spec) => FleetAnswer::Accepted,
+            (Resolution::Stored, AwaitedRecord::Outcome) => FleetAnswer::Cancelled,
+            (Resolution::Dropped, AwaitedRecord::Spec) => {
+                self.refuse(job, "store_refused", RETRY_AFTER_MS, false)
+                    .await
+            }
+            (Resolution::Dropped, AwaitedRecord::Outcome) => self.cancel_unknown_job(job).await,
+            (Resolution::Unknown, _) => FleetAnswer::Undecided,
+        }
     }
 
     /// Answers the requests whose awaited record is stored now.
@@ -349,25 +408,24 @@
             let (spec_stored, outcome_stored) = self
                 .with(|shard| shard.is_stored(waiter.job))
                 .unwrap_or((false, false));
-            let answer = match waiter.awaited {
-                AwaitedRecord::Spec if spec_stored => FleetAnswer::Accepted,
-                AwaitedRecord::Outcome if outcome_stored => FleetAnswer::Cancelled,
-                _ => {
-                    index += 1;
-                    continue;
-                }
+            let is_stored = match waiter.awaited {
+                AwaitedRecord::Spec => spec_stored,
+                AwaitedRecord::Outcome => outcome_stored,
             };
+            if !is_stored {
+                index += 1;
+                continue;
+            }
             let waiter = waiters.swap_remove(index);
-            if answer == FleetAnswer::Accepted {
+            if waiter.awaited == AwaitedRecord::Spec {
                 log::info!(job = waiter.job.to_string(), epoch = self.epoch.get(); "job accepted");
             }
             // The request may have been abandoned in the meantime.
-            let _ = waiter.answer.send(answer);
+            let _ = waiter.answer.send(Resolution::Stored);
         }
     }
 
-    /// Answers the requests about jobs that were dropped before they were stored: submissions are
-    /// refused, and cancelled jobs do not exist.
+    /// Resolves the requests about jobs that were dropped before they were stored.
     pub(crate) fn notify_dropped(&self, dropped: &[JobId]) {
         let mut waiters = self.waiters.borrow_mut();
         let mut index = 0;
@@ -376,15 +434,8 @@
                 index += 1;
                 continue;
             }
-            let waiter = waiters.swap_remove(index);
-            let answer = match waiter.awaited {
-                AwaitedRecord::Spec => {
-                    self.refuse(waiter.job, "store_refused", RETRY_AFTER_MS, false)
-                }
-                AwaitedRecord::Outcome => FleetAnswer::NoJob,
-            };
             // The request may have been abandoned in the meantime.
-            let _ = waiter.answer.send(answer);
+            let _ = waiters.swap_remove(index).answer.send(Resolution::Dropped);
         }
     }
 
--- a/crates/vanillafold/src/fleet/settings.rs
+++ b/crates/vanillafold/src/fleet/settings.rs
@@ -34,6 +34,11 @@
 
 /// Time between two joins. Several must fit into [`FleetSettings::member_ttl_ms`].
 pub(crate) const JOIN_INTERVAL: Duration = Duration::from_millis(250);
+/// Minimum time between two joins that are made at once to confirm the membership; the answers that
+/// wait for one in this time share it.
+pub(crate) const MIN_JOIN_INTERVAL: Duration = Duration::from_millis(20);
+/// Time for which an answer waits for the store to confirm the membership.
+pub(crate) const CONFIRM_TIMEOUT: Duration = Duration::from_millis(150);
 /// Delay before a failed call of the owners' group is repeated.
 pub(crate) const JOIN_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// CPU that an owner should have, in thousandths of a core: enough for its peak at 850 task starts
