Limit the time of requests that the owner forwards to itself

While the store gave no answers, callers of the owner's own daemon got nothing instead of 504 at their limit: the limit held for calls of another daemon only. a_request_at_the_owner_is_answered_when_its_time_is_up_while_the_store_hangs failed and passes.

--- a/crates/vanillafold/src/fleet/forward.rs
+++ b/crates/vanillafold/src/fleet/forward.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use monoio::time::sleep;
+use monoio::time::{sleep, timeout};
 use vanillafold_policy::MonotonicMillis;
 use vanillafold_wire::RpcError;
 
@@ -117,9 +117,11 @@
                 epoch: ownership.epoch().get(),
                 clock_ms: forwarding.arrived_at.get(),
             };
-            return Ok(ownership
-                .answer(request.clone(), received_at, delivery)
-                .await);
+            let answered = ownership.answer(request.clone(), received_at, delivery);
+            return Ok(match timeout(rpc_timeout, answered).await {
+                Ok(answer) => answer,
+                Err(_) => FleetAnswer::Undecided,
+            });
         }
         let received_at = self.owner_view.owner_time(forwarding.arrived_at);
         let (Some(client), Some(received_at)) = (self.owner_view.client(), received_at) else {
