Use no connection again that a target's refusal has ended

What callers could see: after a target's 503 with Vf-Not-Run and "Connection: close", the next request on that connection was lost and answered 402, "may have run", though nothing ran. After a refusal whose body broke off, bytes that came later would have been read as the answer to the next request, a further refusal included. Found by reading.

Cause: after a refusal the connection was kept whenever the request had been written, whatever the refusal said and however its body ended.

Evidence: a target refuses the first attempt on a connection that it closes, or with a malformed chunk; the next attempt came on the same connection.

Why this works: the connection is kept only if the refusal's body was read to its end and the target does not close the connection, as after an answer.

--- a/crates/vanillafold-standin/tests/daemon/answer.rs
+++ b/crates/vanillafold-standin/tests/daemon/answer.rs
@@ -229,3 +229,33 @@
         std::io::Read::read(&mut received.stream, &mut [0]).is_ok_and(|length| length == 0)
     });
 }
+
+/// Refuses the first attempt of a request with `refusal` and answers the next, which must come on
+/// another connection.
+fn assert_next_attempt_has_new_connection(refusal: &str) {
+    let (deployment, target) = start_with_fake_target();
+    let mut raw = deployment.connect();
+    raw.send(get(NOT_IDEMPOTENT));
+    let mut refused = target.next_request();
+    refused.send(refusal);
+
+    target
+        .next_request()
+        .send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
+
+    assert_eq!(raw.answer().text(), "done");
+}
+
+#[test]
+fn a_connection_that_the_target_closes_after_a_refusal_is_not_used_again() {
+    assert_next_attempt_has_new_connection(
+        "HTTP/1.1 503 Busy\r\nVf-Not-Run: busy\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+    );
+}
+
+#[test]
+fn a_connection_on_which_a_refusal_did_not_end_is_not_used_again() {
+    assert_next_attempt_has_new_connection(
+        "HTTP/1.1 503 Busy\r\nVf-Not-Run: busy\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    );
+}
--- a/crates/vanillafold/src/dispatch/dispatcher.rs
+++ b/crates/vanillafold/src/dispatch/dispatcher.rs
@@ -67,7 +67,8 @@
     /// The unit of the team's limit; `None` on an open queue without a key.
     pub(super) unit: Option<TeamUnit>,
     pub(super) slot: Slot,
-    /// Whether the whole request was written, so that the connection can be reused.
+    /// Whether the whole request was written and no refusal ended the connection, so that it can be
+    /// reused if the answer allows it.
     pub(super) written: bool,
 }
 
@@ -295,7 +296,12 @@
         send.written = matches!(sent, Ok(Ok(_)));
         match sent {
             Ok(Ok(ReceivedHead::Answer(answer))) => self.relay_answer(send, answer, writer).await,
-            Ok(Ok(ReceivedHead::NotRun { reason, load })) => {
+            Ok(Ok(ReceivedHead::NotRun {
+                reason,
+                load,
+                keeps_connection,
+            })) => {
+                send.written &= keeps_connection;
                 self.finish_not_run(send, reason, load)
             }
             Ok(Err(failure)) => self.finish_lost(send, failure),
@@ -376,7 +382,15 @@
             fully_read: body_read,
         };
         match streamed {
-            Ok(StreamResult::Received(Ok((ReceivedHead::NotRun { reason, load }, _)))) => {
+            Ok(StreamResult::Received(Ok((
+                ReceivedHead::NotRun {
+                    reason,
+                    load,
+                    keeps_connection,
+                },
+                _,
+            )))) => {
+                send.written &= keeps_connection;
                 self.finish_not_run(send, reason, load)
             }
             Ok(StreamResult::Received(Ok((ReceivedHead::Answer(answer), relayed)))) => {
--- a/crates/vanillafold/src/dispatch/exchange.rs
+++ b/crates/vanillafold/src/dispatch/exchange.rs
@@ -33,6 +33,8 @@
         reason: NotRunReason,
         /// The slots in use at the target; `None` if it did not report them.
         load: Option<Slots>,
+        /// Whether the answer was read to its end and the target keeps the connection open.
+        keeps_connection: bool,
     },
 }
 
@@ -106,7 +108,11 @@
     match header::not_run_reason(&head.headers) {
         Some(reason) if head.status.is_server_error() => {
             while let Ok(Some(_)) = body.next(&mut incoming.reader).await {}
-            Ok(ReceivedHead::NotRun { reason, load })
+            Ok(ReceivedHead::NotRun {
+                reason,
+                load,
+                keeps_connection: body.is_done() && !asks_to_close(&head.headers),
+            })
         }
         _ => {
             incoming.body = Some(body);
