Write a lost daemon's withdrawal as soon as the platform was in reach for 22 s

Cause: the platform was looked at only at both ends of whole waits of 22 s, so that an outage at the start, or a slow read at an end, cost one more wait each.

Now the daemon looks every 500 ms and counts from when the platform came into reach without a break.

--- a/crates/vanillafold/src/recover/withdrawal.rs
+++ b/crates/vanillafold/src/recover/withdrawal.rs
@@ -6,7 +6,7 @@
 use log::info;
 use monoio::time::sleep;
 use vanillafold_state::CatalogueChange;
-use vanillafold_types::KeyId;
+use vanillafold_types::{KeyId, Millis};
 use vanillafold_wire::{PeerError, PeerMessage, Withdrawal};
 
 use crate::append::Change;
@@ -14,7 +14,9 @@
 
 /// How long the daemon that was asked for a withdrawal has to write its record, while the platform
 /// is reachable. It is longer than the longest pause between two appends of that daemon.
-const WRITE_GRACE: Duration = Duration::from_secs(22);
+const WRITE_GRACE_MS: Millis = Millis::new(22_000);
+/// Interval between checks whether the record is still missing.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Range of the random delay after the grace, per daemon of the fleet, so that normally only one
 /// other daemon writes the record.
 const DELAY_PER_DAEMON_MS: u64 = 200;
@@ -68,26 +70,28 @@
 
 async fn queue_if_unwritten(node: Rc<Node>, key: KeyId) {
     let range_ms = node.fleet().len() as u64 * DELAY_PER_DAEMON_MS;
+    let wait_ms = Millis::new(WRITE_GRACE_MS.get() + node.rng.borrow_mut().below(range_ms));
     let change = Change::Catalogue(CatalogueChange::WithdrawKey(key.clone()));
+    let mut reachable_since = None;
     while !node.shutdown.is_set() {
-        let was_reachable = node.recovery.is_platform_reachable(node.boot_time());
-        let delay_ms = node.rng.borrow_mut().below(range_ms);
-        sleep(WRITE_GRACE + Duration::from_millis(delay_ms)).await;
+        sleep(CHECK_INTERVAL).await;
+        let now = node.boot_time();
         let is_unwritten = node
             .state
             .borrow()
             .early_withdrawals()
             .any(|known| *known == key);
-        let is_reachable = node.recovery.is_platform_reachable(node.boot_time());
-        match is_unwritten {
-            false => return,
-            true if was_reachable && is_reachable && node.writer.submit(change.clone()) => {
-                info!(
-                    "queued the record of the withdrawal of key {key}, which no daemon has written"
-                );
-                return;
-            }
-            true => {}
+        if !is_unwritten {
+            return;
+        }
+        reachable_since = match node.recovery.is_platform_reachable(now) {
+            true => reachable_since.or(Some(now)),
+            false => None,
+        };
+        let is_due = reachable_since.is_some_and(|since| now.since(since) >= wait_ms);
+        if is_due && node.writer.submit(change.clone()) {
+            info!("queued the record of the withdrawal of key {key}, which no daemon has written");
+            return;
         }
     }
 }
