--- a/crates/vanillafold-standin/src/fleet/caller.rs
+++ b/crates/vanillafold-standin/src/fleet/caller.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{AUTHORIZATION, CONTENT_TYPE, HOST};
+use http::header::{AUTHORIZATION, CONTENT_TYPE, HOST, RETRY_AFTER};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use monoio::time::timeout;
 use vanillafold_jobs::JobId;
@@ -18,6 +18,24 @@
 /// How long callers wait for an answer.
 pub const CALLER_TIMEOUT: Duration = Duration::from_millis(3_000);
 
+/// What came of a request, and when to repeat a refused one.
+#[derive(Debug)]
+pub struct Reply {
+    /// What came of the request.
+    pub outcome: Outcome,
+    /// The time that the answer asks the caller to wait for.
+    pub retry_after: Option<Duration>,
+}
+
+impl From<Outcome> for Reply {
+    fn from(outcome: Outcome) -> Self {
+        Self {
+            outcome,
+            retry_after: None,
+        }
+    }
+}
+
 /// What a submitted job does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct JobShape {
@@ -29,6 +47,14 @@
     pub work_ms: u64,
 }
 
+impl JobShape {
+    /// Returns the text that the tasks of a job of this shape get.
+    #[must_use]
+    pub fn spec(&self, job: JobId) -> String {
+        format!("ms={} job={job}", self.work_ms)
+    }
+}
+
 /// A caller. It keeps one connection to each daemon open until the daemon closes it.
 #[derive(Debug)]
 pub struct Caller {
@@ -55,19 +81,31 @@
         shape: JobShape,
         patience: Duration,
     ) -> Outcome {
+        let reply = self.submit_for_reply(daemon, job, shape, patience);
+        reply.await.outcome
+    }
+
+    /// Submits a job as [`Caller::submit`] does, and returns the whole reply.
+    pub async fn submit_for_reply(
+        &self,
+        daemon: usize,
+        job: JobId,
+        shape: JobShape,
+        patience: Duration,
+    ) -> Reply {
         let JobShape {
             tasks,
             cpu_millis,
             work_ms,
         } = shape;
         let body = serde_json::json!({
-            "spec": format!("ms={work_ms}"),
+            "spec": shape.spec(job),
             "steps": [{
                 "count": tasks, "cpu": cpu_millis, "mem_mb": 64, "estimate_ms": work_ms,
             }],
         });
         let body = Bytes::from(body.to_string());
-        self.send(daemon, CallerRequest::Submit, job, body, patience)
+        self.send(daemon, CallerRequest::Submit(shape), job, body, patience)
             .await
     }
 
@@ -76,6 +114,7 @@
         let request = CallerRequest::Cancel;
         self.send(daemon, request, job, Bytes::new(), CALLER_TIMEOUT)
             .await
+            .outcome
     }
 
     /// Asks for the state of a job.
@@ -83,6 +122,7 @@
         let request = CallerRequest::State;
         self.send(daemon, request, job, Bytes::new(), CALLER_TIMEOUT)
             .await
+            .outcome
     }
 
     async fn send(
@@ -92,7 +132,7 @@
         job: JobId,
         body: Bytes,
         patience: Duration,
-    ) -> Outcome {
+    ) -> Reply {
         let attempt = self.journal.next_attempt();
         self.journal.add(EventKind::Sent {
             attempt,
@@ -100,12 +140,12 @@
             job,
             daemon,
         });
-        let outcome = self.exchange(daemon, request, job, body, patience).await;
+        let reply = self.exchange(daemon, request, job, body, patience).await;
         self.journal.add(EventKind::Over {
             attempt,
-            outcome: outcome.clone(),
+            outcome: reply.outcome.clone(),
         });
-        outcome
+        reply
     }
 
     async fn exchange(
@@ -115,9 +155,9 @@
         job: JobId,
         body: Bytes,
         patience: Duration,
-    ) -> Outcome {
+    ) -> Reply {
         let method = match request {
-            CallerRequest::Submit => Method::POST,
+            CallerRequest::Submit(_) => Method::POST,
             CallerRequest::Cancel => Method::DELETE,
             CallerRequest::State => Method::GET,
         };
@@ -131,10 +171,15 @@
             Ok(Ok(answer)) => {
                 self.clients.borrow_mut()[daemon] = Some(client);
                 let body = String::from_utf8_lossy(answer.body()).into_owned();
-                Outcome::Answered(answer.status().as_u16(), body)
+                let header = answer.headers().get(RETRY_AFTER);
+                let seconds = header.and_then(|header| header.to_str().ok()?.parse().ok());
+                Reply {
+                    outcome: Outcome::Answered(answer.status().as_u16(), body),
+                    retry_after: seconds.map(Duration::from_secs),
+                }
             }
-            Ok(Err(ClientError::Connect { .. })) => Outcome::NotSent,
-            Ok(Err(_)) | Err(_) => Outcome::Unanswered,
+            Ok(Err(ClientError::Connect { .. })) => Outcome::NotSent.into(),
+            Ok(Err(_)) | Err(_) => Outcome::Unanswered.into(),
         }
     }
 }
--- a/crates/vanillafold-standin/src/fleet/journal.rs
+++ b/crates/vanillafold-standin/src/fleet/journal.rs
@@ -6,6 +6,8 @@
 
 use vanillafold_jobs::{JobId, RunNumber, TaskId};
 
+use super::caller::JobShape;
+
 /// A request of a caller, numbered from 0.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct AttemptId(usize);
@@ -13,8 +15,8 @@
 /// What a caller asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallerRequest {
-    /// Submit the job.
-    Submit,
+    /// Submit a job of this shape.
+    Submit(JobShape),
     /// Cancel the job.
     Cancel,
     /// Ask for the job's state.
@@ -74,6 +76,8 @@
         run: RunNumber,
         /// The epoch of the owner that gave the order.
         token: u64,
+        /// The text that the order gave the task.
+        spec: String,
     },
     /// A run has ended.
     Ended {
@@ -95,6 +99,11 @@
         /// How it ended.
         end: RunEnd,
     },
+    /// The lease of a runner has expired.
+    LeaseExpired {
+        /// Index of the runner.
+        runner: usize,
+    },
     /// A runner has crashed with all that ran on it.
     RunnerLost {
         /// Index of the runner.
@@ -102,6 +111,15 @@
     },
     /// A fault begins or ends.
     Fault(String),
+    /// All faults have ended, and no further one comes.
+    FaultsOver,
+    /// A daemon has ended though nothing told it to, or has panicked.
+    DaemonFailed {
+        /// Index of the daemon.
+        daemon: usize,
+        /// What has happened.
+        reason: String,
+    },
 }
 
 /// An event with its time.
@@ -190,7 +208,11 @@
                 task,
                 run,
                 token,
-            } => write!(f, "runner {runner} starts {task} run {run}, token {token}"),
+                spec,
+            } => write!(
+                f,
+                "runner {runner} starts {task} run {run}, token {token}: {spec}"
+            ),
             EventKind::Ended {
                 runner,
                 task,
@@ -200,8 +222,11 @@
             EventKind::EndAcknowledged { task, run, end } => {
                 write!(f, "the end of {task} run {run} is acknowledged: {end:?}")
             }
+            EventKind::LeaseExpired { runner } => write!(f, "the lease of runner {runner} expires"),
             EventKind::RunnerLost { runner } => write!(f, "runner {runner} crashes"),
             EventKind::Fault(text) => f.write_str(text),
+            EventKind::FaultsOver => f.write_str("all faults are over"),
+            EventKind::DaemonFailed { daemon, reason } => write!(f, "daemon {daemon} {reason}"),
         }
     }
 }
--- a/crates/vanillafold-standin/src/fleet/mod.rs
+++ b/crates/vanillafold-standin/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 //! | `caller` | callers |
 //! | `config` | the operator's configuration |
 //! | `journal` | what was seen |
+//! | `soak` | random series of faults, and a judge of what was seen |
 //!
 //! The stand-ins share one thread; the daemons are processes of their own.
 
@@ -22,6 +23,7 @@
 mod network;
 mod relay;
 mod runner;
+mod soak;
 mod store;
 mod vms;
 mod world;
@@ -29,8 +31,9 @@
 pub use caller::{CALLER_TIMEOUT, Caller, JobShape};
 pub use daemon::Daemon;
 pub use journal::{AttemptId, CallerRequest, Event, EventKind, Journal, Outcome, RunEnd};
-pub use network::Network;
+pub use network::{Link, Network};
 pub use relay::{Gate, Gates, Reachability, Relay};
 pub use runner::{Runner, RunnerFault, RunnerOptions};
+pub use soak::{SoakOptions, SoakReport, Violation, ViolationKind, judge, run_soak};
 pub use store::{Store, StoreCall, StoreEffect, StoreFault};
 pub use world::{World, WorldOptions, world_directory};
--- a/crates/vanillafold-standin/src/fleet/network.rs
+++ b/crates/vanillafold-standin/src/fleet/network.rs
@@ -14,6 +14,19 @@
 const FIRST_PORT: u16 = 10_000;
 const PORTS: u16 = 20_000;
 
+/// Connections of a daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Link {
+    /// To and from the other daemons.
+    Peers,
+    /// To the daemon that owns the shard.
+    Owner,
+    /// To the store.
+    Store,
+    /// To the runners.
+    Runners,
+}
+
 /// All relays. Each connection between processes goes through the relay of its source and
 /// destination.
 #[derive(Debug, Default)]
--- a/crates/vanillafold-standin/src/fleet/relay.rs
+++ b/crates/vanillafold-standin/src/fleet/relay.rs
@@ -57,6 +57,20 @@
             back: gate,
         }
     }
+
+    /// Returns these gates for a connection that has had others.
+    const fn after(self, earlier: Self) -> Self {
+        const fn after(gate: Gate, earlier: Gate) -> Gate {
+            match earlier {
+                Gate::Dropped => Gate::Dropped,
+                _ => gate,
+            }
+        }
+        Self {
+            forward: after(self.forward, earlier.forward),
+            back: after(self.back, earlier.back),
+        }
+    }
 }
 
 /// What happens to new connections.
@@ -132,10 +146,11 @@
         self.destination
     }
 
-    /// Sets the gates of the open connections; later ones are not affected.
+    /// Sets the gates of the open connections; later ones are not affected. A direction that has
+    /// dropped bytes stays silent for good.
     pub fn set_open_connections(&self, gates: Gates) {
         for connection in self.open_connections() {
-            connection.gates.set(gates);
+            connection.gates.set(gates.after(connection.gates.get()));
             connection.changed.notify_all();
         }
     }
--- a/crates/vanillafold-standin/src/fleet/runner.rs
+++ b/crates/vanillafold-standin/src/fleet/runner.rs
@@ -78,6 +78,7 @@
     fence: u64,
     /// End of the lease, on the runner's clock.
     lease_until_ms: u64,
+    has_lease: bool,
     runs: Vec<Run>,
     ended: Vec<ListedEnd>,
     last_end: u64,
@@ -92,6 +93,7 @@
             born_unix_ms: unix_ms(),
             fence: 0,
             lease_until_ms: 0,
+            has_lease: false,
             runs: Vec::new(),
             ended: Vec::new(),
             last_end: 0,
@@ -106,6 +108,7 @@
     fn extend_lease(&mut self, until_ms: u64) {
         let until_ms = until_ms.min(self.clock_ms() + MAX_LEASE_MS);
         self.lease_until_ms = self.lease_until_ms.max(until_ms);
+        self.has_lease = self.lease_until_ms >= self.clock_ms();
     }
 
     fn floor(&self, task: TaskId) -> Option<RunNumber> {
@@ -196,6 +199,18 @@
         Ok(runner)
     }
 
+    /// What the runner offers.
+    #[must_use]
+    pub const fn options(&self) -> &RunnerOptions {
+        &self.options
+    }
+
+    /// Returns whether the runner has not crashed since it was started.
+    #[must_use]
+    pub fn is_up(&self) -> bool {
+        self.life.borrow().is_some()
+    }
+
     /// Sets how the runner treats orders from now on.
     pub fn set_fault(&self, fault: Option<RunnerFault>) {
         self.fault.set(fault);
@@ -252,6 +267,10 @@
             return;
         };
         let lapsed = life.clock_ms() > life.lease_until_ms;
+        if lapsed && std::mem::take(&mut life.has_lease) {
+            let runner = self.index;
+            self.journal.add(EventKind::LeaseExpired { runner });
+        }
         let now = Instant::now();
         let runs = std::mem::take(&mut life.runs);
         for mut run in runs {
@@ -355,6 +374,7 @@
             task,
             run,
             token: order.fencing_token,
+            spec: order.spec.clone(),
         });
     }
 
--- /dev/null
+++ b/crates/vanillafold-standin/src/fleet/soak/history.rs
@@ -0,0 +1,159 @@
+//! The events of a journal, arranged by job.
+
+use vanillafold_jobs::{JobId, TaskId};
+
+use crate::fleet::caller::JobShape;
+use crate::fleet::journal::{AttemptId, CallerRequest, Event, EventKind, Outcome, RunEnd};
+
+/// A request of a caller.
+#[derive(Debug)]
+pub(super) struct Attempt<'a> {
+    id: AttemptId,
+    pub(super) request: CallerRequest,
+    /// The event of the request.
+    pub(super) sent: usize,
+    /// The event of its outcome; `usize::MAX` if there is none.
+    pub(super) over: usize,
+    outcome: Option<&'a Outcome>,
+}
+
+impl<'a> Attempt<'a> {
+    pub(super) const fn shape(&self) -> Option<JobShape> {
+        match self.request {
+            CallerRequest::Submit(shape) => Some(shape),
+            CallerRequest::Cancel | CallerRequest::State => None,
+        }
+    }
+
+    pub(super) fn answer(&self) -> Option<(u16, &'a str)> {
+        match self.outcome? {
+            Outcome::Answered(status, body) => Some((*status, body)),
+            Outcome::NotSent | Outcome::Unanswered => None,
+        }
+    }
+
+    /// Returns whether the request may have reached a daemon.
+    pub(super) fn was_sent(&self) -> bool {
+        self.outcome != Some(&Outcome::NotSent)
+    }
+
+    pub(super) fn is_refused(&self) -> bool {
+        matches!(self.answer(), Some((429 | 503, _)))
+    }
+
+    pub(super) fn is_accepted(&self) -> bool {
+        matches!(self.answer(), Some((200..=299, _)))
+    }
+}
+
+/// What happened to a job.
+#[derive(Debug)]
+pub(super) struct JobHistory<'a> {
+    pub(super) id: JobId,
+    pub(super) attempts: Vec<Attempt<'a>>,
+    /// The events of its tasks' starts.
+    pub(super) starts: Vec<usize>,
+    /// Its tasks whose work was done, with the events.
+    done: Vec<(TaskId, usize)>,
+}
+
+impl<'a> JobHistory<'a> {
+    pub(super) fn submissions(&self) -> impl Iterator<Item = &Attempt<'a>> + Clone {
+        let attempts = self.attempts.iter();
+        attempts.filter(|attempt| attempt.shape().is_some())
+    }
+
+    /// Returns whether the job was accepted and nobody has cancelled it.
+    pub(super) fn must_complete(&self) -> bool {
+        let mut attempts = self.attempts.iter();
+        let is_cancelled = attempts.any(|attempt| attempt.request == CallerRequest::Cancel);
+        !is_cancelled && self.submissions().any(Attempt::is_accepted)
+    }
+
+    /// Returns the number of tasks, or 0 for a job that was not submitted.
+    pub(super) fn tasks(&self) -> usize {
+        let shape = self.submissions().find_map(Attempt::shape);
+        shape.map_or(0, |shape| usize::try_from(shape.tasks).unwrap_or(0))
+    }
+
+    /// Returns the number of tasks whose work was done before an event.
+    pub(super) fn done_tasks(&self, before: usize) -> usize {
+        let done = self.done.iter().filter(|(_, at)| *at < before);
+        let mut tasks: Vec<TaskId> = done.map(|(task, _)| *task).collect();
+        tasks.sort_unstable();
+        tasks.dedup();
+        tasks.len()
+    }
+}
+
+/// The events of a journal.
+#[derive(Debug, Default)]
+pub(super) struct History<'a> {
+    /// Sorted by id.
+    pub(super) jobs: Vec<JobHistory<'a>>,
+    /// When the last fault ended.
+    pub(super) faults_over_ms: u64,
+}
+
+impl<'a> History<'a> {
+    pub(super) fn new(events: &'a [Event]) -> Self {
+        let mut history = Self::default();
+        // Attempts are numbered in the order in which they are sent.
+        let mut jobs_of_attempts: Vec<(AttemptId, JobId)> = Vec::new();
+        for (at, event) in events.iter().enumerate() {
+            match &event.kind {
+                EventKind::Sent {
+                    attempt,
+                    request,
+                    job,
+                    ..
+                } => {
+                    jobs_of_attempts.push((*attempt, *job));
+                    history.job(*job).attempts.push(Attempt {
+                        id: *attempt,
+                        request: *request,
+                        sent: at,
+                        over: usize::MAX,
+                        outcome: None,
+                    });
+                }
+                EventKind::Over { attempt, outcome } => {
+                    let found = jobs_of_attempts.binary_search_by_key(attempt, |row| row.0);
+                    let Ok(index) = found else { continue };
+                    let job = history.job(jobs_of_attempts[index].1);
+                    let mut attempts = job.attempts.iter_mut();
+                    if let Some(known) = attempts.find(|known| known.id == *attempt) {
+                        known.over = at;
+                        known.outcome = Some(outcome);
+                    }
+                }
+                EventKind::Started { task, .. } => history.job(task.job).starts.push(at),
+                EventKind::Ended {
+                    task,
+                    end: RunEnd::Done,
+                    ..
+                } => history.job(task.job).done.push((*task, at)),
+                EventKind::FaultsOver => history.faults_over_ms = event.at_ms,
+                _ => {}
+            }
+        }
+        history
+    }
+
+    fn job(&mut self, id: JobId) -> &mut JobHistory<'a> {
+        let found = self.jobs.binary_search_by(|job| job.id.cmp(&id));
+        let index = found.unwrap_or_else(|index| {
+            self.jobs.insert(
+                index,
+                JobHistory {
+                    id,
+                    attempts: Vec::new(),
+                    starts: Vec::new(),
+                    done: Vec::new(),
+                },
+            );
+            index
+        });
+        &mut self.jobs[index]
+    }
+}
--- a/crates/vanillafold-standin/src/fleet/store/service.rs
+++ b/crates/vanillafold-standin/src/fleet/store/service.rs
@@ -73,6 +73,10 @@
         }
     }
 
+    pub(in crate::fleet) fn remove_all_faults(&self) {
+        self.faults.borrow_mut().clear();
+    }
+
     /// Stops or resumes the times of the members of groups.
     pub fn set_groups_paused(&self, paused: bool) {
         self.state.borrow_mut().set_paused(paused);
--- a/crates/vanillafold-standin/src/fleet/world.rs
+++ b/crates/vanillafold-standin/src/fleet/world.rs
@@ -14,13 +14,13 @@
 use super::config::{POOL, first_config};
 use super::daemon::Daemon;
 use super::http::serve;
-use super::journal::Journal;
-use super::network::Network;
-use super::relay::Relay;
+use super::journal::{EventKind, Journal};
+use super::network::{Link, Network};
+use super::relay::{Gates, Reachability, Relay};
 use super::runner::{Runner, RunnerOptions};
 use super::store::Store;
 use super::vms::VmService;
-use crate::rig::RigError;
+use crate::rig::{RigError, Signal};
 
 /// The availability zones; daemons and runners take turns.
 const ZONES: [&str; 3] = ["za", "zb", "zc"];
@@ -53,6 +53,8 @@
     network: Rc<Network>,
     journal: Rc<Journal>,
     daemons: Rc<[Daemon]>,
+    /// The relay from each daemon to the store.
+    store_relays: Vec<Rc<Relay>>,
     runners: Rc<RefCell<Vec<Rc<Runner>>>>,
 }
 
@@ -71,6 +73,7 @@
         let runners = Rc::new(RefCell::default());
         let vms = serve(Rc::new(VmService(Rc::clone(&runners)))).map_err(failed())?;
         let mut daemons = Vec::with_capacity(options.daemons);
+        let mut store_relays = Vec::with_capacity(options.daemons);
         for index in 0..options.daemons {
             let name = format!("edge-{index}");
             let zone = ZONES[index % ZONES.len()];
@@ -81,12 +84,14 @@
             let (program, directory) = (&options.program, &options.directory);
             let daemon = Daemon::new(&name, zone, ip, services, program, directory);
             daemons.push(daemon.map_err(failed())?);
+            store_relays.push(relay);
         }
         let world = Self {
             store,
             network,
             journal,
             daemons: daemons.into(),
+            store_relays,
             runners,
         };
         for index in 0..options.runners {
@@ -188,6 +193,59 @@
         self.network.set_listening(daemon.peer_address(), false);
     }
 
+    /// Returns the relays of a daemon's connections that are in use.
+    pub(super) fn relays(&self, daemon: usize, link: Link) -> Vec<Rc<Relay>> {
+        let own = &self.daemons[daemon];
+        let is_peer = |address| {
+            let mut daemons = self.daemons.iter();
+            daemons.any(|daemon| daemon.peer_address() == address)
+        };
+        let store = &self.store_relays[daemon];
+        match link {
+            Link::Store => vec![Rc::clone(store)],
+            Link::Owner => {
+                let owner = self.owner().map(|owner| self.daemons[owner].peer_address());
+                self.network.select(|source, destination| {
+                    source == own.name() && Some(destination) == owner
+                })
+            }
+            Link::Peers => self.network.select(|source, destination| {
+                destination == own.peer_address() || (source == own.name() && is_peer(destination))
+            }),
+            Link::Runners => self.network.select(|source, destination| {
+                source == own.name() && destination != store.destination() && !is_peer(destination)
+            }),
+        }
+    }
+
+    /// Ends all that still disturbs connections, the store and the runners, and starts the daemons
+    /// that do not run.
+    ///
+    /// # Errors
+    ///
+    /// [`RigError::Io`] if a signal can't be sent or the program can't be started.
+    pub(super) fn end_faults(&self) -> Result<(), RigError> {
+        self.store.remove_all_faults();
+        self.store.set_groups_paused(false);
+        for relay in self.network.select(|_, _| true) {
+            relay.set_delay_ms(0);
+            relay.set_reachability(Reachability::Open);
+            relay.set_all(Gates::default());
+        }
+        for runner in self.runners() {
+            runner.set_fault(None);
+        }
+        for (index, daemon) in self.daemons.iter().enumerate() {
+            daemon.signal(Signal::Continue)?;
+            if !daemon.is_running() {
+                self.kill_daemon(index);
+                self.start_daemon(index)?;
+            }
+        }
+        self.journal.add(EventKind::FaultsOver);
+        Ok(())
+    }
+
     /// Returns the relay from one daemon to another.
     ///
     /// # Errors
--- a/crates/vanillafold-standin/src/process/random.rs
+++ b/crates/vanillafold-standin/src/process/random.rs
@@ -1,5 +1,7 @@
 //! Seeded pseudorandom numbers.
 
+use std::ops::RangeInclusive;
+
 /// A pseudorandom number generator: SplitMix64 (Steele, Lea and Flood, "Fast splittable pseudorandom
 /// number generators", 2014).
 #[derive(Debug, Clone)]
@@ -34,6 +36,12 @@
         -(1.0 - self.next_f64()).ln()
     }
 
+    /// Returns the next number, uniform over `range`.
+    pub fn between(&mut self, range: RangeInclusive<u64>) -> u64 {
+        let values = (range.end() - range.start()).saturating_add(1);
+        range.start() + self.next_u64() % values
+    }
+
     /// Returns `true` with the given probability.
     pub fn next_bool(&mut self, probability: f64) -> bool {
         self.next_f64() < probability
--- a/crates/vanillafold-standin/src/rig/error.rs
+++ b/crates/vanillafold-standin/src/rig/error.rs
@@ -30,6 +30,9 @@
         /// Why it failed: the process's error text, an HTTP status or a time-out.
         reason: String,
     },
+    /// The user interrupted the program.
+    #[error("interrupted")]
+    Interrupted,
 }
 
 impl RigError {
