--- a/crates/vanillafold-standin/src/fleet/soak/clients.rs
+++ b/crates/vanillafold-standin/src/fleet/soak/clients.rs
@@ -128,7 +128,7 @@
                 }
                 Outcome::Answered(..) => return false,
             };
-            sleep(pause).await;
+            self.pause(pause).await;
             let others = u64::try_from(self.daemons - 1).unwrap_or(1).max(1);
             let step = usize::try_from(self.between(1, others)).unwrap_or(1);
             daemon = (daemon + step) % self.daemons;
@@ -159,6 +159,14 @@
         }
     }
 
+    /// Waits before the next try. A submission counts as over meanwhile: a refusal may ask for a
+    /// pause of minutes.
+    async fn pause(&self, pause: Duration) {
+        self.active.set(self.active.get() - 1);
+        sleep(pause).await;
+        self.active.set(self.active.get() + 1);
+    }
+
     fn caller(&self, job: JobId) -> &Caller {
         let number = usize::try_from(job.get()).unwrap_or(0);
         &self.callers[number % self.callers.len()]
--- a/crates/vanillafold-standin/src/fleet/world.rs
+++ b/crates/vanillafold-standin/src/fleet/world.rs
@@ -246,6 +246,13 @@
         Ok(())
     }
 
+    /// Kills all daemons.
+    pub(super) fn kill_daemons(&self) {
+        for daemon in self.daemons() {
+            daemon.kill();
+        }
+    }
+
     /// Returns the relay from one daemon to another.
     ///
     /// # Errors
