--- a/crates/vanillafold-standin/src/fleet/soak/judge.rs
+++ b/crates/vanillafold-standin/src/fleet/soak/judge.rs
@@ -158,7 +158,10 @@
             let EventKind::Started { task, spec, .. } = &self.events[*start].kind else {
                 continue;
             };
-            let first = job.submissions().next().map_or(usize::MAX, |try_| try_.sent);
+            let first = job
+                .submissions()
+                .next()
+                .map_or(usize::MAX, |try_| try_.sent);
             let is_submitted = shape.is_some_and(|shape| {
                 first < *start
                     && (task.occurrence, task.step) == (0, 0)
@@ -192,7 +195,7 @@
                 .iter()
                 .any(|other| other.request == CallerRequest::Cancel && other.sent < attempt.over);
             let problem = match (attempt.request, status) {
-                (_, 502 | 503 | 504) | (CallerRequest::Submit(_), 429) => None,
+                (_, 502..=504) | (CallerRequest::Submit(_), 429) => None,
                 (CallerRequest::Submit(_) | CallerRequest::Cancel, 200) => {
                     (!body.is_empty()).then_some("has a body")
                 }
--- a/crates/vanillafold-standin/src/fleet/soak/mod.rs
+++ b/crates/vanillafold-standin/src/fleet/soak/mod.rs
@@ -61,10 +61,7 @@
 /// [`RigError`] if something can't be started, or a daemon does not become ready before the faults.
 pub fn run_soak(options: &SoakOptions) -> Result<SoakReport, RigError> {
     let mut options = options.clone();
-    let directory = world_directory(
-        &options.world.directory,
-        &format!("seed-{}", options.seed),
-    );
+    let directory = world_directory(&options.world.directory, &format!("seed-{}", options.seed));
     options.world.directory = directory.map_err(RigError::io("creating a directory"))?;
     let interrupt = Interrupt::install()?;
     let played = run(async {
--- a/crates/vanillafold-standin/src/fleet/soak/report.rs
+++ b/crates/vanillafold-standin/src/fleet/soak/report.rs
@@ -21,11 +21,7 @@
 }
 
 impl SoakReport {
-    pub(super) fn new(
-        options: &SoakOptions,
-        violations: Vec<Violation>,
-        events: &[Event],
-    ) -> Self {
+    pub(super) fn new(options: &SoakOptions, violations: Vec<Violation>, events: &[Event]) -> Self {
         let mut report = Self {
             seed: options.seed,
             directory: options.world.directory.clone(),
