--- a/crates/vanillafold/src/fleet/owner.rs
+++ b/crates/vanillafold/src/fleet/owner.rs
@@ -10,7 +10,7 @@
 
 use super::config::OperatorRecord;
 use super::daemon::FleetDaemon;
-use super::message::{FleetAnswer, FleetRequest};
+use super::message::{FleetAnswer, FleetRequest, OutgoingCall, OwnerTime, RPC_PATH};
 use super::platform::{
     AppendCondition, FleetPlatform, KeyedRow, Keyspace, LatestRows, MetadataStore, PartitionOwner,
 };
@@ -32,6 +32,9 @@
 /// daemon, started at the same moment, finds the shard without an owner and joins.
 const SMALL_DAEMON_DELAY_MS: u64 = 1_500;
 
+/// Two clocks that run for some time differ by at most this part of it.
+const CLOCK_DRIFT_DIVISOR: u64 = 50;
+
 /// Key of the claims of the shard in [`Keyspace::Claims`].
 const CLAIM_KEY: &str = "shard-0";
 
@@ -43,8 +46,9 @@
     client: RefCell<Option<Rc<RpcClient>>>,
     /// The owner's name in the owners' group; empty until the first is found.
     member: RefCell<String>,
-    /// The owner's clock at its last answer; 0 if it has not answered yet.
-    owner_clock_ms: Cell<u64>,
+    /// The owner's clock at its last answer to a ping, and when the answer was read; `None` if it
+    /// has not answered yet.
+    reading: Cell<Option<(OwnerTime, MonotonicMillis)>>,
     /// Whether the last read of the group showed the shard without an owner.
     vacant: Cell<bool>,
     /// Time at which the owner last changed.
@@ -57,6 +61,19 @@
         self.client.borrow().clone()
     }
 
+    /// Returns a time on the owner's clock that is not later than `at`, a recent time on this
+    /// daemon's clock; `None` if the owner has not answered yet.
+    pub(crate) fn owner_time(&self, at: MonotonicMillis) -> Option<OwnerTime> {
+        let (reading, read_at) = self.reading.get()?;
+        let (after_ms, before_ms) = (at.since(read_at).get(), read_at.since(at).get());
+        let drift_ms = (after_ms + before_ms).div_ceil(CLOCK_DRIFT_DIVISOR);
+        let clock_ms = reading.clock_ms.saturating_add(after_ms);
+        Some(OwnerTime {
+            epoch: reading.epoch,
+            clock_ms: clock_ms.saturating_sub(before_ms.saturating_add(drift_ms)),
+        })
+    }
+
     /// Returns whether `member` is the last known owner of the shard.
     pub(crate) fn is_owner(&self, member: &str) -> bool {
         *self.member.borrow() == member
@@ -74,12 +91,12 @@
             return;
         }
         member.clone_into(&mut self.member.borrow_mut());
-        self.owner_clock_ms.set(0);
+        self.reading.set(None);
         self.changed_at.set(now());
         let address = member.split('/').next().and_then(|text| text.parse().ok());
         log::info!(owner = member; "new owner of the shard");
         *self.client.borrow_mut() =
-            address.map(|address| Rc::new(RpcClient::new(address, RPC_CONNECT_TIMEOUT)));
+            address.map(|address| Rc::new(RpcClient::new(address, RPC_PATH, RPC_CONNECT_TIMEOUT)));
     }
 }
 
@@ -213,13 +230,17 @@
     let Some(client) = daemon.owner_view.client() else {
         return false;
     };
+    let last_reading = daemon.owner_view.reading.get();
     let request = FleetRequest::Ping {
         zone: daemon.settings.zone.clone(),
         cpu_millis: daemon.settings.cpu_millis,
         epoch: daemon.latest_epoch.get(),
-        owner_clock_ms: daemon.owner_view.owner_clock_ms.get(),
+        owner_clock_ms: last_reading.map_or(0, |(reading, _)| reading.clock_ms),
     };
-    match client.call(&request, PING_TIMEOUT).await {
+    match client
+        .call(&OutgoingCall::internal(&request), PING_TIMEOUT)
+        .await
+    {
         Ok(FleetAnswer::Pong {
             epoch,
             config_version,
@@ -227,7 +248,8 @@
             unconfirmed_ms,
             may_send_orders,
         }) => {
-            daemon.owner_view.owner_clock_ms.set(clock_ms);
+            let reading = OwnerTime { epoch, clock_ms };
+            daemon.owner_view.reading.set(Some((reading, now())));
             let latest = daemon.latest_epoch.get();
             daemon.latest_epoch.set(latest.max(epoch));
             if epoch >= latest && may_send_orders {
@@ -254,7 +276,10 @@
     known: u64,
 ) {
     let request = FleetRequest::Config(known);
-    let raw = match client.call(&request, RPC_TIMEOUT).await {
+    let raw = match client
+        .call(&OutgoingCall::internal(&request), RPC_TIMEOUT)
+        .await
+    {
         Ok(FleetAnswer::Config(raw)) if !raw.is_empty() => raw,
         Ok(_) => return,
         Err(error) => {
