--- a/crates/vanillafold-standin/src/fleet/journal.rs
+++ b/crates/vanillafold-standin/src/fleet/journal.rs
@@ -111,6 +111,16 @@
     },
     /// A fault begins or ends.
     Fault(String),
+    /// A daemon has been started again, without a configuration.
+    DaemonStarted {
+        /// Index of the daemon.
+        daemon: usize,
+    },
+    /// The daemon has a configuration now.
+    DaemonConfigured {
+        /// Index of the daemon.
+        daemon: usize,
+    },
     /// All faults have ended, and no further one comes.
     FaultsOver,
     /// A daemon has ended though nothing told it to, or has panicked.
@@ -225,6 +235,8 @@
             EventKind::LeaseExpired { runner } => write!(f, "the lease of runner {runner} expires"),
             EventKind::RunnerLost { runner } => write!(f, "runner {runner} crashes"),
             EventKind::Fault(text) => f.write_str(text),
+            EventKind::DaemonStarted { daemon } => write!(f, "daemon {daemon} is started"),
+            EventKind::DaemonConfigured { daemon } => write!(f, "daemon {daemon} is configured"),
             EventKind::FaultsOver => f.write_str("all faults are over"),
             EventKind::DaemonFailed { daemon, reason } => write!(f, "daemon {daemon} {reason}"),
         }
--- a/crates/vanillafold-standin/src/fleet/soak/history.rs
+++ b/crates/vanillafold-standin/src/fleet/soak/history.rs
@@ -5,16 +5,22 @@
 use crate::fleet::caller::JobShape;
 use crate::fleet::journal::{AttemptId, CallerRequest, Event, EventKind, Outcome, RunEnd};
 
+/// How much later than another answer of a daemon an earlier one may arrive.
+const ANSWER_DELAY_MS: u64 = 100;
+
 /// A request of a caller.
 #[derive(Debug)]
 pub(super) struct Attempt<'a> {
     id: AttemptId,
     pub(super) request: CallerRequest,
+    daemon: usize,
     /// The event of the request.
     pub(super) sent: usize,
     /// The event of its outcome; `usize::MAX` if there is none.
     pub(super) over: usize,
     outcome: Option<&'a Outcome>,
+    /// Whether the daemon may have had no configuration when it answered.
+    unconfigured: bool,
 }
 
 impl<'a> Attempt<'a> {
@@ -37,10 +43,16 @@
         self.outcome != Some(&Outcome::NotSent)
     }
 
-    pub(super) fn is_refused(&self) -> bool {
+    pub(super) fn is_rejected(&self) -> bool {
         matches!(self.answer(), Some((429 | 503, _)))
     }
 
+    /// Returns whether the answer tells that the job does not run. A daemon without a configuration
+    /// must answer any request with 503, and knows nothing of the job's other tries.
+    pub(super) fn is_refused(&self) -> bool {
+        self.is_rejected() && !self.unconfigured
+    }
+
     pub(super) fn is_accepted(&self) -> bool {
         matches!(self.answer(), Some((200..=299, _)))
     }
@@ -86,6 +98,23 @@
     }
 }
 
+/// Starts of daemons, and when they were first seen to have a configuration: event and time.
+#[derive(Debug, Default)]
+struct Configurations(Vec<(usize, Option<(usize, u64)>)>);
+
+impl Configurations {
+    /// Returns whether a daemon may have had no configuration when it gave an answer that arrives
+    /// now, to a request that was sent in the event `sent`.
+    fn may_be_missing(&self, daemon: usize, sent: usize, now_ms: u64) -> bool {
+        let mut latest_first = self.0.iter().rev();
+        match latest_first.find(|row| row.0 == daemon) {
+            None => false,
+            Some((_, None)) => true,
+            Some((_, Some((at, at_ms)))) => sent < *at && now_ms <= at_ms + ANSWER_DELAY_MS,
+        }
+    }
+}
+
 /// The events of a journal.
 #[derive(Debug, Default)]
 pub(super) struct History<'a> {
@@ -100,21 +129,24 @@
         let mut history = Self::default();
         // Attempts are numbered in the order in which they are sent.
         let mut jobs_of_attempts: Vec<(AttemptId, JobId)> = Vec::new();
+        let mut configurations = Configurations::default();
         for (at, event) in events.iter().enumerate() {
             match &event.kind {
                 EventKind::Sent {
                     attempt,
                     request,
                     job,
-                    ..
+                    daemon,
                 } => {
                     jobs_of_attempts.push((*attempt, *job));
                     history.job(*job).attempts.push(Attempt {
                         id: *attempt,
                         request: *request,
+                        daemon: *daemon,
                         sent: at,
                         over: usize::MAX,
                         outcome: None,
+                        unconfigured: false,
                     });
                 }
                 EventKind::Over { attempt, outcome } => {
@@ -125,6 +157,8 @@
                     if let Some(known) = attempts.find(|known| known.id == *attempt) {
                         known.over = at;
                         known.outcome = Some(outcome);
+                        known.unconfigured =
+                            configurations.may_be_missing(known.daemon, known.sent, event.at_ms);
                     }
                 }
                 EventKind::Started { task, .. } => history.job(task.job).starts.push(at),
@@ -133,6 +167,10 @@
                     end: RunEnd::Done,
                     ..
                 } => history.job(task.job).done.push((*task, at)),
+                EventKind::DaemonStarted { daemon } => configurations.0.push((*daemon, None)),
+                EventKind::DaemonConfigured { daemon } => {
+                    configurations.0.push((*daemon, Some((at, event.at_ms))));
+                }
                 EventKind::FaultsOver => history.faults_over_ms = event.at_ms,
                 _ => {}
             }
--- a/crates/vanillafold-standin/src/fleet/soak/judge.rs
+++ b/crates/vanillafold-standin/src/fleet/soak/judge.rs
@@ -139,7 +139,7 @@
         }
         let mut sent = job.submissions().filter(|attempt| attempt.was_sent());
         if let Some(start) = job.starts.first()
-            && sent.all(Attempt::is_refused)
+            && sent.all(Attempt::is_rejected)
             && job.submissions().any(Attempt::was_sent)
         {
             let text = format!("{id} starts, and all its submissions were refused");
--- a/crates/vanillafold-standin/src/fleet/soak/report.rs
+++ b/crates/vanillafold-standin/src/fleet/soak/report.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 
 use super::SoakOptions;
+use super::history::{History, JobHistory};
 use super::judge::Violation;
 use super::plan::PlannedFault;
 use crate::fleet::journal::{CallerRequest, Event, EventKind, Outcome};
@@ -76,6 +77,10 @@
             self.add(outcome[0].clone(), outcome.len());
         }
         self.add("starts", starts);
+        let history = History::new(events);
+        let attempts = history.jobs.iter().flat_map(JobHistory::submissions);
+        let without = attempts.filter(|attempt| attempt.is_rejected() && !attempt.is_refused());
+        self.add("503-without-configuration", without.count());
     }
 }
 
--- a/crates/vanillafold-standin/tests/fleet_judge.rs
+++ b/crates/vanillafold-standin/tests/fleet_judge.rs
@@ -205,6 +205,39 @@
     assert_eq!(recording.kinds(), [ViolationKind::RefusedKnown]);
 }
 
+#[test]
+fn a_daemon_without_a_configuration_may_answer_503_and_knows_no_job() {
+    let mut recording = Recording::clean();
+    recording.add(EventKind::DaemonStarted { daemon: 0 });
+
+    recording.ask(SUBMIT, 2, answered(503));
+    recording.add(EventKind::DaemonConfigured { daemon: 0 });
+
+    assert_eq!(recording.kinds(), []);
+}
+
+#[test]
+fn a_refusal_after_a_daemon_got_its_configuration_is_found() {
+    let mut recording = Recording::clean();
+    recording.add(EventKind::DaemonStarted { daemon: 0 });
+    recording.add(EventKind::DaemonConfigured { daemon: 0 });
+
+    recording.ask(SUBMIT, 2, answered(503));
+
+    assert_eq!(recording.kinds(), [ViolationKind::RefusedKnown]);
+}
+
+#[test]
+fn a_start_after_all_tries_were_answered_with_503_is_found_also_without_a_configuration() {
+    let mut recording = Recording::clean();
+    recording.add(EventKind::DaemonStarted { daemon: 0 });
+    recording.ask(SUBMIT, 5, answered(503));
+
+    recording.start(5, 0, 1, 0);
+
+    assert_eq!(recording.kinds(), [ViolationKind::RefusedLiteral]);
+}
+
 #[test]
 fn an_accepted_job_that_does_not_complete_is_found() {
     let mut recording = Recording::clean();
