--- a/crates/vanillafold/src/fleet/message.rs
+++ b/crates/vanillafold/src/fleet/message.rs
@@ -4,36 +4,40 @@
 use vanillafold_jobs::{JobId, JobSpec};
 
 /// Path of the calls between fleet daemons; its number changes with their encoding.
-pub(crate) const RPC_PATH: &str = "/fleet/2";
+pub const RPC_PATH: &str = "/fleet/2";
 
 /// Reading of the clock of the shard's owner.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Encode, Decode)]
-pub(crate) struct OwnerTime {
+pub struct OwnerTime {
     /// Epoch of the ownership; 0 if there is no reading.
-    pub(crate) epoch: u64,
+    pub epoch: u64,
     /// The owner's monotonic clock, in milliseconds.
-    pub(crate) clock_ms: u64,
+    pub clock_ms: u64,
 }
 
-/// A request as it is sent to the owner. Has the encoding of [`IncomingCall`].
+/// A request of a daemon to the owner, as it is sent. The order of the fields is part of the protocol.
 #[derive(Debug, Encode)]
-pub(crate) struct OutgoingCall<'a> {
+pub struct OutgoingCall<'a> {
     /// Time before which the caller's request had surely not arrived at the sender; the default for
     /// a request of the sender itself.
-    pub(crate) received_at: OwnerTime,
+    pub received_at: OwnerTime,
     /// Latest epoch of an ownership that the sender knows of.
-    pub(crate) latest_epoch: u64,
+    pub latest_epoch: u64,
     /// Number of the attempt to deliver the request, from 1.
-    pub(crate) delivery: u32,
+    pub delivery: u32,
     /// What the sender asks for.
-    pub(crate) request: &'a FleetRequest,
+    pub request: &'a FleetRequest,
 }
 
 impl<'a> OutgoingCall<'a> {
     /// Returns the call for a request that no caller has made.
-    pub(crate) fn internal(request: &'a FleetRequest) -> Self {
+    #[must_use]
+    pub const fn internal(request: &'a FleetRequest) -> Self {
         Self {
-            received_at: OwnerTime::default(),
+            received_at: OwnerTime {
+                epoch: 0,
+                clock_ms: 0,
+            },
             latest_epoch: 0,
             delivery: 1,
             request,
--- a/crates/vanillafold/src/node/configuration.rs
+++ b/crates/vanillafold/src/node/configuration.rs
@@ -3,6 +3,7 @@
 
 use std::rc::Rc;
 
+use log::error;
 use vanillafold_state::{
     AuthenticationError, BootMillis, ControlChange, SnapshotError, State, Stream,
 };
@@ -36,7 +37,7 @@
             Stream::Control => {
                 self.control_caught_up.set(true);
                 freshness.control_at = freshness.control_at.max(Some(began_at));
-                self.join_fleet();
+                self.join_fleet(Some(began_at));
             }
         }
         self.freshness.set(freshness);
@@ -81,7 +82,7 @@
     pub(crate) fn note_state_from_peer(&self) {
         self.catalogue_caught_up.set(true);
         self.control_caught_up.set(true);
-        self.join_fleet();
+        self.join_fleet(None);
     }
 
     /// Returns the time since the start of the last read that reached the end of `stream`; `None`
@@ -95,19 +96,30 @@
         at.map(|at| self.boot_time().since(at))
     }
 
-    /// Submits the join record of this incarnation to the log, once.
-    fn join_fleet(&self) {
-        if self.join_submitted.replace(true) {
+    /// Refuses new requests and stops the daemon, because another process has used its name and
+    /// incarnation: the rights of the two could not be told apart.
+    pub(crate) fn note_shared_identity(&self) {
+        self.shares_identity.set(true);
+        self.superseded.set();
+    }
+
+    /// Submits the join record of this incarnation to the log, once. `read_at` is when the read of
+    /// the control stream began that reached its end, if there was one.
+    fn join_fleet(&self, read_at: Option<BootMillis>) {
+        if self.shares_identity.get() || self.join_submitted.replace(true) {
             return;
         }
-        // A daemon that has never joined cannot have lost claims in a restart.
-        let known = self
+        // A daemon that has never joined cannot have lost claims in a restart. An older state may
+        // lack the join of an earlier incarnation.
+        let is_read_since_start = read_at.is_some_and(|at| at >= self.started_at);
+        let is_known = self
             .state
             .borrow()
             .roster()
             .member(&self.settings.name)
             .is_some();
-        self.is_first_incarnation.set(!known);
+        self.is_first_incarnation
+            .set(is_read_since_start && !is_known);
         let join = ControlChange::Join {
             daemon: self.settings.name.clone(),
             vm: self.settings.vm.clone(),
@@ -141,10 +153,18 @@
     }
 
     /// Updates the escrow with the current incarnations of all daemons. Marks the claims complete
-    /// if this incarnation is current and the daemon's first.
+    /// if this incarnation is current and the daemon's first. An incarnation that has joined before
+    /// this process did is another process's, so that this one has no right to its units.
     fn update_from_roster(&self) {
         let state = self.state.borrow();
         let roster = state.roster();
+        let latest = roster.member(&self.settings.name);
+        let has_joined = latest.is_some_and(|member| member.incarnation >= self.incarnation);
+        if has_joined && !self.join_submitted.get() {
+            error!("another process of this daemon has this or a later incarnation; stopping");
+            self.note_shared_identity();
+            return;
+        }
         self.escrow
             .borrow_mut()
             .update_roster(roster, self.boot_time());
@@ -183,14 +203,16 @@
     ///
     /// # Errors
     ///
-    /// [`ResultCode::NotReady`] before there is a configuration, [`ResultCode::UnknownQueue`] if
-    /// the configuration has no such queue.
+    /// [`ResultCode::NotReady`] before there is a configuration, [`ResultCode::Stopping`] if another
+    /// process has used this one's identity, [`ResultCode::UnknownQueue`] if the configuration has
+    /// no such queue.
     pub(crate) fn queue(&self, id: &str) -> Result<Rc<QueueRuntime>, ResultCode> {
         let routes = self.routes.borrow();
         match routes.queue(id) {
             // A configuration read only in part may have a VM in the wrong pool or accept a
             // withdrawn key.
             _ if !self.has_configuration() => Err(ResultCode::NotReady),
+            _ if self.shares_identity.get() => Err(ResultCode::Stopping),
             Some(queue) => Ok(Rc::clone(queue)),
             None => Err(ResultCode::UnknownQueue),
         }
--- a/crates/vanillafold/tests/fleet/fixture.rs
+++ b/crates/vanillafold/tests/fleet/fixture.rs
@@ -22,6 +22,7 @@
 pub(crate) struct TestDaemon {
     pub(crate) fleet_daemon: Rc<FleetDaemon<TestPlatform>>,
     pub(crate) store_unreachable: Rc<Cell<bool>>,
+    /// Where it takes the RPCs of other daemons.
     pub(crate) peer_address: SocketAddr,
 }
 
@@ -67,9 +68,19 @@
     }
 }
 
-/// Starts a daemon on a store. All test daemons are in the same zone.
+/// Starts a daemon on a store, in the zone of most tests.
 pub(crate) fn start(state: &Rc<RefCell<StoreState>>, name: &str, cpu_millis: u64) -> TestDaemon {
-    start_daemon(state, name, cpu_millis, None)
+    start_daemon("zone-a", state, name, cpu_millis, None)
+}
+
+/// Starts a daemon on a store, in a zone.
+pub(crate) fn start_in(
+    zone: &str,
+    state: &Rc<RefCell<StoreState>>,
+    name: &str,
+    cpu_millis: u64,
+) -> TestDaemon {
+    start_daemon(zone, state, name, cpu_millis, None)
 }
 
 /// Starts a daemon that reaches the owner through a relay.
@@ -78,10 +89,11 @@
     name: &str,
     relay: &Relay,
 ) -> TestDaemon {
-    start_daemon(state, name, 500, Some(relay.address))
+    start_daemon("zone-a", state, name, 500, Some(relay.address))
 }
 
 fn start_daemon(
+    zone: &str,
     state: &Rc<RefCell<StoreState>>,
     name: &str,
     cpu_millis: u64,
@@ -96,7 +108,7 @@
     let peer_address = free_address();
     let settings = FleetSettings {
         daemon_name: name.to_owned(),
-        zone: "zone-a".to_owned(),
+        zone: zone.to_owned(),
         cpu_millis,
         peer_address,
         member_ttl_ms: 1_000,
--- a/crates/vanillafold/tests/fleet/main.rs
+++ b/crates/vanillafold/tests/fleet/main.rs
@@ -1,8 +1,13 @@
 //! Tests of fleet daemons that run in one process, connected over loopback, on an in-memory
 //! platform.
 
+mod epochs;
 mod fixture;
+mod followers;
+mod frames;
+mod log_lines;
 mod ownership;
+mod peers;
 mod platform;
 mod refusals;
 mod relay;
