--- a/crates/vanillafold-standin/src/fleet/soak/history.rs
+++ b/crates/vanillafold-standin/src/fleet/soak/history.rs
@@ -75,6 +75,11 @@
         attempts.filter(|attempt| attempt.shape().is_some())
     }
 
+    /// Returns whether the job was submitted before an event.
+    pub(super) fn is_submitted(&self, before: usize) -> bool {
+        self.submissions().any(|attempt| attempt.sent < before)
+    }
+
     /// Returns whether the job was accepted and nobody has cancelled it.
     pub(super) fn must_complete(&self) -> bool {
         let mut attempts = self.attempts.iter();
--- a/crates/vanillafold-standin/src/fleet/soak/judge.rs
+++ b/crates/vanillafold-standin/src/fleet/soak/judge.rs
@@ -98,6 +98,7 @@
 }
 
 impl Judge<'_> {
+    /// Adds a violation that shows in the event `at`.
     fn add(&mut self, kind: ViolationKind, at: usize, text: String) {
         let at_ms = self.at_ms(at);
         self.violations.push(Violation { kind, at_ms, text });
@@ -107,6 +108,7 @@
         self.events.get(event).map_or(0, |event| event.at_ms)
     }
 
+    /// Checks that no task starts after a refusal, and that no accepted or started job is refused.
     fn check_refusals(&mut self, job: &JobHistory) {
         let id = job.id;
         for refusal in job.submissions().filter(|attempt| attempt.is_refused()) {
@@ -158,12 +160,8 @@
             let EventKind::Started { task, spec, .. } = &self.events[*start].kind else {
                 continue;
             };
-            let first = job
-                .submissions()
-                .next()
-                .map_or(usize::MAX, |try_| try_.sent);
             let is_submitted = shape.is_some_and(|shape| {
-                first < *start
+                job.is_submitted(*start)
                     && (task.occurrence, task.step) == (0, 0)
                     && u32::from(task.index) < shape.tasks
                     && *spec == shape.spec(job.id)
@@ -189,7 +187,6 @@
             let Some((status, body)) = attempt.answer() else {
                 continue;
             };
-            let is_submitted = job.submissions().any(|try_| try_.sent < attempt.over);
             let is_cancelled = job
                 .attempts
                 .iter()
@@ -201,7 +198,9 @@
                 }
                 (CallerRequest::Cancel | CallerRequest::State, 410) => None,
                 (CallerRequest::State, 200) => match state_of(body) {
-                    _ if !is_submitted => Some("tells of a job that was not submitted"),
+                    _ if !job.is_submitted(attempt.over) => {
+                        Some("tells of a job that was not submitted")
+                    }
                     Some("queued" | "running") => None,
                     Some("completed") if job.done_tasks(attempt.over) >= job.tasks() => None,
                     Some("cancelled") if is_cancelled => None,
--- a/crates/vanillafold-standin/src/fleet/soak/plan.rs
+++ b/crates/vanillafold-standin/src/fleet/soak/plan.rs
@@ -16,6 +16,14 @@
     StoreEffect::Silence,
 ];
 
+/// Registrations that name no runner to use.
+pub(super) const ODD_REGISTRATIONS: [&str; 4] = [
+    "{\"service\":7,\"address\":true}",
+    "not json \u{1}",
+    "{\"service\":\"elsewhere\",\"address\":\"127.0.0.1:9\",\"state\":\"ready\"}",
+    "{\"service\":\"workers\",\"address\":\"127.0.0.1:9\",\"state\":\"asleep\",\"born\":1}",
+];
+
 /// The daemon that a fault affects.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Victim {
@@ -198,11 +206,3 @@
     let last = u64::try_from(length.saturating_sub(1)).unwrap_or(u64::MAX);
     usize::try_from(random.between(0..=last)).unwrap_or(0)
 }
-
-/// Registrations that name no runner to use.
-pub(super) const ODD_REGISTRATIONS: [&str; 4] = [
-    "{\"service\":7,\"address\":true}",
-    "not json \u{1}",
-    "{\"service\":\"elsewhere\",\"address\":\"127.0.0.1:9\",\"state\":\"ready\"}",
-    "{\"service\":\"workers\",\"address\":\"127.0.0.1:9\",\"state\":\"asleep\",\"born\":1}",
-];
