--- a/crates/vanillafold-standin/src/fleet/soak/mod.rs
+++ b/crates/vanillafold-standin/src/fleet/soak/mod.rs
@@ -65,7 +65,11 @@
     options.world.directory = directory.map_err(RigError::io("creating a directory"))?;
     let interrupt = Interrupt::install()?;
     let played = run(async {
-        let world = match World::start(&options.world).await {
+        let started = monoio::select! {
+            world = World::start(&options.world) => world,
+            () = wait_for(&interrupt) => Err(RigError::Interrupted),
+        };
+        let world = match started {
             Ok(world) => Rc::new(world),
             Err(error) => return Ok(Err(error)),
         };
