Ask again before a refusal is sent whether its job was taken; tidy the answers

Between the decision to refuse a job and the store's confirmation a later submission of it may be taken; the caller then gets 504 and may send it again at once. Unconfirmed says with an Option whether the caller should wait. The check of stale submissions is one function that returns their answer.

--- a/crates/vanillafold/src/fleet/forward.rs
+++ b/crates/vanillafold/src/fleet/forward.rs
@@ -160,7 +160,9 @@
                 retry_after_ms,
                 overload: false,
             },
-            false => FleetAnswer::Unconfirmed { retry_after_ms },
+            false => FleetAnswer::Unconfirmed {
+                retry_after_ms: Some(retry_after_ms),
+            },
         }
     }
 
--- a/crates/vanillafold/src/fleet/message.rs
+++ b/crates/vanillafold/src/fleet/message.rs
@@ -18,7 +18,7 @@
 /// A request of a daemon to the owner, as it is sent. The order of the fields is part of the protocol.
 #[derive(Debug, Encode)]
 pub struct OutgoingCall<'a> {
-    /// Time before which the caller's request had surely not arrived at the sender; the default for
+    /// Time before which the caller's request had not arrived at the sender; the default for
     /// a request of the sender itself.
     pub received_at: OwnerTime,
     /// Latest epoch of an ownership that the sender knows of.
@@ -132,8 +132,9 @@
     /// This delivery of the request had no effect, but an earlier request about the same job may
     /// have had one or may have one later.
     Unconfirmed {
-        /// Time after which the caller may send the request again, in milliseconds.
-        retry_after_ms: u64,
+        /// Time after which the caller may send the request again, in milliseconds; `None` if it
+        /// may do so at once.
+        retry_after_ms: Option<u64>,
     },
 }
 
--- a/crates/vanillafold/src/fleet/ownership.rs
+++ b/crates/vanillafold/src/fleet/ownership.rs
@@ -233,23 +233,11 @@
         received_at: OwnerTime,
         delivery: u32,
     ) -> FleetAnswer {
-        let known = self.with(|shard| shard.is_known(id)).unwrap_or(false);
-        if !known && received_at.epoch != self.epoch.get() {
-            // The daemon dates the request again once it has reached this owner.
-            return FleetAnswer::NotOwner;
-        }
-        match self.check_delivery(id, MonotonicMillis::new(received_at.clock_ms)) {
-            check if !known && check != DeliveryCheck::Current => {
-                metric::stale_submission();
-                log::info!(
-                    job = id.to_string(), check = format!("{check:?}"), delivery = delivery,
-                    epoch = self.epoch.get(),
-                    age_ms = now().get().saturating_sub(received_at.clock_ms);
-                    "submission not acted on: its job may have been refused since it was received"
-                );
-                return FleetAnswer::Unconfirmed { retry_after_ms: 0 };
-            }
-            _ => {}
+        let known = self.is_known(id);
+        if let Some(answer) = self.reject_stale(id, received_at, delivery)
+            && !known
+        {
+            return answer;
         }
         if !known && now().get() < self.store_unavailable_until_ms.get() {
             return self.refuse(id, "store_away", RETRY_AFTER_MS, false).await;
@@ -271,13 +259,39 @@
         }
     }
 
-    /// Checks whether a submission may have been refused since it was received. One that was
-    /// received before this ownership may have been refused by an earlier owner.
-    fn check_delivery(&self, id: JobId, received_at: MonotonicMillis) -> DeliveryCheck {
-        match received_at >= self.opened_at {
+    fn is_known(&self, id: JobId) -> bool {
+        self.with(|shard| shard.is_known(id)).unwrap_or(false)
+    }
+
+    /// Returns the answer to a submission that may have been refused since it was received, by this
+    /// owner or an earlier one; `None` if it may be acted on.
+    fn reject_stale(
+        &self,
+        id: JobId,
+        received_at: OwnerTime,
+        delivery: u32,
+    ) -> Option<FleetAnswer> {
+        if received_at.epoch != self.epoch.get() {
+            // The daemon dates the request again once it has reached this owner.
+            return Some(FleetAnswer::NotOwner);
+        }
+        let received_at = MonotonicMillis::new(received_at.clock_ms);
+        let check = match received_at >= self.opened_at {
             true => self.refusals.borrow().check(id, received_at, now()),
             false => DeliveryCheck::Outdated,
+        };
+        if check == DeliveryCheck::Current {
+            return None;
         }
+        metric::stale_submission();
+        log::info!(
+            job = id.to_string(), check = format!("{check:?}"), delivery = delivery,
+            epoch = self.epoch.get(), age_ms = now().since(received_at).get();
+            "submission not acted on: its job may have been refused since it was received"
+        );
+        Some(FleetAnswer::Unconfirmed {
+            retry_after_ms: None,
+        })
     }
 
     /// Returns the refusal of a job that this owner does not know. It holds for all submissions
@@ -297,8 +311,17 @@
                 epoch = self.epoch.get();
                 "job not accepted; not refused, as the store has not confirmed the ownership"
             );
-            return FleetAnswer::Unconfirmed { retry_after_ms };
+            return FleetAnswer::Unconfirmed {
+                retry_after_ms: Some(retry_after_ms),
+            };
         }
+        if self.is_known(id) {
+            // A later submission was taken in the meantime.
+            return FleetAnswer::Unconfirmed {
+                retry_after_ms: None,
+            };
+        }
+        self.refusals.borrow_mut().add(id, now());
         metric::refusal(reason);
         log::info!(
             job = id.to_string(), reason = reason, retry_after_ms = retry_after_ms,
--- a/crates/vanillafold/tests/fleet/ownership.rs
+++ b/crates/vanillafold/tests/fleet/ownership.rs
@@ -87,7 +87,7 @@
 
         // Assert
         let unconfirmed = FleetAnswer::Unconfirmed {
-            retry_after_ms: 1_000,
+            retry_after_ms: Some(1_000),
         };
         assert!(!ready);
         assert_eq!(answers, vec![unconfirmed.clone(), unconfirmed]);
