--- a/crates/vanillafold/src/fleet/forward.rs
+++ b/crates/vanillafold/src/fleet/forward.rs
@@ -37,8 +37,8 @@
     ///
     /// Returns [`FleetAnswer::Refused`] for a submission only if the owner has refused its job,
     /// [`FleetAnswer::Undecided`] if the outcome is still unknown when the time is up, and
-    /// [`FleetAnswer::Unconfirmed`] if no owner has received the request: another daemon may have
-    /// delivered an earlier request about the same job.
+    /// [`FleetAnswer::Unconfirmed`] if no owner has acted on the request, but may have acted on an
+    /// earlier one about the same job.
     ///
     /// [`CallerConnection`]: super::CallerConnection
     pub async fn forward(self: &Rc<Self>, request: &FleetRequest, limit_ms: u64) -> FleetAnswer {
