Keep a VM in use if the platform confirms an operation that was already done

Cause: a 200 to a maintenance or move was taken as proof that this order ended the worker on the VM. The platform also answers 200 if the operation is already done, here by an owner that the store had turned away. The worker was put on a list keyed by its id, which was cleared only when its registration vanished.

The removal now names the incarnation, so that a later one is a new worker, and a list of VMs requested after the operation that shows the VM up with the same worker ends the removal.

--- a/crates/vanillafold-jobs/src/shard/losses.rs
+++ b/crates/vanillafold-jobs/src/shard/losses.rs
@@ -314,7 +314,9 @@
         self.resolve_silent_runs(|row| {
             let found = vms.binary_search_by(|vm| vm.name.as_str().cmp(&row.vm));
             let successor = found.ok().and_then(|at| vms[at].worker.as_ref());
-            let is_removed = removed.iter().any(|id| id.as_str() == row.worker);
+            let is_removed = removed
+                .iter()
+                .any(|removed| removed.id.as_str() == row.worker);
             match successor {
                 Some(id) if id.as_str() != row.worker && !is_removed => Silence::Crashed,
                 _ => Silence::Unresolved,
--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -13,7 +13,7 @@
 use super::orders::Order;
 use super::settings::Settings;
 use super::start_rate::StartRate;
-use super::vm_operations::{PendingOperation, Vm, VmOperation};
+use super::vm_operations::{PendingOperation, RemovedWorker, Vm, VmOperation};
 use super::waiting::WaitingJobs;
 use super::waves::WaveState;
 use crate::id::{Epoch, JobId, WorkerId};
@@ -54,7 +54,8 @@
     /// Open jobs with suspect runs, sorted.
     pub(super) suspect_jobs: Vec<JobId>,
     /// Workers that an operation on their VM has ended and that are still in the list of workers.
-    pub(super) removed_workers: Vec<WorkerId>,
+    /// Sorted by id.
+    pub(super) removed_workers: Vec<RemovedWorker>,
     /// Resources that the runs of each organisation use, sorted by the organisation's name.
     pub(super) usage: Vec<(String, Resources)>,
     pub(super) orders: Vec<(WorkerId, Order)>,
--- a/crates/vanillafold-jobs/src/shard/vm_operations.rs
+++ b/crates/vanillafold-jobs/src/shard/vm_operations.rs
@@ -5,6 +5,7 @@
 use super::root::Shard;
 use crate::id::WorkerId;
 use crate::spec::Resources;
+use crate::worker::WorkerEntry;
 
 /// State of a VM on the platform.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -84,6 +85,15 @@
     Done,
 }
 
+/// A worker that an operation on its VM has ended.
+#[derive(Debug)]
+pub(super) struct RemovedWorker {
+    pub(super) id: WorkerId,
+    /// When the incarnation that was ended had started, in milliseconds since 1970. A later one is
+    /// another worker.
+    started_unix_ms: Option<u64>,
+}
+
 /// How far the list of VMs may lag behind, in milliseconds. For this long a VM operation is not
 /// checked against the list, and a new owner plans no operations.
 const VM_LIST_LAG_MS: u64 = 800;
@@ -118,7 +128,7 @@
         self.vms = vms;
         self.vms_listed = true;
         let vms = &self.vms;
-        let mut not_carried_out = Vec::new();
+        let mut still_in_service = Vec::new();
         self.pending_operations.retain(|pending| {
             let earliest_ms = pending.phase_since.get() + VM_LIST_LAG_MS;
             let shows_effect = requested_at.get() >= earliest_ms;
@@ -128,27 +138,38 @@
             let found = vms.binary_search_by(|row| row.name.cmp(&pending.vm));
             let Ok(at) = found else { return false };
             let is_up = vms[at].state == VmState::Up;
-            match &pending.to_pool {
-                _ if is_up && pending.unanswered && vms[at].worker == pending.worker => {
-                    not_carried_out.extend(pending.worker.clone());
-                    false
-                }
-                Some(pool) => !is_up || vms[at].pool != *pool,
-                None => !is_up,
+            let has_same_worker = is_up && vms[at].worker == pending.worker;
+            let is_in_pool = pending
+                .to_pool
+                .as_ref()
+                .is_none_or(|to| vms[at].pool == *to);
+            if has_same_worker && (pending.unanswered || is_in_pool) {
+                still_in_service.extend(pending.worker.clone());
+                return false;
             }
+            !(is_up && is_in_pool)
         });
-        for id in not_carried_out {
-            log::info!(worker = id.as_str(); "an operation on the worker's VM was not carried out; the worker stays in service");
-            if let Some(at) = self.worker_position(&id) {
-                self.workers[at].draining = false;
-                self.workers[at].vm_operation_pending = false;
-            }
+        for id in still_in_service {
+            self.return_to_service(&id);
         }
         self.name_vms_of_workers();
         self.confirm_crashes_by_vm();
         self.refresh_workers_due();
     }
 
+    /// Puts a worker back into service after an operation on its VM that did not end it: the platform
+    /// had nothing to do, did not carry the operation out, or started the worker again under its id.
+    fn return_to_service(&mut self, id: &WorkerId) {
+        log::info!(worker = id.as_str(); "the worker is on its VM after an operation on it; it stays in service");
+        if let Ok(at) = self.removed_position(id) {
+            self.removed_workers.remove(at);
+        }
+        if let Some(at) = self.worker_position(id) {
+            self.workers[at].draining = false;
+            self.workers[at].vm_operation_pending = false;
+        }
+    }
+
     /// Keeps the name of its VM with each worker, as the list no longer shows it once the worker is
     /// lost. A worker stays on one VM.
     fn name_vms_of_workers(&mut self) {
@@ -202,15 +223,50 @@
         if let VmOperation::Upkeep { machine, wave } = operation {
             self.record_maintenance_started(*wave, machine);
         }
-        // The operation ended the worker that ran on the VM, and with it all runs there.
-        let Some(id) = worker else { return };
-        if let Some(at) = self.worker_position(&id) {
-            self.end_lost_runs(at, |_| true, now, now_unix_ms);
-            self.workers.remove(at);
-            self.workers_version += 1;
+        if let Some(at) = worker.and_then(|id| self.worker_position(&id)) {
+            self.remove_worker_of_vm(at, now, now_unix_ms);
         }
-        if let Err(at) = self.removed_workers.binary_search(&id) {
-            self.removed_workers.insert(at, id);
+    }
+
+    /// Removes the worker of a VM on which the platform has confirmed an operation, which ends all
+    /// runs there.
+    ///
+    /// The platform also confirms an operation that an earlier owner ordered and that is long over.
+    /// The worker is then still there, as the next list of VMs shows.
+    fn remove_worker_of_vm(&mut self, at: usize, now: MonotonicMillis, now_unix_ms: u64) {
+        self.end_lost_runs(at, |_| true, now, now_unix_ms);
+        let worker = self.workers.remove(at);
+        self.workers_version += 1;
+        let started_unix_ms = worker.started_unix_ms();
+        let id = worker.entry.id;
+        log::info!(
+            worker = id.as_str(), started_unix_ms = started_unix_ms;
+            "worker removed: an operation on its VM was confirmed"
+        );
+        let removed = RemovedWorker {
+            id,
+            started_unix_ms,
+        };
+        match self.removed_position(&removed.id) {
+            Ok(at) => self.removed_workers[at] = removed,
+            Err(at) => self.removed_workers.insert(at, removed),
+        }
+    }
+
+    fn removed_position(&self, id: &WorkerId) -> Result<usize, usize> {
+        self.removed_workers.binary_search_by(|row| row.id.cmp(id))
+    }
+
+    /// Returns whether an operation on its VM has ended the incarnation of a worker that registered
+    /// this entry.
+    pub(super) fn was_removed(&self, entry: &WorkerEntry) -> bool {
+        let Ok(at) = self.removed_position(&entry.id) else {
+            return false;
+        };
+        let removed = &self.removed_workers[at];
+        match (removed.started_unix_ms, entry.started_unix_ms) {
+            (Some(removed), Some(registered)) => registered <= removed,
+            _ => true,
         }
     }
 
--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -42,7 +42,7 @@
             worker.listed = false;
         }
         let is_listed = |id: &WorkerId| entries.binary_search_by(|entry| entry.id.cmp(id)).is_ok();
-        self.removed_workers.retain(is_listed);
+        self.removed_workers.retain(|row| is_listed(&row.id));
         for entry in entries {
             self.update_worker(entry, now);
         }
@@ -51,7 +51,7 @@
 
     /// Adds a worker to the list, or updates its entry there.
     pub fn update_worker(&mut self, entry: WorkerEntry, now: MonotonicMillis) {
-        if self.removed_workers.binary_search(&entry.id).is_ok() {
+        if self.was_removed(&entry) {
             return;
         }
         let found = self
--- a/crates/vanillafold-jobs/tests/shard/vms.rs
+++ b/crates/vanillafold-jobs/tests/shard/vms.rs
@@ -1,6 +1,6 @@
 //! Moves and maintenance of VMs.
 
-use vanillafold_jobs::{Order, Shard, StepSpec, Vm, VmOperation, Wave};
+use vanillafold_jobs::{Order, PollReport, Shard, StepSpec, Vm, VmOperation, Wave, WorkerEntry};
 
 use crate::fixture::{
     at, job, job_id, listed_run, poll, report, schedule_starts, shard_after_takeover,
@@ -382,3 +382,102 @@
     assert_eq!(stops_after_a_takeover(1_900), 0);
     assert_eq!(stops_after_a_takeover(2_100), 1);
 }
+
+/// Returns a shard whose only VM is ordered out of service at 4,000, for a wave or for a move into the
+/// pool, and has it confirmed at 4,010, after as many attempts without an answer as given. The worker
+/// registers at 5,000 as the incarnation `started`, and the list of VMs shows it then.
+fn worker_listed_after(is_move: bool, unanswered: usize, started: u64) -> Shard {
+    let mut shard = shard_with_workers(&["w1"]);
+    match is_move {
+        true => {
+            let entry = WorkerEntry {
+                pool: "spare".to_owned(),
+                ..worker_entry("w1")
+            };
+            shard.set_workers(vec![entry], at(10));
+            let elsewhere = Vm {
+                pool: "spare".to_owned(),
+                ..vm("w1", "w1")
+            };
+            shard.set_vms(vec![elsewhere], at(10));
+            shard.submit(job_id(9), job(vec![step(1)]), at(3_900), unix(3_900));
+            store_batches(&mut shard);
+        }
+        false => shard.add_wave(wave_over(vec!["w1".to_owned()]), at(0)),
+    }
+    shard.schedule(at(4_000), unix(4_000));
+    shard.take_orders();
+    let operation = shard.take_vm_operations().remove(0);
+    for attempt in 0..unanswered {
+        let ms = 4_001 + attempt as u64;
+        shard.vm_operation_failed(&operation, true, at(ms));
+    }
+    shard.vm_operation_done(&operation, at(4_010), unix(4_010));
+    shard.set_vms(vec![vm("w1", "w1")], at(4_900));
+    let entry = WorkerEntry {
+        started_unix_ms: Some(started),
+        ..worker_entry("w1")
+    };
+    shard.set_workers(vec![entry], at(5_000));
+    let answer = PollReport {
+        started_unix_ms: Some(started),
+        ..report(5_000)
+    };
+    poll(&mut shard, "w1", &answer, 5_010);
+    shard
+}
+
+/// LOST: the platform confirms an operation that an earlier owner ordered and that is over. The
+/// worker on the VM has not ended.
+#[test]
+fn a_vm_whose_operation_was_already_done_keeps_its_worker_in_use() {
+    for unanswered in [0, 1] {
+        let mut shard = worker_listed_after(false, unanswered, 1);
+        shard.submit(job_id(1), job(vec![step(2)]), at(5_020), unix(5_020));
+        store_batches(&mut shard);
+
+        let starts = schedule_starts(&mut shard, 5_030);
+
+        assert_eq!(starts.len(), 2, "{unanswered} attempts without an answer");
+    }
+}
+
+/// LOST: the same for a move that was already done.
+#[test]
+fn a_worker_that_starts_again_under_its_id_after_a_move_is_used() {
+    let mut shard = worker_listed_after(true, 0, 2);
+
+    let starts = schedule_starts(&mut shard, 5_030);
+
+    assert_eq!(starts.len(), 1);
+}
+
+/// LOST: a worker may start again under its id after the maintenance of its VM.
+#[test]
+fn a_worker_that_starts_again_under_its_id_after_maintenance_is_used() {
+    let mut shard = worker_listed_after(false, 0, 2);
+    shard.submit(job_id(1), job(vec![step(2)]), at(5_020), unix(5_020));
+    store_batches(&mut shard);
+
+    let starts = schedule_starts(&mut shard, 5_030);
+
+    assert_eq!(starts.len(), 2);
+}
+
+/// LOST: the registration of the next incarnation arrives before the list of VMs shows it.
+#[test]
+fn a_registration_of_a_later_incarnation_ends_the_removal_of_its_worker() {
+    let (mut shard, operation) = wave_in_progress();
+    shard.vm_operation_done(&operation, at(4_010), unix(4_010));
+    let later = WorkerEntry {
+        started_unix_ms: Some(2),
+        ..worker_entry("w1")
+    };
+
+    shard.update_worker(worker_entry("w1"), at(4_020));
+    let while_ended = shard.worker_addresses().len();
+    shard.update_worker(later, at(6_000));
+    let while_back = shard.worker_addresses().len();
+
+    assert_eq!((while_ended, while_back), (2, 3));
+}
