Store in which pools a job's tasks were started, and await all of them

Cause: after a takeover a job waited for the workers of the pool where it was submitted and of the one that serves its queue now. A pool in which the queue was in between, with runs in progress, was not awaited: only the earlier owner knew where it had started tasks.

Evidence: with the new log line on the old code the job is accounted for while svc-b, where its tasks run, is awaited; they start in svc-c 0.02 s before its last worker responds.

A job has a record of the pools in which its tasks may have been started. The first start in a pool that the queue was moved to waits until that is stored, so that every later owner awaits it.

--- a/crates/vanillafold-jobs/src/job/live.rs
+++ b/crates/vanillafold-jobs/src/job/live.rs
@@ -80,6 +80,11 @@
     pub(crate) stores_starts: bool,
     /// Whether the store has, or may have, a record of suspect runs.
     pub(crate) suspects_stored: bool,
+    /// Pools in which tasks may have been started, without the one where the job was submitted, each
+    /// with the first version of the job that includes it. Sorted by name.
+    pub(crate) start_pools: Vec<(String, u64)>,
+    /// Whether the store has, or may have, a record of these pools.
+    pub(crate) start_pools_stored: bool,
     /// Whether the description is stored.
     pub(crate) spec_stored: bool,
     /// Incremented with each change that must be stored.
@@ -113,6 +118,8 @@
             suspect_runs: Vec::new(),
             stores_starts: false,
             suspects_stored: false,
+            start_pools: Vec::new(),
+            start_pools_stored: false,
             spec_stored: false,
             version: 0,
             stored_version: 0,
@@ -188,6 +195,42 @@
         self.progress = progress;
     }
 
+    fn start_pool_position(&self, pool: &str) -> Result<usize, usize> {
+        self.start_pools
+            .binary_search_by(|row| row.0.as_str().cmp(pool))
+    }
+
+    /// Returns whether tasks of the job may have been started in a pool, by this or an earlier owner.
+    pub(crate) fn may_have_started_in(&self, pool: &str) -> bool {
+        self.spec.pool == pool || self.start_pool_position(pool).is_ok()
+    }
+
+    /// Returns whether the next owner would know that tasks of the job may run in a pool.
+    pub(crate) fn may_start_in(&self, pool: &str) -> bool {
+        let is_stored = |at: usize| self.start_pools[at].1 <= self.stored_version;
+        self.spec.pool == pool || self.start_pool_position(pool).is_ok_and(is_stored)
+    }
+
+    /// Adds a pool to those in which tasks may have been started. Returns whether that has to be
+    /// stored.
+    pub(crate) fn add_start_pool(&mut self, pool: &str) -> bool {
+        if self.may_have_started_in(pool) {
+            return false;
+        }
+        let at = self.start_pool_position(pool).unwrap_or_else(|at| at);
+        self.version += 1;
+        self.start_pools.insert(at, (pool.to_owned(), self.version));
+        true
+    }
+
+    /// Sets the stored pools in which tasks may have been started.
+    pub(crate) fn restore_start_pools(&mut self, mut pools: Vec<String>) {
+        pools.sort_unstable();
+        pools.dedup();
+        self.start_pools = pools.into_iter().map(|pool| (pool, 0)).collect();
+        self.start_pools_stored = true;
+    }
+
     fn progress_position(&self, number: u32) -> Option<usize> {
         self.progress
             .occurrences
@@ -273,6 +316,7 @@
         self.progress.finished_unix_ms = now_unix_ms;
         self.progress.occurrences = Vec::new();
         self.suspect_runs = Vec::new();
+        self.start_pools = Vec::new();
         self.occurrences = Vec::new();
         self.version += 1;
     }
--- a/crates/vanillafold-jobs/src/shard/losses.rs
+++ b/crates/vanillafold-jobs/src/shard/losses.rs
@@ -361,13 +361,16 @@
     /// reported as lost with their workers.
     ///
     /// A run that was started long ago has lasted long enough to clear its task. The first runs of
-    /// tasks are not stored: if a worker of the job's pool has crashed a short time ago, it may have
+    /// tasks are not stored: if a worker of the job's pools has crashed a short time ago, it may have
     /// been under one of them, so the next starts are stored.
     pub(super) fn count_unreported_runs(&mut self, id: JobId, now: MonotonicMillis) {
-        let pool = self.job(id).map(|job| self.queue_of(&job.spec).pool);
+        let Some(job) = self.job(id) else { return };
+        let current_pool = self.queue_of(&job.spec).pool;
         let crashed_lately = self.workers.iter().any(|worker| {
             let uptime_ms = worker.uptime_ms(now).unwrap_or(0);
-            Some(&worker.entry.pool) == pool.as_ref() && uptime_ms < self.settings.max_lease_ms
+            let pool = &worker.entry.pool;
+            uptime_ms < self.settings.max_lease_ms
+                && (*pool == current_pool || job.may_have_started_in(pool))
         });
         let cleared_after_ms = CLEARED_AFTER_MS + self.settings.takeover_wait_ms;
         let now_unix_ms = self.pass_unix_ms;
--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -174,6 +174,7 @@
         };
         let mut progress = Vec::new();
         let mut suspects = Vec::new();
+        let mut start_pools = Vec::new();
         for record in records {
             match record {
                 Record::Spec(id, spec) => match spec.check() {
@@ -184,6 +185,7 @@
                 },
                 Record::Progress(id, row) => progress.push((id, row)),
                 Record::Suspects(id, runs) => suspects.push((id, runs)),
+                Record::Pools(id, pools) => start_pools.push((id, pools)),
                 Record::Wave(number, mut started) => {
                     started.sort_unstable();
                     shard.stored_waves.push((number, started));
@@ -211,6 +213,11 @@
                 shard.suspect_jobs.push(id);
             }
         }
+        for (id, pools) in start_pools {
+            if let Some(job) = shard.job_mut(id) {
+                job.restore_start_pools(pools);
+            }
+        }
         shard.suspect_jobs.sort_unstable();
         shard.resume(now, now_unix_ms);
         shard
--- a/crates/vanillafold-jobs/src/shard/schedule.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule.rs
@@ -121,7 +121,9 @@
                 .catalogue
                 .queue(&job.spec.queue)
                 .map(|queue| &queue.pool);
-            let may_run_in = |pool: &String| *pool == job.spec.pool || Some(pool) == current_pool;
+            // An owner of an earlier version did not store where it started tasks.
+            let may_run_in =
+                |pool: &String| job.may_have_started_in(pool) || Some(pool) == current_pool;
             if !awaited_pools.iter().any(may_run_in) {
                 accounted_jobs.push(*id);
             }
@@ -133,6 +135,12 @@
                 "tasks of earlier owners are accounted for: all workers have responded, or the leases have expired"
             );
         }
+        if !accounted_jobs.is_empty() && self.unaccounted {
+            log::info!(
+                jobs = accounted_jobs.len(), awaited_pools = awaited_pools.join(", ");
+                "tasks of some jobs are accounted for; workers of other pools have not responded"
+            );
+        }
         self.process_deferred_ends(&accounted_jobs, now, now_unix_ms);
         for id in accounted_jobs {
             self.count_unreported_runs(id, now);
@@ -351,6 +359,10 @@
         };
         let spec = Rc::clone(&job.spec);
         let queue = self.queue_of(&spec);
+        if !job.may_start_in(&queue.pool) {
+            self.record_start_pool(waiting.job, &queue.pool);
+            return;
+        }
         let step_spec = &spec.steps[usize::from(waiting.step)];
         let unconstrained =
             step_spec.anti_affinity == 0 && step_spec.required_label.is_empty() && !step_spec.gang;
@@ -407,6 +419,16 @@
         }
     }
 
+    /// Stores that tasks of a job may be started in a pool to which its queue was moved. They are
+    /// started once that is stored: the queue may be moved again before the next owner takes over.
+    fn record_start_pool(&mut self, id: JobId, pool: &str) {
+        let Some(job) = self.job_mut(id) else { return };
+        if job.add_start_pool(pool) {
+            log::info!(job = id.to_string(), pool = pool; "queue of the job was moved; its tasks start in the new pool once that is stored");
+            self.mark_dirty(id);
+        }
+    }
+
     /// Returns the positions of the workers of a pool that an isolated task may run on: those on
     /// other VMs than its losses, if there are any.
     fn isolation_candidates(
--- a/crates/vanillafold-jobs/src/shard/storing.rs
+++ b/crates/vanillafold-jobs/src/shard/storing.rs
@@ -83,6 +83,12 @@
                     batch.records.extend(suspects.encode());
                     job.suspects_stored = true;
                 }
+                if job.start_pools_stored || !job.start_pools.is_empty() {
+                    let pools = job.start_pools.iter().map(|row| row.0.clone());
+                    let pools = Record::Pools(id, pools.collect());
+                    batch.records.extend(pools.encode());
+                    job.start_pools_stored = true;
+                }
             }
             job.writing_version = Some(job.version);
             job.writing_outcome = job.progress.outcome;
--- a/crates/vanillafold-jobs/tests/shard/main.rs
+++ b/crates/vanillafold-jobs/tests/shard/main.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod extremes;
 mod fixture;
+mod moved_queues;
 mod placement;
 mod records;
 mod repeats;
--- a/crates/vanillafold-standin/src/job_simulation/options.rs
+++ b/crates/vanillafold-standin/src/job_simulation/options.rs
@@ -6,8 +6,12 @@
 /// worker where workers are concerned.
 #[derive(Debug, Clone, Copy)]
 pub struct SimulationOptions {
-    /// The number of workers, all in one pool.
+    /// The number of workers.
     pub workers: usize,
+    /// The number of pools, which share the workers evenly.
+    pub pools: usize,
+    /// The chance that the queue is moved to another pool.
+    pub queue_move_permille_per_s: u64,
     /// The number of jobs that callers submit during the fault phase.
     pub jobs: u64,
     /// The length of the first phase, in which faults occur.
@@ -40,6 +44,8 @@
     fn default() -> Self {
         Self {
             workers: 6,
+            pools: 1,
+            queue_move_permille_per_s: 0,
             jobs: 40,
             fault_phase_ms: 25_000,
             recovery_phase_ms: 45_000,
--- a/crates/vanillafold-standin/src/job_simulation/simulation.rs
+++ b/crates/vanillafold-standin/src/job_simulation/simulation.rs
@@ -118,6 +118,9 @@
     now_ms: u64,
     epoch: u64,
     shard: Option<Shard>,
+    /// Number of the pool that serves the queue.
+    queue_pool: usize,
+    catalogue_version: u64,
     next_owner_at_ms: u64,
     workers: Vec<SimWorker>,
     /// The store's content, sorted by key.
@@ -146,7 +149,11 @@
     pub fn new(seed: u64, options: SimulationOptions) -> Self {
         let mut random = Random::new(seed);
         let workers = (0..options.workers)
-            .map(|index| SimWorker::new(format!("w{index}"), 980 + random.next_u64() % 21))
+            .map(|index| {
+                let clock_rate_permille = 980 + random.next_u64() % 21;
+                let pool = pool_name(index % options.pools);
+                SimWorker::new(format!("w{index}"), pool, clock_rate_permille)
+            })
             .collect();
         let mut jobs = Vec::new();
         for number in 0..options.jobs {
@@ -164,6 +171,8 @@
             now_ms: 10_000,
             epoch: 0,
             shard: None,
+            queue_pool: 0,
+            catalogue_version: 1,
             next_owner_at_ms: 0,
             workers,
             records: Vec::new(),
@@ -218,6 +227,10 @@
         if self.happens(self.options.store_outage_permille_per_s) {
             self.store_out_until_ms = self.now_ms + 500 + self.random_below(4_000);
         }
+        let moves = self.options.queue_move_permille_per_s;
+        if moves > 0 && self.happens(moves) {
+            self.move_queue();
+        }
         for index in 0..self.workers.len() {
             if self.happens(self.options.worker_partition_permille_per_s) {
                 self.workers[index].partitioned_until_ms =
@@ -237,6 +250,18 @@
         }
     }
 
+    /// Moves the queue to another pool.
+    fn move_queue(&mut self) {
+        let others = self.options.pools as u64 - 1;
+        let step = 1 + usize::try_from(self.random_below(others)).unwrap_or(0);
+        self.queue_pool = (self.queue_pool + step) % self.options.pools;
+        self.catalogue_version += 1;
+        let catalogue = self.catalogue();
+        if let Some(shard) = &mut self.shard {
+            shard.set_catalogue(catalogue);
+        }
+    }
+
     /// Shrinks the capacity of a worker, or lets it grow back, and lists that to the owner.
     fn change_capacity(&mut self, index: usize) {
         let shrunk_millis = 800 + self.random_below(2_000);
@@ -345,6 +370,10 @@
         Ok(())
     }
 
+    fn catalogue(&self) -> Catalogue {
+        catalogue(&self.options, self.catalogue_version, self.queue_pool)
+    }
+
     const fn monotonic_now(&self) -> MonotonicMillis {
         MonotonicMillis::new(self.now_ms)
     }
@@ -361,7 +390,7 @@
             now,
             self.now_ms,
         );
-        shard.set_catalogue(catalogue(&self.options));
+        shard.set_catalogue(self.catalogue());
         shard.set_workers(self.workers.iter().map(entry).collect(), now);
         shard.set_vms(self.workers.iter().map(vm).collect(), now);
         self.shard = Some(shard);
@@ -519,6 +548,7 @@
             job.accepted |= is_described && !job.refused && job.submit_at_ms <= now;
             let is_known = shard.is_known(job.id);
             if job.submit_at_ms <= now && !is_known && !job.accepted && !job.refused {
+                job.spec.pool = pool_name(self.queue_pool);
                 let outcome = shard.submit(job.id, job.spec.clone(), time, now);
                 job.refused = matches!(outcome, SubmitOutcome::Refused { .. });
             }
@@ -553,9 +583,11 @@
         }
     }
 
-    /// Returns whether a worker may run a job: one of two, if the queue has placement advice.
-    const fn is_suitable(&self, index: usize, job: JobId) -> bool {
-        !self.options.advised || (index as u64 + job.get()) % 2 == 0
+    /// Returns whether a worker may run a job: one of two, if the queue has placement advice, and only
+    /// in the pool of the queue.
+    fn is_suitable(&self, index: usize, job: JobId) -> bool {
+        let is_advised = !self.options.advised || (index as u64 + job.get()).is_multiple_of(2);
+        is_advised && index % self.options.pools == self.queue_pool
     }
 
     fn answer_queries(&mut self) {
@@ -1063,22 +1095,31 @@
     }
 }
 
-fn catalogue(options: &SimulationOptions) -> Catalogue {
+/// Returns the name of a pool.
+fn pool_name(number: usize) -> String {
+    match number {
+        0 => "pool".to_owned(),
+        number => format!("pool{number}"),
+    }
+}
+
+fn catalogue(options: &SimulationOptions, version: u64, queue_pool: usize) -> Catalogue {
+    let pool = |number| PoolInfo {
+        name: pool_name(number),
+        spare: false,
+    };
     Catalogue {
-        version: 1,
+        version,
         queues: vec![QueueInfo {
             name: "queue".to_owned(),
-            pool: "pool".to_owned(),
+            pool: pool_name(queue_pool),
             priority: 0,
             max_attempts: MAX_ATTEMPTS,
             stretch_permille: 1_600,
             target_latency_ms: 60_000,
             advised: options.advised,
         }],
-        pools: vec![PoolInfo {
-            name: "pool".to_owned(),
-            spare: false,
-        }],
+        pools: (0..options.pools).map(pool).collect(),
         organisations: Vec::new(),
     }
 }
@@ -1094,7 +1135,7 @@
 fn entry(worker: &SimWorker) -> WorkerEntry {
     WorkerEntry {
         id: worker_id(worker),
-        pool: "pool".to_owned(),
+        pool: worker.pool.clone(),
         address: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
         zone: "zone".to_owned(),
         ready: true,
@@ -1107,7 +1148,7 @@
 fn vm(worker: &SimWorker) -> Vm {
     Vm {
         name: worker.name.clone(),
-        pool: "pool".to_owned(),
+        pool: worker.pool.clone(),
         state: VmState::Up,
         capacity: capacity(worker),
         labels: Vec::new(),
--- a/crates/vanillafold-standin/src/job_simulation/worker.rs
+++ b/crates/vanillafold-standin/src/job_simulation/worker.rs
@@ -50,6 +50,7 @@
 #[derive(Debug)]
 pub(crate) struct SimWorker {
     pub(crate) name: String,
+    pub(crate) pool: String,
     pub(crate) capacity_millis: u64,
     pub(crate) started_ms: u64,
     /// The rate of its clock, in thousandths of simulated time.
@@ -72,9 +73,10 @@
 }
 
 impl SimWorker {
-    pub(crate) fn new(name: String, clock_rate_permille: u64) -> Self {
+    pub(crate) fn new(name: String, pool: String, clock_rate_permille: u64) -> Self {
         Self {
             name,
+            pool,
             capacity_millis: FULL_CAPACITY_MILLIS,
             started_ms: 0,
             clock_rate_permille,
--- a/crates/vanillafold-standin/tests/jobs_world/main.rs
+++ b/crates/vanillafold-standin/tests/jobs_world/main.rs
@@ -144,6 +144,20 @@
     assert_eq!(violations(0..SEEDS, options), Vec::<String>::new());
 }
 
+/// TWICE: a new owner did not wait for the workers of a pool that the queue had been moved to and from.
+#[test]
+fn queues_that_are_moved_again_and_again_violate_no_invariant_across_lost_owners() {
+    let options = SimulationOptions {
+        workers: 12,
+        pools: 3,
+        queue_move_permille_per_s: 250,
+        delayed_order_permille: 0,
+        ..SimulationOptions::default()
+    };
+
+    assert_eq!(violations(0..SEEDS, options), Vec::<String>::new());
+}
+
 #[test]
 fn lost_owners_worker_faults_and_store_outages_together_violate_no_invariant() {
     let options = SimulationOptions {
