Operate on VMs only while the store confirms the ownership

Cause: an owner without the store may act as long as a daemon of another zone reaches it and knows no later owner. A second daemon that the store turns away can't learn of the successor and keeps that right alive. Workers fence such an owner, the API for VMs does not.

Operations on VMs need a confirmed join sent within the time to live of the membership; no other daemon can own the shard then. The price: waves and moves pause while the store is away for all.

--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -88,6 +88,8 @@
     /// Waves with unstored changes.
     pub(super) dirty_waves: Vec<u64>,
     pub(super) pending_operations: Vec<PendingOperation>,
+    /// Whether operations on VMs may be issued now.
+    pub(super) may_operate_vms: bool,
     pub(super) next_plan_at: MonotonicMillis,
     pub(super) next_evacuation_at: MonotonicMillis,
     pub(super) next_wave_log_at: MonotonicMillis,
@@ -159,6 +161,7 @@
             workers_due: Vec::new(),
             dirty_waves: Vec::new(),
             pending_operations: Vec::new(),
+            may_operate_vms: true,
             next_plan_at: now,
             next_evacuation_at: now,
             next_wave_log_at: now,
--- a/crates/vanillafold-jobs/src/shard/vm_operations.rs
+++ b/crates/vanillafold-jobs/src/shard/vm_operations.rs
@@ -331,11 +331,20 @@
         self.worker_position(worker)
     }
 
+    /// Sets whether operations on VMs may be issued. While they may not, no VM is drained for one, and
+    /// unanswered ones are not repeated.
+    pub fn set_may_operate_vms(&mut self, may_operate: bool) {
+        if self.may_operate_vms != may_operate {
+            log::info!(may_operate = may_operate; "right to operate on VMs changed: it needs a recent confirmation of the ownership by the store");
+            self.may_operate_vms = may_operate;
+        }
+    }
+
     /// Plans maintenance and moves.
     pub(super) fn plan_vm_operations(&mut self, now: MonotonicMillis) {
         let earliest_ms = self.taken_over_at.get() + VM_LIST_LAG_MS;
         let is_early = now.get() < earliest_ms || now < self.next_plan_at;
-        if !self.vms_listed || is_early {
+        if !self.vms_listed || !self.may_operate_vms || is_early {
             return;
         }
         self.next_plan_at = MonotonicMillis::new(now.get() + PLAN_INTERVAL_MS);
--- a/crates/vanillafold-jobs/tests/shard/vms.rs
+++ b/crates/vanillafold-jobs/tests/shard/vms.rs
@@ -481,3 +481,25 @@
 
     assert_eq!((while_ended, while_back), (2, 3));
 }
+
+/// AVAIL and ONE: an owner that may have a successor orders nothing, also no repetition, and drains no
+/// VM for an operation that it may not order.
+#[test]
+fn an_owner_without_the_right_to_operate_on_vms_plans_no_operation() {
+    let (mut shard, operation) = wave_in_progress();
+    shard.vm_operation_failed(&operation, true, at(4_100));
+
+    shard.set_may_operate_vms(false);
+    schedule_starts(&mut shard, 4_600);
+    let without_right = shard.take_vm_operations();
+    shard.submit(job_id(1), job(vec![step(8)]), at(4_610), unix(4_610));
+    store_batches(&mut shard);
+    let started = schedule_starts(&mut shard, 4_620);
+    shard.set_may_operate_vms(true);
+    schedule_starts(&mut shard, 4_800);
+    let with_right = shard.take_vm_operations();
+
+    assert_eq!(without_right, vec![]);
+    assert_eq!(started.len(), 8);
+    assert_eq!(with_right, vec![operation]);
+}
--- a/crates/vanillafold/src/fleet/ownership.rs
+++ b/crates/vanillafold/src/fleet/ownership.rs
@@ -484,13 +484,25 @@
         unconfirmed_ms < OWNER_ISOLATION_MS || (!superseded && other_zone_ms < OWNER_ISOLATION_MS)
     }
 
+    /// Returns whether this owner may still send operations on VMs. The platform accepts them from any
+    /// daemon, so they are sent only while no other one can own the shard: for the time to live of a
+    /// membership that the store has confirmed.
+    pub(crate) fn may_send_vm_operations(&self) -> bool {
+        let unconfirmed_ms = now().since(self.daemon.confirmed_at.get()).get();
+        unconfirmed_ms < self.daemon.settings.member_ttl_ms && self.may_send_orders()
+    }
+
     /// Runs the scheduler and passes its orders, VM operations, queries and records to the tasks
     /// that send them; does nothing while this owner must not send orders.
     fn run_scheduling_pass(self: &Rc<Self>) {
         if !self.may_send_orders() {
             return;
         }
-        self.with(|shard| shard.schedule(now(), unix_ms()));
+        let may_send_vm_operations = self.may_send_vm_operations();
+        self.with(|shard| {
+            shard.set_may_operate_vms(may_send_vm_operations);
+            shard.schedule(now(), unix_ms());
+        });
         if let Some(losses) = self.with(|shard| shard.loss_counts()) {
             metric::worker_losses(self.counted_losses.replace(losses), losses);
         }
--- a/crates/vanillafold/src/fleet/vms.rs
+++ b/crates/vanillafold/src/fleet/vms.rs
@@ -37,7 +37,7 @@
 }
 
 /// Sends the VM operations that the shard has queued. All that are queued by then go out in one
-/// call; while this owner must not send orders, they are reported to the shard as failed.
+/// call; while this owner must not send them, they are reported to the shard as failed.
 pub(crate) async fn run_vm_operations<P: FleetPlatform>(ownership: Rc<ShardOwnership<P>>) {
     let mut cloud = ownership.daemon.platform.cloud();
     loop {
@@ -46,7 +46,7 @@
         if vm_operations.is_empty() {
             continue;
         }
-        if !ownership.may_send_orders() {
+        if !ownership.may_send_vm_operations() {
             for operation in &vm_operations {
                 ownership.with(|shard| shard.vm_operation_failed(operation, false, now()));
             }
--- a/crates/vanillafold/tests/fleet/main.rs
+++ b/crates/vanillafold/tests/fleet/main.rs
@@ -11,3 +11,4 @@
 mod platform;
 mod refusals;
 mod relay;
+mod vms;
--- a/crates/vanillafold/tests/fleet/platform.rs
+++ b/crates/vanillafold/tests/fleet/platform.rs
@@ -1,5 +1,5 @@
-//! An in-memory platform: a store that can be made unreachable for each daemon, and no workers or
-//! VMs.
+//! An in-memory platform: a store that can be made unreachable for each daemon, VMs without workers,
+//! and no workers.
 #![allow(async_fn_in_trait)]
 
 use std::cell::{Cell, RefCell};
@@ -14,7 +14,7 @@
     OrderSender, PartitionOwner, StoreError, VmList, WorkerPoller,
 };
 use vanillafold_jobs::{
-    Advice, AdviceQuery, Epoch, Order, OrderAnswer, PollReport, Resources, VmOperation,
+    Advice, AdviceQuery, Epoch, Order, OrderAnswer, PollReport, Resources, Vm, VmOperation, Wave,
     WorkerEntry, WorkerId,
 };
 
@@ -22,6 +22,8 @@
 const STORE_DELAY: Duration = Duration::from_millis(5);
 /// Time after which a call to the unreachable store fails.
 const UNREACHABLE_DELAY: Duration = Duration::from_millis(100);
+/// Key of the operator's record that asks for the maintenance of all VMs.
+pub(crate) const WAVE_KEY: &str = "wave";
 /// Maximum number of rows in a page.
 const PAGE_ROWS: usize = 2;
 
@@ -68,6 +70,10 @@
     /// Changes of the operator's records after the first configuration. A value of one byte below
     /// 255 is a configuration of this version.
     pub(crate) operator_changes: Vec<(String, Vec<u8>)>,
+    /// VMs as listed, whatever was ordered.
+    pub(crate) vms: Vec<Vm>,
+    /// Operations on VMs that were ordered, with the epoch of the owner and the time.
+    pub(crate) vm_operations: Vec<(u64, Instant, VmOperation)>,
     /// Workers that a connection for polls was made for.
     pub(crate) polled: Vec<String>,
     /// For each read of a page of the shard's records, the key after which it starts.
@@ -313,8 +319,34 @@
     }
 }
 
-/// Connection to a worker that can't be reached, to an API for VMs that lists none, or to an advice
-/// service that does not answer.
+/// A connection to the API for VMs.
+#[derive(Debug)]
+pub(crate) struct TestCloud(Rc<RefCell<StoreState>>);
+
+impl CloudApi for TestCloud {
+    async fn list_vms(&mut self) -> Result<VmList, CloudError> {
+        Ok(VmList {
+            vms: self.0.borrow().vms.clone(),
+            has_unreadable_vms: false,
+        })
+    }
+
+    async fn send_vm_operations(
+        &mut self,
+        _daemon_name: &str,
+        epoch: Epoch,
+        vm_operations: &[VmOperation],
+        mut answered: impl FnMut(usize, Result<(), CloudError>),
+    ) {
+        for (index, operation) in vm_operations.iter().enumerate() {
+            let row = (epoch.get(), Instant::now(), operation.clone());
+            self.0.borrow_mut().vm_operations.push(row);
+            answered(index, Ok(()));
+        }
+    }
+}
+
+/// Connection to a worker that can't be reached, or to an advice service that does not answer.
 #[derive(Debug)]
 pub(crate) struct EmptyPlatform;
 
@@ -345,24 +377,6 @@
     }
 }
 
-impl CloudApi for EmptyPlatform {
-    async fn list_vms(&mut self) -> Result<VmList, CloudError> {
-        Ok(VmList::default())
-    }
-
-    async fn send_vm_operations(
-        &mut self,
-        _daemon_name: &str,
-        _epoch: Epoch,
-        vm_operations: &[VmOperation],
-        mut answered: impl FnMut(usize, Result<(), CloudError>),
-    ) {
-        for index in 0..vm_operations.len() {
-            answered(index, Ok(()));
-        }
-    }
-}
-
 impl Advisor for EmptyPlatform {
     async fn advise(&mut self, _query: &AdviceQuery) -> Option<Advice> {
         None
@@ -373,7 +387,7 @@
     type Store = TestStore;
     type Poller = EmptyPlatform;
     type OrderSender = EmptyPlatform;
-    type Cloud = EmptyPlatform;
+    type Cloud = TestCloud;
     type Advisor = EmptyPlatform;
 
     fn store(&self) -> TestStore {
@@ -389,8 +403,8 @@
         EmptyPlatform
     }
 
-    fn cloud(&self) -> EmptyPlatform {
-        EmptyPlatform
+    fn cloud(&self) -> TestCloud {
+        TestCloud(Rc::clone(&self.state))
     }
 
     fn advisor(&self) -> Option<EmptyPlatform> {
@@ -398,6 +412,15 @@
     }
 
     fn operator_record(&self, row: &KeyedRow) -> Result<Option<OperatorRecord>, String> {
+        if row.key == WAVE_KEY {
+            let vms = self.state.borrow().vms.clone();
+            return Ok(Some(OperatorRecord::Wave(Wave {
+                number: 1,
+                vms: vms.into_iter().map(|vm| vm.name).collect(),
+                duration_ms: 1_000,
+                max_unavailable: 4,
+            })));
+        }
         let [version @ 0..=254] = row.value[..] else {
             return Err("expected a version".to_owned());
         };
