--- a/crates/vanillafold-jobs/src/record/row.rs
+++ b/crates/vanillafold-jobs/src/record/row.rs
@@ -22,8 +22,8 @@
 const PROGRESS_TAG: char = 'p';
 /// First character of the key of a job's suspect runs.
 const SUSPECTS_TAG: char = 's';
-/// First character of the key of the pools where a job may have been started.
-const POOLS_TAG: char = 'o';
+/// First character of the key of the pools in which a job may have been started.
+const START_POOLS_TAG: char = 'o';
 /// First character of the key of a wave's progress.
 const WAVE_TAG: char = 'w';
 
@@ -39,7 +39,7 @@
     Suspects(JobId, Vec<SuspectRun>),
     /// Names of the pools, sorted, in which a job's tasks may have been started, without the one where
     /// it was submitted. Deleted if there are none.
-    Pools(JobId, Vec<String>),
+    StartPools(JobId, Vec<String>),
     /// Number of a maintenance wave and the names of the VMs whose maintenance has started, sorted.
     Wave(u64, Vec<String>),
     /// Deletes the description of a finished job; its progress record keeps the outcome.
@@ -80,11 +80,11 @@
             Self::Suspects(id, runs) => {
                 vec![(format!("{SUSPECTS_TAG}{id}"), encode_value(runs))]
             }
-            Self::Pools(id, pools) if pools.is_empty() => {
-                vec![(format!("{POOLS_TAG}{id}"), Vec::new())]
+            Self::StartPools(id, pools) if pools.is_empty() => {
+                vec![(format!("{START_POOLS_TAG}{id}"), Vec::new())]
             }
-            Self::Pools(id, pools) => {
-                vec![(format!("{POOLS_TAG}{id}"), encode_value(pools))]
+            Self::StartPools(id, pools) => {
+                vec![(format!("{START_POOLS_TAG}{id}"), encode_value(pools))]
             }
             Self::Wave(number, started) => {
                 vec![(format!("{WAVE_TAG}{number}"), encode_value(started))]
@@ -116,7 +116,9 @@
             Some(PROGRESS_TAG) => {
                 decode_value(key, bytes).map(|progress| Self::Progress(id, progress))
             }
-            Some(POOLS_TAG) => decode_value(key, bytes).map(|pools| Self::Pools(id, pools)),
+            Some(START_POOLS_TAG) => {
+                decode_value(key, bytes).map(|pools| Self::StartPools(id, pools))
+            }
             Some(SUSPECTS_TAG) => decode_value(key, bytes).map(|runs| Self::Suspects(id, runs)),
             _ => Err(invalid_key()),
         }
--- a/crates/vanillafold-jobs/src/shard/advice.rs
+++ b/crates/vanillafold-jobs/src/shard/advice.rs
@@ -47,7 +47,7 @@
     step: u16,
     /// Verdicts on the current incarnations of workers, sorted by worker.
     verdicts: Vec<(WorkerId, Verdict)>,
-    /// Workers in the outstanding query that have not started again since.
+    /// Workers in the outstanding query, without those that have started again since it was sent.
     queried: Vec<WorkerId>,
     /// Earliest time for the next query.
     not_before: MonotonicMillis,
@@ -65,8 +65,8 @@
 }
 
 impl StepAdvice {
-    const fn is_for(&self, job: JobId, occurrence: u32, step: u16) -> bool {
-        self.job.get() == job.get() && self.occurrence == occurrence && self.step == step
+    fn is_for(&self, job: JobId, occurrence: u32, step: u16) -> bool {
+        (self.job, self.occurrence, self.step) == (job, occurrence, step)
     }
 
     fn verdict_position(&self, worker: &WorkerId) -> Result<usize, usize> {
--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -188,7 +188,7 @@
                 },
                 Record::Progress(id, row) => progress.push((id, row)),
                 Record::Suspects(id, runs) => suspects.push((id, runs)),
-                Record::Pools(id, pools) => start_pools.push((id, pools)),
+                Record::StartPools(id, pools) => start_pools.push((id, pools)),
                 Record::Wave(number, mut started) => {
                     started.sort_unstable();
                     shard.stored_waves.push((number, started));
--- a/crates/vanillafold-jobs/src/shard/storing.rs
+++ b/crates/vanillafold-jobs/src/shard/storing.rs
@@ -85,7 +85,7 @@
                 }
                 if job.start_pools_stored || !job.start_pools.is_empty() {
                     let pools = job.start_pools.iter().map(|row| row.0.clone());
-                    let pools = Record::Pools(id, pools.collect());
+                    let pools = Record::StartPools(id, pools.collect());
                     batch.records.extend(pools.encode());
                     job.start_pools_stored = true;
                 }
--- a/crates/vanillafold-jobs/src/worker/state.rs
+++ b/crates/vanillafold-jobs/src/worker/state.rs
@@ -163,8 +163,9 @@
     pub(crate) responded: bool,
     /// Whether the newest answer to a poll left out ends of the current incarnation.
     pub(crate) has_more_ends: bool,
-    /// Whether the last order or poll got no answer from the worker. Also true if the worker has a
-    /// new address and has not answered there yet, or has been replaced by another worker.
+    /// Whether the last order or poll got no answer from the worker. Also true if the worker has
+    /// registered with a new address or as restarted and has not answered a poll since, or has been
+    /// replaced by another worker.
     pub(crate) unresponsive: bool,
     /// When an order or poll was last answered.
     pub(crate) answered_at: MonotonicMillis,
--- a/crates/vanillafold-jobs/tests/shard/moved_queues.rs
+++ b/crates/vanillafold-jobs/tests/shard/moved_queues.rs
@@ -60,9 +60,9 @@
     }
 }
 
-/// Returns what is stored after an owner has started a task in pool-b, to which the queue was moved
-/// after its job had been submitted for pool-a, with the number of the run.
-fn started_in_the_second_pool() -> (Vec<(String, Vec<u8>)>, u64) {
+/// Returns a shard whose queue was moved to pool-b after a job had been submitted for pool-a, with what
+/// is stored.
+fn moved_before_the_first_start() -> (Shard, Vec<(String, Vec<u8>)>) {
     let mut stored = Vec::new();
     let mut shard = take_over(1, &stored, Some("pool-a"), 0);
     for (name, _) in WORKERS {
@@ -71,6 +71,13 @@
     shard.submit(job_id(1), job(vec![step(1)]), at(900), unix(900));
     store(&mut shard, &mut stored);
     shard.set_catalogue(catalogue_with(2, Some("pool-b")));
+    (shard, stored)
+}
+
+/// Returns what is stored after an owner has started a task in pool-b, to which the queue was moved
+/// after its job had been submitted for pool-a, with the number of the run.
+fn started_in_the_second_pool() -> (Vec<(String, Vec<u8>)>, u64) {
+    let (mut shard, mut stored) = moved_before_the_first_start();
     schedule_starts(&mut shard, 1_000);
     store(&mut shard, &mut stored);
     let started = schedule_starts(&mut shard, 1_010);
@@ -126,14 +133,7 @@
 /// The next owner would not know where the task runs if its order preceded the record.
 #[test]
 fn a_task_starts_in_the_pool_that_its_queue_was_moved_to_once_that_is_stored() {
-    let mut stored = Vec::new();
-    let mut shard = take_over(1, &stored, Some("pool-a"), 0);
-    for (name, _) in WORKERS {
-        poll(&mut shard, name, &report(1), 0);
-    }
-    shard.submit(job_id(1), job(vec![step(1)]), at(900), unix(900));
-    store(&mut shard, &mut stored);
-    shard.set_catalogue(catalogue_with(2, Some("pool-b")));
+    let (mut shard, mut stored) = moved_before_the_first_start();
 
     let unstored = schedule_starts(&mut shard, 1_000).len();
     let refused = shard.take_batch().expect("a batch");
@@ -153,7 +153,7 @@
         let decode = |row: &(String, Vec<u8>)| Record::decode(&row.0, &row.1).ok();
         let records = stored.iter().filter_map(decode);
         records
-            .filter(|record| matches!(record, Record::Pools(..)))
+            .filter(|record| matches!(record, Record::StartPools(..)))
             .count()
     };
     let before = pools(&stored);
--- a/crates/vanillafold-jobs/tests/shard/records.rs
+++ b/crates/vanillafold-jobs/tests/shard/records.rs
@@ -70,7 +70,7 @@
         Record::Spec(job_id(1), Box::new(spec())),
         Record::Progress(job_id(1), progress()),
         Record::Suspects(job_id(1), vec![suspect()]),
-        Record::Pools(job_id(1), vec!["pool-b".to_owned(), "pool-c".to_owned()]),
+        Record::StartPools(job_id(1), vec!["pool-b".to_owned(), "pool-c".to_owned()]),
         Record::Wave(7, vec!["vm1".to_owned(), "vm2".to_owned()]),
     ];
     records.iter().flat_map(Record::encode).collect()
