--- a/crates/vanillafold-jobs/tests/shard/advice.rs
+++ b/crates/vanillafold-jobs/tests/shard/advice.rs
@@ -70,7 +70,7 @@
     }
 }
 
-/// LOST: a worker whose ticket was rejected counted as one that the policy rejects, for as long as the
+/// A worker whose ticket was rejected counted as one that the policy rejects, for as long as the
 /// owner lived.
 #[test]
 fn a_worker_that_rejects_a_ticket_is_asked_about_again() {
@@ -88,7 +88,7 @@
     assert_eq!(ticket, Some("w1 at 1050".to_owned()));
 }
 
-/// LOST: the same for an order that was repeated because the first got no answer.
+/// The same for an order that was repeated because the first got no answer.
 #[test]
 fn a_repeated_start_whose_ticket_is_rejected_is_asked_about_again() {
     let (mut shard, query) = shard_with_query(&["w1"]);
@@ -109,7 +109,7 @@
     assert_eq!((id, again), (worker("w1"), Some(query)));
 }
 
-/// LOST: the next incarnation of a worker may be of another kind, and no earlier ticket is valid there.
+/// The next incarnation of a worker may be of another kind, and no earlier ticket is valid there.
 #[test]
 fn a_worker_that_has_started_again_is_asked_about_again() {
     // Arrange: w1 is suitable and w2 is not. w1 runs the task.
@@ -131,7 +131,7 @@
     assert_eq!(workers, Some(vec![worker("w1"), worker("w2")]));
 }
 
-/// LOST: an answer about the earlier incarnation says nothing about the one that has begun meanwhile.
+/// An answer about the earlier incarnation says nothing about the one that has begun meanwhile.
 #[test]
 fn advice_that_was_asked_for_before_a_restart_is_not_used_after_it() {
     for suitable in [&["w1"][..], &[][..]] {
@@ -165,7 +165,7 @@
     assert_eq!(again, Some(query));
 }
 
-/// LOST: the ticket of a worker may be in a row that can't be read.
+/// The ticket of a worker may be in a row that can't be read.
 #[test]
 fn a_worker_that_is_missing_in_unreadable_advice_is_asked_about_again() {
     let (mut shard, query) = shard_with_query(&["w1"]);
--- a/crates/vanillafold-jobs/tests/shard/fixture.rs
+++ b/crates/vanillafold-jobs/tests/shard/fixture.rs
@@ -272,3 +272,15 @@
     let answer = OrderAnswer::Accepted { clock_ms: Some(ms) };
     answer_start(shard, name, (task, run), answer, ms);
 }
+
+/// Returns a shard whose worker w1 runs two tasks, and their runs.
+pub(crate) fn shard_with_two_runs() -> (Shard, Vec<(TaskId, u64)>) {
+    let mut shard = shard_with_workers(&["w1"]);
+    shard.submit(job_id(1), job(vec![step(2)]), at(900), unix(900));
+    store_batches(&mut shard);
+    let started = schedule_starts(&mut shard, 1_000);
+    for (task, run, _) in &started {
+        accept_start(&mut shard, "w1", *task, *run, 1_010);
+    }
+    (shard, started.iter().map(|row| (row.0, row.1)).collect())
+}
--- a/crates/vanillafold-jobs/tests/shard/moved_queues.rs
+++ b/crates/vanillafold-jobs/tests/shard/moved_queues.rs
@@ -88,7 +88,7 @@
     (stored, *run)
 }
 
-/// TWICE: a new owner waited for the workers of the pool where the job was submitted and of the one that
+/// A new owner waited for the workers of the pool where the job was submitted and of the one that
 /// its queue is in now, while the task ran in a pool in between.
 #[test]
 fn a_task_in_a_pool_that_its_queue_was_moved_through_is_not_started_again() {
@@ -110,7 +110,7 @@
     }
 }
 
-/// TWICE: several owners in turn, and moves between their takeovers.
+/// Several owners in turn, and moves between their takeovers.
 #[test]
 fn each_owner_awaits_all_pools_in_which_earlier_ones_started_tasks() {
     // Arrange: the second owner adds nothing to what is stored, but changes the job.
--- a/crates/vanillafold-jobs/tests/shard/unlisted_ends.rs
+++ b/crates/vanillafold-jobs/tests/shard/unlisted_ends.rs
@@ -3,8 +3,8 @@
 use vanillafold_jobs::{EndKind, ListedEnd, OrderAnswer, PollReport, Shard};
 
 use crate::fixture::{
-    accept_start, acknowledged_end, at, job, job_id, listed_end, poll, report, schedule_starts,
-    shard_after_takeover, shard_with_workers, step, store_batches, task, unix, worker,
+    acknowledged_end, at, job, job_id, listed_end, poll, report, schedule_starts,
+    shard_after_takeover, shard_with_two_runs, step, store_batches, task, unix, worker,
 };
 
 /// Returns a report that lists these ends and leaves out others.
@@ -21,23 +21,16 @@
     state.map(|state| state.to_string())
 }
 
-/// TWICE: a run that has ended beyond the listed ends counted as lost, and its task ran again.
+/// A run that has ended beyond the listed ends counted as lost, and its task ran again.
 #[test]
 fn a_run_that_ended_beyond_the_listed_ends_is_not_started_again() {
-    // Arrange: two tasks run on w1.
-    let mut shard = shard_with_workers(&["w1"]);
-    shard.submit(job_id(1), job(vec![step(2)]), at(900), unix(900));
-    store_batches(&mut shard);
-    let started = schedule_starts(&mut shard, 1_000);
-    for (task, run, _) in &started {
-        accept_start(&mut shard, "w1", *task, *run, 1_010);
-    }
+    let (mut shard, runs) = shard_with_two_runs();
     let done = |number: usize| {
-        let (task, run, _) = &started[number - 1];
-        listed_end(number as u64, *task, *run, EndKind::Done)
+        let (task, run) = runs[number - 1];
+        listed_end(number as u64, task, run, EndKind::Done)
     };
 
-    // Act: both are done; w1 lists the first end only until it is acknowledged.
+    // Both are done; w1 lists the first end only until it is acknowledged.
     poll(&mut shard, "w1", &cut_report(1_100, vec![done(1)]), 1_100);
     let restarted = schedule_starts(&mut shard, 1_101);
     let mut rest = report(1_200);
@@ -45,12 +38,11 @@
     poll(&mut shard, "w1", &rest, 1_200);
     store_batches(&mut shard);
 
-    // Assert
     assert_eq!(restarted, vec![]);
     assert_eq!(state(&shard, 1), Some("completed".to_owned()));
 }
 
-/// TWICE: a new owner took the first answer of a worker as complete. Nor do the leases of the earlier
+/// A new owner took the first answer of a worker as complete. Nor do the leases of the earlier
 /// owner show what has completed on a worker that answers.
 #[test]
 fn a_task_that_completed_beyond_the_listed_ends_is_not_started_again_after_a_takeover() {
--- a/crates/vanillafold-jobs/tests/shard/unreadable.rs
+++ b/crates/vanillafold-jobs/tests/shard/unreadable.rs
@@ -1,10 +1,10 @@
 //! Answers of workers of which a part can't be read.
 
-use vanillafold_jobs::{OrderAnswer, PollReport, Shard, TaskId, Wave};
+use vanillafold_jobs::{OrderAnswer, PollReport, TaskId, Wave};
 
 use crate::fixture::{
-    accept_start, answer_start, at, job, job_id, listed_run, poll, report, schedule_starts,
-    shard_after_takeover, shard_with_workers, step, store_batches, task, unix, vm,
+    answer_start, at, job, job_id, listed_run, poll, report, schedule_starts, shard_after_takeover,
+    shard_with_two_runs, shard_with_workers, step, store_batches, task, unix, vm,
 };
 
 /// Returns a report that lists these runs and others that can't be read.
@@ -16,18 +16,6 @@
     }
 }
 
-/// Returns a shard whose worker w1 runs two tasks, and their runs.
-fn shard_with_two_runs() -> (Shard, Vec<(TaskId, u64)>) {
-    let mut shard = shard_with_workers(&["w1"]);
-    shard.submit(job_id(1), job(vec![step(2)]), at(900), unix(900));
-    store_batches(&mut shard);
-    let started = schedule_starts(&mut shard, 1_000);
-    for (task, run, _) in &started {
-        accept_start(&mut shard, "w1", *task, *run, 1_010);
-    }
-    (shard, started.iter().map(|row| (row.0, row.1)).collect())
-}
-
 /// If the run counted as ended, its task would run twice.
 #[test]
 fn a_run_whose_row_cannot_be_read_goes_on() {
--- a/crates/vanillafold-jobs/tests/shard/vms.rs
+++ b/crates/vanillafold-jobs/tests/shard/vms.rs
@@ -427,7 +427,7 @@
     shard
 }
 
-/// LOST: the platform confirms an operation that an earlier owner ordered and that is over. The
+/// The platform confirms an operation that an earlier owner ordered and that is over. The
 /// worker on the VM has not ended.
 #[test]
 fn a_vm_whose_operation_was_already_done_keeps_its_worker_in_use() {
@@ -442,7 +442,7 @@
     }
 }
 
-/// LOST: the same for a move that was already done.
+/// The same for a move that was already done.
 #[test]
 fn a_worker_that_starts_again_under_its_id_after_a_move_is_used() {
     let mut shard = worker_listed_after(true, 0, 2);
@@ -452,7 +452,7 @@
     assert_eq!(starts.len(), 1);
 }
 
-/// LOST: a worker may start again under its id after the maintenance of its VM.
+/// A worker may start again under its id after the maintenance of its VM.
 #[test]
 fn a_worker_that_starts_again_under_its_id_after_maintenance_is_used() {
     let mut shard = worker_listed_after(false, 0, 2);
@@ -464,7 +464,7 @@
     assert_eq!(starts.len(), 2);
 }
 
-/// LOST: the registration of the next incarnation arrives before the list of VMs shows it.
+/// The registration of the next incarnation arrives before the list of VMs shows it.
 #[test]
 fn a_registration_of_a_later_incarnation_ends_the_removal_of_its_worker() {
     let (mut shard, operation) = wave_in_progress();
@@ -482,7 +482,7 @@
     assert_eq!((while_ended, while_back), (2, 3));
 }
 
-/// AVAIL and ONE: an owner that may have a successor orders nothing, also no repetition, and drains no
+/// An owner that may have a successor orders nothing, also no repetition, and drains no
 /// VM for an operation that it may not order.
 #[test]
 fn an_owner_without_the_right_to_operate_on_vms_plans_no_operation() {
--- a/crates/vanillafold-standin/tests/jobs_world/main.rs
+++ b/crates/vanillafold-standin/tests/jobs_world/main.rs
@@ -88,7 +88,7 @@
     assert_eq!(violations(0..SEEDS, options), Vec::<String>::new());
 }
 
-/// TWICE: workers hold more ends than they list while the store is away, and a run that is neither
+/// Workers hold more ends than they list while the store is away, and a run that is neither
 /// running nor listed as ended counted as lost.
 #[test]
 fn ends_that_workers_do_not_list_yet_violate_no_invariant() {
@@ -105,7 +105,7 @@
     assert_eq!(violations(0..SEEDS, options), Vec::<String>::new());
 }
 
-/// TWICE: the same beside lost owners, to which the first answer of a worker is not complete, and
+/// The same beside lost owners, to which the first answer of a worker is not complete, and
 /// beside workers that crash or are cut off.
 #[test]
 fn ends_that_workers_do_not_list_yet_violate_no_invariant_across_lost_owners() {
@@ -118,7 +118,7 @@
     assert_eq!(violations(0..SEEDS, options), Vec::<String>::new());
 }
 
-/// LOST: a worker whose ticket was rejected after it had started again was never asked about again.
+/// A worker whose ticket was rejected after it had started again was never asked about again.
 #[test]
 fn jobs_on_a_queue_with_advice_end_although_workers_start_again() {
     let options = SimulationOptions {
@@ -144,7 +144,7 @@
     assert_eq!(violations(0..SEEDS, options), Vec::<String>::new());
 }
 
-/// TWICE: a new owner did not wait for the workers of a pool that the queue had been moved to and from.
+/// A new owner did not wait for the workers of a pool that the queue had been moved to and from.
 #[test]
 fn queues_that_are_moved_again_and_again_violate_no_invariant_across_lost_owners() {
     let options = SimulationOptions {
--- a/crates/vanillafold/tests/fleet/vms.rs
+++ b/crates/vanillafold/tests/fleet/vms.rs
@@ -57,7 +57,7 @@
     late
 }
 
-// AVAIL and ONE: another daemon that the store turned away went on to reach the owner and could not
+// Another daemon that the store turned away went on to reach the owner and could not
 // learn of its successor, so that both ordered maintenance side by side.
 #[test]
 fn an_owner_that_the_store_turns_away_operates_on_no_vm_beside_its_successor() {
