--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -145,6 +145,9 @@
     }
 }
 
+/// The first line of a message, and its headers.
+type Head = (String, Vec<(String, String)>);
+
 struct Reader {
     stream: TcpStream,
     buffer: Vec<u8>,
@@ -176,7 +179,7 @@
         closed
     }
 
-    fn head(&mut self) -> io::Result<Option<(String, Vec<(String, String)>)>> {
+    fn head(&mut self) -> io::Result<Option<Head>> {
         let end = loop {
             if let Some(end) = self.buffer.windows(4).position(|four| four == b"\r\n\r\n") {
                 break end;
--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -6,6 +6,7 @@
 use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -243,6 +244,7 @@
             for runner in &runners {
                 addresses.push(serve(Arc::new(RunnerService {
                     runner: Arc::clone(runner),
+                    address: 0,
                     links: Arc::clone(&links),
                     daemon,
                 }))?);
@@ -324,10 +326,21 @@
         self.daemons.iter().position(|daemon| daemon.name == name)
     }
 
-    pub fn configure(&self, config: &str) {
-        self.store.put("keyed.op", "config", config);
-        self.record
-            .note(&format!("operator: configuration acknowledged: {config}"));
+    /// Starts a crashed runner again under its id, at another address.
+    pub fn start_elsewhere(&self, index: usize) -> io::Result<()> {
+        let runner = &self.runners[index];
+        let address = runner.address.fetch_add(1, Ordering::SeqCst) + 1;
+        for daemon in 0..self.daemons.len() {
+            let listening = serve(Arc::new(RunnerService {
+                runner: Arc::clone(runner),
+                address,
+                links: Arc::clone(&self.links),
+                daemon,
+            }))?;
+            self.links.runners.lock().unwrap()[daemon][index] = listening;
+        }
+        runner.start_again();
+        Ok(())
     }
 
     /// Sends a client's request to a daemon and returns its status and body.
