--- a/crates/vanillafold-jobs/examples/shard_cost.rs
+++ b/crates/vanillafold-jobs/examples/shard_cost.rs
@@ -255,9 +255,7 @@
                     .push((*task, *run, now_ms + 600 + self.random.below(400)));
             }
             let shard = &mut self.shard;
-            let answer = OrderAnswer::Accepted {
-                clock_ms: Some(now_ms),
-            };
+            let answer = OrderAnswer::Accepted;
             self.costs.measure("answer", || {
                 shard.order_answered(&id, &order, answer, at(now_ms), now_ms);
             });
--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -135,7 +135,7 @@
         if worker.next_poll_at > now {
             return PollPlan::Later(worker.next_poll_at);
         }
-        let unconfirmed = !worker.responded || worker.unresponsive;
+        let unconfirmed = !worker.responded || worker.unresponsive || worker.unverified;
         let ends_pending = !worker.unacknowledged.is_empty();
         if worker.runs.is_empty()
             && !unconfirmed
@@ -309,7 +309,13 @@
             return;
         };
         if self.workers[at].is_new_incarnation(report) {
-            self.begin_incarnation(at, report.clock_ms, now, now_unix_ms);
+            let known_unix_ms = self.workers[at].started_unix_ms();
+            log::info!(
+                worker = id.as_str(), started_unix_ms = report.started_unix_ms,
+                before_unix_ms = known_unix_ms, clock_ms = report.clock_ms;
+                "worker has restarted"
+            );
+            self.begin_incarnation(at, report, now, now_unix_ms);
         }
         self.resolve_silence(id, report.started_unix_ms);
         let lease_ms = self.settings.lease_ms;
@@ -339,6 +345,7 @@
         }
         worker.has_more_ends = report.has_more_ends;
         worker.unresponsive = false;
+        worker.unverified = false;
         worker.delivered_ack = worker.delivered_ack.max(worker.sent_ack);
         for end in &report.ended {
             self.process_end(at, end, now, now_unix_ms);
@@ -381,23 +388,30 @@
         worker_ids
     }
 
+    /// Ends the runs of a worker's previous incarnation. Those that the new one lists in its first
+    /// report were started by orders that it answered before.
     fn begin_incarnation(
         &mut self,
         at: usize,
-        clock_ms: u64,
+        report: &PollReport,
         now: MonotonicMillis,
         now_unix_ms: u64,
     ) {
-        log::info!(worker = self.workers[at].entry.id.as_str(); "worker has restarted");
+        let worker = &mut self.workers[at];
+        let started_here = worker.take_runs(|run| report.lists(run.task, run.number));
         self.record_worker_loss(at, LossEvidence::Restarted, |_| true, now);
         self.forget_advice(&self.workers[at].entry.id.clone());
-        let lost = self.workers[at].begin_incarnation();
+        let worker = &mut self.workers[at];
+        let lost = worker.begin_incarnation();
+        for run in started_here {
+            worker.add_run(run);
+        }
         // Orders for the previous incarnation may have been carried out in this one. Their
         // deadlines refer to another clock, and the worker caps them at its maximum lease.
-        let deadline_ms = clock_ms.saturating_add(self.settings.max_lease_ms);
-        self.workers[at].extend_lease(deadline_ms);
+        let deadline_ms = report.clock_ms.saturating_add(self.settings.max_lease_ms);
+        worker.extend_lease(deadline_ms);
         // Stops runs that an order to a previous incarnation may still start.
-        for mut run in self.workers[at].take_unanswered_starts(now) {
+        for mut run in worker.take_unanswered_starts(now) {
             run.phase = RunPhase::Stopping { next_order_at: now };
             self.add_usage(&run.organisation.clone(), run.needs);
             self.workers[at].add_run(run);
@@ -712,14 +726,9 @@
             return;
         };
         match answer {
-            OrderAnswer::Accepted {
-                clock_ms: Some(clock_ms),
-            }
-            | OrderAnswer::Late {
-                clock_ms: Some(clock_ms),
-            } if self.workers[at].read_clock(clock_ms, now) => {
-                self.begin_incarnation(at, clock_ms, now, now_unix_ms);
-                self.workers[at].read_clock(clock_ms, now);
+            // The deadline was computed from a reading of the worker's clock that may be wrong.
+            OrderAnswer::Late => {
+                self.workers[at].unverified = true;
                 self.workers[at].next_poll_at = now;
             }
             OrderAnswer::Fenced => self.fence(id),
@@ -774,7 +783,7 @@
         };
         let starting = worker.runs[position].phase == RunPhase::Starting;
         match answer {
-            OrderAnswer::Accepted { .. } if starting => {
+            OrderAnswer::Accepted if starting => {
                 worker.runs[position].phase = RunPhase::Running { confirmed_at: now };
                 self.mark_started(task.job);
             }
@@ -783,7 +792,7 @@
                 worker.runs[position].connection_lost = answer == OrderAnswer::ConnectionLost;
                 worker.record_unanswered_start(position, now);
             }
-            OrderAnswer::Accepted { .. } | OrderAnswer::Unknown | OrderAnswer::ConnectionLost => {}
+            OrderAnswer::Accepted | OrderAnswer::Unknown | OrderAnswer::ConnectionLost => {}
             // An earlier order may have started the run, which may have ended since; the next poll
             // shows whether it has.
             _ if worker.runs[position].start_orders > 1 => {
@@ -796,7 +805,7 @@
                 }
                 let needs_no_backoff = matches!(
                     answer,
-                    OrderAnswer::NotSent | OrderAnswer::Late { .. } | OrderAnswer::BadTicket
+                    OrderAnswer::NotSent | OrderAnswer::Late | OrderAnswer::BadTicket
                 );
                 if !needs_no_backoff {
                     worker.backoff_until = MonotonicMillis::new(now.get() + REFUSAL_BACKOFF_MS);
@@ -829,7 +838,7 @@
             return;
         }
         match answer {
-            OrderAnswer::Accepted { .. } | OrderAnswer::OldRun | OrderAnswer::Invalid => {
+            OrderAnswer::Accepted | OrderAnswer::OldRun | OrderAnswer::Invalid => {
                 run.phase = RunPhase::Stopped { answered_at: now };
                 worker.next_poll_at = now;
             }
--- a/crates/vanillafold-jobs/src/worker/report.rs
+++ b/crates/vanillafold-jobs/src/worker/report.rs
@@ -100,25 +100,27 @@
     pub(crate) const fn is_complete(&self) -> bool {
         !self.has_unreadable_runs && !self.has_more_ends
     }
+
+    /// Returns whether the report lists a run, in progress or ended.
+    pub(crate) fn lists(&self, task: TaskId, run: RunNumber) -> bool {
+        let is_running = |row: &ListedRun| row.task == task && row.run == run;
+        let has_ended = |row: &ListedEnd| row.task == task && row.run == run;
+        self.running.iter().any(is_running) || self.ended.iter().any(has_ended)
+    }
 }
 
-/// A worker's answer to an order.
+/// A worker's answer to an order. It does not tell the worker's clock: answers on another connection
+/// may overtake it, so that an old reading would be taken for a new one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OrderAnswer {
     /// The order was carried out.
-    Accepted {
-        /// Time on the worker's clock, in milliseconds; `None` if the answer does not tell.
-        clock_ms: Option<u64>,
-    },
+    Accepted,
     /// Rejected: the worker has seen a later owner.
     Fenced,
     /// Rejected: a run of the task with the same or a higher number has ended on the worker.
     OldRun,
     /// Rejected: the order's deadline had passed on the worker's clock.
-    Late {
-        /// Time on the worker's clock, in milliseconds; `None` if the answer does not tell.
-        clock_ms: Option<u64>,
-    },
+    Late,
     /// Rejected: the worker has not enough free capacity.
     NoRoom,
     /// Rejected: the ticket of the placement advice is not valid.
--- a/crates/vanillafold-jobs/src/worker/state.rs
+++ b/crates/vanillafold-jobs/src/worker/state.rs
@@ -167,6 +167,9 @@
     /// registered with a new address or as restarted and has not answered a poll since, or has been
     /// replaced by another worker.
     pub(crate) unresponsive: bool,
+    /// Whether the worker's clock may differ from what is known of it. Until a poll has read it, the
+    /// worker gets no new tasks and its leases are not renewed.
+    pub(crate) unverified: bool,
     /// When an order or poll was last answered.
     pub(crate) answered_at: MonotonicMillis,
     /// Since when orders and polls have got no answer; `None` if the last one was answered.
@@ -228,6 +231,7 @@
             responded: false,
             has_more_ends: false,
             unresponsive: false,
+            unverified: false,
             answered_at: MonotonicMillis::ZERO,
             silent_since: None,
             answer_lost_at: None,
@@ -285,6 +289,7 @@
             && self.entry.ready
             && self.responded
             && !self.unresponsive
+            && !self.unverified
             && !self.draining
             && self.backoff_until <= now
             && !self.is_isolating()
@@ -348,17 +353,9 @@
         run
     }
 
-    /// Updates the reading of the worker's clock. Returns whether the clock went back, which
-    /// happens only when the worker restarts.
-    pub(crate) fn read_clock(&mut self, worker_ms: u64, now: MonotonicMillis) -> bool {
-        let back = self
-            .clock
-            .is_some_and(|clock| worker_ms.saturating_add(LEASE_MARGIN_MS) < clock.worker_ms);
-        let newer = self.clock.is_none_or(|clock| worker_ms >= clock.worker_ms);
-        if newer {
-            self.clock = Some(ClockReading { worker_ms, at: now });
-        }
-        back
+    /// Updates the reading of the worker's clock, which a poll has shown.
+    pub(crate) const fn read_clock(&mut self, worker_ms: u64, now: MonotonicMillis) {
+        self.clock = Some(ClockReading { worker_ms, at: now });
     }
 
     /// Returns the deadline, on the worker's clock, of a lease of `lease_ms` from now; `None` until
@@ -388,11 +385,15 @@
         Some(MonotonicMillis::new(clock.at.get().saturating_add(longest)))
     }
 
-    /// Returns whether `report` comes from an incarnation other than the known one.
+    /// Returns whether `report` comes from an incarnation other than the known one. Polls of a worker
+    /// are answered in the order in which they were sent, so that the clock of one incarnation never
+    /// goes back from one report to the next.
     pub(crate) fn is_new_incarnation(&self, report: &PollReport) -> bool {
         match (self.started_unix_ms, report.started_unix_ms) {
             (Some(known), Some(reported)) => known != reported,
-            _ => false,
+            _ => self
+                .clock
+                .is_some_and(|clock| report.clock_ms < clock.worker_ms),
         }
     }
 
@@ -445,24 +446,22 @@
         self.fault_score = 0.0;
         self.failed_jobs.clear();
         self.backoff_until = MonotonicMillis::ZERO;
-        let mut lost = Vec::new();
-        let mut at = 0;
-        while at < self.runs.len() {
-            let unanswered = matches!(
-                self.runs[at].phase,
+        self.take_runs(|run| {
+            !matches!(
+                run.phase,
                 RunPhase::Starting | RunPhase::StartUnanswered | RunPhase::Stopping { .. }
-            );
-            match unanswered {
-                true => at += 1,
-                false => {
-                    let run = self.runs.swap_remove(at);
-                    self.used.subtract(run.reservation);
-                    self.isolated_runs -= usize::from(run.isolated);
-                    lost.push(run);
-                }
-            }
+            )
+        })
+    }
+
+    /// Removes and returns the runs for which `is_taken` is true.
+    pub(crate) fn take_runs(&mut self, is_taken: impl Fn(&Run) -> bool) -> Vec<Run> {
+        let taken: Vec<Run> = self.runs.extract_if(.., |run| is_taken(run)).collect();
+        for run in &taken {
+            self.used.subtract(run.reservation);
+            self.isolated_runs -= usize::from(run.isolated);
         }
-        lost
+        taken
     }
 
     /// Returns when the known incarnation of the worker started, in milliseconds since 1970.
--- a/crates/vanillafold-jobs/tests/shard/crashes.rs
+++ b/crates/vanillafold-jobs/tests/shard/crashes.rs
@@ -148,9 +148,7 @@
         let row = &mut self.vms[found.expect("a worker")];
         let answer = match row.back_at_ms {
             Some(_) => OrderAnswer::NotSent,
-            None => OrderAnswer::Accepted {
-                clock_ms: Some(self.now_ms - row.started_ms + 1),
-            },
+            None => OrderAnswer::Accepted,
         };
         answer_start(&mut self.shard, name, (task, run), answer, self.now_ms);
         if row.back_at_ms.is_some() {
@@ -361,12 +359,7 @@
     shard.submit(job_id(1), job(vec![step(2)]), at(900), unix(900));
     store_batches(&mut shard);
     let starts = schedule_starts(&mut shard, 1_000);
-    let answers = [
-        OrderAnswer::Accepted {
-            clock_ms: Some(1_010),
-        },
-        OrderAnswer::Unknown,
-    ];
+    let answers = [OrderAnswer::Accepted, OrderAnswer::Unknown];
     for (start, answer) in starts.iter().zip(answers) {
         answer_start(&mut shard, "w1", (start.0, start.1), answer, 1_010);
     }
--- a/crates/vanillafold-jobs/tests/shard/extremes.rs
+++ b/crates/vanillafold-jobs/tests/shard/extremes.rs
@@ -306,19 +306,15 @@
         }
     }
 
-    fn answer(&mut self, ms: u64) -> OrderAnswer {
-        let clock_ms = match self.below(4) {
-            0 => self.flag().then(|| self.number()),
-            _ => Some(ms),
-        };
+    fn answer(&mut self) -> OrderAnswer {
         match self.below(12) {
             0 => OrderAnswer::OldRun,
-            1 => OrderAnswer::Late { clock_ms },
+            1 => OrderAnswer::Late,
             2 => OrderAnswer::NoRoom,
             3 => OrderAnswer::Invalid,
             4 => OrderAnswer::Unknown,
             5 => OrderAnswer::NotSent,
-            _ => OrderAnswer::Accepted { clock_ms },
+            _ => OrderAnswer::Accepted,
         }
     }
 }
@@ -333,7 +329,7 @@
             let name = WORKERS.iter().find(|name| **name == id.as_str());
             runs.extend(name.map(|name| (*name, *task, *run)));
         }
-        let answer = source.answer(ms);
+        let answer = source.answer();
         shard.order_answered(&id, &order, answer, at(ms), unix(ms));
     }
 }
--- a/crates/vanillafold-jobs/tests/shard/fixture.rs
+++ b/crates/vanillafold-jobs/tests/shard/fixture.rs
@@ -242,7 +242,7 @@
         task,
         run: RunNumber::new(run),
     };
-    let answer = OrderAnswer::Accepted { clock_ms: Some(ms) };
+    let answer = OrderAnswer::Accepted;
     shard.order_answered(&worker(name), &order, answer, at(ms), unix(ms));
     poll(shard, name, &report(ms + 1), ms + 1);
 }
@@ -269,7 +269,7 @@
 
 /// Accepts the start order of a run on a worker at `ms`.
 pub(crate) fn accept_start(shard: &mut Shard, name: &str, task: TaskId, run: u64, ms: u64) {
-    let answer = OrderAnswer::Accepted { clock_ms: Some(ms) };
+    let answer = OrderAnswer::Accepted;
     answer_start(shard, name, (task, run), answer, ms);
 }
 
--- a/crates/vanillafold-jobs/tests/shard/unreadable.rs
+++ b/crates/vanillafold-jobs/tests/shard/unreadable.rs
@@ -1,9 +1,9 @@
 //! Answers of workers of which a part can't be read.
 
-use vanillafold_jobs::{OrderAnswer, PollReport, TaskId, Wave};
+use vanillafold_jobs::{PollReport, TaskId, Wave};
 
 use crate::fixture::{
-    answer_start, at, job, job_id, listed_run, poll, report, schedule_starts, shard_after_takeover,
+    accept_start, at, job, job_id, listed_run, poll, report, schedule_starts, shard_after_takeover,
     shard_with_two_runs, shard_with_workers, step, store_batches, task, unix, vm,
 };
 
@@ -68,23 +68,34 @@
     assert_eq!(late[0].0, task(job_id(1), 0));
 }
 
-/// A clock that went back means that the worker has restarted, and its runs with it.
+/// The worker has restarted: the task of the lost run would never be started again.
 #[test]
-fn an_answer_without_a_clock_does_not_end_the_runs_of_its_worker() {
+fn a_poll_without_a_start_time_whose_clock_went_back_ends_the_runs_of_its_worker() {
     let mut shard = shard_with_workers(&["w1"]);
     poll(&mut shard, "w1", &report(500_000), 900);
     shard.submit(job_id(1), job(vec![step(2)]), at(900), unix(900));
     store_batches(&mut shard);
     let started = schedule_starts(&mut shard, 1_000);
-
-    for ((task, run, _), clock_ms) in started.iter().zip([Some(500_110), None]) {
-        let answer = OrderAnswer::Accepted { clock_ms };
-        answer_start(&mut shard, "w1", (*task, *run), answer, 1_010);
+    for (task, run, _) in &started {
+        accept_start(&mut shard, "w1", *task, *run, 1_010);
     }
-    let restarted = schedule_starts(&mut shard, 1_020);
+    let without_start_time = |clock_ms| PollReport {
+        started_unix_ms: None,
+        running: started.iter().map(|row| listed_run(row.0, row.1)).collect(),
+        ..report(clock_ms)
+    };
 
-    assert_eq!(restarted, vec![]);
-    assert_eq!(shard.run_count(), 2);
+    poll(&mut shard, "w1", &without_start_time(500_000), 1_020);
+    let unchanged = schedule_starts(&mut shard, 1_030);
+    let restarted = PollReport {
+        running: Vec::new(),
+        ..without_start_time(499_999)
+    };
+    poll(&mut shard, "w1", &restarted, 1_040);
+    let started_again = schedule_starts(&mut shard, 1_050);
+
+    assert_eq!(unchanged, vec![]);
+    assert_eq!(started_again.len(), 2);
 }
 
 /// The worker of the VM whose row can't be read may run the task for an earlier owner.
--- a/crates/vanillafold-jobs/tests/shard/workers.rs
+++ b/crates/vanillafold-jobs/tests/shard/workers.rs
@@ -5,8 +5,8 @@
 };
 
 use crate::fixture::{
-    at, job, job_id, listed_end, listed_run, poll, report, schedule_starts, shard_with_workers,
-    step, store_batches, task, unix, worker, worker_entry,
+    accept_start, at, job, job_id, listed_end, listed_run, poll, report, schedule_starts,
+    shard_with_workers, step, store_batches, task, unix, worker, worker_entry,
 };
 
 /// Plans a poll at `ms` that gets no answer.
@@ -94,9 +94,7 @@
     let before_poll = first_order(&mut shard, 1_505);
     poll(&mut shard, first.as_str(), &report(1_510), 1_510);
     let (again, repeated) = first_order(&mut shard, 1_511).expect("a second order");
-    let accepted = OrderAnswer::Accepted {
-        clock_ms: Some(1_520),
-    };
+    let accepted = OrderAnswer::Accepted;
     shard.order_answered(&again, &repeated, accepted, at(1_520), unix(1_520));
     let after = first_order(&mut shard, 1_521).map(|row| format!("{:?}", row.1));
 
@@ -126,9 +124,7 @@
     poll(&mut shard, first.as_str(), &report(ms), ms);
     let (worker, stop) = first_order(&mut shard, ms + 1).expect("an order");
     let unproved = schedule_starts(&mut shard, ms + 2);
-    let accepted = OrderAnswer::Accepted {
-        clock_ms: Some(ms + 3),
-    };
+    let accepted = OrderAnswer::Accepted;
     shard.order_answered(&worker, &stop, accepted, at(ms + 3), unix(ms + 3));
     let still_unproved = schedule_starts(&mut shard, ms + 4);
     poll(&mut shard, first.as_str(), &report(ms + 10), ms + 10);
@@ -329,3 +325,80 @@
     assert_eq!(while_shrunk, vec![]);
     assert_eq!(after_growth.len(), 2);
 }
+
+/// The owner was suspended, so that its estimate of the worker's clock is behind. An idle worker is
+/// not polled, and each order to it would be late again.
+#[test]
+fn a_worker_that_finds_an_order_late_is_polled_before_it_gets_another() {
+    let mut shard = shard_with_workers(&["w1"]);
+    shard.submit(job_id(1), job(vec![step(1)]), at(900), unix(900));
+    store_batches(&mut shard);
+    let (worker, order) = first_order(&mut shard, 1_000).expect("a start order");
+    let late = OrderAnswer::Late;
+    shard.order_answered(&worker, &order, late, at(1_010), unix(1_010));
+
+    let unread = schedule_starts(&mut shard, 1_020);
+    let plan = shard.plan_poll(&worker, at(1_030));
+    poll(&mut shard, "w1", &report(90_000), 1_040);
+    let order = first_order(&mut shard, 1_050).map(|row| row.1);
+
+    assert_eq!(unread, vec![]);
+    let renews_no_lease = matches!(
+        plan,
+        PollPlan::Poll {
+            deadline_ms: None,
+            ..
+        }
+    );
+    assert!(renews_no_lease, "{plan:?}");
+    let is_in_time =
+        matches!(order, Some(Order::Start { deadline_ms, .. }) if deadline_ms > 90_000);
+    assert!(is_in_time);
+}
+
+/// An answer to an order that was overtaken by a poll counted as a restart, and both tasks were
+/// started again while they ran.
+#[test]
+fn an_answer_to_an_order_that_polls_have_overtaken_ends_no_run() {
+    let mut shard = shard_with_workers(&["w1", "w2"]);
+    shard.submit(job_id(1), job(vec![step(2)]), at(900), unix(900));
+    store_batches(&mut shard);
+    let started = schedule_starts(&mut shard, 1_000);
+    for (task, run, name) in &started {
+        let mut poll_report = report(1_300);
+        poll_report.running.push(listed_run(*task, *run));
+        poll(&mut shard, name, &poll_report, 1_300);
+    }
+
+    for (task, run, name) in &started {
+        accept_start(&mut shard, name, *task, *run, 1_310);
+    }
+    let restarted = schedule_starts(&mut shard, 1_320);
+
+    assert_eq!(restarted, vec![]);
+    assert_eq!(shard.run_count(), 2);
+    assert_eq!(shard.loss_counts().restarted, 0);
+}
+
+/// Runs that a restarted worker had started before its first poll counted as lost in the restart,
+/// and their tasks as its possible cause.
+#[test]
+fn a_run_that_a_restarted_worker_lists_is_not_lost_with_its_earlier_incarnation() {
+    let mut shard = shard_with_workers(&["w1"]);
+    shard.submit(job_id(1), job(vec![step(2)]), at(900), unix(900));
+    store_batches(&mut shard);
+    let started = schedule_starts(&mut shard, 1_000);
+    for (task, run, _) in &started {
+        accept_start(&mut shard, "w1", *task, *run, 1_010);
+    }
+    let mut restarted = report(20);
+    restarted.started_unix_ms = Some(2);
+    restarted.running = started.iter().map(|row| listed_run(row.0, row.1)).collect();
+
+    poll(&mut shard, "w1", &restarted, 1_020);
+    let started_again = schedule_starts(&mut shard, 1_030);
+
+    assert_eq!(started_again, vec![]);
+    assert_eq!(shard.run_count(), 2);
+    assert_eq!(shard.loss_counts().restarted, 0);
+}
--- a/crates/vanillafold-standin/src/job_simulation/options.rs
+++ b/crates/vanillafold-standin/src/job_simulation/options.rs
@@ -26,6 +26,9 @@
     pub worker_crash_permille_per_s: u64,
     /// The share of orders, in thousandths, that get no answer and are executed seconds later.
     pub delayed_order_permille: u64,
+    /// The longest time that the answer to an order takes. Answers to polls are not delayed, and
+    /// overtake it.
+    pub max_answer_delay_ms: u64,
     /// The chance that the store becomes unavailable for some seconds.
     pub store_outage_permille_per_s: u64,
     /// The share of jobs, in thousandths, with a task that crashes each worker that starts it.
@@ -53,6 +56,7 @@
             worker_partition_permille_per_s: 60,
             worker_crash_permille_per_s: 60,
             delayed_order_permille: 30,
+            max_answer_delay_ms: 0,
             store_outage_permille_per_s: 80,
             crashing_job_permille: 0,
             capacity_change_permille_per_s: 0,
--- a/crates/vanillafold-standin/src/job_simulation/simulation.rs
+++ b/crates/vanillafold-standin/src/job_simulation/simulation.rs
@@ -78,6 +78,15 @@
     order: Option<Order>,
 }
 
+/// The answer to an order that reaches the owner at `due_ms`.
+#[derive(Debug)]
+struct PendingAnswer {
+    due_ms: u64,
+    worker: WorkerId,
+    order: Order,
+    answer: OrderAnswer,
+}
+
 /// A job and what its caller knows of it.
 #[derive(Debug)]
 struct CallerJob {
@@ -130,6 +139,7 @@
     store_out_until_ms: u64,
     delayed_orders: Vec<DelayedOrder>,
     timeouts: Vec<PendingTimeout>,
+    answers: Vec<PendingAnswer>,
     jobs: Vec<CallerJob>,
     completed: Vec<CompletedRun>,
     /// The number of failed runs of each task that the owner has acknowledged.
@@ -181,6 +191,7 @@
             store_out_until_ms: 0,
             delayed_orders: Vec::new(),
             timeouts: Vec::new(),
+            answers: Vec::new(),
             jobs,
             completed: Vec::new(),
             acknowledged_failures: Vec::new(),
@@ -325,6 +336,7 @@
     fn lose_owner(&mut self) {
         self.shard = None;
         self.timeouts.clear();
+        self.answers.clear();
         self.pending_advice.clear();
         self.next_owner_at_ms = self.now_ms + 300 + self.random_below(2_500);
         // The batch that was being written may or may not have reached the store.
@@ -350,6 +362,7 @@
         }
         self.deliver_delayed_orders()?;
         self.report_timeouts();
+        self.deliver_answers();
         self.advance_store();
         self.serve_callers();
         self.poll_workers();
@@ -481,6 +494,26 @@
         }
     }
 
+    /// Delivers the answers to orders that are due, in the order in which they were sent.
+    fn deliver_answers(&mut self) {
+        let (time, now) = (self.monotonic_now(), self.now_ms);
+        let is_due = |row: &mut PendingAnswer| row.due_ms <= now;
+        let due: Vec<PendingAnswer> = self.answers.extract_if(.., is_due).collect();
+        let Some(shard) = &mut self.shard else { return };
+        for row in due {
+            shard.order_answered(&row.worker, &row.order, row.answer, time, now);
+        }
+    }
+
+    /// Returns when the answer to an order that a worker carries out now reaches the owner. Answers
+    /// on one connection do not overtake each other.
+    fn answer_due_ms(&mut self, worker: &WorkerId) -> u64 {
+        let delay_ms = self.random_below(self.options.max_answer_delay_ms + 1);
+        let of_worker = self.answers.iter().filter(|row| row.worker == *worker);
+        let before = of_worker.map(|row| row.due_ms).max().unwrap_or(0);
+        before.max(self.now_ms + delay_ms)
+    }
+
     // --- The store -------------------------------------------------------------------------
 
     fn apply(&mut self, batch: &Batch) {
@@ -724,16 +757,23 @@
             }
             return Ok(());
         }
-        let clock_ms = Some(self.workers[index].clock_ms(now));
         let answer = match result {
-            OrderResult::Executed | OrderResult::AlreadyRunning => {
-                OrderAnswer::Accepted { clock_ms }
-            }
+            OrderResult::Executed | OrderResult::AlreadyRunning => OrderAnswer::Accepted,
             OrderResult::Fenced => OrderAnswer::Fenced,
             OrderResult::OldRun => OrderAnswer::OldRun,
-            OrderResult::Late => OrderAnswer::Late { clock_ms },
+            OrderResult::Late => OrderAnswer::Late,
             OrderResult::BadTicket => OrderAnswer::BadTicket,
         };
+        if self.options.max_answer_delay_ms > 0 {
+            let due_ms = self.answer_due_ms(id);
+            self.answers.push(PendingAnswer {
+                due_ms,
+                worker: id.clone(),
+                order,
+                answer,
+            });
+            return Ok(());
+        }
         if let Some(shard) = &mut self.shard {
             shard.order_answered(id, &order, answer, time, now);
         }
--- a/crates/vanillafold-standin/tests/jobs_world/main.rs
+++ b/crates/vanillafold-standin/tests/jobs_world/main.rs
@@ -74,6 +74,35 @@
     assert_eq!(violations(0..SEEDS, options), Vec::<String>::new());
 }
 
+/// An answer to an order that polls had overtaken counted as a restart of its worker, and the tasks
+/// that ran there were started again elsewhere.
+#[test]
+fn answers_to_orders_that_polls_overtake_violate_no_invariant() {
+    let options = SimulationOptions {
+        owner_loss_permille_per_s: 0,
+        worker_partition_permille_per_s: 0,
+        worker_crash_permille_per_s: 0,
+        delayed_order_permille: 0,
+        max_answer_delay_ms: 450,
+        store_outage_permille_per_s: 0,
+        ..SimulationOptions::default()
+    };
+
+    assert_eq!(violations(0..SEEDS, options), Vec::<String>::new());
+}
+
+/// The same beside lost owners, an unavailable store, and workers that crash or are cut off.
+#[test]
+fn answers_to_orders_that_polls_overtake_violate_no_invariant_among_other_faults() {
+    let options = SimulationOptions {
+        delayed_order_permille: 0,
+        max_answer_delay_ms: 450,
+        ..SimulationOptions::default()
+    };
+
+    assert_eq!(violations(0..SEEDS, options), Vec::<String>::new());
+}
+
 #[test]
 fn store_outages_violate_no_invariant() {
     let options = SimulationOptions {
--- a/crates/vanillafold/src/fleet/metric.rs
+++ b/crates/vanillafold/src/fleet/metric.rs
@@ -78,7 +78,7 @@
         Order::Pace { .. } => "pace",
     };
     let outcome = match answer {
-        OrderAnswer::Accepted { .. } => "accepted",
+        OrderAnswer::Accepted => "accepted",
         OrderAnswer::Unknown | OrderAnswer::ConnectionLost => "unanswered",
         OrderAnswer::NotSent => "not_sent",
         OrderAnswer::Fenced => "fenced",
