--- a/crates/vanillafold-jobs/src/job/live.rs
+++ b/crates/vanillafold-jobs/src/job/live.rs
@@ -238,6 +238,12 @@
             .ok()
     }
 
+    /// Returns the number of failed runs of the task that has the most.
+    pub(crate) fn most_failed_runs(&self) -> u32 {
+        let steps = self.progress.occurrences.iter().flat_map(|row| &row.steps);
+        steps.map(StepProgress::most_failed_runs).max().unwrap_or(0)
+    }
+
     /// Returns the stored progress of a step, inserting an empty one if there is none.
     pub(crate) fn step_progress(&mut self, number: u32, step: u16) -> &mut StepProgress {
         let steps = self.spec.steps.len();
--- a/crates/vanillafold-jobs/src/shard/ends.rs
+++ b/crates/vanillafold-jobs/src/shard/ends.rs
@@ -131,6 +131,7 @@
         if progress.add_failed_run(counted_index, run) {
             let failed = progress.failed_runs(counted_index);
             job.version += 1;
+            self.mark_dirty(task.job);
             self.fail_if_attempts_exhausted(task.job, failed, now, now_unix_ms);
         }
     }
@@ -161,7 +162,6 @@
         now: MonotonicMillis,
         now_unix_ms: u64,
     ) {
-        self.mark_dirty(id);
         let Some(job) = self.job(id) else { return };
         let queue = self.catalogue.queue(&job.spec.queue);
         let max_attempts = queue.map(|queue| queue.max_attempts);
@@ -173,6 +173,19 @@
         }
     }
 
+    /// Fails the jobs of which a task has failed as often as a new configuration allows. Failed runs
+    /// may have been counted before the limit was known, or under a higher one.
+    pub(super) fn fail_exhausted_jobs(&mut self, now: MonotonicMillis, now_unix_ms: u64) {
+        if !std::mem::take(&mut self.limits_changed) {
+            return;
+        }
+        let most_failed = |id: &JobId| Some((*id, self.job(*id)?.most_failed_runs()));
+        let failed: Vec<(JobId, u32)> = self.open.iter().filter_map(most_failed).collect();
+        for (id, failed) in failed.into_iter().filter(|row| row.1 > 0) {
+            self.fail_if_attempts_exhausted(id, failed, now, now_unix_ms);
+        }
+    }
+
     /// Copies the checkpoint of a task to all members of its gang, which must resume from the same
     /// one.
     fn share_gang_checkpoint(&mut self, task: TaskId) {
--- a/crates/vanillafold-jobs/src/shard/schedule.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule.rs
@@ -58,12 +58,17 @@
         self.expire_leases(now, now_unix_ms);
         self.resolve_unaccounted(now, now_unix_ms);
         self.evaluate_suspects(now, now_unix_ms);
+        self.fail_exhausted_jobs(now, now_unix_ms);
         self.collect_deletable_jobs(now);
         self.drop_finished_advice();
         self.retry_stops(now);
         self.begin_repeated_jobs(now, now_unix_ms);
         let mut index = PoolIndex::new(&self.workers, now);
-        let mut waiting = self.waiting_steps(&index, now, now_unix_ms);
+        let mut waiting = match self.has_catalogue {
+            true => self.waiting_steps(&index, now, now_unix_ms),
+            // How often a task may fail and what its organisation may use is not known.
+            false => Vec::new(),
+        };
         waiting.sort_by(|a, b| a.rank.cmp(&b.rank).then(a.job.cmp(&b.job)));
         let mut without_capacity = Vec::new();
         self.unplaced_pools.clear();
--- /dev/null
+++ b/crates/vanillafold-jobs/tests/shard/configuration.rs
@@ -0,0 +1,99 @@
+//! Owners whose configuration comes late, changes or lacks the queue of a job.
+
+use vanillafold_jobs::{
+    Catalogue, EndKind, Epoch, JobProgress, JobSpec, OccurrenceProgress, QueueInfo, Record, Shard,
+    StepProgress,
+};
+
+use crate::fixture::{
+    accept_start, at, catalogue, job, job_id, listed_end, poll, report, schedule_starts, settings,
+    shard_with_workers, step, store_batches, task, unix, vm, worker_entry,
+};
+
+/// Returns a shard that has no configuration yet, with a stored job of one task that has failed
+/// `failed` times. All its workers have responded.
+fn shard_without_configuration(failed: u64) -> Shard {
+    let progress = JobProgress {
+        started: true,
+        occurrences: vec![OccurrenceProgress {
+            number: 0,
+            steps: vec![StepProgress {
+                failed_runs: (1..=failed).map(|run| (0, run)).collect(),
+                ..StepProgress::default()
+            }],
+        }],
+        ..JobProgress::default()
+    };
+    let spec: JobSpec = job(vec![step(1)]);
+    let records = vec![
+        Record::Spec(job_id(1), Box::new(spec)),
+        Record::Progress(job_id(1), progress),
+    ];
+    let mut shard = Shard::load(settings(), Epoch::new(5), records, at(0), unix(0));
+    shard.set_workers(vec![worker_entry("w1")], at(0));
+    shard.set_vms(vec![vm("w1", "w1")], at(0));
+    poll(&mut shard, "w1", &report(1), 10);
+    shard
+}
+
+fn with_max_attempts(max_attempts: u32) -> Catalogue {
+    let mut catalogue = catalogue();
+    catalogue.version += 1;
+    catalogue.queues = vec![QueueInfo {
+        max_attempts,
+        ..catalogue.queues[0].clone()
+    }];
+    catalogue
+}
+
+fn state(shard: &mut Shard) -> String {
+    store_batches(shard);
+    let state = shard.state(job_id(1));
+    state.map_or_else(String::new, |state| state.to_string())
+}
+
+/// The owner did not know how often the task may fail, and started it again without limit.
+#[test]
+fn an_owner_without_a_configuration_starts_no_task() {
+    let mut shard = shard_without_configuration(2);
+
+    let unconfigured = schedule_starts(&mut shard, 100);
+    shard.set_catalogue(catalogue());
+    let configured = schedule_starts(&mut shard, 200);
+
+    assert_eq!(unconfigured, vec![]);
+    assert_eq!(configured.len(), 1);
+}
+
+/// The failed runs were counted while the limit was not known, and the task was started once more.
+#[test]
+fn a_job_that_failed_as_often_as_allowed_before_the_configuration_came_is_failed() {
+    let mut shard = shard_without_configuration(3);
+    schedule_starts(&mut shard, 100);
+
+    shard.set_catalogue(catalogue());
+    let started = schedule_starts(&mut shard, 200);
+
+    assert_eq!(started, vec![]);
+    assert_eq!(state(&mut shard), "failed");
+}
+
+/// A lower limit was compared with the failed runs only after the next one.
+#[test]
+fn a_job_that_failed_as_often_as_a_new_configuration_allows_is_failed() {
+    let mut shard = shard_with_workers(&["w1"]);
+    shard.submit(job_id(1), job(vec![step(1)]), at(900), unix(900));
+    store_batches(&mut shard);
+    let started = schedule_starts(&mut shard, 1_000);
+    let (failed, run) = (task(job_id(1), 0), started[0].1);
+    accept_start(&mut shard, "w1", failed, run, 1_010);
+    let mut poll_report = report(1_100);
+    poll_report.ended = vec![listed_end(1, failed, run, EndKind::Failed)];
+    poll(&mut shard, "w1", &poll_report, 1_100);
+
+    shard.set_catalogue(with_max_attempts(1));
+    let started_again = schedule_starts(&mut shard, 1_200);
+
+    assert_eq!(started_again, vec![]);
+    assert_eq!(state(&mut shard), "failed");
+}
--- a/crates/vanillafold-jobs/tests/shard/main.rs
+++ b/crates/vanillafold-jobs/tests/shard/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the state machine of a shard, driven by single events.
 
 mod advice;
+mod configuration;
 mod crashes;
 mod extremes;
 mod fixture;
--- a/crates/vanillafold-standin/src/job_simulation/options.rs
+++ b/crates/vanillafold-standin/src/job_simulation/options.rs
@@ -20,6 +20,8 @@
     pub recovery_phase_ms: u64,
     /// The chance that the shard's owner is lost; another takes over some seconds later.
     pub owner_loss_permille_per_s: u64,
+    /// The longest time from a takeover until the new owner has read the configuration.
+    pub max_configuration_delay_ms: u64,
     /// The chance that a worker is partitioned from the owner while its tasks keep running.
     pub worker_partition_permille_per_s: u64,
     /// The chance that a worker crashes and restarts under the same id.
@@ -53,6 +55,7 @@
             fault_phase_ms: 25_000,
             recovery_phase_ms: 45_000,
             owner_loss_permille_per_s: 150,
+            max_configuration_delay_ms: 0,
             worker_partition_permille_per_s: 60,
             worker_crash_permille_per_s: 60,
             delayed_order_permille: 30,
--- a/crates/vanillafold-standin/src/job_simulation/simulation.rs
+++ b/crates/vanillafold-standin/src/job_simulation/simulation.rs
@@ -130,6 +130,8 @@
     /// Number of the pool that serves the queue.
     queue_pool: usize,
     catalogue_version: u64,
+    /// When the owner reads the configuration; `None` if it has read it.
+    configured_at_ms: Option<u64>,
     next_owner_at_ms: u64,
     workers: Vec<SimWorker>,
     /// The store's content, sorted by key.
@@ -183,6 +185,7 @@
             shard: None,
             queue_pool: 0,
             catalogue_version: 1,
+            configured_at_ms: None,
             next_owner_at_ms: 0,
             workers,
             records: Vec::new(),
@@ -267,6 +270,14 @@
         let step = 1 + usize::try_from(self.random_below(others)).unwrap_or(0);
         self.queue_pool = (self.queue_pool + step) % self.options.pools;
         self.catalogue_version += 1;
+        if self.configured_at_ms.is_none() {
+            self.configure();
+        }
+    }
+
+    /// Gives the owner the configuration.
+    fn configure(&mut self) {
+        self.configured_at_ms = None;
         let catalogue = self.catalogue();
         if let Some(shard) = &mut self.shard {
             shard.set_catalogue(catalogue);
@@ -354,6 +365,12 @@
         if self.shard.is_none() && self.now_ms >= self.next_owner_at_ms {
             self.take_over();
         }
+        if self
+            .configured_at_ms
+            .is_some_and(|at_ms| at_ms <= self.now_ms)
+        {
+            self.configure();
+        }
         self.crash_workers();
         for index in 0..self.workers.len() {
             for (run, kind) in self.workers[index].advance(self.now_ms) {
@@ -403,10 +420,13 @@
             now,
             self.now_ms,
         );
-        shard.set_catalogue(self.catalogue());
         shard.set_workers(self.workers.iter().map(entry).collect(), now);
         shard.set_vms(self.workers.iter().map(vm).collect(), now);
         self.shard = Some(shard);
+        match self.options.max_configuration_delay_ms {
+            0 => self.configure(),
+            max_ms => self.configured_at_ms = Some(self.now_ms + self.random_below(max_ms)),
+        }
         for job in &mut self.jobs {
             // A caller whose submission was not answered submits again.
             if !job.accepted && !job.refused && job.submit_at_ms < self.now_ms {
--- a/crates/vanillafold-standin/tests/jobs_world/main.rs
+++ b/crates/vanillafold-standin/tests/jobs_world/main.rs
@@ -48,6 +48,23 @@
     assert_eq!(violations(0..SEEDS, options), Vec::<String>::new());
 }
 
+/// An owner that could not read the configuration yet did not know how often a task may fail, and
+/// started failed tasks without limit.
+#[test]
+fn owners_that_read_the_configuration_late_violate_no_invariant() {
+    let options = SimulationOptions {
+        owner_loss_permille_per_s: 400,
+        max_configuration_delay_ms: 5_000,
+        worker_partition_permille_per_s: 0,
+        worker_crash_permille_per_s: 0,
+        delayed_order_permille: 0,
+        store_outage_permille_per_s: 0,
+        ..SimulationOptions::default()
+    };
+
+    assert_eq!(violations(0..SEEDS, options), Vec::<String>::new());
+}
+
 #[test]
 fn partitioned_and_crashing_workers_violate_no_invariant() {
     let options = SimulationOptions {
--- a/crates/vanillafold/src/fleet/daemon.rs
+++ b/crates/vanillafold/src/fleet/daemon.rs
@@ -11,12 +11,12 @@
 use vanillafold_policy::{ARRIVAL_TICK_MS, ArrivalClock, MonotonicMillis};
 use vanillafold_wire::{Latch, Notify, RpcHandler, serve_rpcs};
 
-use super::config::FleetConfig;
+use super::config::{FleetConfig, OperatorRecord};
 use super::connection::CallerConnection;
 use super::message::{FleetAnswer, FleetRequest, IncomingCall, RPC_PATH};
 use super::owner::OwnerView;
 use super::ownership::ShardOwnership;
-use super::platform::FleetPlatform;
+use super::platform::{FleetPlatform, KeyedRow};
 use super::settings::{FleetSettings, OWNER_CONTACT_MS, OWNER_CPU_MILLIS};
 use super::time::{now, unix_ms};
 use super::{membership, operator, owner};
@@ -254,6 +254,30 @@
         }
     }
 
+    /// Activates a configuration that another daemon has sent, as [`adopt_config`](Self::adopt_config)
+    /// does.
+    pub(crate) fn adopt_raw_config(&self, raw: Vec<u8>, source: &str) {
+        let row = KeyedRow {
+            key: operator::CONFIG_KEY.to_owned(),
+            value: raw,
+        };
+        match self.platform.operator_record(&row) {
+            Ok(Some(OperatorRecord::Config(config))) => {
+                self.adopt_config(*config, row.value, source);
+            }
+            Ok(_) => {}
+            Err(error) => {
+                log::warn!(error = error, source = source; "malformed configuration of another daemon ignored");
+            }
+        }
+    }
+
+    /// Returns the value of the active configuration's record.
+    pub(crate) fn raw_config(&self) -> Option<Vec<u8>> {
+        let config = self.config.borrow();
+        config.as_ref().map(|config| config.raw.as_ref().clone())
+    }
+
     /// Stops the daemon: hands the shard over, gives callers time to move to other daemons, and
     /// waits for requests in flight. Those that take too long are answered as undecided, so that no
     /// caller sees its connection close without an answer.
@@ -312,6 +336,10 @@
         }
         match (self.active_ownership(), request) {
             (_, FleetRequest::Config(version)) => self.config_after(version),
+            (_, FleetRequest::OfferConfig(raw)) => {
+                self.adopt_raw_config(raw, "daemon");
+                FleetAnswer::Config(Vec::new())
+            }
             (Some(ownership), FleetRequest::Ping { .. }) => FleetAnswer::Pong {
                 epoch: ownership.epoch().get(),
                 config_version: self.config().map_or(0, |config| config.version),
--- a/crates/vanillafold/src/fleet/message.rs
+++ b/crates/vanillafold/src/fleet/message.rs
@@ -83,6 +83,9 @@
     },
     /// Asks for the owner's configuration if its version is later than this one.
     Config(u64),
+    /// Gives the owner the value of the operator's configuration record, unparsed, because the
+    /// owner's configuration is older.
+    OfferConfig(Vec<u8>),
 }
 
 /// Answer to a [`FleetRequest`]. Encoded as bincode: the order of the variants and fields is part
@@ -145,7 +148,9 @@
     pub fn job(&self) -> String {
         match self {
             Self::Submit(id, _) | Self::State(id) | Self::Cancel(id) => id.to_string(),
-            Self::Pending(_) | Self::Ping { .. } | Self::Config(_) => String::new(),
+            Self::Pending(_) | Self::Ping { .. } | Self::Config(_) | Self::OfferConfig(_) => {
+                String::new()
+            }
         }
     }
 
@@ -165,6 +170,7 @@
             Self::Pending(_) => "pending",
             Self::Ping { .. } => "ping",
             Self::Config(_) => "config",
+            Self::OfferConfig(_) => "offer_config",
         }
     }
 }
--- a/crates/vanillafold/src/fleet/owner.rs
+++ b/crates/vanillafold/src/fleet/owner.rs
@@ -8,11 +8,10 @@
 use vanillafold_policy::{MonotonicMillis, SplitMix};
 use vanillafold_wire::RpcClient;
 
-use super::config::OperatorRecord;
 use super::daemon::FleetDaemon;
 use super::message::{FleetAnswer, FleetRequest, OutgoingCall, OwnerTime, RPC_PATH};
 use super::platform::{
-    AppendCondition, FleetPlatform, KeyedRow, Keyspace, LatestRows, MetadataStore, PartitionOwner,
+    AppendCondition, FleetPlatform, Keyspace, LatestRows, MetadataStore, PartitionOwner,
 };
 use super::settings::{
     APPEND_TIMEOUT, FleetSettings, OWNER_CONTACT_MS, OWNER_CPU_MILLIS, OWNERS_GROUP, PING_INTERVAL,
@@ -264,8 +263,10 @@
                 daemon.owner_seen_at.set(Some(now()));
             }
             let known = daemon.config().map_or(0, |config| config.version);
-            if config_version > known {
-                fetch_config(daemon, &client, known).await;
+            match config_version {
+                later if later > known => fetch_config(daemon, &client, known).await,
+                earlier if earlier < known => offer_config(daemon, &client).await,
+                _ => {}
             }
             let is_confirmed = unconfirmed_ms <= daemon.settings.member_ttl_ms;
             let confirmed_epoch = is_confirmed.then_some(epoch);
@@ -298,15 +299,18 @@
             return;
         }
     };
-    let row = KeyedRow {
-        key: super::operator::CONFIG_KEY.to_owned(),
-        value: raw,
+    daemon.adopt_raw_config(raw, "owner");
+}
+
+/// Gives the owner this daemon's configuration, which is later than its own. The owner may have
+/// started while the store could not be read.
+async fn offer_config<P: FleetPlatform>(daemon: &FleetDaemon<P>, client: &RpcClient) {
+    let Some(raw) = daemon.raw_config() else {
+        return;
     };
-    match daemon.platform.operator_record(&row) {
-        Ok(Some(OperatorRecord::Config(config))) => {
-            daemon.adopt_config(*config, row.value, "owner");
-        }
-        Ok(_) => {}
-        Err(error) => log::warn!(error = error; "malformed configuration from the owner ignored"),
+    let request = FleetRequest::OfferConfig(raw);
+    let call = OutgoingCall::internal(&request);
+    if let Err(error) = client.call::<_, FleetAnswer>(&call, RPC_TIMEOUT).await {
+        log::debug!(error = error.to_string(); "offering the owner a configuration failed");
     }
 }
--- a/crates/vanillafold/src/fleet/ownership.rs
+++ b/crates/vanillafold/src/fleet/ownership.rs
@@ -222,7 +222,9 @@
             FleetRequest::Pending(queue) => self
                 .with(|shard| FleetAnswer::Pending(shard.pending(&queue) as u64))
                 .unwrap_or(FleetAnswer::NotOwner),
-            FleetRequest::Ping { .. } | FleetRequest::Config(_) => FleetAnswer::NotOwner,
+            FleetRequest::Ping { .. } | FleetRequest::Config(_) | FleetRequest::OfferConfig(_) => {
+                FleetAnswer::NotOwner
+            }
         }
     }
 
@@ -565,13 +567,17 @@
     }
     let settings = ownership.daemon.settings.shard.clone();
     let mut shard = Shard::load(settings, ownership.epoch, records, now(), unix_ms());
-    if let Some(config) = ownership.daemon.config() {
+    let config = ownership.daemon.config();
+    if let Some(config) = &config {
         shard.set_catalogue(config.catalogue.clone());
     }
     for wave in ownership.daemon.waves.borrow().iter() {
         shard.add_wave(wave.clone(), now());
     }
-    log::info!(epoch = ownership.epoch.get(), open_jobs = shard.open_jobs(); "shard taken over");
+    log::info!(
+        epoch = ownership.epoch.get(), open_jobs = shard.open_jobs(), configured = config.is_some();
+        "shard taken over"
+    );
     metric::takeover(ownership.opened_at);
     *ownership.shard.borrow_mut() = Some(shard);
     ownership.daemon.owner_seen_at.set(Some(now()));
--- a/crates/vanillafold/tests/fleet/ownership.rs
+++ b/crates/vanillafold/tests/fleet/ownership.rs
@@ -186,3 +186,37 @@
         assert_eq!(state.borrow().takeovers, 2);
     });
 }
+
+// An owner that has just started while the operator's records can't be read knows no limits and may
+// start nothing. The other daemons still have the configuration.
+#[test]
+fn an_owner_that_cannot_read_its_configuration_gets_it_from_another_daemon() {
+    run(async {
+        let state = new_store();
+        let before = start(&state, "before", 500);
+        let other = start(&state, "other", 100);
+        wait_until("both are ready", || {
+            before.fleet_daemon.is_ready() && other.fleet_daemon.is_ready()
+        })
+        .await;
+
+        state.borrow_mut().hides_operator_records = true;
+        let stopping = Rc::clone(&before.fleet_daemon);
+        monoio::spawn(async move { stopping.stop().await });
+        wait_until("the shard has no owner", || {
+            state.borrow().owner().is_none()
+        })
+        .await;
+        let after = start(&state, "after", 500);
+        wait_until("the shard has a new owner", || {
+            state.borrow().owner() == Some("after")
+        })
+        .await;
+        wait_until("the owner has a configuration", || {
+            after.fleet_daemon.is_ready()
+        })
+        .await;
+
+        submit_until_accepted(&other, 1).await;
+    });
+}
--- a/crates/vanillafold/tests/fleet/platform.rs
+++ b/crates/vanillafold/tests/fleet/platform.rs
@@ -59,6 +59,8 @@
     pub(crate) unreachable_owner_reads: u64,
     /// Whether the store refuses records of the shard.
     pub(crate) refuses_records: bool,
+    /// Whether the operator's records can't be read.
+    pub(crate) hides_operator_records: bool,
     /// Whether appends to the shard's records get no answer.
     pub(crate) hangs: bool,
     /// Number of reads of the shard's records that still have to fail. Only reads of a later page
@@ -266,6 +268,9 @@
             self.simulate_call().await?;
             let mut state = self.0.state.borrow_mut();
             let last = latest.rows.last().map_or("", |row| row.key.as_str());
+            if keyspace == Keyspace::Operator && state.hides_operator_records {
+                return Err(StoreError::Refused("partly down".to_owned()));
+            }
             let rows: Vec<(String, Vec<u8>)> = match keyspace {
                 Keyspace::Operator => vec![("config".to_owned(), vec![1])],
                 Keyspace::Jobs => state.jobs.clone(),
