Date a run from the incarnation of its worker that may have started it

What callers would see: a task that crashes its workers is started once more than it should be before it is given up.

Cause: a start without an answer is ordered again under its run number when its worker is back in a new incarnation. The run kept the time of the first order, so that a worker that crashed right after the second one had not lost a fresh run, and its task counted as one of many possible causes.

Change: runs that stay tracked in a new incarnation begin there.

Result: a_run_that_a_later_incarnation_starts_is_fresh_there failed before and passes.

--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -402,7 +402,7 @@
         self.record_worker_loss(at, LossEvidence::Restarted, |_| true, now);
         self.forget_advice(&self.workers[at].entry.id.clone());
         let worker = &mut self.workers[at];
-        let lost = worker.begin_incarnation();
+        let lost = worker.begin_incarnation(now);
         for run in started_here {
             worker.add_run(run);
         }
--- a/crates/vanillafold-jobs/src/worker/state.rs
+++ b/crates/vanillafold-jobs/src/worker/state.rs
@@ -431,8 +431,8 @@
 
     /// Resets the state for a new incarnation and returns the runs that ended with the previous
     /// one. Runs with an unanswered order stay tracked, because the order may be carried out in the
-    /// new incarnation.
-    pub(crate) fn begin_incarnation(&mut self) -> Vec<Run> {
+    /// new incarnation, and have not been started there before `now`.
+    pub(crate) fn begin_incarnation(&mut self, now: MonotonicMillis) -> Vec<Run> {
         self.clock = None;
         self.started_unix_ms = None;
         self.lease_deadline_ms = 0;
@@ -446,12 +446,16 @@
         self.fault_score = 0.0;
         self.failed_jobs.clear();
         self.backoff_until = MonotonicMillis::ZERO;
-        self.take_runs(|run| {
+        let lost = self.take_runs(|run| {
             !matches!(
                 run.phase,
                 RunPhase::Starting | RunPhase::StartUnanswered | RunPhase::Stopping { .. }
             )
-        })
+        });
+        for run in &mut self.runs {
+            run.started_at = now;
+        }
+        lost
     }
 
     /// Removes and returns the runs for which `is_taken` is true.
--- a/crates/vanillafold-jobs/tests/shard/crashes.rs
+++ b/crates/vanillafold-jobs/tests/shard/crashes.rs
@@ -1,13 +1,14 @@
 //! Tasks that crash the workers that start them, and the tasks that share these workers.
 
 use vanillafold_jobs::{
-    Epoch, JobId, JobSpec, JobState, OrderAnswer, Record, Repeat, Shard, StepSpec, TaskId, Vm,
-    WorkerEntry,
+    Epoch, JobId, JobSpec, JobState, OrderAnswer, PollReport, Record, Repeat, Shard, StepSpec,
+    SuspectRun, TaskId, Vm, WorkerEntry,
 };
 
 use crate::fixture::{
-    answer_start, at, catalogue, job, job_id, listed_run, poll, report, schedule_starts, settings,
-    shard_with_workers, step, store_batches, task, unix, vm, worker, worker_entry,
+    accept_start, answer_start, at, catalogue, job, job_id, listed_run, poll, report,
+    schedule_starts, settings, shard_with_workers, step, store_batches, task, unix, vm, worker,
+    worker_entry,
 };
 
 /// How long a crashed worker is away, in milliseconds.
@@ -372,3 +373,45 @@
     assert_eq!(shard.run_count(), 0);
     assert_eq!(shard.loss_counts().leases_expired, 1);
 }
+
+/// Returns the losses of the first task of job 1 that the next batch stores.
+fn stored_losses(shard: &mut Shard) -> Vec<SuspectRun> {
+    let batch = shard.take_batch().map_or(Vec::new(), |batch| batch.records);
+    let records = batch.iter().map(|row| Record::decode(&row.0, &row.1));
+    let losses = records.filter_map(|record| match record {
+        Ok(Record::Suspects(_, runs)) => Some(runs),
+        _ => None,
+    });
+    losses.flatten().collect()
+}
+
+/// The start got no answer and was ordered again in the worker's next incarnation, which crashed under
+/// it. The run counted as begun with the first order, so that the crash said little about its task.
+#[test]
+fn a_run_that_a_later_incarnation_starts_is_fresh_there() {
+    // Arrange: the start on w1 gets no answer.
+    let mut shard = shard_with_workers(&["w1"]);
+    shard.submit(job_id(1), job(vec![step(1)]), at(900), unix(900));
+    store_batches(&mut shard);
+    let (task, run, _) = schedule_starts(&mut shard, 1_000).remove(0);
+    answer_start(&mut shard, "w1", (task, run), OrderAnswer::Unknown, 1_500);
+
+    // Act: w1 starts again and starts the run, and has started again at the next poll.
+    let incarnation = |started_unix_ms, clock_ms| PollReport {
+        started_unix_ms: Some(started_unix_ms),
+        ..report(clock_ms)
+    };
+    poll(&mut shard, "w1", &incarnation(2, 20), 5_000);
+    let repeated = schedule_starts(&mut shard, 5_001);
+    accept_start(&mut shard, "w1", task, run, 5_005);
+    let mut listed = incarnation(2, 30);
+    listed.running = vec![listed_run(task, run)];
+    poll(&mut shard, "w1", &listed, 5_010);
+    poll(&mut shard, "w1", &incarnation(3, 20), 8_500);
+
+    // Assert
+    assert_eq!(repeated, vec![(task, run, "w1".to_owned())]);
+    let losses = stored_losses(&mut shard);
+    assert_eq!(losses.len(), 1);
+    assert!(losses[0].alone, "{losses:?}");
+}
