Send deadlines and acknowledgements only to the incarnation they are for

Cause: a start order names a deadline on the worker's clock. The connection closed with the crash, the client opened another one unnoticed, and the new incarnation took the order, as the header names the id only. It cut the deadline, 30 s on a clock that had just begun, to the platform's longest lease, 10 s. The owner learnt of it and allowed for it, but was lost; its successor waits for the leases that owners grant, 4.5 s. Where the owner was not lost it took the new runs for lost with the earlier incarnation, and started them again beside themselves (LIMIT and TWICE). Polls renewed leases and acknowledged ends in the same way.

Change: a worker's client opens connections only when told to. The first poll on one renews and acknowledges nothing. A connection for orders is opened by a poll that asks for the start time; a start order names the incarnation on whose clock its deadline is, and is not sent to another. An open connection can't reach another incarnation, so no lease of a worker ends later than its owner meant. WorkerPoller and OrderSender become one trait, WorkerConnection.

The emulated worker and the stand-in runner play it: connections end with the incarnation, and a new one takes what was meant for the earlier. The emulator's check for gangs that wait leaves out the new kind of fault, as it does others.

--- a/crates/vanillafold-jobs/src/shard/orders.rs
+++ b/crates/vanillafold-jobs/src/shard/orders.rs
@@ -27,6 +27,9 @@
         ticket: String,
         /// How long the task waited for a worker, in milliseconds.
         waited_ms: u64,
+        /// Incarnation of the worker on whose clock the deadline is: when it started, in
+        /// milliseconds since 1970.
+        worker_started_unix_ms: Option<u64>,
     },
     /// Stops a run, or prevents it from starting.
     Stop {
@@ -46,6 +49,21 @@
     },
 }
 
+impl Order {
+    /// Returns whether the order may be sent to the incarnation of its worker that started at
+    /// `started_unix_ms`. Orders that grant no lease may be sent to any.
+    #[must_use]
+    pub fn is_for(&self, started_unix_ms: Option<u64>) -> bool {
+        match self {
+            Self::Start {
+                worker_started_unix_ms,
+                ..
+            } => *worker_started_unix_ms == started_unix_ms,
+            Self::Stop { .. } | Self::Pace { .. } => true,
+        }
+    }
+}
+
 /// Whether, and with which parameters, to poll a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PollPlan {
--- a/crates/vanillafold-jobs/src/shard/schedule.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule.rs
@@ -905,6 +905,8 @@
         run.ordered_at = now;
         let (task, number) = (run.task, run.number);
         let id = worker.entry.id.clone();
+        let worker_started_unix_ms = worker.polled_start_unix_ms();
+        let run = &worker.runs[position];
         if run.persistent || run.start_orders > 1 {
             log::info!(
                 task = task.to_string(), run = number.get(), worker = id.as_str(),
@@ -925,6 +927,7 @@
             checkpoint,
             ticket,
             waited_ms,
+            worker_started_unix_ms,
         };
         self.orders.push((id, order));
     }
--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -176,6 +176,14 @@
         }
     }
 
+    /// Records that the connection for polls of a worker is closed. The worker may have started again
+    /// under its id since it answered on it.
+    pub fn poll_connection_closed(&mut self, id: &WorkerId) {
+        if let Some(at) = self.worker_position(id) {
+            self.workers[at].unverified = true;
+        }
+    }
+
     /// Returns whether ends of a worker wait for the store, in which case a poll would return at
     /// once.
     #[must_use]
--- a/crates/vanillafold-jobs/src/worker/state.rs
+++ b/crates/vanillafold-jobs/src/worker/state.rs
@@ -167,8 +167,9 @@
     /// registered with a new address or as restarted and has not answered a poll since, or has been
     /// replaced by another worker.
     pub(crate) unresponsive: bool,
-    /// Whether the worker's clock may differ from what is known of it. Until a poll has read it, the
-    /// worker gets no new tasks and its leases are not renewed.
+    /// Whether the worker's clock or incarnation may differ from what is known of it. Until a poll
+    /// has shown them, the worker gets no new tasks, its leases are not renewed, and it may not
+    /// forget ends.
     pub(crate) unverified: bool,
     /// When an order or poll was last answered.
     pub(crate) answered_at: MonotonicMillis,
@@ -473,6 +474,11 @@
         self.started_unix_ms.or(self.entry.started_unix_ms)
     }
 
+    /// Returns when the incarnation that answered the last poll started, in milliseconds since 1970.
+    pub(crate) const fn polled_start_unix_ms(&self) -> Option<u64> {
+        self.started_unix_ms
+    }
+
     pub(crate) const fn set_started(&mut self, started_unix_ms: Option<u64>) {
         if started_unix_ms.is_some() {
             self.started_unix_ms = started_unix_ms;
--- a/crates/vanillafold-jobs/tests/shard/fixture.rs
+++ b/crates/vanillafold-jobs/tests/shard/fixture.rs
@@ -263,6 +263,7 @@
         checkpoint: String::new(),
         ticket: String::new(),
         waited_ms: 0,
+        worker_started_unix_ms: None,
     };
     shard.order_answered(&worker(name), &order, answer, at(ms), unix(ms));
 }
--- a/crates/vanillafold-jobs/tests/shard/workers.rs
+++ b/crates/vanillafold-jobs/tests/shard/workers.rs
@@ -402,3 +402,58 @@
     assert_eq!(shard.run_count(), 2);
     assert_eq!(shard.loss_counts().restarted, 0);
 }
+
+/// The worker had started again while its connection was idle: it forgot ends that its owner had not
+/// seen, and held its lease until a deadline on the clock of its earlier incarnation.
+#[test]
+fn the_first_poll_on_a_new_connection_renews_and_acknowledges_nothing() {
+    let mut shard = shard_with_workers(&["w1"]);
+    shard.submit(job_id(1), job(vec![step(2)]), at(900), unix(900));
+    store_batches(&mut shard);
+    let started = schedule_starts(&mut shard, 1_000);
+    for (task, run, _) in &started {
+        accept_start(&mut shard, "w1", *task, *run, 1_010);
+    }
+    let (ended, running) = (&started[0], &started[1]);
+    let mut poll_report = report(1_100);
+    poll_report.ended = vec![listed_end(1, ended.0, ended.1, EndKind::Done)];
+    poll_report.running = vec![listed_run(running.0, running.1)];
+    poll(&mut shard, "w1", &poll_report, 1_100);
+    schedule_starts(&mut shard, 1_110);
+    store_batches(&mut shard);
+
+    let usual = shard.plan_poll(&worker("w1"), at(1_300));
+    shard.poll_connection_closed(&worker("w1"));
+    let first = shard.plan_poll(&worker("w1"), at(1_310));
+    let started_meanwhile = {
+        shard.submit(job_id(2), job(vec![step(1)]), at(1_320), unix(1_320));
+        store_batches(&mut shard);
+        schedule_starts(&mut shard, 1_330)
+    };
+
+    let parts = |plan: PollPlan| match plan {
+        PollPlan::Poll {
+            deadline_ms,
+            acknowledged_end,
+            ..
+        } => (deadline_ms.is_some(), acknowledged_end),
+        plan => panic!("expected a poll, found {plan:?}"),
+    };
+    assert_eq!(parts(usual), (true, 1));
+    assert_eq!(parts(first), (false, 0));
+    assert_eq!(started_meanwhile, vec![]);
+}
+
+/// A worker that had started again carried out an order that was issued for its earlier incarnation.
+#[test]
+fn a_start_order_is_only_for_the_incarnation_on_whose_clock_its_deadline_is() {
+    let mut shard = shard_with_workers(&["w1"]);
+    shard.submit(job_id(1), job(vec![step(1)]), at(900), unix(900));
+    store_batches(&mut shard);
+
+    let (_, order) = first_order(&mut shard, 1_000).expect("a start order");
+
+    assert!(order.is_for(Some(1)));
+    assert!(!order.is_for(Some(2)));
+    assert!(!order.is_for(None));
+}
--- a/crates/vanillafold-standin/src/fleet/http.rs
+++ b/crates/vanillafold-standin/src/fleet/http.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use serde_json::Value;
+use vanillafold_wire::Latch;
 use vanillafold_wire::http::{Service, serve_connection, split};
 
 use crate::process::{accept_each, bind};
@@ -16,14 +17,25 @@
 
 /// Listens on a free port of `127.0.0.1` and serves its connections as long as the runtime runs.
 pub(super) fn serve<S: Service + 'static>(service: Rc<S>) -> io::Result<SocketAddr> {
+    let never = Rc::new(Latch::default());
+    serve_until(service, move || Rc::clone(&never))
+}
+
+/// Does the same, but closes each connection when the latch is set that `end_of` returns at the time
+/// when it is accepted.
+pub(super) fn serve_until<S: Service + 'static>(
+    service: Rc<S>,
+    end_of: impl Fn() -> Rc<Latch> + 'static,
+) -> io::Result<SocketAddr> {
     let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
     let address = listener.local_addr()?;
     monoio::spawn(async move {
         accept_each(&listener, |stream| {
-            let service = Rc::clone(&service);
+            let (service, end) = (Rc::clone(&service), end_of());
             monoio::spawn(async move {
                 let (reader, writer) = split(stream);
-                serve_connection(service.as_ref(), reader, writer, MAX_BODY_BYTES).await;
+                let served = serve_connection(service.as_ref(), reader, writer, MAX_BODY_BYTES);
+                end.run_until_set(served).await;
             });
         })
         .await;
--- a/crates/vanillafold-standin/src/fleet/journal.rs
+++ b/crates/vanillafold-standin/src/fleet/journal.rs
@@ -76,6 +76,8 @@
         run: RunNumber,
         /// The epoch of the owner that gave the order.
         token: u64,
+        /// How long the runner's lease lasts from the start, without being renewed.
+        lease_ms: u64,
         /// The text that the order gave the task.
         spec: String,
     },
@@ -218,10 +220,11 @@
                 task,
                 run,
                 token,
+                lease_ms,
                 spec,
             } => write!(
                 f,
-                "runner {runner} starts {task} run {run}, token {token}: {spec}"
+                "runner {runner} starts {task} run {run}, token {token}, lease {lease_ms} ms: {spec}"
             ),
             EventKind::Ended {
                 runner,
--- a/crates/vanillafold-standin/src/fleet/runner.rs
+++ b/crates/vanillafold-standin/src/fleet/runner.rs
@@ -13,9 +13,10 @@
 use serde_json::{Value, json};
 use vanillafold::fleet::unix_ms;
 use vanillafold_jobs::{RunNumber, TaskId};
+use vanillafold_wire::Latch;
 use vanillafold_wire::http::Service;
 
-use super::http::{empty_response, json_response, serve};
+use super::http::{empty_response, json_response, serve_until};
 use super::journal::{EventKind, Journal, RunEnd};
 use super::store::Store;
 use crate::process::Notify;
@@ -150,6 +151,9 @@
     address: Cell<Option<SocketAddr>>,
     /// `None` while the runner is down.
     life: RefCell<Option<Life>>,
+    /// Set at the next crash, which closes all connections. One that is opened while the runner is
+    /// down reaches its next life.
+    crashed: RefCell<Rc<Latch>>,
     sequence: Cell<u64>,
     fault: Cell<Option<RunnerFault>>,
     changed: Notify,
@@ -173,12 +177,16 @@
             options,
             address: Cell::new(None),
             life: RefCell::new(Some(Life::new())),
+            crashed: RefCell::default(),
             sequence: Cell::default(),
             fault: Cell::default(),
             changed: Notify::default(),
             journal: Rc::clone(journal),
         });
-        let address = serve(Rc::new(RunnerService(Rc::clone(&runner))))?;
+        let serving = Rc::clone(&runner);
+        let address = serve_until(Rc::new(RunnerService(Rc::clone(&runner))), move || {
+            Rc::clone(&serving.crashed.borrow())
+        })?;
         runner.address.set(Some(address));
         let ticking = Rc::clone(&runner);
         monoio::spawn(async move {
@@ -221,6 +229,7 @@
         if self.life.borrow_mut().take().is_some() {
             let runner = self.index;
             self.journal.add(EventKind::RunnerLost { runner });
+            self.crashed.take().set();
             self.changed.notify_all();
         }
     }
@@ -374,6 +383,7 @@
             task,
             run,
             token: order.fencing_token,
+            lease_ms: life.lease_until_ms.saturating_sub(life.clock_ms()),
             spec: order.spec.clone(),
         });
     }
--- a/crates/vanillafold-standin/src/job_simulation/options.rs
+++ b/crates/vanillafold-standin/src/job_simulation/options.rs
@@ -26,6 +26,9 @@
     pub worker_partition_permille_per_s: u64,
     /// The chance that a worker crashes and restarts under the same id.
     pub worker_crash_permille_per_s: u64,
+    /// The chance that a worker crashes, restarts under the same id at once and is partitioned soon
+    /// after. Half of the time the owner is lost in between.
+    pub restart_and_partition_permille_per_s: u64,
     /// The share of orders, in thousandths, that get no answer and are executed seconds later.
     pub delayed_order_permille: u64,
     /// The longest time that the answer to an order takes. Answers to polls are not delayed, and
@@ -35,6 +38,8 @@
     pub store_outage_permille_per_s: u64,
     /// The share of jobs, in thousandths, with a task that crashes each worker that starts it.
     pub crashing_job_permille: u64,
+    /// The share of jobs, in thousandths, whose tasks take several seconds.
+    pub long_job_permille: u64,
     /// The chance that a worker's capacity shrinks, or grows back.
     pub capacity_change_permille_per_s: u64,
     /// Whether starts need tickets of the placement advice service, which allows half of the workers
@@ -58,10 +63,12 @@
             max_configuration_delay_ms: 0,
             worker_partition_permille_per_s: 60,
             worker_crash_permille_per_s: 60,
+            restart_and_partition_permille_per_s: 0,
             delayed_order_permille: 30,
             max_answer_delay_ms: 0,
             store_outage_permille_per_s: 80,
             crashing_job_permille: 0,
+            long_job_permille: 0,
             capacity_change_permille_per_s: 0,
             advised: false,
             max_listed_ends: 500,
--- a/crates/vanillafold-standin/src/job_simulation/simulation.rs
+++ b/crates/vanillafold-standin/src/job_simulation/simulation.rs
@@ -33,6 +33,10 @@
 const COUNTED_CRASHES: u32 = 3;
 /// Text of a job whose first task crashes each worker that starts it.
 const CRASHING_TEXT: &str = "crashing";
+/// Text of a job whose tasks take several seconds.
+const LONG_TEXT: &str = "long";
+/// How long a worker is partitioned soon after a restart.
+const PARTITION_MS: u64 = 12_000;
 /// No task may start later than this after the cancellation of its job was acknowledged.
 const CANCEL_GRACE_MS: u64 = 3_000;
 
@@ -44,6 +48,14 @@
     refused: bool,
 }
 
+/// A fault that follows another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LaterFault {
+    /// The worker of this index is partitioned.
+    Partition(usize),
+    LostOwner,
+}
+
 /// A query to the advice service, with the tickets that it got when it was sent.
 #[derive(Debug)]
 struct PendingAdvice {
@@ -134,12 +146,17 @@
     configured_at_ms: Option<u64>,
     next_owner_at_ms: u64,
     workers: Vec<SimWorker>,
+    /// For each worker, the start of the incarnation to which the owner's connection for polls is
+    /// open; `None` if it is closed.
+    poll_connections: Vec<Option<u64>>,
     /// The store's content, sorted by key.
     records: Vec<(String, Vec<u8>)>,
     pending_write: Option<PendingWrite>,
     pending_advice: Vec<PendingAdvice>,
     store_out_until_ms: u64,
     delayed_orders: Vec<DelayedOrder>,
+    /// Faults that are due at a time.
+    later_faults: Vec<(u64, LaterFault)>,
     timeouts: Vec<PendingTimeout>,
     answers: Vec<PendingAnswer>,
     jobs: Vec<CallerJob>,
@@ -175,6 +192,11 @@
             if is_crashing {
                 make_crashing(&mut job, &mut random);
             }
+            if options.long_job_permille > 0
+                && random.next_u64() % 1_000 < options.long_job_permille
+            {
+                job.spec.text = LONG_TEXT.to_owned();
+            }
             jobs.push(job);
         }
         Self {
@@ -187,12 +209,14 @@
             catalogue_version: 1,
             configured_at_ms: None,
             next_owner_at_ms: 0,
+            poll_connections: vec![None; options.workers],
             workers,
             records: Vec::new(),
             pending_write: None,
             pending_advice: Vec::new(),
             store_out_until_ms: 0,
             delayed_orders: Vec::new(),
+            later_faults: Vec::new(),
             timeouts: Vec::new(),
             answers: Vec::new(),
             jobs,
@@ -235,6 +259,7 @@
     }
 
     fn inject_faults(&mut self) {
+        self.inject_later_faults();
         if self.shard.is_some() && self.happens(self.options.owner_loss_permille_per_s) {
             self.lose_owner();
         }
@@ -256,6 +281,10 @@
                 self.crashed_beside.extend(runs.map(|run| run.task));
                 self.workers[index].crash(self.now_ms, down_ms);
             }
+            let restarts = self.options.restart_and_partition_permille_per_s;
+            if restarts > 0 && self.happens(restarts) {
+                self.restart_and_partition(index);
+            }
             if self.options.capacity_change_permille_per_s > 0
                 && self.happens(self.options.capacity_change_permille_per_s)
             {
@@ -264,6 +293,36 @@
         }
     }
 
+    /// Crashes a worker, which restarts in less than a second and is partitioned soon after, and plans
+    /// the loss of the owner in between half of the time.
+    fn restart_and_partition(&mut self, index: usize) {
+        let down_ms = 100 + self.random_below(500);
+        self.workers[index].crash(self.now_ms, down_ms);
+        let back_ms = self.now_ms + down_ms;
+        let cut_ms = back_ms + self.random_below(1_500);
+        let partition = LaterFault::Partition(index);
+        self.later_faults.push((cut_ms, partition));
+        if self.random_below(2) == 0 {
+            let lost_ms = back_ms + self.random_below(1_500);
+            self.later_faults.push((lost_ms, LaterFault::LostOwner));
+        }
+    }
+
+    fn inject_later_faults(&mut self) {
+        let now = self.now_ms;
+        let is_due = |row: &mut (u64, LaterFault)| row.0 <= now;
+        let due: Vec<(u64, LaterFault)> = self.later_faults.extract_if(.., is_due).collect();
+        for (_, fault) in due {
+            match fault {
+                LaterFault::Partition(index) => {
+                    self.workers[index].partitioned_until_ms = now + PARTITION_MS;
+                }
+                LaterFault::LostOwner if self.shard.is_some() => self.lose_owner(),
+                LaterFault::LostOwner => {}
+            }
+        }
+    }
+
     /// Moves the queue to another pool.
     fn move_queue(&mut self) {
         let others = self.options.pools as u64 - 1;
@@ -347,6 +406,7 @@
     fn lose_owner(&mut self) {
         self.shard = None;
         self.timeouts.clear();
+        self.poll_connections.fill(None);
         self.answers.clear();
         self.pending_advice.clear();
         self.next_owner_at_ms = self.now_ms + 300 + self.random_below(2_500);
@@ -462,6 +522,7 @@
                 let without_faults = self.options.owner_loss_permille_per_s == 0
                     && self.options.worker_partition_permille_per_s == 0
                     && self.options.worker_crash_permille_per_s == 0
+                    && self.options.restart_and_partition_permille_per_s == 0
                     && self.options.crashing_job_permille == 0
                     && self.options.delayed_order_permille == 0;
                 match without_faults {
@@ -684,6 +745,9 @@
             if self.timeouts.iter().any(is_unanswered) {
                 continue;
             }
+            if self.poll_connections[index] != Some(self.workers[index].started_ms) {
+                shard.poll_connection_closed(&id);
+            }
             let PollPlan::Poll {
                 deadline_ms,
                 acknowledged_end,
@@ -698,6 +762,7 @@
                 continue;
             }
             if !worker.is_reachable(now) {
+                self.poll_connections[index] = None;
                 self.timeouts.push(PendingTimeout {
                     due_ms: now + ANSWER_TIMEOUT_MS,
                     worker: id,
@@ -731,6 +796,7 @@
                 end.acknowledged |=
                     end.end_number <= acknowledged_end && end.interruptions == worker.interruptions;
             }
+            self.poll_connections[index] = Some(worker.started_ms);
             let max_listed_ends = self.options.max_listed_ends;
             let report = worker.poll(deadline_ms, acknowledged_end, max_listed_ends, now);
             shard.poll_answered(&id, &report, time, time, now);
@@ -768,6 +834,14 @@
             }
             return Ok(());
         }
+        // The connection for orders was closed by the restart; the incarnation that answers on a new
+        // one is asked for its start first.
+        if !order.is_for(Some(self.workers[index].started_ms)) {
+            if let Some(shard) = &mut self.shard {
+                shard.order_answered(id, &order, OrderAnswer::NotSent, time, now);
+            }
+            return Ok(());
+        }
         let result = self.execute(index, &order, token, Delivery::Immediate)?;
         if self.workers[index].is_crashed_by_run(now) {
             // The worker crashes before it answers.
@@ -1050,7 +1124,10 @@
             true => 0,
             false => step.needs.cpu_millis,
         },
-        duration_ms: 100 + random.next_u64() % 1_500,
+        duration_ms: match spec.text == LONG_TEXT {
+            true => 4_000 + random.next_u64() % 10_000,
+            false => 100 + random.next_u64() % 1_500,
+        },
         fails: spec.text == "poison" || random.next_bool(0.04),
         crashes_after_ms: match spec.text == CRASHING_TEXT && task.step == 0 && task.index == 0 {
             true => Some([0, 10, 300][(task.job.get() % 3) as usize]),
--- a/crates/vanillafold-standin/tests/fleet_judge.rs
+++ b/crates/vanillafold-standin/tests/fleet_judge.rs
@@ -87,6 +87,7 @@
             task: task(number, index),
             run: RunNumber::new(run),
             token: 1,
+            lease_ms: 4_500,
             spec,
         });
     }
--- a/crates/vanillafold-standin/tests/fleet_refusals.rs
+++ b/crates/vanillafold-standin/tests/fleet_refusals.rs
@@ -1,22 +1,19 @@
 //! A job whose submission was refused with 429 or 503 must not run: single sequences of faults that
 //! could break this, played with fleet daemons as processes.
 
-#[path = "daemon/fixture/programs.rs"]
-#[allow(dead_code)]
-mod programs;
+mod fleet_fixture;
 
 use std::io::Write as _;
 use std::net::TcpStream;
-use std::path::Path;
 use std::time::Duration;
 
+use fleet_fixture::{accepted, job, play};
 use monoio::time::sleep;
 use vanillafold_jobs::JobId;
 use vanillafold_standin::fleet::{
     CALLER_TIMEOUT, Gate, Gates, JobShape, Outcome, Reachability, StoreCall, StoreEffect,
-    StoreFault, World, WorldOptions, world_directory,
+    StoreFault, World,
 };
-use vanillafold_standin::process::run;
 use vanillafold_standin::rig::Signal;
 
 /// Limit of each wait: so long that only a defect exceeds it.
@@ -45,54 +42,10 @@
     effect: StoreEffect::Refuse(503),
 };
 
-fn job(number: u64) -> JobId {
-    format!("{:016x}", 0xa11c_0000_0000_0000 + number)
-        .parse()
-        .expect("a job id")
-}
-
 fn refused(outcome: &Outcome) -> bool {
     matches!(outcome, Outcome::Answered(429 | 503, _))
 }
 
-fn accepted(outcome: &Outcome) -> bool {
-    matches!(outcome, Outcome::Answered(200, _))
-}
-
-/// Starts four daemons and three runners and plays `test` with the index of the owner. The
-/// journal and the place of the logs are printed if it fails.
-fn play(name: &str, test: impl AsyncFnOnce(&World, usize)) {
-    let directory = world_directory(Path::new(env!("CARGO_TARGET_TMPDIR")), name);
-    let options = WorldOptions {
-        daemons: 4,
-        runners: 3,
-        runner_cpu_millis: 8_000,
-        program: programs::program("vanillafold-fleet"),
-        directory: directory.expect("a directory"),
-    };
-    let played = run(async {
-        let world = World::start(&options).await.expect("a world");
-        let owner = world.owner().expect("an owner");
-        let printing = PrintOnPanic(&world, &options.directory);
-        test(&world, owner).await;
-        std::mem::forget(printing);
-        Ok(())
-    });
-    played.expect("a runtime");
-    std::fs::remove_dir_all(&options.directory).expect("removing the logs");
-}
-
-struct PrintOnPanic<'a>(&'a World, &'a Path);
-
-impl Drop for PrintOnPanic<'_> {
-    fn drop(&mut self) {
-        for event in self.0.journal().events() {
-            eprintln!("{event}");
-        }
-        eprintln!("logs: {}", self.1.display());
-    }
-}
-
 /// Returns the daemons other than the owner.
 fn others(world: &World, owner: usize) -> Vec<usize> {
     let daemons = 0..world.daemons().len();
--- a/crates/vanillafold-standin/tests/jobs_world/main.rs
+++ b/crates/vanillafold-standin/tests/jobs_world/main.rs
@@ -77,6 +77,27 @@
     assert_eq!(violations(0..SEEDS, options), Vec::<String>::new());
 }
 
+/// A worker that had started again under its id carried out an order that was meant for its earlier
+/// incarnation, under a lease that ended later than the next owner waited.
+#[test]
+fn long_tasks_on_workers_that_start_again_and_are_cut_off_violate_no_invariant() {
+    let options = SimulationOptions {
+        workers: 10,
+        jobs: 100,
+        owner_loss_permille_per_s: 0,
+        worker_partition_permille_per_s: 0,
+        worker_crash_permille_per_s: 0,
+        restart_and_partition_permille_per_s: 40,
+        delayed_order_permille: 0,
+        long_job_permille: 250,
+        store_outage_permille_per_s: 0,
+        recovery_phase_ms: 90_000,
+        ..SimulationOptions::default()
+    };
+
+    assert_eq!(violations(0..SEEDS, options), Vec::<String>::new());
+}
+
 #[test]
 fn delayed_orders_violate_no_invariant() {
     let options = SimulationOptions {
--- a/crates/vanillafold-wire/src/http/client.rs
+++ b/crates/vanillafold-wire/src/http/client.rs
@@ -31,6 +31,10 @@
         /// The error of the system.
         source: io::Error,
     },
+    /// The connection is closed, and the client opens one only when it is told to. The request was
+    /// not sent.
+    #[error("the connection to {0} is closed")]
+    Closed(SocketAddr),
     /// The connection failed while the request was being sent.
     #[error("the connection failed while the request was being sent: {0}")]
     Write(io::Error),
@@ -69,6 +73,7 @@
     address: SocketAddr,
     timeout: Duration,
     resets_on_close: bool,
+    opens_by_itself: bool,
     connection: Option<(HttpReader, HttpWriter)>,
 }
 
@@ -81,6 +86,7 @@
             address,
             timeout,
             resets_on_close: false,
+            opens_by_itself: true,
             connection: None,
         }
     }
@@ -99,6 +105,14 @@
         self
     }
 
+    /// Makes the client open a connection only by [`open`](Self::open), for servers that may lose
+    /// what a request refers to together with the connection.
+    #[must_use]
+    pub const fn with_explicit_open(mut self) -> Self {
+        self.opens_by_itself = false;
+        self
+    }
+
     /// Returns the client with another timeout for connections and responses.
     #[must_use]
     pub const fn with_timeout(mut self, timeout: Duration) -> Self {
@@ -111,12 +125,30 @@
         self.timeout = timeout;
     }
 
+    /// Returns whether the connection is open, as far as is known without sending anything.
+    pub async fn is_open(&mut self) -> bool {
+        self.connection = reusable(self.connection.take()).await;
+        self.connection.is_some()
+    }
+
+    /// Opens a connection unless one is open.
+    ///
+    /// # Errors
+    ///
+    /// [`ClientError::Connect`] if none could be opened.
+    pub async fn open(&mut self) -> Result<(), ClientError> {
+        if !self.is_open().await {
+            self.connection = Some(self.connect().await?);
+        }
+        Ok(())
+    }
+
     /// Sends a request once, without retries, and waits for the complete response.
     ///
     /// # Errors
     ///
-    /// Returns a [`ClientError`]; after any but [`ClientError::Connect`] the request may have taken
-    /// effect.
+    /// Returns a [`ClientError`]; after any but [`ClientError::Connect`] and [`ClientError::Closed`]
+    /// the request may have taken effect.
     pub async fn request(
         &mut self,
         method: Method,
@@ -128,10 +160,7 @@
         // The connection is taken out, so that a request whose future is dropped halfway leaves no
         // connection that still holds a part of its response.
         let idle = self.connection.take();
-        let mut connection = match reusable(idle).await {
-            Some(connection) => connection,
-            None => self.connect().await?,
-        };
+        let mut connection = self.reuse_or_connect(idle).await?;
         let exchange = exchange(&mut connection, method, path, headers, body);
         let response = timeout_awake(limit, exchange)
             .await
@@ -146,7 +175,7 @@
     /// # Errors
     ///
     /// Returns a [`ClientError`] for all requests whose response was not passed to `on_response`;
-    /// after any but [`ClientError::Connect`] they may have taken effect.
+    /// after any but [`ClientError::Connect`] and [`ClientError::Closed`] they may have taken effect.
     pub async fn pipeline(
         &mut self,
         requests: Vec<Request<Bytes>>,
@@ -154,10 +183,7 @@
     ) -> Result<(), ClientError> {
         let limit = self.timeout;
         let idle = self.connection.take();
-        let (mut reader, mut writer) = match reusable(idle).await {
-            Some(connection) => connection,
-            None => self.connect().await?,
-        };
+        let (mut reader, mut writer) = self.reuse_or_connect(idle).await?;
         for request in &requests {
             let framing = framing_of_body(request.body());
             let path = request.uri().path();
@@ -177,6 +203,17 @@
         Ok(())
     }
 
+    async fn reuse_or_connect(
+        &self,
+        idle: Option<(HttpReader, HttpWriter)>,
+    ) -> Result<(HttpReader, HttpWriter), ClientError> {
+        match reusable(idle).await {
+            Some(connection) => Ok(connection),
+            None if self.opens_by_itself => self.connect().await,
+            None => Err(ClientError::Closed(self.address)),
+        }
+    }
+
     async fn connect(&self) -> Result<(HttpReader, HttpWriter), ClientError> {
         let failed = |source| ClientError::Connect {
             address: self.address,
--- a/crates/vanillafold-wire/tests/client_answers.rs
+++ b/crates/vanillafold-wire/tests/client_answers.rs
@@ -121,3 +121,35 @@
         }
     });
 }
+
+/// A request went out on a connection to a server that had restarted since the last one was answered.
+#[test]
+fn a_client_with_explicit_open_sends_nothing_on_another_connection() {
+    run(async {
+        let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+        let address = serve(vec![answer.to_vec()], Rc::default());
+        let mut client = Client::new(address, Duration::from_secs(30)).with_explicit_open();
+        let headers = HeaderMap::new();
+
+        let before = client
+            .request(Method::GET, "/", &headers, Bytes::new())
+            .await;
+        client.open().await.expect("a connection");
+        let first = client
+            .request(Method::GET, "/", &headers, Bytes::new())
+            .await;
+        while client.is_open().await {
+            monoio::time::sleep(Duration::from_millis(1)).await;
+        }
+        let pipelined = client
+            .pipeline(vec![Request::new(Bytes::new())], |_| {})
+            .await;
+
+        assert!(matches!(before, Err(ClientError::Closed(_))), "{before:?}");
+        assert!(first.is_ok(), "{first:?}");
+        assert!(
+            matches!(pipelined, Err(ClientError::Closed(_))),
+            "{pipelined:?}"
+        );
+    });
+}
--- a/crates/vanillafold/src/fleet/mod.rs
+++ b/crates/vanillafold/src/fleet/mod.rs
@@ -4,7 +4,7 @@
 //! owner takes in jobs, polls workers, sends them orders, operates on VMs and writes the shard's
 //! records; the other daemons forward requests to it.
 //!
-//! | interface to the platform | [`FleetPlatform`], [`MetadataStore`], [`WorkerPoller`], [`OrderSender`], [`CloudApi`] |
+//! | interface to the platform | [`FleetPlatform`], [`MetadataStore`], [`WorkerConnection`], [`CloudApi`] |
 //! |---|---|
 //! | operator's configuration | [`FleetConfig`], [`Route`], [`OperatorRecord`] |
 //! | the daemon | [`FleetDaemon`], [`CallerConnection`], [`FleetSettings`] |
@@ -39,8 +39,8 @@
 pub use message::{FleetAnswer, FleetRequest, OutgoingCall, OwnerTime, RPC_PATH};
 pub use platform::{
     Advisor, AppendCondition, AppendError, Changes, CloudApi, CloudError, FleetPlatform, KeyedRow,
-    Keyspace, LatestRows, Membership, MetadataStore, OrderSender, PartitionOwner, Producer,
-    StoreError, VmList, WorkerPoller,
+    Keyspace, LatestRows, Membership, MetadataStore, PartitionOwner, Producer, StoreError, VmList,
+    WorkerConnection,
 };
 pub use settings::FleetSettings;
 pub use time::unix_ms;
--- a/crates/vanillafold/src/fleet/platform.rs
+++ b/crates/vanillafold/src/fleet/platform.rs
@@ -192,8 +192,18 @@
     ) -> Result<Changes, StoreError>;
 }
 
-/// A connection for polling one worker.
-pub trait WorkerPoller {
+/// A connection to one worker, for polls or orders.
+///
+/// An open connection reaches the incarnation of the worker to which it was opened, and no other. Once
+/// it is closed the worker may have started again under its id, where clock and runs are others; so
+/// nothing is sent until the connection has been opened again.
+pub trait WorkerConnection {
+    /// Returns whether the connection is open, as far as is known without a call.
+    async fn is_open(&mut self) -> bool;
+
+    /// Opens the connection unless it is open; waits for at most `timeout_ms`.
+    async fn open(&mut self, timeout_ms: u64) -> Result<(), OrderAnswer>;
+
     /// Polls the worker for its runs and their ends. `deadline_ms`, on the worker's clock, extends
     /// the leases of its runs; with `None` they are not renewed. The worker may forget the ends up
     /// to number `acknowledged_end`. It waits up to `wait_ms` for a further run to end before it
@@ -207,10 +217,7 @@
         wait_ms: u64,
         timeout_ms: u64,
     ) -> Result<PollReport, OrderAnswer>;
-}
 
-/// A connection for sending orders to one worker.
-pub trait OrderSender {
     /// Sends orders together and calls `answered` exactly once for each, with its index: as its
     /// answer arrives, or when none has arrived within `timeout_ms` after the one before.
     async fn send(
@@ -270,10 +277,8 @@
 pub trait FleetPlatform: 'static {
     /// Connection to the metadata store.
     type Store: MetadataStore;
-    /// Connection for polling a worker.
-    type Poller: WorkerPoller;
-    /// Connection for sending orders to a worker.
-    type OrderSender: OrderSender;
+    /// Connection to a worker.
+    type Worker: WorkerConnection;
     /// Connection to the API for VMs.
     type Cloud: CloudApi;
     /// Connection to the placement advice service.
@@ -281,10 +286,8 @@
 
     /// Returns a new connection to the metadata store.
     fn store(&self) -> Self::Store;
-    /// Returns a new connection for polling a worker.
-    fn poller(&self, worker: &WorkerId, address: SocketAddr) -> Self::Poller;
-    /// Returns a new connection for sending orders to a worker.
-    fn order_sender(&self, worker: &WorkerId, address: SocketAddr) -> Self::OrderSender;
+    /// Returns a new connection to a worker, which is not open yet.
+    fn worker(&self, id: &WorkerId, address: SocketAddr) -> Self::Worker;
     /// Returns a new connection to the API for VMs.
     fn cloud(&self) -> Self::Cloud;
     /// Returns a new connection to the placement advice service, or `None` if the platform has
--- a/crates/vanillafold/src/fleet/workers.rs
+++ b/crates/vanillafold/src/fleet/workers.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use monoio::time::{sleep, timeout};
-use vanillafold_jobs::{Order, OrderAnswer, PollPlan, WorkerEntry, WorkerId};
+use vanillafold_jobs::{Epoch, Order, OrderAnswer, PollPlan, WorkerEntry, WorkerId};
 use vanillafold_policy::MonotonicMillis;
 use vanillafold_wire::{Latch, Notify};
 
@@ -14,8 +14,7 @@
 use super::metric;
 use super::ownership::ShardOwnership;
 use super::platform::{
-    FleetPlatform, KeyedRow, Keyspace, LatestRows, MetadataStore, OrderSender, StoreError,
-    WorkerPoller,
+    FleetPlatform, KeyedRow, Keyspace, LatestRows, MetadataStore, StoreError, WorkerConnection,
 };
 use super::settings::{
     POLL_TIMEOUT_MARGIN_MS, READ_RETRY_DELAY, WORKER_LIST_FAST_INTERVAL, WORKER_LIST_INTERVAL,
@@ -103,12 +102,16 @@
 
 /// Polls a worker at the times that the shard plans, but not while this owner must not send orders.
 async fn poll_worker<P: FleetPlatform>(ownership: Rc<ShardOwnership<P>>, link: Rc<WorkerLink>) {
-    let mut poller = ownership.daemon.platform.poller(&link.id, link.address);
+    let mut connection = ownership.daemon.platform.worker(&link.id, link.address);
     loop {
         if !ownership.may_send_orders() {
             sleep(READ_RETRY_DELAY).await;
             continue;
         }
+        let is_open = connection.is_open().await;
+        if !is_open {
+            ownership.with(|shard| shard.poll_connection_closed(&link.id));
+        }
         let plan = ownership.with(|shard| shard.plan_poll(&link.id, now()));
         match plan.unwrap_or(PollPlan::Gone) {
             PollPlan::Gone => return,
@@ -126,15 +129,21 @@
                 let timeout_ms = ownership
                     .with(|shard| shard.order_timeout_ms())
                     .unwrap_or_default();
-                let polled = poller
-                    .poll(
-                        ownership.epoch(),
-                        deadline_ms,
-                        acknowledged_end,
-                        wait_ms,
-                        timeout_ms + POLL_TIMEOUT_MARGIN_MS,
-                    )
-                    .await;
+                // A poll that was planned for an open connection is not sent on another one.
+                let opened = match is_open {
+                    true => Ok(()),
+                    false => connection.open(timeout_ms).await,
+                };
+                let polled = match opened {
+                    Ok(()) => {
+                        let timeout_ms = timeout_ms + POLL_TIMEOUT_MARGIN_MS;
+                        let epoch = ownership.epoch();
+                        connection
+                            .poll(epoch, deadline_ms, acknowledged_end, wait_ms, timeout_ms)
+                            .await
+                    }
+                    Err(answer) => Err(answer),
+                };
                 metric::poll(polled.is_ok());
                 match polled {
                     Ok(report) => ownership.with(|shard| {
@@ -151,48 +160,97 @@
 }
 
 /// Sends a worker its queued orders. All that are queued by then go out in one call.
+///
+/// An order is sent only to the incarnation of the worker for which it was issued: another one would
+/// hold its lease under a deadline on a clock that is not its own.
 async fn send_orders<P: FleetPlatform>(ownership: Rc<ShardOwnership<P>>, link: Rc<WorkerLink>) {
-    let mut sender = ownership
-        .daemon
-        .platform
-        .order_sender(&link.id, link.address);
+    let mut connection = ownership.daemon.platform.worker(&link.id, link.address);
+    let mut incarnation = None;
     loop {
         link.orders_ready.notified().await;
         let orders = link.orders.take();
         if orders.is_empty() {
             continue;
         }
-        let sent_at = now();
-        let answered = |index: usize, answer: OrderAnswer| {
-            metric::order(&orders[index], answer, sent_at);
+        let answered = |order: &Order, answer: OrderAnswer, sent_at: MonotonicMillis| {
+            metric::order(order, answer, sent_at);
             ownership.with(|shard| {
-                shard.order_answered(&link.id, &orders[index], answer, now(), unix_ms());
+                shard.order_answered(&link.id, order, answer, now(), unix_ms());
             });
         };
         // The permission may have run out while the process was suspended or the orders waited.
         if !ownership.may_send_orders() {
-            for index in 0..orders.len() {
-                answered(index, OrderAnswer::NotSent);
+            for order in &orders {
+                answered(order, OrderAnswer::NotSent, now());
             }
             continue;
         }
         let timeout_ms = ownership
             .with(|shard| shard.order_timeout_ms())
             .unwrap_or_default();
-        let mut answered_and_timed = |index: usize, answer: OrderAnswer| {
+        let answered_and_timed = |order: &Order, answer: OrderAnswer, sent_at: MonotonicMillis| {
             let latency_ms = now().since(sent_at).get();
             ownership.with(|shard| shard.order_took(latency_ms, answer, now()));
-            answered(index, answer);
+            answered(order, answer, sent_at);
         };
+        let opening_at = now();
         let epoch = ownership.epoch();
-        sender
-            .send(epoch, &orders, timeout_ms, &mut answered_and_timed)
-            .await;
+        let identified = match connection.is_open().await {
+            true => Ok(incarnation),
+            false => identify(&mut connection, epoch, timeout_ms).await,
+        };
+        match identified {
+            Ok(started_unix_ms) => {
+                incarnation = started_unix_ms;
+                let is_current = |order: &Order| order.is_for(incarnation);
+                let (current, outdated): (Vec<Order>, Vec<Order>) =
+                    orders.into_iter().partition(is_current);
+                if !outdated.is_empty() {
+                    log::info!(
+                        worker = link.id.as_str(), orders = outdated.len(),
+                        started_unix_ms = incarnation;
+                        "orders not sent: the worker has restarted since they were issued"
+                    );
+                }
+                for order in &outdated {
+                    answered(order, OrderAnswer::NotSent, now());
+                }
+                let sent_at = now();
+                connection
+                    .send(epoch, &current, timeout_ms, |index, answer| {
+                        answered_and_timed(&current[index], answer, sent_at);
+                    })
+                    .await;
+            }
+            Err(answer) => {
+                for order in &orders {
+                    answered_and_timed(order, answer, opening_at);
+                }
+            }
+        }
         link.poll_now.notify_one();
         ownership.events.notify_one();
     }
 }
 
+/// Opens a connection for orders and returns when the incarnation of the worker that it reaches
+/// started, in milliseconds since 1970. The poll that asks for it renews and acknowledges nothing.
+async fn identify(
+    connection: &mut impl WorkerConnection,
+    epoch: Epoch,
+    timeout_ms: u64,
+) -> Result<Option<u64>, OrderAnswer> {
+    connection.open(timeout_ms).await?;
+    let poll_timeout_ms = timeout_ms + POLL_TIMEOUT_MARGIN_MS;
+    let polled = connection.poll(epoch, None, 0, 0, poll_timeout_ms).await;
+    metric::poll(polled.is_ok());
+    match polled {
+        Ok(report) => Ok(report.started_unix_ms),
+        Err(answer @ (OrderAnswer::Fenced | OrderAnswer::Replaced)) => Err(answer),
+        Err(_) => Err(OrderAnswer::NotSent),
+    }
+}
+
 /// A worker's registration in the store.
 #[derive(Debug)]
 struct Registration {
--- a/crates/vanillafold/tests/fleet/followers.rs
+++ b/crates/vanillafold/tests/fleet/followers.rs
@@ -12,11 +12,11 @@
 }
 
 /// Returns whether the owner polls exactly these workers, in any order.
-fn are_polled(state: &Rc<RefCell<StoreState>>, workers: &[&str]) -> bool {
-    let mut polled = state.borrow().polled.clone();
-    polled.sort();
-    polled.dedup();
-    polled == workers
+fn are_connected(state: &Rc<RefCell<StoreState>>, workers: &[&str]) -> bool {
+    let mut connected = state.borrow().connected.clone();
+    connected.sort();
+    connected.dedup();
+    connected == workers
 }
 
 #[test]
@@ -33,7 +33,10 @@
             row("f", b"127.0.0.1:6"),
         ];
         let daemon = start(&state, "daemon", 500);
-        wait_until("the list is read", || are_polled(&state, &["a", "d", "f"])).await;
+        wait_until("the list is read", || {
+            are_connected(&state, &["a", "d", "f"])
+        })
+        .await;
 
         for number in 0..20 {
             let changes = &mut state.borrow_mut().worker_changes;
@@ -46,7 +49,7 @@
         ]);
 
         let expected = ["a", "c", "d", "f", "h"];
-        wait_until("the changes are read", || are_polled(&state, &expected)).await;
+        wait_until("the changes are read", || are_connected(&state, &expected)).await;
         assert!(daemon.fleet_daemon.is_ready());
     });
     let lines = log_lines("input ignored");
--- a/crates/vanillafold/tests/fleet/platform.rs
+++ b/crates/vanillafold/tests/fleet/platform.rs
@@ -11,7 +11,7 @@
 use vanillafold::fleet::{
     Advisor, AppendCondition, AppendError, Changes, CloudApi, CloudError, FleetConfig,
     FleetPlatform, KeyedRow, Keyspace, LatestRows, Membership, MetadataStore, OperatorRecord,
-    OrderSender, PartitionOwner, StoreError, VmList, WorkerPoller,
+    PartitionOwner, StoreError, VmList, WorkerConnection,
 };
 use vanillafold_jobs::{
     Advice, AdviceQuery, Epoch, Order, OrderAnswer, PollReport, Resources, Vm, VmOperation, Wave,
@@ -76,8 +76,8 @@
     pub(crate) vms: Vec<Vm>,
     /// Operations on VMs that were ordered, with the epoch of the owner and the time.
     pub(crate) vm_operations: Vec<(u64, Instant, VmOperation)>,
-    /// Workers that a connection for polls was made for.
-    pub(crate) polled: Vec<String>,
+    /// Workers that a connection was made for.
+    pub(crate) connected: Vec<String>,
     /// For each read of a page of the shard's records, the key after which it starts.
     pub(crate) pages: Vec<String>,
 }
@@ -355,7 +355,15 @@
 #[derive(Debug)]
 pub(crate) struct EmptyPlatform;
 
-impl WorkerPoller for EmptyPlatform {
+impl WorkerConnection for EmptyPlatform {
+    async fn is_open(&mut self) -> bool {
+        false
+    }
+
+    async fn open(&mut self, _timeout_ms: u64) -> Result<(), OrderAnswer> {
+        Err(OrderAnswer::NotSent)
+    }
+
     async fn poll(
         &mut self,
         _epoch: Epoch,
@@ -366,9 +374,7 @@
     ) -> Result<PollReport, OrderAnswer> {
         Err(OrderAnswer::NotSent)
     }
-}
 
-impl OrderSender for EmptyPlatform {
     async fn send(
         &mut self,
         _epoch: Epoch,
@@ -390,8 +396,7 @@
 
 impl FleetPlatform for TestPlatform {
     type Store = TestStore;
-    type Poller = EmptyPlatform;
-    type OrderSender = EmptyPlatform;
+    type Worker = EmptyPlatform;
     type Cloud = TestCloud;
     type Advisor = EmptyPlatform;
 
@@ -399,12 +404,8 @@
         TestStore(self.clone())
     }
 
-    fn poller(&self, worker: &WorkerId, _address: SocketAddr) -> EmptyPlatform {
-        self.state.borrow_mut().polled.push(worker.to_string());
-        EmptyPlatform
-    }
-
-    fn order_sender(&self, _worker: &WorkerId, _address: SocketAddr) -> EmptyPlatform {
+    fn worker(&self, id: &WorkerId, _address: SocketAddr) -> EmptyPlatform {
+        self.state.borrow_mut().connected.push(id.to_string());
         EmptyPlatform
     }
 
