--- a/crates/vanillafold/src/fleet/ownership.rs
+++ b/crates/vanillafold/src/fleet/ownership.rs
@@ -515,8 +515,14 @@
         }
         let orders = self.with(Shard::take_orders).unwrap_or_default();
         for (worker, order) in orders {
-            if let Some(link) = self.link(&worker) {
-                link.push(order);
+            match self.link(&worker) {
+                Some(link) => link.push(order),
+                None => {
+                    let not_sent = vanillafold_jobs::OrderAnswer::NotSent;
+                    self.with(|shard| {
+                        shard.order_answered(&worker, &order, not_sent, now(), unix_ms());
+                    });
+                }
             }
         }
         let vm_operations = self.with(Shard::take_vm_operations).unwrap_or_default();
--- a/crates/vanillafold/src/fleet/workers.rs
+++ b/crates/vanillafold/src/fleet/workers.rs
@@ -1,7 +1,7 @@
 //! The owner's tasks for workers: reading their registrations, and for each worker polling it and
 //! sending it orders.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -29,6 +29,10 @@
     address: SocketAddr,
     /// Orders that have not been sent yet.
     orders: RefCell<Vec<Order>>,
+    /// Orders taken from `orders` that have no answer yet, with their positions in the call.
+    unanswered: RefCell<Vec<(usize, Order)>>,
+    /// Whether the unanswered orders may have been sent.
+    is_sending: Cell<bool>,
     /// Notified when `orders` has grown.
     orders_ready: Notify,
     /// Notified when there is a reason to poll earlier than planned.
@@ -43,6 +47,46 @@
         self.orders.borrow_mut().push(order);
         self.orders_ready.notify_one();
     }
+
+    /// Takes the queued orders to be sent; they wait for their answers from now on.
+    fn take_orders(&self) -> Vec<Order> {
+        let orders = self.orders.take();
+        self.is_sending.set(false);
+        self.await_answers(&orders);
+        orders
+    }
+
+    fn await_answers(&self, orders: &[Order]) {
+        let unanswered = orders.iter().cloned().enumerate().collect();
+        self.unanswered.replace(unanswered);
+    }
+
+    /// Ends the link's tasks. The orders whose answer they waited for get none any more, and those that
+    /// are queued are not sent.
+    fn retire<P: FleetPlatform>(&self, ownership: &ShardOwnership<P>) {
+        self.retired.set();
+        let unanswered = self.unanswered.take();
+        let queued = self.orders.take();
+        if !(unanswered.is_empty() && queued.is_empty()) {
+            log::info!(
+                worker = self.id.as_str(), unanswered = unanswered.len(), queued = queued.len();
+                "worker has another address or is gone; its orders get no answer"
+            );
+        }
+        let answer = match self.is_sending.get() {
+            true => OrderAnswer::Unknown,
+            false => OrderAnswer::NotSent,
+        };
+        let unanswered = unanswered.into_iter().map(|row| (row.1, answer));
+        let queued = queued
+            .into_iter()
+            .map(|order| (order, OrderAnswer::NotSent));
+        for (order, answer) in unanswered.chain(queued) {
+            ownership.with(|shard| {
+                shard.order_answered(&self.id, &order, answer, now(), unix_ms());
+            });
+        }
+    }
 }
 
 /// Starts the tasks of new workers, and ends those of workers that are gone or have another
@@ -60,7 +104,7 @@
         let found = wanted.binary_search_by(|row| row.0.cmp(&link.id));
         let stays = found.is_ok_and(|index| wanted[index].1 == link.address);
         if !stays {
-            link.retired.set();
+            link.retire(ownership);
         }
         stays
     });
@@ -72,6 +116,8 @@
             id,
             address,
             orders: RefCell::new(Vec::new()),
+            unanswered: RefCell::new(Vec::new()),
+            is_sending: Cell::new(false),
             orders_ready: Notify::default(),
             poll_now: Notify::default(),
             retired: Latch::default(),
@@ -168,7 +214,7 @@
     let mut incarnation = None;
     loop {
         link.orders_ready.notified().await;
-        let orders = link.orders.take();
+        let orders = link.take_orders();
         if orders.is_empty() {
             continue;
         }
@@ -180,6 +226,7 @@
         };
         // The permission may have run out while the process was suspended or the orders waited.
         if !ownership.may_send_orders() {
+            link.unanswered.borrow_mut().clear();
             for order in &orders {
                 answered(order, OrderAnswer::NotSent, now());
             }
@@ -216,8 +263,11 @@
                     answered(order, OrderAnswer::NotSent, now());
                 }
                 let sent_at = now();
+                link.await_answers(&current);
+                link.is_sending.set(true);
                 connection
                     .send(epoch, &current, timeout_ms, |index, answer| {
+                        link.unanswered.borrow_mut().retain(|row| row.0 != index);
                         answered_and_timed(&current[index], answer, sent_at);
                     })
                     .await;
@@ -228,6 +278,7 @@
                 }
             }
         }
+        link.unanswered.borrow_mut().clear();
         link.poll_now.notify_one();
         ownership.events.notify_one();
     }
--- a/crates/vanillafold/tests/fleet/main.rs
+++ b/crates/vanillafold/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod followers;
 mod frames;
 mod log_lines;
+mod orders;
 mod ownership;
 mod peers;
 mod platform;
--- a/crates/vanillafold/tests/fleet/platform.rs
+++ b/crates/vanillafold/tests/fleet/platform.rs
@@ -78,6 +78,12 @@
     pub(crate) vm_operations: Vec<(u64, Instant, VmOperation)>,
     /// Workers that a connection was made for.
     pub(crate) connected: Vec<String>,
+    /// Address at which workers answer polls, and orders never.
+    pub(crate) silent_address: Option<SocketAddr>,
+    /// Address at which workers answer polls and accept orders.
+    pub(crate) answering_address: Option<SocketAddr>,
+    /// Addresses to which start orders were sent.
+    pub(crate) started_at: Vec<SocketAddr>,
     /// For each read of a page of the shard's records, the key after which it starts.
     pub(crate) pages: Vec<String>,
 }
@@ -351,17 +357,32 @@
     }
 }
 
-/// Connection to a worker that can't be reached, or to an advice service that does not answer.
+/// Connection to an advice service that does not answer.
 #[derive(Debug)]
 pub(crate) struct EmptyPlatform;
 
-impl WorkerConnection for EmptyPlatform {
+/// A connection to a worker without runs at one of the addresses in the store's state. Others can't be
+/// reached.
+#[derive(Debug)]
+pub(crate) struct TestWorker {
+    state: Rc<RefCell<StoreState>>,
+    address: SocketAddr,
+    is_open: bool,
+}
+
+impl WorkerConnection for TestWorker {
     async fn is_open(&mut self) -> bool {
-        false
+        self.is_open
     }
 
     async fn open(&mut self, _timeout_ms: u64) -> Result<(), OrderAnswer> {
-        Err(OrderAnswer::NotSent)
+        let state = self.state.borrow();
+        let known = [state.silent_address, state.answering_address];
+        self.is_open = known.contains(&Some(self.address));
+        match self.is_open {
+            true => Ok(()),
+            false => Err(OrderAnswer::NotSent),
+        }
     }
 
     async fn poll(
@@ -369,10 +390,15 @@
         _epoch: Epoch,
         _deadline_ms: Option<u64>,
         _acknowledged_end: u64,
-        _wait_ms: u64,
+        wait_ms: u64,
         _timeout_ms: u64,
     ) -> Result<PollReport, OrderAnswer> {
-        Err(OrderAnswer::NotSent)
+        sleep(Duration::from_millis(wait_ms)).await;
+        Ok(PollReport {
+            clock_ms: 60_000,
+            started_unix_ms: Some(1),
+            ..PollReport::default()
+        })
     }
 
     async fn send(
@@ -382,8 +408,14 @@
         _timeout_ms: u64,
         mut answered: impl FnMut(usize, OrderAnswer),
     ) {
+        let is_start = |order: &&Order| matches!(order, Order::Start { .. });
+        let starts = orders.iter().filter(is_start).map(|_| self.address);
+        self.state.borrow_mut().started_at.extend(starts);
+        if self.state.borrow().silent_address == Some(self.address) {
+            std::future::pending::<()>().await;
+        }
         for index in 0..orders.len() {
-            answered(index, OrderAnswer::NotSent);
+            answered(index, OrderAnswer::Accepted);
         }
     }
 }
@@ -396,7 +428,7 @@
 
 impl FleetPlatform for TestPlatform {
     type Store = TestStore;
-    type Worker = EmptyPlatform;
+    type Worker = TestWorker;
     type Cloud = TestCloud;
     type Advisor = EmptyPlatform;
 
@@ -404,9 +436,13 @@
         TestStore(self.clone())
     }
 
-    fn worker(&self, id: &WorkerId, _address: SocketAddr) -> EmptyPlatform {
+    fn worker(&self, id: &WorkerId, address: SocketAddr) -> TestWorker {
         self.state.borrow_mut().connected.push(id.to_string());
-        EmptyPlatform
+        TestWorker {
+            state: Rc::clone(&self.state),
+            address,
+            is_open: false,
+        }
     }
 
     fn cloud(&self) -> TestCloud {
