--- a/crates/vanillafold-jobs/src/job/live.rs
+++ b/crates/vanillafold-jobs/src/job/live.rs
@@ -14,6 +14,12 @@
 /// Maximum number of tasks in the open occurrences of a job, unless a single one has more.
 const MAX_OPEN_TASKS: usize = 50_000;
 
+/// Number of suspect runs of a job that are kept when there are too many. The store takes no record above
+/// a size of its own.
+const KEPT_SUSPECT_RUNS: usize = 200;
+/// Number of suspect runs of a job from which only [`KEPT_SUSPECT_RUNS`] are kept.
+const MAX_SUSPECT_RUNS: usize = 2 * KEPT_SUSPECT_RUNS;
+
 /// Scheduling status of a task.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum TaskStatus {
@@ -238,6 +244,30 @@
             .ok()
     }
 
+    /// Adds a suspect run. Of too many, those of the tasks with the most are kept, and of these the
+    /// newest: a single loss that is shared with hundreds of tasks says little about any of them.
+    pub(crate) fn add_suspect_run(&mut self, row: SuspectRun) {
+        self.suspect_runs.push(row);
+        let rows = &self.suspect_runs;
+        if rows.len() < MAX_SUSPECT_RUNS {
+            return;
+        }
+        let task_of = |row: &SuspectRun| (row.occurrence, row.step, row.index);
+        let of_same_task = |at: &usize| {
+            let task = task_of(&rows[*at]);
+            rows.iter().filter(|row| task_of(row) == task).count()
+        };
+        let mut kept: Vec<usize> = (0..rows.len()).collect();
+        kept.sort_by_cached_key(|at| std::cmp::Reverse((of_same_task(at), *at)));
+        kept.truncate(KEPT_SUSPECT_RUNS);
+        kept.sort_unstable();
+        let mut at = 0;
+        self.suspect_runs.retain(|_| {
+            at += 1;
+            kept.binary_search(&(at - 1)).is_ok()
+        });
+    }
+
     /// Returns the number of failed runs of the task that has the most.
     pub(crate) fn most_failed_runs(&self) -> u32 {
         let steps = self.progress.occurrences.iter().flat_map(|row| &row.steps);
--- a/crates/vanillafold-jobs/src/shard/losses.rs
+++ b/crates/vanillafold-jobs/src/shard/losses.rs
@@ -178,7 +178,7 @@
         match known {
             Some(known) if job.suspect_runs[known].is_lost() => return,
             Some(known) => job.suspect_runs[known] = row,
-            None => job.suspect_runs.push(row),
+            None => job.add_suspect_run(row),
         }
         self.suspects_changed(task.job);
     }
@@ -220,7 +220,7 @@
         };
         let same = |other: &SuspectRun| other.is_of(task) && other.run == row.run;
         if !job.suspect_runs.iter().any(same) {
-            job.suspect_runs.push(row);
+            job.add_suspect_run(row);
             self.suspects_changed(task.job);
         }
     }
--- a/crates/vanillafold-jobs/tests/shard/crashes.rs
+++ b/crates/vanillafold-jobs/tests/shard/crashes.rs
@@ -13,6 +13,8 @@
 
 /// How long a crashed worker is away, in milliseconds.
 const CRASH_DOWN_MS: u64 = 3_300;
+/// Size of a record that the store takes, in bytes.
+const RECORD_BYTES: usize = 128 * 1024;
 /// Time between two rounds of orders and polls, in milliseconds.
 const ROUND_MS: u64 = 100;
 
@@ -415,3 +417,41 @@
     assert_eq!(losses.len(), 1);
     assert!(losses[0].alone, "{losses:?}");
 }
+
+/// The record of the runs that were lost grew beyond what the store takes, and nothing was stored any
+/// more.
+#[test]
+fn the_stored_losses_of_a_large_job_stay_within_a_record() {
+    let name = "i-2c16c7561f";
+    let mut shard = shard_with_workers(&[name]);
+    let mut large = step(3_000);
+    large.needs.cpu_millis = 1;
+    large.needs.memory_mib = 1;
+    shard.submit(job_id(1), job(vec![large]), at(900), unix(900));
+    store_batches(&mut shard);
+    let mut started = 0;
+    let mut ms = 1_000;
+    loop {
+        let starts = schedule_starts(&mut shard, ms);
+        if starts.is_empty() {
+            break;
+        }
+        started += starts.len();
+        for (task, run, _) in starts {
+            accept_start(&mut shard, name, task, run, ms + 1);
+        }
+        ms += 5;
+    }
+
+    let restarted = PollReport {
+        started_unix_ms: Some(2),
+        ..report(20)
+    };
+    poll(&mut shard, name, &restarted, ms);
+
+    let batch = shard.take_batch().map_or(Vec::new(), |batch| batch.records);
+    let largest = batch.iter().map(|row| row.1.len()).max().unwrap_or(0);
+    assert_eq!(started, 3_000);
+    assert!(largest > 0);
+    assert!(largest <= RECORD_BYTES, "{largest} bytes");
+}
