--- a/crates/vanillafold-jobs/examples/shard_cost.rs
+++ b/crates/vanillafold-jobs/examples/shard_cost.rs
@@ -415,6 +415,7 @@
         queues: (0..POOLS - 1).map(queue).collect(),
         pools: (0..POOLS).map(pool).collect(),
         organisations: (0..ORGANISATIONS).map(organisation).collect(),
+        removed_queues: Vec::new(),
     }
 }
 
--- a/crates/vanillafold-jobs/src/lib.rs
+++ b/crates/vanillafold-jobs/src/lib.rs
@@ -27,8 +27,8 @@
 };
 pub use shard::{
     Advice, AdviceQuery, Batch, CancelOutcome, Catalogue, LossCounts, Order, OrganisationInfo,
-    PollPlan, PoolInfo, QueueInfo, Settings, Shard, SubmitOutcome, Vm, VmOperation, VmState, Wave,
-    WaveStatus,
+    PollPlan, PoolInfo, QueueInfo, RemovedQueue, Settings, Shard, SubmitOutcome, Vm, VmOperation,
+    VmState, Wave, WaveStatus,
 };
 pub use spec::{JobSpec, Repeat, Resources, SpecError, StepSpec};
 pub use submission::{DeliveryCheck, Refusals};
--- a/crates/vanillafold-jobs/src/shard/catalogue.rs
+++ b/crates/vanillafold-jobs/src/shard/catalogue.rs
@@ -42,6 +42,18 @@
     pub limit: Resources,
 }
 
+/// Maximum number of removed queues whose limits are remembered.
+const MAX_REMOVED_QUEUES: usize = 1_000;
+
+/// A queue that an earlier configuration had.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RemovedQueue {
+    /// Name of the queue.
+    pub name: String,
+    /// Number of failed runs of one task after which its job fails.
+    pub max_attempts: u32,
+}
+
 /// Queues, pools and organisations, each sorted by name.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Catalogue {
@@ -53,6 +65,8 @@
     pub pools: Vec<PoolInfo>,
     /// All organisations.
     pub organisations: Vec<OrganisationInfo>,
+    /// Queues that were removed and may still have jobs, sorted by name.
+    pub removed_queues: Vec<RemovedQueue>,
 }
 
 impl Catalogue {
@@ -65,6 +79,36 @@
         at.ok().map(|at| &self.queues[at])
     }
 
+    /// Returns the number of failed runs of one task after which a job of a queue fails, also if the
+    /// queue was removed; `None` if it is not known.
+    #[must_use]
+    pub fn max_attempts(&self, queue: &str) -> Option<u32> {
+        let removed = self
+            .removed_queues
+            .binary_search_by(|row| row.name.as_str().cmp(queue));
+        match (self.queue(queue), removed) {
+            (Some(queue), _) => Some(queue.max_attempts),
+            (None, Ok(at)) => Some(self.removed_queues[at].max_attempts),
+            (None, Err(_)) => None,
+        }
+    }
+
+    /// Remembers the queues of the configuration before this one that were removed: their jobs go on.
+    pub fn remember_removed(&mut self, before: &Self) {
+        let of_queue = |queue: &QueueInfo| RemovedQueue {
+            name: queue.name.clone(),
+            max_attempts: queue.max_attempts,
+        };
+        let known = before.queues.iter().map(of_queue);
+        let known = known.chain(before.removed_queues.iter().cloned());
+        let mut removed: Vec<RemovedQueue> = known
+            .filter(|row| self.queue(&row.name).is_none())
+            .take(MAX_REMOVED_QUEUES)
+            .collect();
+        removed.sort_by(|a, b| a.name.cmp(&b.name));
+        self.removed_queues = removed;
+    }
+
     /// Returns the organisation with this name.
     #[must_use]
     pub fn organisation(&self, name: &str) -> Option<&OrganisationInfo> {
--- a/crates/vanillafold-jobs/src/shard/ends.rs
+++ b/crates/vanillafold-jobs/src/shard/ends.rs
@@ -163,9 +163,9 @@
         now_unix_ms: u64,
     ) {
         let Some(job) = self.job(id) else { return };
-        let queue = self.catalogue.queue(&job.spec.queue);
-        let max_attempts = queue.map(|queue| queue.max_attempts);
-        if max_attempts.is_some_and(|max_attempts| failed >= max_attempts)
+        let max_attempts = self.queue_of(&job.spec).max_attempts;
+        if self.has_catalogue
+            && failed >= max_attempts
             && let Some(job) = self.job_mut(id)
         {
             job.finish(JobOutcome::Failed, now_unix_ms);
--- a/crates/vanillafold-jobs/src/shard/mod.rs
+++ b/crates/vanillafold-jobs/src/shard/mod.rs
@@ -22,7 +22,7 @@
 mod workers;
 
 pub use advice::{Advice, AdviceQuery};
-pub use catalogue::{Catalogue, OrganisationInfo, PoolInfo, QueueInfo};
+pub use catalogue::{Catalogue, OrganisationInfo, PoolInfo, QueueInfo, RemovedQueue};
 pub use losses::LossCounts;
 pub use orders::{Order, PollPlan};
 pub use root::Shard;
--- a/crates/vanillafold-jobs/src/shard/schedule.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule.rs
@@ -34,7 +34,8 @@
 /// elsewhere. Two lost answers in a row are rare, and a worker that loses orders soon gets no new
 /// tasks.
 const MAX_START_ORDERS: u32 = 3;
-/// Maximum number of failed runs of a task for jobs whose queue was removed from the configuration.
+/// Maximum number of failed runs of a task for jobs whose queue was removed from the configuration
+/// before this daemon had read it.
 const REMOVED_QUEUE_MAX_ATTEMPTS: u32 = 3;
 
 /// How long a worker is kept free for an isolated task, in milliseconds: until its fresh runs have
@@ -630,7 +631,10 @@
                 name: spec.queue.clone(),
                 pool: spec.pool.clone(),
                 priority: 0,
-                max_attempts: REMOVED_QUEUE_MAX_ATTEMPTS,
+                max_attempts: self
+                    .catalogue
+                    .max_attempts(&spec.queue)
+                    .unwrap_or(REMOVED_QUEUE_MAX_ATTEMPTS),
                 stretch_permille: 0,
                 target_latency_ms: 0,
                 advised: false,
--- a/crates/vanillafold-jobs/tests/shard/configuration.rs
+++ b/crates/vanillafold-jobs/tests/shard/configuration.rs
@@ -97,3 +97,56 @@
     assert_eq!(started_again, vec![]);
     assert_eq!(state(&mut shard), "failed");
 }
+
+/// Returns the configuration after [`with_max_attempts`], without the queue.
+fn without_queue(before: &Catalogue) -> Catalogue {
+    let mut after = Catalogue {
+        version: before.version + 1,
+        queues: Vec::new(),
+        ..before.clone()
+    };
+    after.remember_removed(before);
+    after
+}
+
+/// A removed queue had no limit, and its failed tasks were started again without end.
+#[test]
+fn a_job_whose_queue_was_removed_fails_after_as_many_attempts_as_before() {
+    for max_attempts in [2, 4] {
+        let before = with_max_attempts(max_attempts);
+        let mut shard = shard_with_workers(&["w1"]);
+        shard.set_catalogue(before.clone());
+        shard.submit(job_id(1), job(vec![step(1)]), at(900), unix(900));
+        store_batches(&mut shard);
+        let mut ms = 1_000;
+        let mut attempts = 0;
+        while let Some((failed, run, _)) = schedule_starts(&mut shard, ms).pop() {
+            attempts += 1;
+            shard.set_catalogue(without_queue(&before));
+            accept_start(&mut shard, "w1", failed, run, ms + 10);
+            let mut poll_report = report(ms + 20);
+            poll_report.ended = vec![listed_end(attempts, failed, run, EndKind::Failed)];
+            poll(&mut shard, "w1", &poll_report, ms + 20);
+            ms += 10_000;
+            assert!(attempts < 10);
+        }
+
+        assert_eq!(attempts, u64::from(max_attempts));
+        assert_eq!(state(&mut shard), "failed");
+    }
+}
+
+/// A queue that is added again has its new limit, and one that stays removed keeps its last one.
+#[test]
+fn the_limits_of_removed_queues_are_remembered_until_they_are_added_again() {
+    let before = with_max_attempts(4);
+    let removed = without_queue(&before);
+    let still_removed = without_queue(&removed);
+    let mut added = with_max_attempts(2);
+    added.remember_removed(&still_removed);
+
+    assert_eq!(removed.max_attempts("quotes"), Some(4));
+    assert_eq!(still_removed.max_attempts("quotes"), Some(4));
+    assert_eq!(added.max_attempts("quotes"), Some(2));
+    assert_eq!(added.removed_queues, vec![]);
+}
--- a/crates/vanillafold-jobs/tests/shard/fixture.rs
+++ b/crates/vanillafold-jobs/tests/shard/fixture.rs
@@ -66,6 +66,7 @@
                 gpus: 0,
             },
         }],
+        removed_queues: Vec::new(),
     }
 }
 
--- a/crates/vanillafold-standin/src/job_simulation/simulation.rs
+++ b/crates/vanillafold-standin/src/job_simulation/simulation.rs
@@ -1258,6 +1258,7 @@
         }],
         pools: (0..options.pools).map(pool).collect(),
         organisations: Vec::new(),
+        removed_queues: Vec::new(),
     }
 }
 
--- a/crates/vanillafold/src/fleet/daemon.rs
+++ b/crates/vanillafold/src/fleet/daemon.rs
@@ -234,11 +234,15 @@
     }
 
     /// Activates a configuration if its version is later than that of the active one.
-    pub(crate) fn adopt_config(&self, config: FleetConfig, raw: Vec<u8>, source: &str) {
-        let known = self.config().map(|config| config.version);
+    pub(crate) fn adopt_config(&self, mut config: FleetConfig, raw: Vec<u8>, source: &str) {
+        let active = self.config();
+        let known = active.as_ref().map(|config| config.version);
         if known.is_some_and(|known| known >= config.version) {
             return;
         }
+        if let Some(active) = &active {
+            config.catalogue.remember_removed(&active.catalogue);
+        }
         log::info!(
             version = config.version, before = known.unwrap_or(0), routes = config.routes.len(),
             source = source;
