--- a/crates/vanillafold-jobs/src/shard/mod.rs
+++ b/crates/vanillafold-jobs/src/shard/mod.rs
@@ -16,6 +16,7 @@
 mod start_rate;
 mod storing;
 mod submit;
+mod unaccounted;
 mod vm_operations;
 mod waiting;
 mod waves;
--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -63,6 +63,9 @@
     pub(super) removed_workers: Vec<RemovedWorker>,
     /// Resources that the runs of each organisation use, sorted by the organisation's name.
     pub(super) usage: Vec<(String, Resources)>,
+    /// What organisations may use beside that on workers that are not accounted for, sorted by name.
+    pub(super) unaccounted_usage: Vec<(String, Resources)>,
+    pub(super) next_unaccounted_update_at: MonotonicMillis,
     pub(super) orders: Vec<(WorkerId, Order)>,
     /// Flow control of orders and polls.
     pub(super) flow: OrderFlow,
@@ -150,6 +153,8 @@
             suspect_jobs: Vec::new(),
             removed_workers: Vec::new(),
             usage: Vec::new(),
+            unaccounted_usage: Vec::new(),
+            next_unaccounted_update_at: now,
             orders: Vec::new(),
             flow: OrderFlow::default(),
             start_budget: 0,
--- a/crates/vanillafold-jobs/src/shard/schedule.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule.rs
@@ -58,6 +58,7 @@
         self.pass_unix_ms = now_unix_ms;
         self.expire_leases(now, now_unix_ms);
         self.resolve_unaccounted(now, now_unix_ms);
+        self.update_unaccounted_usage(now);
         self.evaluate_suspects(now, now_unix_ms);
         self.fail_exhausted_jobs(now, now_unix_ms);
         self.collect_deletable_jobs(now);
@@ -663,13 +664,8 @@
         let Some(organisation) = self.catalogue.organisation(&spec.organisation) else {
             return true;
         };
-        let mut more = step.needs;
-        more.cpu_millis = more.cpu_millis.saturating_mul(count);
-        more.memory_mib = more.memory_mib.saturating_mul(count);
-        more.gpus = more.gpus.saturating_mul(count);
-        organisation
-            .limit
-            .allows(self.usage(&spec.organisation), more)
+        let used = self.possible_usage(&spec.organisation);
+        organisation.limit.allows(used, step.needs.times(count))
     }
 
     fn next_run(&self, waiting: &WaitingStep, index: u16) -> RunNumber {
--- a/crates/vanillafold-jobs/src/spec/resources.rs
+++ b/crates/vanillafold-jobs/src/spec/resources.rs
@@ -28,6 +28,26 @@
         self.gpus = self.gpus.saturating_sub(other.gpus);
     }
 
+    /// Returns these resources `count` times; each component stops at the largest number.
+    #[must_use]
+    pub const fn times(self, count: u64) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_mul(count),
+            memory_mib: self.memory_mib.saturating_mul(count),
+            gpus: self.gpus.saturating_mul(count),
+        }
+    }
+
+    /// Returns the smaller of each component.
+    #[must_use]
+    pub fn min(self, other: Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.min(other.cpu_millis),
+            memory_mib: self.memory_mib.min(other.memory_mib),
+            gpus: self.gpus.min(other.gpus),
+        }
+    }
+
     /// Returns whether `more` fits into the capacity `self` beside `used`.
     #[must_use]
     pub const fn fits(self, used: Self, more: Self) -> bool {
--- a/crates/vanillafold-jobs/tests/shard/takeover.rs
+++ b/crates/vanillafold-jobs/tests/shard/takeover.rs
@@ -1,7 +1,8 @@
 //! A new owner learns from the workers which runs are in progress.
 
 use vanillafold_jobs::{
-    EndKind, Epoch, JobProgress, OccurrenceProgress, Record, RunNumber, Shard, StepProgress,
+    Catalogue, EndKind, Epoch, JobProgress, OccurrenceProgress, Record, RunNumber, Shard,
+    StepProgress,
 };
 
 use crate::fixture::{
@@ -214,3 +215,43 @@
         Some("completed".to_owned())
     );
 }
+
+/// Returns the configuration with a limit of CPU, in thousandths of a core, for the organisation.
+fn with_limit(cpu_millis: u64) -> Catalogue {
+    let mut catalogue = catalogue();
+    catalogue.organisations[0].limit.cpu_millis = cpu_millis;
+    catalogue
+}
+
+/// Runs of the earlier owner went on on a worker that was cut off, and the new owner started as many
+/// beside them as the organisation may have in all.
+#[test]
+fn runs_that_a_new_owner_cannot_see_count_against_the_limit_of_their_organisation() {
+    let mut shard = shard_after_takeover(job(vec![step(4)]), &["w1", "w2"]);
+    shard.set_catalogue(with_limit(4_000));
+    poll(&mut shard, "w2", &report(10_000), 10);
+    shard.submit(job_id(2), job(vec![step(4)]), at(20), unix(20));
+    store_batches(&mut shard);
+
+    let unseen = schedule_starts(&mut shard, 30);
+    let outwaited = schedule_starts(&mut shard, 6_700);
+
+    assert_eq!(unseen, vec![]);
+    assert_eq!(outwaited.len(), 4);
+}
+
+/// Tasks that wait for a worker may not be running anywhere: what they need in all would leave nothing
+/// of the limit.
+#[test]
+fn runs_that_a_new_owner_cannot_see_count_only_as_far_as_they_fit_on_their_workers() {
+    let mut shard = shard_after_takeover(job(vec![step(12)]), &["w1", "w2"]);
+    shard.set_catalogue(with_limit(6_000));
+    poll(&mut shard, "w2", &report(10_000), 10);
+    shard.submit(job_id(2), job(vec![step(4)]), at(20), unix(20));
+    store_batches(&mut shard);
+
+    let unseen = schedule_starts(&mut shard, 30);
+
+    assert_eq!(unseen.len(), 2);
+    assert!(unseen.iter().all(|start| start.0.job == job_id(2)));
+}
