Identify a worker again after it rejected that on a connection for orders

What callers would see: jobs that don't start, where a worker that is up again gets no order as long as the connection stays open.

Cause: found by reading. A worker that answers 429 or 503 to the poll that asks for its start time leaves the connection open. The next orders took the incarnation on it for known, as none, and were dropped as for another one.

Evidence: the new test, with the earlier condition in a scratch copy: not started within 30 s.

Change: what the connection reaches is kept with the connection, and only once it has told.

--- a/crates/vanillafold/src/fleet/workers.rs
+++ b/crates/vanillafold/src/fleet/workers.rs
@@ -211,7 +211,8 @@
 /// hold its lease under a deadline on a clock that is not its own.
 async fn send_orders<P: FleetPlatform>(ownership: Rc<ShardOwnership<P>>, link: Rc<WorkerLink>) {
     let mut connection = ownership.daemon.platform.worker(&link.id, link.address);
-    let mut incarnation = None;
+    // The incarnation that the open connection reaches; `None` until it has answered on it.
+    let mut reached: Option<Option<u64>> = None;
     loop {
         link.orders_ready.notified().await;
         let orders = link.take_orders();
@@ -242,13 +243,14 @@
         };
         let opening_at = now();
         let epoch = ownership.epoch();
-        let identified = match connection.is_open().await {
-            true => Ok(incarnation),
-            false => identify(&mut connection, epoch, timeout_ms).await,
+        let is_open = connection.is_open().await;
+        let identified = match reached.filter(|_| is_open) {
+            Some(incarnation) => Ok(incarnation),
+            None => identify(&mut connection, epoch, timeout_ms).await,
         };
+        reached = identified.ok();
         match identified {
-            Ok(started_unix_ms) => {
-                incarnation = started_unix_ms;
+            Ok(incarnation) => {
                 let is_current = |order: &Order| order.is_for(incarnation);
                 let (current, outdated): (Vec<Order>, Vec<Order>) =
                     orders.into_iter().partition(is_current);
--- a/crates/vanillafold/tests/fleet/orders.rs
+++ b/crates/vanillafold/tests/fleet/orders.rs
@@ -32,3 +32,25 @@
         wait_until("the task is started", || is_started_at(after)).await;
     });
 }
+
+/// The connection stayed open, and the incarnation that it reaches was taken for known: no order was
+/// sent on it any more.
+#[test]
+fn a_worker_that_rejects_the_first_poll_on_a_connection_for_orders_gets_them_later() {
+    run(async {
+        let address = "127.0.0.1:4003";
+        let state = Rc::new(RefCell::new(StoreState::default()));
+        state.borrow_mut().workers = vec![("w".to_owned(), address.as_bytes().to_vec())];
+        state.borrow_mut().answering_address = address.parse().ok();
+        state.borrow_mut().rejects_first_polls = true;
+        let daemon = start(&state, "daemon", 500);
+        wait_until("the daemon is ready", || daemon.fleet_daemon.is_ready()).await;
+
+        submit_until_accepted(&daemon, 1).await;
+
+        wait_until("the task is started", || {
+            !state.borrow().started_at.is_empty()
+        })
+        .await;
+    });
+}
--- a/crates/vanillafold/tests/fleet/platform.rs
+++ b/crates/vanillafold/tests/fleet/platform.rs
@@ -82,6 +82,8 @@
     pub(crate) silent_address: Option<SocketAddr>,
     /// Address at which workers answer polls and accept orders.
     pub(crate) answering_address: Option<SocketAddr>,
+    /// Whether workers reject the first poll on each connection for the time being.
+    pub(crate) rejects_first_polls: bool,
     /// Addresses to which start orders were sent.
     pub(crate) started_at: Vec<SocketAddr>,
     /// For each read of a page of the shard's records, the key after which it starts.
@@ -368,6 +370,7 @@
     state: Rc<RefCell<StoreState>>,
     address: SocketAddr,
     is_open: bool,
+    has_polled: bool,
 }
 
 impl WorkerConnection for TestWorker {
@@ -394,6 +397,10 @@
         _timeout_ms: u64,
     ) -> Result<PollReport, OrderAnswer> {
         sleep(Duration::from_millis(wait_ms)).await;
+        let is_first = !std::mem::replace(&mut self.has_polled, true);
+        if is_first && self.state.borrow().rejects_first_polls {
+            return Err(OrderAnswer::Unhealthy);
+        }
         Ok(PollReport {
             clock_ms: 60_000,
             started_unix_ms: Some(1),
@@ -442,6 +449,7 @@
             state: Rc::clone(&self.state),
             address,
             is_open: false,
+            has_polled: false,
         }
     }
 
