Fail a job by a new limit only if a task would have to be started again

What callers would see: a job is shown as failed because a new configuration allows fewer attempts, though the task that had failed has completed since, or its next run is in progress.

Cause: found by reading: with each configuration the failed runs of all tasks were compared with the limit.

Change: the comparison is made where a waiting task would be started. The pass over all open jobs at each configuration is gone.

Result: a_lower_limit_does_not_fail_a_job_whose_tasks_need_no_further_start passes; the two tests of jobs that fail by a limit that comes late pass as before.

--- a/crates/vanillafold-jobs/src/job/live.rs
+++ b/crates/vanillafold-jobs/src/job/live.rs
@@ -7,7 +7,7 @@
 use super::JobState;
 use crate::id::{JobId, RunNumber, WorkerId};
 use crate::record::{JobOutcome, JobProgress, OccurrenceProgress, StepProgress, SuspectRun};
-use crate::spec::{JobSpec, StepSpec};
+use crate::spec::{JobSpec, Resources, StepSpec};
 
 /// Maximum number of open occurrences of a job. Further ones begin as these complete.
 const MAX_OPEN_OCCURRENCES: usize = 256;
@@ -268,10 +268,40 @@
         });
     }
 
-    /// Returns the number of failed runs of the task that has the most.
-    pub(crate) fn most_failed_runs(&self) -> u32 {
-        let steps = self.progress.occurrences.iter().flat_map(|row| &row.steps);
-        steps.map(StepProgress::most_failed_runs).max().unwrap_or(0)
+    /// Returns the number of failed runs of the waiting task of a step that has the most. Those of a
+    /// gang are counted under its first member.
+    pub(crate) fn most_failed_runs_of_waiting(&self, occurrence: u32, step: u16) -> u32 {
+        let progress = &self.progress.occurrences;
+        let progress = progress.iter().find(|row| row.number == occurrence);
+        let progress = progress.and_then(|row| row.steps.get(usize::from(step)));
+        let tasks = self
+            .occurrence_position(occurrence)
+            .map(|at| &self.occurrences[at].steps[usize::from(step)].tasks);
+        let (Some(progress), Some(tasks)) = (progress, tasks) else {
+            return 0;
+        };
+        let is_waiting = |row: &&(u16, u64)| {
+            let task = tasks.get(usize::from(row.0));
+            task.is_some_and(|task| matches!(task.status, TaskStatus::Waiting { .. }))
+        };
+        let failed = progress.failed_runs.iter().filter(is_waiting);
+        let counts = failed.map(|row| progress.failed_runs(row.0));
+        counts.max().unwrap_or(0)
+    }
+
+    /// Returns the needs of the tasks that are not accounted for and may have been started.
+    pub(crate) fn unaccounted_needs(&self) -> Resources {
+        let mut needs = Resources::default();
+        for occurrence in &self.occurrences {
+            for (step, spec) in occurrence.steps.iter().zip(&self.spec.steps) {
+                let is_unaccounted = |task: &&Task| task.status == TaskStatus::Unaccounted;
+                if occurrence.may_start(spec) {
+                    let count = step.tasks.iter().filter(is_unaccounted).count();
+                    needs.add(spec.needs.times(count as u64));
+                }
+            }
+        }
+        needs
     }
 
     /// Returns the stored progress of a step, inserting an empty one if there is none.
--- a/crates/vanillafold-jobs/src/record/progress.rs
+++ b/crates/vanillafold-jobs/src/record/progress.rs
@@ -107,14 +107,6 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
-    /// Returns the number of failed runs of the task that has the most.
-    #[must_use]
-    pub fn most_failed_runs(&self) -> u32 {
-        let rows = self.failed_runs.chunk_by(|a, b| a.0 == b.0);
-        let most = rows.map(<[_]>::len).max().unwrap_or(0);
-        u32::try_from(most).unwrap_or(u32::MAX)
-    }
-
     /// Adds a failed run. Returns `false` if it was recorded before.
     pub fn add_failed_run(&mut self, index: u16, run: RunNumber) -> bool {
         match self.failed_runs.binary_search(&(index, run.get())) {
--- a/crates/vanillafold-jobs/src/shard/ends.rs
+++ b/crates/vanillafold-jobs/src/shard/ends.rs
@@ -173,17 +173,22 @@
         }
     }
 
-    /// Fails the jobs of which a task has failed as often as a new configuration allows. Failed runs
-    /// may have been counted before the limit was known, or under a higher one.
-    pub(super) fn fail_exhausted_jobs(&mut self, now: MonotonicMillis, now_unix_ms: u64) {
-        if !std::mem::take(&mut self.limits_changed) {
-            return;
-        }
-        let most_failed = |id: &JobId| Some((*id, self.job(*id)?.most_failed_runs()));
-        let failed: Vec<(JobId, u32)> = self.open.iter().filter_map(most_failed).collect();
-        for (id, failed) in failed.into_iter().filter(|row| row.1 > 0) {
-            self.fail_if_attempts_exhausted(id, failed, now, now_unix_ms);
+    /// Fails a job if a waiting task of the step has failed as often as its queue allows. Failed runs
+    /// may have been counted before the limit was known, or under a higher one. Returns whether the
+    /// job is failed.
+    pub(super) fn fail_if_waiting_in_vain(
+        &mut self,
+        (id, occurrence, step): (JobId, u32, u16),
+        now: MonotonicMillis,
+        now_unix_ms: u64,
+    ) -> bool {
+        let most_failed = self
+            .job(id)
+            .map_or(0, |job| job.most_failed_runs_of_waiting(occurrence, step));
+        if most_failed > 0 {
+            self.fail_if_attempts_exhausted(id, most_failed, now, now_unix_ms);
         }
+        self.job(id).is_none_or(|job| !job.is_open())
     }
 
     /// Copies the checkpoint of a task to all members of its gang, which must resume from the same
--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -30,9 +30,6 @@
     pub(super) catalogue: Catalogue,
     /// Whether a configuration has been applied. Until then no limit is known.
     pub(super) has_catalogue: bool,
-    /// Whether a configuration was applied since the limits of attempts were last compared with the
-    /// failed runs.
-    pub(super) limits_changed: bool,
     /// Sorted by id.
     pub(super) jobs: Vec<Job>,
     /// Ids of unfinished jobs, sorted.
@@ -137,7 +134,6 @@
             epoch,
             catalogue: Catalogue::default(),
             has_catalogue: false,
-            limits_changed: false,
             jobs: Vec::new(),
             open: Vec::new(),
             waiting_jobs: WaitingJobs::default(),
@@ -294,7 +290,6 @@
         if catalogue.version >= self.catalogue.version {
             self.catalogue = catalogue;
             self.has_catalogue = true;
-            self.limits_changed = true;
             // The pool of a queue may have changed.
             for id in &self.open {
                 self.waiting_jobs.mark_changed(*id);
--- a/crates/vanillafold-jobs/src/shard/schedule.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule.rs
@@ -60,7 +60,6 @@
         self.resolve_unaccounted(now, now_unix_ms);
         self.update_unaccounted_usage(now);
         self.evaluate_suspects(now, now_unix_ms);
-        self.fail_exhausted_jobs(now, now_unix_ms);
         self.collect_deletable_jobs(now);
         self.drop_finished_advice();
         self.retry_stops(now);
@@ -78,7 +77,10 @@
         let budget = self.flow.window().saturating_sub(unanswered);
         self.start_budget = budget;
         for step in waiting {
-            self.start_step(&step, &mut index, &mut without_capacity, now);
+            let step_id = (step.job, step.occurrence, step.step);
+            if !self.fail_if_waiting_in_vain(step_id, now, now_unix_ms) {
+                self.start_step(&step, &mut index, &mut without_capacity, now);
+            }
         }
         let starts = (budget - self.start_budget) as u64;
         self.start_rate.record(starts, self.start_budget == 0, now);
--- a/crates/vanillafold-jobs/src/shard/unaccounted.rs
+++ b/crates/vanillafold-jobs/src/shard/unaccounted.rs
@@ -3,7 +3,6 @@
 use vanillafold_policy::MonotonicMillis;
 
 use super::root::Shard;
-use crate::job::TaskStatus;
 use crate::spec::Resources;
 
 /// Time between two updates, in milliseconds. An update looks at all tasks that are not accounted
@@ -70,22 +69,3 @@
         used
     }
 }
-
-impl crate::job::Job {
-    /// Returns the needs of the tasks that are not accounted for and may have been started.
-    fn unaccounted_needs(&self) -> Resources {
-        let mut needs = Resources::default();
-        for occurrence in &self.occurrences {
-            for (step, spec) in occurrence.steps.iter().zip(&self.spec.steps) {
-                if !occurrence.may_start(spec) {
-                    continue;
-                }
-                let is_unaccounted =
-                    |task: &&crate::job::Task| task.status == TaskStatus::Unaccounted;
-                let count = step.tasks.iter().filter(is_unaccounted).count();
-                needs.add(spec.needs.times(count as u64));
-            }
-        }
-        needs
-    }
-}
--- a/crates/vanillafold-jobs/tests/shard/configuration.rs
+++ b/crates/vanillafold-jobs/tests/shard/configuration.rs
@@ -6,8 +6,9 @@
 };
 
 use crate::fixture::{
-    accept_start, at, catalogue, job, job_id, listed_end, poll, report, schedule_starts, settings,
-    shard_with_workers, step, store_batches, task, unix, vm, worker_entry,
+    accept_start, at, catalogue, job, job_id, listed_end, listed_run, poll, report,
+    schedule_starts, settings, shard_with_workers, step, store_batches, task, unix, vm,
+    worker_entry,
 };
 
 /// Returns a shard that has no configuration yet, with a stored job of one task that has failed
@@ -98,6 +99,38 @@
     assert_eq!(state(&mut shard), "failed");
 }
 
+/// A lower limit says nothing about a task that has completed, nor about a run in progress that it
+/// would not have allowed.
+#[test]
+fn a_lower_limit_does_not_fail_a_job_whose_tasks_need_no_further_start() {
+    let mut shard = shard_with_workers(&["w1"]);
+    shard.submit(job_id(1), job(vec![step(2)]), at(900), unix(900));
+    store_batches(&mut shard);
+    let started = schedule_starts(&mut shard, 1_000);
+    let mut poll_report = report(1_100);
+    for (number, (failed, run, _)) in (1..).zip(&started) {
+        accept_start(&mut shard, "w1", *failed, *run, 1_010);
+        let end = listed_end(number, *failed, *run, EndKind::Failed);
+        poll_report.ended.push(end);
+    }
+    poll(&mut shard, "w1", &poll_report, 1_100);
+    let again = schedule_starts(&mut shard, 9_000);
+    for (task, run, _) in &again {
+        accept_start(&mut shard, "w1", *task, *run, 9_010);
+    }
+    let done = &again[0];
+    let mut poll_report = report(9_100);
+    poll_report.ended = vec![listed_end(3, done.0, done.1, EndKind::Done)];
+    poll_report.running = vec![listed_run(again[1].0, again[1].1)];
+    poll(&mut shard, "w1", &poll_report, 9_100);
+
+    shard.set_catalogue(with_max_attempts(1));
+    schedule_starts(&mut shard, 9_200);
+
+    assert_eq!(again.len(), 2);
+    assert_eq!(state(&mut shard), "running");
+}
+
 /// Returns the configuration after [`with_max_attempts`], without the queue.
 fn without_queue(before: &Catalogue) -> Catalogue {
     let mut after = Catalogue {
