Identify connections for orders by the polls that are made anyway

Cause: each order without an answer closes its connection, and a poll on the new one asked for the incarnation before the next order. Where that poll got no answer either, the orders counted as not sent. A repeated start that was not sent made the run count as one that may have ended, and it was stopped.

Change: a poll that was sent after a connection was opened identifies it, so the connection is opened again at once after a lost order, and the worker gets new and repeated starts once it has answered a poll that was sent later. Stops and paces need no incarnation. A repeated start that was not sent leaves the run as it was. The time of opening is kept with what the connection reaches.

--- a/crates/vanillafold-jobs/src/shard/orders.rs
+++ b/crates/vanillafold-jobs/src/shard/orders.rs
@@ -50,8 +50,14 @@
 }
 
 impl Order {
+    /// Returns whether the order may be sent to any incarnation of its worker, as it grants no lease.
+    #[must_use]
+    pub const fn is_for_any(&self) -> bool {
+        matches!(self, Self::Stop { .. } | Self::Pace { .. })
+    }
+
     /// Returns whether the order may be sent to the incarnation of its worker that started at
-    /// `started_unix_ms`. Orders that grant no lease may be sent to any.
+    /// `started_unix_ms`.
     #[must_use]
     pub fn is_for(&self, started_unix_ms: Option<u64>) -> bool {
         match self {
--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -135,7 +135,8 @@
         if worker.next_poll_at > now {
             return PollPlan::Later(worker.next_poll_at);
         }
-        let unconfirmed = !worker.responded || worker.unresponsive || worker.unverified;
+        let unconfirmed =
+            !worker.responded || worker.unresponsive || worker.unverified_since.is_some();
         let ends_pending = !worker.unacknowledged.is_empty();
         if worker.runs.is_empty()
             && !unconfirmed
@@ -178,9 +179,9 @@
 
     /// Records that the connection for polls of a worker is closed. The worker may have started again
     /// under its id since it answered on it.
-    pub fn poll_connection_closed(&mut self, id: &WorkerId) {
+    pub fn poll_connection_closed(&mut self, id: &WorkerId, now: MonotonicMillis) {
         if let Some(at) = self.worker_position(id) {
-            self.workers[at].unverified = true;
+            self.workers[at].unverified_since = Some(now);
         }
     }
 
@@ -353,7 +354,12 @@
         }
         worker.has_more_ends = report.has_more_ends;
         worker.unresponsive = false;
-        worker.unverified = false;
+        if worker
+            .unverified_since
+            .is_some_and(|since| since <= sent_at)
+        {
+            worker.unverified_since = None;
+        }
         worker.delivered_ack = worker.delivered_ack.max(worker.sent_ack);
         for end in &report.ended {
             self.process_end(at, end, now, now_unix_ms);
@@ -371,9 +377,19 @@
             false => STORE_PENDING_POLL_INTERVAL_MS,
         };
         worker.polled_at = now;
+        worker.poll_sent_at = sent_at;
         worker.next_poll_at = MonotonicMillis::new(now.get() + interval_ms);
     }
 
+    /// Returns which incarnation of a worker has answered a poll that was sent after `at`, by its start
+    /// in milliseconds since 1970; `None` if none has. A connection that was open at `at` reaches that
+    /// incarnation or is closed.
+    #[must_use]
+    pub fn incarnation_after(&self, id: &WorkerId, at: MonotonicMillis) -> Option<Option<u64>> {
+        let worker = &self.workers[self.worker_position(id)?];
+        (worker.poll_sent_at > at).then_some(worker.polled_start_unix_ms())
+    }
+
     /// Returns the workers whose poll can be planned anew because a stored batch lets them forget
     /// ends.
     pub fn expedite_polls(&mut self, now: MonotonicMillis) -> Vec<WorkerId> {
@@ -664,12 +680,13 @@
             let same = |row: &ListedRun| row.task == run.task && row.run == run.number;
             report.running.iter().any(same)
         };
+        let may_repeat = self.workers[at].unverified_since.is_none();
         let mut position = 0;
         while position < self.workers[at].runs.len() {
             let run = &self.workers[at].runs[position];
             match run.phase {
                 _ if is_listed(run) => position += 1,
-                RunPhase::StartUnanswered => {
+                RunPhase::StartUnanswered if may_repeat => {
                     self.retry_start(at, position, now);
                     position += 1;
                 }
@@ -736,13 +753,15 @@
         match answer {
             // The deadline was computed from a reading of the worker's clock that may be wrong.
             OrderAnswer::Late => {
-                self.workers[at].unverified = true;
+                self.workers[at].unverified_since = Some(now);
                 self.workers[at].next_poll_at = now;
             }
             OrderAnswer::Fenced => self.fence(id),
             OrderAnswer::Replaced => return self.worker_replaced(at, now, now_unix_ms),
+            // The connection for orders is closed.
             OrderAnswer::Unknown | OrderAnswer::ConnectionLost | OrderAnswer::NotSent => {
                 self.mark_unresponsive(at, now);
+                self.workers[at].unverified_since = Some(now);
                 self.workers[at].next_poll_at = now;
             }
             _ => {}
@@ -801,6 +820,13 @@
                 worker.record_unanswered_start(position, now);
             }
             OrderAnswer::Accepted | OrderAnswer::Unknown | OrderAnswer::ConnectionLost => {}
+            // An earlier order may still start the run, as if it had not been repeated.
+            OrderAnswer::NotSent if worker.runs[position].start_orders > 1 => {
+                if starting {
+                    worker.runs[position].phase = RunPhase::StartUnanswered;
+                    worker.runs[position].start_orders -= 1;
+                }
+            }
             // An earlier order may have started the run, which may have ended since; the next poll
             // shows whether it has.
             _ if worker.runs[position].start_orders > 1 => {
--- a/crates/vanillafold-jobs/src/worker/state.rs
+++ b/crates/vanillafold-jobs/src/worker/state.rs
@@ -167,10 +167,10 @@
     /// registered with a new address or as restarted and has not answered a poll since, or has been
     /// replaced by another worker.
     pub(crate) unresponsive: bool,
-    /// Whether the worker's clock or incarnation may differ from what is known of it. Until a poll
-    /// has shown them, the worker gets no new tasks, its leases are not renewed, and it may not
-    /// forget ends.
-    pub(crate) unverified: bool,
+    /// Since when the worker's clock or incarnation may differ from what is known of it; `None` if
+    /// they are known. Until a poll that is sent later has shown them, the worker gets no new tasks,
+    /// its leases are not renewed, and it may not forget ends.
+    pub(crate) unverified_since: Option<MonotonicMillis>,
     /// When an order or poll was last answered.
     pub(crate) answered_at: MonotonicMillis,
     /// Since when orders and polls have got no answer; `None` if the last one was answered.
@@ -208,6 +208,8 @@
     pub(crate) next_poll_at: MonotonicMillis,
     /// When the last poll was answered.
     pub(crate) polled_at: MonotonicMillis,
+    /// When the last poll that was answered had been sent.
+    pub(crate) poll_sent_at: MonotonicMillis,
     /// Number of recent failed runs and refusals that are attributed to the worker, because the job
     /// had no failed run before, decayed exponentially; `fault_score_at` is the time of the last
     /// update.
@@ -232,7 +234,7 @@
             responded: false,
             has_more_ends: false,
             unresponsive: false,
-            unverified: false,
+            unverified_since: None,
             answered_at: MonotonicMillis::ZERO,
             silent_since: None,
             answer_lost_at: None,
@@ -257,6 +259,7 @@
             delivered_ack: 0,
             next_poll_at: now,
             polled_at: MonotonicMillis::ZERO,
+            poll_sent_at: MonotonicMillis::ZERO,
             fault_score: 0.0,
             fault_score_at: now,
             failed_jobs: Vec::new(),
@@ -290,7 +293,7 @@
             && self.entry.ready
             && self.responded
             && !self.unresponsive
-            && !self.unverified
+            && self.unverified_since.is_none()
             && !self.draining
             && self.backoff_until <= now
             && !self.is_isolating()
--- a/crates/vanillafold-jobs/tests/shard/workers.rs
+++ b/crates/vanillafold-jobs/tests/shard/workers.rs
@@ -423,7 +423,7 @@
     store_batches(&mut shard);
 
     let usual = shard.plan_poll(&worker("w1"), at(1_300));
-    shard.poll_connection_closed(&worker("w1"));
+    shard.poll_connection_closed(&worker("w1"), at(1_305));
     let first = shard.plan_poll(&worker("w1"), at(1_310));
     let started_meanwhile = {
         shard.submit(job_id(2), job(vec![step(1)]), at(1_320), unix(1_320));
@@ -457,3 +457,42 @@
     assert!(!order.is_for(Some(2)));
     assert!(!order.is_for(None));
 }
+
+/// The repeated order could not be sent, and the run was stopped, which may have been starting by the
+/// first order.
+#[test]
+fn a_repeated_start_that_was_not_sent_is_repeated_again() {
+    let (mut shard, first, order) = unanswered_start();
+    poll(&mut shard, first.as_str(), &report(1_510), 1_510);
+    let (worker, repeated) = first_order(&mut shard, 1_511).expect("a second order");
+    let not_sent = OrderAnswer::NotSent;
+    shard.order_answered(&worker, &repeated, not_sent, at(1_520), unix(1_520));
+
+    let unpolled = first_order(&mut shard, 1_521).map(|row| run_of(&row.1));
+    poll(&mut shard, first.as_str(), &report(1_530), 1_530);
+    let (_, again) = first_order(&mut shard, 1_531).expect("a third order");
+
+    assert_eq!(unpolled, None);
+    assert!(matches!(again, Order::Start { .. }), "{again:?}");
+    assert_eq!(run_of(&again), run_of(&order));
+}
+
+/// A connection that was open before a poll was sent reaches the incarnation that answered it, or none.
+#[test]
+fn an_answered_poll_tells_which_incarnation_earlier_connections_reach() {
+    let mut shard = shard_with_workers(&["w1"]);
+    let sent_at = at(1_000);
+    shard.poll_answered(
+        &worker("w1"),
+        &report(1_010),
+        sent_at,
+        at(1_020),
+        unix(1_020),
+    );
+
+    let opened_before = shard.incarnation_after(&worker("w1"), at(999));
+    let opened_meanwhile = shard.incarnation_after(&worker("w1"), at(1_000));
+
+    assert_eq!(opened_before, Some(Some(1)));
+    assert_eq!(opened_meanwhile, None);
+}
--- a/crates/vanillafold-standin/src/job_simulation/simulation.rs
+++ b/crates/vanillafold-standin/src/job_simulation/simulation.rs
@@ -746,7 +746,7 @@
                 continue;
             }
             if self.poll_connections[index] != Some(self.workers[index].started_ms) {
-                shard.poll_connection_closed(&id);
+                shard.poll_connection_closed(&id, time);
             }
             let PollPlan::Poll {
                 deadline_ms,
--- a/crates/vanillafold/src/fleet/workers.rs
+++ b/crates/vanillafold/src/fleet/workers.rs
@@ -156,7 +156,7 @@
         }
         let is_open = connection.is_open().await;
         if !is_open {
-            ownership.with(|shard| shard.poll_connection_closed(&link.id));
+            ownership.with(|shard| shard.poll_connection_closed(&link.id, now()));
         }
         let plan = ownership.with(|shard| shard.plan_poll(&link.id, now()));
         match plan.unwrap_or(PollPlan::Gone) {
@@ -211,8 +211,9 @@
 /// hold its lease under a deadline on a clock that is not its own.
 async fn send_orders<P: FleetPlatform>(ownership: Rc<ShardOwnership<P>>, link: Rc<WorkerLink>) {
     let mut connection = ownership.daemon.platform.worker(&link.id, link.address);
-    // The incarnation that the open connection reaches; `None` until it has answered on it.
+    // The incarnation that the open connection reaches; `None` until that is known.
     let mut reached: Option<Option<u64>> = None;
+    let mut opened_at = now();
     loop {
         link.orders_ready.notified().await;
         let orders = link.take_orders();
@@ -243,21 +244,37 @@
         };
         let opening_at = now();
         let epoch = ownership.epoch();
-        let is_open = connection.is_open().await;
-        let identified = match reached.filter(|_| is_open) {
-            Some(incarnation) => Ok(incarnation),
-            None => identify(&mut connection, epoch, timeout_ms).await,
+        let opened = match connection.is_open().await {
+            true => Ok(()),
+            false => {
+                reached = None;
+                let opened = connection.open(timeout_ms).await;
+                opened_at = now();
+                opened
+            }
+        };
+        if reached.is_none() {
+            let shown = ownership.with(|shard| shard.incarnation_after(&link.id, opened_at));
+            reached = shown.flatten();
+        }
+        let identified = match (opened, reached) {
+            (Err(answer), _) => Err(answer),
+            (Ok(()), Some(incarnation)) => Ok(Some(incarnation)),
+            (Ok(()), None) if orders.iter().all(Order::is_for_any) => Ok(None),
+            (Ok(()), None) => identify(&mut connection, epoch, timeout_ms).await.map(Some),
         };
-        reached = identified.ok();
+        reached = identified.ok().flatten();
         match identified {
-            Ok(incarnation) => {
-                let is_current = |order: &Order| order.is_for(incarnation);
+            Ok(_) => {
+                let is_current = |order: &Order| {
+                    order.is_for_any() || reached.is_some_and(|reached| order.is_for(reached))
+                };
                 let (current, outdated): (Vec<Order>, Vec<Order>) =
                     orders.into_iter().partition(is_current);
                 if !outdated.is_empty() {
                     log::info!(
                         worker = link.id.as_str(), orders = outdated.len(),
-                        started_unix_ms = incarnation;
+                        started_unix_ms = reached.flatten();
                         "orders not sent: the worker has restarted since they were issued"
                     );
                 }
@@ -281,19 +298,25 @@
             }
         }
         link.unanswered.borrow_mut().clear();
+        if !connection.is_open().await {
+            // The next answer to a poll, without which the worker gets no orders, then identifies the
+            // connection too. If it can't be opened, it is with the next order.
+            reached = None;
+            let _ = connection.open(timeout_ms).await;
+            opened_at = now();
+        }
         link.poll_now.notify_one();
         ownership.events.notify_one();
     }
 }
 
-/// Opens a connection for orders and returns when the incarnation of the worker that it reaches
-/// started, in milliseconds since 1970. The poll that asks for it renews and acknowledges nothing.
+/// Returns when the incarnation of the worker that an open connection reaches started, in milliseconds
+/// since 1970. The poll that asks for it renews and acknowledges nothing.
 async fn identify(
     connection: &mut impl WorkerConnection,
     epoch: Epoch,
     timeout_ms: u64,
 ) -> Result<Option<u64>, OrderAnswer> {
-    connection.open(timeout_ms).await?;
     let poll_timeout_ms = timeout_ms + POLL_TIMEOUT_MARGIN_MS;
     let polled = connection.poll(epoch, None, 0, 0, poll_timeout_ms).await;
     metric::poll(polled.is_ok());
