--- a/crates/vanillafold-jobs/examples/shard_cost.rs
+++ b/crates/vanillafold-jobs/examples/shard_cost.rs
@@ -114,6 +114,7 @@
         let now = at(0);
         let mut shard = Shard::load(settings(), Epoch::new(1), Vec::new(), now, 0);
         shard.set_catalogue(catalogue());
+        shard.set_evacuated_zones(&[], MonotonicMillis::ZERO);
         let workers: Vec<SimWorker> = (0..count).map(sim_worker).collect();
         shard.add_wave(wave(&workers), now);
         let mut simulation = Self {
@@ -330,6 +331,7 @@
         capacity: capacity(),
         labels: vec!["a".to_owned(), worker.rack.clone()],
         started_unix_ms: Some(worker.incarnation),
+        cold_remaining_ms: 0,
     }
 }
 
@@ -342,6 +344,7 @@
         capacity: capacity(),
         labels: vec!["a".to_owned(), worker.rack.clone()],
         worker: is_up.then(|| worker.id.clone()),
+        zone: String::new(),
     }
 }
 
@@ -430,6 +433,8 @@
         vm_operation_pause_ms: 3_700,
         maintenance_ms: 2_000,
         vm_operations_per_s: 1_000,
+        stop_timeout_ms: 400,
+        restore_ms: 250,
         moves_enabled: true,
     }
 }
--- a/crates/vanillafold-jobs/src/shard/backlog.rs
+++ b/crates/vanillafold-jobs/src/shard/backlog.rs
@@ -3,7 +3,9 @@
 use vanillafold_policy::MonotonicMillis;
 
 use super::root::Shard;
+use super::vm_operations::Vm;
 use crate::spec::Resources;
+use crate::worker::Worker;
 
 /// Maximum age of a [`Backlog`], in milliseconds. Within it the work of newly admitted jobs is
 /// added, and what has been completed is negligible beside a job's latency objective.
@@ -154,7 +156,8 @@
             backlog.pool_mut(&pool.name);
         }
         let mut idle: Vec<u64> = vec![0; backlog.pools.len()];
-        for worker in self.workers.iter().filter(|worker| worker.listed) {
+        let is_counted = |worker: &&Worker| worker.listed && !worker.evacuated;
+        for worker in self.workers.iter().filter(is_counted) {
             let Resources { cpu_millis, .. } = worker.entry.capacity;
             let is_idle = worker.runs.is_empty();
             if is_idle {
@@ -171,7 +174,8 @@
                 }
             }
         }
-        let vms_off = self.vms.iter().filter(|vm| vm.worker.is_none());
+        let is_off = |vm: &&Vm| vm.worker.is_none() && !self.evacuations.bars(vm);
+        let vms_off = self.vms.iter().filter(is_off);
         for vm in vms_off {
             movable_cpu_millis = movable_cpu_millis.saturating_add(vm.capacity.cpu_millis);
         }
--- a/crates/vanillafold-jobs/src/shard/mod.rs
+++ b/crates/vanillafold-jobs/src/shard/mod.rs
@@ -5,6 +5,7 @@
 mod backlog;
 mod catalogue;
 mod ends;
+mod evacuation;
 mod losses;
 mod moves;
 mod orders;
@@ -24,6 +25,7 @@
 
 pub use advice::{Advice, AdviceQuery};
 pub use catalogue::{Catalogue, OrganisationInfo, PoolInfo, QueueInfo, RemovedQueue};
+pub use evacuation::EvacuationCounts;
 pub use losses::LossCounts;
 pub use orders::{Order, PollPlan};
 pub use root::Shard;
--- a/crates/vanillafold-jobs/src/shard/moves.rs
+++ b/crates/vanillafold-jobs/src/shard/moves.rs
@@ -6,6 +6,7 @@
 use super::root::Shard;
 use super::vm_operations::{PLAN_INTERVAL_MS, VmState};
 use crate::job::Job;
+use crate::worker::Worker;
 
 /// Capacity planned for arriving work, in percent of the CPU that the work keeps busy. The excess
 /// clears the work that queues up until the capacity is there.
@@ -51,7 +52,8 @@
                 let worker = &self.workers[at];
                 !worker.entry.ready || worker.unresponsive || (worker.draining && pending.is_none())
             });
-            if !unavailable {
+            let evacuated = self.evacuations.bars(vm);
+            if !unavailable && !evacuated {
                 let capacity = &mut demands[pool].capacity_cpu_millis;
                 *capacity = capacity.saturating_add(vm.capacity.cpu_millis);
             }
@@ -78,6 +80,7 @@
                     pool,
                     cpu_millis: vm.capacity.cpu_millis,
                     idle_ms,
+                    evacuated,
                 });
                 names.push(vm.name.clone());
             }
@@ -103,7 +106,7 @@
                 let work = &mut demands[at];
                 work.demand_cpu_millis = work
                     .demand_cpu_millis
-                    .saturating_add(worker.used.cpu_millis);
+                    .saturating_add(demand_on_rest_cpu_millis(worker));
                 work.vm_cpu_millis = work.vm_cpu_millis.max(worker.entry.capacity.cpu_millis);
             }
         }
@@ -124,6 +127,18 @@
     }
 }
 
+/// Returns the CPU of a worker's runs that the pool's VMs have to provide, in thousandths of a core. Of
+/// the runs in an evacuated zone these are the persistent ones, which are replaced elsewhere.
+fn demand_on_rest_cpu_millis(worker: &Worker) -> u64 {
+    let moving = worker.runs.iter().filter(|run| run.persistent);
+    match worker.evacuated {
+        false => worker.used.cpu_millis,
+        true => moving
+            .map(|run| run.reservation.cpu_millis)
+            .fold(0, u64::saturating_add),
+    }
+}
+
 /// The work of one pool, from which the capacity that it should have is computed.
 #[derive(Debug, Clone, Default)]
 struct PoolWork {
--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -9,6 +9,7 @@
 use super::arrivals::Arrivals;
 use super::backlog::Backlog;
 use super::catalogue::Catalogue;
+use super::evacuation::ZoneEvacuations;
 use super::losses::{LossCounts, WorkerLoss};
 use super::orders::Order;
 use super::settings::Settings;
@@ -97,6 +98,7 @@
     pub(super) may_operate_vms: bool,
     pub(super) next_plan_at: MonotonicMillis,
     pub(super) next_evacuation_at: MonotonicMillis,
+    pub(super) evacuations: ZoneEvacuations,
     pub(super) next_wave_log_at: MonotonicMillis,
     pub(super) advice: Vec<StepAdvice>,
     pub(super) advice_queries: Vec<AdviceQuery>,
@@ -172,6 +174,7 @@
             may_operate_vms: true,
             next_plan_at: now,
             next_evacuation_at: now,
+            evacuations: ZoneEvacuations::new(now),
             next_wave_log_at: now,
             advice: Vec::new(),
             advice_queries: Vec::new(),
--- a/crates/vanillafold-jobs/src/shard/schedule/duration.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule/duration.rs
@@ -10,7 +10,7 @@
 
 impl Shard {
     /// Returns the expected duration of a task, in milliseconds.
-    pub(super) fn expected_ms(&self, queue: &str, step: &StepSpec) -> u64 {
+    pub(in crate::shard) fn expected_ms(&self, queue: &str, step: &StepSpec) -> u64 {
         let estimate_ms = match step.estimate_ms {
             0 => DEFAULT_ESTIMATE_MS,
             estimate_ms => estimate_ms,
--- a/crates/vanillafold-jobs/src/shard/schedule/order.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule/order.rs
@@ -103,15 +103,14 @@
             .collect()
     }
 
-    fn rank(
+    /// Returns the time until an occurrence of a job is late, in milliseconds; negative once it is.
+    pub(in crate::shard) fn until_late_ms(
         &self,
         job: &Job,
         occurrence: u32,
-        step: usize,
-        over_share: &[String],
         now: MonotonicMillis,
         now_unix_ms: u64,
-    ) -> Rank {
+    ) -> i64 {
         let queue = self.catalogue.queue(&job.spec.queue);
         let objective_ms = queue.map_or(0, |queue| self.objective_ms(&job.spec, queue));
         let row = job.occurrences.iter().find(|row| row.number == occurrence);
@@ -120,6 +119,20 @@
             due => now_unix_ms.saturating_sub(due),
         };
         let signed = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+        signed(objective_ms).saturating_sub(signed(elapsed_ms))
+    }
+
+    fn rank(
+        &self,
+        job: &Job,
+        occurrence: u32,
+        step: usize,
+        over_share: &[String],
+        now: MonotonicMillis,
+        now_unix_ms: u64,
+    ) -> Rank {
+        let queue = self.catalogue.queue(&job.spec.queue);
+        let row = job.occurrences.iter().find(|row| row.number == occurrence);
         let remaining_ms = row.map_or(0, |row| {
             self.critical_path_where_ms(&job.spec, |at| !row.steps[at].is_done())
         });
@@ -127,7 +140,7 @@
             persistent: job.spec.steps[step].persistent,
             priority: queue.map_or(0, |queue| queue.priority),
             job_started: job.progress.started,
-            until_late_ms: signed(objective_ms).saturating_sub(signed(elapsed_ms)),
+            until_late_ms: self.until_late_ms(job, occurrence, now, now_unix_ms),
             remaining_ms,
             remaining_core_ms: self.remaining_core_ms(job),
             over_share: over_share.binary_search(&job.spec.organisation).is_ok(),
--- a/crates/vanillafold-jobs/src/shard/schedule/pass.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule/pass.rs
@@ -19,10 +19,12 @@
         self.drop_finished_advice();
         self.retry_stops(now);
         self.begin_repeated_jobs(now, now_unix_ms);
+        self.update_returned_workers(now);
         let mut index = PoolIndex::new(&self.workers, now);
-        let mut waiting = match self.has_catalogue {
+        let mut waiting = match self.has_catalogue && self.evacuations.are_known() {
             true => self.waiting_steps(&index, now, now_unix_ms),
-            // How often a task may fail and what its organisation may use is not known.
+            // How often a task may fail, what its organisation may use, or where it must not start
+            // is not known.
             false => Vec::new(),
         };
         waiting.sort_by(|a, b| a.rank.cmp(&b.rank).then(a.job.cmp(&b.job)));
@@ -40,6 +42,7 @@
         let starts = (budget - self.start_budget) as u64;
         self.start_rate.record(starts, self.start_budget == 0, now);
         self.pace_best_effort(now);
+        self.evacuate_zones(now, now_unix_ms);
         self.plan_vm_operations(now);
     }
 
--- a/crates/vanillafold-jobs/src/shard/schedule/start.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule/start.rs
@@ -290,6 +290,7 @@
             && worker.listed
             && worker.entry.ready
             && !worker.draining
+            && !worker.evacuated
             && !(run.connection_lost && self.is_lost_run(run.task, run.number));
         let is_indispensable = run.persistent && !self.may_be_unavailable(run);
         let may_repeat =
--- a/crates/vanillafold-jobs/src/shard/submit.rs
+++ b/crates/vanillafold-jobs/src/shard/submit.rs
@@ -13,6 +13,10 @@
 /// Multiple of the latency objective beyond which a result is useless to the caller.
 const MAX_USEFUL_LATENCY_FACTOR: u64 = 3;
 
+/// Time after which a job may be submitted again that only evacuated zones could run, in
+/// milliseconds. When the operator ends an evacuation is not known.
+const EVACUATED_RETRY_MS: u64 = 5_000;
+
 /// Result of submitting a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SubmitOutcome {
@@ -84,6 +88,11 @@
         let Some(queue) = queue.cloned() else {
             return Admission::Admit;
         };
+        if self.has_evacuations() && self.is_out_of_reach(spec, &queue.pool) {
+            return Admission::Refuse {
+                retry_after_ms: EVACUATED_RETRY_MS,
+            };
+        }
         let objective_ms = self.objective_ms(spec, &queue);
         let share = self.pool_share(&queue.pool, &spec.organisation, now);
         let organisation = self.catalogue.organisation(&spec.organisation);
--- a/crates/vanillafold-jobs/src/shard/vm_operations.rs
+++ b/crates/vanillafold-jobs/src/shard/vm_operations.rs
@@ -35,6 +35,8 @@
     pub labels: Vec<String>,
     /// Worker that runs on the VM, if any.
     pub worker: Option<WorkerId>,
+    /// Availability zone of the VM; empty if the platform does not tell.
+    pub zone: String,
 }
 
 /// An operation on a VM, to be sent to the platform.
@@ -125,6 +127,12 @@
     fn replace_vms(&mut self, mut vms: Vec<Vm>, requested_at: MonotonicMillis) {
         vms.sort_by(|a, b| a.name.cmp(&b.name));
         vms.dedup_by(|a, b| a.name == b.name);
+        for vm in vms.iter_mut().filter(|vm| vm.zone.is_empty()) {
+            let worker = vm.worker.as_ref().and_then(|id| self.worker_position(id));
+            if let Some(at) = worker {
+                vm.zone.clone_from(&self.workers[at].entry.zone);
+            }
+        }
         self.vms = vms;
         self.vms_listed = true;
         let vms = &self.vms;
@@ -344,7 +352,8 @@
     pub(super) fn plan_vm_operations(&mut self, now: MonotonicMillis) {
         let earliest_ms = self.taken_over_at.get() + VM_LIST_LAG_MS;
         let is_early = now.get() < earliest_ms || now < self.next_plan_at;
-        if !self.vms_listed || !self.may_operate_vms || is_early {
+        let is_informed = self.vms_listed && self.evacuations.are_known();
+        if !is_informed || !self.may_operate_vms || is_early {
             return;
         }
         self.next_plan_at = MonotonicMillis::new(now.get() + PLAN_INTERVAL_MS);
@@ -360,7 +369,11 @@
     fn retry_vm_operations(&mut self, now: MonotonicMillis) {
         for row in &mut self.pending_operations {
             let due = now.since(row.phase_since).get() >= VM_OPERATION_RETRY_MS;
-            if row.phase != OperationPhase::Unanswered || !due {
+            let found = self.vms.binary_search_by(|vm| vm.name.cmp(&row.vm));
+            let is_evacuated = found.is_ok_and(|at| self.evacuations.bars(&self.vms[at]));
+            // A move would bring the VM into service in a zone that is being evacuated.
+            let is_barred = row.to_pool.is_some() && is_evacuated;
+            if row.phase != OperationPhase::Unanswered || !due || is_barred {
                 continue;
             }
             row.phase = OperationPhase::Sent;
--- a/crates/vanillafold-jobs/src/shard/waves.rs
+++ b/crates/vanillafold-jobs/src/shard/waves.rs
@@ -269,7 +269,7 @@
     /// Returns whether the takeover was so recent that an operation of an earlier owner may still end
     /// tasks which their workers have just reported as running. Such tasks count as available, so
     /// none is stopped meanwhile for the sake of a wave.
-    const fn is_settling(&self, now: MonotonicMillis) -> bool {
+    pub(super) const fn is_settling(&self, now: MonotonicMillis) -> bool {
         self.unaccounted || now.get() < self.taken_over_at.get() + SETTLING_MS
     }
 
@@ -441,7 +441,7 @@
 
     /// Returns whether a worker for which `may_run` is true has capacity for a persistent run, in
     /// the pool where the run's queue is served.
-    fn fits_where(
+    pub(super) fn fits_where(
         &self,
         run: &Run,
         now: MonotonicMillis,
--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -80,6 +80,8 @@
                 self.workers_version += 1;
             }
         }
+        let at = found.unwrap_or_else(|at| at);
+        self.workers[at].evacuated = self.evacuations.contains(&self.workers[at].entry.zone);
     }
 
     /// Drops the workers that are neither listed nor have runs.
@@ -499,7 +501,15 @@
             TaskStatus::Unaccounted | TaskStatus::Waiting { .. }
         );
         let is_newest = end.run >= task.run;
+        let is_placed = matches!(task.status, TaskStatus::Placed { .. });
+        let step = self.described_step(end.task);
+        let is_superseded = is_placed && step.is_some_and(|(_, step)| !step.persistent);
         match end.kind {
+            // A run that was treated as lost had completed, and a newer one is in progress.
+            EndKind::Done if is_superseded => {
+                self.apply_end(end.task, end.kind, &end.checkpoint, now, now_unix_ms);
+                self.stop_completed_tasks(end.task.step_id(), now);
+            }
             EndKind::Done if unplaced && !is_newest => {
                 self.apply_end(end.task, end.kind, &end.checkpoint, now, now_unix_ms);
             }
@@ -512,6 +522,22 @@
         }
     }
 
+    /// Stops the runs of those tasks of a step that are done.
+    fn stop_completed_tasks(&mut self, step: (JobId, u32, u16), now: MonotonicMillis) {
+        for at in 0..self.workers.len() {
+            for position in 0..self.workers[at].runs.len() {
+                let run = &self.workers[at].runs[position];
+                let is_done = || {
+                    let task = self.open_task(run.task);
+                    task.is_none_or(|task| task.status == TaskStatus::Done)
+                };
+                if run.task.step_id() == step && run.is_live() && is_done() {
+                    self.order_stop(at, position, now);
+                }
+            }
+        }
+    }
+
     /// Processes the ends that were deferred until all workers were accounted for, for these jobs,
     /// sorted by id.
     pub(super) fn process_deferred_ends(
--- a/crates/vanillafold-jobs/src/worker/report.rs
+++ b/crates/vanillafold-jobs/src/worker/report.rs
@@ -25,6 +25,8 @@
     /// When the worker started, in milliseconds since 1970. Distinguishes two incarnations of one
     /// id.
     pub started_unix_ms: Option<u64>,
+    /// How much longer the worker is cold, and slow, in milliseconds.
+    pub cold_remaining_ms: u64,
 }
 
 /// How a run ended.
--- a/crates/vanillafold-jobs/src/worker/state.rs
+++ b/crates/vanillafold-jobs/src/worker/state.rs
@@ -223,6 +223,11 @@
     pub(crate) reserved_until: MonotonicMillis,
     /// Time since which the worker has had no runs.
     pub(crate) idle_since: MonotonicMillis,
+    /// Whether the worker's zone is being evacuated, so that it gets no new tasks.
+    pub(crate) evacuated: bool,
+    /// Part of the worker's CPU that tasks may use, in thousandths: less than all for some time after
+    /// an evacuation of its zone.
+    pub(crate) usable_permille: u64,
 }
 
 impl Worker {
@@ -266,6 +271,8 @@
             backoff_until: MonotonicMillis::ZERO,
             reserved_until: MonotonicMillis::ZERO,
             idle_since: now,
+            evacuated: false,
+            usable_permille: 1_000,
         }
     }
 
@@ -295,6 +302,7 @@
             && !self.unresponsive
             && self.unverified_since.is_none()
             && !self.draining
+            && !self.evacuated
             && self.backoff_until <= now
             && !self.is_isolating()
     }
--- a/crates/vanillafold-jobs/tests/shard/configuration.rs
+++ b/crates/vanillafold-jobs/tests/shard/configuration.rs
@@ -31,6 +31,7 @@
         Record::Progress(job_id(1), progress),
     ];
     let mut shard = Shard::load(settings(), Epoch::new(5), records, at(0), unix(0));
+    shard.set_evacuated_zones(&[], at(0));
     shard.set_workers(vec![worker_entry("w1")], at(0));
     shard.set_vms(vec![vm("w1", "w1")], at(0));
     poll(&mut shard, "w1", &report(1), 10);
--- a/crates/vanillafold-jobs/tests/shard/crashes.rs
+++ b/crates/vanillafold-jobs/tests/shard/crashes.rs
@@ -53,6 +53,7 @@
 impl Pool {
     fn new(names: &[&'static str]) -> Self {
         let mut shard = Shard::load(settings(), Epoch::new(5), Vec::new(), at(0), unix(0));
+        shard.set_evacuated_zones(&[], at(0));
         shard.set_catalogue(catalogue());
         let vms = names.iter().map(|name| SimulatedVm {
             name,
--- a/crates/vanillafold-jobs/tests/shard/extremes.rs
+++ b/crates/vanillafold-jobs/tests/shard/extremes.rs
@@ -221,10 +221,16 @@
                 false => worker_entry("w1").capacity,
             },
             started_unix_ms: self.flag().then(|| self.number()),
+            cold_remaining_ms: self.number(),
+            zone: self.zone_name().to_owned(),
             ..worker_entry(self.worker_name())
         }
     }
 
+    fn zone_name(&mut self) -> &'static str {
+        ["zone-a", "zone-b", ""][self.below(3) as usize]
+    }
+
     fn vm(&mut self) -> Vm {
         Vm {
             name: self.worker_name().to_owned(),
@@ -238,6 +244,7 @@
             capacity: self.resources(),
             labels: Vec::new(),
             worker: (self.below(4) > 0).then(|| worker(self.worker_name())),
+            zone: self.zone_name().to_owned(),
         }
     }
 
@@ -337,7 +344,7 @@
 /// Has a shard process one event.
 fn process_event(shard: &mut Shard, source: &mut Source, runs: &mut Runs, ms: u64) {
     let name = source.worker_name();
-    match source.below(14) {
+    match source.below(15) {
         0 => shard.set_workers((0..4).map(|_| source.entry()).collect(), at(ms)),
         1 => shard.update_worker(source.entry(), at(ms)),
         2 => shard.set_vms((0..4).map(|_| source.vm()).collect(), at(ms)),
@@ -373,6 +380,11 @@
                 }
             }
         }
+        10 => {
+            let zones = ["zone-a", "zone-b", ""][source.below(3) as usize].to_owned();
+            let zones = [zones];
+            shard.set_evacuated_zones(&zones[source.below(2) as usize..], at(ms));
+        }
         _ => {
             if let PollPlan::Poll { .. } = shard.plan_poll(&worker(name), at(ms)) {
                 let own = runs.iter().filter(|run| run.0 == name);
@@ -393,6 +405,7 @@
     };
     let records = source.records();
     let mut shard = Shard::load(settings(), epoch, records, at(0), unix(0));
+    shard.set_evacuated_zones(&[], at(0));
     shard.set_catalogue(source.catalogue());
     shard.set_workers(WORKERS.map(worker_entry).into(), at(0));
     let mut runs = Vec::new();
--- a/crates/vanillafold-jobs/tests/shard/fixture.rs
+++ b/crates/vanillafold-jobs/tests/shard/fixture.rs
@@ -31,6 +31,8 @@
         vm_operation_pause_ms: 3_700,
         maintenance_ms: 2_000,
         vm_operations_per_s: 64,
+        stop_timeout_ms: 400,
+        restore_ms: 250,
         moves_enabled: true,
     }
 }
@@ -127,6 +129,7 @@
         },
         labels: vec!["a".to_owned(), "r1".to_owned()],
         started_unix_ms: Some(1),
+        cold_remaining_ms: 0,
     }
 }
 
@@ -138,6 +141,7 @@
         capacity: worker_entry(worker_name).capacity,
         labels: Vec::new(),
         worker: Some(worker(worker_name)),
+        zone: "zone-a".to_owned(),
     }
 }
 
@@ -147,6 +151,7 @@
     let records = vec![Record::Spec(job_id(1), Box::new(spec))];
     let mut shard = Shard::load(settings(), Epoch::new(5), records, at(0), unix(0));
     shard.set_catalogue(catalogue());
+    shard.set_evacuated_zones(&[], at(0));
     shard.set_workers(
         workers.iter().map(|name| worker_entry(name)).collect(),
         at(0),
@@ -160,6 +165,7 @@
 pub(crate) fn shard_with_workers(workers: &[&str]) -> Shard {
     let mut shard = Shard::load(settings(), Epoch::new(5), Vec::new(), at(0), unix(0));
     shard.set_catalogue(catalogue());
+    shard.set_evacuated_zones(&[], at(0));
     shard.set_workers(
         workers.iter().map(|name| worker_entry(name)).collect(),
         at(0),
--- a/crates/vanillafold-jobs/tests/shard/main.rs
+++ b/crates/vanillafold-jobs/tests/shard/main.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod configuration;
 mod crashes;
+mod evacuation;
 mod extremes;
 mod fixture;
 mod moved_queues;
--- a/crates/vanillafold-jobs/tests/shard/moved_queues.rs
+++ b/crates/vanillafold-jobs/tests/shard/moved_queues.rs
@@ -33,6 +33,7 @@
     let decode = |row: &(String, Vec<u8>)| Record::decode(&row.0, &row.1).expect("a record");
     let records = stored.iter().map(decode).collect();
     let mut shard = Shard::load(settings(), Epoch::new(epoch), records, at(ms), unix(ms));
+    shard.set_evacuated_zones(&[], at(0));
     shard.set_catalogue(catalogue_with(epoch, pool));
     let entry = |row: &(&str, &str)| WorkerEntry {
         pool: row.1.to_owned(),
--- a/crates/vanillafold-jobs/tests/shard/records.rs
+++ b/crates/vanillafold-jobs/tests/shard/records.rs
@@ -143,6 +143,7 @@
         }
 
         let mut shard = Shard::load(settings(), Epoch::new(5), records, at(0), unix(0));
+        shard.set_evacuated_zones(&[], at(0));
         shard.set_catalogue(catalogue());
         shard.set_workers(Vec::new(), at(0));
         shard.set_vms(Vec::new(), at(0));
@@ -159,6 +160,7 @@
         Record::Progress(job_id(1), progress),
     ];
     let mut shard = Shard::load(settings(), Epoch::new(5), records, at(0), unix(0));
+    shard.set_evacuated_zones(&[], at(0));
     shard.set_catalogue(catalogue());
     shard.set_workers(vec![worker_entry("w1")], at(0));
     shard
--- a/crates/vanillafold-jobs/tests/shard/storing.rs
+++ b/crates/vanillafold-jobs/tests/shard/storing.rs
@@ -53,6 +53,7 @@
         at(3_000),
         unix(3_000),
     );
+    shard.set_evacuated_zones(&[], at(0));
     shard.set_catalogue(catalogue());
     shard.set_workers(vec![worker_entry("w1")], at(3_000));
     shard.set_vms(vec![vm("w1", "w1")], at(3_000));
--- a/crates/vanillafold-jobs/tests/shard/takeover.rs
+++ b/crates/vanillafold-jobs/tests/shard/takeover.rs
@@ -126,6 +126,7 @@
         Record::Progress(job_id(1), progress),
     ];
     let mut shard = Shard::load(settings(), Epoch::new(5), records, at(0), unix(0));
+    shard.set_evacuated_zones(&[], at(0));
     shard.set_catalogue(catalogue());
     shard.set_workers(vec![worker_entry("w1")], at(0));
     shard.set_vms(vec![vm("w1", "w1")], at(0));
--- a/crates/vanillafold-jobs/tests/shard/vms.rs
+++ b/crates/vanillafold-jobs/tests/shard/vms.rs
@@ -11,6 +11,7 @@
     Vm {
         pool: "spare".to_owned(),
         worker: None,
+        zone: "zone-a".to_owned(),
         ..vm(name, "w1")
     }
 }
--- a/crates/vanillafold-policy/src/jobs/capacity.rs
+++ b/crates/vanillafold-policy/src/jobs/capacity.rs
@@ -22,6 +22,9 @@
     pub cpu_millis: u64,
     /// How long it has been idle, in milliseconds.
     pub idle_ms: u64,
+    /// Whether its zone is being evacuated. It is not part of its pool's capacity and may only go to
+    /// the spare pool.
+    pub evacuated: bool,
 }
 
 /// A move of one VM to another pool.
@@ -55,7 +58,8 @@
 ///
 /// The plan suits queues that in turn ask for about twice the capacity of their pool while the
 /// fleet as a whole is half idle. A VM that has work stays in its pool, and a pool that has had no
-/// work yet sends none of its VMs to the spare pool.
+/// work yet sends none of its VMs to the spare pool. VMs of an evacuated zone serve no pool: they go
+/// to the spare pool once they are idle.
 #[must_use]
 pub fn plan_moves(pools: &[PoolDemand], vms: &[MovableVm], limit: usize) -> Vec<VmMove> {
     let mut capacity: Vec<u64> = pools.iter().map(|pool| pool.capacity_cpu_millis).collect();
@@ -67,10 +71,14 @@
     let can_release = |capacity: &[u64], vm: &MovableVm| {
         let remaining = capacity[vm.pool].saturating_sub(vm.cpu_millis);
         let demand = pools[vm.pool].demand_cpu_millis;
-        pools[vm.pool].spare || percent(remaining, 100) >= percent(demand, RETAIN_PERCENT)
+        pools[vm.pool].spare
+            || vm.evacuated
+            || percent(remaining, 100) >= percent(demand, RETAIN_PERCENT)
     };
     // The preferred donor comes last, so that it is found and removed at little cost.
-    let mut donors: Vec<usize> = (0..vms.len()).collect();
+    let mut donors: Vec<usize> = (0..vms.len())
+        .filter(|index| !vms[*index].evacuated)
+        .collect();
     donors.sort_by_key(|index| (pools[vms[*index].pool].spare, vms[*index].idle_ms));
     while moves.len() < limit {
         let neediest = (0..pools.len())
@@ -93,13 +101,16 @@
     let Some(spare) = pools.iter().position(|pool| pool.spare) else {
         return moves;
     };
+    donors.extend((0..vms.len()).filter(|index| vms[*index].evacuated));
     donors.sort_unstable();
     for index in donors {
         let vm = &vms[index];
         let idle = vm.pool != spare && vm.idle_ms >= RELEASE_AFTER_IDLE_MS;
         let idle = idle && pools[vm.pool].demand_known;
         if moves.len() < limit && idle && can_release(&capacity, vm) {
-            capacity[vm.pool] = capacity[vm.pool].saturating_sub(vm.cpu_millis);
+            if !vm.evacuated {
+                capacity[vm.pool] = capacity[vm.pool].saturating_sub(vm.cpu_millis);
+            }
             moves.push(VmMove {
                 vm: index,
                 to_pool: spare,
--- a/crates/vanillafold-policy/src/jobs/mod.rs
+++ b/crates/vanillafold-policy/src/jobs/mod.rs
@@ -1,8 +1,9 @@
 //! Scheduling decisions about jobs: queue order, admission, placement, flow control of orders,
-//! pacing of best-effort tasks, pool capacity and maintenance.
+//! pacing of best-effort tasks, pool capacity, maintenance and evacuation of zones.
 
 mod admission;
 mod capacity;
+mod evacuation;
 mod flow;
 mod maintenance;
 mod order;
@@ -12,6 +13,7 @@
 
 pub use admission::{Admission, AdmissionInput, admit};
 pub use capacity::{MovableVm, PoolDemand, VmMove, plan_moves};
+pub use evacuation::{CheckpointedRun, is_resumed_elsewhere, usable_permille};
 pub use flow::OrderFlow;
 pub use maintenance::{
     MaintenanceCandidate, MaintenanceChoice, WaveProgress, choose_maintenance, paced_unavailable,
--- a/crates/vanillafold-policy/tests/jobs.rs
+++ b/crates/vanillafold-policy/tests/jobs.rs
@@ -421,6 +421,7 @@
         pool,
         cpu_millis: 16_000,
         idle_ms,
+        evacuated: false,
     }
 }
 
--- a/crates/vanillafold-standin/src/job_simulation/simulation.rs
+++ b/crates/vanillafold-standin/src/job_simulation/simulation.rs
@@ -482,6 +482,7 @@
         );
         shard.set_workers(self.workers.iter().map(entry).collect(), now);
         shard.set_vms(self.workers.iter().map(vm).collect(), now);
+        shard.set_evacuated_zones(&[], now);
         self.shard = Some(shard);
         match self.options.max_configuration_delay_ms {
             0 => self.configure(),
@@ -1228,6 +1229,8 @@
         vm_operation_pause_ms: 1_700,
         maintenance_ms: 2_000,
         vm_operations_per_s: 64,
+        stop_timeout_ms: 400,
+        restore_ms: 250,
         moves_enabled: false,
     }
 }
@@ -1280,6 +1283,7 @@
         capacity: capacity(worker),
         labels: Vec::new(),
         started_unix_ms: None,
+        cold_remaining_ms: 0,
     }
 }
 
@@ -1291,6 +1295,7 @@
         capacity: capacity(worker),
         labels: Vec::new(),
         worker: Some(worker_id(worker)),
+        zone: "zone".to_owned(),
     }
 }
 
--- a/crates/vanillafold/src/fleet/daemon.rs
+++ b/crates/vanillafold/src/fleet/daemon.rs
@@ -13,6 +13,8 @@
 
 use super::config::{FleetConfig, OperatorRecord};
 use super::connection::CallerConnection;
+use super::evacuation::{EvacuatedZones, EvacuationVersion};
+use super::ignored::IgnoredInput;
 use super::message::{FleetAnswer, FleetRequest, IncomingCall, RPC_PATH};
 use super::owner::OwnerView;
 use super::ownership::ShardOwnership;
@@ -69,6 +71,14 @@
     pub(crate) config: RefCell<Option<ActiveConfig>>,
     /// Maintenance waves that have been read from the store.
     pub(crate) waves: RefCell<Vec<vanillafold_jobs::Wave>>,
+    /// Records of the operator that can't be read.
+    pub(crate) ignored_operator_records: RefCell<IgnoredInput>,
+    /// The zones that the operator evacuates; `None` until that has been read, or another daemon has
+    /// told it.
+    pub(crate) evacuated_zones: RefCell<Option<EvacuatedZones>>,
+    /// When the newest read of the operator's records that succeeded was sent, by this daemon or by the
+    /// one that has told it the evacuated zones.
+    pub(crate) evacuations_read_at: Cell<MonotonicMillis>,
     /// This daemon's ownership of the shard, if it has one, including one that is still being
     /// opened.
     pub(crate) ownership: RefCell<Option<Rc<ShardOwnership<P>>>>,
@@ -126,6 +136,9 @@
             member,
             config: RefCell::new(None),
             waves: RefCell::new(Vec::new()),
+            ignored_operator_records: RefCell::new(IgnoredInput::new("record of the operator")),
+            evacuated_zones: RefCell::new(None),
+            evacuations_read_at: Cell::new(MonotonicMillis::ZERO),
             ownership: RefCell::new(None),
             owner_view: OwnerView::default(),
             owner_seen_at: Cell::new(None),
@@ -282,6 +295,63 @@
         config.as_ref().map(|config| config.raw.as_ref().clone())
     }
 
+    /// Sets the evacuated zones, of a read of the operator's records that was sent at `read_at`, unless
+    /// later ones are known. Tells the shard, if this daemon owns it.
+    pub(crate) fn adopt_evacuated_zones(
+        &self,
+        later: &EvacuatedZones,
+        read_at: MonotonicMillis,
+        source: &str,
+    ) {
+        let mut known = self.evacuated_zones.borrow_mut();
+        let is_changed = match known.as_mut() {
+            Some(known) => known.replace(later),
+            None => {
+                *known = Some(later.clone());
+                !later.zones().is_empty()
+            }
+        };
+        drop(known);
+        self.evacuations_read(is_changed, read_at, source);
+    }
+
+    /// Notes that the evacuated zones are those of a read of the operator's records that was sent at
+    /// `read_at`.
+    pub(crate) fn evacuations_read(
+        &self,
+        is_changed: bool,
+        read_at: MonotonicMillis,
+        source: &str,
+    ) {
+        self.evacuations_read_at
+            .set(self.evacuations_read_at.get().max(read_at));
+        if is_changed {
+            let known = self.evacuated_zones.borrow();
+            let zones = known.as_ref().map_or(&[][..], |known| known.zones());
+            log::info!(zones = zones.join(", "), source = source; "evacuated zones changed");
+        }
+        if let Some(ownership) = self.active_ownership() {
+            ownership.update_evacuated_zones(is_changed);
+        }
+    }
+
+    /// Returns what this daemon knows of evacuated zones, without the zones.
+    pub(crate) fn evacuation_version(&self) -> Option<EvacuationVersion> {
+        let age_ms = now().since(self.evacuations_read_at.get()).get();
+        let known = self.evacuated_zones.borrow();
+        known.as_ref().map(|known| known.version(age_ms))
+    }
+
+    /// Takes note of what another daemon knows of evacuated zones. If this one lacks no change, what it
+    /// knows is as new as the other's last read.
+    fn compare_evacuations(&self, other: Option<EvacuationVersion>) {
+        if let (Some(own), Some(other)) = (self.evacuation_version(), other)
+            && !own.lacks_change_of(&other)
+        {
+            self.evacuations_read(false, before(now(), other.age_ms), "daemon");
+        }
+    }
+
     /// Stops the daemon: hands the shard over, gives callers time to move to other daemons, and
     /// waits for requests in flight. Those that take too long are answered as undecided, so that no
     /// caller sees its connection close without an answer.
@@ -326,8 +396,10 @@
             cpu_millis,
             epoch,
             owner_clock_ms,
+            evacuations,
         } = &request
         {
+            self.compare_evacuations(*evacuations);
             if self.settings.cpu_millis < OWNER_CPU_MILLIS && *cpu_millis >= OWNER_CPU_MILLIS {
                 self.larger_daemon_seen.set(true);
             }
@@ -344,12 +416,20 @@
                 self.adopt_raw_config(raw, "daemon");
                 FleetAnswer::Config(Vec::new())
             }
+            (_, FleetRequest::Evacuations) => {
+                FleetAnswer::Evacuations(self.evacuated_zones.borrow().clone())
+            }
+            (_, FleetRequest::OfferEvacuations(zones, age_ms)) => {
+                self.adopt_evacuated_zones(&zones, before(now(), age_ms), "daemon");
+                FleetAnswer::Evacuations(None)
+            }
             (Some(ownership), FleetRequest::Ping { .. }) => FleetAnswer::Pong {
                 epoch: ownership.epoch().get(),
                 config_version: self.config().map_or(0, |config| config.version),
                 clock_ms: now().get(),
                 unconfirmed_ms: now().since(self.confirmed_at.get()).get(),
                 may_send_orders: ownership.may_send_orders(),
+                evacuations: self.evacuation_version(),
             },
             (Some(ownership), request) => ownership.answer(request, received_at, delivery).await,
             (None, _) => FleetAnswer::NotOwner,
@@ -366,6 +446,11 @@
     }
 }
 
+/// Returns the time `ms` before `at`.
+pub(crate) const fn before(at: MonotonicMillis, ms: u64) -> MonotonicMillis {
+    MonotonicMillis::new(at.get().saturating_sub(ms))
+}
+
 /// Returns whether an owner that answered at that time still counts as reachable.
 fn is_recent(seen_at: MonotonicMillis) -> bool {
     now().since(seen_at).get() < OWNER_CONTACT_MS
--- a/crates/vanillafold/src/fleet/message.rs
+++ b/crates/vanillafold/src/fleet/message.rs
@@ -3,8 +3,10 @@
 use bincode::{Decode, Encode};
 use vanillafold_jobs::{JobId, JobSpec};
 
+use super::evacuation::{EvacuatedZones, EvacuationVersion};
+
 /// Path of the calls between fleet daemons; its number changes with their encoding.
-pub const RPC_PATH: &str = "/fleet/2";
+pub const RPC_PATH: &str = "/fleet/3";
 
 /// Reading of the clock of the shard's owner.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Encode, Decode)]
@@ -80,12 +82,19 @@
         /// ping may arrive long after it was sent; this time, on the owner's clock, is when its
         /// sender was surely alive.
         owner_clock_ms: u64,
+        /// What the sender knows of evacuated zones; `None` if it has not read the operator's records.
+        evacuations: Option<EvacuationVersion>,
     },
     /// Asks for the owner's configuration if its version is later than this one.
     Config(u64),
     /// Gives the owner the value of the operator's configuration record, unparsed, because the
     /// owner's configuration is older.
     OfferConfig(Vec<u8>),
+    /// Asks for the evacuated zones that the owner knows of.
+    Evacuations,
+    /// Gives the owner the evacuated zones that the sender knows of, because the owner lacks a change,
+    /// and the time since the sender last read the operator's records, in milliseconds.
+    OfferEvacuations(EvacuatedZones, u64),
 }
 
 /// Answer to a [`FleetRequest`]. Encoded as bincode: the order of the variants and fields is part
@@ -124,10 +133,14 @@
         /// Whether the owner may send orders: it is not cut off from both the store and the other
         /// zones.
         may_send_orders: bool,
+        /// What the owner knows of evacuated zones; `None` if it knows nothing.
+        evacuations: Option<EvacuationVersion>,
     },
     /// The value of the operator's configuration record, unparsed; empty if the owner has no later
     /// version.
     Config(Vec<u8>),
+    /// The evacuated zones that the owner knows of; `None` if it knows nothing.
+    Evacuations(Option<EvacuatedZones>),
     /// The daemon that was asked does not own the shard, or has not taken it over yet.
     NotOwner,
     /// It is unknown whether the request had an effect.
@@ -148,9 +161,12 @@
     pub fn job(&self) -> String {
         match self {
             Self::Submit(id, _) | Self::State(id) | Self::Cancel(id) => id.to_string(),
-            Self::Pending(_) | Self::Ping { .. } | Self::Config(_) | Self::OfferConfig(_) => {
-                String::new()
-            }
+            Self::Pending(_)
+            | Self::Ping { .. }
+            | Self::Config(_)
+            | Self::OfferConfig(_)
+            | Self::Evacuations
+            | Self::OfferEvacuations(..) => String::new(),
         }
     }
 
@@ -171,6 +187,8 @@
             Self::Ping { .. } => "ping",
             Self::Config(_) => "config",
             Self::OfferConfig(_) => "offer_config",
+            Self::Evacuations => "evacuations",
+            Self::OfferEvacuations(..) => "offer_evacuations",
         }
     }
 }
@@ -189,6 +207,7 @@
             Self::Pending(_) => "pending",
             Self::Pong { .. } => "pong",
             Self::Config(_) => "config",
+            Self::Evacuations(_) => "evacuations",
             Self::NotOwner => "not_owner",
             Self::Undecided => "undecided",
             Self::Unconfirmed { .. } => "unconfirmed",
--- a/crates/vanillafold/src/fleet/metric.rs
+++ b/crates/vanillafold/src/fleet/metric.rs
@@ -1,7 +1,7 @@
 //! Metrics of a fleet daemon, as listed in docs/METRICS.md.
 
-use metrics::{counter, histogram};
-use vanillafold_jobs::{LossCounts, Order, OrderAnswer};
+use metrics::{counter, gauge, histogram};
+use vanillafold_jobs::{EvacuationCounts, LossCounts, Order, OrderAnswer};
 use vanillafold_policy::MonotonicMillis;
 
 use super::time::now;
@@ -115,3 +115,21 @@
         counter!("vanillafold_tasks_given_up_total").increment(given_up);
     }
 }
+
+/// Records the zones that are being evacuated and what is left in them, and counts the runs that were
+/// moved out of them between two readings.
+#[allow(clippy::cast_precision_loss)] // counts far below 2^53
+pub(crate) fn evacuations(before: EvacuationCounts, after: EvacuationCounts) {
+    if before == after {
+        return;
+    }
+    gauge!("vanillafold_evacuated_zones").set(after.zones as f64);
+    gauge!("vanillafold_evacuated_zone_runs").set(after.runs as f64);
+    let rows = [
+        ("replaced", after.replaced - before.replaced),
+        ("resumed", after.resumed - before.resumed),
+    ];
+    for (how, count) in rows.into_iter().filter(|row| row.1 > 0) {
+        counter!("vanillafold_evacuated_runs_total", "how" => how).increment(count);
+    }
+}
--- a/crates/vanillafold/src/fleet/mod.rs
+++ b/crates/vanillafold/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 //! |---|---|
 //! | operator's configuration | [`FleetConfig`], [`Route`], [`OperatorRecord`] |
 //! | the daemon | [`FleetDaemon`], [`CallerConnection`], [`FleetSettings`] |
+//! | evacuation of zones | [`EvacuatedZones`], [`EvacuationVersion`], [`ZoneChange`] |
 //! | calls between daemons | [`OutgoingCall`], [`FleetRequest`], [`OwnerTime`] |
 //! | answers to callers | [`FleetAnswer`], [`ResolvedRoute`], [`RouteError`] |
 //!
@@ -17,6 +18,7 @@
 mod config;
 mod connection;
 mod daemon;
+mod evacuation;
 mod forward;
 mod ignored;
 mod membership;
@@ -35,6 +37,7 @@
 pub use config::{FleetConfig, OperatorRecord, ResolvedRoute, Route, RouteError};
 pub use connection::CallerConnection;
 pub use daemon::{FleetDaemon, FleetStartError};
+pub use evacuation::{EvacuatedZones, EvacuationVersion, ZoneChange};
 pub use ignored::IgnoredInput;
 pub use message::{FleetAnswer, FleetRequest, OutgoingCall, OwnerTime, RPC_PATH};
 pub use platform::{
--- a/crates/vanillafold/src/fleet/owner.rs
+++ b/crates/vanillafold/src/fleet/owner.rs
@@ -8,7 +8,8 @@
 use vanillafold_policy::{MonotonicMillis, SplitMix};
 use vanillafold_wire::RpcClient;
 
-use super::daemon::FleetDaemon;
+use super::daemon::{FleetDaemon, before};
+use super::evacuation::EvacuationVersion;
 use super::message::{FleetAnswer, FleetRequest, OutgoingCall, OwnerTime, RPC_PATH};
 use super::platform::{
     AppendCondition, FleetPlatform, Keyspace, LatestRows, MetadataStore, PartitionOwner,
@@ -242,6 +243,7 @@
         cpu_millis: daemon.settings.cpu_millis,
         epoch: daemon.latest_epoch.get(),
         owner_clock_ms: last_reading.map_or(0, |(reading, _)| reading.clock_ms),
+        evacuations: daemon.evacuation_version(),
     };
     daemon.owner_view.confirmed_epoch.set(None);
     match client
@@ -254,6 +256,7 @@
             clock_ms,
             unconfirmed_ms,
             may_send_orders,
+            evacuations,
         }) => {
             let reading = OwnerTime { epoch, clock_ms };
             daemon.owner_view.reading.set(Some((reading, now())));
@@ -268,6 +271,7 @@
                 earlier if earlier < known => offer_config(daemon, &client).await,
                 _ => {}
             }
+            exchange_evacuations(daemon, &client, evacuations).await;
             let is_confirmed = unconfirmed_ms <= daemon.settings.member_ttl_ms;
             let confirmed_epoch = is_confirmed.then_some(epoch);
             daemon.owner_view.confirmed_epoch.set(confirmed_epoch);
@@ -302,6 +306,37 @@
     daemon.adopt_raw_config(raw, "owner");
 }
 
+/// Brings the owner and this daemon to the same knowledge of evacuated zones. One of them may be unable
+/// to read the operator's records.
+async fn exchange_evacuations<P: FleetPlatform>(
+    daemon: &FleetDaemon<P>,
+    client: &RpcClient,
+    owners: Option<EvacuationVersion>,
+) {
+    let own = daemon.evacuation_version();
+    let request = match (own, owners) {
+        (Some(own), Some(owners)) if own.lacks_change_of(&owners) => FleetRequest::Evacuations,
+        (None, Some(_)) => FleetRequest::Evacuations,
+        (Some(own), Some(owners)) if !owners.lacks_change_of(&own) => return,
+        (Some(own), _) => {
+            let known = daemon.evacuated_zones.borrow().clone().unwrap_or_default();
+            FleetRequest::OfferEvacuations(known, own.age_ms)
+        }
+        (None, None) => return,
+    };
+    let call = OutgoingCall::internal(&request);
+    match client.call(&call, RPC_TIMEOUT).await {
+        Ok(FleetAnswer::Evacuations(Some(zones))) => {
+            let age_ms = owners.map_or(0, |owners| owners.age_ms);
+            daemon.adopt_evacuated_zones(&zones, before(now(), age_ms), "owner");
+        }
+        Ok(_) => {}
+        Err(error) => {
+            log::debug!(error = error.to_string(); "exchanging the evacuated zones with the owner failed");
+        }
+    }
+}
+
 /// Gives the owner this daemon's configuration, which is later than its own. The owner may have
 /// started while the store could not be read.
 async fn offer_config<P: FleetPlatform>(daemon: &FleetDaemon<P>, client: &RpcClient) {
--- a/crates/vanillafold/src/fleet/ownership.rs
+++ b/crates/vanillafold/src/fleet/ownership.rs
@@ -7,8 +7,8 @@
 use local_sync::oneshot;
 use monoio::time::{sleep, timeout};
 use vanillafold_jobs::{
-    AdviceQuery, CancelOutcome, DeliveryCheck, Epoch, JobId, JobSpec, LossCounts, Record, Refusals,
-    Shard, SubmitOutcome, Wave, WorkerId,
+    AdviceQuery, CancelOutcome, DeliveryCheck, Epoch, EvacuationCounts, JobId, JobSpec, LossCounts,
+    Record, Refusals, Shard, SubmitOutcome, Wave, WorkerId,
 };
 use vanillafold_policy::MonotonicMillis;
 use vanillafold_wire::{Latch, Notify};
@@ -28,7 +28,7 @@
 };
 use super::time::{now, unix_ms};
 use super::workers::WorkerLink;
-use super::{advise, vms, workers, writer};
+use super::{advise, operator, vms, workers, writer};
 
 /// Time between two checks, during a handover, whether the remaining records have been written.
 const FLUSH_CHECK_INTERVAL: std::time::Duration = std::time::Duration::from_millis(5);
@@ -73,6 +73,10 @@
     confirmation_failed: Cell<bool>,
     /// Jobs that were refused a short time ago.
     refusals: RefCell<Refusals>,
+    /// Whether the shard has been told which zones are evacuated.
+    evacuations_known: Cell<bool>,
+    /// What evacuations had done when the metrics were last updated.
+    counted_evacuations: Cell<EvacuationCounts>,
     /// Links to the known workers, sorted by the workers' ids.
     pub(crate) links: RefCell<Vec<Rc<WorkerLink>>>,
     /// Version of the shard's workers that `links` corresponds to.
@@ -112,6 +116,8 @@
             unconfirmed: RefCell::default(),
             confirmation_failed: Cell::new(false),
             refusals: RefCell::default(),
+            evacuations_known: Cell::new(false),
+            counted_evacuations: Cell::new(EvacuationCounts::default()),
             links: RefCell::new(Vec::new()),
             linked_version: Cell::new(0),
             counted_losses: Cell::new(LossCounts::default()),
@@ -195,6 +201,30 @@
         self.events.notify_one();
     }
 
+    /// Gives the shard the evacuated zones if they have changed, or if it has none yet and they are
+    /// known from a read that was sent during this ownership: what the operator wrote before the
+    /// takeover is then known.
+    pub(crate) fn update_evacuated_zones(&self, is_changed: bool) {
+        let is_current = self.daemon.evacuations_read_at.get() >= self.opened_at;
+        let is_informed = self.evacuations_known.get();
+        if !is_current || (is_informed && !is_changed) {
+            return;
+        }
+        let known = self.daemon.evacuated_zones.borrow();
+        if let Some(known) = known.as_ref() {
+            self.evacuations_known.set(true);
+            self.with(|shard| shard.set_evacuated_zones(known.zones(), now()));
+            if !is_informed {
+                log::info!(
+                    epoch = self.epoch.get(), zones = known.zones().join(", "),
+                    after_ms = now().since(self.opened_at).get();
+                    "evacuated zones are known to the owner; tasks may start in all others"
+                );
+            }
+            self.events.notify_one();
+        }
+    }
+
     pub(crate) fn add_wave(&self, wave: Wave) {
         self.with(|shard| shard.add_wave(wave, now()));
         self.events.notify_one();
@@ -222,9 +252,11 @@
             FleetRequest::Pending(queue) => self
                 .with(|shard| FleetAnswer::Pending(shard.pending(&queue) as u64))
                 .unwrap_or(FleetAnswer::NotOwner),
-            FleetRequest::Ping { .. } | FleetRequest::Config(_) | FleetRequest::OfferConfig(_) => {
-                FleetAnswer::NotOwner
-            }
+            FleetRequest::Ping { .. }
+            | FleetRequest::Config(_)
+            | FleetRequest::OfferConfig(_)
+            | FleetRequest::Evacuations
+            | FleetRequest::OfferEvacuations(..) => FleetAnswer::NotOwner,
         }
     }
 
@@ -508,6 +540,9 @@
         if let Some(losses) = self.with(|shard| shard.loss_counts()) {
             metric::worker_losses(self.counted_losses.replace(losses), losses);
         }
+        if let Some(counts) = self.with(|shard| shard.evacuation_counts()) {
+            metric::evacuations(self.counted_evacuations.replace(counts), counts);
+        }
         let fenced = self.with(|shard| shard.is_fenced()).unwrap_or(false);
         if fenced {
             self.close("a worker has received a request of a later owner");
@@ -586,6 +621,7 @@
     );
     metric::takeover(ownership.opened_at);
     *ownership.shard.borrow_mut() = Some(shard);
+    ownership.update_evacuated_zones(false);
     ownership.daemon.owner_seen_at.set(Some(now()));
     monoio::spawn(run_until_closed(
         Rc::clone(&ownership),
@@ -622,7 +658,7 @@
     ownership.closed.run_until_set(task).await;
 }
 
-/// Fences earlier owners and reads the shard's records; repeats either step until the store
+/// Fences earlier owners, reads the operator's records and then the shard's; repeats the first and the last step until the store
 /// answers. Returns an error text if the store rejects the epoch, as it does after a later owner
 /// has written.
 async fn load<P: FleetPlatform>(ownership: &ShardOwnership<P>) -> Result<LatestRows, String> {
@@ -653,6 +689,10 @@
             Err(error) => return Err(error.to_string()),
         }
     }
+    // Once is enough: if it fails, the daemon's own reads or another daemon tell what it would have.
+    if let Err(error) = operator::read_latest(&ownership.daemon, &mut store).await {
+        log::info!(error = error.to_string(); "reading the operator's records at the takeover failed; no task starts until they are known");
+    }
     let mut latest = LatestRows::default();
     loop {
         match store.read_latest(Keyspace::Jobs, &mut latest).await {
--- a/crates/vanillafold/src/fleet/platform.rs
+++ b/crates/vanillafold/src/fleet/platform.rs
@@ -57,7 +57,7 @@
 /// A compacted log at the platform, of which the latest value of each key is kept.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Keyspace {
-    /// Configurations and maintenance waves, written by the operator.
+    /// Configurations, maintenance waves and evacuations of zones, written by the operator.
     Operator,
     /// Registrations, written by workers.
     Workers,
@@ -101,6 +101,10 @@
     /// Offset from which [`MetadataStore::read_changes`] returns every change made after the first
     /// page was read; `None` until that page has been read.
     pub next_offset: Option<u64>,
+    /// Keys of rows that were ignored because their value can't be read.
+    pub unreadable_keys: Vec<String>,
+    /// Whether rows were ignored whose key can't be read.
+    pub has_unknown_keys: bool,
 }
 
 /// Condition under which the store accepts an append.
@@ -301,6 +305,9 @@
     ///
     /// Describes what is malformed in the row.
     fn operator_record(&self, row: &KeyedRow) -> Result<Option<OperatorRecord>, String>;
+    /// Returns the zone whose evacuation the row of this key in [`Keyspace::Operator`] requests, as
+    /// long as the row exists and whatever its value; `None` if the key requests none.
+    fn evacuated_zone<'a>(&self, key: &'a str) -> Option<&'a str>;
     /// Parses a worker's registration from a row of [`Keyspace::Workers`].
     ///
     /// # Errors
--- a/crates/vanillafold/tests/fleet/epochs.rs
+++ b/crates/vanillafold/tests/fleet/epochs.rs
@@ -31,6 +31,7 @@
         cpu_millis: u64::MAX,
         epoch: u64::MAX,
         owner_clock_ms: u64::MAX,
+        evacuations: None,
     };
     let call = OutgoingCall {
         received_at: OwnerTime {
--- a/crates/vanillafold/tests/fleet/fixture.rs
+++ b/crates/vanillafold/tests/fleet/fixture.rs
@@ -22,6 +22,8 @@
 pub(crate) struct TestDaemon {
     pub(crate) fleet_daemon: Rc<FleetDaemon<TestPlatform>>,
     pub(crate) store_unreachable: Rc<Cell<bool>>,
+    /// Whether the store lets it read no records of the operator.
+    pub(crate) operator_records_hidden: Rc<Cell<bool>>,
     /// Where it takes the RPCs of other daemons.
     pub(crate) peer_address: SocketAddr,
 }
@@ -64,6 +66,8 @@
         vm_operation_pause_ms: 1_700,
         maintenance_ms: 2_000,
         vm_operations_per_s: 64,
+        stop_timeout_ms: 400,
+        restore_ms: 250,
         moves_enabled: true,
     }
 }
@@ -100,7 +104,9 @@
     relay_address: Option<SocketAddr>,
 ) -> TestDaemon {
     let store_unreachable = Rc::new(Cell::new(false));
+    let operator_records_hidden = Rc::new(Cell::new(false));
     let platform = TestPlatform {
+        operator_records_hidden: Rc::clone(&operator_records_hidden),
         state: Rc::clone(state),
         store_unreachable: Rc::clone(&store_unreachable),
         relay_address,
@@ -119,6 +125,7 @@
     TestDaemon {
         fleet_daemon,
         store_unreachable,
+        operator_records_hidden,
         peer_address,
     }
 }
--- a/crates/vanillafold/tests/fleet/frames.rs
+++ b/crates/vanillafold/tests/fleet/frames.rs
@@ -37,6 +37,7 @@
             cpu_millis: 500,
             epoch: 7,
             owner_clock_ms: 70_000,
+            evacuations: None,
         },
     ];
     let answers = [
--- a/crates/vanillafold/tests/fleet/main.rs
+++ b/crates/vanillafold/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 //! platform.
 
 mod epochs;
+mod evacuation;
 mod fixture;
 mod followers;
 mod frames;
--- a/crates/vanillafold/tests/fleet/platform.rs
+++ b/crates/vanillafold/tests/fleet/platform.rs
@@ -24,6 +24,8 @@
 const UNREACHABLE_DELAY: Duration = Duration::from_millis(100);
 /// Key of the operator's record that asks for the maintenance of all VMs.
 pub(crate) const WAVE_KEY: &str = "wave";
+/// Prefix of the keys of the operator's records that ask for the evacuation of a zone.
+pub(crate) const EVACUATION_PREFIX: &str = "evacuate-";
 /// Maximum number of rows in a page.
 const PAGE_ROWS: usize = 2;
 
@@ -103,6 +105,17 @@
         }
     }
 
+    /// Returns the latest value of each of the operator's records, sorted by key.
+    fn operator_rows(&self) -> Vec<(String, Vec<u8>)> {
+        let mut rows = vec![("config".to_owned(), vec![1])];
+        for (key, value) in &self.operator_changes {
+            rows.retain(|row| row.0 != *key);
+            rows.extend((!value.is_empty()).then(|| (key.clone(), value.clone())));
+        }
+        rows.sort();
+        rows
+    }
+
     /// Returns whether a record of a job is stored.
     pub(crate) fn has_job(&self, number: u64) -> bool {
         let id = format!("{number:016x}");
@@ -136,6 +149,8 @@
     pub(crate) state: Rc<RefCell<StoreState>>,
     /// Whether the daemon is cut off from the store.
     pub(crate) store_unreachable: Rc<Cell<bool>>,
+    /// Whether the store lets the daemon read no records of the operator.
+    pub(crate) operator_records_hidden: Rc<Cell<bool>>,
     /// Address at which the daemon reaches the others; their own if there is none.
     pub(crate) relay_address: Option<SocketAddr>,
 }
@@ -276,11 +291,13 @@
             self.simulate_call().await?;
             let mut state = self.0.state.borrow_mut();
             let last = latest.rows.last().map_or("", |row| row.key.as_str());
-            if keyspace == Keyspace::Operator && state.hides_operator_records {
+            if keyspace == Keyspace::Operator
+                && (state.hides_operator_records || self.0.operator_records_hidden.get())
+            {
                 return Err(StoreError::Refused("partly down".to_owned()));
             }
             let rows: Vec<(String, Vec<u8>)> = match keyspace {
-                Keyspace::Operator => vec![("config".to_owned(), vec![1])],
+                Keyspace::Operator => state.operator_rows(),
                 Keyspace::Jobs => state.jobs.clone(),
                 Keyspace::Workers => state.workers.clone(),
                 Keyspace::Status | Keyspace::Claims => Vec::new(),
@@ -294,6 +311,7 @@
             }
             let end = match keyspace {
                 Keyspace::Claims => state.claims,
+                Keyspace::Operator => state.operator_changes.len() as u64,
                 _ => 0,
             };
             let left = rows.into_iter().filter(|row| row.0.as_str() > last);
@@ -317,6 +335,9 @@
     ) -> Result<Changes, StoreError> {
         self.simulate_call().await?;
         sleep(Duration::from_millis(wait_ms)).await;
+        if keyspace == Keyspace::Operator && self.0.operator_records_hidden.get() {
+            return Err(StoreError::Refused("partly down".to_owned()));
+        }
         let state = self.0.state.borrow();
         let changes = match keyspace {
             Keyspace::Workers => state.worker_changes.as_slice(),
@@ -462,6 +483,9 @@
     }
 
     fn operator_record(&self, row: &KeyedRow) -> Result<Option<OperatorRecord>, String> {
+        if row.key.starts_with(EVACUATION_PREFIX) {
+            return Ok(None);
+        }
         if row.key == WAVE_KEY {
             let vms = self.state.borrow().vms.clone();
             return Ok(Some(OperatorRecord::Wave(Wave {
@@ -481,6 +505,10 @@
         Ok(Some(OperatorRecord::Config(Box::new(config))))
     }
 
+    fn evacuated_zone<'a>(&self, key: &'a str) -> Option<&'a str> {
+        key.strip_prefix(EVACUATION_PREFIX)
+    }
+
     fn worker_entry(&self, row: &KeyedRow) -> Result<WorkerEntry, String> {
         let address = std::str::from_utf8(&row.value).map_err(|error| error.to_string())?;
         Ok(WorkerEntry {
@@ -492,6 +520,7 @@
             capacity: Resources::default(),
             labels: Vec::new(),
             started_unix_ms: None,
+            cold_remaining_ms: 0,
         })
     }
 
--- a/crates/vanillafold/tests/fleet/vms.rs
+++ b/crates/vanillafold/tests/fleet/vms.rs
@@ -19,6 +19,7 @@
         capacity: Resources::default(),
         labels: Vec::new(),
         worker: None,
+        zone: "zone-a".to_owned(),
     }
 }
 
