--- a/crates/vanillafold-jobs/examples/shard_cost.rs
+++ b/crates/vanillafold-jobs/examples/shard_cost.rs
@@ -433,6 +433,7 @@
         vm_operation_pause_ms: 3_700,
         maintenance_ms: 2_000,
         vm_operations_per_s: 1_000,
+        move_ms: 1_500,
         stop_timeout_ms: 400,
         restore_ms: 250,
         moves_enabled: true,
--- a/crates/vanillafold-jobs/src/job/live.rs
+++ b/crates/vanillafold-jobs/src/job/live.rs
@@ -74,6 +74,20 @@
     }
 }
 
+/// When the steps of a job have to start for it to be in time, by the expected durations at its
+/// submission.
+#[derive(Debug, Clone)]
+pub(crate) struct JobPlan {
+    /// Latency within which the job should complete, in milliseconds.
+    pub(crate) objective_ms: u64,
+    /// For each step, the expected time from its start to the end of the job, in milliseconds.
+    pub(crate) tails_ms: Vec<u64>,
+    /// For each step, the expected duration of a task, in milliseconds; 0 for a persistent one.
+    pub(crate) task_ms: Vec<u64>,
+    /// Whether the job was accepted while others waited.
+    pub(crate) is_contended: bool,
+}
+
 /// A job as the owner of its shard keeps it in memory.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -111,6 +125,8 @@
     pub(crate) submitted_at: MonotonicMillis,
     /// Whether tasks may still run on workers that have not responded since the takeover.
     pub(crate) unaccounted: bool,
+    /// When its steps have to start; `None` for a job that an earlier owner has accepted.
+    pub(crate) plan: Option<JobPlan>,
     /// When the stored records of a finished job may be deleted.
     pub(crate) delete_at: Option<MonotonicMillis>,
 }
@@ -136,6 +152,7 @@
             next_occurrence: 0,
             submitted_at: now,
             unaccounted: false,
+            plan: None,
             delete_at: None,
         }
     }
--- a/crates/vanillafold-jobs/src/job/mod.rs
+++ b/crates/vanillafold-jobs/src/job/mod.rs
@@ -3,5 +3,5 @@
 mod live;
 mod state;
 
-pub(crate) use live::{Job, Step, Task, TaskStatus};
+pub(crate) use live::{Job, JobPlan, Step, Task, TaskStatus};
 pub use state::JobState;
--- a/crates/vanillafold-jobs/src/lib.rs
+++ b/crates/vanillafold-jobs/src/lib.rs
@@ -27,8 +27,8 @@
 };
 pub use shard::{
     Advice, AdviceQuery, Batch, CancelOutcome, Catalogue, EvacuationCounts, LossCounts, Order,
-    OrganisationInfo, PollPlan, PoolInfo, QueueInfo, RemovedQueue, Settings, Shard, SubmitOutcome,
-    Vm, VmOperation, VmState, Wave, WaveStatus,
+    OrganisationInfo, PollPlan, PoolInfo, PredictionCounts, QueueInfo, RemovedQueue, Settings,
+    Shard, SubmitOutcome, Vm, VmOperation, VmState, Wave, WaveStatus,
 };
 pub use spec::{JobSpec, Repeat, Resources, SpecError, StepSpec};
 pub use submission::{DeliveryCheck, Refusals};
--- a/crates/vanillafold-jobs/src/shard/ends.rs
+++ b/crates/vanillafold-jobs/src/shard/ends.rs
@@ -151,6 +151,7 @@
         let count = job.occurrence_count();
         if job.progress.completed.len() as u64 == u64::from(count) {
             job.finish(JobOutcome::Completed, now_unix_ms);
+            self.check_prediction(task.job, now);
             self.after_job_finished(task.job, now);
         }
     }
--- a/crates/vanillafold-jobs/src/shard/mod.rs
+++ b/crates/vanillafold-jobs/src/shard/mod.rs
@@ -1,5 +1,6 @@
 //! The state machine that schedules the jobs of one shard.
 
+mod admission;
 mod advice;
 mod arrivals;
 mod backlog;
@@ -23,6 +24,7 @@
 mod waves;
 mod workers;
 
+pub use admission::PredictionCounts;
 pub use advice::{Advice, AdviceQuery};
 pub use catalogue::{Catalogue, OrganisationInfo, PoolInfo, QueueInfo, RemovedQueue};
 pub use evacuation::EvacuationCounts;
--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -5,6 +5,7 @@
 use vanillafold_policy::MonotonicMillis;
 use vanillafold_policy::jobs::OrderFlow;
 
+use super::admission::AdmissionState;
 use super::advice::{AdviceQuery, StepAdvice};
 use super::arrivals::Arrivals;
 use super::backlog::Backlog;
@@ -102,8 +103,9 @@
     pub(super) next_wave_log_at: MonotonicMillis,
     pub(super) advice: Vec<StepAdvice>,
     pub(super) advice_queries: Vec<AdviceQuery>,
-    /// Open work by pool and organisation, for admission control.
+    /// Waiting work by pool, for admission control.
     pub(super) backlog: Backlog,
+    pub(super) admissions: AdmissionState,
     /// Recently submitted work, by pool.
     pub(super) arrivals: Vec<Arrivals>,
     /// Pools of persistent tasks that found no worker in the last scheduling pass, one entry per
@@ -179,6 +181,7 @@
             advice: Vec::new(),
             advice_queries: Vec::new(),
             backlog: Backlog::default(),
+            admissions: AdmissionState::default(),
             arrivals: Vec::new(),
             unplaced_pools: Vec::new(),
             preemptions: Vec::new(),
--- a/crates/vanillafold-jobs/src/shard/settings.rs
+++ b/crates/vanillafold-jobs/src/shard/settings.rs
@@ -25,6 +25,8 @@
     pub maintenance_ms: u64,
     /// Rate limit of the platform for VM operations, per second.
     pub vm_operations_per_s: u64,
+    /// How long a move to another pool makes a VM unavailable, in milliseconds.
+    pub move_ms: u64,
     /// How long stopping a run takes at most, in milliseconds.
     pub stop_timeout_ms: u64,
     /// How long a run takes to resume from a checkpoint, in milliseconds.
--- a/crates/vanillafold-jobs/src/shard/submit.rs
+++ b/crates/vanillafold-jobs/src/shard/submit.rs
@@ -1,8 +1,8 @@
 //! Submission, cancellation and state of jobs.
 
 use vanillafold_policy::MonotonicMillis;
-use vanillafold_policy::jobs::{Admission, AdmissionInput, admit};
 
+use super::admission::Decision;
 use super::arrivals::Arrivals;
 use super::root::Shard;
 use crate::id::JobId;
@@ -10,13 +10,6 @@
 use crate::record::JobOutcome;
 use crate::spec::JobSpec;
 
-/// Multiple of the latency objective beyond which a result is useless to the caller.
-const MAX_USEFUL_LATENCY_FACTOR: u64 = 3;
-
-/// Time after which a job may be submitted again that only evacuated zones could run, in
-/// milliseconds. When the operator ends an evacuation is not known.
-const EVACUATED_RETRY_MS: u64 = 5_000;
-
 /// Result of submitting a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SubmitOutcome {
@@ -57,18 +50,23 @@
             Ok(_) => return SubmitOutcome::Storing,
             Err(at) => at,
         };
-        if let Admission::Refuse { retry_after_ms } = self.admission(&spec, now) {
-            return SubmitOutcome::Refused { retry_after_ms };
-        }
-        self.record_arrival(&spec, now);
-        self.jobs.insert(at, Job::new(id, spec, now));
+        let (submitted_at, plan) = match self.decide_admission(id, &spec, now) {
+            Decision::Admit { submitted_at, plan } => (submitted_at, plan),
+            Decision::Refuse { retry_after_ms } => {
+                return SubmitOutcome::Refused { retry_after_ms };
+            }
+        };
+        let mut job = Job::new(id, spec, now);
+        job.submitted_at = submitted_at;
+        job.plan = plan;
+        self.jobs.insert(at, job);
         self.add_open_job(id);
         self.mark_dirty(id);
         self.begin_due_occurrences(id, now, now_unix_ms);
         SubmitOutcome::Storing
     }
 
-    fn record_arrival(&mut self, spec: &JobSpec, now: MonotonicMillis) {
+    pub(super) fn record_arrival(&mut self, spec: &JobSpec, now: MonotonicMillis) {
         let core_ms = self.work_core_ms(spec);
         if core_ms == 0 {
             return;
@@ -82,41 +80,6 @@
         self.arrivals[at].add(core_ms, now);
     }
 
-    fn admission(&mut self, spec: &JobSpec, now: MonotonicMillis) -> Admission {
-        let exempt = spec.repeat.is_some() || spec.steps.iter().any(|step| step.persistent);
-        let queue = self.catalogue.queue(&spec.queue).filter(|_| !exempt);
-        let Some(queue) = queue.cloned() else {
-            return Admission::Admit;
-        };
-        if self.has_evacuations() && self.is_out_of_reach(spec, &queue.pool) {
-            return Admission::Refuse {
-                retry_after_ms: EVACUATED_RETRY_MS,
-            };
-        }
-        let objective_ms = self.objective_ms(spec, &queue);
-        let share = self.pool_share(&queue.pool, &spec.organisation, now);
-        let organisation = self.catalogue.organisation(&spec.organisation);
-        let limit = organisation.map_or(0, |organisation| organisation.limit.cpu_millis / 1_000);
-        let job_core_ms = self.work_core_ms(spec);
-        let admission = admit(AdmissionInput {
-            queued_core_ms: share.queued_core_ms,
-            cores: match limit {
-                0 => share.cores,
-                limit => share.cores.min(limit),
-            },
-            waiting_tasks: share.waiting_tasks,
-            starts_per_s: self.start_rate.limit_per_s(),
-            job_core_ms,
-            max_useful_latency_ms: objective_ms.saturating_mul(MAX_USEFUL_LATENCY_FACTOR),
-        });
-        if admission == Admission::Admit {
-            let tasks = spec.steps.iter().map(|step| u64::from(step.count)).sum();
-            self.backlog
-                .add(&queue.pool, &spec.organisation, job_core_ms, tasks);
-        }
-        admission
-    }
-
     /// Cancels a job and issues stop orders for its runs.
     pub fn cancel(&mut self, id: JobId, now: MonotonicMillis, now_unix_ms: u64) -> CancelOutcome {
         let Some(job) = self.job_mut(id) else {
--- a/crates/vanillafold-policy/src/jobs/mod.rs
+++ b/crates/vanillafold-policy/src/jobs/mod.rs
@@ -11,7 +11,10 @@
 mod placement;
 mod suspicion;
 
-pub use admission::{Admission, AdmissionInput, admit};
+pub use admission::{
+    Admission, AdmissionInput, ArrivingCpu, PoolRoom, PredictionCorrection, ReturnSchedule,
+    WaitingWork, admit, predicted_lateness_ms,
+};
 pub use capacity::{MovableVm, PoolDemand, VmMove, plan_moves};
 pub use evacuation::{CheckpointedRun, is_resumed_elsewhere, usable_permille};
 pub use flow::OrderFlow;
--- a/crates/vanillafold/tests/fleet/fixture.rs
+++ b/crates/vanillafold/tests/fleet/fixture.rs
@@ -66,6 +66,7 @@
         vm_operation_pause_ms: 1_700,
         maintenance_ms: 2_000,
         vm_operations_per_s: 64,
+        move_ms: 1_500,
         stop_timeout_ms: 400,
         restore_ms: 250,
         moves_enabled: true,
