--- a/crates/vanillafold-jobs/src/shard/admission.rs
+++ b/crates/vanillafold-jobs/src/shard/admission.rs
@@ -143,7 +143,8 @@
         let mut plan = self.plan_job(spec, self.objective_ms(spec, &queue));
         self.refresh_backlog(now);
         let work = self.submitted_work(spec, &queue, &plan, now.since(submitted_at).get());
-        let input = self.predict(spec, &queue, &plan, &work);
+        let mut input = self.predict(spec, &queue, &plan, &work);
+        input.is_first &= submitted_at == now;
         match admit(input) {
             Admission::Admit => {
                 let pool = self.backlog.pool_mut(&queue.pool);
--- a/crates/vanillafold-jobs/tests/shard/main.rs
+++ b/crates/vanillafold-jobs/tests/shard/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the state machine of a shard, driven by single events.
 
+mod admission;
 mod advice;
 mod configuration;
 mod crashes;
--- a/crates/vanillafold-policy/src/jobs/admission.rs
+++ b/crates/vanillafold-policy/src/jobs/admission.rs
@@ -6,7 +6,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct WaitingWork {
     /// Time by which the tasks have to start for their job to be in time, in milliseconds from now;
-    /// negative if the job is late whenever they start.
+    /// negative if the job is late whenever they start. Such a job takes only room that is free now.
     pub latest_start_ms: i64,
     /// Their work, in core-milliseconds.
     pub core_ms: u64,
@@ -60,12 +60,12 @@
     }
 
     /// Returns the work that can be started within a time, in core-milliseconds: free CPU takes a task
-    /// at once, and CPU in use is freed evenly over the duration of a task.
+    /// at once and then one after the other, and CPU in use is freed evenly over the duration of a task.
     #[must_use]
     pub fn startable_core_ms(&self, within_ms: u64) -> u64 {
         let used = self.cpu_millis.saturating_sub(self.free_cpu_millis);
         let free = |cpu_millis: u64, from_ms: u64| match within_ms.checked_sub(from_ms) {
-            Some(left_ms) => cpu_millis.saturating_mul(left_ms.max(self.task_ms)),
+            Some(left_ms) => cpu_millis.saturating_mul(left_ms.saturating_add(self.task_ms)),
             None => 0,
         };
         used.saturating_mul(within_ms)
@@ -82,9 +82,9 @@
     }
 }
 
-/// Returns by how much a job is predicted to be late, in milliseconds, if it is accepted beside the
-/// waiting work and steps start in the order of their latest start; 0 if it is in time and makes no other
-/// late. Both lists are in that order; the waiting work is of jobs that can be in time.
+/// Returns for how long the room that a job needs is missing, in milliseconds, if it is accepted beside the
+/// waiting work and steps start in the order of their latest start; 0 if there is room for it without
+/// making another job late. Both lists are in that order; the waiting work is of jobs that can be in time.
 #[must_use]
 pub fn predicted_lateness_ms(
     room: &PoolRoom,
@@ -92,7 +92,6 @@
     job: &[WaitingWork],
 ) -> u64 {
     let Some(first) = job.first() else { return 0 };
-    let own_lateness_ms = first.latest_start_ms.min(0).unsigned_abs();
     let mut waiting = waiting.peekable();
     let mut own = job.iter().peekable();
     let mut demand_core_ms: u64 = 0;
@@ -114,8 +113,9 @@
             missing_core_ms = missing_core_ms.max(demand_core_ms.saturating_sub(startable_core_ms));
         }
     }
-    let missing_ms = missing_core_ms.saturating_mul(1_000) / room.all_cpu_millis().max(1);
-    own_lateness_ms.max(missing_ms)
+    missing_core_ms
+        .saturating_mul(1_000)
+        .div_ceil(room.all_cpu_millis().max(1))
 }
 
 /// What is predicted of a submitted job.
@@ -126,7 +126,8 @@
     pub lateness_ms: u64,
     /// The same with its organisation's share of the pool, beside the organisation's own work only.
     pub lateness_in_share_ms: u64,
-    /// Whether nobody waits in the pool, or nobody of the organisation.
+    /// Whether it is submitted for the first time, and no other job of its organisation waits in the
+    /// pool.
     pub is_first: bool,
     /// Tasks that wait for a worker, in all pools.
     pub waiting_tasks: u64,
--- a/crates/vanillafold/src/fleet/metric.rs
+++ b/crates/vanillafold/src/fleet/metric.rs
@@ -1,7 +1,7 @@
 //! Metrics of a fleet daemon, as listed in docs/METRICS.md.
 
 use metrics::{counter, gauge, histogram};
-use vanillafold_jobs::{EvacuationCounts, LossCounts, Order, OrderAnswer};
+use vanillafold_jobs::{EvacuationCounts, LossCounts, Order, OrderAnswer, PredictionCounts};
 use vanillafold_policy::MonotonicMillis;
 
 use super::time::now;
@@ -133,3 +133,15 @@
         counter!("vanillafold_evacuated_runs_total", "how" => how).increment(count);
     }
 }
+
+/// Counts the jobs that were accepted while others waited, by whether they completed in time, between two
+/// readings.
+pub(crate) fn predictions(before: PredictionCounts, after: PredictionCounts) {
+    let rows = [
+        ("in_time", after.in_time - before.in_time),
+        ("late", after.late - before.late),
+    ];
+    for (outcome, count) in rows.into_iter().filter(|row| row.1 > 0) {
+        counter!("vanillafold_predicted_jobs_total", "outcome" => outcome).increment(count);
+    }
+}
--- a/crates/vanillafold/src/fleet/ownership.rs
+++ b/crates/vanillafold/src/fleet/ownership.rs
@@ -77,6 +77,8 @@
     evacuations_known: Cell<bool>,
     /// What evacuations had done when the metrics were last updated.
     counted_evacuations: Cell<EvacuationCounts>,
+    /// How predictions had come true when the metrics were last updated.
+    counted_predictions: Cell<PredictionCounts>,
     /// Links to the known workers, sorted by the workers' ids.
     pub(crate) links: RefCell<Vec<Rc<WorkerLink>>>,
     /// Version of the shard's workers that `links` corresponds to.
@@ -118,6 +120,7 @@
             refusals: RefCell::default(),
             evacuations_known: Cell::new(false),
             counted_evacuations: Cell::new(EvacuationCounts::default()),
+            counted_predictions: Cell::new(PredictionCounts::default()),
             links: RefCell::new(Vec::new()),
             linked_version: Cell::new(0),
             counted_losses: Cell::new(LossCounts::default()),
@@ -543,6 +546,9 @@
         if let Some(counts) = self.with(|shard| shard.evacuation_counts()) {
             metric::evacuations(self.counted_evacuations.replace(counts), counts);
         }
+        if let Some(counts) = self.with(|shard| shard.prediction_counts()) {
+            metric::predictions(self.counted_predictions.replace(counts), counts);
+        }
         let fenced = self.with(|shard| shard.is_fenced()).unwrap_or(false);
         if fenced {
             self.close("a worker has received a request of a later owner");
