Refuse a team called all and a list of teams without names in the catalogue file

Cause: a queue with `teams =` or `teams = ,` was read as one that every team may use, so that taking the last team out of a list opened the queue to all. Change: both are errors of the file. docs/SETTINGS.md never allowed either. Result: two new cases of the table of problems; cargo test -p vanillafold-types passes.

--- a/crates/vanillafold-types/src/catalogue/text.rs
+++ b/crates/vanillafold-types/src/catalogue/text.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     ByteSize, Class, Connections, Document, MAX_DEADLINE_MS, Millis, ParseValueError, Percent,
-    Pool, Problem, Queue, Reader, Share, Slots, Team, WILDCARD_TEAMS, nearest_name,
+    Pool, Problem, Queue, Reader, Share, Slots, Team, TeamId, WILDCARD_TEAMS, nearest_name,
 };
 
 const KINDS: [&str; 3] = ["pool", "queue", "team"];
@@ -161,7 +161,11 @@
 }
 
 fn read_team(mut reader: Reader<'_>) -> Option<Team> {
-    let id = reader.name();
+    let id: Option<TeamId> = reader.name();
+    if id.as_ref().is_some_and(|id| id.as_str() == WILDCARD_TEAMS) {
+        let message = format!("a team can't be called {WILDCARD_TEAMS}: choose another name");
+        reader.problem_at("", message);
+    }
     let owner = reader.required("owner");
     let class = reader.optional_or("class", Class::Normal);
     let share = reader.ranged(
@@ -188,6 +192,12 @@
     let YesNo(open) = reader.optional_or("open", YesNo(false));
     let teams = match reader.optional::<String>("teams").as_deref() {
         Some(WILDCARD_TEAMS) => Vec::new(),
+        // An empty list would allow every team, although its last team was just taken out.
+        Some(list) if list.split(',').all(|item| item.trim().is_empty()) => {
+            let message = format!("teams: expected names of teams or {WILDCARD_TEAMS}, found none");
+            reader.problem_at("teams", message);
+            Vec::new()
+        }
         _ => reader.list("teams"),
     };
     let deadline_ms = reader.ranged(
--- a/crates/vanillafold-types/tests/catalogue.rs
+++ b/crates/vanillafold-types/tests/catalogue.rs
@@ -106,6 +106,21 @@
                 "day.ini:13: no team is called cafes: add [team cafes]",
             ],
         ),
+        // The log refuses such a team, but only once it is sent.
+        (
+            "[team cafes]",
+            "[team all]",
+            vec![
+                "day.ini:5: a team can't be called all: choose another name",
+                "day.ini:13: no team is called cafes: add [team cafes]",
+            ],
+        ),
+        // An empty list would allow every team.
+        (
+            "teams = cafes",
+            "teams = ,",
+            vec!["day.ini:13: teams: expected names of teams or all, found none"],
+        ),
         (
             "limit = 10",
             "",
