Warn about unusable entries and contradicting limits of a catalogue

Cause: a catalogue that parses may still have pools without queues, teams that may use nothing, queues that refuse every request, and limits of which one makes another void. Operators learn of it from refused callers. Change: 14 rules, plain functions over CatalogueFile (catalogue/check), each with what the operator would suffer; a comparison of two catalogues by entry and field (catalogue/compare); findings that know their line. The size up to which a body can be sent again and the time that a retry needs move to vanillafold-types, so that daemon and rules use the same numbers.

--- a/crates/vanillafold-policy/src/retry/attempts.rs
+++ b/crates/vanillafold-policy/src/retry/attempts.rs
@@ -1,5 +1,7 @@
 //! The attempts of one request, and the decision after each failed one.
 
+// The check of a catalogue needs this limit too, so that it is defined there.
+pub use vanillafold_types::MIN_RETRY_REMAINING;
 use vanillafold_types::{Millis, ResultCode};
 
 use super::{AttemptFailure, RetryAllowance};
@@ -17,8 +19,6 @@
 /// costs a target one short answer. Without a bound, a request could circulate between full
 /// targets.
 pub const MAX_REROUTES: u32 = 16;
-/// Minimum time left until the deadline for a retry; with less, its answer would come too late.
-pub const MIN_RETRY_REMAINING: Millis = Millis::new(20);
 /// Upper bound of the random backoff before the first retry; it doubles with each further retry.
 const INITIAL_MAX_BACKOFF: Millis = Millis::new(5);
 
--- a/crates/vanillafold-types/src/catalogue/entry.rs
+++ b/crates/vanillafold-types/src/catalogue/entry.rs
@@ -12,6 +12,13 @@
 /// The longest deadline that a queue may allow, in milliseconds.
 pub const MAX_DEADLINE_MS: Millis = Millis::new(3_600_000);
 
+/// The largest request body that a daemon keeps in memory, so that a retry can send it again. A
+/// larger one is streamed to the target and sent once.
+pub const MAX_REPLAYABLE_BODY: ByteSize = ByteSize::new(64 << 10);
+
+/// The minimum time left until the deadline for a retry; with less, its answer would come too late.
+pub const MIN_RETRY_REMAINING: Millis = Millis::new(20);
+
 /// The value of a queue's `teams` key that allows every team.
 pub const WILDCARD_TEAMS: &str = "all";
 
@@ -74,6 +81,14 @@
     pub max_body: ByteSize,
 }
 
+impl Queue {
+    /// Returns whether `team` may use the queue; a queue that lists no teams accepts all.
+    #[must_use]
+    pub fn accepts_team(&self, team: &TeamId) -> bool {
+        self.teams.is_empty() || self.teams.contains(team)
+    }
+}
+
 /// A key of a team. The catalogue holds its digest, not its secret.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub struct Key {
@@ -100,13 +115,32 @@
     Key(KeyId),
 }
 
-impl fmt::Display for EntryName {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+impl EntryName {
+    /// Returns the kind of the entry, as the header of its section gives it.
+    #[must_use]
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Pool(_) => "pool",
+            Self::Team(_) => "team",
+            Self::Queue(_) => "queue",
+            Self::Key(_) => "key",
+        }
+    }
+
+    /// Returns the name of the entry, without its kind.
+    #[must_use]
+    pub fn id(&self) -> &str {
         match self {
-            Self::Pool(id) => write!(f, "pool {id}"),
-            Self::Team(id) => write!(f, "team {id}"),
-            Self::Queue(id) => write!(f, "queue {id}"),
-            Self::Key(id) => write!(f, "key {id}"),
+            Self::Pool(id) => id.as_str(),
+            Self::Team(id) => id.as_str(),
+            Self::Queue(id) => id.as_str(),
+            Self::Key(id) => id.as_str(),
         }
     }
 }
+
+impl fmt::Display for EntryName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.kind(), self.id())
+    }
+}
--- a/crates/vanillafold-types/src/catalogue/text.rs
+++ b/crates/vanillafold-types/src/catalogue/text.rs
@@ -12,7 +12,7 @@
 const DEFAULT_DEADLINE_MS: Millis = Millis::new(10_000);
 const DEFAULT_MAX_WAITING: WaitingRequests = WaitingRequests(1_000);
 const DEFAULT_RETRY_PERCENT: Percent = Percent::new(10);
-const DEFAULT_MAX_BODY: ByteSize = ByteSize::new(16 << 20);
+pub(super) const DEFAULT_MAX_BODY: ByteSize = ByteSize::new(16 << 20);
 
 /// The pools, teams and queues of a catalogue file, checked together.
 ///
@@ -46,8 +46,17 @@
     /// Returns every [`Problem`] of the text, in the order of its lines.
     pub fn parse(file: &str, text: &str) -> Result<Self, Vec<Problem>> {
         let document = Document::parse(file, text).map_err(|problem| vec![problem])?;
+        Self::from_document(&document)
+    }
+
+    /// Reads and checks the entries of `document`.
+    ///
+    /// # Errors
+    ///
+    /// Returns every [`Problem`] of the document, in the order of its lines.
+    pub fn from_document(document: &Document) -> Result<Self, Vec<Problem>> {
         let mut problems = Vec::new();
-        let catalogue = Self::read(&document, &mut problems);
+        let catalogue = Self::read(document, &mut problems);
         if problems.is_empty() {
             return Ok(catalogue);
         }
--- a/crates/vanillafold-types/src/ini/document.rs
+++ b/crates/vanillafold-types/src/ini/document.rs
@@ -17,6 +17,17 @@
     pub(crate) entries: Vec<Entry>,
 }
 
+impl Section {
+    /// Returns the line of `key`, or of the section's header if the section lacks the key.
+    #[must_use]
+    pub fn line_of(&self, key: &str) -> usize {
+        self.entries
+            .iter()
+            .find(|entry| entry.key == key)
+            .map_or(self.line, |entry| entry.line)
+    }
+}
+
 /// A key of a section with its value and line.
 #[derive(Debug, Clone)]
 pub(crate) struct Entry {
--- a/crates/vanillafold-types/src/ini/reader.rs
+++ b/crates/vanillafold-types/src/ini/reader.rs
@@ -139,13 +139,7 @@
 
     /// Reports a problem at the line of `key`, or of the section's header if the key is missing.
     pub fn problem_at(&mut self, key: &str, message: impl Into<String>) {
-        let line = self
-            .section
-            .entries
-            .iter()
-            .find(|entry| entry.key == key)
-            .map_or(self.section.line, |entry| entry.line);
-        self.problem(line, message.into());
+        self.problem(self.section.line_of(key), message.into());
     }
 
     /// Reports the keys that were never requested and the keys that are given twice.
--- a/crates/vanillafold-types/src/lib.rs
+++ b/crates/vanillafold-types/src/lib.rs
@@ -7,6 +7,7 @@
 //! | Results of requests | [`ResultCode`], [`Outcome`] |
 //! | INI files with line numbers | [`Document`], [`Reader`], [`Problem`] |
 //! | The catalogue of operators | [`CatalogueFile`], [`Pool`], [`Team`], [`Queue`], [`Key`] |
+//! | Checks of a catalogue before it is published | [`warnings`], [`compare`], [`Finding`] |
 //!
 //! The package holds plain data: it does no I/O and reads no clock.
 
@@ -17,7 +18,9 @@
 mod size;
 
 pub use catalogue::{
-    CatalogueFile, Class, EntryName, Key, MAX_DEADLINE_MS, Pool, Queue, Team, WILDCARD_TEAMS,
+    CatalogueFile, Class, Difference, EntryChange, EntryName, Field, FieldChange, Finding,
+    FindingKind, Key, MAX_DEADLINE_MS, MAX_REPLAYABLE_BODY, MIN_RETRY_REMAINING, Pool, Queue, Team,
+    WILDCARD_TEAMS, compare, warnings,
 };
 pub use code::{Outcome, ParseOutcomeError, ResultCode};
 pub use id::{
--- a/crates/vanillafold/src/caller/body.rs
+++ b/crates/vanillafold/src/caller/body.rs
@@ -4,11 +4,11 @@
 use bytes::{Bytes, BytesMut};
 use monoio::time::Instant;
 use monoio::time::timeout_at;
-use vanillafold_types::{ByteSize, Millis, ResultCode};
+use vanillafold_types::{ByteSize, MAX_REPLAYABLE_BODY, Millis, ResultCode};
 use vanillafold_wire::http::{BodyError, BodyReader, Framing, HttpReader};
 
 /// Bodies up to this size are buffered, so that a retry can send them again.
-pub(crate) const MAX_BUFFERED_BODY_BYTES: usize = 64 * 1024;
+pub(crate) const MAX_BUFFERED_BODY_BYTES: usize = MAX_REPLAYABLE_BODY.get() as usize;
 
 /// A request's body that is ready to be sent to a target.
 #[derive(Debug)]
--- a/crates/vanillafold/src/node/queue.rs
+++ b/crates/vanillafold/src/node/queue.rs
@@ -50,7 +50,7 @@
 
     /// Returns whether `team` may use the queue; a queue that lists no teams accepts all.
     pub(crate) fn accepts_team(&self, team: &TeamId) -> bool {
-        self.settings.teams.is_empty() || self.settings.teams.contains(team)
+        self.settings.accepts_team(team)
     }
 
     /// Counts a request as waiting; `None` if [`Queue::max_waiting`] requests wait already.
