--- a/crates/vanillafold-policy/src/jobs/admission.rs
+++ b/crates/vanillafold-policy/src/jobs/admission.rs
@@ -186,8 +186,8 @@
 
 /// Part by which the predicted room shrinks when a job is late that was predicted to be in time, in
 /// thousandths of the room.
-const LATE_STEP_PERMILLE: u64 = 20;
-/// Part by which it grows when such a job is in time. With these steps about one job in eleven may be
+const LATE_STEP_PERMILLE: u64 = 40;
+/// Part by which it grows when such a job is in time. With these steps about one job in twenty may be
 /// late.
 const IN_TIME_STEP_PERMILLE: u64 = 2;
 /// Limits of the correction, in thousandths.
--- a/crates/vanillafold/src/fleet/ownership.rs
+++ b/crates/vanillafold/src/fleet/ownership.rs
@@ -8,7 +8,7 @@
 use monoio::time::{sleep, timeout};
 use vanillafold_jobs::{
     AdviceQuery, CancelOutcome, DeliveryCheck, Epoch, EvacuationCounts, JobId, JobSpec, LossCounts,
-    Record, Refusals, Shard, SubmitOutcome, Wave, WorkerId,
+    PredictionCounts, Record, Refusals, Shard, SubmitOutcome, Wave, WorkerId,
 };
 use vanillafold_policy::MonotonicMillis;
 use vanillafold_wire::{Latch, Notify};
