Keep the tasks of a job in one zone

Cause: tasks were placed on the fullest worker of the pool, whichever its zone. Nearly every job then has a task in each zone, and a partition of one zone delays all callers (docs/work-evacuation-and-load.md, Part 2).

Change: `zone_order` in vanillafold-policy returns the order in which the zones are tried for a step: most runs of the job first, then zones where all waiting tasks fit, then the others; among equals by rendezvous hashing of job and zone, so that nothing is stored. `choose_worker` ranks the zone below faults, suspects, the data rack and the rack of the step, and above packing. The pool index holds its rows by pool and zone, and sorts only the pools in which a task is to be placed. Queries for placement advice name workers of the preferred zone first. Tasks of a persistent step with `max_unavailable` are spread over the zones as the last criterion, so that no empty VM is taken for that.

Result: tests of vanillafold-policy and vanillafold-jobs pass.

--- a/crates/vanillafold-jobs/examples/shard_cost.rs
+++ b/crates/vanillafold-jobs/examples/shard_cost.rs
@@ -5,7 +5,7 @@
 //! per event.
 //!
 //! ```sh
-//! cargo run --release -p vanillafold-jobs --example shard_cost -- [WORKERS] [SECONDS]
+//! cargo run --release -p vanillafold-jobs --example shard_cost -- [WORKERS] [SECONDS] [ZONES]
 //! ```
 
 use std::collections::BTreeMap;
@@ -37,6 +37,7 @@
     id: WorkerId,
     pool: usize,
     rack: String,
+    zone: String,
     /// When the VM is back in service; 0 if it is in service.
     back_at_ms: u64,
     incarnation: u64,
@@ -74,11 +75,12 @@
     };
     let workers = usize::try_from(number(1_100)).unwrap_or(usize::MAX);
     let seconds = number(8);
-    let mut simulation = Simulation::new(workers);
+    let zones = usize::try_from(number(3).max(1)).unwrap_or(1);
+    let mut simulation = Simulation::new(workers, zones);
     simulation.run(seconds * 1_000);
     let total: Duration = simulation.costs.0.values().map(|cost| cost.time).sum();
     println!(
-        "{workers} workers, {seconds} s of load, {} starts",
+        "{workers} workers in {zones} zones, {seconds} s of load, {} starts",
         simulation.starts
     );
     println!(
@@ -110,12 +112,12 @@
 }
 
 impl Simulation {
-    fn new(count: usize) -> Self {
+    fn new(count: usize, zones: usize) -> Self {
         let now = at(0);
         let mut shard = Shard::load(settings(), Epoch::new(1), Vec::new(), now, 0);
         shard.set_catalogue(catalogue());
         shard.set_evacuated_zones(&[], MonotonicMillis::ZERO);
-        let workers: Vec<SimWorker> = (0..count).map(sim_worker).collect();
+        let workers: Vec<SimWorker> = (0..count).map(|at| sim_worker(at, zones)).collect();
         shard.add_wave(wave(&workers), now);
         let mut simulation = Self {
             shard,
@@ -298,13 +300,14 @@
     format!("{vm}-{incarnation}").parse().expect("a worker id")
 }
 
-fn sim_worker(at: usize) -> SimWorker {
+fn sim_worker(at: usize, zones: usize) -> SimWorker {
     let vm = format!("vm-{at:05}");
     SimWorker {
         id: worker_id(&vm, 1),
         vm,
         pool: at % POOLS,
         rack: format!("r-{}", at / RACK_VMS),
+        zone: format!("zone-{}", at / RACK_VMS % zones),
         back_at_ms: 0,
         incarnation: 1,
         runs: Vec::new(),
@@ -326,7 +329,7 @@
         id: worker.id.clone(),
         pool: pool_name(worker.pool),
         address: SocketAddr::from(([127, 0, 0, 1], 1_000)),
-        zone: "zone-a".to_owned(),
+        zone: worker.zone.clone(),
         ready: true,
         capacity: capacity(),
         labels: vec!["a".to_owned(), worker.rack.clone()],
--- a/crates/vanillafold-jobs/src/job/live.rs
+++ b/crates/vanillafold-jobs/src/job/live.rs
@@ -72,6 +72,11 @@
     pub(crate) fn is_done(&self) -> bool {
         self.done as usize == self.tasks.len()
     }
+
+    /// Returns whether tasks may be placed on workers: not all are waiting or done.
+    pub(crate) fn may_have_placed_tasks(&self) -> bool {
+        ((self.waiting + self.done) as usize) < self.tasks.len()
+    }
 }
 
 /// When the steps of a job have to start for it to be in time, by the expected durations at its
--- a/crates/vanillafold-jobs/src/shard/schedule/mod.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule/mod.rs
@@ -4,7 +4,7 @@
 //! |---|---|
 //! | tasks that may still run on workers of an earlier owner | [`takeover`] |
 //! | waiting steps, in the order in which they are placed | [`order`], by [`duration`] |
-//! | a worker for each task | [`placement`]; [`isolation`] after losses of workers |
+//! | a worker for each task | [`placement`]; zones by [`zones`]; [`isolation`] after losses of workers |
 //! | room for persistent tasks | [`preemption`] |
 //! | start orders | [`start`] |
 
@@ -16,3 +16,4 @@
 mod preemption;
 mod start;
 mod takeover;
+mod zones;
--- a/crates/vanillafold-jobs/src/shard/schedule/placement.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule/placement.rs
@@ -4,6 +4,7 @@
 use vanillafold_policy::jobs::{PlacementCandidate, SuspectPlacement, TaskProfile, choose_worker};
 
 use super::order::WaitingStep;
+use super::zones::ZoneSearch;
 use crate::shard::catalogue::QueueInfo;
 use crate::shard::pool_index::PoolIndex;
 use crate::shard::root::Shard;
@@ -19,7 +20,7 @@
         waiting: &WaitingStep,
         spec: &JobSpec,
         queue: &QueueInfo,
-        index: &PoolIndex,
+        (index, zones): (&PoolIndex, &ZoneSearch),
         planned: &[usize],
         (task_index, placement): (u16, SuspectPlacement),
         now: MonotonicMillis,
@@ -45,8 +46,8 @@
                 && !is_at_anti_affinity_limit(worker, waiting, step, more)
                 && (!queue.advised || self.ticket(key, &worker.entry.id, now).is_some())
         };
-        let candidate = |at: &usize| {
-            let worker = &self.workers[*at];
+        let candidate = |zone_rank: u32, at: usize| {
+            let worker = &self.workers[at];
             let labels = &worker.entry.labels;
             PlacementCandidate {
                 near_data: step.data_rack.is_empty() || labels.contains(&step.data_rack),
@@ -64,6 +65,7 @@
                 },
                 maintenance_due: step.persistent
                     && self.is_worker_due_for_maintenance(&worker.entry.id),
+                zone_rank: zones.rank(zone_rank, worker),
                 failed_here: worker.failed_jobs.contains(&waiting.job)
                     || places_of_losses.iter().any(|place| worker.is_at(place)),
             }
@@ -77,15 +79,17 @@
             let mut candidates = self.isolation_candidates(&queue.pool, &places_of_losses, now);
             candidates.retain(|at| self.workers[*at].fresh_runs() == 0);
             let positions: Vec<usize> = candidates.into_iter().filter(may_run).collect();
-            let chosen = choose_worker(positions.iter().map(candidate), profile);
+            let candidates = positions.iter().map(|at| candidate(0, *at));
+            let chosen = choose_worker(candidates, profile);
             return chosen.map(|chosen| positions[chosen]);
         }
         let mut positions = Vec::new();
-        let candidates = index
-            .with_free_cpu(&queue.pool, reservation.cpu_millis)
-            .filter(may_run)
-            .inspect(|at| positions.push(*at));
-        let chosen = choose_worker(candidates.map(|at| candidate(&at)), profile);
+        let candidates = zones
+            .workers(index, &queue.pool, reservation.cpu_millis)
+            .filter(|(_, at)| may_run(at))
+            .inspect(|(_, at)| positions.push(*at));
+        let candidates = candidates.map(|(zone_rank, at)| candidate(zone_rank, at));
+        let chosen = choose_worker(candidates, profile);
         chosen.map(|chosen| positions[chosen])
     }
 
@@ -123,7 +127,7 @@
     step.anti_affinity > 0 && count_step_runs(worker, waiting) + more >= step.anti_affinity as usize
 }
 
-fn count_step_runs(worker: &Worker, waiting: &WaitingStep) -> usize {
+pub(super) fn count_step_runs(worker: &Worker, waiting: &WaitingStep) -> usize {
     let step = (waiting.job, waiting.occurrence, waiting.step);
     let same = |run: &&Run| run.task.step_id() == step;
     worker.runs.iter().filter(same).count()
--- a/crates/vanillafold-jobs/src/shard/schedule/start.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule/start.rs
@@ -7,6 +7,7 @@
 
 use super::order::WaitingStep;
 use super::placement::has_required_label;
+use super::zones::ZoneSearch;
 use crate::id::{JobId, RunNumber};
 use crate::job::TaskStatus;
 use crate::shard::catalogue::QueueInfo;
@@ -56,8 +57,10 @@
         if without_capacity.iter().any(same_or_larger) {
             return;
         }
+        index.sort_pool(&queue.pool, &self.workers);
+        let mut zones = self.zone_search(waiting, step_spec, &queue.pool, index);
         if step_spec.gang {
-            self.start_gang(waiting, &spec, &queue, index, now);
+            self.start_gang(waiting, &spec, &queue, (index, &zones), now);
             return;
         }
         for task in self.waiting_tasks(waiting) {
@@ -67,7 +70,15 @@
             let placement = self.waiting_placement(waiting, task, now);
             let placed = match placement {
                 SuspectPlacement::Held => None,
-                _ => self.place_task(waiting, &spec, &queue, index, &[], (task, placement), now),
+                _ => self.place_task(
+                    waiting,
+                    &spec,
+                    &queue,
+                    (index, &zones),
+                    &[],
+                    (task, placement),
+                    now,
+                ),
             };
             let Some(at) = placed else {
                 match placement {
@@ -80,7 +91,7 @@
                     _ => {}
                 }
                 if queue.advised {
-                    self.request_advice(waiting, &spec, &queue, now);
+                    self.request_advice(waiting, &spec, &queue, (index, &zones), now);
                     return;
                 }
                 if step_spec.persistent {
@@ -93,6 +104,7 @@
             };
             let run = self.next_run(waiting, task);
             self.start_task(at, waiting, &spec, task, run, placement, now);
+            zones.count_start(&self.workers[at]);
             index.reserve(&self.workers[at], at, step_spec.reservation());
             if placement.is_isolated() {
                 index.remove(&self.workers[at], at);
@@ -105,7 +117,7 @@
         waiting: &WaitingStep,
         spec: &Rc<JobSpec>,
         queue: &QueueInfo,
-        index: &mut PoolIndex,
+        (index, zones): (&mut PoolIndex, &ZoneSearch),
         now: MonotonicMillis,
     ) {
         let step = &spec.steps[usize::from(waiting.step)];
@@ -126,9 +138,20 @@
         }
         let mut planned = Vec::with_capacity(members.len());
         for _ in &members {
-            match self.place_task(waiting, spec, queue, index, &planned, (0, placement), now) {
+            let placed = self.place_task(
+                waiting,
+                spec,
+                queue,
+                (index, zones),
+                &planned,
+                (0, placement),
+                now,
+            );
+            match placed {
                 Some(at) => planned.push(at),
-                None if queue.advised => return self.request_advice(waiting, spec, queue, now),
+                None if queue.advised => {
+                    return self.request_advice(waiting, spec, queue, (index, zones), now);
+                }
                 None if placement == SuspectPlacement::Isolated => {
                     let task = waiting.task(0);
                     return self.reserve_worker(task, &queue.pool, step.reservation(), now);
@@ -323,12 +346,14 @@
         organisation.limit.allows(used, step.needs.times(count))
     }
 
-    /// Queries placement advice for the workers that have capacity for a step.
+    /// Queries placement advice for the workers that have capacity for a step, those in the zones
+    /// that are tried first before others.
     fn request_advice(
         &mut self,
         waiting: &WaitingStep,
         spec: &JobSpec,
         queue: &QueueInfo,
+        (index, zones): (&PoolIndex, &ZoneSearch),
         now: MonotonicMillis,
     ) {
         let step = &spec.steps[usize::from(waiting.step)];
@@ -338,7 +363,9 @@
                 && has_required_label(worker, step)
                 && worker.entry.capacity.fits(worker.used, step.reservation())
         };
-        let candidates = self.workers.iter().filter(is_suitable);
+        let mut candidates: Vec<&Worker> = self.workers.iter().filter(is_suitable).collect();
+        candidates.sort_by_cached_key(|worker| zones.position(index, worker));
+        let candidates = candidates.into_iter();
         let candidates = candidates.map(|worker| worker.entry.id.clone()).collect();
         let key = (waiting.job, waiting.occurrence, waiting.step);
         self.query_advice(key, candidates, now);
--- a/crates/vanillafold-jobs/src/spec/resources.rs
+++ b/crates/vanillafold-jobs/src/spec/resources.rs
@@ -62,6 +62,20 @@
             && within(self.gpus, used.gpus, more.gpus)
     }
 
+    /// Returns how many times `each` fits into the capacity `self` beside `used`. What needs nothing
+    /// fits any number of times.
+    #[must_use]
+    pub fn fitting(self, used: Self, each: Self) -> u64 {
+        let within = |capacity: u64, used: u64, each: u64| match capacity.checked_sub(used) {
+            Some(free) if each > 0 => free / each,
+            Some(_) => u64::MAX,
+            None => 0,
+        };
+        within(self.cpu_millis, used.cpu_millis, each.cpu_millis)
+            .min(within(self.memory_mib, used.memory_mib, each.memory_mib))
+            .min(within(self.gpus, used.gpus, each.gpus))
+    }
+
     /// Returns whether `used` and `more` together stay within the limit `self`, where a component
     /// of zero means no limit.
     #[must_use]
--- a/crates/vanillafold-jobs/tests/shard/fixture.rs
+++ b/crates/vanillafold-jobs/tests/shard/fixture.rs
@@ -164,16 +164,24 @@
 
 /// Returns a shard of epoch 5 without jobs. All its workers have responded.
 pub(crate) fn shard_with_workers(workers: &[&str]) -> Shard {
-    let mut shard = Shard::load(settings(), Epoch::new(5), Vec::new(), at(0), unix(0));
+    shard_with_entries(workers.iter().map(|name| worker_entry(name)).collect())
+}
+
+/// Returns a shard of epoch 5 without jobs. All its workers have responded.
+pub(crate) fn shard_with_entries(entries: Vec<WorkerEntry>) -> Shard {
+    let shard = Shard::load(settings(), Epoch::new(5), Vec::new(), at(0), unix(0));
+    with_entries(shard, entries)
+}
+
+/// Gives a shard its configuration and workers, all of which have responded.
+pub(crate) fn with_entries(mut shard: Shard, entries: Vec<WorkerEntry>) -> Shard {
+    let names: Vec<String> = entries.iter().map(|row| row.id.to_string()).collect();
     shard.set_catalogue(catalogue());
     shard.set_evacuated_zones(&[], at(0));
-    shard.set_workers(
-        workers.iter().map(|name| worker_entry(name)).collect(),
-        at(0),
-    );
-    let vms = workers.iter().map(|name| vm(name, name)).collect();
+    shard.set_workers(entries, at(0));
+    let vms = names.iter().map(|name| vm(name, name)).collect();
     shard.set_vms(vms, at(0));
-    for name in workers {
+    for name in &names {
         poll(&mut shard, name, &report(1), 0);
     }
     shard
--- a/crates/vanillafold-jobs/tests/shard/main.rs
+++ b/crates/vanillafold-jobs/tests/shard/main.rs
@@ -17,3 +17,4 @@
 mod unreadable;
 mod vms;
 mod workers;
+mod zones;
--- a/crates/vanillafold-policy/src/jobs/mod.rs
+++ b/crates/vanillafold-policy/src/jobs/mod.rs
@@ -1,5 +1,5 @@
-//! Scheduling decisions about jobs: queue order, admission, placement, flow control of orders,
-//! pacing of best-effort tasks, pool capacity, maintenance and evacuation of zones.
+//! Scheduling decisions about jobs: queue order, admission, zones, placement, flow control of
+//! orders, pacing of best-effort tasks, pool capacity, maintenance and evacuation of zones.
 
 mod admission;
 mod capacity;
@@ -10,6 +10,7 @@
 mod pace;
 mod placement;
 mod suspicion;
+mod zone;
 
 pub use admission::{
     Admission, AdmissionInput, ArrivingCpu, PoolRoom, PredictionCorrection, ReturnSchedule,
@@ -25,3 +26,4 @@
 pub use pace::{PaceInput, next_pace};
 pub use placement::{PlacementCandidate, TaskProfile, choose_worker};
 pub use suspicion::{LossHistory, SuspectPlacement, is_given_up, suspect_placement};
+pub use zone::{ZoneCandidate, spread_rank, zone_order};
--- a/crates/vanillafold-policy/src/jobs/placement.rs
+++ b/crates/vanillafold-policy/src/jobs/placement.rs
@@ -26,6 +26,9 @@
     /// Whether the VM is due for maintenance, so that a persistent task would soon have to leave
     /// it.
     pub maintenance_due: bool,
+    /// Rank of the worker's zone for the task, 0 for the preferred one; 0 for all workers if the zone
+    /// does not matter.
+    pub zone_rank: u32,
     /// Whether a run of the task's job has failed on the worker before, or a worker on the same VM was
     /// lost under the task.
     pub failed_here: bool,
@@ -43,7 +46,8 @@
 }
 
 /// Returns the index of the best candidate, or `None` if there are no candidates. The candidates must
-/// come in ascending order of free CPU.
+/// come in ascending order of free CPU; unless the task is persistent, in ascending order of the
+/// rank of their zones, and of free CPU within a zone.
 ///
 /// The rules suit a fleet that is half idle while one pool is short of VMs:
 ///
@@ -54,9 +58,14 @@
 ///   waits until each such task runs again elsewhere.
 /// - The right rack goes before packing, because data on another rack makes a task several times
 ///   slower.
+/// - The job's zone comes next, also before packing, so that a partition of one zone delays few
+///   jobs. A worker elsewhere without faults is better than a faulty one in the zone, where the job
+///   might use up its attempts.
 /// - Tasks that disturb each other, best-effort and latency-sensitive ones, are spread.
 /// - Other work is packed onto the fullest VMs, so that others become empty and can move to another
 ///   pool.
+/// - Persistent tasks that are spread over the zones rank them last, so that this takes no further
+///   VMs.
 ///
 /// While one pool gets thousands of tasks a second, most workers have nothing against them. The
 /// search ends at the first such candidate, so that its cost doesn't grow with the pool.
@@ -65,35 +74,66 @@
     candidates: impl IntoIterator<Item = PlacementCandidate>,
     task: TaskProfile,
 ) -> Option<usize> {
-    let drawbacks = |candidate: &PlacementCandidate| {
-        let interfering_tasks = match task {
-            _ if task.best_effort => {
-                candidate.latency_sensitive_tasks + candidate.best_effort_tasks
-            }
-            _ if task.latency_sensitive => candidate.best_effort_tasks,
-            _ => 0,
-        };
-        (
-            candidate.failed_here,
-            candidate.fault_score >= 1.0,
-            candidate.fresh_suspects,
-            candidate.exposed_tasks,
-            candidate.maintenance_due,
-            !candidate.near_data,
-            !candidate.same_rack,
-            interfering_tasks,
-            task.persistent && candidate.persistent_tasks == 0,
-        )
-    };
-    const NO_DRAWBACKS: (bool, bool, u32, u32, bool, bool, bool, u32, bool) =
-        (false, false, 0, 0, false, false, false, 0, false);
     let mut best = None;
     for (index, candidate) in candidates.into_iter().enumerate() {
-        match (drawbacks(&candidate), &best) {
-            (NO_DRAWBACKS, _) => return Some(index),
-            (found, Some((least, _))) if found >= *least => {}
-            (found, _) => best = Some((found, index)),
+        let found = Drawbacks::of(&candidate, task);
+        // The zones of all further candidates rank the same or lower.
+        let is_best_from_here = found
+            == Drawbacks {
+                zone_rank: found.zone_rank,
+                ..Drawbacks::default()
+            };
+        match &best {
+            Some((least, _)) if found >= *least => {}
+            _ => best = Some((found, index)),
+        }
+        if is_best_from_here {
+            break;
         }
     }
     best.map(|(_, index)| index)
 }
+
+/// What is against a candidate, in descending order of importance.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct Drawbacks {
+    failed_here: bool,
+    is_faulty: bool,
+    fresh_suspects: u32,
+    exposed_tasks: u32,
+    maintenance_due: bool,
+    far_from_data: bool,
+    other_rack: bool,
+    zone_rank: u32,
+    interfering_tasks: u32,
+    has_no_persistent_tasks: bool,
+    spread_rank: u32,
+}
+
+impl Drawbacks {
+    fn of(candidate: &PlacementCandidate, task: TaskProfile) -> Self {
+        let (zone_rank, spread_rank) = match task.persistent {
+            true => (0, candidate.zone_rank),
+            false => (candidate.zone_rank, 0),
+        };
+        Self {
+            failed_here: candidate.failed_here,
+            is_faulty: candidate.fault_score >= 1.0,
+            fresh_suspects: candidate.fresh_suspects,
+            exposed_tasks: candidate.exposed_tasks,
+            maintenance_due: candidate.maintenance_due,
+            far_from_data: !candidate.near_data,
+            other_rack: !candidate.same_rack,
+            zone_rank,
+            interfering_tasks: match task {
+                _ if task.best_effort => {
+                    candidate.latency_sensitive_tasks + candidate.best_effort_tasks
+                }
+                _ if task.latency_sensitive => candidate.best_effort_tasks,
+                _ => 0,
+            },
+            has_no_persistent_tasks: task.persistent && candidate.persistent_tasks == 0,
+            spread_rank,
+        }
+    }
+}
--- a/crates/vanillafold-policy/tests/jobs.rs
+++ b/crates/vanillafold-policy/tests/jobs.rs
@@ -278,6 +278,7 @@
         fresh_suspects: 0,
         exposed_tasks: 0,
         maintenance_due: false,
+        zone_rank: 0,
         failed_here: false,
     }
 }
@@ -468,7 +469,7 @@
     );
 }
 
-/// Returns a worker's candidate from 10 random bits.
+/// Returns a worker's candidate from 12 random bits.
 fn candidate_of_bits(bits: u16) -> PlacementCandidate {
     PlacementCandidate {
         near_data: bits & 1 == 0,
@@ -481,6 +482,7 @@
         exposed_tasks: u32::from(bits >> 9 & 1),
         maintenance_due: bits & 64 != 0,
         failed_here: bits & 128 != 0,
+        zone_rank: u32::from(bits >> 10 & 3),
     }
 }
 
@@ -493,7 +495,10 @@
             best_effort,
             latency_sensitive: sensitive,
         };
-        let candidates: Vec<_> = bits.into_iter().map(candidate_of_bits).collect();
+        let mut candidates: Vec<_> = bits.into_iter().map(candidate_of_bits).collect();
+        if !persistent {
+            candidates.sort_by_key(|row| row.zone_rank);
+        }
         let interfering = |row: &PlacementCandidate| match task {
             _ if best_effort => row.latency_sensitive_tasks + row.best_effort_tasks,
             _ if sensitive => row.best_effort_tasks,
@@ -509,8 +514,10 @@
                 row.maintenance_due,
                 !row.near_data,
                 !row.same_rack,
+                if persistent { 0 } else { row.zone_rank },
                 interfering(row),
                 persistent && row.persistent_tasks == 0,
+                if persistent { row.zone_rank } else { 0 },
                 *at,
             )
         });
