Fold requests to evacuate availability zones

Cause: the catalogue stream has no record by which operators can ask that a zone gets no new requests.

Change: EvacuateZone and RestoreZone, appended to CatalogueChange. The fold keeps the zones sorted, each with the offset of its latest request; a withdrawal names that offset, so that one that is appended late does not undo a later request (refusals 650 and 651).

--- a/crates/vanillafold-state/src/catalogue/fold.rs
+++ b/crates/vanillafold-state/src/catalogue/fold.rs
@@ -1,21 +1,29 @@
 //! The catalogue and how the records of the `catalogue` stream change it.
 
-use bincode::{Decode, Encode};
+use bincode::de::{BorrowDecoder, Decoder};
+use bincode::enc::Encoder;
+use bincode::error::{DecodeError, EncodeError};
+use bincode::{BorrowDecode, Decode, Encode};
 use vanillafold_types::{EntryName, Key, Pool, Queue, Revision, Team};
 
 use super::edit;
 use super::entries::Entries;
+use super::evacuations::Evacuations;
 use super::key_ring::KeyRing;
 use super::with_revision::WithRevision;
 use crate::digest::LaneSum;
 use crate::fold::StreamState;
 use crate::{CatalogueChange, EntryEdit, RefusalReason};
 
-/// The catalogue: entries and keys. Every pool and team that a queue or key refers to exists.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
+/// The catalogue: entries, keys and evacuated zones. Every pool and team that a queue or key refers
+/// to exists.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(crate) struct Catalogue {
     pub(super) entries: Entries,
     pub(super) keys: KeyRing,
+    /// Not part of the encoding, which earlier releases read too: a snapshot holds the zones at its
+    /// end.
+    evacuations: Evacuations,
 }
 
 impl Catalogue {
@@ -51,6 +59,16 @@
         &self.keys
     }
 
+    pub(crate) fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Adds the evacuated zones to a decoded catalogue, and to its digest `sum`.
+    pub(crate) fn add_evacuations(&mut self, evacuations: Evacuations, sum: &mut LaneSum) {
+        evacuations.add_to(sum);
+        self.evacuations = evacuations;
+    }
+
     fn edit(
         &mut self,
         edits: Vec<EntryEdit>,
@@ -97,11 +115,45 @@
                 self.keys.withdraw(id, sum);
                 Ok(())
             }
+            CatalogueChange::EvacuateZone(zone) => {
+                self.evacuations.request(zone, revision, sum);
+                Ok(())
+            }
+            CatalogueChange::RestoreZone {
+                zone,
+                expected_revision,
+            } => self.evacuations.withdraw(&zone, expected_revision, sum),
         }
     }
 
     fn add_to(&self, sum: &mut LaneSum) {
         self.entries.add_to(sum);
         self.keys.add_to(sum);
+        self.evacuations.add_to(sum);
+    }
+}
+
+impl Encode for Catalogue {
+    fn encode<E: Encoder>(&self, encoder: &mut E) -> Result<(), EncodeError> {
+        self.entries.encode(encoder)?;
+        self.keys.encode(encoder)
+    }
+}
+
+impl<Context> Decode<Context> for Catalogue {
+    fn decode<D: Decoder<Context = Context>>(decoder: &mut D) -> Result<Self, DecodeError> {
+        Ok(Self {
+            entries: Entries::decode(decoder)?,
+            keys: KeyRing::decode(decoder)?,
+            evacuations: Evacuations::default(),
+        })
+    }
+}
+
+impl<'de, Context> BorrowDecode<'de, Context> for Catalogue {
+    fn borrow_decode<D: BorrowDecoder<'de, Context = Context>>(
+        decoder: &mut D,
+    ) -> Result<Self, DecodeError> {
+        Self::decode(decoder)
     }
 }
--- a/crates/vanillafold-state/src/digest/lane_sum.rs
+++ b/crates/vanillafold-state/src/digest/lane_sum.rs
@@ -19,6 +19,7 @@
     Outcome = 7,
     ForgottenSequence = 8,
     RosterMember = 9,
+    EvacuatedZone = 10,
 }
 
 /// An incremental hash of a set of items: the sum of their SHA-256 digests, in four lanes modulo
--- a/crates/vanillafold-state/src/fold/refusal.rs
+++ b/crates/vanillafold-state/src/fold/refusal.rs
@@ -12,7 +12,8 @@
         /// Why a record was refused, the same in every daemon.
         ///
         /// A number is never reused for another meaning. `60x` are faults of the record, `62x` of
-        /// an edit, `64x` of a key, `66x` of a VM's move and `68x` of a change of the roster.
+        /// an edit, `64x` of a key, `65x` of a zone's evacuation, `66x` of a VM's move and `68x` of a
+        /// change of the roster.
         #[derive(Debug, Clone, Copy, PartialEq, Eq)]
         #[non_exhaustive]
         pub enum RefusalReason {
@@ -91,6 +92,11 @@
     /// The key id was withdrawn, which is permanent.
     WithdrawnKey = 641, "withdrawn_key", "the key id is withdrawn for good; give a key with a new id";
 
+    /// The zone whose evacuation is to be withdrawn is not evacuated.
+    NotEvacuated = 650, "not_evacuated", "the zone is not evacuated; there is nothing to withdraw";
+    /// The evacuation of the zone was requested again since the author read it.
+    EvacuationMismatch = 651, "evacuation_mismatch", "the evacuation of the zone was requested again since it was read; list the zones and decide again";
+
     /// The VM's pool or revision is not the expected one, because it was moved since the author
     /// read it.
     MoveMismatch = 660, "move_mismatch", "the VM has another pool or revision than the move replaces; read its pool and decide again";
--- a/crates/vanillafold-state/src/fold/stream_fold.rs
+++ b/crates/vanillafold-state/src/fold/stream_fold.rs
@@ -127,6 +127,12 @@
         Digest::new(hasher.finalize().into())
     }
 
+    /// Adds to a decoded state a part that a snapshot holds apart from it; `add` also updates the
+    /// digest sum.
+    pub(crate) fn complete(&mut self, add: impl FnOnce(&mut S, &mut LaneSum)) {
+        add(&mut self.state, &mut self.sum);
+    }
+
     /// Computes the sum of all items anew.
     fn compute_sum(ledger: &Ledger, state: &S) -> LaneSum {
         let mut sum = LaneSum::default();
--- a/crates/vanillafold-state/src/record/catalogue.rs
+++ b/crates/vanillafold-state/src/record/catalogue.rs
@@ -1,7 +1,7 @@
 //! The records of the `catalogue` stream.
 
 use bincode::{Decode, Encode};
-use vanillafold_types::{EntryName, Key, KeyId, Pool, Queue, Revision, Team};
+use vanillafold_types::{EntryName, Key, KeyId, Pool, Queue, Revision, Team, ZoneId};
 
 use super::Record;
 
@@ -18,6 +18,17 @@
     GiveKey(Key),
     /// Withdraws a key permanently, whether or not it was given.
     WithdrawKey(KeyId),
+    /// Requests the evacuation of an availability zone, whether or not the zone exists: its targets
+    /// get no new requests until the request is withdrawn. A repeated request replaces the earlier
+    /// one.
+    EvacuateZone(ZoneId),
+    /// Withdraws the request to evacuate an availability zone.
+    RestoreZone {
+        /// The zone.
+        zone: ZoneId,
+        /// The revision of the request that is withdrawn.
+        expected_revision: Revision,
+    },
 }
 
 /// A change of one entry.
--- a/crates/vanillafold-state/src/state/lookup.rs
+++ b/crates/vanillafold-state/src/state/lookup.rs
@@ -1,6 +1,8 @@
 //! Lookups in the state, by binary search.
 
-use vanillafold_types::{EntryName, Key, KeyId, Pool, PoolId, Queue, Revision, Team, TeamId, VmId};
+use vanillafold_types::{
+    EntryName, Key, KeyId, Pool, PoolId, Queue, Revision, Team, TeamId, VmId, ZoneId,
+};
 
 use super::State;
 use crate::{AuthenticationError, Membership, Roster, WithRevision};
@@ -62,6 +64,20 @@
         self.early_withdrawals.iter()
     }
 
+    /// Returns the evacuated zones, sorted by name, each with the offset of the latest request to
+    /// evacuate it. A zone needs no VM to be among them.
+    pub fn evacuated_zones(&self) -> impl ExactSizeIterator<Item = &WithRevision<ZoneId>> {
+        self.catalogue.state().evacuations().iter()
+    }
+
+    /// Returns the offset of the latest request to evacuate a zone, which a withdrawal must expect;
+    /// `None` if the zone is not evacuated.
+    #[must_use]
+    pub fn evacuation(&self, zone: &ZoneId) -> Option<Revision> {
+        let evacuations = self.catalogue.state().evacuations();
+        evacuations.get(zone).map(|evacuated| evacuated.revision)
+    }
+
     /// Returns the key that a caller presents as `{key-id}.{secret}`.
     ///
     /// # Errors
--- a/crates/vanillafold-state/src/state/snapshot.rs
+++ b/crates/vanillafold-state/src/state/snapshot.rs
@@ -5,7 +5,7 @@
 use vanillafold_types::Offset;
 
 use super::State;
-use crate::catalogue::Catalogue;
+use crate::catalogue::{Catalogue, Evacuations};
 use crate::control::ControlState;
 use crate::fold::{StreamFold, StreamState};
 use crate::table::SortedVec;
@@ -20,14 +20,17 @@
     bincode::config::standard().with_limit::<MAX_DECODED_BYTES>()
 }
 
-/// The contents of a snapshot, borrowed for encoding.
+/// Why encoding a snapshot can't fail.
+const ENCODES: &str = "memory takes any bytes, and every part of the state has an encoding";
+
+/// The contents of a snapshot, borrowed for encoding; the evacuated zones follow if there are any.
 #[derive(Encode)]
 struct Body<'a> {
     catalogue: &'a StreamFold<Catalogue>,
     control: &'a StreamFold<ControlState>,
 }
 
-/// The contents of a snapshot, as decoded.
+/// The contents of a snapshot without the evacuated zones, as decoded.
 #[derive(Decode)]
 struct OwnedBody {
     catalogue: StreamFold<Catalogue>,
@@ -43,8 +46,12 @@
             catalogue: &self.catalogue,
             control: &self.control,
         };
-        let bytes = bincode::encode_to_vec(body, config())
-            .expect("memory takes any bytes, and every part of the state has an encoding");
+        let mut bytes = bincode::encode_to_vec(body, config()).expect(ENCODES);
+        // Releases that don't know evacuations read a snapshot that has none, and refuse others.
+        let evacuations = self.catalogue.state().evacuations();
+        if !evacuations.is_empty() {
+            bincode::encode_into_std_write(evacuations, &mut bytes, config()).expect(ENCODES);
+        }
         Snapshot::split(self.snapshot_id(), &bytes)
     }
 
@@ -64,10 +71,18 @@
     /// [`SnapshotError::StateMismatch`] if the state has other offsets or another digest.
     pub(crate) fn from_snapshot(id: SnapshotId, bytes: &[u8]) -> Result<Self, SnapshotError> {
         let malformed = |reason: String| SnapshotError::Malformed { id, reason };
-        let (body, used_bytes) = bincode::decode_from_slice::<OwnedBody, _>(bytes, config())
+        let (mut body, used_bytes) = bincode::decode_from_slice::<OwnedBody, _>(bytes, config())
             .map_err(|error| malformed(error.to_string()))?;
-        if used_bytes != bytes.len() {
-            return Err(malformed("more bytes follow after the state".to_owned()));
+        let rest = &bytes[used_bytes..];
+        if !rest.is_empty() {
+            let (evacuations, used_bytes) =
+                bincode::decode_from_slice::<Evacuations, _>(rest, config())
+                    .map_err(|error| malformed(error.to_string()))?;
+            if used_bytes != rest.len() || evacuations.is_empty() {
+                return Err(malformed("more bytes follow after the state".to_owned()));
+            }
+            body.catalogue
+                .complete(|catalogue, sum| catalogue.add_evacuations(evacuations, sum));
         }
         let state = Self {
             catalogue: body.catalogue,
--- a/crates/vanillafold-state/tests/common/mod.rs
+++ b/crates/vanillafold-state/tests/common/mod.rs
@@ -114,6 +114,17 @@
     }
 }
 
+pub(crate) fn evacuate(zone: &str) -> CatalogueChange {
+    CatalogueChange::EvacuateZone(zone.parse().unwrap())
+}
+
+pub(crate) fn restore(zone: &str, expected_revision: u64) -> CatalogueChange {
+    CatalogueChange::RestoreZone {
+        zone: zone.parse().unwrap(),
+        expected_revision: Revision::new(expected_revision),
+    }
+}
+
 /// An encoded record with its position in the log.
 #[derive(Debug, Clone)]
 pub(crate) struct LogRecord {
--- a/crates/vanillafold-state/tests/common/script.rs
+++ b/crates/vanillafold-state/tests/common/script.rs
@@ -6,7 +6,9 @@
 };
 use vanillafold_types::{DaemonId, EntryName, Incarnation, Offset, Revision, Sequence, Share};
 
-use super::{Log, author, key, move_vm, pool, pool_id, queue, return_vm, team, vm};
+use super::{
+    Log, author, evacuate, key, move_vm, pool, pool_id, queue, restore, return_vm, team, vm,
+};
 
 const NAMES: [&str; 3] = ["a", "b", "c"];
 const KEYS: [&str; 5] = ["k0", "k1", "k2", "k3", "k4"];
@@ -94,7 +96,13 @@
     }
 
     fn catalogue_change(&mut self, state: &State) -> CatalogueChange {
-        match self.below(8) {
+        match self.below(10) {
+            8 => evacuate(self.pick(&NAMES)),
+            9 => {
+                let zone = self.pick(&NAMES);
+                let current = state.evacuation(&zone.parse().unwrap());
+                restore(zone, self.expected_revision(current))
+            }
             0 => CatalogueChange::WithdrawKey(self.pick(&KEYS).parse().unwrap()),
             1 | 2 => CatalogueChange::GiveKey(key(self.pick(&KEYS), self.pick(&NAMES))),
             _ => {
--- a/crates/vanillafold-state/tests/random.rs
+++ b/crates/vanillafold-state/tests/random.rs
@@ -8,7 +8,7 @@
 use std::cell::RefCell;
 
 use common::script::Step;
-use common::{Log, LogRecord, key_text, move_vm, put, replay, restored};
+use common::{Log, LogRecord, key_text, move_vm, put, replay, restore, restored};
 use quickcheck::{Gen, QuickCheck, Testable};
 use vanillafold_state::{
     ApplyResult, Entry, MAX_CHUNK_BYTES, MAX_RECORD_BYTES, RECORD_WINDOW, RefusalReason,
@@ -186,6 +186,7 @@
             && before.queues().eq(after.queues())
             && before.keys().eq(after.keys())
             && before.withdrawn_keys().eq(after.withdrawn_keys())
+            && before.evacuated_zones().eq(after.evacuated_zones())
             && before.memberships().eq(after.memberships())
     }
 
@@ -238,7 +239,16 @@
                 ApplyResult::Refused(RefusalReason::MoveMismatch),
             ]
         });
-        edits_race && moves_race
+        let evacuated: Vec<_> = log.state.evacuated_zones().cloned().collect();
+        let withdrawals_race = evacuated.into_iter().all(|zone| {
+            let withdrawal = || restore(zone.value.as_str(), zone.revision.get());
+            let race = [log.catalogue(withdrawal()), log.catalogue(withdrawal())];
+            race == [
+                ApplyResult::Accepted,
+                ApplyResult::Refused(RefusalReason::NotEvacuated),
+            ]
+        });
+        edits_race && moves_race && withdrawals_race
     }
 
     check(property as fn(Vec<Step>) -> bool);
