Send no new requests to targets of an evacuated zone

Cause: the target table knows nothing of evacuated zones.

Change: TargetTable::set_evacuated_zones. Targets of these zones take no work, count for no share and are shown as evacuated; what runs there finishes. When the evacuation ends, they start with no recorded failures, as targets that return after they were removed. A send that was given up before its first byte has an outcome of its own, Unsent: 'leaving' would have kept the target out of use until its next health check. While a zone is evacuated, a daemon's fair share is that of all remaining slots between all daemons, tried in any zone: the daemons of the evacuated zone have no slots of their own, and their spill-over took those of one zone.

--- a/crates/vanillafold-policy/examples/routing_bench/main.rs
+++ b/crates/vanillafold-policy/examples/routing_bench/main.rs
@@ -5,7 +5,7 @@
 
 mod simulation;
 
-use simulation::{DAEMONS, Fault, Report, SLOTS, Scenario, Simulation, TARGETS};
+use simulation::{DAEMONS, Fault, Report, SLOTS, Scenario, Simulation, TARGETS, zone};
 use vanillafold_policy::baseline::{LeastOutstanding, RoundRobin, RoutingPolicy, UnlimitedRetries};
 use vanillafold_policy::{DaemonMember, RetryAllowance, RetryBudget, TargetLimits, TargetTable};
 use vanillafold_types::{Connections, Percent, Slots};
@@ -15,7 +15,7 @@
 const RETRY_PERCENT: Percent = Percent::new(10);
 const DEFAULT_SEED: u64 = 1;
 
-const SCENARIOS: [(&str, Fault, f64); 8] = [
+const SCENARIOS: [(&str, Fault, f64); 9] = [
     ("normal, load 0.7", Fault::None, 0.7),
     ("black hole, load 0.7", Fault::BlackHole, 0.7),
     ("one slow target, load 0.7", Fault::Slow, 0.7),
@@ -32,6 +32,11 @@
         Fault::FailingRequests(50),
         2.0,
     ),
+    (
+        "one zone of three evacuated for 6 s, load 0.9",
+        Fault::Evacuation,
+        0.9,
+    ),
 ];
 
 fn main() {
@@ -70,12 +75,17 @@
 fn print_rows(scenario: Scenario) {
     let slots = Slots::new(SLOTS);
     let budget = || RetryBudget::new(RETRY_PERCENT);
+    let zones = scenario.zones();
     print_row("target table, budget", scenario, |index| {
-        (table(index), budget())
+        (table(index, zones), budget())
     });
     print_row("target table, no budget", scenario, |index| {
-        (table(index), UnlimitedRetries)
+        (table(index, zones), UnlimitedRetries)
     });
+    // The baselines know no zones.
+    if scenario.fault == Fault::Evacuation {
+        return;
+    }
     print_row("least outstanding, budget", scenario, |_| {
         (LeastOutstanding::new(slots), budget())
     });
@@ -111,10 +121,10 @@
     );
 }
 
-fn table(index: usize) -> TargetTable {
+fn table(index: usize, zones: usize) -> TargetTable {
     let daemon = |index: usize| DaemonMember {
         daemon: format!("daemon-{index}").parse().expect("a valid id"),
-        zone: "a".parse().expect("a valid id"),
+        zone: zone(index, zones),
     };
     let limits = TargetLimits {
         slots_per_vm: Slots::new(SLOTS),
--- a/crates/vanillafold-policy/examples/routing_bench/simulation.rs
+++ b/crates/vanillafold-policy/examples/routing_bench/simulation.rs
@@ -12,7 +12,7 @@
     PickRefusal, PickedTarget, RequestAttempts, RequestProperties, RetryAllowance, RetryDecision,
     SendOutcome, SplitMix,
 };
-use vanillafold_types::{Millis, Slots, VmId};
+use vanillafold_types::{Millis, Slots, VmId, ZoneId};
 
 /// Number of targets in the pool.
 pub(crate) const TARGETS: usize = 12;
@@ -35,6 +35,8 @@
 const BLACK_HOLE_US: u64 = 1_000;
 /// Factor by which a slow target takes longer.
 const SLOW_FACTOR: u64 = 10;
+/// Time for which a zone is evacuated.
+const EVACUATION_MS: u64 = 6_000;
 /// Maximum number of requests in the queue of a target in scenarios where targets queue.
 const MAX_TARGET_QUEUE: usize = 64;
 /// Maximum number of requests that wait at one daemon.
@@ -56,6 +58,9 @@
     /// All targets queue requests and stop working for a second. Requests that wait meanwhile time
     /// out and are retried.
     Stall,
+    /// Targets and daemons are spread over three zones, of which the first is evacuated for
+    /// [`EVACUATION_MS`].
+    Evacuation,
     /// The given percentage of the requests fails at whichever target they run.
     FailingRequests(u8),
 }
@@ -65,7 +70,8 @@
 pub(crate) struct Scenario {
     /// The fault to simulate.
     pub(crate) fault: Fault,
-    /// Start of the fault. It lasts until the end of the run; a stall lasts one second.
+    /// Start of the fault. It lasts until the end of the run, except for a stall and an
+    /// evacuation.
     pub(crate) fault_at_ms: u64,
     /// Offered load as a multiple of the pool's capacity.
     pub(crate) load: f64,
@@ -75,6 +81,28 @@
     pub(crate) seed: u64,
 }
 
+impl Scenario {
+    /// Returns the number of zones over which targets and daemons are spread.
+    pub(crate) fn zones(&self) -> usize {
+        match self.fault {
+            Fault::Evacuation => 3,
+            _ => 1,
+        }
+    }
+
+    /// Returns whether a request that arrived at this time counts in [`Report::good_by_daemon`].
+    fn counts_for_daemons(&self, arrived_us: u64) -> bool {
+        let evacuation_us = self.evacuation_us();
+        self.fault != Fault::Evacuation
+            || (evacuation_us.start + 1_000_000..evacuation_us.end).contains(&arrived_us)
+    }
+
+    fn evacuation_us(&self) -> std::ops::Range<u64> {
+        let from_ms = self.fault_at_ms;
+        from_ms * 1_000..(from_ms + EVACUATION_MS) * 1_000
+    }
+}
+
 /// Results of a simulation.
 #[derive(Debug, Default)]
 pub(crate) struct Report {
@@ -94,11 +122,16 @@
     pub(crate) sends_to_first: u64,
     /// Number of sends from one second after the start of the fault.
     pub(crate) sends_after_fault: u64,
+    /// Number of sends to the first zone while it was evacuated.
+    pub(crate) sends_to_evacuated: u64,
+    /// Number of sends to the first zone from the end of its evacuation.
+    pub(crate) sends_to_restored: u64,
     /// Latencies of the successful requests in microseconds, sorted after the run.
     pub(crate) latencies_us: Vec<u64>,
     /// Maximum number of requests that ran at one target at the same time.
     pub(crate) most_running: u32,
-    /// Number of successful requests of each daemon.
+    /// Number of successful requests of each daemon; in an evacuation, of those that arrived from
+    /// one second after its start to its end.
     pub(crate) good_by_daemon: [u64; DAEMONS],
     run_ms: u64,
 }
@@ -117,7 +150,8 @@
             .min()
             .copied()
             .unwrap_or_default();
-        least as f64 * DAEMONS as f64 / self.good.max(1) as f64
+        let sum: u64 = self.good_by_daemon.iter().sum();
+        least as f64 * DAEMONS as f64 / sum.max(1) as f64
     }
 
     /// Returns the latency in milliseconds that `part` of the successful requests stay below.
@@ -139,13 +173,19 @@
     format!("vm-{index:03}").parse().expect("a valid id")
 }
 
-/// Returns a membership list of `count` VMs, all live in zone `a`.
-pub(crate) fn members(count: usize) -> Vec<Member> {
+/// Returns the zone of the target or daemon with this index, of `zones` zones.
+pub(crate) fn zone(index: usize, zones: usize) -> ZoneId {
+    let name = ["a", "b", "c"][index % zones];
+    name.parse().expect("a valid id")
+}
+
+/// Returns a membership list of `count` VMs, all live, in `zones` zones.
+pub(crate) fn members(count: usize, zones: usize) -> Vec<Member> {
     (0..count)
         .map(|index| Member {
             vm: vm(index),
             address: ([10, 0, 0, index as u8], 8080).into(),
-            zone: "a".parse().expect("a valid id"),
+            zone: zone(index, zones),
             state: MemberState::Live,
         })
         .collect()
@@ -159,6 +199,7 @@
     ArrivalAtTarget { attempt: usize },
     WorkDone { target: usize, attempt: usize },
     StallEnd,
+    SetEvacuated { evacuated: bool },
     AnswerAtDaemon { attempt: usize, answer: Answer },
     AttemptTimeout { attempt: usize },
 }
@@ -242,7 +283,7 @@
     pub(crate) fn new(scenario: Scenario, make: impl Fn(usize) -> (R, B)) -> Self {
         let daemons = (0..DAEMONS).map(|index| {
             let (mut policy, budget) = make(index);
-            policy.set_members(members(TARGETS));
+            policy.set_members(members(TARGETS, scenario.zones()));
             Daemon {
                 policy,
                 budget,
@@ -275,6 +316,12 @@
         if self.scenario.fault == Fault::Stall {
             self.schedule((self.scenario.fault_at_ms + 1_000) * 1_000, Event::StallEnd);
         }
+        if self.scenario.fault == Fault::Evacuation {
+            for (at_ms, evacuated) in [(0, true), (EVACUATION_MS, false)] {
+                let at_us = (self.scenario.fault_at_ms + at_ms) * 1_000;
+                self.schedule(at_us, Event::SetEvacuated { evacuated });
+            }
+        }
         while let Some(next) = self.events.pop() {
             self.now_us = next.at_us;
             self.handle(next.event);
@@ -297,6 +344,7 @@
             Event::ArrivalAtTarget { attempt } => self.arrival_at_target(attempt),
             Event::WorkDone { target, attempt } => self.work_done(target, attempt),
             Event::StallEnd => self.stall_ended(),
+            Event::SetEvacuated { evacuated } => self.set_evacuated(evacuated),
             Event::AnswerAtDaemon { attempt, answer } => self.answer_at_daemon(attempt, answer),
             Event::AttemptTimeout { attempt } => self.attempt_timed_out(attempt),
         }
@@ -409,6 +457,11 @@
             self.report.sends_after_fault += 1;
             self.report.sends_to_first += u64::from(target == 0);
         }
+        let evacuation_us = self.scenario.evacuation_us();
+        if self.scenario.fault == Fault::Evacuation && zone(target, 3) == zone(0, 1) {
+            self.report.sends_to_evacuated += u64::from(evacuation_us.contains(&self.now_us));
+            self.report.sends_to_restored += u64::from(self.now_us >= evacuation_us.end);
+        }
         let attempt = self.attempts.len();
         let deadline_us = state.arrived_us + DEADLINE_US;
         self.attempts.push(Attempt {
@@ -487,6 +540,14 @@
         }
     }
 
+    fn set_evacuated(&mut self, evacuated: bool) {
+        for daemon in 0..DAEMONS {
+            let zones = evacuated.then(|| zone(0, 1)).into_iter().collect();
+            self.daemons[daemon].policy.set_evacuated_zones(zones);
+            self.dispatch(daemon);
+        }
+    }
+
     fn answer(&mut self, attempt: usize, after_us: u64, answer: Answer) {
         let at_us = self.now_us + after_us + NETWORK_DELAY_US;
         self.schedule(at_us, Event::AnswerAtDaemon { attempt, answer });
@@ -545,8 +606,11 @@
         match failure {
             None => {
                 self.report.good += 1;
-                self.report.good_by_daemon[daemon] += 1;
-                let latency_us = self.now_us - self.requests[request].arrived_us;
+                let arrived_us = self.requests[request].arrived_us;
+                if self.scenario.counts_for_daemons(arrived_us) {
+                    self.report.good_by_daemon[daemon] += 1;
+                }
+                let latency_us = self.now_us - arrived_us;
                 self.report.latencies_us.push(latency_us);
             }
             Some(failure) => {
--- a/crates/vanillafold-policy/src/baseline/routing_policy.rs
+++ b/crates/vanillafold-policy/src/baseline/routing_policy.rs
@@ -4,12 +4,16 @@
     Member, MonotonicMillis, PickOptions, PickRefusal, PickedTarget, SendOutcome, SplitMix,
     TargetTable,
 };
+use vanillafold_types::ZoneId;
 
 /// A policy that chooses targets for sends.
 pub trait RoutingPolicy {
     /// Replaces the membership list.
     fn set_members(&mut self, members: Vec<Member>);
 
+    /// Sets the zones that are evacuated. The baselines know no zones.
+    fn set_evacuated_zones(&mut self, _zones: Vec<ZoneId>) {}
+
     /// Picks a target for one send.
     ///
     /// # Errors
@@ -34,6 +38,10 @@
         Self::set_members(self, members);
     }
 
+    fn set_evacuated_zones(&mut self, zones: Vec<ZoneId>) {
+        Self::set_evacuated_zones(self, zones);
+    }
+
     fn pick(
         &mut self,
         now: MonotonicMillis,
--- a/crates/vanillafold-policy/src/routing/outcome.rs
+++ b/crates/vanillafold-policy/src/routing/outcome.rs
@@ -52,6 +52,9 @@
         /// Slots in use at the target, from `Vf-Load`; `None` if the answer did not have it.
         load: Option<Slots>,
     },
+    /// Nothing was sent, because the target takes no new work any more, as this daemon found out
+    /// itself.
+    Unsent,
     /// The caller disconnected or its body broke off. The outcome says nothing about the target's
     /// health.
     Abandoned,
--- a/crates/vanillafold-policy/src/routing/pick.rs
+++ b/crates/vanillafold-policy/src/routing/pick.rs
@@ -50,9 +50,10 @@
 /// Why no target was picked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum PickRefusal {
-    /// No target of the pool is both live and assigned to this daemon.
+    /// No target of the pool is live, in a zone that is not evacuated and assigned to this daemon.
     #[error(
-        "no target of the pool is live and assigned to this daemon; wait for the membership list"
+        "no target of the pool is live, in a zone that is not evacuated and assigned to this daemon; \
+         wait for the membership list"
     )]
     NoTarget,
     /// Every usable target was excluded by the request.
@@ -108,6 +109,8 @@
     ProbeDue,
     /// The target finishes its current work and takes no new work.
     Leaving,
+    /// The target's zone is evacuated: the target finishes its current work and gets no new work.
+    Evacuated,
     /// The target has left the membership list and finishes its current work.
     Removed,
     /// The split of connections gives this daemon none to the target.
@@ -124,6 +127,7 @@
             Self::Ejected => "set_aside",
             Self::ProbeDue => "half_open",
             Self::Leaving => "leaving",
+            Self::Evacuated => "evacuated",
             Self::Removed => "removed",
             Self::Unassigned => "out_of_reach",
         }
--- a/crates/vanillafold-policy/src/routing/table.rs
+++ b/crates/vanillafold-policy/src/routing/table.rs
@@ -34,6 +34,9 @@
     limits: TargetLimits,
     daemons: Vec<DaemonMember>,
     own_zone_daemons: u32,
+    // Sorted.
+    evacuated_zones: Vec<ZoneId>,
+    has_evacuated_targets: bool,
     // Sorted by VM id.
     targets: Vec<Target>,
     latency_ms: Option<f64>,
@@ -49,6 +52,8 @@
             own_zone_daemons: 1,
             own,
             limits,
+            evacuated_zones: Vec::new(),
+            has_evacuated_targets: false,
             targets: Vec::new(),
             latency_ms: None,
         }
@@ -92,9 +97,28 @@
         for member in members {
             self.set_member(member);
         }
+        self.mark_evacuated();
         self.remove_unused();
     }
 
+    /// Sets the zones that are evacuated: their targets get no new work from now on, and requests
+    /// that run there finish. Zones without targets are kept for targets that appear later. Returns
+    /// whether the set has changed.
+    ///
+    /// The load addressed is that of operators who empty a zone while the others are busy: slots of
+    /// the zone count neither as free nor as this daemon's share, and a request that no other zone
+    /// can take is refused without waiting.
+    pub fn set_evacuated_zones(&mut self, mut zones: Vec<ZoneId>) -> bool {
+        zones.sort_unstable();
+        zones.dedup();
+        if self.evacuated_zones == zones {
+            return false;
+        }
+        self.evacuated_zones = zones;
+        self.mark_evacuated();
+        true
+    }
+
     /// Picks a target for one send.
     ///
     /// Targets in this daemon's zone come first; others are used only when each of those is full,
@@ -128,7 +152,7 @@
                     Usability::Busy(wait) => refusals.record_busy(wait),
                     Usability::EstimatedFull(wait) => {
                         refusals.record_busy(wait);
-                        if in_own_zone {
+                        if in_own_zone || self.has_evacuated_targets {
                             estimated_full.offer(target, rng);
                         }
                     }
@@ -140,7 +164,8 @@
             }
         }
         // If the estimate alone decided, the daemons that came first would keep all slots of a full
-        // pool. A daemon below its fair share may therefore send to a target estimated to be full.
+        // pool. A daemon below its fair share may therefore send to a target estimated to be full,
+        // in its own zone or, while a zone is evacuated, in any.
         match estimated_full.least_cost(now, rng) {
             Some(target) if self.outstanding() < self.fair_share() => Ok(picked(target, false)),
             _ => Err(refusals.refusal()),
@@ -180,7 +205,7 @@
             SendOutcome::Failed { .. } | SendOutcome::NotRun { .. } => {
                 self.others_failure_rate(&picked.vm, now)
             }
-            SendOutcome::Answered { .. } | SendOutcome::Abandoned => None,
+            SendOutcome::Answered { .. } | SendOutcome::Unsent | SendOutcome::Abandoned => None,
         };
         let pool_latency_ms = self.update_mean_latency(outcome);
         let probe = picked.probe;
@@ -335,15 +360,24 @@
 
     /// Returns this daemon's part of the slots in its zone. Work that spills over to other zones
     /// has no share.
+    ///
+    /// While a zone of the pool is evacuated, the part is that of all other zones' slots between
+    /// all daemons: the daemons of the evacuated zone have no slots of their own, and their work
+    /// would otherwise take those of some zones and not of others.
     fn fair_share(&self) -> Slots {
-        let own_zone_targets = self
+        let daemons = match self.has_evacuated_targets {
+            true => u32::try_from(self.daemons.len()).unwrap_or(u32::MAX),
+            false => self.own_zone_daemons,
+        };
+        let shared_targets = self
             .targets
             .iter()
-            .filter(|target| self.is_in_own_zone(target) && target.takes_work())
+            .filter(|target| self.has_evacuated_targets || self.is_in_own_zone(target))
+            .filter(|target| target.takes_work())
             .count();
         let slots =
-            u32::try_from(own_zone_targets).unwrap_or(u32::MAX) * self.limits.slots_per_vm.get();
-        Slots::new(slots / self.own_zone_daemons)
+            u32::try_from(shared_targets).unwrap_or(u32::MAX) * self.limits.slots_per_vm.get();
+        Slots::new(slots / daemons)
     }
 
     /// Returns whether the pool is in panic mode: more than [`PANIC_PERCENT`] of the usable targets
@@ -401,6 +435,15 @@
         }
     }
 
+    fn mark_evacuated(&mut self) {
+        for target in &mut self.targets {
+            let evacuated = self.evacuated_zones.binary_search(&target.member.zone);
+            target.set_evacuated(evacuated.is_ok(), self.salt);
+        }
+        let mut listed = self.targets.iter().filter(|target| !target.removed);
+        self.has_evacuated_targets = listed.any(Target::is_evacuated);
+    }
+
     fn reassign_connections(&mut self) {
         let mut targets = std::mem::take(&mut self.targets);
         for target in &mut targets {
@@ -456,7 +499,8 @@
 fn target_status(target: &Target, context: &PickContext) -> TargetStatus {
     match target.usability(context) {
         _ if target.removed => TargetStatus::Removed,
-        _ if !target.takes_work() => TargetStatus::Leaving,
+        _ if target.is_leaving() => TargetStatus::Leaving,
+        _ if target.is_evacuated() => TargetStatus::Evacuated,
         Usability::Unusable => TargetStatus::Unassigned,
         Usability::Available => TargetStatus::Available,
         Usability::Busy(_) | Usability::EstimatedFull(_) => TargetStatus::Busy,
--- a/crates/vanillafold-policy/src/routing/target.rs
+++ b/crates/vanillafold-policy/src/routing/target.rs
@@ -57,6 +57,7 @@
     pub(crate) member: Member,
     pub(crate) removed: bool,
     pub(crate) reported_leaving: bool,
+    evacuated: bool,
     pub(crate) health_checked_at: Option<MonotonicMillis>,
     pub(crate) outstanding: u32,
     pub(crate) connections: u32,
@@ -75,6 +76,7 @@
             member,
             removed: false,
             reported_leaving: false,
+            evacuated: false,
             health_checked_at: None,
             outstanding: 0,
             connections: 0,
@@ -108,9 +110,29 @@
         self.member = member;
     }
 
+    /// Sets whether the target's zone is evacuated. When that ends, the target starts with no
+    /// recorded failures, as one that returns after it was removed. What is known of its work stays,
+    /// because requests may still be running there.
+    pub(crate) fn set_evacuated(&mut self, evacuated: bool, salt: u64) {
+        if self.evacuated && !evacuated {
+            self.health = Health::new(&self.member.vm, salt);
+        }
+        self.evacuated = evacuated;
+    }
+
+    pub(crate) fn is_evacuated(&self) -> bool {
+        self.evacuated
+    }
+
+    /// Returns whether the target finishes its current work, by the membership list or its own
+    /// report.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.reported_leaving || self.member.state == MemberState::Leaving
+    }
+
     /// Returns whether the target takes new work, regardless of its load and health.
     pub(crate) fn takes_work(&self) -> bool {
-        !self.removed && !self.reported_leaving && self.member.state == MemberState::Live
+        !self.removed && !self.evacuated && !self.is_leaving()
     }
 
     /// Returns whether the split of connections gives this daemon any to the target.
@@ -207,7 +229,7 @@
                 ..
             }
             | SendOutcome::Abandoned => self.external_load.add_abandoned(now),
-            SendOutcome::Failed { .. } => {}
+            SendOutcome::Failed { .. } | SendOutcome::Unsent => {}
         }
         match outcome {
             SendOutcome::NotRun {
@@ -218,6 +240,7 @@
                 reason: NotRunReason::Leaving,
                 ..
             } => self.reported_leaving = true,
+            SendOutcome::Unsent => {}
             _ => self.busy_until = None,
         }
     }
--- a/crates/vanillafold-policy/tests/routing_properties.rs
+++ b/crates/vanillafold-policy/tests/routing_properties.rs
@@ -11,6 +11,7 @@
 use vanillafold_types::{Slots, VmId};
 
 const MAX_VMS: usize = 10;
+const ZONES: [&str; 3] = ["a", "b", "c"];
 const SEED: u64 = 0x0b5e_55ed;
 
 #[derive(Debug, Clone)]
@@ -25,6 +26,7 @@
     },
     SetMembers(Vec<Presence>),
     SetDaemons(usize),
+    SetEvacuated(Vec<bool>),
     SetPeerLoad {
         vm: usize,
         load: u32,
@@ -58,7 +60,7 @@
             Presence::Leaving,
             Presence::Absent,
         ];
-        match u8::arbitrary(g) % 20 {
+        match u8::arbitrary(g) % 21 {
             0..=8 => Self::Pick {
                 idempotent: bool::arbitrary(g),
                 exclude: usize::arbitrary(g) % (2 * MAX_VMS),
@@ -81,6 +83,7 @@
                 vm: usize::arbitrary(g) % MAX_VMS,
                 result: *g.choose(&results).unwrap(),
             },
+            19 => Self::SetEvacuated((0..ZONES.len()).map(|_| bool::arbitrary(g)).collect()),
             _ => Self::Wait {
                 ms: u64::arbitrary(g) % 3_000,
             },
@@ -95,6 +98,7 @@
     now: MonotonicMillis,
     presence: Vec<Presence>,
     reported_leaving: Vec<bool>,
+    evacuated: Vec<bool>,
     started: Vec<PickedTarget>,
 }
 
@@ -106,6 +110,7 @@
             now: at(0),
             presence: Vec::new(),
             reported_leaving: vec![false; MAX_VMS],
+            evacuated: vec![false; ZONES.len()],
             started: Vec::new(),
         };
         model.set_members(&[Presence::Live; MAX_VMS]);
@@ -124,6 +129,13 @@
                 let daemons = (0..*count).map(|index| daemon(index, zone(index)));
                 self.table.set_daemons(daemons.collect());
             }
+            Step::SetEvacuated(evacuated) => {
+                let zones = ZONES.iter().zip(evacuated);
+                let zones = zones.filter_map(|(zone, evacuated)| evacuated.then_some(zone));
+                self.table
+                    .set_evacuated_zones(zones.map(|zone| zone.parse().unwrap()).collect());
+                self.evacuated.clone_from(evacuated);
+            }
             Step::SetPeerLoad { vm: index, load } => {
                 let load = Slots::new(*load);
                 self.table.set_peer_load(&vm(*index), self.now, load);
@@ -157,6 +169,7 @@
             !self.reported_leaving[index],
             "{picked:?} has reported that it is leaving"
         );
+        assert!(!self.evacuated[index % ZONES.len()], "{picked:?}");
         self.check_health(&picked);
         self.check_limits(&picked);
         self.table.send_started(&picked);
@@ -246,7 +259,7 @@
 }
 
 fn zone(index: usize) -> &'static str {
-    ["a", "b", "c"][index % 3]
+    ZONES[index % ZONES.len()]
 }
 
 #[test]
--- a/crates/vanillafold-policy/tests/simulated_pool.rs
+++ b/crates/vanillafold-policy/tests/simulated_pool.rs
@@ -8,7 +8,7 @@
 #[path = "../examples/routing_bench/simulation.rs"]
 mod simulation;
 
-use simulation::{DAEMONS, Fault, Report, SLOTS, Scenario, Simulation};
+use simulation::{DAEMONS, Fault, Report, SLOTS, Scenario, Simulation, zone};
 use vanillafold_policy::baseline::LeastOutstanding;
 use vanillafold_policy::{DaemonMember, RetryBudget, TargetLimits, TargetTable};
 use vanillafold_types::{Connections, Percent, Slots};
@@ -18,6 +18,9 @@
 const MAX_BLACK_HOLE_SHARE: f64 = 0.01;
 /// Maximum part of the requests that one faulty target of twelve may fail, with retries enabled.
 const MAX_FAILED_PART: f64 = 0.005;
+/// Maximum part of the requests that may not be served while the other zones can carry the load of
+/// an evacuated one.
+const MAX_UNSERVED_PART: f64 = 0.005;
 /// Minimum goodput of the worst-served daemon, as a part of the mean, when all are overloaded
 /// alike.
 const MIN_WORST_SERVED_PART: f64 = 0.75;
@@ -34,10 +37,10 @@
     }
 }
 
-fn table(index: usize) -> TargetTable {
+fn table(index: usize, zones: usize) -> TargetTable {
     let daemon = |index: usize| DaemonMember {
         daemon: format!("daemon-{index}").parse().unwrap(),
-        zone: "a".parse().unwrap(),
+        zone: zone(index, zones),
     };
     let limits = TargetLimits {
         slots_per_vm: Slots::new(SLOTS),
@@ -50,7 +53,7 @@
 
 fn run(scenario: Scenario) -> Report {
     let budget = || RetryBudget::new(Percent::new(10));
-    Simulation::new(scenario, |index| (table(index), budget())).run()
+    Simulation::new(scenario, |index| (table(index, scenario.zones()), budget())).run()
 }
 
 fn failed_part(report: &Report) -> f64 {
@@ -108,3 +111,23 @@
         assert!(report.most_running <= SLOTS);
     }
 }
+
+/// Daemons of the evacuated zone and of the others must get slots alike, or the callers of one zone
+/// would be refused while the others are served.
+#[test]
+fn an_evacuated_zone_gets_no_sends_and_the_other_slots_are_shared_evenly() {
+    // The remaining two thirds of the targets carry the load of 0.6, but not the others.
+    for (load, is_served) in [(0.6, true), (0.9, false), (2.0, false)] {
+        for seed in 1..=3 {
+            let report = run(scenario(Fault::Evacuation, load, seed));
+
+            let least = report.least_served();
+            assert_eq!(report.sends_to_evacuated, 0, "load {load}, seed {seed}");
+            assert!(report.sends_to_restored > 0, "load {load}, seed {seed}");
+            assert!(report.most_running <= SLOTS);
+            assert!(least >= MIN_WORST_SERVED_PART, "{load}, {seed}: {least}");
+            let unserved = 1.0 - report.good as f64 / report.requests as f64;
+            assert!(!is_served || unserved <= MAX_UNSERVED_PART, "seed {seed}");
+        }
+    }
+}
