Evacuate zones in the HTTP daemon and vanillafoldctl

Cause: nothing requests an evacuation, and daemons do not apply those that the fold keeps.

Change: vanillafoldctl zone evacuate, restore and list. Daemons pass the evacuated zones to the target tables of all pools, also of pools that were removed while requests wait for them; log lines, the gauge vanillafold_evacuated_zones, and lines of /state tell of them. A waiting request without a target wakes the next one, so that all are refused at once and not one every 5 ms.

--- a/crates/vanillafold-policy/examples/routing_bench/simulation.rs
+++ b/crates/vanillafold-policy/examples/routing_bench/simulation.rs
@@ -542,8 +542,8 @@
 
     fn set_evacuated(&mut self, evacuated: bool) {
         for daemon in 0..DAEMONS {
-            let zones = evacuated.then(|| zone(0, 1)).into_iter().collect();
-            self.daemons[daemon].policy.set_evacuated_zones(zones);
+            let zones: Vec<ZoneId> = evacuated.then(|| zone(0, 1)).into_iter().collect();
+            self.daemons[daemon].policy.set_evacuated_zones(&zones);
             self.dispatch(daemon);
         }
     }
--- a/crates/vanillafold-policy/src/baseline/routing_policy.rs
+++ b/crates/vanillafold-policy/src/baseline/routing_policy.rs
@@ -12,7 +12,7 @@
     fn set_members(&mut self, members: Vec<Member>);
 
     /// Sets the zones that are evacuated. The baselines know no zones.
-    fn set_evacuated_zones(&mut self, _zones: Vec<ZoneId>) {}
+    fn set_evacuated_zones(&mut self, _zones: &[ZoneId]) {}
 
     /// Picks a target for one send.
     ///
@@ -38,7 +38,7 @@
         Self::set_members(self, members);
     }
 
-    fn set_evacuated_zones(&mut self, zones: Vec<ZoneId>) {
+    fn set_evacuated_zones(&mut self, zones: &[ZoneId]) {
         Self::set_evacuated_zones(self, zones);
     }
 
--- a/crates/vanillafold-policy/src/routing/table.rs
+++ b/crates/vanillafold-policy/src/routing/table.rs
@@ -108,7 +108,8 @@
     /// The load addressed is that of operators who empty a zone while the others are busy: slots of
     /// the zone count neither as free nor as this daemon's share, and a request that no other zone
     /// can take is refused without waiting.
-    pub fn set_evacuated_zones(&mut self, mut zones: Vec<ZoneId>) -> bool {
+    pub fn set_evacuated_zones(&mut self, zones: &[ZoneId]) -> bool {
+        let mut zones = zones.to_vec();
         zones.sort_unstable();
         zones.dedup();
         if self.evacuated_zones == zones {
--- a/crates/vanillafold-policy/tests/routing.rs
+++ b/crates/vanillafold-policy/tests/routing.rs
@@ -520,7 +520,7 @@
     let running = start(&mut table, at(1), &mut rng).unwrap();
     let zone: ZoneId = "a".parse().unwrap();
 
-    let changed = [0; 2].map(|_| table.set_evacuated_zones(vec![zone.clone(), zone.clone()]));
+    let changed = [0; 2].map(|_| table.set_evacuated_zones(&[zone.clone(), zone.clone()]));
     let sent = send_each(&mut table, at(2), &mut rng, 20, |_| false);
 
     assert_eq!(changed, [true, false]);
@@ -540,7 +540,7 @@
     let mut table = table(vec![member(0, "a"), member(1, "b")]);
     let zones = ["b", "a", "nowhere"].map(|zone| zone.parse().unwrap());
 
-    table.set_evacuated_zones(zones.to_vec());
+    table.set_evacuated_zones(&zones);
     table.set_members(vec![member(0, "a"), member(3, "nowhere")]);
 
     let refusal = pick(&table, at(1), &mut rng(), true).unwrap_err();
@@ -551,9 +551,9 @@
 fn a_target_comes_back_without_recorded_failures_when_its_zone_is_not_evacuated_any_more() {
     let mut rng = rng();
     let (mut table, now) = table_with_ejected_target(&mut rng);
-    table.set_evacuated_zones(vec!["a".parse().unwrap()]);
+    table.set_evacuated_zones(&["a".parse().unwrap()]);
 
-    table.set_evacuated_zones(Vec::new());
+    table.set_evacuated_zones(&[]);
 
     let status = target_status(&table, at(now), &vm(0));
     assert_eq!(status, TargetStatus::Available);
@@ -566,10 +566,10 @@
     let mut rng = rng();
     let mut table = table(vec![member(0, "a")]);
     let picked = start(&mut table, at(1), &mut rng).unwrap();
-    table.set_evacuated_zones(vec!["a".parse().unwrap()]);
+    table.set_evacuated_zones(&["a".parse().unwrap()]);
 
     table.send_finished(picked, at(2), SendOutcome::Unsent);
-    table.set_evacuated_zones(Vec::new());
+    table.set_evacuated_zones(&[]);
 
     assert!(pick(&table, at(2), &mut rng, true).is_ok());
 }
--- a/crates/vanillafold-policy/tests/routing_properties.rs
+++ b/crates/vanillafold-policy/tests/routing_properties.rs
@@ -8,7 +8,7 @@
     HealthCheckResult, Member, MonotonicMillis, NotRunReason, PickOptions, PickedTarget,
     SendOutcome, SplitMix, TargetStatus, TargetTable, TargetView,
 };
-use vanillafold_types::{Slots, VmId};
+use vanillafold_types::{Slots, VmId, ZoneId};
 
 const MAX_VMS: usize = 10;
 const ZONES: [&str; 3] = ["a", "b", "c"];
@@ -132,8 +132,8 @@
             Step::SetEvacuated(evacuated) => {
                 let zones = ZONES.iter().zip(evacuated);
                 let zones = zones.filter_map(|(zone, evacuated)| evacuated.then_some(zone));
-                self.table
-                    .set_evacuated_zones(zones.map(|zone| zone.parse().unwrap()).collect());
+                let zones: Vec<ZoneId> = zones.map(|zone| zone.parse().unwrap()).collect();
+                self.table.set_evacuated_zones(&zones);
                 self.evacuated.clone_from(evacuated);
             }
             Step::SetPeerLoad { vm: index, load } => {
--- a/crates/vanillafold-standin/tests/daemon/main.rs
+++ b/crates/vanillafold-standin/tests/daemon/main.rs
@@ -5,6 +5,7 @@
 mod body;
 mod claim;
 mod connection;
+mod evacuation;
 mod fixture;
 mod framing;
 mod head;
--- a/crates/vanillafold-standin/tests/daemon/operator.rs
+++ b/crates/vanillafold-standin/tests/daemon/operator.rs
@@ -307,6 +307,53 @@
     assert_eq!(given, failed(2, errors));
 }
 
+// --- zone --------------------------------------------------------------------------------------
+
+#[test]
+fn evacuations_are_requested_withdrawn_and_listed() {
+    let mut deployment = start_platform_only();
+    deployment.start_target(false);
+    let zone = |command: &str, name: &str| {
+        let name: &[&str] = &["--zone", name];
+        let arguments = if command == "list" { &[] } else { name };
+        run_tool(&deployment, &["zone", command], arguments)
+    };
+
+    let runs = [
+        zone("list", ""),
+        zone("evacuate", "zone-a"),
+        zone("evacuate", "zone-a"),
+        zone("evacuate", "nowhere"),
+        zone("list", ""),
+        zone("restore", "zone-b"),
+        zone("restore", "zone-a"),
+        zone("restore", "nowhere"),
+        zone("restore", "zone-a"),
+    ];
+
+    let expected = [
+        succeeded("no zone is evacuated\n"),
+        succeeded("evacuation of zone zone-a requested at offset 1\n"),
+        succeeded("evacuation of zone zone-a requested at offset 2, again after offset 1\n"),
+        succeeded(
+            "evacuation of zone nowhere requested at offset 3\n\
+             the platform lists no VM in zone nowhere; check its name\n",
+        ),
+        succeeded("zone=nowhere offset=3\nzone=zone-a offset=2\n"),
+        failed(
+            1,
+            "zone zone-b is not evacuated, nothing was withdrawn; evacuated zones: nowhere, zone-a\n",
+        ),
+        succeeded("evacuation of zone zone-a withdrawn at offset 4\n"),
+        succeeded("evacuation of zone nowhere withdrawn at offset 5\n"),
+        failed(
+            1,
+            "zone zone-a is not evacuated, nothing was withdrawn; evacuated zones: none\n",
+        ),
+    ];
+    assert_eq!(runs, expected);
+}
+
 // --- Faults of the platform --------------------------------------------------------------------
 
 #[test]
--- a/crates/vanillafold/src/admin/service.rs
+++ b/crates/vanillafold/src/admin/service.rs
@@ -141,6 +141,13 @@
                 queue.waiting()
             );
         }
+        for zone in state.evacuated_zones() {
+            let _ = writeln!(
+                page,
+                "evacuated_zone {} offset={}",
+                zone.value, zone.revision,
+            );
+        }
         let now = self.node.now();
         for pool in &routes.pools {
             let table = pool.table.borrow();
--- a/crates/vanillafold/src/counter/counters.rs
+++ b/crates/vanillafold/src/counter/counters.rs
@@ -21,6 +21,8 @@
     pub(crate) callers_gone: Counter,
     /// Sends that ended without a whole answer and may still be running at their target.
     pub(crate) lingering: Gauge,
+    /// Availability zones that are evacuated.
+    pub(crate) evacuated_zones: Gauge,
     /// The time from a request's head to the end of its answer, in seconds.
     pub(crate) answer_seconds: Histogram,
 }
@@ -48,6 +50,7 @@
             answers_cut: counter!("vanillafold_answers_cut_total"),
             callers_gone: counter!("vanillafold_callers_gone_total"),
             lingering: gauge!("vanillafold_lingering"),
+            evacuated_zones: gauge!("vanillafold_evacuated_zones"),
             answer_seconds: histogram!("vanillafold_answer_seconds"),
         }
     }
--- a/crates/vanillafold/src/dispatch/dispatcher.rs
+++ b/crates/vanillafold/src/dispatch/dispatcher.rs
@@ -262,6 +262,8 @@
     fn finish_unsent(&mut self, slot: Slot, failure: AttemptFailure) -> AttemptResult {
         self.failed_at.extend(slot.vm().cloned());
         let outcome = match failure {
+            // That the target takes no work is known from its zone, the list or its own report.
+            AttemptFailure::NotRun(NotRunReason::Leaving) => SendOutcome::Unsent,
             AttemptFailure::NotRun(reason) => SendOutcome::NotRun { reason, load: None },
             _ => SendOutcome::Failed {
                 kind: FailureKind::Connect,
--- a/crates/vanillafold/src/dispatch/permit.rs
+++ b/crates/vanillafold/src/dispatch/permit.rs
@@ -104,6 +104,8 @@
                     return Ok(slot);
                 }
                 Err(PickRefusal::NoTarget) => {
+                    // The next waiting request is refused without delay, too.
+                    pool.waiters.wake_first();
                     return Err(PermitError::Refused(ResultCode::NoTarget));
                 }
                 Err(PickRefusal::AllExcluded) => {
--- a/crates/vanillafold/src/follow/inventory.rs
+++ b/crates/vanillafold/src/follow/inventory.rs
@@ -1,7 +1,7 @@
 //! The VMs in the platform's list.
 
 use vanillafold_state::State;
-use vanillafold_types::VmId;
+use vanillafold_types::{VmId, ZoneId};
 use vanillafold_wire::platform::{ListVersion, VmChanges, VmEntry, VmState};
 
 use vanillafold_policy::{Member, MemberState};
@@ -127,6 +127,11 @@
             .collect()
     }
 
+    /// Returns the number of VMs in a zone.
+    pub(crate) fn count_in(&self, zone: &ZoneId) -> usize {
+        self.vms.iter().filter(|vm| vm.zone == *zone).count()
+    }
+
     /// Returns the present pool of a VM; `None` if the list does not have it.
     pub(crate) fn pool_of<'a>(&'a self, vm: &VmId, state: &'a State) -> Option<&'a PoolId> {
         let index = self.find(vm).ok()?;
--- a/crates/vanillafold/src/node/configuration.rs
+++ b/crates/vanillafold/src/node/configuration.rs
@@ -143,6 +143,7 @@
             self.routes
                 .borrow_mut()
                 .update(&self.state.borrow(), &self.fleet, &self.escrow);
+        self.report_evacuations();
         if stream == Stream::Control {
             self.update_from_roster();
         }
--- a/crates/vanillafold/src/node/mod.rs
+++ b/crates/vanillafold/src/node/mod.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod connection_store;
+mod evacuations;
 mod in_flight;
 mod pool;
 mod queue;
--- a/crates/vanillafold/src/node/pool.rs
+++ b/crates/vanillafold/src/node/pool.rs
@@ -10,7 +10,7 @@
     DaemonMember, MonotonicMillis, PickOptions, PickRefusal, PickedTarget, SendOutcome, SplitMix,
     TargetLimits, TargetTable,
 };
-use vanillafold_types::{Connections, Millis, Pool, PoolId, Slots, VmId};
+use vanillafold_types::{Connections, Millis, Pool, PoolId, Slots, VmId, ZoneId};
 use vanillafold_wire::http::split;
 
 use super::connection_store::{ConnectionCount, ConnectionStore, TargetConnection};
@@ -76,6 +76,14 @@
         }
     }
 
+    /// Sets the zones that are evacuated. Waiting requests are then tried again: they may have no
+    /// target left, or a restored one.
+    pub(crate) fn set_evacuated_zones(&self, zones: &[ZoneId]) {
+        if self.table.borrow_mut().set_evacuated_zones(zones) {
+            self.waiters.wake_first();
+        }
+    }
+
     /// Picks the best target and takes one of its slots.
     ///
     /// # Errors
--- a/crates/vanillafold/src/node/routes.rs
+++ b/crates/vanillafold/src/node/routes.rs
@@ -1,11 +1,11 @@
 //! Lookup tables of queues, pools and teams, kept up to date with the catalogue.
 
 use std::cell::RefCell;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 
 use vanillafold_policy::DaemonMember;
 use vanillafold_state::{Escrow, State, TeamLimit};
-use vanillafold_types::{PoolId, TeamId};
+use vanillafold_types::{PoolId, TeamId, ZoneId};
 
 use super::{PoolRuntime, QueueRuntime, TeamRuntime};
 
@@ -15,6 +15,8 @@
     pub(crate) queues: Vec<Rc<QueueRuntime>>,
     pub(crate) pools: Vec<Rc<PoolRuntime>>,
     pub(crate) teams: Vec<Rc<TeamRuntime>>,
+    /// Pools that were removed while requests waited for them.
+    removed_pools: Vec<Weak<PoolRuntime>>,
 }
 
 /// This daemon and all daemons of its fleet.
@@ -55,6 +57,7 @@
         escrow: &Rc<RefCell<Escrow>>,
     ) -> bool {
         let pools_changed = self.update_pools(state, fleet);
+        self.update_evacuations(state);
         self.update_teams(state, escrow);
         self.update_queues(state);
         pools_changed
@@ -74,6 +77,7 @@
         for removed in &self.pools {
             if state.pool(&removed.id).is_none() {
                 removed.close_idle();
+                self.removed_pools.push(Rc::downgrade(removed));
             }
         }
         let unchanged = pools.len() == self.pools.len()
@@ -82,6 +86,16 @@
         !unchanged
     }
 
+    fn update_evacuations(&mut self, state: &State) {
+        let zones = state.evacuated_zones();
+        let zones: Vec<ZoneId> = zones.map(|zone| zone.value.clone()).collect();
+        self.removed_pools.retain(|pool| pool.strong_count() > 0);
+        let removed = self.removed_pools.iter().filter_map(Weak::upgrade);
+        for pool in self.pools.iter().cloned().chain(removed) {
+            pool.set_evacuated_zones(&zones);
+        }
+    }
+
     fn update_teams(&mut self, state: &State, escrow: &Rc<RefCell<Escrow>>) {
         let teams = state
             .teams()
--- a/crates/vanillafold/src/node/shared.rs
+++ b/crates/vanillafold/src/node/shared.rs
@@ -7,8 +7,8 @@
 use http::header::HeaderValue;
 use monoio::time::Instant;
 use vanillafold_policy::{DaemonMember, MonotonicMillis, SplitMix};
-use vanillafold_state::{BootMillis, ClaimRecord, ClaimTable, Escrow, State};
-use vanillafold_types::{DaemonId, Incarnation, Millis, RequestId};
+use vanillafold_state::{BootMillis, ClaimRecord, ClaimTable, Escrow, State, WithRevision};
+use vanillafold_types::{DaemonId, Incarnation, Millis, RequestId, ZoneId};
 
 use vanillafold_wire::{BootClock, PeerHandle};
 
@@ -37,6 +37,8 @@
     pub(crate) state: RefCell<State>,
     /// The queues, pools and teams of the catalogue with their runtime state.
     pub(crate) routes: RefCell<Routes>,
+    /// The evacuated zones of which the log has told operators, sorted.
+    pub(super) logged_evacuations: RefCell<Vec<WithRevision<ZoneId>>>,
     /// The VMs in the platform's list.
     pub(crate) inventory: RefCell<Inventory>,
     /// The number of requests that the peers have outstanding at each VM.
@@ -116,6 +118,7 @@
             shutdown: Latch::new(),
             state: RefCell::new(State::new()),
             routes: RefCell::default(),
+            logged_evacuations: RefCell::default(),
             inventory: RefCell::default(),
             peer_loads: RefCell::default(),
             reconnected: RefCell::default(),
--- a/crates/vanillafold/src/node/tests.rs
+++ b/crates/vanillafold/src/node/tests.rs
@@ -1,5 +1,5 @@
-//! Tests of how requests take, renew and give back units of a team's limit on one daemon, and of
-//! the daemon's identity.
+//! Tests of how requests take, renew and give back units of a team's limit on one daemon, of the
+//! daemon's identity, and of evacuated zones.
 
 use std::cell::RefCell;
 use std::env;
@@ -8,15 +8,20 @@
 use std::rc::Rc;
 use std::sync::OnceLock;
 
+use vanillafold_policy::{PickOptions, PickRefusal};
 use vanillafold_state::{
-    Author, BootMillis, ControlChange, ControlRecord, Escrow, EscrowSettings, NoUnit, State,
-    Stream, TeamLimit,
+    Author, BootMillis, CatalogueChange, CatalogueRecord, ControlChange, ControlRecord, Entry,
+    EntryEdit, Escrow, EscrowSettings, NoUnit, State, Stream, TeamLimit,
+};
+use vanillafold_types::{
+    CatalogueFile, DaemonId, EntryName, Incarnation, Limit, ResultCode, Revision, Sequence, TeamId,
+    ZoneId,
 };
-use vanillafold_types::{DaemonId, Incarnation, Limit, ResultCode, Sequence, TeamId};
 use vanillafold_wire::BootClock;
 
-use super::{Node, TeamRuntime};
+use super::{Node, PoolRuntime, TeamRuntime};
 use crate::counter::Counters;
+use crate::follow::{TouchedPools, fold};
 use crate::settings::Settings;
 
 const INCARNATION: Incarnation = Incarnation::new(1);
@@ -195,3 +200,81 @@
 
     assert!(node.claims.borrow().is_complete(node.boot_ms()));
 }
+
+// --- Evacuated zones ---------------------------------------------------------------------------
+
+/// Folds the next record of the catalogue, as read from the log.
+fn publish(node: &Node, change: CatalogueChange) {
+    let offset = node.state.borrow().next_offset(Stream::Catalogue);
+    let record = CatalogueRecord {
+        author: Author {
+            id: "ops".parse().expect("an author"),
+            incarnation: INCARNATION,
+        },
+        sequence: Sequence::new(offset.get()),
+        as_of: offset,
+        change,
+    };
+    let bytes = record.encode().expect("a small record");
+    fold(node, Stream::Catalogue, [(offset, &bytes[..])].into_iter());
+}
+
+fn edit(name: EntryName, expected_revision: u64, value: Option<Entry>) -> CatalogueChange {
+    CatalogueChange::Edit(vec![EntryEdit {
+        name,
+        expected_revision: Revision::new(expected_revision),
+        value,
+    }])
+}
+
+/// Returns why no slot of the pool can be taken; `None` if one can.
+fn refusal(node: &Node, pool: &Rc<PoolRuntime>) -> Option<PickRefusal> {
+    let options = PickOptions {
+        idempotent: true,
+        exclude: &[],
+    };
+    let mut rng = node.rng.borrow_mut();
+    pool.try_take(node.now(), &mut rng, options).err()
+}
+
+/// A request may wait for a pool that is removed meanwhile: its targets, too, are evacuated.
+#[test]
+fn pools_that_are_added_or_removed_have_no_targets_in_an_evacuated_zone() {
+    let node = node();
+    let zone: ZoneId = "zone-b".parse().expect("a zone");
+    let text = "[pool work]\nowner = ops\nclass = urgent\n";
+    let pool = CatalogueFile::parse("f", text)
+        .expect("a catalogue")
+        .pools
+        .remove(0);
+    let name = EntryName::Pool(pool.id.clone());
+    let vm = "w1 zone-b rack-1 work 127.0.0.1:7200 live";
+
+    publish(&node, CatalogueChange::EvacuateZone(zone.clone()));
+    publish(
+        &node,
+        edit(name.clone(), 0, Some(Entry::Pool(pool.clone()))),
+    );
+    let vms = vec![vm.parse().expect("a line of the VM list")];
+    node.inventory.borrow_mut().replace_from_peer(vms);
+    node.update_targets(&TouchedPools::All);
+    let runtime = node
+        .routes
+        .borrow()
+        .pool(&pool.id)
+        .cloned()
+        .expect("a pool");
+    let evacuated = refusal(&node, &runtime);
+    let withdrawal = |request| CatalogueChange::RestoreZone {
+        zone: zone.clone(),
+        expected_revision: Revision::new(request),
+    };
+    publish(&node, withdrawal(1));
+    let restored = refusal(&node, &runtime);
+    publish(&node, edit(name, 2, None));
+    publish(&node, CatalogueChange::EvacuateZone(zone.clone()));
+
+    assert_eq!(evacuated, Some(PickRefusal::NoTarget));
+    assert_eq!(restored, None);
+    assert_eq!(refusal(&node, &runtime), Some(PickRefusal::NoTarget));
+}
--- a/crates/vanillafoldctl/src/main.rs
+++ b/crates/vanillafoldctl/src/main.rs
@@ -12,7 +12,7 @@
 mod command;
 mod publish;
 
-use command::{DaemonError, KeyError};
+use command::{DaemonError, KeyError, ZoneCommand, ZoneError};
 use publish::{PublishError, Publisher};
 
 /// The exit status if the log could not be read before the change was sent, or the change was not
@@ -53,6 +53,7 @@
         common: CommonOptions,
         daemon: DaemonId,
     },
+    Zone(ZoneCommand),
 }
 
 /// The options that all commands share that use the platform.
@@ -93,10 +94,15 @@
         .to_options()
         .descr("Say that daemons are gone")
         .command("daemon");
-    construct!([check, apply, key, daemon])
+    let zone = command::zone_commands()
+        .map(Command::Zone)
+        .to_options()
+        .descr("Evacuate availability zones")
+        .command("zone");
+    construct!([check, apply, key, daemon, zone])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
-        .descr("vanillafoldctl: catalogue edits, keys and daemons")
+        .descr("vanillafoldctl: catalogue edits, keys, daemons and zones")
         .footer("Exit status: 0 done, 1 not taken, 2 wrong file or arguments, 3 not known")
 }
 
@@ -203,6 +209,15 @@
     }
 }
 
+impl From<ZoneError> for Failure {
+    fn from(error: ZoneError) -> Self {
+        match error {
+            ZoneError::Publish(error) => error.into(),
+            other => Self::failed(other),
+        }
+    }
+}
+
 fn read_catalogue(file: &PathBuf) -> Result<CatalogueFile, Failure> {
     let name = file.display().to_string();
     let text = fs::read_to_string(file)
@@ -251,6 +266,7 @@
             let offset = command::release(&mut publisher, daemon).await?;
             Ok(format!("released at offset {offset}"))
         }
+        Command::Zone(command) => Ok(command.run().await?),
         Command::WithdrawKey { common, id } => {
             let mut publisher = open_publisher(&common).await?;
             let offset = command::withdraw(&mut publisher, id).await?;
--- a/crates/vanillafoldctl/src/publish/publisher.rs
+++ b/crates/vanillafoldctl/src/publish/publisher.rs
@@ -9,8 +9,10 @@
     Author, CatalogueChange, CatalogueRecord, ControlChange, ControlRecord, Outcome, RecordError,
     SnapshotBuilder, State, Stream, Verdict,
 };
-use vanillafold::types::{AuthorId, Incarnation, Millis, Offset, Sequence};
-use vanillafold::wire::platform::{AppendError, HttpPlatform, PlatformLog, ReadError};
+use vanillafold::types::{AuthorId, Incarnation, Millis, Offset, Sequence, ZoneId};
+use vanillafold::wire::platform::{
+    AppendError, HttpPlatform, ListVersion, PlatformLog, ReadError, VmList, VmState,
+};
 
 /// The maximum number of records in one read from the log.
 const BATCH_RECORDS: u32 = 1_000;
@@ -140,6 +142,18 @@
         self.catch_up(Stream::Control).await
     }
 
+    /// Returns the number of VMs that the platform lists in a zone.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PublishError::Read`] if the list could not be read.
+    pub(crate) async fn count_vms(&self, zone: &ZoneId) -> Result<usize, PublishError> {
+        let changes = self.platform.changes(Some(zone), ListVersion::default());
+        let listed = changes.await?.vms;
+        let listed = listed.iter().filter(|vm| vm.state != VmState::Gone);
+        Ok(listed.count())
+    }
+
     /// Publishes a change, under a later incarnation each time that the log has a record of another
     /// tool under the same author, incarnation and sequence number. The publisher's own record is
     /// refused for that reason, even if a copy of it is still under way.
