--- a/crates/vanillafoldctl/src/main.rs
+++ b/crates/vanillafoldctl/src/main.rs
@@ -1,5 +1,5 @@
-//! The command-line tool of the operators: it publishes changes of the catalogue, keys and daemons
-//! to the platform's log.
+//! The command-line tool of the operators: it publishes changes of the catalogue, keys, daemons and
+//! evacuated zones to the platform's log.
 
 use std::fs;
 use std::net::SocketAddr;
