--- a/crates/vanillafold-state/tests/random.rs
+++ b/crates/vanillafold-state/tests/random.rs
@@ -186,6 +186,7 @@
             && before.queues().eq(after.queues())
             && before.keys().eq(after.keys())
             && before.withdrawn_keys().eq(after.withdrawn_keys())
+            && before.evacuated_zones().eq(after.evacuated_zones())
             && before.memberships().eq(after.memberships())
     }
 
--- a/crates/vanillafoldctl/src/main.rs
+++ b/crates/vanillafoldctl/src/main.rs
@@ -1,5 +1,5 @@
-//! The command-line tool of the operators: it publishes changes of the catalogue, keys and daemons
-//! to the platform's log.
+//! The command-line tool of the operators: it publishes changes of the catalogue, keys, daemons and
+//! evacuated zones to the platform's log.
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -11,7 +11,9 @@
 mod command;
 mod publish;
 
-use command::{CheckError, CheckOptions, DaemonError, InvalidFileError, KeyError};
+use command::{
+    CheckError, CheckOptions, DaemonError, InvalidFileError, KeyError, ZoneCommand, ZoneError,
+};
 use publish::{PublishError, Publisher};
 
 /// The exit status if the log could not be read before the change was sent, or the change was not
@@ -51,6 +53,7 @@
         common: CommonOptions,
         daemon: DaemonId,
     },
+    Zone(ZoneCommand),
 }
 
 /// The options that all commands share that use the platform.
@@ -89,10 +92,15 @@
         .to_options()
         .descr("Say that daemons are gone")
         .command("daemon");
-    construct!([check, apply, key, daemon])
+    let zone = command::zone_commands()
+        .map(Command::Zone)
+        .to_options()
+        .descr("Evacuate availability zones")
+        .command("zone");
+    construct!([check, apply, key, daemon, zone])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
-        .descr("vanillafoldctl: catalogue edits, keys and daemons")
+        .descr("vanillafoldctl: catalogue edits, keys, daemons and zones")
         .footer("Exit status: 0 done, 1 not taken, 2 wrong file or arguments, 3 not known")
 }
 
@@ -214,6 +222,15 @@
     }
 }
 
+impl From<ZoneError> for Failure {
+    fn from(error: ZoneError) -> Self {
+        match error {
+            ZoneError::Publish(error) => error.into(),
+            other => Self::failed(other),
+        }
+    }
+}
+
 async fn open_publisher(common: &CommonOptions) -> Result<Publisher, PublishError> {
     Publisher::open(common.platform, common.author.clone()).await
 }
@@ -249,6 +266,7 @@
             let offset = command::release(&mut publisher, daemon).await?;
             Ok(format!("released at offset {offset}"))
         }
+        Command::Zone(command) => Ok(command.run().await?),
         Command::WithdrawKey { common, id } => {
             let mut publisher = open_publisher(&common).await?;
             let offset = command::withdraw(&mut publisher, id).await?;
