--- a/crates/vanillafold-jobs/src/shard/mod.rs
+++ b/crates/vanillafold-jobs/src/shard/mod.rs
@@ -1,10 +1,12 @@
 //! The state machine that schedules the jobs of one shard.
 
+mod admission;
 mod advice;
 mod arrivals;
 mod backlog;
 mod catalogue;
 mod ends;
+mod evacuation;
 mod losses;
 mod moves;
 mod orders;
@@ -22,8 +24,10 @@
 mod waves;
 mod workers;
 
+pub use admission::PredictionCounts;
 pub use advice::{Advice, AdviceQuery};
 pub use catalogue::{Catalogue, OrganisationInfo, PoolInfo, QueueInfo, RemovedQueue};
+pub use evacuation::EvacuationCounts;
 pub use losses::LossCounts;
 pub use orders::{Order, PollPlan};
 pub use root::Shard;
--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -5,10 +5,12 @@
 use vanillafold_policy::MonotonicMillis;
 use vanillafold_policy::jobs::OrderFlow;
 
+use super::admission::AdmissionState;
 use super::advice::{AdviceQuery, StepAdvice};
 use super::arrivals::Arrivals;
 use super::backlog::Backlog;
 use super::catalogue::Catalogue;
+use super::evacuation::ZoneEvacuations;
 use super::losses::{LossCounts, WorkerLoss};
 use super::orders::Order;
 use super::settings::Settings;
@@ -97,11 +99,13 @@
     pub(super) may_operate_vms: bool,
     pub(super) next_plan_at: MonotonicMillis,
     pub(super) next_evacuation_at: MonotonicMillis,
+    pub(super) evacuations: ZoneEvacuations,
     pub(super) next_wave_log_at: MonotonicMillis,
     pub(super) advice: Vec<StepAdvice>,
     pub(super) advice_queries: Vec<AdviceQuery>,
-    /// Open work by pool and organisation, for admission control.
+    /// Waiting work by pool, for admission control.
     pub(super) backlog: Backlog,
+    pub(super) admissions: AdmissionState,
     /// Recently submitted work, by pool.
     pub(super) arrivals: Vec<Arrivals>,
     /// Pools of persistent tasks that found no worker in the last scheduling pass, one entry per
@@ -172,10 +176,12 @@
             may_operate_vms: true,
             next_plan_at: now,
             next_evacuation_at: now,
+            evacuations: ZoneEvacuations::new(now),
             next_wave_log_at: now,
             advice: Vec::new(),
             advice_queries: Vec::new(),
             backlog: Backlog::default(),
+            admissions: AdmissionState::default(),
             arrivals: Vec::new(),
             unplaced_pools: Vec::new(),
             preemptions: Vec::new(),
--- a/crates/vanillafold-jobs/tests/shard/main.rs
+++ b/crates/vanillafold-jobs/tests/shard/main.rs
@@ -1,8 +1,10 @@
 //! Tests of the state machine of a shard, driven by single events.
 
+mod admission;
 mod advice;
 mod configuration;
 mod crashes;
+mod evacuation;
 mod extremes;
 mod fixture;
 mod moved_queues;
@@ -15,3 +17,4 @@
 mod unreadable;
 mod vms;
 mod workers;
+mod zones;
--- a/crates/vanillafold-policy/src/jobs/mod.rs
+++ b/crates/vanillafold-policy/src/jobs/mod.rs
@@ -1,17 +1,23 @@
-//! Scheduling decisions about jobs: queue order, admission, placement, flow control of orders,
-//! pacing of best-effort tasks, pool capacity and maintenance.
+//! Scheduling decisions about jobs: queue order, admission, zones, placement, flow control of
+//! orders, pacing of best-effort tasks, pool capacity, maintenance and evacuation of zones.
 
 mod admission;
 mod capacity;
+mod evacuation;
 mod flow;
 mod maintenance;
 mod order;
 mod pace;
 mod placement;
 mod suspicion;
+mod zone;
 
-pub use admission::{Admission, AdmissionInput, admit};
+pub use admission::{
+    Admission, AdmissionInput, ArrivingCpu, PoolRoom, PredictionCorrection, ReturnSchedule,
+    WaitingWork, admit, predicted_lateness_ms,
+};
 pub use capacity::{MovableVm, PoolDemand, VmMove, plan_moves};
+pub use evacuation::{CheckpointedRun, is_resumed_elsewhere, usable_permille};
 pub use flow::OrderFlow;
 pub use maintenance::{
     MaintenanceCandidate, MaintenanceChoice, WaveProgress, choose_maintenance, paced_unavailable,
@@ -20,3 +26,4 @@
 pub use pace::{PaceInput, next_pace};
 pub use placement::{PlacementCandidate, TaskProfile, choose_worker};
 pub use suspicion::{LossHistory, SuspectPlacement, is_given_up, suspect_placement};
+pub use zone::{ZoneCandidate, spread_rank, zone_order};
--- a/crates/vanillafold-policy/tests/routing.rs
+++ b/crates/vanillafold-policy/tests/routing.rs
@@ -512,3 +512,50 @@
 
     table.send_finished(picked, at(2), answered());
 }
+
+#[test]
+fn targets_of_an_evacuated_zone_get_no_new_work_and_finish_what_runs_there() {
+    let mut rng = rng();
+    let mut table = table(vec![member(0, "a"), member(1, "b")]);
+    let running = start(&mut table, at(1), &mut rng).unwrap();
+    assert_eq!(*running.vm(), vm(0), "the own zone comes first");
+
+    table.set_evacuated_zones(&["a".parse().unwrap()]);
+    let sent = send_each(&mut table, at(2), &mut rng, 20, |_| false);
+
+    assert_eq!(sent, vec![vm(1); 20]);
+    assert!(!table.takes_work(&vm(0)) && !table.may_connect(&vm(0)));
+    let status = target_status(&table, at(2), &vm(0));
+    assert_eq!(status, TargetStatus::Evacuated);
+    table.send_finished(running, at(3), answered());
+    assert_eq!(table.outstanding(), Slots::ZERO);
+}
+
+/// A request that no other zone can take must not wait for one that is evacuated.
+#[test]
+fn a_pool_whose_zones_are_all_evacuated_has_no_target() {
+    let mut table = table(vec![member(0, "a"), member(1, "b")]);
+
+    table.set_evacuated_zones(&["b", "a", "nowhere"].map(|zone| zone.parse().unwrap()));
+    table.set_members(vec![member(0, "a"), member(3, "nowhere")]);
+
+    let refusal = pick(&table, at(1), &mut rng(), true).unwrap_err();
+    assert_eq!(refusal, PickRefusal::NoTarget);
+}
+
+/// If a send that was prevented counted as a report that the target is leaving, or earlier failures
+/// still counted, the target would stay out of use after the evacuation.
+#[test]
+fn a_target_comes_back_as_good_as_new_when_its_zone_is_not_evacuated_any_more() {
+    let mut rng = rng();
+    let (mut table, now) = table_with_ejected_target(&mut rng);
+    let prevented = start(&mut table, at(now), &mut rng).unwrap();
+    let vms = [vm(0), prevented.vm().clone()];
+    table.set_evacuated_zones(&["a".parse().unwrap()]);
+    table.send_finished(prevented, at(now), SendOutcome::Unsent);
+
+    table.set_evacuated_zones(&[]);
+
+    let statuses = vms.map(|vm| target_status(&table, at(now), &vm));
+    assert_eq!(statuses, [TargetStatus::Available; 2]);
+}
--- a/crates/vanillafold/src/node/tests.rs
+++ b/crates/vanillafold/src/node/tests.rs
@@ -1,5 +1,5 @@
-//! Tests of how requests take, renew and give back units of a team's limit on one daemon, and of
-//! the daemon's identity.
+//! Tests of how requests take, renew and give back units of a team's limit on one daemon, of the
+//! daemon's identity, and of evacuated zones.
 
 use std::cell::RefCell;
 use std::env;
@@ -9,14 +9,17 @@
 use std::sync::OnceLock;
 
 use vanillafold_state::{
-    Author, BootMillis, ControlChange, ControlRecord, Escrow, EscrowSettings, NoUnit, State,
-    Stream, TeamLimit,
+    Author, BootMillis, CatalogueChange, CatalogueRecord, ControlChange, ControlRecord, Entry,
+    EntryEdit, Escrow, EscrowSettings, NoUnit, State, Stream, TeamLimit,
+};
+use vanillafold_types::{
+    CatalogueFile, DaemonId, Incarnation, Limit, ResultCode, Revision, Sequence, TeamId, ZoneId,
 };
-use vanillafold_types::{DaemonId, Incarnation, Limit, ResultCode, Sequence, TeamId};
 use vanillafold_wire::BootClock;
 
-use super::{Node, TeamRuntime};
+use super::{Node, PoolRuntime, TeamRuntime};
 use crate::counter::Counters;
+use crate::follow::fold;
 use crate::settings::Settings;
 
 const INCARNATION: Incarnation = Incarnation::new(1);
@@ -195,3 +198,62 @@
 
     assert!(node.claims.borrow().is_complete(node.boot_ms()));
 }
+
+// --- Evacuated zones ---------------------------------------------------------------------------
+
+/// Folds the next record of the catalogue, as read from the log.
+fn publish(node: &Node, change: CatalogueChange) {
+    let offset = node.state.borrow().next_offset(Stream::Catalogue);
+    let record = CatalogueRecord {
+        author: Author {
+            id: "ops".parse().expect("an author"),
+            incarnation: INCARNATION,
+        },
+        sequence: Sequence::new(offset.get()),
+        as_of: offset,
+        change,
+    };
+    let bytes = record.encode().expect("a small record");
+    fold(node, Stream::Catalogue, [(offset, &bytes[..])].into_iter());
+}
+
+/// A request may wait for a pool that is removed meanwhile: its targets, too, are evacuated.
+#[test]
+fn pools_that_are_added_or_removed_have_no_targets_in_an_evacuated_zone() {
+    let node = node();
+    let text = "[pool work]\nowner = ops\nclass = urgent\n";
+    let file = CatalogueFile::parse("f", text).expect("a catalogue");
+    let entry = Entry::Pool(file.pools[0].clone());
+    let edit = |expected_revision, value| {
+        CatalogueChange::Edit(vec![EntryEdit {
+            name: entry.name(),
+            expected_revision: Revision::new(expected_revision),
+            value,
+        }])
+    };
+    let zone: ZoneId = "zone-b".parse().expect("a zone");
+    let evacuation = || CatalogueChange::EvacuateZone(zone.clone());
+    let withdrawal = CatalogueChange::RestoreZone {
+        zone: zone.clone(),
+        expected_revision: Revision::new(1),
+    };
+    let vm = "w1 zone-b rack-1 work 127.0.0.1:7200 live".parse();
+    let vms = vec![vm.expect("a line of the VM list")];
+    node.inventory.borrow_mut().replace_from_peer(vms);
+    let takes_work = |pool: &PoolRuntime| {
+        let vm = "w1".parse().expect("a VM");
+        pool.table.borrow().takes_work(&vm)
+    };
+
+    publish(&node, evacuation());
+    publish(&node, edit(0, Some(entry.clone())));
+    let pool = node.routes.borrow().pools[0].clone();
+    let evacuated = takes_work(&pool);
+    publish(&node, withdrawal);
+    let restored = takes_work(&pool);
+    publish(&node, edit(2, None));
+    publish(&node, evacuation());
+
+    assert_eq!((evacuated, restored), (false, true));
+    assert!(!takes_work(&pool), "the pool was removed");
+}
