Mend what the review of evacuation and admission found

Cause: found by a reviewer who had not written it, by reading. Changes of the operator's records that a later read had overtaken lifted an evacuation; persistent tasks of several steps claimed the same room elsewhere; each pass searched all workers for each run; "zone is empty" was logged before workers had reported after a takeover; workers that started later were throttled as long as another one was cold; one overdue job after the other of an organisation was accepted as its first; a refused caller that returned was promised room again; VMs on their way into an evacuated zone counted as room; a delayed ping made old knowledge look current; a late end searched all workers. Change: each of these, as the comments beside them say; the backlog is made anew when the evacuated zones change. Result: tests of vanillafold-policy and vanillafold-jobs pass, with one new test of the offsets; the others were found by reading and have no test that failed before.

--- a/crates/vanillafold-jobs/src/shard/admission.rs
+++ b/crates/vanillafold-jobs/src/shard/admission.rs
@@ -1,4 +1,5 @@
-//! Admission of jobs: predictions from the backlog, their correction, and the return of refused callers.
+//! Admission of jobs: predictions from the backlog, their correction by actual outcomes, and the return of
+//! refused callers.
 
 use vanillafold_policy::MonotonicMillis;
 use vanillafold_policy::jobs::{
@@ -106,7 +107,7 @@
 }
 
 impl Shard {
-    /// Returns how predictions came true during this ownership.
+    /// Returns the outcomes of predicted jobs during this ownership.
     #[must_use]
     pub const fn prediction_counts(&self) -> PredictionCounts {
         self.admissions.counts
@@ -135,13 +136,13 @@
                 plan: None,
             };
         };
+        self.refresh_backlog(now);
         if self.has_evacuations() && self.is_out_of_reach(spec, &queue.pool) {
             return Decision::Refuse {
                 retry_after_ms: EVACUATED_RETRY_MS,
             };
         }
         let mut plan = self.plan_job(spec, self.objective_ms(spec, &queue));
-        self.refresh_backlog(now);
         let work = self.submitted_work(spec, &queue, &plan, now.since(submitted_at).get());
         let mut input = self.predict(spec, &queue, &plan, &work);
         input.is_first &= submitted_at == now;
@@ -162,9 +163,11 @@
             }
             Admission::Refuse { retry_after_ms } => {
                 self.log_refusals(&queue.pool, spec, &input, now);
-                let core_ms = work.iter().map(|work| work.core_ms);
+                // The work of a caller that returns was counted at its first submission.
+                let is_first = self.admissions.first_attempt(id).is_none();
+                let core_ms = work.iter().filter(|_| is_first).map(|work| work.core_ms);
                 let core_ms = core_ms.fold(0, u64::saturating_add);
-                let cpu_millis = self.backlog.pool_mut(&queue.pool).room.cpu_millis;
+                let cpu_millis = self.backlog.pool_mut(&queue.pool).room.all_cpu_millis();
                 let pool = self.admissions.pool_mut(&queue.pool);
                 let retry_after_ms = pool
                     .returns
@@ -272,14 +275,14 @@
         AdmissionInput {
             lateness_ms: lateness_ms.max(lateness_by_limit_ms),
             lateness_in_share_ms: lateness_in_share_ms.max(lateness_by_limit_ms),
-            is_first: own().next().is_none(),
+            is_first: !pool.has_waiting(organisation),
             waiting_tasks,
             starts_per_s: self.start_rate.limit_per_s(),
             max_useful_latency_ms: plan.objective_ms.saturating_mul(MAX_USEFUL_LATENCY_FACTOR),
         }
     }
 
-    /// Compares the prediction for a job that has just completed with what came true.
+    /// Compares the prediction for a job that has just completed with its actual latency.
     pub(super) fn check_prediction(&mut self, id: JobId, now: MonotonicMillis) {
         let Some(job) = self.job(id) else { return };
         let Some(in_time) = was_in_time(job, now) else {
--- a/crates/vanillafold-jobs/src/shard/backlog.rs
+++ b/crates/vanillafold-jobs/src/shard/backlog.rs
@@ -37,17 +37,19 @@
     /// CPU per mebibyte of the pool's workers, in thousandths of a core, times 1,024.
     cpu_millis_per_gib: u64,
     pub(super) room: PoolRoom,
-    /// Organisations with open jobs, by name.
-    organisations: Vec<String>,
+    /// Whether only evacuated zones could serve the pool.
+    pub(super) is_evacuated: bool,
+    /// Organisations with open jobs, and whether tasks of theirs wait, in time or not.
+    organisations: Vec<(String, bool)>,
     /// In the order of the latest start.
     waiting: Vec<OwnedWork>,
 }
 
 impl PoolBacklog {
     fn organisation(&mut self, name: &str) -> usize {
-        let known = self.organisations.iter().position(|row| row == name);
+        let known = self.organisations.iter().position(|row| row.0 == name);
         known.unwrap_or_else(|| {
-            self.organisations.push(name.to_owned());
+            self.organisations.push((name.to_owned(), false));
             self.organisations.len() - 1
         })
     }
@@ -62,6 +64,7 @@
     /// Adds the work of a job that was admitted.
     pub(super) fn add(&mut self, organisation: &str, work: &[WaitingWork]) {
         let organisation = self.organisation(organisation);
+        self.organisations[organisation].1 = true;
         for work in work {
             let row = OwnedWork {
                 work: *work,
@@ -82,16 +85,23 @@
         let own = self
             .organisations
             .iter()
-            .position(|row| row == organisation);
+            .position(|row| row.0 == organisation);
         let is_own = move |row: &&OwnedWork| Some(row.organisation) == own;
         self.waiting.iter().filter(is_own).map(|row| row.work)
     }
 
+    /// Returns whether tasks of an organisation wait, in time or not.
+    pub(super) fn has_waiting(&self, organisation: &str) -> bool {
+        let mut rows = self.organisations.iter();
+        rows.any(|row| row.0 == organisation && row.1)
+    }
+
     /// Returns the weights of an organisation, and of all that have open jobs with it.
     pub(super) fn weights(&self, organisation: &str, weight: impl Fn(&str) -> u64) -> (u64, u64) {
         let own = weight(organisation);
-        let others = self.organisations.iter().filter(|row| *row != organisation);
-        let others = others.map(|row| weight(row));
+        let rows = self.organisations.iter();
+        let others = rows.filter(|row| row.0 != organisation);
+        let others = others.map(|row| weight(&row.0));
         (own, others.fold(own, u64::saturating_add))
     }
 }
@@ -162,7 +172,8 @@
             ..Backlog::default()
         };
         for pool in &self.catalogue.pools {
-            backlog.pool_mut(&pool.name);
+            let is_evacuated = self.has_evacuations() && self.is_pool_evacuated(&pool.name);
+            backlog.pool_mut(&pool.name).is_evacuated = is_evacuated;
         }
         self.add_room(&mut backlog, now);
         for id in &self.open {
@@ -173,10 +184,11 @@
             if let Some(queue) = self.catalogue.queue(&job.spec.queue) {
                 let row = backlog.pool_mut(&queue.pool);
                 match &job.plan {
-                    Some(plan) => add_job(row, job, plan, now),
+                    Some(plan) => add_job(row, job, plan, now, self.pass_unix_ms),
                     None => {
                         let objective_ms = self.objective_ms(&job.spec, queue);
-                        add_job(row, job, &self.plan_job(&job.spec, objective_ms), now);
+                        let plan = self.plan_job(&job.spec, objective_ms);
+                        add_job(row, job, &plan, now, self.pass_unix_ms);
                     }
                 }
             }
@@ -201,11 +213,8 @@
                 .pools
                 .binary_search_by(|row| row.pool.cmp(&worker.entry.pool));
             let Ok(at) = found else { continue };
-            let Resources {
-                cpu_millis,
-                memory_mib,
-                ..
-            } = worker.entry.capacity;
+            let cpu_millis = worker.usable_cpu_millis();
+            let memory_mib = worker.entry.capacity.memory_mib;
             counted[at].0 = counted[at].0.saturating_add(cpu_millis);
             counted[at].1 = counted[at].1.saturating_add(memory_mib);
             let room = &mut backlog.pools[at].room;
@@ -226,7 +235,7 @@
         }
         let is_off = |vm: &&Vm| {
             let is_idle = vm.worker.is_none() && vm.state == VmState::Up;
-            is_idle && !self.evacuations.bars(vm) && self.pending_position(&vm.name).is_err()
+            is_idle && !self.evacuations.excludes(vm) && self.pending_position(&vm.name).is_err()
         };
         for vm in self.vms.iter().filter(is_off) {
             movable_cpu_millis = movable_cpu_millis.saturating_add(vm.capacity.cpu_millis);
@@ -238,6 +247,9 @@
             let Some(to) = &pending.to_pool else { continue };
             let vm = self.vms.binary_search_by(|vm| vm.name.cmp(&pending.vm));
             let Ok(vm) = vm else { continue };
+            if self.evacuations.excludes(&self.vms[vm]) {
+                continue;
+            }
             let moving = &mut backlog.pool_mut(to).room.moving;
             moving.cpu_millis = moving
                 .cpu_millis
@@ -264,7 +276,8 @@
 /// of a core.
 fn free_cpu_millis(worker: &Worker) -> u64 {
     let capacity = worker.entry.capacity;
-    let free = capacity.cpu_millis.saturating_sub(worker.used.cpu_millis);
+    let usable_cpu_millis = worker.usable_cpu_millis();
+    let free = usable_cpu_millis.saturating_sub(worker.used.cpu_millis);
     let free_mib = capacity.memory_mib.saturating_sub(worker.used.memory_mib);
     let by_memory = u128::from(capacity.cpu_millis) * u128::from(free_mib)
         / u128::from(capacity.memory_mib.max(1));
@@ -272,19 +285,25 @@
 }
 
 /// Adds the waiting tasks of a job that can be in time.
-fn add_job(row: &mut PoolBacklog, job: &Job, plan: &JobPlan, now: MonotonicMillis) {
+fn add_job(
+    row: &mut PoolBacklog,
+    job: &Job,
+    plan: &JobPlan,
+    now: MonotonicMillis,
+    now_unix_ms: u64,
+) {
     let organisation = row.organisation(&job.spec.organisation);
     let signed = |ms: u64| i64::try_from(ms).unwrap_or(i64::MAX);
-    let elapsed_ms = match job.spec.repeat {
-        None => signed(now.since(job.submitted_at).get()),
-        // A scheduled occurrence counts from its due time; it has just begun, or is late anyway.
-        Some(_) => 0,
-    };
     for occurrence in &job.occurrences {
+        let elapsed_ms = match occurrence.due_unix_ms {
+            0 => signed(now.since(job.submitted_at).get()),
+            due => signed(now_unix_ms.saturating_sub(due)),
+        };
         for (at, step) in occurrence.steps.iter().enumerate() {
             if step.waiting == 0 || plan.task_ms[at] == 0 {
                 continue;
             }
+            row.organisations[organisation].1 = true;
             let work = plan.waiting_work(at, &job.spec, u64::from(step.waiting), row);
             let latest_start_ms = work.latest_start_ms.saturating_sub(elapsed_ms);
             if latest_start_ms >= -MAX_OVERDUE_MS {
--- a/crates/vanillafold-jobs/src/shard/moves.rs
+++ b/crates/vanillafold-jobs/src/shard/moves.rs
@@ -52,7 +52,7 @@
                 let worker = &self.workers[at];
                 !worker.entry.ready || worker.unresponsive || (worker.draining && pending.is_none())
             });
-            let evacuated = self.evacuations.bars(vm);
+            let evacuated = self.evacuations.excludes(vm);
             if !unavailable && !evacuated {
                 let capacity = &mut demands[pool].capacity_cpu_millis;
                 *capacity = capacity.saturating_add(vm.capacity.cpu_millis);
--- a/crates/vanillafold-jobs/src/shard/pool_index.rs
+++ b/crates/vanillafold-jobs/src/shard/pool_index.rs
@@ -287,9 +287,7 @@
 /// Returns the usable CPU that no run reserves, in thousandths of a core. Runs that an earlier owner
 /// started may reserve more than the worker has.
 const fn free_cpu_millis(worker: &Worker) -> u64 {
-    let cpu_millis = worker.entry.capacity.cpu_millis;
-    // Also exact for a capacity above u64::MAX / 1,000, which no worker has.
-    let usable = cpu_millis / 1_000 * worker.usable_permille
-        + cpu_millis % 1_000 * worker.usable_permille / 1_000;
-    usable.saturating_sub(worker.used.cpu_millis)
+    worker
+        .usable_cpu_millis()
+        .saturating_sub(worker.used.cpu_millis)
 }
--- a/crates/vanillafold-jobs/src/shard/schedule/preemption.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule/preemption.rs
@@ -46,6 +46,8 @@
         for (at, worker) in self.workers.iter().enumerate() {
             let is_suitable = worker.entry.pool == queue.pool
                 && worker.accepts_tasks(now)
+                // Stopping runs frees nothing that a worker which returns from an evacuation may use.
+                && worker.returned_at.is_none()
                 && worker.runs.iter().all(Run::is_live)
                 && has_required_label(worker, step)
                 && !is_at_anti_affinity_limit(worker, waiting, step, 0);
--- a/crates/vanillafold-jobs/src/shard/vm_operations.rs
+++ b/crates/vanillafold-jobs/src/shard/vm_operations.rs
@@ -129,8 +129,11 @@
         vms.dedup_by(|a, b| a.name == b.name);
         for vm in vms.iter_mut().filter(|vm| vm.zone.is_empty()) {
             let worker = vm.worker.as_ref().and_then(|id| self.worker_position(id));
-            if let Some(at) = worker {
-                vm.zone.clone_from(&self.workers[at].entry.zone);
+            let before = self.vms.binary_search_by(|row| row.name.cmp(&vm.name));
+            match (worker, before) {
+                (Some(at), _) => vm.zone.clone_from(&self.workers[at].entry.zone),
+                (None, Ok(at)) => vm.zone.clone_from(&self.vms[at].zone),
+                (None, Err(_)) => {}
             }
         }
         self.vms = vms;
@@ -370,7 +373,7 @@
         for row in &mut self.pending_operations {
             let due = now.since(row.phase_since).get() >= VM_OPERATION_RETRY_MS;
             let found = self.vms.binary_search_by(|vm| vm.name.cmp(&row.vm));
-            let is_evacuated = found.is_ok_and(|at| self.evacuations.bars(&self.vms[at]));
+            let is_evacuated = found.is_ok_and(|at| self.evacuations.excludes(&self.vms[at]));
             // A move would bring the VM into service in a zone that is being evacuated.
             let is_barred = row.to_pool.is_some() && is_evacuated;
             if row.phase != OperationPhase::Unanswered || !due || is_barred {
--- a/crates/vanillafold-jobs/src/shard/waves.rs
+++ b/crates/vanillafold-jobs/src/shard/waves.rs
@@ -9,6 +9,7 @@
 use super::vm_operations::{Vm, VmState};
 use crate::id::WorkerId;
 use crate::job::TaskStatus;
+use crate::spec::Resources;
 use crate::worker::{Run, RunPhase, Worker};
 
 /// A maintenance wave requested by the operator.
@@ -441,28 +442,47 @@
 
     /// Returns whether a worker for which `may_run` is true has capacity for a persistent run, in
     /// the pool where the run's queue is served.
-    pub(super) fn fits_where(
+    fn fits_where(
         &self,
         run: &Run,
         now: MonotonicMillis,
         may_run: impl Fn(&Worker) -> bool,
     ) -> bool {
-        let Some((job, step)) = self.described_step(run.task) else {
-            return true;
-        };
+        self.described_step(run.task).is_none() || self.room_for(run, now, &[], may_run).is_some()
+    }
+
+    /// Returns the position of a worker for which `may_run` is true and that has capacity for a run beside
+    /// what is claimed of it, in the pool where the run's queue is served.
+    pub(super) fn room_for(
+        &self,
+        run: &Run,
+        now: MonotonicMillis,
+        claimed: &[(usize, Resources)],
+        may_run: impl Fn(&Worker) -> bool,
+    ) -> Option<usize> {
+        let (job, step) = self.described_step(run.task)?;
         let queue = self.catalogue.queue(&job.spec.queue);
         let pool = queue.map_or(&job.spec.pool, |queue| &queue.pool);
-        self.workers.iter().any(|worker| {
+        let claimed_of = |at: usize| {
+            let mut sum = Resources::default();
+            for row in claimed.iter().filter(|row| row.0 == at) {
+                sum.add(row.1);
+            }
+            sum
+        };
+        let mut workers = self.workers.iter().enumerate();
+        let found = workers.find(|(at, worker)| {
             let same_step = |row: &&Run| row.task.step_id() == run.task.step_id();
             let step_runs = worker.runs.iter().filter(same_step);
             let labels = &worker.entry.labels;
             worker.entry.pool == *pool
                 && may_run(worker)
                 && worker.accepts_tasks(now)
-                && worker.entry.capacity.fits(worker.used, run.reservation)
+                && worker.has_room(claimed_of(*at), run.reservation)
                 && (step.required_label.is_empty() || labels.contains(&step.required_label))
                 && (step.anti_affinity == 0 || step_runs.count() < step.anti_affinity as usize)
-        })
+        });
+        found.map(|(at, _)| at)
     }
 
     /// Returns whether the step's limit allows the scheduler to make this run unavailable now.
--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -81,7 +81,8 @@
             }
         }
         let at = found.unwrap_or_else(|at| at);
-        self.workers[at].evacuated = self.evacuations.contains(&self.workers[at].entry.zone);
+        let evacuated = self.evacuations.contains(&self.workers[at].entry.zone);
+        self.workers[at].set_evacuated(evacuated, now);
     }
 
     /// Drops the workers that are neither listed nor have runs.
@@ -507,8 +508,19 @@
         match end.kind {
             // A run that was treated as lost had completed, and a newer one is in progress.
             EndKind::Done if is_superseded => {
+                let placed_on = task.status.clone();
+                let is_gang = step.is_some_and(|(_, step)| step.gang);
                 self.apply_end(end.task, end.kind, &end.checkpoint, now, now_unix_ms);
-                self.stop_completed_tasks(end.task.step_id(), now);
+                match placed_on {
+                    TaskStatus::Placed { worker } if !is_gang => {
+                        let at = self.worker_position(&worker);
+                        self.stop_completed_tasks(at.into_iter(), end.task.step_id(), now);
+                    }
+                    _ => {
+                        let all = 0..self.workers.len();
+                        self.stop_completed_tasks(all, end.task.step_id(), now);
+                    }
+                }
             }
             EndKind::Done if unplaced && !is_newest => {
                 self.apply_end(end.task, end.kind, &end.checkpoint, now, now_unix_ms);
@@ -522,9 +534,14 @@
         }
     }
 
-    /// Stops the runs of those tasks of a step that are done.
-    fn stop_completed_tasks(&mut self, step: (JobId, u32, u16), now: MonotonicMillis) {
-        for at in 0..self.workers.len() {
+    /// Stops the runs on these workers of those tasks of a step that are done.
+    fn stop_completed_tasks(
+        &mut self,
+        workers: impl Iterator<Item = usize>,
+        step: (JobId, u32, u16),
+        now: MonotonicMillis,
+    ) {
+        for at in workers {
             for position in 0..self.workers[at].runs.len() {
                 let run = &self.workers[at].runs[position];
                 let is_done = || {
--- a/crates/vanillafold-jobs/src/worker/state.rs
+++ b/crates/vanillafold-jobs/src/worker/state.rs
@@ -225,6 +225,8 @@
     pub(crate) idle_since: MonotonicMillis,
     /// Whether the worker's zone is being evacuated, so that it gets no new tasks.
     pub(crate) evacuated: bool,
+    /// When the evacuation of the worker's zone ended; `None` once it may use all of its CPU.
+    pub(crate) returned_at: Option<MonotonicMillis>,
     /// Part of the worker's CPU that tasks may use, in thousandths: less than all for some time after
     /// an evacuation of its zone.
     pub(crate) usable_permille: u64,
@@ -272,6 +274,7 @@
             reserved_until: MonotonicMillis::ZERO,
             idle_since: now,
             evacuated: false,
+            returned_at: None,
             usable_permille: 1_000,
         }
     }
@@ -289,6 +292,37 @@
         self.has_more_ends && !(self.unresponsive && leases_expired)
     }
 
+    /// Sets whether the worker's zone is being evacuated.
+    pub(crate) const fn set_evacuated(&mut self, evacuated: bool, now: MonotonicMillis) {
+        match (self.evacuated, evacuated) {
+            (false, true) => {
+                self.returned_at = None;
+                self.usable_permille = 1_000;
+            }
+            (true, false) => self.returned_at = Some(now),
+            _ => {}
+        }
+        self.evacuated = evacuated;
+    }
+
+    /// Returns the CPU that tasks may use, in thousandths of a core.
+    pub(crate) const fn usable_cpu_millis(&self) -> u64 {
+        let cpu_millis = self.entry.capacity.cpu_millis;
+        cpu_millis / 1_000 * self.usable_permille
+            + cpu_millis % 1_000 * self.usable_permille / 1_000
+    }
+
+    /// Returns whether the worker has room for another run with this reservation, beside `claimed`.
+    pub(crate) fn has_room(&self, claimed: Resources, reservation: Resources) -> bool {
+        let mut used = self.used;
+        used.add(claimed);
+        let usable = Resources {
+            cpu_millis: self.usable_cpu_millis(),
+            ..self.entry.capacity
+        };
+        usable.fits(used, reservation)
+    }
+
     /// Returns whether new tasks may be placed on the worker.
     pub(crate) fn accepts_tasks(&self, now: MonotonicMillis) -> bool {
         self.reserved_until <= now && self.accepts_isolated_tasks(now)
--- a/crates/vanillafold-jobs/tests/shard/evacuation.rs
+++ b/crates/vanillafold-jobs/tests/shard/evacuation.rs
@@ -441,6 +441,9 @@
     let starts = schedule_starts(&mut shard, 200);
 
     assert_eq!(names(&starts), ["w2", "w2"]);
+    // Before, runs that workers have not reported yet would be missing.
+    assert_eq!(shard.evacuation_counts().runs, 0);
+    schedule_starts(&mut shard, 2_500);
     let counts = shard.evacuation_counts();
     let expected = EvacuationCounts {
         zones: 1,
--- a/crates/vanillafold-policy/src/jobs/admission.rs
+++ b/crates/vanillafold-policy/src/jobs/admission.rs
@@ -75,7 +75,9 @@
             / 1_000
     }
 
-    fn all_cpu_millis(&self) -> u64 {
+    /// Returns all CPU that is there or can be brought there, in thousandths of a core.
+    #[must_use]
+    pub const fn all_cpu_millis(&self) -> u64 {
         self.cpu_millis
             .saturating_add(self.moving.cpu_millis)
             .saturating_add(self.movable.cpu_millis)
@@ -194,7 +196,7 @@
 const MIN_CORRECTION_PERMILLE: u64 = 500;
 const MAX_CORRECTION_PERMILLE: u64 = 1_200;
 
-/// Correction of the predictions of one pool by what came true.
+/// Correction of the predictions of one pool by actual outcomes.
 ///
 /// Suits estimates that are far off, tasks that don't fill their workers evenly, and workers that are slower
 /// than they should be: each makes the room smaller than it looks. Jobs that did not have to
@@ -234,7 +236,7 @@
 }
 
 /// Longest time that a refused caller is asked to wait, in milliseconds.
-const MAX_RETRY_AFTER_MS: u64 = 30_000;
+const MAX_RETRY_AFTER_MS: u64 = 15_000;
 
 /// The order in which refused callers of one pool return.
 ///
--- a/crates/vanillafold/src/fleet/daemon.rs
+++ b/crates/vanillafold/src/fleet/daemon.rs
@@ -344,11 +344,12 @@
 
     /// Takes note of what another daemon knows of evacuated zones. If this one lacks no change, what it
     /// knows is as new as the other's last read.
-    fn compare_evacuations(&self, other: Option<EvacuationVersion>) {
+    /// The other has sent it after `sent_after`; it may have been on its way for long.
+    fn compare_evacuations(&self, other: Option<EvacuationVersion>, sent_after: MonotonicMillis) {
         if let (Some(own), Some(other)) = (self.evacuation_version(), other)
             && !own.lacks_change_of(&other)
         {
-            self.evacuations_read(false, before(now(), other.age_ms), "daemon");
+            self.evacuations_read(false, before(sent_after, other.age_ms), "daemon");
         }
     }
 
@@ -399,12 +400,12 @@
             evacuations,
         } = &request
         {
-            self.compare_evacuations(*evacuations);
+            // The sender returns a reading of this clock, which can't be in the future.
+            let seen_at = MonotonicMillis::new(*owner_clock_ms).min(now());
+            self.compare_evacuations(*evacuations, seen_at);
             if self.settings.cpu_millis < OWNER_CPU_MILLIS && *cpu_millis >= OWNER_CPU_MILLIS {
                 self.larger_daemon_seen.set(true);
             }
-            // The sender returns a reading of this clock, which can't be in the future.
-            let seen_at = MonotonicMillis::new(*owner_clock_ms).min(now());
             if *zone != self.settings.zone && seen_at > self.other_zone_seen_at.get() {
                 self.other_zone_seen_at.set(seen_at);
             }
@@ -419,8 +420,9 @@
             (_, FleetRequest::Evacuations) => {
                 FleetAnswer::Evacuations(self.evacuated_zones.borrow().clone())
             }
-            (_, FleetRequest::OfferEvacuations(zones, age_ms)) => {
-                self.adopt_evacuated_zones(&zones, before(now(), age_ms), "daemon");
+            (_, FleetRequest::OfferEvacuations(zones)) => {
+                // The offer may have been on its way for long; the next ping tells how new it is.
+                self.adopt_evacuated_zones(&zones, MonotonicMillis::ZERO, "daemon");
                 FleetAnswer::Evacuations(None)
             }
             (Some(ownership), FleetRequest::Ping { .. }) => FleetAnswer::Pong {
--- a/crates/vanillafold/src/fleet/evacuation.rs
+++ b/crates/vanillafold/src/fleet/evacuation.rs
@@ -81,9 +81,12 @@
     }
 
     /// Applies requests and withdrawals, in the order of their records, which end before offset `as_of`.
-    /// Returns whether the zones have changed. Of several records about one zone only the last counts: the
-    /// records after a read of the latest ones begin with some that it has shown already.
+    /// Returns whether the zones have changed. Records that end before what is known are ignored: another
+    /// read has overtaken theirs.
     pub fn apply(&mut self, changes: &[(String, ZoneChange)], as_of: u64) -> bool {
+        if as_of <= self.as_of {
+            return false;
+        }
         let before = self.zones.clone();
         for (zone, change) in changes {
             match (self.zones.binary_search(zone), change) {
@@ -95,7 +98,7 @@
             }
         }
         let is_changed = before != self.zones;
-        self.as_of = self.as_of.max(as_of);
+        self.as_of = as_of;
         if is_changed {
             self.changed_at = self.as_of;
         }
--- a/crates/vanillafold/src/fleet/message.rs
+++ b/crates/vanillafold/src/fleet/message.rs
@@ -92,9 +92,8 @@
     OfferConfig(Vec<u8>),
     /// Asks for the evacuated zones that the owner knows of.
     Evacuations,
-    /// Gives the owner the evacuated zones that the sender knows of, because the owner lacks a change,
-    /// and the time since the sender last read the operator's records, in milliseconds.
-    OfferEvacuations(EvacuatedZones, u64),
+    /// Gives the owner the evacuated zones that the sender knows of, because the owner lacks a change.
+    OfferEvacuations(EvacuatedZones),
 }
 
 /// Answer to a [`FleetRequest`]. Encoded as bincode: the order of the variants and fields is part
--- a/crates/vanillafold/src/fleet/operator.rs
+++ b/crates/vanillafold/src/fleet/operator.rs
@@ -89,7 +89,13 @@
     let mut zones: Vec<String> = zones.map(str::to_owned).collect();
     if latest.has_unknown_keys {
         let known = daemon.evacuated_zones.borrow();
-        zones.extend(known.iter().flat_map(|known| known.zones().to_vec()));
+        let known = known.as_ref().map_or(&[][..], |known| known.zones());
+        let kept = known.iter().filter(|zone| !zones.contains(zone)).cloned();
+        let kept: Vec<String> = kept.collect();
+        if !kept.is_empty() {
+            log::warn!(zones = kept.join(", "); "zones stay evacuated: the operator's records have a key that can't be read, which may be theirs");
+        }
+        zones.extend(kept);
     }
     zones
 }
--- a/crates/vanillafold/src/fleet/owner.rs
+++ b/crates/vanillafold/src/fleet/owner.rs
@@ -318,17 +318,18 @@
         (Some(own), Some(owners)) if own.lacks_change_of(&owners) => FleetRequest::Evacuations,
         (None, Some(_)) => FleetRequest::Evacuations,
         (Some(own), Some(owners)) if !owners.lacks_change_of(&own) => return,
-        (Some(own), _) => {
+        (Some(_), _) => {
             let known = daemon.evacuated_zones.borrow().clone().unwrap_or_default();
-            FleetRequest::OfferEvacuations(known, own.age_ms)
+            FleetRequest::OfferEvacuations(known)
         }
         (None, None) => return,
     };
     let call = OutgoingCall::internal(&request);
+    let sent_at = now();
     match client.call(&call, RPC_TIMEOUT).await {
         Ok(FleetAnswer::Evacuations(Some(zones))) => {
             let age_ms = owners.map_or(0, |owners| owners.age_ms);
-            daemon.adopt_evacuated_zones(&zones, before(now(), age_ms), "owner");
+            daemon.adopt_evacuated_zones(&zones, before(sent_at, age_ms), "owner");
         }
         Ok(_) => {}
         Err(error) => {
--- a/crates/vanillafold/src/fleet/ownership.rs
+++ b/crates/vanillafold/src/fleet/ownership.rs
@@ -664,8 +664,8 @@
     ownership.closed.run_until_set(task).await;
 }
 
-/// Fences earlier owners, reads the operator's records and then the shard's; repeats the first and the last step until the store
-/// answers. Returns an error text if the store rejects the epoch, as it does after a later owner
+/// Fences earlier owners, reads the operator's records and then the shard's; repeats the first and the
+/// last step until the store answers. Returns an error text if the store rejects the epoch, as it does after a later owner
 /// has written.
 async fn load<P: FleetPlatform>(ownership: &ShardOwnership<P>) -> Result<LatestRows, String> {
     let mut store = ownership.daemon.platform.store();
--- a/crates/vanillafold/tests/evacuated_zones.rs
+++ b/crates/vanillafold/tests/evacuated_zones.rs
@@ -39,6 +39,18 @@
     assert_eq!(known.zones(), ["a", "c"]);
 }
 
+/// A takeover reads the latest records while a read of earlier changes is on its way: applied to them, an
+/// outdated withdrawal lifted the evacuation.
+#[test]
+fn changes_that_a_later_read_has_overtaken_are_ignored() {
+    let mut known = zones(&["a"], 12);
+
+    assert!(!known.apply(&[change("a", ZoneChange::Restore)], 11));
+    assert!(!known.apply(&[change("a", ZoneChange::Restore)], 12));
+    assert_eq!(known.zones(), ["a"]);
+    assert!(known.apply(&[change("a", ZoneChange::Restore)], 13));
+}
+
 /// Daemons exchange their zones only if one of them lacks a change, not after each record of another kind.
 #[test]
 fn only_a_change_of_the_zones_is_news_for_another_daemon() {
