Evacuate zones in the emulator of the job state machine

Cause: the emulated workers were all in one zone, and each owner was told that none is evacuated; no seeded run reached the code that evacuates zones. Change: options `zones`, `evacuation_permille_per_s` and `max_evacuated_zones`. An owner learns of a change up to 1 s late, a new one of all requests up to 1 s after its takeover; evacuations end with the fault phase. Violation `StartInEvacuatedZone`. Under the option persistent steps get a limit of unavailable tasks, and some jobs write checkpoints from which the next run goes on. Evacuations have random numbers of their own, so the other runs are unchanged.

--- a/crates/vanillafold-standin/src/job_simulation/options.rs
+++ b/crates/vanillafold-standin/src/job_simulation/options.rs
@@ -10,6 +10,13 @@
     pub workers: usize,
     /// The number of pools, which share the workers evenly.
     pub pools: usize,
+    /// The number of zones, which share the workers of each pool evenly.
+    pub zones: usize,
+    /// The chance, for each zone, that its evacuation begins or ends. If there is any, some jobs are of
+    /// kinds that evacuations move.
+    pub evacuation_permille_per_s: u64,
+    /// The number of zones that may be evacuated at a time.
+    pub max_evacuated_zones: usize,
     /// The chance that the queue is moved to another pool.
     pub queue_move_permille_per_s: u64,
     /// The number of jobs that callers submit during the fault phase.
@@ -55,6 +62,9 @@
         Self {
             workers: 6,
             pools: 1,
+            zones: 1,
+            evacuation_permille_per_s: 0,
+            max_evacuated_zones: 1,
             queue_move_permille_per_s: 0,
             jobs: 40,
             fault_phase_ms: 25_000,
--- a/crates/vanillafold-standin/src/job_simulation/simulation.rs
+++ b/crates/vanillafold-standin/src/job_simulation/simulation.rs
@@ -7,13 +7,15 @@
 };
 use vanillafold_policy::MonotonicMillis;
 
+use super::counts::SimulationCounts;
+use super::evacuation::{CHECKPOINTING_TEXT, Evacuations, zone_name};
 use super::options::SimulationOptions;
 use super::violation::Violation;
 use super::worker::{FULL_CAPACITY_MILLIS, OrderResult, RunProfile, SimRun, SimWorker};
 use crate::process::Random;
 
 /// The simulated time of one step.
-const STEP_MS: u64 = 5;
+pub(super) const STEP_MS: u64 = 5;
 /// The time that the store takes for an append while it is available.
 const STORE_LATENCY_MS: u64 = 10;
 /// The time after which an order or poll without an answer counts as failed.
@@ -35,6 +37,8 @@
 const CRASHING_TEXT: &str = "crashing";
 /// Text of a job whose tasks take several seconds.
 const LONG_TEXT: &str = "long";
+/// The shortest run of a task that resumes from a checkpoint near its end.
+const MIN_RUN_MS: u64 = 100;
 /// How long a worker is partitioned soon after a restart.
 const PARTITION_MS: u64 = 12_000;
 /// No task may start later than this after the cancellation of its job was acknowledged.
@@ -168,8 +172,8 @@
     crashing: Vec<CrashingTask>,
     /// Tasks that ran on a worker when it crashed by itself, once for each such crash.
     crashed_beside: Vec<TaskId>,
-    /// The number of start orders that were executed.
-    starts: u64,
+    evacuations: Evacuations,
+    counts: SimulationCounts,
 }
 
 impl Simulation {
@@ -177,11 +181,13 @@
     #[must_use]
     pub fn new(seed: u64, options: SimulationOptions) -> Self {
         let mut random = Random::new(seed);
+        let mut evacuations = Evacuations::new(seed, &options);
         let workers = (0..options.workers)
             .map(|index| {
                 let clock_rate_permille = 980 + random.next_u64() % 21;
                 let pool = pool_name(index % options.pools);
-                SimWorker::new(format!("w{index}"), pool, clock_rate_permille)
+                let zone = index / options.pools % options.zones;
+                SimWorker::new(format!("w{index}"), pool, zone, clock_rate_permille)
             })
             .collect();
         let mut jobs = Vec::new();
@@ -197,6 +203,7 @@
             {
                 job.spec.text = LONG_TEXT.to_owned();
             }
+            evacuations.vary_job(&mut job.spec);
             jobs.push(job);
         }
         Self {
@@ -225,27 +232,30 @@
             failures: Vec::new(),
             crashing: Vec::new(),
             crashed_beside: Vec::new(),
-            starts: 0,
+            evacuations,
+            counts: SimulationCounts::default(),
         }
     }
 
-    /// Runs the fault phase and the recovery phase; returns the number of runs that were started.
+    /// Runs the fault phase and the recovery phase.
     ///
     /// # Errors
     ///
     /// Returns the first violation of an invariant.
-    pub fn run(mut self) -> Result<u64, Violation> {
+    pub fn run(mut self) -> Result<SimulationCounts, Violation> {
         let fault_phase_end_ms = self.now_ms + self.options.fault_phase_ms;
         let end_ms = fault_phase_end_ms + self.options.recovery_phase_ms;
         while self.now_ms < end_ms {
             self.now_ms += STEP_MS;
-            if self.now_ms < fault_phase_end_ms {
-                self.inject_faults();
+            match self.now_ms < fault_phase_end_ms {
+                true => self.inject_faults(),
+                false => self.evacuations.end_all(self.now_ms),
             }
             self.step()?;
         }
         self.check_jobs()?;
-        Ok(self.starts)
+        self.counts.add_ownership(self.shard.as_ref());
+        Ok(self.counts)
     }
 
     // --- Faults ----------------------------------------------------------------------------
@@ -260,6 +270,7 @@
 
     fn inject_faults(&mut self) {
         self.inject_later_faults();
+        self.evacuations.begin_and_end(self.now_ms);
         if self.shard.is_some() && self.happens(self.options.owner_loss_permille_per_s) {
             self.lose_owner();
         }
@@ -404,6 +415,7 @@
     }
 
     fn lose_owner(&mut self) {
+        self.counts.add_ownership(self.shard.as_ref());
         self.shard = None;
         self.timeouts.clear();
         self.poll_connections.fill(None);
@@ -431,6 +443,7 @@
         {
             self.configure();
         }
+        self.learn_evacuations();
         self.crash_workers();
         for index in 0..self.workers.len() {
             for (run, kind) in self.workers[index].advance(self.now_ms) {
@@ -460,6 +473,16 @@
         Ok(())
     }
 
+    /// Tells the owner the evacuated zones if it learns of a change now.
+    fn learn_evacuations(&mut self) {
+        let now = self.monotonic_now();
+        if let Some(shard) = &mut self.shard
+            && let Some(zones) = self.evacuations.learn(self.now_ms)
+        {
+            shard.set_evacuated_zones(&zones, now);
+        }
+    }
+
     fn catalogue(&self) -> Catalogue {
         catalogue(&self.options, self.catalogue_version, self.queue_pool)
     }
@@ -482,7 +505,7 @@
         );
         shard.set_workers(self.workers.iter().map(entry).collect(), now);
         shard.set_vms(self.workers.iter().map(vm).collect(), now);
-        shard.set_evacuated_zones(&[], now);
+        self.evacuations.begin_ownership(self.now_ms);
         self.shard = Some(shard);
         match self.options.max_configuration_delay_ms {
             0 => self.configure(),
@@ -894,6 +917,7 @@
                 spec,
                 deadline_ms,
                 ticket,
+                checkpoint,
                 ..
             } => {
                 if self.options.advised && !self.is_valid_ticket(ticket, index, *task) {
@@ -901,22 +925,25 @@
                 }
                 let step = &spec.steps[usize::from(task.step)];
                 let profile = run_profile(*task, run.get(), spec, step);
+                let resumed_ms = step.checkpointing.then(|| checkpoint.parse().unwrap_or(0));
+                let left_ms = profile.duration_ms.saturating_sub(resumed_ms.unwrap_or(0));
                 let ends_at_ms = match step.gang || step.persistent {
                     true => None,
-                    false => Some(now + profile.duration_ms),
+                    false => Some(now + left_ms.max(MIN_RUN_MS)),
                 };
                 let sim = SimRun {
                     task: *task,
                     run: *run,
                     profile,
                     gang: step.gang,
+                    resumed_ms,
                     ends_at_ms,
                     started_at_ms: now,
                     stops_at_ms: None,
                 };
                 let result = self.workers[index].start(sim, token, *deadline_ms, now);
                 if result == OrderResult::Executed {
-                    self.starts += 1;
+                    self.counts.starts += 1;
                     self.check_start(index, *task, step, spec, delivery)?;
                     if profile.crashes_after_ms.is_some() && delivery == Delivery::Immediate {
                         self.check_crashes(*task)?;
@@ -972,7 +999,7 @@
                             index += 1;
                         }
                         Some(_) if same && !is_complete => {
-                            worker.end(index, EndKind::GangMemberEnded);
+                            worker.end(index, EndKind::GangMemberEnded, self.now_ms);
                         }
                         _ => index += 1,
                     }
@@ -1031,6 +1058,14 @@
             () if job.is_some_and(|job| job.refused) => {
                 Err(Violation::StartAfterRefusal { at_ms, task })
             }
+            // A delayed order may precede the evacuation.
+            () if delivery == Delivery::Immediate && !self.evacuations.allow_start(worker.zone) => {
+                Err(Violation::StartInEvacuatedZone {
+                    at_ms,
+                    task,
+                    zone: zone_name(worker.zone),
+                })
+            }
             // A delayed order may precede the loss of capacity.
             () if worker.used_millis() > worker.capacity_millis
                 && (delivery == Delivery::Immediate
@@ -1125,9 +1160,10 @@
             true => 0,
             false => step.needs.cpu_millis,
         },
-        duration_ms: match spec.text == LONG_TEXT {
-            true => 4_000 + random.next_u64() % 10_000,
-            false => 100 + random.next_u64() % 1_500,
+        duration_ms: match spec.text.as_str() {
+            LONG_TEXT => 4_000 + random.next_u64() % 10_000,
+            CHECKPOINTING_TEXT => 3_500 + random.next_u64() % 3_000,
+            _ => 100 + random.next_u64() % 1_500,
         },
         fails: spec.text == "poison" || random.next_bool(0.04),
         crashes_after_ms: match spec.text == CRASHING_TEXT && task.step == 0 && task.index == 0 {
@@ -1278,7 +1314,7 @@
         id: worker_id(worker),
         pool: worker.pool.clone(),
         address: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
-        zone: "zone".to_owned(),
+        zone: zone_name(worker.zone),
         ready: true,
         capacity: capacity(worker),
         labels: Vec::new(),
@@ -1295,7 +1331,7 @@
         capacity: capacity(worker),
         labels: Vec::new(),
         worker: Some(worker_id(worker)),
-        zone: "zone".to_owned(),
+        zone: zone_name(worker.zone),
     }
 }
 
--- a/crates/vanillafold-standin/src/job_simulation/violation.rs
+++ b/crates/vanillafold-standin/src/job_simulation/violation.rs
@@ -77,6 +77,17 @@
         /// The task concerned.
         task: TaskId,
     },
+    /// A task was started in a zone that its owner knew to be evacuated, or by an owner that did not
+    /// know yet which zones are.
+    #[error("{at_ms} ms: {task} started in {zone}, which may be evacuated by what its owner knew")]
+    StartInEvacuatedZone {
+        /// The simulated time of the violation.
+        at_ms: u64,
+        /// The task concerned.
+        task: TaskId,
+        /// The zone's name.
+        zone: String,
+    },
     /// A task of a refused job was started.
     #[error("{at_ms} ms: {task} started although its job was refused")]
     StartAfterRefusal {
--- a/crates/vanillafold-standin/src/job_simulation/worker.rs
+++ b/crates/vanillafold-standin/src/job_simulation/worker.rs
@@ -10,6 +10,8 @@
 pub(crate) const FULL_CAPACITY_MILLIS: u64 = 4_000;
 /// A gang member ends if the other members have not started within this time.
 const GANG_TIMEOUT_MS: u64 = 3_000;
+/// The work between two checkpoints of a run.
+const CHECKPOINT_INTERVAL_MS: u64 = 500;
 
 /// The CPU need, duration and outcome of a run.
 #[derive(Debug, Clone, Copy)]
@@ -28,6 +30,9 @@
     pub(crate) run: RunNumber,
     pub(crate) profile: RunProfile,
     pub(crate) gang: bool,
+    /// The work that earlier runs had done at the checkpoint from which this one goes on; `None` if
+    /// the run writes no checkpoints.
+    pub(crate) resumed_ms: Option<u64>,
     /// When the work ends: `None` for a persistent task, and for a gang member until all members
     /// have started.
     pub(crate) ends_at_ms: Option<u64>,
@@ -35,6 +40,22 @@
     pub(crate) stops_at_ms: Option<u64>,
 }
 
+impl SimRun {
+    /// Returns the newest checkpoint and the completed share of the work in percent.
+    fn progress(&self, now_ms: u64) -> (String, u32) {
+        let Some(resumed_ms) = self.resumed_ms else {
+            return (String::new(), 100);
+        };
+        let done_ms = resumed_ms + now_ms.saturating_sub(self.started_at_ms);
+        let checkpoint = match done_ms / CHECKPOINT_INTERVAL_MS {
+            0 => String::new(),
+            checkpoints => (checkpoints * CHECKPOINT_INTERVAL_MS).to_string(),
+        };
+        let percent = (done_ms * 100 / self.profile.duration_ms.max(1)).min(100);
+        (checkpoint, u32::try_from(percent).unwrap_or(100))
+    }
+}
+
 /// How a simulated worker answers an order.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) enum OrderResult {
@@ -51,6 +72,8 @@
 pub(crate) struct SimWorker {
     pub(crate) name: String,
     pub(crate) pool: String,
+    /// The number of its zone.
+    pub(crate) zone: usize,
     pub(crate) capacity_millis: u64,
     pub(crate) started_ms: u64,
     /// The rate of its clock, in thousandths of simulated time.
@@ -73,10 +96,11 @@
 }
 
 impl SimWorker {
-    pub(crate) fn new(name: String, pool: String, clock_rate_permille: u64) -> Self {
+    pub(crate) fn new(name: String, pool: String, zone: usize, clock_rate_permille: u64) -> Self {
         Self {
             name,
             pool,
+            zone,
             capacity_millis: FULL_CAPACITY_MILLIS,
             started_ms: 0,
             clock_rate_permille,
@@ -181,15 +205,16 @@
     }
 
     /// Ends the run at `index` and lists the end for the next poll.
-    pub(crate) fn end(&mut self, index: usize, kind: EndKind) -> SimRun {
+    pub(crate) fn end(&mut self, index: usize, kind: EndKind, now_ms: u64) -> SimRun {
         let run = self.runs.remove(index);
+        let (checkpoint, _) = run.progress(now_ms);
         self.raise_floor(run.task, run.run);
         self.ended.push(ListedEnd {
             number: self.next_end_number,
             task: run.task,
             run: run.run,
             kind,
-            checkpoint: String::new(),
+            checkpoint,
         });
         self.next_end_number += 1;
         run
@@ -205,7 +230,8 @@
             self.interruptions += 1;
             self.lease_end_ms = 0;
             while !self.runs.is_empty() {
-                ends.push((self.end(0, EndKind::LeaseExpired), EndKind::LeaseExpired));
+                let run = self.end(0, EndKind::LeaseExpired, now_ms);
+                ends.push((run, EndKind::LeaseExpired));
             }
         }
         let mut index = 0;
@@ -224,7 +250,7 @@
                 _ => None,
             };
             match kind {
-                Some(kind) => ends.push((self.end(index, kind), kind)),
+                Some(kind) => ends.push((self.end(index, kind, now_ms), kind)),
                 None => index += 1,
             }
         }
@@ -242,12 +268,15 @@
     ) -> PollReport {
         self.extend_lease(deadline_ms.unwrap_or(0), now_ms);
         self.ended.retain(|end| end.number > acknowledged_end);
-        let listed = |run: &SimRun| ListedRun {
-            task: run.task,
-            run: run.run,
-            checkpoint: String::new(),
-            percent: 100,
-            load: run.profile.cpu_millis,
+        let listed = |run: &SimRun| {
+            let (checkpoint, percent) = run.progress(now_ms);
+            ListedRun {
+                task: run.task,
+                run: run.run,
+                checkpoint,
+                percent,
+                load: run.profile.cpu_millis,
+            }
         };
         PollReport {
             clock_ms: self.clock_ms(now_ms),
--- a/crates/vanillafold-standin/tests/jobs_world/main.rs
+++ b/crates/vanillafold-standin/tests/jobs_world/main.rs
@@ -4,6 +4,8 @@
 //! orders, store outages) and requires that no invariant is violated: no task runs twice at a time
 //! or after its completion, and each accepted job ends.
 
+mod evacuations;
+
 use vanillafold_standin::job_simulation::{Simulation, SimulationOptions};
 
 /// The number of seeds of each test; these take some seconds in a debug build.
