Wait for a near placement as long as it pays

Cause: a step with a data rack, or a group on one rack, started wherever there was room, though a run far from its data or on several racks takes `remote_factor` times as long. On only where `[bounds] remote_factor` is above 1.

--- a/crates/vanillafold-jobs/examples/shard_cost.rs
+++ b/crates/vanillafold-jobs/examples/shard_cost.rs
@@ -2,10 +2,11 @@
 //!
 //! Simulates workers that answer every order and poll at once, while each queue in turn asks for
 //! five times its mean, and prints the time by kind of work, per second of the simulated load and
-//! per event.
+//! per event. `RACK_STEPS` percent of the steps have a data rack, and as many again are gangs that
+//! are fast only on one rack; remote runs take three times as long.
 //!
 //! ```sh
-//! cargo run --release -p vanillafold-jobs --example shard_cost -- [WORKERS] [SECONDS] [ZONES]
+//! cargo run --release -p vanillafold-jobs --example shard_cost -- [WORKERS] [SECONDS] [ZONES] [RACK_STEPS]
 //! ```
 
 use std::collections::BTreeMap;
@@ -76,11 +77,12 @@
     let workers = usize::try_from(number(1_100)).unwrap_or(usize::MAX);
     let seconds = number(8);
     let zones = usize::try_from(number(3).max(1)).unwrap_or(1);
-    let mut simulation = Simulation::new(workers, zones);
+    let rack_steps = number(0);
+    let mut simulation = Simulation::new(workers, zones, rack_steps);
     simulation.run(seconds * 1_000);
     let total: Duration = simulation.costs.0.values().map(|cost| cost.time).sum();
     println!(
-        "{workers} workers in {zones} zones, {seconds} s of load, {} starts",
+        "{workers} workers in {zones} zones, {rack_steps} % rack steps, {seconds} s of load, {} starts",
         simulation.starts
     );
     println!(
@@ -109,10 +111,12 @@
     starts: u64,
     next_job: u64,
     arrivals: f64,
+    /// Percentage of steps with a data rack, and of gangs that are fast only on one rack.
+    rack_steps: u64,
 }
 
 impl Simulation {
-    fn new(count: usize, zones: usize) -> Self {
+    fn new(count: usize, zones: usize, rack_steps: u64) -> Self {
         let now = at(0);
         let mut shard = Shard::load(settings(), Epoch::new(1), Vec::new(), now, 0);
         shard.set_catalogue(catalogue());
@@ -127,6 +131,7 @@
             starts: 0,
             next_job: 1,
             arrivals: 0.0,
+            rack_steps,
         };
         simulation.list_workers(0);
         simulation.list_vms(0);
@@ -173,7 +178,8 @@
         while self.arrivals >= 1.0 {
             self.arrivals -= 1.0;
             let queue = usize::try_from(now_ms / TURN_MS).unwrap_or(0) % (POOLS - 1);
-            let spec = job(queue, &mut self.random, now_ms);
+            let mut spec = job(queue, &mut self.random, now_ms);
+            self.add_racks(&mut spec);
             let id: JobId = format!("{:016x}", self.next_job).parse().expect("a job id");
             self.next_job += 1;
             let shard = &mut self.shard;
@@ -189,6 +195,25 @@
         }
     }
 
+    fn add_racks(&mut self, spec: &mut JobSpec) {
+        if self.rack_steps == 0 {
+            return;
+        }
+        let racks = self.workers.len().div_ceil(RACK_VMS) as u64;
+        for step in &mut spec.steps {
+            match self.random.below(100) {
+                drawn if drawn < self.rack_steps => {
+                    step.data_rack = format!("r-{}", self.random.below(racks));
+                }
+                drawn if drawn < 2 * self.rack_steps => {
+                    step.gang = true;
+                    step.same_rack = true;
+                }
+                _ => {}
+            }
+        }
+    }
+
     fn list_workers(&mut self, now_ms: u64) {
         let entries = self
             .workers
@@ -439,6 +464,7 @@
         move_ms: 1_500,
         stop_timeout_ms: 400,
         restore_ms: 250,
+        remote_factor_permille: 3_000,
         moves_enabled: true,
     }
 }
--- a/crates/vanillafold-jobs/src/lib.rs
+++ b/crates/vanillafold-jobs/src/lib.rs
@@ -26,9 +26,9 @@
     SuspectState,
 };
 pub use shard::{
-    Advice, AdviceQuery, Batch, CancelOutcome, Catalogue, EvacuationCounts, LossCounts, Order,
-    OrganisationInfo, PollPlan, PoolInfo, PredictionCounts, QueueInfo, RemovedQueue, Settings,
-    Shard, SubmitOutcome, Vm, VmOperation, VmState, Wave, WaveStatus,
+    Advice, AdviceQuery, Batch, CancelOutcome, Catalogue, EvacuationCounts, LossCounts,
+    NearWaitCounts, Order, OrganisationInfo, PollPlan, PoolInfo, PredictionCounts, QueueInfo,
+    RemovedQueue, Settings, Shard, SubmitOutcome, Vm, VmOperation, VmState, Wave, WaveStatus,
 };
 pub use spec::{JobSpec, Repeat, Resources, SpecError, StepSpec};
 pub use submission::{DeliveryCheck, Refusals};
--- a/crates/vanillafold-jobs/src/shard/ends.rs
+++ b/crates/vanillafold-jobs/src/shard/ends.rs
@@ -251,7 +251,8 @@
             return;
         }
         #[allow(clippy::cast_precision_loss)] // durations far below 2^52
-        let ratio = duration_ms as f64 / estimate_ms as f64;
+        let near_duration_ms = duration_ms as f64 * 1_000.0 / run.slowdown_permille as f64;
+        let ratio = near_duration_ms / estimate_ms as f64;
         let queue = job.spec.queue.clone();
         match self
             .duration_ratios
--- a/crates/vanillafold-jobs/src/shard/pool_index.rs
+++ b/crates/vanillafold-jobs/src/shard/pool_index.rs
@@ -223,10 +223,21 @@
         workers.iter().rev().map(|free| free.position)
     }
 
+    /// Returns whether a worker of a sorted pool may get tasks in this pass.
+    pub(super) fn contains(&self, worker: &Worker, position: usize) -> bool {
+        let mut rows = self.zone_rows(&worker.entry.pool).iter();
+        let row = rows.find(|row| row.zone == worker.entry.zone);
+        let free = FreeWorker::new(worker, position);
+        row.is_some_and(|row| row.workers.binary_search(&free).is_ok())
+    }
+
     /// Removes a worker that gets no more tasks in this pass.
     pub(super) fn remove(&mut self, worker: &Worker, position: usize) {
+        let free = FreeWorker::new(worker, position);
         let row = self.row_mut(worker);
-        row.workers.retain(|free| free.position != position);
+        if let Ok(at) = row.workers.binary_search(&free) {
+            row.workers.remove(at);
+        }
     }
 
     /// Moves a worker to its new place after `reservation` was placed on it.
@@ -286,7 +297,7 @@
 
 /// Returns the usable CPU that no run reserves, in thousandths of a core. Runs that an earlier owner
 /// started may reserve more than the worker has.
-const fn free_cpu_millis(worker: &Worker) -> u64 {
+pub(super) const fn free_cpu_millis(worker: &Worker) -> u64 {
     worker
         .usable_cpu_millis()
         .saturating_sub(worker.used.cpu_millis)
--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -12,7 +12,9 @@
 use super::catalogue::Catalogue;
 use super::evacuation::ZoneEvacuations;
 use super::losses::{LossCounts, WorkerLoss};
+use super::near_waits::NearWaits;
 use super::orders::Order;
+use super::rack_index::RackIndex;
 use super::settings::Settings;
 use super::start_rate::StartRate;
 use super::vm_operations::{PendingOperation, RemovedWorker, Vm, VmOperation};
@@ -50,9 +52,12 @@
     pub(super) finished_with_spec: Vec<JobId>,
     /// Sorted by id.
     pub(super) workers: Vec<Worker>,
-    /// Incremented when workers are added or removed, or an address changes.
+    /// Incremented when workers are added or removed, or an address or labels change.
     pub(super) workers_version: u64,
+    pub(super) racks: RackIndex,
     pub(super) loss_counts: LossCounts,
+    /// Tasks that wait for room near their data or their group.
+    pub(super) near_waits: NearWaits,
     /// Workers that were lost a short time ago.
     pub(super) recent_losses: Vec<WorkerLoss>,
     /// Open jobs with suspect runs, sorted.
@@ -148,7 +153,9 @@
             finished_with_spec: Vec::new(),
             workers: Vec::new(),
             workers_version: 0,
+            racks: RackIndex::default(),
             loss_counts: LossCounts::default(),
+            near_waits: NearWaits::default(),
             recent_losses: Vec::new(),
             suspect_jobs: Vec::new(),
             removed_workers: Vec::new(),
--- a/crates/vanillafold-jobs/src/shard/schedule/duration.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule/duration.rs
@@ -58,6 +58,16 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
+    /// Returns the length of the longest chain of steps that begins with a step, in milliseconds.
+    pub(super) fn chain_ms(&self, spec: &JobSpec, first: u16) -> u64 {
+        let mut follows = vec![false; spec.steps.len()];
+        for (at, step) in spec.steps.iter().enumerate() {
+            follows[at] = at == usize::from(first)
+                || step.after.iter().any(|after| follows[usize::from(*after)]);
+        }
+        self.critical_path_where_ms(spec, |at| follows[at])
+    }
+
     /// Returns the length of a job's critical path, in milliseconds.
     pub(in crate::shard) fn critical_path_ms(&self, spec: &JobSpec) -> u64 {
         self.critical_path_where_ms(spec, |_| true)
--- a/crates/vanillafold-jobs/src/shard/schedule/mod.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule/mod.rs
@@ -4,12 +4,16 @@
 //! |---|---|
 //! | tasks that may still run on workers of an earlier owner | [`takeover`] |
 //! | waiting steps, in the order in which they are placed | [`order`], by [`duration`] |
-//! | a worker for each task | [`placement`]; zones by [`zones`]; [`isolation`] after losses of workers |
+//! | a worker for each task | [`placement`], by [`zones`] and [`groups`]; [`isolation`] after losses of workers |
+//! | waiting for room near | [`near`], by [`forecast`] |
 //! | room for persistent tasks | [`preemption`] |
 //! | start orders | [`start`] |
 
 mod duration;
+mod forecast;
+mod groups;
 mod isolation;
+mod near;
 mod order;
 mod pass;
 mod placement;
--- a/crates/vanillafold-jobs/src/shard/schedule/pass.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule/pass.rs
@@ -2,6 +2,7 @@
 
 use vanillafold_policy::MonotonicMillis;
 
+use super::forecast::Forecasts;
 use crate::shard::pool_index::PoolIndex;
 use crate::shard::root::Shard;
 use crate::worker::RunPhase;
@@ -17,6 +18,7 @@
         self.evaluate_suspects(now, now_unix_ms);
         self.collect_deletable_jobs(now);
         self.drop_finished_advice();
+        self.begin_near_waits(now);
         self.retry_stops(now);
         self.begin_repeated_jobs(now, now_unix_ms);
         self.update_returned_workers(now);
@@ -29,6 +31,7 @@
         };
         waiting.sort_by(|a, b| a.rank.cmp(&b.rank).then(a.job.cmp(&b.job)));
         let mut without_capacity = Vec::new();
+        let mut forecasts = Forecasts::default();
         self.unplaced_pools.clear();
         let unanswered = self.unanswered_starts();
         let budget = self.flow.window().saturating_sub(unanswered);
@@ -36,7 +39,8 @@
         for step in waiting {
             let step_id = (step.job, step.occurrence, step.step);
             if !self.fail_if_waiting_in_vain(step_id, now, now_unix_ms) {
-                self.start_step(&step, &mut index, &mut without_capacity, now);
+                let pass = (&mut index, &mut forecasts);
+                self.start_step(&step, pass, &mut without_capacity, now);
             }
         }
         let starts = (budget - self.start_budget) as u64;
--- a/crates/vanillafold-jobs/src/shard/schedule/start.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule/start.rs
@@ -5,9 +5,11 @@
 use vanillafold_policy::MonotonicMillis;
 use vanillafold_policy::jobs::SuspectPlacement;
 
+use super::forecast::Forecasts;
+use super::groups::GroupPlacement;
+use super::near::may_wait;
 use super::order::WaitingStep;
-use super::placement::has_required_label;
-use super::zones::ZoneSearch;
+use super::placement::{StepPlacement, has_required_label};
 use crate::id::{JobId, RunNumber};
 use crate::job::TaskStatus;
 use crate::shard::catalogue::QueueInfo;
@@ -26,13 +28,14 @@
 const REMOVED_QUEUE_MAX_ATTEMPTS: u32 = 3;
 
 impl Shard {
-    /// Starts the waiting tasks of a step as far as there is capacity. `without_capacity` collects
-    /// the steps for which none was found in this pass, with their pools, so that steps of the same
-    /// pool that need at least as much are skipped.
+    /// Starts the waiting tasks of a step as far as there is capacity, and unless they wait for room
+    /// near their data or their group. `without_capacity` collects the steps for which none was found
+    /// in this pass, with their pools, so that steps of the same pool that need at least as much are
+    /// skipped.
     pub(super) fn start_step(
         &mut self,
         waiting: &WaitingStep,
-        index: &mut PoolIndex,
+        (index, forecasts): (&mut PoolIndex, &mut Forecasts),
         without_capacity: &mut Vec<(String, StepSpec)>,
         now: MonotonicMillis,
     ) {
@@ -58,30 +61,47 @@
             return;
         }
         index.sort_pool(&queue.pool, &self.workers);
-        let mut zones = self.zone_search(waiting, step_spec, &queue.pool, index);
+        if step_spec.same_rack || !step_spec.data_rack.is_empty() {
+            self.racks.refresh(&self.workers, self.workers_version);
+        }
+        let mut placement = StepPlacement {
+            waiting,
+            spec: &spec,
+            queue: &queue,
+            zones: self.zone_search(waiting, step_spec, &queue.pool, index),
+            group: GroupPlacement::default(),
+            wait_terms: None,
+        };
         if step_spec.gang {
-            self.start_gang(waiting, &spec, &queue, (index, &zones), now);
+            self.start_gang(&mut placement, (index, forecasts), now);
             return;
         }
-        for task in self.waiting_tasks(waiting) {
+        let tasks = self.waiting_tasks(waiting);
+        let is_group = self.is_group(step_spec);
+        // Racks are compared only if a task can be placed at all.
+        let first = tasks.first().copied().filter(|_| is_group);
+        let has_room = first.is_some_and(|task| {
+            let unrestricted = (task, SuspectPlacement::Unrestricted);
+            let worker = self.place_task(&placement, index, &[], unrestricted, now);
+            worker.is_some()
+        });
+        if has_room {
+            placement.group = self.place_group(&placement, tasks.len() as u64, index, now);
+        }
+        let mut remote_at = None;
+        for (started, task) in tasks.iter().copied().enumerate() {
             if self.start_budget == 0 || !self.organisation_allows(&spec, step_spec, 1) {
                 return;
             }
-            let placement = self.waiting_placement(waiting, task, now);
-            let placed = match placement {
+            let suspicion = self.waiting_placement(waiting, task, now);
+            let placed = match suspicion {
                 SuspectPlacement::Held => None,
-                _ => self.place_task(
-                    waiting,
-                    &spec,
-                    &queue,
-                    (index, &zones),
-                    &[],
-                    (task, placement),
-                    now,
-                ),
+                // The task before found no room near either and waits for some.
+                SuspectPlacement::Unrestricted if remote_at.is_some() => remote_at,
+                _ => self.place_task(&placement, index, &[], (task, suspicion), now),
             };
             let Some(at) = placed else {
-                match placement {
+                match suspicion {
                     SuspectPlacement::Held => continue,
                     SuspectPlacement::Isolated => {
                         let task = waiting.task(task);
@@ -91,102 +111,63 @@
                     _ => {}
                 }
                 if queue.advised {
-                    self.request_advice(waiting, &spec, &queue, (index, &zones), now);
+                    self.request_advice(&placement, index, now);
                     return;
                 }
                 if step_spec.persistent {
                     self.request_vm_or_preempt(waiting, &spec, &queue, now);
                 }
-                if unconstrained {
+                if unconstrained && !placement.group.only {
                     without_capacity.push((queue.pool.clone(), step_spec.clone()));
                 }
                 return;
             };
-            let run = self.next_run(waiting, task);
-            self.start_task(at, waiting, &spec, task, run, placement, now);
-            zones.count_start(&self.workers[at]);
-            index.reserve(&self.workers[at], at, step_spec.reservation());
-            if placement.is_isolated() {
-                index.remove(&self.workers[at], at);
-            }
-        }
-    }
-
-    fn start_gang(
-        &mut self,
-        waiting: &WaitingStep,
-        spec: &Rc<JobSpec>,
-        queue: &QueueInfo,
-        (index, zones): (&mut PoolIndex, &ZoneSearch),
-        now: MonotonicMillis,
-    ) {
-        let step = &spec.steps[usize::from(waiting.step)];
-        let members = self.waiting_tasks(waiting);
-        // A gang that is larger than the window goes out when no other start is unanswered.
-        let exceeds_budget =
-            members.len() > self.start_budget && self.start_budget < self.flow.window();
-        if members.len() != step.count as usize
-            || exceeds_budget
-            || !self.organisation_allows(spec, step, u64::from(step.count))
-        {
-            return;
-        }
-        // The losses of a gang are counted under its first member.
-        let placement = self.waiting_placement(waiting, 0, now);
-        if placement == SuspectPlacement::Held {
-            return;
-        }
-        let mut planned = Vec::with_capacity(members.len());
-        for _ in &members {
-            let placed = self.place_task(
-                waiting,
-                spec,
-                queue,
-                (index, zones),
-                &planned,
-                (0, placement),
-                now,
-            );
-            match placed {
-                Some(at) => planned.push(at),
-                None if queue.advised => {
-                    return self.request_advice(waiting, spec, queue, (index, zones), now);
+            let is_waiting = match may_wait(suspicion) {
+                false => false,
+                true if is_group => {
+                    let left = (tasks.len() - started, at);
+                    self.group_waits(&placement, left, (index, forecasts), now)
                 }
-                None if placement == SuspectPlacement::Isolated => {
-                    let task = waiting.task(0);
-                    return self.reserve_worker(task, &queue.pool, step.reservation(), now);
+                true => self.task_waits(&mut placement, (task, at), (index, forecasts), now),
+            };
+            match is_waiting {
+                true if is_group => return,
+                true => {
+                    remote_at = Some(at).filter(|_| suspicion == SuspectPlacement::Unrestricted);
+                    continue;
                 }
-                None => return,
+                false => remote_at = None,
             }
-        }
-        let next = members.iter().map(|index| self.next_run(waiting, *index));
-        let Some(run) = next.max() else { return };
-        for (task, at) in members.iter().zip(&planned) {
-            self.start_task(*at, waiting, spec, *task, run, placement, now);
-            index.reserve(&self.workers[*at], *at, step.reservation());
-        }
-        if placement.is_isolated() {
-            for at in planned {
+            let run = self.next_run(waiting, task);
+            self.start_task(at, &placement, task, run, suspicion, now);
+            if !is_group
+                || !placement.group.prefers(&self.workers[at])
+                || started + 1 == tasks.len()
+            {
+                self.record_near_start(&placement, (task, at), now);
+            }
+            placement.zones.count_start(&self.workers[at]);
+            index.reserve(&self.workers[at], at, step_spec.reservation());
+            if suspicion.is_isolated() {
                 index.remove(&self.workers[at], at);
             }
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn start_task(
+    pub(super) fn start_task(
         &mut self,
         at: usize,
-        waiting: &WaitingStep,
-        spec: &Rc<JobSpec>,
+        placement: &StepPlacement<'_>,
         index: u16,
         number: RunNumber,
-        placement: SuspectPlacement,
+        suspicion: SuspectPlacement,
         now: MonotonicMillis,
     ) {
-        let step = &spec.steps[usize::from(waiting.step)];
+        let (waiting, spec, step) = (placement.waiting, placement.spec, placement.step());
         let task = waiting.task(index);
+        let slowdown_permille = self.slowdown_permille(placement, at);
         let stores_start = self.job(waiting.job).is_some_and(|job| job.stores_starts);
-        if placement.is_suspect() || stores_start {
+        if suspicion.is_suspect() || stores_start {
             self.record_suspect_start(at, task, number);
         }
         let worker = &mut self.workers[at];
@@ -208,8 +189,9 @@
             load: 0,
             persistent: step.persistent,
             best_effort: step.best_effort,
-            suspect: placement.is_suspect(),
-            isolated: placement.is_isolated(),
+            suspect: suspicion.is_suspect(),
+            isolated: suspicion.is_isolated(),
+            slowdown_permille,
             latency_target_ms: step.latency_target_ms,
             pace_percent: 100,
             pace_ordered_at: now,
@@ -330,7 +312,7 @@
         }
     }
 
-    fn next_run(&self, waiting: &WaitingStep, index: u16) -> RunNumber {
+    pub(super) fn next_run(&self, waiting: &WaitingStep, index: u16) -> RunNumber {
         let id = waiting.task(index);
         let run = self
             .open_task(id)
@@ -338,7 +320,7 @@
         run.next(self.epoch)
     }
 
-    fn organisation_allows(&self, spec: &JobSpec, step: &StepSpec, count: u64) -> bool {
+    pub(super) fn organisation_allows(&self, spec: &JobSpec, step: &StepSpec, count: u64) -> bool {
         let Some(organisation) = self.catalogue.organisation(&spec.organisation) else {
             return true;
         };
@@ -346,17 +328,15 @@
         organisation.limit.allows(used, step.needs.times(count))
     }
 
-    /// Queries placement advice for the workers that have capacity for a step, those in the zones
-    /// that are tried first before others.
-    fn request_advice(
+    /// Queries placement advice for the workers that have capacity for a step, those that are tried
+    /// first before others.
+    pub(super) fn request_advice(
         &mut self,
-        waiting: &WaitingStep,
-        spec: &JobSpec,
-        queue: &QueueInfo,
-        (index, zones): (&PoolIndex, &ZoneSearch),
+        placement: &StepPlacement<'_>,
+        index: &PoolIndex,
         now: MonotonicMillis,
     ) {
-        let step = &spec.steps[usize::from(waiting.step)];
+        let (queue, step) = (placement.queue, placement.step());
         let is_suitable = |worker: &&Worker| {
             worker.entry.pool == queue.pool
                 && worker.accepts_tasks(now)
@@ -364,11 +344,13 @@
                 && worker.entry.capacity.fits(worker.used, step.reservation())
         };
         let mut candidates: Vec<&Worker> = self.workers.iter().filter(is_suitable).collect();
-        candidates.sort_by_cached_key(|worker| zones.position(index, worker));
+        candidates.sort_by_cached_key(|worker| {
+            let zone = placement.zones.position(index, worker);
+            (!placement.is_near_data(worker), zone)
+        });
         let candidates = candidates.into_iter();
         let candidates = candidates.map(|worker| worker.entry.id.clone()).collect();
-        let key = (waiting.job, waiting.occurrence, waiting.step);
-        self.query_advice(key, candidates, now);
+        self.query_advice(placement.key(), candidates, now);
     }
 
     /// Stores that tasks of a job may be started in a pool to which its queue was moved. They are
--- a/crates/vanillafold-jobs/src/shard/schedule/zones.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule/zones.rs
@@ -7,7 +7,7 @@
 use crate::job::{Step, TaskStatus};
 use crate::shard::pool_index::{FreeWorkers, PoolIndex, ZoneNumber};
 use crate::shard::root::Shard;
-use crate::spec::StepSpec;
+use crate::spec::{Resources, StepSpec};
 use crate::worker::Worker;
 
 /// Number of a job's runs that are looked up to find its zones. Most jobs have fewer tasks at one
@@ -148,7 +148,7 @@
         zones
     }
 
-    fn step(&self, waiting: &WaitingStep) -> Option<&Step> {
+    pub(super) fn step(&self, waiting: &WaitingStep) -> Option<&Step> {
         let job = self.job(waiting.job)?;
         let at = job.occurrence_position(waiting.occurrence)?;
         job.occurrences[at].steps.get(usize::from(waiting.step))
@@ -173,7 +173,8 @@
         let workers = index.emptiest_first(pool, zone, cpu_millis);
         let mut fitting: u64 = 0;
         for at in workers.take(examined) {
-            let on_worker = fitting_on_worker(&self.workers[at], waiting, step);
+            let worker = &self.workers[at];
+            let on_worker = fitting_beside(worker, worker.used, waiting, step);
             fitting = fitting.saturating_add(on_worker);
             if fitting >= u64::from(limit) {
                 break;
@@ -183,15 +184,17 @@
     }
 }
 
-/// Returns how many tasks of a step fit on a worker now.
-pub(super) fn fitting_on_worker(worker: &Worker, waiting: &WaitingStep, step: &StepSpec) -> u64 {
+/// Returns how many tasks of a step fit on a worker beside what is used there.
+pub(super) fn fitting_beside(
+    worker: &Worker,
+    used: Resources,
+    waiting: &WaitingStep,
+    step: &StepSpec,
+) -> u64 {
     if !has_required_label(worker, step) {
         return 0;
     }
-    let fitting = worker
-        .entry
-        .capacity
-        .fitting(worker.used, step.reservation());
+    let fitting = worker.entry.capacity.fitting(used, step.reservation());
     match step.anti_affinity {
         0 => fitting,
         limit => {
--- a/crates/vanillafold-jobs/src/shard/settings.rs
+++ b/crates/vanillafold-jobs/src/shard/settings.rs
@@ -31,6 +31,10 @@
     pub stop_timeout_ms: u64,
     /// How long a run takes to resume from a checkpoint, in milliseconds.
     pub restore_ms: u64,
+    /// How long a run takes far from its data, or on another rack than its group, as a multiple of a
+    /// near run, in thousandths; 1,000 or less if it makes no difference, so that no task waits for a
+    /// near placement.
+    pub remote_factor_permille: u64,
     /// Whether VMs may be moved between pools.
     pub moves_enabled: bool,
 }
--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -1,6 +1,7 @@
 //! Processing of worker lists, polls and answers to orders.
 
 use vanillafold_policy::MonotonicMillis;
+use vanillafold_policy::jobs::NO_SLOWDOWN_PERMILLE;
 
 use super::orders::{Order, PollPlan};
 use super::root::Shard;
@@ -71,7 +72,8 @@
                     worker.unresponsive = true;
                     worker.next_poll_at = now;
                 }
-                self.workers_version += u64::from(has_moved);
+                let has_other_labels = worker.entry.labels != entry.labels;
+                self.workers_version += u64::from(has_moved || has_other_labels);
                 worker.listed = true;
                 worker.entry = entry;
             }
@@ -683,6 +685,9 @@
             best_effort: step.is_some_and(|step| step.best_effort),
             suspect: false,
             isolated: false,
+            slowdown_permille: step.map_or(NO_SLOWDOWN_PERMILLE, |step| {
+                self.data_slowdown_permille(at, step)
+            }),
             latency_target_ms: step.map_or(0, |step| step.latency_target_ms),
             pace_percent: listed.percent.clamp(1, 100),
             pace_ordered_at: now,
--- a/crates/vanillafold-jobs/src/worker/state.rs
+++ b/crates/vanillafold-jobs/src/worker/state.rs
@@ -69,6 +69,8 @@
     pub(crate) suspect: bool,
     /// Whether the worker gets no other task while the run is fresh.
     pub(crate) isolated: bool,
+    /// Expected duration as a multiple of that near the task's data and group, in thousandths.
+    pub(crate) slowdown_permille: u64,
     pub(crate) latency_target_ms: u64,
     /// CPU share that the run was last ordered to use, in percent.
     pub(crate) pace_percent: u32,
--- a/crates/vanillafold-jobs/tests/shard/fixture.rs
+++ b/crates/vanillafold-jobs/tests/shard/fixture.rs
@@ -34,6 +34,7 @@
         move_ms: 1_500,
         stop_timeout_ms: 400,
         restore_ms: 250,
+        remote_factor_permille: 1_000,
         moves_enabled: true,
     }
 }
--- a/crates/vanillafold-jobs/tests/shard/main.rs
+++ b/crates/vanillafold-jobs/tests/shard/main.rs
@@ -9,6 +9,7 @@
 mod fixture;
 mod moved_queues;
 mod placement;
+mod racks;
 mod records;
 mod repeats;
 mod storing;
--- a/crates/vanillafold-policy/src/jobs/mod.rs
+++ b/crates/vanillafold-policy/src/jobs/mod.rs
@@ -1,10 +1,11 @@
-//! Scheduling decisions about jobs: queue order, admission, zones, placement, flow control of
-//! orders, pacing of best-effort tasks, pool capacity, maintenance and evacuation of zones.
+//! Scheduling decisions about jobs: queue order, admission, zones, locality, placement, flow control
+//! of orders, pacing of best-effort tasks, pool capacity, maintenance and evacuation of zones.
 
 mod admission;
 mod capacity;
 mod evacuation;
 mod flow;
+mod locality;
 mod maintenance;
 mod order;
 mod pace;
@@ -19,6 +20,9 @@
 pub use capacity::{MovableVm, PoolDemand, VmMove, plan_moves};
 pub use evacuation::{CheckpointedRun, is_resumed_elsewhere, usable_permille};
 pub use flow::OrderFlow;
+pub use locality::{
+    NO_SLOWDOWN_PERMILLE, NearWait, NearWaitInput, expected_remaining_ms, near_wait,
+};
 pub use maintenance::{
     MaintenanceCandidate, MaintenanceChoice, WaveProgress, choose_maintenance, paced_unavailable,
 };
--- a/crates/vanillafold-policy/src/jobs/placement.rs
+++ b/crates/vanillafold-policy/src/jobs/placement.rs
@@ -47,7 +47,8 @@
 
 /// Returns the index of the best candidate, or `None` if there are no candidates. The candidates must
 /// come in ascending order of free CPU; unless the task is persistent, in ascending order of the
-/// rank of their zones, and of free CPU within a zone.
+/// rank of their zones, and of free CPU within a zone. Those near the data, and then those on the
+/// rack of the step, may come before all others.
 ///
 /// The rules suit a fleet that is half idle while one pool is short of VMs:
 ///
@@ -77,7 +78,7 @@
     let mut best = None;
     for (index, candidate) in candidates.into_iter().enumerate() {
         let found = Drawbacks::of(&candidate, task);
-        // The zones of all further candidates rank the same or lower.
+        // The zones of all further candidates on these racks rank the same or lower.
         let is_best_from_here = found
             == Drawbacks {
                 zone_rank: found.zone_rank,
--- a/crates/vanillafold-standin/src/job_simulation/options.rs
+++ b/crates/vanillafold-standin/src/job_simulation/options.rs
@@ -47,6 +47,9 @@
     pub crashing_job_permille: u64,
     /// The share of jobs, in thousandths, whose tasks take several seconds.
     pub long_job_permille: u64,
+    /// The share of jobs, in thousandths, whose first step is fast only on the rack of its data or on
+    /// one rack.
+    pub near_job_permille: u64,
     /// The chance that a worker's capacity shrinks, or grows back.
     pub capacity_change_permille_per_s: u64,
     /// Whether starts need tickets of the placement advice service, which allows half of the workers
@@ -79,6 +82,7 @@
             store_outage_permille_per_s: 80,
             crashing_job_permille: 0,
             long_job_permille: 0,
+            near_job_permille: 0,
             capacity_change_permille_per_s: 0,
             advised: false,
             max_listed_ends: 500,
--- a/crates/vanillafold-standin/src/job_simulation/simulation.rs
+++ b/crates/vanillafold-standin/src/job_simulation/simulation.rs
@@ -39,6 +39,8 @@
 const LONG_TEXT: &str = "long";
 /// The shortest run of a task that resumes from a checkpoint near its end.
 const MIN_RUN_MS: u64 = 100;
+/// The racks of the workers.
+const RACKS: [&str; 2] = ["rack-0", "rack-1"];
 /// How long a worker is partitioned soon after a restart.
 const PARTITION_MS: u64 = 12_000;
 /// No task may start later than this after the cancellation of its job was acknowledged.
@@ -198,6 +200,11 @@
             if is_crashing {
                 make_crashing(&mut job, &mut random);
             }
+            if options.near_job_permille > 0
+                && random.next_u64() % 1_000 < options.near_job_permille
+            {
+                make_near(&mut job.spec.steps[0], &mut random);
+            }
             if options.long_job_permille > 0
                 && random.next_u64() % 1_000 < options.long_job_permille
             {
@@ -1198,6 +1205,15 @@
     }
 }
 
+/// Makes a step fast only on the rack of its data, on one rack, or both.
+fn make_near(step: &mut StepSpec, random: &mut Random) {
+    let kind = random.next_u64() % 3;
+    if kind != 1 {
+        step.data_rack = RACKS[usize::from(random.next_bool(0.5))].to_owned();
+    }
+    step.same_rack = kind != 0;
+}
+
 /// Returns a job with random steps that is submitted during the fault phase.
 fn random_job(number: u64, fault_phase_ms: u64, random: &mut Random) -> CallerJob {
     let mut steps = Vec::new();
@@ -1268,6 +1284,7 @@
         move_ms: 1_500,
         stop_timeout_ms: 400,
         restore_ms: 250,
+        remote_factor_permille: 3_000,
         moves_enabled: false,
     }
 }
@@ -1318,12 +1335,18 @@
         zone: zone_name(worker.zone),
         ready: true,
         capacity: capacity(worker),
-        labels: Vec::new(),
+        labels: vec![rack(worker).to_owned()],
         started_unix_ms: None,
         cold_remaining_ms: 0,
     }
 }
 
+/// Returns the rack of a worker; its number is in its name.
+fn rack(worker: &SimWorker) -> &'static str {
+    let number = worker.name.bytes().last().unwrap_or_default();
+    RACKS[usize::from(number) % RACKS.len()]
+}
+
 fn vm(worker: &SimWorker) -> Vm {
     Vm {
         name: worker.name.clone(),
--- a/crates/vanillafold-standin/tests/jobs_world/main.rs
+++ b/crates/vanillafold-standin/tests/jobs_world/main.rs
@@ -237,6 +237,21 @@
     assert_eq!(violations(0..SEEDS, options), Vec::<String>::new());
 }
 
+/// Tasks wait for racks whose workers are lost meanwhile; a task that waited for ever would not end.
+#[test]
+fn waits_for_near_placements_violate_no_invariant() {
+    let options = SimulationOptions {
+        jobs: 80,
+        near_job_permille: 600,
+        long_job_permille: 100,
+        delayed_order_permille: 0,
+        recovery_phase_ms: 90_000,
+        ..SimulationOptions::default()
+    };
+
+    assert_eq!(violations(0..SEEDS, options), Vec::<String>::new());
+}
+
 #[test]
 fn delayed_orders_of_lost_owners_violate_no_invariant() {
     let options = SimulationOptions {
--- a/crates/vanillafold/src/fleet/metric.rs
+++ b/crates/vanillafold/src/fleet/metric.rs
@@ -1,7 +1,9 @@
 //! Metrics of a fleet daemon, as listed in docs/METRICS.md.
 
 use metrics::{counter, gauge, histogram};
-use vanillafold_jobs::{EvacuationCounts, LossCounts, Order, OrderAnswer, PredictionCounts};
+use vanillafold_jobs::{
+    EvacuationCounts, LossCounts, NearWaitCounts, Order, OrderAnswer, PredictionCounts,
+};
 use vanillafold_policy::MonotonicMillis;
 
 use super::time::now;
@@ -145,3 +147,15 @@
         counter!("vanillafold_predicted_jobs_total", "outcome" => outcome).increment(count);
     }
 }
+
+/// Counts the waits for a near placement that began and ended between two readings.
+pub(crate) fn near_waits(before: NearWaitCounts, after: NearWaitCounts) {
+    let rows = [
+        ("begun", after.begun - before.begun),
+        ("ended_near", after.ended_near - before.ended_near),
+        ("ended_remote", after.ended_remote - before.ended_remote),
+    ];
+    for (event, count) in rows.into_iter().filter(|row| row.1 > 0) {
+        counter!("vanillafold_near_waits_total", "event" => event).increment(count);
+    }
+}
--- a/crates/vanillafold/src/fleet/ownership.rs
+++ b/crates/vanillafold/src/fleet/ownership.rs
@@ -8,7 +8,7 @@
 use monoio::time::{sleep, timeout};
 use vanillafold_jobs::{
     AdviceQuery, CancelOutcome, DeliveryCheck, Epoch, EvacuationCounts, JobId, JobSpec, LossCounts,
-    PredictionCounts, Record, Refusals, Shard, SubmitOutcome, Wave, WorkerId,
+    NearWaitCounts, PredictionCounts, Record, Refusals, Shard, SubmitOutcome, Wave, WorkerId,
 };
 use vanillafold_policy::MonotonicMillis;
 use vanillafold_wire::{Latch, Notify};
@@ -85,6 +85,8 @@
     pub(crate) linked_version: Cell<u64>,
     /// Lost workers that the metrics have counted.
     counted_losses: Cell<LossCounts>,
+    /// Waits for a near placement that the metrics have counted.
+    counted_near_waits: Cell<NearWaitCounts>,
     /// Set when the ownership ends.
     pub(crate) closed: Latch,
     /// Notified by events after which the scheduler should run.
@@ -124,6 +126,7 @@
             links: RefCell::new(Vec::new()),
             linked_version: Cell::new(0),
             counted_losses: Cell::new(LossCounts::default()),
+            counted_near_waits: Cell::new(NearWaitCounts::default()),
             closed: Latch::default(),
             events: Notify::default(),
             records_ready: Notify::default(),
@@ -549,6 +552,9 @@
         if let Some(counts) = self.with(|shard| shard.prediction_counts()) {
             metric::predictions(self.counted_predictions.replace(counts), counts);
         }
+        if let Some(waits) = self.with(|shard| shard.near_wait_counts()) {
+            metric::near_waits(self.counted_near_waits.replace(waits), waits);
+        }
         let fenced = self.with(|shard| shard.is_fenced()).unwrap_or(false);
         if fenced {
             self.close("a worker has received a request of a later owner");
