--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -1,6 +1,7 @@
 //! Processing of worker lists, polls and answers to orders.
 
 use vanillafold_policy::MonotonicMillis;
+use vanillafold_policy::jobs::NO_SLOWDOWN_PERMILLE;
 
 use super::orders::{Order, PollPlan};
 use super::root::Shard;
@@ -71,7 +72,8 @@
                     worker.unresponsive = true;
                     worker.next_poll_at = now;
                 }
-                self.workers_version += u64::from(has_moved);
+                let has_other_labels = worker.entry.labels != entry.labels;
+                self.workers_version += u64::from(has_moved || has_other_labels);
                 worker.listed = true;
                 worker.entry = entry;
             }
@@ -81,7 +83,8 @@
             }
         }
         let at = found.unwrap_or_else(|at| at);
-        self.workers[at].evacuated = self.evacuations.contains(&self.workers[at].entry.zone);
+        let evacuated = self.evacuations.contains(&self.workers[at].entry.zone);
+        self.workers[at].set_evacuated(evacuated, now);
     }
 
     /// Drops the workers that are neither listed nor have runs.
@@ -507,8 +510,19 @@
         match end.kind {
             // A run that was treated as lost had completed, and a newer one is in progress.
             EndKind::Done if is_superseded => {
+                let placed_on = task.status.clone();
+                let is_gang = step.is_some_and(|(_, step)| step.gang);
                 self.apply_end(end.task, end.kind, &end.checkpoint, now, now_unix_ms);
-                self.stop_completed_tasks(end.task.step_id(), now);
+                match placed_on {
+                    TaskStatus::Placed { worker } if !is_gang => {
+                        let at = self.worker_position(&worker);
+                        self.stop_completed_tasks(at.into_iter(), end.task.step_id(), now);
+                    }
+                    _ => {
+                        let all = 0..self.workers.len();
+                        self.stop_completed_tasks(all, end.task.step_id(), now);
+                    }
+                }
             }
             EndKind::Done if unplaced && !is_newest => {
                 self.apply_end(end.task, end.kind, &end.checkpoint, now, now_unix_ms);
@@ -522,9 +536,14 @@
         }
     }
 
-    /// Stops the runs of those tasks of a step that are done.
-    fn stop_completed_tasks(&mut self, step: (JobId, u32, u16), now: MonotonicMillis) {
-        for at in 0..self.workers.len() {
+    /// Stops the runs on these workers of those tasks of a step that are done.
+    fn stop_completed_tasks(
+        &mut self,
+        workers: impl Iterator<Item = usize>,
+        step: (JobId, u32, u16),
+        now: MonotonicMillis,
+    ) {
+        for at in workers {
             for position in 0..self.workers[at].runs.len() {
                 let run = &self.workers[at].runs[position];
                 let is_done = || {
@@ -666,6 +685,9 @@
             best_effort: step.is_some_and(|step| step.best_effort),
             suspect: false,
             isolated: false,
+            slowdown_permille: step.map_or(NO_SLOWDOWN_PERMILLE, |step| {
+                self.data_slowdown_permille(at, step)
+            }),
             latency_target_ms: step.map_or(0, |step| step.latency_target_ms),
             pace_percent: listed.percent.clamp(1, 100),
             pace_ordered_at: now,
--- a/crates/vanillafold-standin/src/job_simulation/options.rs
+++ b/crates/vanillafold-standin/src/job_simulation/options.rs
@@ -10,6 +10,13 @@
     pub workers: usize,
     /// The number of pools, which share the workers evenly.
     pub pools: usize,
+    /// The number of zones, which share the workers of each pool evenly.
+    pub zones: usize,
+    /// The chance, for each zone, that its evacuation begins or ends. If there is any, some jobs are of
+    /// kinds that evacuations move.
+    pub evacuation_permille_per_s: u64,
+    /// The number of zones that may be evacuated at a time.
+    pub max_evacuated_zones: usize,
     /// The chance that the queue is moved to another pool.
     pub queue_move_permille_per_s: u64,
     /// The number of jobs that callers submit during the fault phase.
@@ -40,6 +47,9 @@
     pub crashing_job_permille: u64,
     /// The share of jobs, in thousandths, whose tasks take several seconds.
     pub long_job_permille: u64,
+    /// The share of jobs, in thousandths, whose first step is fast only on the rack of its data or on
+    /// one rack.
+    pub near_job_permille: u64,
     /// The chance that a worker's capacity shrinks, or grows back.
     pub capacity_change_permille_per_s: u64,
     /// Whether starts need tickets of the placement advice service, which allows half of the workers
@@ -55,6 +65,9 @@
         Self {
             workers: 6,
             pools: 1,
+            zones: 1,
+            evacuation_permille_per_s: 0,
+            max_evacuated_zones: 1,
             queue_move_permille_per_s: 0,
             jobs: 40,
             fault_phase_ms: 25_000,
@@ -69,6 +82,7 @@
             store_outage_permille_per_s: 80,
             crashing_job_permille: 0,
             long_job_permille: 0,
+            near_job_permille: 0,
             capacity_change_permille_per_s: 0,
             advised: false,
             max_listed_ends: 500,
