--- a/crates/vanillafold-standin/examples/fleet_soak.rs
+++ b/crates/vanillafold-standin/examples/fleet_soak.rs
@@ -26,6 +26,7 @@
     daemons: usize,
     runners: usize,
     same_ids: bool,
+    evacuates: bool,
     directory: PathBuf,
 }
 
@@ -47,6 +48,10 @@
     let same_ids = long("same-ids")
         .help("Crashed runners come back under their earlier ids")
         .switch();
+    let evacuates = long("without-evacuations")
+        .help("The operator evacuates no zones")
+        .switch()
+        .map(|without| !without);
     let directory = long("directory")
         .help("Where the logs of seeds with violations stay")
         .argument("DIR")
@@ -58,6 +63,7 @@
         daemons,
         runners,
         same_ids,
+        evacuates,
         directory,
     })
     .to_options()
@@ -77,6 +83,7 @@
         seed,
         duration: Duration::from_secs(arguments.seconds),
         keeps_runner_ids: arguments.same_ids,
+        evacuates: arguments.evacuates,
     };
     let report = run_soak(&options)?;
     println!("{report}");
--- a/crates/vanillafold-standin/src/fleet/journal.rs
+++ b/crates/vanillafold-standin/src/fleet/journal.rs
@@ -66,6 +66,24 @@
         /// What came of it.
         outcome: Outcome,
     },
+    /// A runner takes part from now on.
+    RunnerAdded {
+        /// Index of the runner.
+        runner: usize,
+        /// Its zone.
+        zone: String,
+    },
+    /// A runner has got an order to start a run, which it may start, reject or act upon later.
+    StartOrdered {
+        /// Index of the runner.
+        runner: usize,
+        /// The task.
+        task: TaskId,
+        /// The run's number.
+        run: RunNumber,
+        /// The epoch of the owner that gave the order.
+        token: u64,
+    },
     /// A runner has started a run.
     Started {
         /// Index of the runner.
@@ -111,6 +129,16 @@
         /// Index of the runner.
         runner: usize,
     },
+    /// The operator has requested the evacuation of a zone, and the store has acknowledged that.
+    EvacuationRequested {
+        /// The zone.
+        zone: String,
+    },
+    /// The operator has withdrawn the request.
+    EvacuationWithdrawn {
+        /// The zone.
+        zone: String,
+    },
     /// A fault begins or ends.
     Fault(String),
     /// A daemon has been started again, without a configuration.
@@ -215,6 +243,20 @@
                 attempt.0
             ),
             EventKind::Over { attempt, outcome } => write!(f, "try {}: {outcome:?}", attempt.0),
+            EventKind::RunnerAdded { runner, zone } => write!(f, "runner {runner} is in {zone}"),
+            EventKind::StartOrdered {
+                runner,
+                task,
+                run,
+                token,
+            } => write!(
+                f,
+                "runner {runner} is told to start {task} run {run}, token {token}"
+            ),
+            EventKind::EvacuationRequested { zone } => write!(f, "{zone} is to be evacuated"),
+            EventKind::EvacuationWithdrawn { zone } => {
+                write!(f, "the evacuation of {zone} is withdrawn")
+            }
             EventKind::Started {
                 runner,
                 task,
--- a/crates/vanillafold-standin/src/fleet/mod.rs
+++ b/crates/vanillafold-standin/src/fleet/mod.rs
@@ -10,7 +10,7 @@
 //! | `caller` | callers |
 //! | `config` | the operator's configuration |
 //! | `journal` | what was seen |
-//! | `soak` | random series of faults, and a judge of what was seen |
+//! | `soak` | random series of faults and evacuations, and a judge of what was seen |
 //!
 //! The stand-ins share one thread; the daemons are processes of their own.
 
--- a/crates/vanillafold-standin/src/fleet/runner.rs
+++ b/crates/vanillafold-standin/src/fleet/runner.rs
@@ -309,6 +309,20 @@
         }
     }
 
+    /// Notes an order to start a run when it arrives, whether it is carried out or not.
+    fn note_start_order(&self, path: &str, order: &OrderBody) {
+        if path == "/run-start"
+            && let Ok(task) = order.task.parse()
+        {
+            self.journal.add(EventKind::StartOrdered {
+                runner: self.index,
+                task,
+                run: RunNumber::new(order.run),
+                token: order.fencing_token,
+            });
+        }
+    }
+
     /// Carries an order out; `None` while the runner is down.
     fn carry_out(&self, path: &str, order: &OrderBody) -> Option<Response<Bytes>> {
         let mut life = self.life.borrow_mut();
@@ -440,6 +454,7 @@
             return Some(empty_response(StatusCode::BAD_REQUEST));
         };
         let path = request.uri().path().to_owned();
+        runner.note_start_order(&path, &order);
         if path == "/hold" {
             let answer = runner.carry_out(&path, &order)?;
             return match answer.status() {
--- a/crates/vanillafold-standin/src/fleet/soak/judge.rs
+++ b/crates/vanillafold-standin/src/fleet/soak/judge.rs
@@ -4,6 +4,7 @@
 
 use vanillafold_jobs::{RunNumber, TaskId};
 
+use super::evacuation::{StartInEvacuatedZone, starts_in_evacuated_zones};
 use super::history::{Attempt, History, JobHistory};
 use crate::fleet::journal::{CallerRequest, Event, EventKind, RunEnd};
 
@@ -13,6 +14,11 @@
 const CANCEL_MS: u64 = 6_000;
 /// The same without regard to faults: an order that was held up has expired by then.
 const CANCEL_MAX_MS: u64 = 12_000;
+/// Time after the request to evacuate a zone, or after the end of the faults, after which its runners get
+/// no more start orders.
+const EVACUATION_MS: u64 = 5_000;
+/// The same without regard to faults, which extend both bounds alike.
+const EVACUATION_MAX_MS: u64 = EVACUATION_MS + (CANCEL_MAX_MS - CANCEL_MS);
 
 /// The promise that is broken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -29,6 +35,8 @@
     Twice,
     /// A start of what no caller has submitted, or long after a cancel.
     Unasked,
+    /// A start order to a runner in a zone long after its evacuation was requested.
+    Evacuated,
     /// An answer that does not fit its request or what has happened.
     WrongAnswer,
     /// A daemon has ended by itself or has panicked.
@@ -46,6 +54,7 @@
             Self::Lost => "LOST",
             Self::Twice => "TWICE",
             Self::Unasked => "UNASKED",
+            Self::Evacuated => "EVACUATED",
             Self::WrongAnswer => "ANSWER",
             Self::DaemonFailed => "DAEMON",
         }
@@ -86,6 +95,7 @@
         judge.check_completion(job);
     }
     judge.check_runs();
+    judge.check_evacuations();
     judge.violations.sort_by_key(|violation| violation.at_ms);
     judge.violations
 }
@@ -299,6 +309,21 @@
             }
         }
     }
+
+    /// Checks that the runners of an evacuated zone get no start orders, also no repeated ones.
+    fn check_evacuations(&mut self) {
+        for start in starts_in_evacuated_zones(self.events) {
+            let (requested_ms, at_ms) = (start.requested_ms, self.at_ms(start.at));
+            let calm_ms = requested_ms.max(self.faults_over_ms) + EVACUATION_MS;
+            if at_ms > calm_ms.min(requested_ms + EVACUATION_MAX_MS) {
+                let StartInEvacuatedZone { task, zone, .. } = start;
+                let text = format!(
+                    "a runner in {zone} is told to start {task}; evacuation requested at {requested_ms} ms"
+                );
+                self.add(ViolationKind::Evacuated, start.at, text);
+            }
+        }
+    }
 }
 
 /// Ends of runs whose work was done.
--- a/crates/vanillafold-standin/src/fleet/soak/mod.rs
+++ b/crates/vanillafold-standin/src/fleet/soak/mod.rs
@@ -1,7 +1,8 @@
-//! A randomized soak: series of overlapping faults that depend on a seed, clients that submit jobs
-//! meanwhile, and a judge of what clients and runners have seen.
+//! A randomized soak: series of overlapping faults that depend on a seed, an operator who evacuates
+//! zones and clients that submit jobs meanwhile, and a judge of what clients and runners have seen.
 
 mod clients;
+mod evacuation;
 mod history;
 mod inject;
 mod judge;
@@ -52,6 +53,8 @@
     pub duration: Duration,
     /// Whether crashed runners come back under their earlier ids.
     pub keeps_runner_ids: bool,
+    /// Whether the operator evacuates zones meanwhile.
+    pub evacuates: bool,
 }
 
 /// Plays one seed and judges it. The logs and the journal stay if there is a violation.
@@ -99,7 +102,11 @@
     let mut random = Random::new(options.seed);
     let total_ms = u64::try_from(options.duration.as_millis()).unwrap_or(u64::MAX);
     let (daemons, runners) = (options.world.daemons, options.world.runners);
-    let faults = plan::plan(&mut random, total_ms, daemons, runners);
+    let mut faults = plan::plan(&mut random, total_ms, daemons, runners);
+    let evacuations = match options.evacuates {
+        true => evacuation::plan(options.seed, total_ms, &mut faults),
+        false => Vec::new(),
+    };
 
     let clients = Clients::new(world, random);
     let injector = Rc::new(Injector::new(world, &clients, options.keeps_runner_ids));
@@ -114,12 +121,19 @@
             monoio::spawn(async move { injector.play(fault).await })
         })
         .collect();
+    let evacuations: Vec<_> = evacuations
+        .into_iter()
+        .map(|planned| monoio::spawn(evacuation::play(Rc::clone(world), planned)))
+        .collect();
     for fault in playing {
         fault.await?;
     }
     sleep(Duration::from_millis(500)).await;
-    clients.stop();
     world.end_faults()?;
+    for evacuation in evacuations {
+        evacuation.await;
+    }
+    clients.stop();
     settle(world, &clients).await;
     drop(watch);
 
--- a/crates/vanillafold-standin/src/fleet/soak/report.rs
+++ b/crates/vanillafold-standin/src/fleet/soak/report.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 
 use super::SoakOptions;
+use super::evacuation::starts_in_evacuated_zones;
 use super::history::{History, JobHistory};
 use super::judge::Violation;
 use super::plan::PlannedFault;
@@ -30,6 +31,7 @@
             counts: Vec::new(),
         };
         report.count_requests(events);
+        report.count_evacuations(events);
         report
     }
 
@@ -42,6 +44,22 @@
         self.add("overdue-exits", usize::try_from(overdue_exits).unwrap_or(0));
     }
 
+    fn count_evacuations(&mut self, events: &[Event]) {
+        let is_request =
+            |event: &&Event| matches!(event.kind, EventKind::EvacuationRequested { .. });
+        self.add("evacuations", events.iter().filter(is_request).count());
+        let starts = starts_in_evacuated_zones(events);
+        self.add("starts-in-evacuated-zones", starts.len());
+        let after_ms = starts
+            .iter()
+            .map(|start| events[start.at].at_ms - start.requested_ms);
+        let latest_ms = after_ms.max().unwrap_or(0);
+        self.add(
+            "latest-start-after-ms",
+            usize::try_from(latest_ms).unwrap_or(0),
+        );
+    }
+
     fn add(&mut self, name: impl Into<String>, count: usize) {
         self.counts.push((name.into(), count));
     }
--- a/crates/vanillafold-standin/src/fleet/store/service.rs
+++ b/crates/vanillafold-standin/src/fleet/store/service.rs
@@ -77,6 +77,13 @@
         self.faults.borrow_mut().clear();
     }
 
+    /// Returns whether a fault affects the appends of all, those of the operator included.
+    pub(in crate::fleet) fn is_down(&self) -> bool {
+        let faults = self.faults.borrow();
+        let mut of_all = faults.iter().filter(|fault| fault.daemon.is_none());
+        of_all.any(|fault| matches!(fault.call, None | Some(StoreCall::Append)))
+    }
+
     /// Stops or resumes the times of the members of groups.
     pub fn set_groups_paused(&self, paused: bool) {
         self.state.borrow_mut().set_paused(paused);
--- a/crates/vanillafold-standin/src/fleet/world.rs
+++ b/crates/vanillafold-standin/src/fleet/world.rs
@@ -23,7 +23,7 @@
 use crate::rig::{RigError, Signal};
 
 /// The availability zones; daemons and runners take turns.
-const ZONES: [&str; 3] = ["za", "zb", "zc"];
+pub(super) const ZONES: [&str; 3] = ["za", "zb", "zc"];
 /// The group of the store whose members own the shard.
 const OWNERS_GROUP: &str = "vanillafold-owners";
 /// Time in which all daemons must become ready.
@@ -121,6 +121,10 @@
             cpu_millis,
         };
         let id = format!("i-{index:010x}");
+        self.journal.add(EventKind::RunnerAdded {
+            runner: index,
+            zone: zone.to_owned(),
+        });
         runners.push(Runner::start(
             index,
             id,
--- a/crates/vanillafold-standin/tests/fleet_judge.rs
+++ b/crates/vanillafold-standin/tests/fleet_judge.rs
@@ -92,6 +92,28 @@
         });
     }
 
+    /// Adds the request to evacuate the zone of runner 0.
+    fn evacuate(&mut self) {
+        let zone = "za".to_owned();
+        let runner = 0;
+        self.add(EventKind::RunnerAdded {
+            runner,
+            zone: zone.clone(),
+        });
+        self.add(EventKind::EvacuationRequested { zone });
+    }
+
+    /// Adds an order to a runner to start a task of job 1 in `after_ms`.
+    fn order_start(&mut self, runner: usize, after_ms: u64) {
+        self.now_ms += after_ms - STEP_MS;
+        self.add(EventKind::StartOrdered {
+            runner,
+            task: task(1, 0),
+            run: RunNumber::new(1),
+            token: 1,
+        });
+    }
+
     fn finish(&mut self, number: u64, index: u16, run: u64) {
         self.add(EventKind::Ended {
             runner: 0,
@@ -401,3 +423,56 @@
 
     assert_eq!(recording.kinds(), [ViolationKind::DaemonFailed]);
 }
+
+#[test]
+fn a_start_order_to_a_zone_that_has_been_evacuated_for_long_is_found() {
+    let mut recording = Recording::clean();
+    recording.evacuate();
+
+    recording.order_start(0, 5_000);
+    assert_eq!(recording.kinds(), []);
+    recording.order_start(0, 100);
+
+    assert_eq!(recording.kinds(), [ViolationKind::Evacuated]);
+}
+
+#[test]
+fn a_repeated_request_to_evacuate_a_zone_allows_no_further_start_orders() {
+    let mut recording = Recording::clean();
+    recording.evacuate();
+    recording.now_ms += 4_000;
+    recording.evacuate();
+
+    recording.order_start(0, 2_000);
+
+    assert_eq!(recording.kinds(), [ViolationKind::Evacuated]);
+}
+
+#[test]
+fn start_orders_may_be_late_while_there_are_faults_but_not_longer() {
+    let mut recording = Recording {
+        events: Vec::new(),
+        ..Recording::clean()
+    };
+    recording.evacuate();
+    recording.order_start(0, 11_000);
+    recording.order_start(0, 1_000);
+    recording.add(EventKind::FaultsOver);
+
+    assert_eq!(recording.kinds(), [ViolationKind::Evacuated]);
+}
+
+#[test]
+fn start_orders_to_other_zones_or_after_the_withdrawal_are_no_fault() {
+    let mut recording = Recording::clean();
+    let (runner, zone) = (1, "zb".to_owned());
+    recording.add(EventKind::RunnerAdded { runner, zone });
+    recording.evacuate();
+
+    recording.order_start(1, 20_000);
+    let zone = "za".to_owned();
+    recording.add(EventKind::EvacuationWithdrawn { zone });
+    recording.order_start(0, 20_000);
+
+    assert_eq!(recording.kinds(), []);
+}
--- a/crates/vanillafold-standin/tests/fleet_soak.rs
+++ b/crates/vanillafold-standin/tests/fleet_soak.rs
@@ -11,7 +11,7 @@
 use vanillafold_standin::fleet::{SoakOptions, WorldOptions, run_soak};
 
 /// Plays a seed and fails if a promise is broken; the logs and the journal stay then.
-fn soak(seed: u64) {
+fn soak(seed: u64, evacuates: bool) {
     let options = SoakOptions {
         world: WorldOptions {
             daemons: 4,
@@ -23,6 +23,7 @@
         seed,
         duration: Duration::from_secs(12),
         keeps_runner_ids: false,
+        evacuates,
     };
 
     let report = run_soak(&options).expect("a soak");
@@ -40,15 +41,21 @@
 
 #[test]
 fn promises_are_kept_under_seed_2() {
-    soak(2);
+    soak(2, false);
 }
 
 #[test]
 fn promises_are_kept_under_seed_23() {
-    soak(23);
+    soak(23, false);
 }
 
 #[test]
 fn promises_are_kept_under_seed_28() {
-    soak(28);
+    soak(28, false);
+}
+
+/// Tasks started in zones that the operator had requested to evacuate.
+#[test]
+fn promises_are_kept_under_seed_8_while_zones_are_evacuated() {
+    soak(8, true);
 }
