--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -15,6 +15,7 @@
         "upkeep" => Some(upkeep(record, trouble)),
         "late" => Some(late(record, trouble)),
         "record" => Some(long_record(record, trouble)),
+        "dark" => Some(dark(record, trouble)),
         _ => None,
     }
 }
@@ -228,3 +229,39 @@
     world.clean();
     broken
 }
+
+/// A runner without runs is lost without a sign; a second later a lasting task fails and is ordered
+/// there.
+fn dark(record: &Arc<Record>, trouble: bool) -> bool {
+    let (first, job) = ("0000000000000001", "00000000000000c1");
+    let task = format!("{job}.0.0.0");
+    let options = MACHINES.iter().enumerate().map(|(at, (name, zone, rack))| {
+        machine(name, zone, rack, if at < 2 { "b" } else { "a" }, work)
+    });
+    let options: Vec<RunnerOptions> = options.collect();
+    let world = World::start(record, &config(3), &options);
+    // Work of a moment, so that all runners have had orders.
+    world.submit(first, r#"{"spec":"100","steps":[{"count":16,"cpu":1000,"mem_mb":256,"estimate_ms":100,"anti_affinity":2}]}"#);
+    sleep(Duration::from_millis(1_000));
+    world.submit(job, r#"{"spec":"serve","steps":[{"count":1,"cpu":1000,"mem_mb":256,"estimate_ms":900,"requires":"b","persistent":true}]}"#);
+    let of_task = || -> Vec<SeenRun> { record.runs().into_iter().filter(|run| run.task == task).collect() };
+    world.wait("the lasting task runs", Duration::from_secs(5), |_| !of_task().is_empty());
+    sleep(Duration::from_millis(4_000));
+    let on_first = of_task()[0].runner.contains("m-a");
+    let (busy, idle) = if on_first { (0, 1) } else { (1, 0) };
+    if trouble {
+        world.runners[idle].go_dark();
+    }
+    sleep(Duration::from_millis(1_000));
+    world.runners[busy].fail_run(&task);
+    let ended_ms = record.now_ms();
+    sleep(Duration::from_millis(20_000));
+    let next = of_task().iter().filter(|run| run.started_ms > ended_ms).map(|run| run.started_ms - ended_ms).min();
+    record.line(&format!("lasting task {task}: runs again after {next:?} ms"));
+    let broken = next.is_none_or(|ms| ms >= 9_000);
+    if broken {
+        record.line("BROKEN LOST: the lasting task was not running from 6 s to 9 s after its last run, all calm from 1 s before its end on");
+    }
+    world.clean();
+    broken
+}
--- a/review/standin-3/src/runner.rs
+++ b/review/standin-3/src/runner.rs
@@ -82,6 +82,8 @@
     None,
     /// The next order to start is not answered, and carried out when [`Runner::carry_out_late`] is called.
     LeaveNextStart,
+    /// The runner is lost for good: nothing runs there any more, and nothing is answered.
+    Dark,
 }
 
 struct State {
@@ -216,6 +218,31 @@
         self.state.lock().unwrap().fault = fault;
     }
 
+    /// Loses the runner for good and without a sign: its connections stay open, and nothing comes on
+    /// them. Its entry is removed after three heartbeats of silence.
+    pub fn go_dark(&self) {
+        let connections = {
+            let mut state = self.state.lock().unwrap();
+            state.fault = OrderFault::Dark;
+            std::mem::take(&mut state.connections)
+        };
+        self.end(false);
+        self.state.lock().unwrap().connections = connections;
+    }
+
+    /// Makes a run fail by its own fault.
+    pub fn fail_run(&self, task: &str) {
+        let mut state = self.state.lock().unwrap();
+        if let Some(life) = state.life.as_mut()
+            && let Some(at) = life.runs.iter().position(|run| run.task == task)
+        {
+            let run = life.end(at, "failed");
+            self.record.ended(&run.task, run.run, &life.id, "failed");
+        }
+        drop(state);
+        self.changed.notify_all();
+    }
+
     /// Carries out the order that was left unanswered.
     pub fn carry_out_late(&self) {
         let Some(order) = self.state.lock().unwrap().late.take() else { return };
@@ -418,7 +445,8 @@
 
 impl Handler for Serving {
     fn accepts(&self) -> bool {
-        self.0.state.lock().unwrap().life.is_some()
+        let state = self.0.state.lock().unwrap();
+        state.life.is_some() || state.fault == OrderFault::Dark
     }
 
     fn opened(&self, stream: &TcpStream) {
@@ -432,6 +460,12 @@
         let order = Json::parse(&request.body).unwrap_or(Json::Null);
         {
             let mut state = runner.state.lock().unwrap();
+            if state.fault == OrderFault::Dark {
+                drop(state);
+                runner.record.line(&format!("{} to {} which is dark: {}", request.path, runner.machine, order.get("task").text()));
+                thread::sleep(Duration::from_secs(100));
+                return Reply::Close;
+            }
             let Some(id) = state.life.as_ref().map(|life| life.id.clone()) else {
                 return Reply::Close;
             };
