Add review case 15: a repeated upkeep order ends the runs of a runner's next life

Shown by review/15/run.sh: the API for machines leaves all calls of 4 s unanswered and carries them out; the runner is back from its upkeep under its old id and gets tasks; the repeated order is confirmed as done already, and the owner starts the tasks a second time on another machine.

--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -16,6 +16,7 @@
         "late" => Some(late(record, trouble)),
         "record" => Some(long_record(record, trouble)),
         "dark" => Some(dark(record, trouble)),
+        "same" => Some(same(record, trouble)),
         _ => None,
     }
 }
@@ -42,11 +43,27 @@
 fn machines() -> Vec<RunnerOptions<'static>> {
     let label = |at| if at == 0 { "b" } else { "a" };
     let rows = MACHINES.iter().enumerate();
-    rows.map(|(at, (name, zone, rack))| machine(name, zone, rack, label(at), work)).collect()
+    rows.map(|(at, (name, zone, rack))| machine(name, zone, rack, label(at), work))
+        .collect()
 }
 
-fn machine<'a>(name: &'a str, zone: &'a str, rack: &'a str, label: &'a str, work: fn(&str) -> Work) -> RunnerOptions<'a> {
-    RunnerOptions { machine: name, pool: POOL, zone, rack, label, cpu: 4_000, age_ms: 600_000, work }
+fn machine<'a>(
+    name: &'a str,
+    zone: &'a str,
+    rack: &'a str,
+    label: &'a str,
+    work: fn(&str) -> Work,
+) -> RunnerOptions<'a> {
+    RunnerOptions {
+        machine: name,
+        pool: POOL,
+        zone,
+        rack,
+        label,
+        cpu: 4_000,
+        age_ms: 600_000,
+        work,
+    }
 }
 
 /// Tasks last, unless the text of the job is the time that they take in milliseconds; behind `fails`
@@ -69,7 +86,10 @@
     for (at, a) in runs.iter().enumerate() {
         for b in &runs[at + 1..] {
             let from = a.started_ms.max(b.started_ms);
-            let to = a.ended_ms.unwrap_or(now_ms).min(b.ended_ms.unwrap_or(now_ms));
+            let to = a
+                .ended_ms
+                .unwrap_or(now_ms)
+                .min(b.ended_ms.unwrap_or(now_ms));
             if a.task == b.task && to > from {
                 found.push((a.clone(), b.clone(), to - from));
             }
@@ -87,19 +107,31 @@
     // An owner takes its time with waves that it may not be the first to see.
     sleep(Duration::from_millis(6_500));
     let lasting = |count: u64, cpu: u64| {
-        format!(r#"{{"spec":"serve","steps":[{{"count":{count},"cpu":{cpu},"mem_mb":256,"estimate_ms":900,"anti_affinity":1,"persistent":true,"may_miss":1}}]}}"#)
+        format!(
+            r#"{{"spec":"serve","steps":[{{"count":{count},"cpu":{cpu},"mem_mb":256,"estimate_ms":900,"anti_affinity":1,"persistent":true,"may_miss":1}}]}}"#
+        )
     };
     // Its tasks fill all machines but one.
     world.submit(filler, &lasting(7, 4_000));
     let runs_of = |world: &World, job: &str| {
         let runs = world.record.runs();
-        runs.into_iter().filter(|run| run.task.starts_with(job)).collect::<Vec<_>>()
+        runs.into_iter()
+            .filter(|run| run.task.starts_with(job))
+            .collect::<Vec<_>>()
     };
-    world.wait("the first lasting job runs", Duration::from_secs(8), |world| runs_of(world, filler).len() == 7);
+    world.wait(
+        "the first lasting job runs",
+        Duration::from_secs(8),
+        |world| runs_of(world, filler).len() == 7,
+    );
     sleep(Duration::from_millis(1_500));
     let filled = runs_of(&world, filler);
     let is_idle = |name: &&str| !filled.iter().any(|run| run.runner.contains(*name));
-    let idle = MACHINES.iter().map(|row| row.0).find(is_idle).unwrap_or("m-a");
+    let idle = MACHINES
+        .iter()
+        .map(|row| row.0)
+        .find(is_idle)
+        .unwrap_or("m-a");
     if trouble {
         world.cloud.set_fault(CloudFault::LoseNextAnswer);
     }
@@ -110,11 +142,19 @@
         let runner = world.runners.iter().find(|runner| runner.machine == idle);
         runner.is_some_and(|runner| !runner.is_up())
     };
-    world.wait("the idle machine is in upkeep", Duration::from_secs(8), is_down);
+    world.wait(
+        "the idle machine is in upkeep",
+        Duration::from_secs(8),
+        is_down,
+    );
     let began_ms = record.now_ms();
     sleep(Duration::from_millis(800));
     world.submit(guest, &lasting(1, 2_000));
-    world.wait("the second lasting job runs", Duration::from_secs(8), |world| !runs_of(world, guest).is_empty());
+    world.wait(
+        "the second lasting job runs",
+        Duration::from_secs(8),
+        |world| !runs_of(world, guest).is_empty(),
+    );
     // The trouble lasts for 4.5 s in all.
     let passed_ms = record.now_ms() - began_ms;
     sleep(Duration::from_millis(4_500_u64.saturating_sub(passed_ms)));
@@ -124,7 +164,10 @@
     sleep(Duration::from_millis(9_000));
     let found = overlaps(record);
     for (a, b, ms) in &found {
-        record.line(&format!("BROKEN TWICE: {} ran as {} on {} and as {} on {} at the same time for {ms} ms", a.task, a.run, a.runner, b.run, b.runner));
+        record.line(&format!(
+            "BROKEN TWICE: {} ran as {} on {} and as {} on {} at the same time for {ms} ms",
+            a.task, a.run, a.runner, b.run, b.runner
+        ));
     }
     world.clean();
     !found.is_empty()
@@ -145,24 +188,36 @@
     let ordered_ms = record.now_ms();
     let is_done = |world: &World| {
         let runs = world.record.runs();
-        runs.iter().any(|run| run.task.starts_with(job) && run.how == "done")
+        runs.iter()
+            .any(|run| run.task.starts_with(job) && run.how == "done")
     };
     world.wait("the task is done", Duration::from_secs(6), is_done);
-    world.wait("its end is taken note of", Duration::from_secs(3), |_| runner.last_seen() > seen_before);
+    world.wait("its end is taken note of", Duration::from_secs(3), |_| {
+        runner.last_seen() > seen_before
+    });
     let done_ms = record.now_ms();
-    world.wait("the job is shown as completed", Duration::from_secs(3), |world| world.state(job) == "completed");
+    world.wait(
+        "the job is shown as completed",
+        Duration::from_secs(3),
+        |world| world.state(job) == "completed",
+    );
     if trouble {
         let id = "i-m-a-1";
         runner.end(false);
         sleep(Duration::from_millis(6_500));
         runner.begin(id, POOL, 0);
         sleep(Duration::from_millis(1_500));
-        record.line(&format!("the order is {} ms old", record.now_ms() - ordered_ms));
+        record.line(&format!(
+            "the order is {} ms old",
+            record.now_ms() - ordered_ms
+        ));
         runner.carry_out_late();
     }
     sleep(Duration::from_millis(4_000));
     let runs = record.runs();
-    let after = runs.iter().filter(|run| run.task.starts_with(job) && run.started_ms > done_ms);
+    let after = runs
+        .iter()
+        .filter(|run| run.task.starts_with(job) && run.started_ms > done_ms);
     let after: Vec<&SeenRun> = after.collect();
     for run in &after {
         record.line(&format!("BROKEN TWICE: {} run {} was started on {} after the task had ended done and that was taken note of", run.task, run.run, run.runner));
@@ -175,8 +230,15 @@
 /// A large job, all of whose tasks fail: it can never be done. Other jobs are cancelled meanwhile.
 fn long_record(record: &Arc<Record>, trouble: bool) -> bool {
     let large = "00000000000000d1";
-    let big = |name, zone, rack| RunnerOptions { cpu: 16_000, ..machine(name, zone, rack, "a", work) };
-    let machines = [big("m-x", "za", "r1-1"), big("m-y", "zb", "r1-2"), big("m-z", "zc", "r1-3")];
+    let big = |name, zone, rack| RunnerOptions {
+        cpu: 16_000,
+        ..machine(name, zone, rack, "a", work)
+    };
+    let machines = [
+        big("m-x", "za", "r1-1"),
+        big("m-y", "zb", "r1-2"),
+        big("m-z", "zc", "r1-3"),
+    ];
     let world = World::start(record, &config(3), &machines);
     record.count_only(large);
     let lasting = r#"{"spec":"serve","steps":[{"count":1,"cpu":100,"mem_mb":256,"estimate_ms":900,"persistent":true}]}"#;
@@ -186,16 +248,25 @@
     }
     // Jobs as they usually come: the hopeless one is less than a twentieth of all.
     for at in 0..20 {
-        world.submit(&format!("000000000000{at:04x}"), r#"{"spec":"100","steps":[{"count":4,"cpu":500,"mem_mb":64,"estimate_ms":100}]}"#);
+        world.submit(
+            &format!("000000000000{at:04x}"),
+            r#"{"spec":"100","steps":[{"count":4,"cpu":500,"mem_mb":64,"estimate_ms":100}]}"#,
+        );
     }
     sleep(Duration::from_millis(1_000));
     let text = if trouble { "fails 8000" } else { "8000" };
     let step = r#"{"count":10000,"cpu":1,"mem_mb":1,"estimate_ms":8000}"#;
-    world.submit(large, &format!(r#"{{"spec":"{text}","steps":[{step},{step},{step},{step}]}}"#));
+    world.submit(
+        large,
+        &format!(r#"{{"spec":"{text}","steps":[{step},{step},{step},{step}]}}"#),
+    );
     for _ in 0..45 {
         sleep(Duration::from_millis(1_000));
         let runs = record.runs();
-        let of_large: Vec<&SeenRun> = runs.iter().filter(|run| run.task.starts_with(large)).collect();
+        let of_large: Vec<&SeenRun> = runs
+            .iter()
+            .filter(|run| run.task.starts_with(large))
+            .collect();
         let ended = of_large.iter().filter(|run| run.ended_ms.is_some()).count();
         let rejected = world.store.too_long();
         record.line(&format!("large job: {} starts, {ended} ends; appends rejected as a record is too long: {rejected}", of_large.len()));
@@ -216,12 +287,23 @@
                 break;
             }
         }
-        record.line(&format!("cancel of {id}: answered {answered} after {} ms", record.now_ms() - sent_ms));
+        record.line(&format!(
+            "cancel of {id}: answered {answered} after {} ms",
+            record.now_ms() - sent_ms
+        ));
         let in_time = answered && record.now_ms() - sent_ms <= 4_000;
         unanswered += usize::from(!in_time);
     }
-    let accepted = world.request(0, "POST", "/press/00000000000000f1", r#"{"spec":"100","steps":[{"count":1,"cpu":100,"mem_mb":64,"estimate_ms":100}]}"#);
-    record.line(&format!("a further job is accepted: {}", accepted.is_some_and(|answer| answer.0 == 200)));
+    let accepted = world.request(
+        0,
+        "POST",
+        "/press/00000000000000f1",
+        r#"{"spec":"100","steps":[{"count":1,"cpu":100,"mem_mb":64,"estimate_ms":100}]}"#,
+    );
+    record.line(&format!(
+        "a further job is accepted: {}",
+        accepted.is_some_and(|answer| answer.0 == 200)
+    ));
     let broken = unanswered >= 3;
     if broken {
         record.line(&format!("BROKEN Acks: {unanswered} of {} cancels of accepted jobs had no 2xx or 410 within ack_timeout_ms", others.len()));
@@ -244,8 +326,16 @@
     world.submit(first, r#"{"spec":"100","steps":[{"count":16,"cpu":1000,"mem_mb":256,"estimate_ms":100,"anti_affinity":2}]}"#);
     sleep(Duration::from_millis(1_000));
     world.submit(job, r#"{"spec":"serve","steps":[{"count":1,"cpu":1000,"mem_mb":256,"estimate_ms":900,"requires":"b","persistent":true}]}"#);
-    let of_task = || -> Vec<SeenRun> { record.runs().into_iter().filter(|run| run.task == task).collect() };
-    world.wait("the lasting task runs", Duration::from_secs(5), |_| !of_task().is_empty());
+    let of_task = || -> Vec<SeenRun> {
+        record
+            .runs()
+            .into_iter()
+            .filter(|run| run.task == task)
+            .collect()
+    };
+    world.wait("the lasting task runs", Duration::from_secs(5), |_| {
+        !of_task().is_empty()
+    });
     sleep(Duration::from_millis(4_000));
     let on_first = of_task()[0].runner.contains("m-a");
     let (busy, idle) = if on_first { (0, 1) } else { (1, 0) };
@@ -256,8 +346,14 @@
     world.runners[busy].fail_run(&task);
     let ended_ms = record.now_ms();
     sleep(Duration::from_millis(20_000));
-    let next = of_task().iter().filter(|run| run.started_ms > ended_ms).map(|run| run.started_ms - ended_ms).min();
-    record.line(&format!("lasting task {task}: runs again after {next:?} ms"));
+    let next = of_task()
+        .iter()
+        .filter(|run| run.started_ms > ended_ms)
+        .map(|run| run.started_ms - ended_ms)
+        .min();
+    record.line(&format!(
+        "lasting task {task}: runs again after {next:?} ms"
+    ));
     let broken = next.is_none_or(|ms| ms >= 9_000);
     if broken {
         record.line("BROKEN LOST: the lasting task was not running from 6 s to 9 s after its last run, all calm from 1 s before its end on");
@@ -265,3 +361,49 @@
     world.clean();
     broken
 }
+
+/// The API for machines does not answer for some seconds; the runner is back from its machine's upkeep
+/// under the id that it had.
+fn same(record: &Arc<Record>, trouble: bool) -> bool {
+    let (first, filler, guest) = ("0000000000000001", "00000000000000a1", "00000000000000b1");
+    let world = World::start(record, &config(3), &machines());
+    world.cloud.keep_ids();
+    world.submit(first, r#"{"spec":"100","steps":[{"count":8,"cpu":1000,"mem_mb":256,"estimate_ms":100,"anti_affinity":1}]}"#);
+    sleep(Duration::from_millis(1_500));
+    // Work that fills all machines but one.
+    world.submit(filler, r#"{"spec":"60000","steps":[{"count":7,"cpu":4000,"mem_mb":256,"estimate_ms":60000,"anti_affinity":1}]}"#);
+    let runs_of = |job: &str| -> Vec<SeenRun> { record.runs().into_iter().filter(|run| run.task.starts_with(job)).collect() };
+    world.wait("seven machines are full", Duration::from_secs(8), |_| runs_of(filler).len() == 7);
+    sleep(Duration::from_millis(1_500));
+    let filled = runs_of(filler);
+    let is_idle = |name: &&str| !filled.iter().any(|run| run.runner.contains(*name));
+    let idle = MACHINES.iter().map(|row| row.0).find(is_idle).unwrap_or("m-a");
+    if trouble {
+        world.cloud.set_fault(CloudFault::Unanswered);
+    }
+    let wave = format!(r#"{{"wave":1,"machines":["{idle}"],"duration_s":20,"max_count":1}}"#);
+    record.line(&format!("operator: op/wave/1 {wave}"));
+    world.store.put("keyed.op", "wave/1", wave.as_bytes());
+    let is_down = |world: &World| {
+        let runner = world.runners.iter().find(|runner| runner.machine == idle);
+        runner.is_some_and(|runner| !runner.is_up())
+    };
+    world.wait("the idle machine is in upkeep", Duration::from_secs(8), is_down);
+    let began_ms = record.now_ms();
+    sleep(Duration::from_millis(1_000));
+    world.submit(guest, r#"{"spec":"8000","steps":[{"count":4,"cpu":1000,"mem_mb":256,"estimate_ms":8000}]}"#);
+    world.wait("the job runs", Duration::from_secs(8), |_| runs_of(guest).len() == 4);
+    world.request(1, "DELETE", &format!("/press/{filler}"), "");
+    // The trouble lasts for 4 s in all.
+    let passed_ms = record.now_ms() - began_ms;
+    sleep(Duration::from_millis(4_000_u64.saturating_sub(passed_ms)));
+    world.cloud.set_fault(CloudFault::None);
+    sleep(Duration::from_millis(12_000));
+    let found = overlaps(record);
+    for (a, b, ms) in &found {
+        record.line(&format!("BROKEN TWICE: {} ran as {} on {} and as {} on {} at the same time for {ms} ms", a.task, a.run, a.runner, b.run, b.runner));
+    }
+    world.state(guest);
+    world.clean();
+    !found.is_empty()
+}
--- a/review/standin-3/src/cloud.rs
+++ b/review/standin-3/src/cloud.rs
@@ -23,6 +23,8 @@
     LoseNextAnswer,
     /// Calls are refused with 503: nothing is done.
     Busy,
+    /// Calls are carried out, and nothing is answered.
+    Unanswered,
 }
 
 struct Machine {
@@ -36,6 +38,8 @@
 struct State {
     machines: Vec<Machine>,
     fault: CloudFault,
+    /// Runners start again under the ids that they had.
+    keeps_ids: bool,
 }
 
 /// The machines.
@@ -46,8 +50,15 @@
 
 impl Cloud {
     pub fn new(record: &Arc<Record>) -> Arc<Self> {
-        let state = State { machines: Vec::new(), fault: CloudFault::None };
-        Arc::new(Self { state: Mutex::new(state), record: Arc::clone(record) })
+        let state = State {
+            machines: Vec::new(),
+            fault: CloudFault::None,
+            keeps_ids: false,
+        };
+        Arc::new(Self {
+            state: Mutex::new(state),
+            record: Arc::clone(record),
+        })
     }
 
     pub fn add(&self, runner: &Arc<Runner>, pool: &str) {
@@ -60,6 +71,11 @@
         });
     }
 
+    /// Makes runners start again under the ids that they had.
+    pub fn keep_ids(&self) {
+        self.state.lock().unwrap().keeps_ids = true;
+    }
+
     pub fn set_fault(&self, fault: CloudFault) {
         self.record.line(&format!("API for machines: {fault:?}"));
         self.state.lock().unwrap().fault = fault;
@@ -73,7 +89,10 @@
         let state = self.state.lock().unwrap();
         let row = |machine: &Machine| machine.runner.machine_row(&machine.pool, machine.state);
         let rows = state.machines.iter().map(row).collect();
-        (200, object([("machines", Json::List(rows)), ("next_token", Json::Null)]))
+        (
+            200,
+            object([("machines", Json::List(rows)), ("next_token", Json::Null)]),
+        )
     }
 
     /// Takes a machine out of service; a new runner under a new id joins the pool afterwards.
@@ -91,9 +110,11 @@
         thread::spawn(move || {
             thread::sleep(time);
             let mut locked = cloud.state.lock().unwrap();
+            let keeps_ids = locked.keeps_ids;
             let machine = &mut locked.machines[at];
             machine.state = "up";
-            let id = format!("i-{}-{}", machine.runner.machine, machine.lives);
+            let life = if keeps_ids { 1 } else { machine.lives };
+            let id = format!("i-{}-{life}", machine.runner.machine);
             machine.runner.begin(&id, &pool, 0);
         });
     }
@@ -103,25 +124,39 @@
         let name = body.get("machine").text();
         let found = {
             let state = self.state.lock().unwrap();
-            let position = state.machines.iter().position(|row| row.runner.machine == name);
+            let position = state
+                .machines
+                .iter()
+                .position(|row| row.runner.machine == name);
             position.map(|at| {
                 let machine = &state.machines[at];
-                (at, machine.state, machine.pool.clone(), machine.waves_done.clone())
+                (
+                    at,
+                    machine.state,
+                    machine.pool.clone(),
+                    machine.waves_done.clone(),
+                )
             })
         };
-        let Some((at, state, pool, waves_done)) = found else { return (400, object([])) };
+        let Some((at, state, pool, waves_done)) = found else {
+            return (400, object([]));
+        };
         let busy = || (409, object([("reason", text("busy"))]));
         if request.path == "/machine-upkeep" {
             let wave = body.get("wave").number().unwrap_or(0);
             if waves_done.contains(&wave) {
-                self.record.line(&format!("upkeep of {name} in wave {wave}: done already"));
+                self.record
+                    .line(&format!("upkeep of {name} in wave {wave}: done already"));
                 return (200, object([]));
             }
             if state != "up" {
                 return busy();
             }
-            self.state.lock().unwrap().machines[at].waves_done.insert(wave);
-            self.record.line(&format!("upkeep of {name} in wave {wave} begins"));
+            self.state.lock().unwrap().machines[at]
+                .waves_done
+                .insert(wave);
+            self.record
+                .line(&format!("upkeep of {name} in wave {wave} begins"));
             self.restart(at, "upkeep", pool, UPKEEP);
             return (200, object([]));
         }
@@ -146,13 +181,27 @@
         let cloud = &self.0;
         let is_list = request.method == "GET";
         let fault = cloud.fault();
-        let sent = || format!("{} {}", request.path, String::from_utf8_lossy(&request.body));
+        let sent = || {
+            format!(
+                "{} {}",
+                request.path,
+                String::from_utf8_lossy(&request.body)
+            )
+        };
         if fault == CloudFault::Busy {
             if !is_list {
                 cloud.record.line(&format!("{}: 503", sent()));
             }
             return Reply::Answer(503, b"{}".to_vec());
         }
+        if fault == CloudFault::Unanswered {
+            if !is_list {
+                let (status, _) = cloud.operate(&request);
+                cloud.record.line(&format!("{}: {status}, not answered", sent()));
+            }
+            thread::sleep(Duration::from_secs(2));
+            return Reply::Close;
+        }
         if is_list {
             let (status, body) = cloud.list();
             return Reply::Answer(status, body.to_text().into_bytes());
@@ -160,11 +209,18 @@
         let (status, body) = cloud.operate(&request);
         let holder = request.header("lease-holder").unwrap_or("").to_owned();
         if fault == CloudFault::LoseNextAnswer {
-            cloud.record.line(&format!("{} by {holder}: carried out, its answer is lost", sent()));
+            cloud.record.line(&format!(
+                "{} by {holder}: carried out, its answer is lost",
+                sent()
+            ));
             cloud.set_fault(CloudFault::Busy);
             return Reply::Close;
         }
-        cloud.record.line(&format!("{} by {holder}: {status} {}", sent(), body.to_text()));
+        cloud.record.line(&format!(
+            "{} by {holder}: {status} {}",
+            sent(),
+            body.to_text()
+        ));
         Reply::Answer(status, body.to_text().into_bytes())
     }
 }
--- a/review/standin-3/src/http.rs
+++ b/review/standin-3/src/http.rs
@@ -23,7 +23,10 @@
     }
 
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|row| row.0.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|row| row.0.eq_ignore_ascii_case(name));
         found.map(|row| row.1.as_str())
     }
 }
@@ -130,7 +133,9 @@
             body.extend_from_slice(&chunk[..size]);
         }
     }
-    let length = find("content-length").and_then(|row| row.1.parse().ok()).unwrap_or(0);
+    let length = find("content-length")
+        .and_then(|row| row.1.parse().ok())
+        .unwrap_or(0);
     body.resize(length, 0);
     reader.read_exact(&mut body)?;
     Ok(body)
@@ -152,7 +157,11 @@
     Ok(Some(Request {
         method,
         path: path.to_owned(),
-        query: query.split('&').filter(|part| !part.is_empty()).map(pair).collect(),
+        query: query
+            .split('&')
+            .filter(|part| !part.is_empty())
+            .map(pair)
+            .collect(),
         headers,
         body,
     }))
@@ -163,7 +172,9 @@
     let mut out = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
-        let hex = (bytes[at] == b'%').then(|| bytes.get(at + 1..at + 3)).flatten();
+        let hex = (bytes[at] == b'%')
+            .then(|| bytes.get(at + 1..at + 3))
+            .flatten();
         let byte = hex.and_then(|hex| u8::from_str_radix(std::str::from_utf8(hex).ok()?, 16).ok());
         match byte {
             Some(byte) => {
--- a/review/standin-3/src/json.rs
+++ b/review/standin-3/src/json.rs
@@ -85,7 +85,12 @@
 
 /// Builds an object.
 pub fn object<const N: usize>(fields: [(&str, Json); N]) -> Json {
-    Json::Object(fields.into_iter().map(|(key, value)| (key.to_owned(), value)).collect())
+    Json::Object(
+        fields
+            .into_iter()
+            .map(|(key, value)| (key.to_owned(), value))
+            .collect(),
+    )
 }
 
 pub fn text(value: &str) -> Json {
@@ -178,13 +183,19 @@
             }
             _ => {
                 let start = self.at;
-                while self.bytes.get(self.at).is_some_and(|byte| b"+-.eE0123456789".contains(byte)) {
+                while self
+                    .bytes
+                    .get(self.at)
+                    .is_some_and(|byte| b"+-.eE0123456789".contains(byte))
+                {
                     self.at += 1;
                 }
                 let digits = std::str::from_utf8(&self.bytes[start..self.at]).ok()?;
                 let whole = digits.parse::<i64>().ok();
                 #[allow(clippy::cast_possible_truncation)]
-                whole.or_else(|| digits.parse::<f64>().ok().map(|n| n as i64)).map(Json::Number)
+                whole
+                    .or_else(|| digits.parse::<f64>().ok().map(|n| n as i64))
+                    .map(Json::Number)
             }
         }
     }
@@ -207,7 +218,8 @@
                         b'b' => out.push(8),
                         b'f' => out.push(12),
                         b'u' => {
-                            let hex = std::str::from_utf8(self.bytes.get(self.at..self.at + 4)?).ok()?;
+                            let hex =
+                                std::str::from_utf8(self.bytes.get(self.at..self.at + 4)?).ok()?;
                             self.at += 4;
                             let code = u32::from_str_radix(hex, 16).ok()?;
                             let c = char::from_u32(code).unwrap_or('?');
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -28,7 +28,10 @@
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Arc::new(Record::create(path));
-    record.line(&format!("case {case}, disruption {}", if trouble { "on" } else { "off" }));
+    record.line(&format!(
+        "case {case}, disruption {}",
+        if trouble { "on" } else { "off" }
+    ));
     thread::spawn(|| {
         thread::sleep(LIMIT);
         eprintln!("the script takes too long");
--- a/review/standin-3/src/record.rs
+++ b/review/standin-3/src/record.rs
@@ -7,7 +7,9 @@
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 pub fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(0)
 }
 
@@ -64,17 +66,25 @@
     }
 
     fn run_line(&self, task: &str, line: impl Fn() -> String) {
-        let is_counted = self.counted.lock().unwrap().iter().any(|job| task.starts_with(job.as_str()));
+        let is_counted = self
+            .counted
+            .lock()
+            .unwrap()
+            .iter()
+            .any(|job| task.starts_with(job.as_str()));
         if !is_counted {
             self.line(&line());
         }
     }
 
     pub fn started(&self, task: &str, run: u64, runner: &str, token: u64) {
-        self.run_line(task, || format!("START {task} run {run} on {runner}, fencing token {token}"));
+        self.run_line(task, || {
+            format!("START {task} run {run} on {runner}, fencing token {token}")
+        });
         let mut runs = self.runs.lock().unwrap();
         let at = runs.seen.len();
-        runs.newest.insert((task.to_owned(), run, runner.to_owned()), at);
+        runs.newest
+            .insert((task.to_owned(), run, runner.to_owned()), at);
         runs.seen.push(SeenRun {
             task: task.to_owned(),
             run,
@@ -86,7 +96,9 @@
     }
 
     pub fn ended(&self, task: &str, run: u64, runner: &str, how: &'static str) {
-        self.run_line(task, || format!("END   {task} run {run} on {runner}: {how}"));
+        self.run_line(task, || {
+            format!("END   {task} run {run} on {runner}: {how}")
+        });
         let now_ms = self.now_ms();
         let mut runs = self.runs.lock().unwrap();
         let key = (task.to_owned(), run, runner.to_owned());
--- a/review/standin-3/src/runner.rs
+++ b/review/standin-3/src/runner.rs
@@ -69,7 +69,8 @@
     fn end(&mut self, at: usize, how: &'static str) -> Run {
         let run = self.runs.swap_remove(at);
         self.last_end += 1;
-        self.ends.push((self.last_end, run.task.clone(), run.run, how));
+        self.ends
+            .push((self.last_end, run.task.clone(), run.run, how));
         let floor = self.floors.entry(run.task.clone()).or_insert(0);
         *floor = (*floor).max(run.run);
         run
@@ -124,7 +125,13 @@
 }
 
 impl Runner {
-    pub fn start(options: &RunnerOptions, id: &str, ip: &str, store: &Arc<Store>, record: &Arc<Record>) -> Arc<Self> {
+    pub fn start(
+        options: &RunnerOptions,
+        id: &str,
+        ip: &str,
+        store: &Arc<Store>,
+        record: &Arc<Record>,
+    ) -> Arc<Self> {
         let listener = TcpListener::bind((ip, 0)).expect("a free port for a runner");
         let runner = Arc::new(Self {
             machine: options.machine.to_owned(),
@@ -177,17 +184,22 @@
             floors: BTreeMap::new(),
         });
         state.registered_at = None;
-        self.record.line(&format!("runner {id} on {} is up", self.machine));
+        self.record
+            .line(&format!("runner {id} on {} is up", self.machine));
     }
 
     /// Ends the life of the runner: everything on it ends, and its connections are reset. `leaves`
     /// removes its registration at once; otherwise it is removed after three heartbeats of silence.
     pub fn end(&self, leaves: bool) {
         let mut state = self.state.lock().unwrap();
-        let Some(life) = state.life.take() else { return };
-        self.record.line(&format!("runner {} on {} is down", life.id, self.machine));
+        let Some(life) = state.life.take() else {
+            return;
+        };
+        self.record
+            .line(&format!("runner {} on {} is down", life.id, self.machine));
         for run in &life.runs {
-            self.record.ended(&run.task, run.run, &life.id, "lost with its runner");
+            self.record
+                .ended(&run.task, run.run, &life.id, "lost with its runner");
         }
         for connection in state.connections.drain(..) {
             let _ = connection.shutdown(Shutdown::Both);
@@ -209,7 +221,9 @@
             let entry = entry.and_then(|bytes| Json::parse(&bytes));
             if entry.is_some_and(|entry| entry.get("born").number() == Some(born)) {
                 store.put("keyed.servers", &id, b"");
-                record.line(&format!("entry of runner {id} is removed: three heartbeats of silence"));
+                record.line(&format!(
+                    "entry of runner {id} is removed: three heartbeats of silence"
+                ));
             }
         });
     }
@@ -245,15 +259,25 @@
 
     /// Carries out the order that was left unanswered.
     pub fn carry_out_late(&self) {
-        let Some(order) = self.state.lock().unwrap().late.take() else { return };
+        let Some(order) = self.state.lock().unwrap().late.take() else {
+            return;
+        };
         let (status, answer) = self.start_run(&order);
         let task = order.get("task").text();
-        self.record.line(&format!("late order to start {task} carried out: {status} {}", answer.to_text()));
+        self.record.line(&format!(
+            "late order to start {task} carried out: {status} {}",
+            answer.to_text()
+        ));
     }
 
     /// Returns up to which end the runner was told that its ends are taken note of.
     pub fn last_seen(&self) -> u64 {
-        self.state.lock().unwrap().life.as_ref().map_or(0, |life| life.last_seen)
+        self.state
+            .lock()
+            .unwrap()
+            .life
+            .as_ref()
+            .map_or(0, |life| life.last_seen)
     }
 
     /// Returns whether the runner is up.
@@ -283,14 +307,23 @@
     }
 
     fn capacity(&self) -> Json {
-        object([("cpu", number(self.cpu)), ("mem_mb", number(32_768)), ("gpu", number(0))])
+        object([
+            ("cpu", number(self.cpu)),
+            ("mem_mb", number(32_768)),
+            ("gpu", number(0)),
+        ])
     }
 
     fn tick(&self) {
         let mut state = self.state.lock().unwrap();
         let state = &mut *state;
-        let Some(life) = state.life.as_mut() else { return };
-        if state.registered_at.is_none_or(|at| at.elapsed() >= HEARTBEAT) {
+        let Some(life) = state.life.as_mut() else {
+            return;
+        };
+        if state
+            .registered_at
+            .is_none_or(|at| at.elapsed() >= HEARTBEAT)
+        {
             state.registered_at = Some(Instant::now());
             let entry = object([
                 ("service", text(&state.pool)),
@@ -298,7 +331,10 @@
                 ("zone", text(&self.zone)),
                 ("version", text("v1")),
                 ("slots", number(8)),
-                ("state", text(if state.draining { "draining" } else { "ready" })),
+                (
+                    "state",
+                    text(if state.draining { "draining" } else { "ready" }),
+                ),
                 ("cold_remaining_ms", number(0)),
                 ("capacity", self.capacity()),
                 ("labels", self.labels()),
@@ -306,7 +342,8 @@
                 ("born", number(life.born_unix_ms)),
                 ("sequence", number(life.clock_ms())),
             ]);
-            self.store.put("keyed.servers", &life.id, entry.to_text().as_bytes());
+            self.store
+                .put("keyed.servers", &life.id, entry.to_text().as_bytes());
         }
         let mut ended = false;
         let lapsed = life.clock_ms() > life.lease_until_ms;
@@ -334,11 +371,21 @@
 
     fn start_run(&self, order: &Json) -> (u16, Json) {
         let mut state = self.state.lock().unwrap();
-        let Some(life) = state.life.as_mut() else { return (421, object([])) };
+        let Some(life) = state.life.as_mut() else {
+            return (421, object([]));
+        };
         let clock_ms = life.clock_ms();
-        let refused = |reason: &str| (409, object([("clock_ms", number(clock_ms)), ("reason", text(reason))]));
+        let refused = |reason: &str| {
+            (
+                409,
+                object([("clock_ms", number(clock_ms)), ("reason", text(reason))]),
+            )
+        };
         let token = order.get("fencing_token").number().unwrap_or(0);
-        let (task, run) = (order.get("task").text(), order.get("run").number().unwrap_or(0));
+        let (task, run) = (
+            order.get("task").text(),
+            order.get("run").number().unwrap_or(0),
+        );
         let deadline_ms = order.get("deadline_ms").number().unwrap_or(0);
         if token < life.fence {
             return refused("fence");
@@ -347,9 +394,15 @@
         if deadline_ms <= clock_ms {
             return refused("late");
         }
-        life.lease_until_ms = life.lease_until_ms.max(deadline_ms.min(clock_ms + MAX_HOLD_MS));
+        life.lease_until_ms = life
+            .lease_until_ms
+            .max(deadline_ms.min(clock_ms + MAX_HOLD_MS));
         let answer = object([("clock_ms", number(clock_ms))]);
-        if life.runs.iter().any(|row| row.task == task && row.run == run) {
+        if life
+            .runs
+            .iter()
+            .any(|row| row.task == task && row.run == run)
+        {
             return (200, answer);
         }
         if life.floors.get(task).is_some_and(|floor| run <= *floor) {
@@ -368,20 +421,35 @@
 
     fn stop_run(&self, order: &Json) -> (u16, Json) {
         let mut state = self.state.lock().unwrap();
-        let Some(life) = state.life.as_mut() else { return (421, object([])) };
+        let Some(life) = state.life.as_mut() else {
+            return (421, object([]));
+        };
         let clock_ms = life.clock_ms();
         let token = order.get("fencing_token").number().unwrap_or(0);
-        let (task, run) = (order.get("task").text(), order.get("run").number().unwrap_or(0));
+        let (task, run) = (
+            order.get("task").text(),
+            order.get("run").number().unwrap_or(0),
+        );
         if token < life.fence {
-            return (409, object([("clock_ms", number(clock_ms)), ("reason", text("fence"))]));
+            return (
+                409,
+                object([("clock_ms", number(clock_ms)), ("reason", text("fence"))]),
+            );
         }
         life.fence = token;
         let floor = life.floors.entry(task.to_owned()).or_insert(0);
         *floor = (*floor).max(run);
-        if let Some(row) = life.runs.iter_mut().find(|row| row.task == task && row.run == run) {
+        if let Some(row) = life
+            .runs
+            .iter_mut()
+            .find(|row| row.task == task && row.run == run)
+        {
             row.stops_at.get_or_insert(Instant::now() + STOP_TIME);
         }
-        self.record.line(&format!("runner {} is told to stop {task} run {run}", life.id));
+        self.record.line(&format!(
+            "runner {} is told to stop {task} run {run}",
+            life.id
+        ));
         (200, object([("clock_ms", number(clock_ms))]))
     }
 
@@ -390,11 +458,16 @@
         let token = order.get("fencing_token").number().unwrap_or(0);
         let wait = Duration::from_millis(order.get("wait_ms").number().unwrap_or(0).min(2_000));
         let until = Instant::now() + wait;
-        let Some(life) = state.life.as_mut() else { return (421, object([])) };
+        let Some(life) = state.life.as_mut() else {
+            return (421, object([]));
+        };
         let born = life.born_unix_ms;
         if token < life.fence {
             let clock_ms = number(life.clock_ms());
-            return (409, object([("clock_ms", clock_ms), ("reason", text("fence"))]));
+            return (
+                409,
+                object([("clock_ms", clock_ms), ("reason", text("fence"))]),
+            );
         }
         life.fence = token;
         if let Some(deadline_ms) = order.get("deadline_ms").number() {
@@ -418,14 +491,27 @@
                     Work::Lasts if run.started.elapsed() >= WARM_UP => 100,
                     Work::Lasts => 10,
                     Work::Done(time) | Work::Fails(time) => {
-                        let part = run.started.elapsed().as_millis() * 100 / time.as_millis().max(1);
+                        let part =
+                            run.started.elapsed().as_millis() * 100 / time.as_millis().max(1);
                         u64::try_from(part.min(99)).unwrap_or(99)
                     }
                 };
-                Json::List(vec![text(&run.task), number(run.run), text(""), number(percent), number(0)])
+                Json::List(vec![
+                    text(&run.task),
+                    number(run.run),
+                    text(""),
+                    number(percent),
+                    number(0),
+                ])
             };
             let end = |end: &(u64, String, u64, &str)| {
-                Json::List(vec![number(end.0), text(&end.1), number(end.2), text(end.3), text("")])
+                Json::List(vec![
+                    number(end.0),
+                    text(&end.1),
+                    number(end.2),
+                    text(end.3),
+                    text(""),
+                ])
             };
             return (
                 200,
@@ -433,7 +519,10 @@
                     ("clock_ms", number(life.clock_ms())),
                     ("born", number(life.born_unix_ms)),
                     ("running", Json::List(life.runs.iter().map(row).collect())),
-                    ("ended", Json::List(life.ends.iter().take(MAX_LISTED_ENDS).map(end).collect())),
+                    (
+                        "ended",
+                        Json::List(life.ends.iter().take(MAX_LISTED_ENDS).map(end).collect()),
+                    ),
                 ]),
             );
         }
@@ -462,19 +551,30 @@
             let mut state = runner.state.lock().unwrap();
             if state.fault == OrderFault::Dark {
                 drop(state);
-                runner.record.line(&format!("{} to {} which is dark: {}", request.path, runner.machine, order.get("task").text()));
+                runner.record.line(&format!(
+                    "{} to {} which is dark: {}",
+                    request.path,
+                    runner.machine,
+                    order.get("task").text()
+                ));
                 thread::sleep(Duration::from_secs(100));
                 return Reply::Close;
             }
             let Some(id) = state.life.as_ref().map(|life| life.id.clone()) else {
                 return Reply::Close;
             };
-            if request.header("expected-instance").is_some_and(|wanted| wanted != id) {
+            if request
+                .header("expected-instance")
+                .is_some_and(|wanted| wanted != id)
+            {
                 return Reply::Answer(421, b"{}".to_vec());
             }
             if request.path == "/run-start" && state.fault == OrderFault::LeaveNextStart {
                 state.fault = OrderFault::None;
-                let line = format!("runner {id} leaves the order to start {} unanswered", order.get("task").text());
+                let line = format!(
+                    "runner {id} leaves the order to start {} unanswered",
+                    order.get("task").text()
+                );
                 runner.record.line(&line);
                 state.late = Some(order);
                 drop(state);
--- a/review/standin-3/src/store.rs
+++ b/review/standin-3/src/store.rs
@@ -83,7 +83,10 @@
 
     fn join(&mut self, name: &str, ttl: Duration) -> Vec<u64> {
         self.expire();
-        let member = Member { seen: Instant::now(), ttl };
+        let member = Member {
+            seen: Instant::now(),
+            ttl,
+        };
         if self.members.insert(name.to_owned(), member).is_none() {
             self.generation += 1;
         }
@@ -127,7 +130,11 @@
         record.extend_from_slice(key.as_bytes());
         record.extend_from_slice(value);
         let mut state = self.state.lock().unwrap();
-        state.topics.entry(topic.to_owned()).or_default().add(record);
+        state
+            .topics
+            .entry(topic.to_owned())
+            .or_default()
+            .add(record);
         drop(state);
         self.changed.notify_all();
     }
@@ -171,10 +178,20 @@
             return answer(412, &object([("end", number(end))]));
         }
         if let Some(name) = request.query("producer") {
-            let figure = |name| request.query(name).and_then(|text| text.parse::<u64>().ok());
-            let (epoch, sequence) = (figure("epoch").unwrap_or(0), figure("sequence").unwrap_or(0));
+            let figure = |name| {
+                request
+                    .query(name)
+                    .and_then(|text| text.parse::<u64>().ok())
+            };
+            let (epoch, sequence) = (
+                figure("epoch").unwrap_or(0),
+                figure("sequence").unwrap_or(0),
+            );
             let key = (topic.clone(), name.to_owned());
-            let known = state.producers.get(&key).map(|row| (row.epoch, row.sequence));
+            let known = state
+                .producers
+                .get(&key)
+                .map(|row| (row.epoch, row.sequence));
             match known {
                 Some((known, _)) if epoch < known => {
                     return answer(409, &object([("reason", text("fenced"))]));
@@ -208,20 +225,30 @@
         for record in records {
             log.add(record);
         }
-        let fields = [("offset", number(end)), ("end", number(log.records.len() as u64))];
+        let fields = [
+            ("offset", number(end)),
+            ("end", number(log.records.len() as u64)),
+        ];
         self.changed.notify_all();
         answer(200, &object(fields))
     }
 
     fn read(&self, request: &Request) -> Reply {
         let topic = request.query("topic").unwrap_or("").to_owned();
-        let figure = |name| request.query(name).and_then(|text| text.parse::<u64>().ok());
+        let figure = |name| {
+            request
+                .query(name)
+                .and_then(|text| text.parse::<u64>().ok())
+        };
         let from = usize::try_from(figure("from").unwrap_or(0)).unwrap_or(usize::MAX);
         let until = Instant::now() + Duration::from_millis(figure("wait_ms").unwrap_or(0));
         let max_bytes = usize::try_from(figure("max_kb").unwrap_or(1_024)).unwrap_or(1_024) * 1_024;
         let mut state = self.state.lock().unwrap();
         loop {
-            let end = state.topics.get(&topic).map_or(0, |topic| topic.records.len());
+            let end = state
+                .topics
+                .get(&topic)
+                .map_or(0, |topic| topic.records.len());
             let left = until.saturating_duration_since(Instant::now());
             if end <= from && !left.is_zero() {
                 state = self.changed.wait_timeout(state, left).unwrap().0;
@@ -229,7 +256,10 @@
             }
             let mut body = (end as u64).to_be_bytes().to_vec();
             body.extend_from_slice(&0_u64.to_be_bytes());
-            let records = state.topics.get(&topic).map_or(&[][..], |topic| &topic.records);
+            let records = state
+                .topics
+                .get(&topic)
+                .map_or(&[][..], |topic| &topic.records);
             for record in records.iter().skip(from) {
                 if body.len() + record.len() > max_bytes {
                     break;
@@ -266,7 +296,14 @@
             ]));
         }
         let end = number(topic.records.len() as u64);
-        answer(200, &object([("items", Json::List(items)), ("more", Json::Bool(more)), ("end", end)]))
+        answer(
+            200,
+            &object([
+                ("items", Json::List(items)),
+                ("more", Json::Bool(more)),
+                ("end", end),
+            ]),
+        )
     }
 
     fn group(&self, request: &Request) -> Reply {
@@ -287,10 +324,14 @@
                 }
                 let ttl = Duration::from_millis(body.get("ttl_ms").number().unwrap_or(1_000));
                 let parts = group.join(member, ttl);
-                let row = |part: &u64| Json::List(vec![text(&group.topic), number(*part), number(0)]);
+                let row =
+                    |part: &u64| Json::List(vec![text(&group.topic), number(*part), number(0)]);
                 let rows = parts.iter().map(row).collect();
                 let generation = number(group.generation);
-                answer(200, &object([("generation", generation), ("parts", Json::List(rows))]))
+                answer(
+                    200,
+                    &object([("generation", generation), ("parts", Json::List(rows))]),
+                )
             }
             "/log-leave" => {
                 group.remove(member);
@@ -299,7 +340,12 @@
             _ => {
                 group.expire();
                 let row = |(part, owner): (&u64, &String)| {
-                    Json::List(vec![text(&group.topic), number(*part), text(owner), number(0)])
+                    Json::List(vec![
+                        text(&group.topic),
+                        number(*part),
+                        text(owner),
+                        number(0),
+                    ])
                 };
                 let rows = group.owners.iter().map(row).collect();
                 answer(200, &object([("owners", Json::List(rows))]))
@@ -311,7 +357,9 @@
 impl Topic {
     fn add(&mut self, record: Vec<u8>) {
         let offset = self.records.len() as u64;
-        let split = record.split_first().and_then(|(length, rest)| rest.split_at_checked(usize::from(*length)));
+        let split = record
+            .split_first()
+            .and_then(|(length, rest)| rest.split_at_checked(usize::from(*length)));
         if let Some((key, value)) = split
             && let Ok(key) = std::str::from_utf8(key)
         {
@@ -344,7 +392,9 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut out = String::with_capacity(bytes.len().div_ceil(3) * 4);
     for chunk in bytes.chunks(3) {
-        let word = chunk.iter().fold(0_u32, |word, byte| word << 8 | u32::from(*byte));
+        let word = chunk
+            .iter()
+            .fold(0_u32, |word, byte| word << 8 | u32::from(*byte));
         let word = word << (8 * (3 - chunk.len()));
         for at in 0..4 {
             match at <= chunk.len() {
--- a/review/standin-3/src/world.rs
+++ b/review/standin-3/src/world.rs
@@ -34,7 +34,9 @@
 
 /// Ends all daemons and the script.
 pub fn finish(code: i32) -> ! {
-    let mut children = CHILDREN.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    let mut children = CHILDREN
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner);
     for child in children.iter_mut() {
         let _ = child.kill();
         let _ = child.wait();
@@ -57,9 +59,18 @@
     let seed = std::process::id();
     for attempt in 0..20_000_u32 {
         let n = seed.wrapping_mul(31).wrapping_add(attempt.wrapping_mul(7));
-        let ip = format!("127.{}.{}.{}", 20 + n % 200, n / 200 % 250, 2 + attempt % 240);
+        let ip = format!(
+            "127.{}.{}.{}",
+            20 + n % 200,
+            n / 200 % 250,
+            2 + attempt % 240
+        );
         let is_free = |port: &u16| TcpListener::bind((ip.as_str(), *port)).is_ok();
-        if !taken.contains(&ip) && [FRONT_PORT, READY_PORT, METRICS_PORT, PEER_PORT].iter().all(is_free) {
+        if !taken.contains(&ip)
+            && [FRONT_PORT, READY_PORT, METRICS_PORT, PEER_PORT]
+                .iter()
+                .all(is_free)
+        {
             return ip;
         }
     }
@@ -85,7 +96,8 @@
             cloud.add(&runner, options.pool);
             runners.push(runner);
         }
-        let directory = std::env::temp_dir().join(format!("vanillafold-review-3-{}", std::process::id()));
+        let directory =
+            std::env::temp_dir().join(format!("vanillafold-review-3-{}", std::process::id()));
         fs::create_dir_all(&directory).expect("a temporary folder");
         let mut ips = Vec::new();
         for _ in ZONES {
@@ -112,7 +124,14 @@
 
     fn is_ready(&self, ip: &str) -> bool {
         let address = SocketAddr::new(ip.parse::<IpAddr>().expect("an address"), READY_PORT);
-        let asked = call(address, "GET", "/readyz", &[], b"", Duration::from_millis(500));
+        let asked = call(
+            address,
+            "GET",
+            "/readyz",
+            &[],
+            b"",
+            Duration::from_millis(500),
+        );
         asked.is_some_and(|answer| answer.0 == 200)
     }
 
@@ -215,7 +234,8 @@
             .stderr(errors)
             .spawn()
             .expect("the daemon's program");
-        self.record.line(&format!("daemon edge-{zone}-1 is started"));
+        self.record
+            .line(&format!("daemon edge-{zone}-1 is started"));
         CHILDREN.lock().unwrap().push(child);
     }
 
@@ -234,17 +254,36 @@
     }
 
     /// Sends a client's request to a daemon, and returns status and body; `None` without an answer.
-    pub fn request(&self, at: usize, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+    pub fn request(
+        &self,
+        at: usize,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> Option<(u16, String)> {
         let ip: IpAddr = self.ips[at % self.ips.len()].parse().expect("an address");
-        let headers = [("Host", HOST), ("Content-Type", "application/json"), ("Deadline-Ms", "3000")];
+        let headers = [
+            ("Host", HOST),
+            ("Content-Type", "application/json"),
+            ("Deadline-Ms", "3000"),
+        ];
         let address = SocketAddr::new(ip, FRONT_PORT);
-        let asked = call(address, method, path, &headers, body.as_bytes(), CLIENT_TIMEOUT);
-        let answer = asked.map(|(status, body)| (status, String::from_utf8_lossy(&body).into_owned()));
+        let asked = call(
+            address,
+            method,
+            path,
+            &headers,
+            body.as_bytes(),
+            CLIENT_TIMEOUT,
+        );
+        let answer =
+            asked.map(|(status, body)| (status, String::from_utf8_lossy(&body).into_owned()));
         let shown = match &answer {
             Some((status, text)) => format!("{status} {text}"),
             None => "no answer".to_owned(),
         };
-        self.record.line(&format!("client: {method} {path} -> {shown}"));
+        self.record
+            .line(&format!("client: {method} {path} -> {shown}"));
         answer
     }
 
@@ -265,7 +304,9 @@
     /// Returns the state of a job as a client sees it.
     pub fn state(&self, id: &str) -> String {
         let answer = self.request(0, "GET", &format!("/press/{id}"), "");
-        let body = answer.filter(|answer| answer.0 == 200).map(|answer| answer.1);
+        let body = answer
+            .filter(|answer| answer.0 == 200)
+            .map(|answer| answer.1);
         let body = body.and_then(|body| Json::parse(body.as_bytes()));
         body.map_or(String::new(), |body| body.get("state").text().to_owned())
     }
