Add review case 11: done occurrences of a repeated job run again after a takeover

Shown by review/11/run.sh: the store turns the owner away for 6 s while a job with 3,600 due occurrences runs. Exit status 1 with the disruption, 0 with TROUBLE=0.

The cases are numbered anew, the gravest first: 12 and 13 were 11 and 12, 15 was 13.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Shows whether an order that a runner carries out after a restart starts a completed task again.
+# Shows whether a maintenance order that the platform confirms as already done starts a task twice.
 # Exit status: 1 the rule was broken, 0 it held, 2 the case couldn't run. TROUBLE=0: no disruption.
 cd "$(dirname "$0")/../.." || exit 2
 scene=target/review-3/release/scene
 [ -x "$scene" ] && [ -x target/release/vanillafold-fleet ] || exit 2
-exec "$scene" late review/12/record.txt
+exec "$scene" upkeep review/12/record.txt
--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -17,6 +17,7 @@
         "record" => Some(long_record(record, trouble)),
         "dark" => Some(dark(record, trouble)),
         "same" => Some(same(record, trouble)),
+        "repeat" => Some(repeat(record, trouble)),
         _ => None,
     }
 }
@@ -372,12 +373,24 @@
     sleep(Duration::from_millis(1_500));
     // Work that fills all machines but one.
     world.submit(filler, r#"{"spec":"60000","steps":[{"count":7,"cpu":4000,"mem_mb":256,"estimate_ms":60000,"anti_affinity":1}]}"#);
-    let runs_of = |job: &str| -> Vec<SeenRun> { record.runs().into_iter().filter(|run| run.task.starts_with(job)).collect() };
-    world.wait("seven machines are full", Duration::from_secs(8), |_| runs_of(filler).len() == 7);
+    let runs_of = |job: &str| -> Vec<SeenRun> {
+        record
+            .runs()
+            .into_iter()
+            .filter(|run| run.task.starts_with(job))
+            .collect()
+    };
+    world.wait("seven machines are full", Duration::from_secs(8), |_| {
+        runs_of(filler).len() == 7
+    });
     sleep(Duration::from_millis(1_500));
     let filled = runs_of(filler);
     let is_idle = |name: &&str| !filled.iter().any(|run| run.runner.contains(*name));
-    let idle = MACHINES.iter().map(|row| row.0).find(is_idle).unwrap_or("m-a");
+    let idle = MACHINES
+        .iter()
+        .map(|row| row.0)
+        .find(is_idle)
+        .unwrap_or("m-a");
     if trouble {
         world.cloud.set_fault(CloudFault::Unanswered);
     }
@@ -388,11 +401,20 @@
         let runner = world.runners.iter().find(|runner| runner.machine == idle);
         runner.is_some_and(|runner| !runner.is_up())
     };
-    world.wait("the idle machine is in upkeep", Duration::from_secs(8), is_down);
+    world.wait(
+        "the idle machine is in upkeep",
+        Duration::from_secs(8),
+        is_down,
+    );
     let began_ms = record.now_ms();
     sleep(Duration::from_millis(1_000));
-    world.submit(guest, r#"{"spec":"8000","steps":[{"count":4,"cpu":1000,"mem_mb":256,"estimate_ms":8000}]}"#);
-    world.wait("the job runs", Duration::from_secs(8), |_| runs_of(guest).len() == 4);
+    world.submit(
+        guest,
+        r#"{"spec":"8000","steps":[{"count":4,"cpu":1000,"mem_mb":256,"estimate_ms":8000}]}"#,
+    );
+    world.wait("the job runs", Duration::from_secs(8), |_| {
+        runs_of(guest).len() == 4
+    });
     world.request(1, "DELETE", &format!("/press/{filler}"), "");
     // The trouble lasts for 4 s in all.
     let passed_ms = record.now_ms() - began_ms;
@@ -401,9 +423,68 @@
     sleep(Duration::from_millis(12_000));
     let found = overlaps(record);
     for (a, b, ms) in &found {
-        record.line(&format!("BROKEN TWICE: {} ran as {} on {} and as {} on {} at the same time for {ms} ms", a.task, a.run, a.runner, b.run, b.runner));
+        record.line(&format!(
+            "BROKEN TWICE: {} ran as {} on {} and as {} on {} at the same time for {ms} ms",
+            a.task, a.run, a.runner, b.run, b.runner
+        ));
     }
     world.state(guest);
     world.clean();
     !found.is_empty()
 }
+
+/// The store turns the owner away while a repeated job with many due occurrences runs.
+fn repeat(record: &Arc<Record>, trouble: bool) -> bool {
+    let job = "00000000000000d1";
+    let world = World::start(record, &config(3), &machines());
+    record.count_only(job);
+    sleep(Duration::from_millis(1_000));
+    // Each second of the last hour: all occurrences are due at once.
+    let body = format!(
+        r#"{{"spec":"200","repeat_count":3600,"start_at_ms":{},"interval_ms":1000,"steps":[{{"count":1,"cpu":50,"mem_mb":16,"estimate_ms":200}}]}}"#,
+        crate::record::unix_ms() - 3_600_000
+    );
+    world.submit(job, &body);
+    sleep(Duration::from_millis(300));
+    if trouble {
+        let owner = world.owner().unwrap_or(0);
+        world.set_store_silent(owner, true);
+        sleep(Duration::from_millis(6_000));
+        world.set_store_silent(owner, false);
+    }
+    for _ in 0..30 {
+        sleep(Duration::from_millis(1_000));
+        let runs = record.runs();
+        let done = runs.iter().filter(|run| run.how == "done").count();
+        let state = world.state(job);
+        record.line(&format!(
+            "{} starts, {done} done, the job is {state}",
+            runs.len()
+        ));
+        if state == "completed" {
+            break;
+        }
+    }
+    let mut runs = record.runs();
+    runs.sort_by(|a, b| a.task.cmp(&b.task).then(a.started_ms.cmp(&b.started_ms)));
+    let mut again = 0;
+    for pair in runs.windows(2) {
+        let (first, second) = (&pair[0], &pair[1]);
+        let was_done = first.how == "done" && first.noted && !first.lapsed;
+        let ended_ms = first.ended_ms.unwrap_or(u64::MAX);
+        if first.task == second.task && was_done && second.started_ms > ended_ms {
+            again += 1;
+            if again <= 20 {
+                record.line(&format!(
+                    "BROKEN TWICE: {} run {} on {} ended done at {ended_ms} ms, taken note of; run {} started on {} at {} ms",
+                    first.task, first.run, first.runner, second.run, second.runner, second.started_ms
+                ));
+            }
+        }
+    }
+    record.line(&format!(
+        "{again} tasks were started again after they had ended done and that was taken note of"
+    ));
+    world.clean();
+    again > 0
+}
--- a/review/standin-3/src/cloud.rs
+++ b/review/standin-3/src/cloud.rs
@@ -197,7 +197,9 @@
         if fault == CloudFault::Unanswered {
             if !is_list {
                 let (status, _) = cloud.operate(&request);
-                cloud.record.line(&format!("{}: {status}, not answered", sent()));
+                cloud
+                    .record
+                    .line(&format!("{}: {status}, not answered", sent()));
             }
             thread::sleep(Duration::from_secs(2));
             return Reply::Close;
--- a/review/standin-3/src/record.rs
+++ b/review/standin-3/src/record.rs
@@ -22,6 +22,10 @@
     pub started_ms: u64,
     pub ended_ms: Option<u64>,
     pub how: &'static str,
+    /// Whether its end was taken note of.
+    pub noted: bool,
+    /// Whether the runner's lease lapsed between the end and the note of it.
+    pub lapsed: bool,
 }
 
 /// The record of a script.
@@ -92,6 +96,8 @@
             started_ms: self.now_ms(),
             ended_ms: None,
             how: "",
+            noted: false,
+            lapsed: false,
         });
     }
 
@@ -108,6 +114,24 @@
         }
     }
 
+    fn change(&self, (task, run, runner): (&str, u64, &str), change: impl Fn(&mut SeenRun)) {
+        let mut runs = self.runs.lock().unwrap();
+        let key = (task.to_owned(), run, runner.to_owned());
+        if let Some(at) = runs.newest.get(&key).copied() {
+            change(&mut runs.seen[at]);
+        }
+    }
+
+    /// Records that the end of a run is taken note of.
+    pub fn noted(&self, task: &str, run: u64, runner: &str) {
+        self.change((task, run, runner), |row| row.noted = true);
+    }
+
+    /// Records that the lease lapsed before the end of a run was taken note of.
+    pub fn lapsed(&self, task: &str, run: u64, runner: &str) {
+        self.change((task, run, runner), |row| row.lapsed = true);
+    }
+
     pub fn runs(&self) -> Vec<SeenRun> {
         self.runs.lock().unwrap().seen.clone()
     }
--- a/review/standin-3/src/runner.rs
+++ b/review/standin-3/src/runner.rs
@@ -347,6 +347,11 @@
         }
         let mut ended = false;
         let lapsed = life.clock_ms() > life.lease_until_ms;
+        if lapsed {
+            for end in &life.ends {
+                self.record.lapsed(&end.1, end.2, &life.id);
+            }
+        }
         let mut at = 0;
         while at < life.runs.len() {
             let run = &life.runs[at];
@@ -476,6 +481,9 @@
         }
         let last_seen = order.get("last_seen").number().unwrap_or(0);
         life.last_seen = life.last_seen.max(last_seen);
+        for end in life.ends.iter().filter(|end| end.0 <= last_seen) {
+            self.record.noted(&end.1, end.2, &life.id);
+        }
         life.ends.retain(|end| end.0 > last_seen);
         loop {
             let Some(life) = state.life.as_ref().filter(|life| life.born_unix_ms == born) else {
--- a/review/standin-3/src/store.rs
+++ b/review/standin-3/src/store.rs
@@ -1,7 +1,8 @@
 //! The platform's metadata store: compacted logs and groups, as the users' page describes them.
 
 use std::collections::BTreeMap;
-use std::sync::{Condvar, Mutex};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
 use crate::http::{Handler, Reply, Request};
@@ -146,6 +147,14 @@
         Some(row.0.clone())
     }
 
+    /// Returns the member that owns partition 0 in the group of this name.
+    pub fn owner(&self, group: &str) -> Option<String> {
+        let mut state = self.state.lock().unwrap();
+        let group = state.groups.get_mut(group)?;
+        group.expire();
+        group.owners.get(&0).cloned()
+    }
+
     /// Returns how many appends had a record that is too long.
     pub fn too_long(&self) -> u64 {
         self.state.lock().unwrap().too_long
@@ -376,6 +385,23 @@
     }
 }
 
+/// The store as one daemon reaches it.
+pub struct Door {
+    pub store: Arc<Store>,
+    /// Whether the store leaves the daemon's calls unanswered, and does nothing for them.
+    pub is_silent: Arc<AtomicBool>,
+}
+
+impl Handler for Door {
+    fn handle(&self, request: Request) -> Reply {
+        if self.is_silent.load(Ordering::Relaxed) {
+            std::thread::sleep(Duration::from_secs(30));
+            return Reply::Close;
+        }
+        self.store.handle(request)
+    }
+}
+
 impl Handler for Store {
     fn handle(&self, request: Request) -> Reply {
         match request.path.as_str() {
--- a/review/standin-3/src/world.rs
+++ b/review/standin-3/src/world.rs
@@ -4,6 +4,7 @@
 use std::net::{IpAddr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -13,7 +14,7 @@
 use crate::json::Json;
 use crate::record::Record;
 use crate::runner::{Runner, RunnerOptions};
-use crate::store::Store;
+use crate::store::{Door, Store};
 
 /// The program that the deploy file runs.
 const PROGRAM: &str = "target/release/vanillafold-fleet";
@@ -25,6 +26,8 @@
 pub const HOST: &str = "press.example";
 /// The pool of the runners.
 pub const POOL: &str = "press";
+/// The group whose members own the shard.
+const OWNERS_GROUP: &str = "vanillafold-owners";
 const ZONES: [&str; 3] = ["za", "zb", "zc"];
 /// How long a client waits for an answer.
 const CLIENT_TIMEOUT: Duration = Duration::from_millis(3_000);
@@ -51,7 +54,9 @@
     pub runners: Vec<Arc<Runner>>,
     ips: Vec<String>,
     directory: PathBuf,
-    services: (SocketAddr, SocketAddr),
+    cloud_address: SocketAddr,
+    /// The store's address for each daemon, and whether it is silent for that daemon.
+    doors: Vec<(SocketAddr, Arc<AtomicBool>)>,
 }
 
 /// Returns a loopback address on which all ports of a daemon are free.
@@ -84,10 +89,20 @@
         store.put("keyed.op", "config", config.as_bytes());
         let cloud = Cloud::new(record);
         let listen = || TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let (store_listener, cloud_listener) = (listen(), listen());
         let address = |listener: &TcpListener| listener.local_addr().expect("an address");
-        let services = (address(&store_listener), address(&cloud_listener));
-        serve(store_listener, Arc::clone(&store));
+        let cloud_listener = listen();
+        let cloud_address = address(&cloud_listener);
+        let mut doors = Vec::new();
+        for _ in ZONES {
+            let listener = listen();
+            let is_silent = Arc::new(AtomicBool::new(false));
+            doors.push((address(&listener), Arc::clone(&is_silent)));
+            let door = Door {
+                store: Arc::clone(&store),
+                is_silent,
+            };
+            serve(listener, Arc::new(door));
+        }
         serve(cloud_listener, Arc::new(CloudService(Arc::clone(&cloud))));
         let mut runners = Vec::new();
         for options in machines {
@@ -111,7 +126,8 @@
             runners,
             ips,
             directory,
-            services,
+            cloud_address,
+            doors,
         };
         for at in 0..ZONES.len() {
             world.start_daemon(at);
@@ -138,7 +154,7 @@
     fn start_daemon(&self, at: usize) {
         let ip = &self.ips[at];
         let zone = ZONES[at];
-        let (store, cloud) = self.services;
+        let (store, cloud) = (self.doors[at].0, self.cloud_address);
         let settings = format!(
             r#"node = "edge-{zone}-1"
 role = "fleet"
@@ -253,6 +269,23 @@
         self.record.line(&format!("met: {what}"));
     }
 
+    /// Returns the number of the daemon that owns the shard, by the group in the store.
+    pub fn owner(&self) -> Option<usize> {
+        let member = self.store.owner(OWNERS_GROUP)?;
+        self.ips
+            .iter()
+            .position(|ip| member.starts_with(&format!("{ip}:")))
+    }
+
+    /// Lets the store be silent for one daemon, or answer it again.
+    pub fn set_store_silent(&self, at: usize, silent: bool) {
+        self.record.line(&format!(
+            "the store is silent for edge-{}-1: {silent}",
+            ZONES[at]
+        ));
+        self.doors[at].1.store(silent, Ordering::Relaxed);
+    }
+
     /// Sends a client's request to a daemon, and returns status and body; `None` without an answer.
     pub fn request(
         &self,
