--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -13,11 +13,13 @@
 pub fn run(case: &str, record: &Arc<Record>, trouble: bool) -> Option<bool> {
     match case {
         "upkeep" => Some(upkeep(record, trouble)),
-        "late" => Some(late(record, trouble)),
+        "late" => Some(late(record, trouble, Late::AfterFirstLook)),
+        "first" => Some(late(record, trouble, Late::BeforeFirstLook)),
         "record" => Some(long_record(record, trouble)),
         "dark" => Some(dark(record, trouble)),
         "same" => Some(same(record, trouble)),
         "repeat" => Some(repeat(record, trouble)),
+        "removed" => Some(removed(record, trouble)),
         _ => None,
     }
 }
@@ -28,6 +30,14 @@
     )
 }
 
+/// Returns a configuration with a second queue, which allows four attempts.
+fn config_with_second_queue(version: u64) -> String {
+    let route = format!(
+        r#"{{"name":"p","host":"{HOST}","path_prefix":"/proof/","kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":600,"priority":0,"service":"{POOL}","max_attempts":4,"stretch":1.6,"public":true}}"#
+    );
+    config(version).replacen("\"routes\":[", &format!("\"routes\":[{route},"), 1)
+}
+
 /// Names, zones and racks of the eight machines of a pool, as in the smallest pools of the site.
 const MACHINES: [(&str, &str, &str); 8] = [
     ("m-a", "za", "r1-1"),
@@ -174,8 +184,17 @@
     !found.is_empty()
 }
 
+/// When the order that was left unanswered is carried out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Late {
+    /// The runner crashes for 6.5 s; the order comes 1.5 s after its return.
+    AfterFirstLook,
+    /// The runner crashes for 1 s; the order comes at once on its return.
+    BeforeFirstLook,
+}
+
 /// An order that is left unanswered and carried out after the runner has crashed and is back.
-fn late(record: &Arc<Record>, trouble: bool) -> bool {
+fn late(record: &Arc<Record>, trouble: bool, when: Late) -> bool {
     let (first, job) = ("0000000000000001", "00000000000000c1");
     let world = World::start(record, &config(3), &machines());
     world.submit(first, r#"{"spec":"100","steps":[{"count":24,"cpu":1000,"mem_mb":256,"estimate_ms":100,"anti_affinity":3}]}"#);
@@ -205,9 +224,17 @@
     if trouble {
         let id = "i-m-a-1";
         runner.end(false);
-        sleep(Duration::from_millis(6_500));
-        runner.begin(id, POOL, 0);
-        sleep(Duration::from_millis(1_500));
+        match when {
+            Late::AfterFirstLook => {
+                sleep(Duration::from_millis(6_500));
+                runner.begin(id, POOL, 0);
+                sleep(Duration::from_millis(1_500));
+            }
+            Late::BeforeFirstLook => {
+                sleep(Duration::from_millis(1_000));
+                runner.begin(id, POOL, 0);
+            }
+        }
         record.line(&format!(
             "the order is {} ms old",
             record.now_ms() - ordered_ms
@@ -488,3 +515,69 @@
     world.clean();
     again > 0
 }
+
+/// A queue is removed while a job of it runs, and the daemons are stopped and started in turn. Then the
+/// job's task fails three times, and the queue is there again.
+fn removed(record: &Arc<Record>, trouble: bool) -> bool {
+    let (first, job) = ("0000000000000001", "00000000000000c1");
+    let task = format!("{job}.0.0.0");
+    let mut world = World::start(record, &config_with_second_queue(3), &machines());
+    world.submit(first, r#"{"spec":"100","steps":[{"count":8,"cpu":1000,"mem_mb":256,"estimate_ms":100,"anti_affinity":1}]}"#);
+    world.submit_to(
+        "/proof/",
+        job,
+        r#"{"spec":"60000","steps":[{"count":1,"cpu":1000,"mem_mb":256,"estimate_ms":60000,"requires":"b"}]}"#,
+    );
+    let of_task = || -> Vec<SeenRun> {
+        record
+            .runs()
+            .into_iter()
+            .filter(|run| run.task == task)
+            .collect()
+    };
+    let is_running = || of_task().iter().any(|run| run.ended_ms.is_none());
+    world.wait("the task runs", Duration::from_secs(6), |_| is_running());
+    sleep(Duration::from_millis(1_000));
+    record.line("operator: version 5, without the queue p");
+    world.store.put("keyed.op", "config", config(5).as_bytes());
+    sleep(Duration::from_millis(4_000));
+    if trouble {
+        for at in 0..3 {
+            world.restart_daemon(at);
+            sleep(Duration::from_millis(2_000));
+        }
+    }
+    sleep(Duration::from_millis(3_000));
+    let attempts_before = of_task().len();
+    record.line(&format!(
+        "runs of {task} so far: {attempts_before}, all without an end of their own"
+    ));
+    let runner = Arc::clone(&world.runners[0]);
+    record.line("three runs of the task fail by its own fault, from now on");
+    for _ in 0..3 {
+        world.wait("the task runs", Duration::from_secs(6), |_| is_running());
+        sleep(Duration::from_millis(500));
+        runner.fail_run(&task);
+    }
+    record.line("no further run fails");
+    sleep(Duration::from_millis(5_000));
+    let failed = of_task().iter().filter(|run| run.how == "failed").count();
+    record.line(&format!(
+        "ends failed of {task}: {failed}; runs now: {}",
+        is_running()
+    ));
+    record.line("operator: version 7, with the queue p again");
+    let again = config_with_second_queue(7);
+    world.store.put("keyed.op", "config", again.as_bytes());
+    sleep(Duration::from_millis(4_000));
+    let state = world.state_of("/proof/", job);
+    let broken = state == "failed" && failed < 4;
+    if broken {
+        record.line(&format!("BROKEN LOST: job {job} is shown as failed, but its task has failed {failed} times, and max_attempts is 4"));
+    }
+    world.clean();
+    if state.is_empty() {
+        crate::world::finish(2);
+    }
+    broken
+}
--- a/review/standin-3/src/world.rs
+++ b/review/standin-3/src/world.rs
@@ -22,6 +22,8 @@
 const READY_PORT: u16 = 8_343;
 const METRICS_PORT: u16 = 9_464;
 const PEER_PORT: u16 = 7_000;
+/// How long a daemon may take to exit (`grace_s` of the settings).
+const GRACE: Duration = Duration::from_secs(6);
 /// Host name of the routes.
 pub const HOST: &str = "press.example";
 /// The pool of the runners.
@@ -255,6 +257,35 @@
         CHILDREN.lock().unwrap().push(child);
     }
 
+    /// Stops a daemon with SIGTERM, and starts it again once it has exited.
+    pub fn restart_daemon(&mut self, at: usize) {
+        let mut child = CHILDREN.lock().unwrap().remove(at);
+        let sent = Command::new("/bin/kill")
+            .args(["-TERM", &child.id().to_string()])
+            .status();
+        let until = Instant::now() + GRACE;
+        while Instant::now() < until && matches!(child.try_wait(), Ok(None)) {
+            thread::sleep(Duration::from_millis(10));
+        }
+        let _ = child.kill();
+        let ended = child.wait();
+        self.record.line(&format!(
+            "daemon edge-{}-1 got SIGTERM ({}) and has ended: {}",
+            ZONES[at],
+            sent.is_ok(),
+            ended.map_or(String::new(), |status| status.to_string())
+        ));
+        self.start_daemon(at);
+        let mut children = CHILDREN.lock().unwrap();
+        if let Some(child) = children.pop() {
+            children.insert(at, child);
+        }
+        drop(children);
+        self.wait("it is ready", Duration::from_secs(25), |world| {
+            world.is_ready(&world.ips[at])
+        });
+    }
+
     /// Waits for a condition; the script ends with 2 if it isn't met in time.
     pub fn wait(&self, what: &str, limit: Duration, met: impl Fn(&Self) -> bool) {
         let until = Instant::now() + limit;
@@ -322,8 +353,13 @@
 
     /// Submits a job until it is accepted.
     pub fn submit(&self, id: &str, body: &str) {
+        self.submit_to("/press/", id, body);
+    }
+
+    /// Submits a job to the queue with this prefix until it is accepted.
+    pub fn submit_to(&self, prefix: &str, id: &str, body: &str) {
         for at in 0..10 {
-            let answer = self.request(at, "POST", &format!("/press/{id}"), body);
+            let answer = self.request(at, "POST", &format!("{prefix}{id}"), body);
             if answer.is_some_and(|answer| answer.0 / 100 == 2) {
                 return;
             }
@@ -336,7 +372,12 @@
 
     /// Returns the state of a job as a client sees it.
     pub fn state(&self, id: &str) -> String {
-        let answer = self.request(0, "GET", &format!("/press/{id}"), "");
+        self.state_of("/press/", id)
+    }
+
+    /// Returns the state of a job of the queue with this prefix as a client sees it.
+    pub fn state_of(&self, prefix: &str, id: &str) -> String {
+        let answer = self.request(0, "GET", &format!("{prefix}{id}"), "");
         let body = answer
             .filter(|answer| answer.0 == 200)
             .map(|answer| answer.1);
