End runs on a VM only by an order that was certainly carried out

Cause: the answer to a maintenance order was lost, and the repeat was refused with 503. Once the list of VMs showed the VM in service again, with the worker that had started after the maintenance, the owner forgot that its order may have been carried out. It chose the VM again, with a task on it, and took the 200 to the second order for the end of that task's run. The platform also answers 200 if the maintenance is already done. With a worker that is back under its id the runs of the later incarnation were ended.

Evidence: the record shows "done already" for the second order, 1.9 s before the first run is stopped. The owner's log names the worker it removed, started 2 s after the first order, and 1.1 s later says that this worker is on its VM.

Change: an operation names the incarnation of the worker that it was issued for. A confirmation ends runs at once only if no order before can have been carried out, by this or an earlier owner, and only those of that incarnation; otherwise the list of VMs decides. A wave remembers the VMs whose order got no answer and empties them before it orders them again. An unanswered operation is not repeated on a VM with a later worker that has runs.

--- a/crates/vanillafold-jobs/src/shard/losses.rs
+++ b/crates/vanillafold-jobs/src/shard/losses.rs
@@ -311,12 +311,12 @@
         }
         let vms = std::mem::take(&mut self.vms);
         let removed = std::mem::take(&mut self.removed_workers);
+        let ended = std::mem::take(&mut self.ended_workers);
         self.resolve_silent_runs(|row| {
             let found = vms.binary_search_by(|vm| vm.name.as_str().cmp(&row.vm));
             let successor = found.ok().and_then(|at| vms[at].worker.as_ref());
-            let is_removed = removed
-                .iter()
-                .any(|removed| removed.id.as_str() == row.worker);
+            let mut ended = removed.iter().chain(&ended);
+            let is_removed = ended.any(|ended| ended.id.as_str() == row.worker);
             match successor {
                 Some(id) if id.as_str() != row.worker && !is_removed => Silence::Crashed,
                 _ => Silence::Unresolved,
@@ -324,6 +324,7 @@
         });
         self.vms = vms;
         self.removed_workers = removed;
+        self.ended_workers = ended;
     }
 
     fn resolve_silent_runs(&mut self, resolve: impl Fn(&SuspectRun) -> Silence) {
--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -17,7 +17,7 @@
 use super::rack_index::RackIndex;
 use super::settings::Settings;
 use super::start_rate::StartRate;
-use super::vm_operations::{PendingOperation, RemovedWorker, Vm, VmOperation};
+use super::vm_operations::{PendingOperation, Vm, VmOperation, WorkerIncarnation};
 use super::waiting::WaitingJobs;
 use super::waves::WaveState;
 use crate::id::{Epoch, JobId, WorkerId};
@@ -64,7 +64,10 @@
     pub(super) suspect_jobs: Vec<JobId>,
     /// Workers that an operation on their VM has ended and that are still in the list of workers.
     /// Sorted by id.
-    pub(super) removed_workers: Vec<RemovedWorker>,
+    pub(super) removed_workers: Vec<WorkerIncarnation>,
+    /// Workers that have ended with an operation on their VM, as the list of VMs shows, and that the
+    /// next scheduling pass removes.
+    pub(super) ended_workers: Vec<WorkerIncarnation>,
     /// Resources that the runs of each organisation use, sorted by the organisation's name.
     pub(super) usage: Vec<(String, Resources)>,
     /// What organisations may use beside that on workers that are not accounted for, sorted by name.
@@ -159,6 +162,7 @@
             recent_losses: Vec::new(),
             suspect_jobs: Vec::new(),
             removed_workers: Vec::new(),
+            ended_workers: Vec::new(),
             usage: Vec::new(),
             unaccounted_usage: Vec::new(),
             next_unaccounted_update_at: now,
--- a/crates/vanillafold-jobs/src/shard/schedule/pass.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule/pass.rs
@@ -12,6 +12,7 @@
     /// orders, and plans VM operations.
     pub fn schedule(&mut self, now: MonotonicMillis, now_unix_ms: u64) {
         self.pass_unix_ms = now_unix_ms;
+        self.remove_ended_workers(now, now_unix_ms);
         self.expire_leases(now, now_unix_ms);
         self.resolve_unaccounted(now, now_unix_ms);
         self.update_unaccounted_usage(now);
--- a/crates/vanillafold-jobs/src/shard/vm_operations.rs
+++ b/crates/vanillafold-jobs/src/shard/vm_operations.rs
@@ -5,7 +5,7 @@
 use super::root::Shard;
 use crate::id::WorkerId;
 use crate::spec::Resources;
-use crate::worker::WorkerEntry;
+use crate::worker::{Worker, WorkerEntry};
 
 /// State of a VM on the platform.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -66,13 +66,16 @@
     pub(super) to_pool: Option<String>,
     /// Maintenance wave of the operation; `None` for a move.
     pub(super) wave: Option<u64>,
-    /// Worker that ran on the VM when the operation was issued.
-    pub(super) worker: Option<WorkerId>,
+    /// Incarnation of the worker that ran on the VM when the operation was issued.
+    worker: Option<WorkerIncarnation>,
     /// When the operation entered its phase.
     phase_since: MonotonicMillis,
     phase: OperationPhase,
     /// Whether an earlier attempt got no answer and may have been carried out.
     unanswered: bool,
+    /// Whether an order before this operation may have been carried out, by this or an earlier owner,
+    /// in which case the platform confirms this one without doing anything.
+    may_be_repetition: bool,
 }
 
 /// Progress of an operation on a VM.
@@ -87,15 +90,58 @@
     Done,
 }
 
-/// A worker that an operation on its VM has ended.
-#[derive(Debug)]
-pub(super) struct RemovedWorker {
+/// An incarnation of a worker. A later one with the same id is another worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct WorkerIncarnation {
     pub(super) id: WorkerId,
-    /// When the incarnation that was ended had started, in milliseconds since 1970. A later one is
-    /// another worker.
+    /// When the incarnation started, in milliseconds since 1970.
     started_unix_ms: Option<u64>,
 }
 
+impl WorkerIncarnation {
+    fn of(worker: &Worker) -> Self {
+        Self {
+            id: worker.entry.id.clone(),
+            started_unix_ms: worker.started_unix_ms(),
+        }
+    }
+}
+
+/// What the list of VMs tells of an operation that is done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ListedEffect {
+    /// The operation has not taken full effect yet, or the list can't show it.
+    Pending,
+    /// The VM is in service with the worker that it had before.
+    WorkerKept,
+    /// The VM has left service or has another worker. `back` tells whether it is in service as
+    /// ordered.
+    WorkerEnded { back: bool },
+    /// The VM is in service as ordered or no longer listed. Nothing is known of its former worker.
+    Settled,
+}
+
+impl ListedEffect {
+    fn new(pending: &PendingOperation, vm: Option<&Vm>) -> Self {
+        let Some(vm) = vm else { return Self::Settled };
+        let is_in_pool = pending.to_pool.as_ref().is_none_or(|to| vm.pool == *to);
+        let former = pending.worker.as_ref().map(|worker| &worker.id);
+        match (vm.state, &vm.worker) {
+            (VmState::Up, worker)
+                if worker.as_ref() == former && (pending.unanswered || is_in_pool) =>
+            {
+                Self::WorkerKept
+            }
+            (VmState::Up, Some(worker)) if Some(worker) != former => {
+                Self::WorkerEnded { back: is_in_pool }
+            }
+            (VmState::Up, _) if is_in_pool => Self::Settled,
+            (VmState::Maintenance | VmState::Moving, _) => Self::WorkerEnded { back: false },
+            (VmState::Up | VmState::Down, _) => Self::Pending,
+        }
+    }
+}
+
 /// How far the list of VMs may lag behind, in milliseconds. For this long a VM operation is not
 /// checked against the list, and a new owner plans no operations.
 const VM_LIST_LAG_MS: u64 = 800;
@@ -139,6 +185,7 @@
         self.vms = vms;
         self.vms_listed = true;
         let vms = &self.vms;
+        let ended_workers = &mut self.ended_workers;
         let mut still_in_service = Vec::new();
         self.pending_operations.retain(|pending| {
             let earliest_ms = pending.phase_since.get() + VM_LIST_LAG_MS;
@@ -147,18 +194,19 @@
                 return true;
             }
             let found = vms.binary_search_by(|row| row.name.cmp(&pending.vm));
-            let Ok(at) = found else { return false };
-            let is_up = vms[at].state == VmState::Up;
-            let has_same_worker = is_up && vms[at].worker == pending.worker;
-            let is_in_pool = pending
-                .to_pool
-                .as_ref()
-                .is_none_or(|to| vms[at].pool == *to);
-            if has_same_worker && (pending.unanswered || is_in_pool) {
-                still_in_service.extend(pending.worker.clone());
-                return false;
+            match ListedEffect::new(pending, found.ok().map(|at| &vms[at])) {
+                ListedEffect::Pending => true,
+                ListedEffect::Settled => false,
+                ListedEffect::WorkerKept => {
+                    let worker = pending.worker.as_ref();
+                    still_in_service.extend(worker.map(|worker| worker.id.clone()));
+                    false
+                }
+                ListedEffect::WorkerEnded { back } => {
+                    ended_workers.extend(pending.worker.clone());
+                    !back
+                }
             }
-            !(is_up && is_in_pool)
         });
         for id in still_in_service {
             self.return_to_service(&id);
@@ -212,6 +260,10 @@
 
     /// Processes the confirmation that the platform carried out a VM operation. A second
     /// confirmation of the same operation is ignored.
+    ///
+    /// The platform also confirms an operation that is already done. Only if no order before can have
+    /// been carried out does the confirmation show that runs on the VM have ended, and only those of
+    /// the incarnation for which the operation was issued. Otherwise the list of VMs shows it.
     pub fn vm_operation_done(
         &mut self,
         operation: &VmOperation,
@@ -230,35 +282,62 @@
         }
         pending.phase = OperationPhase::Done;
         pending.phase_since = now;
+        let may_be_done_before = pending.unanswered || pending.may_be_repetition;
         let worker = pending.worker.clone();
         if let VmOperation::Upkeep { machine, wave } = operation {
             self.record_maintenance_started(*wave, machine);
         }
-        if let Some(at) = worker.and_then(|id| self.worker_position(&id)) {
-            self.remove_worker_of_vm(at, now, now_unix_ms);
+        match worker {
+            Some(worker) if may_be_done_before && self.has_runs(&worker.id) => log::info!(
+                vm = vm.as_str(), worker = worker.id.as_str(), started_unix_ms = worker.started_unix_ms;
+                "VM operation confirmed that may have been done before; the list of VMs will show whether its worker has ended"
+            ),
+            Some(worker) => self.remove_incarnation(&worker, now, now_unix_ms),
+            None => {}
         }
     }
 
-    /// Removes the worker of a VM on which the platform has confirmed an operation, which ends all
-    /// runs there.
-    ///
-    /// The platform also confirms an operation that an earlier owner ordered and that is long over.
-    /// The worker is then still there, as the next list of VMs shows.
-    fn remove_worker_of_vm(&mut self, at: usize, now: MonotonicMillis, now_unix_ms: u64) {
+    fn has_runs(&self, id: &WorkerId) -> bool {
+        let worker = self.worker_position(id).map(|at| &self.workers[at]);
+        worker.is_some_and(|worker| !worker.runs.is_empty())
+    }
+
+    /// Removes the workers that have ended with operations on their VMs, as the list of VMs shows.
+    pub(super) fn remove_ended_workers(&mut self, now: MonotonicMillis, now_unix_ms: u64) {
+        for worker in std::mem::take(&mut self.ended_workers) {
+            self.remove_incarnation(&worker, now, now_unix_ms);
+        }
+    }
+
+    /// Removes a worker that has ended with an operation on its VM, and ends all its runs. A later
+    /// incarnation with the same id stays.
+    fn remove_incarnation(
+        &mut self,
+        ended: &WorkerIncarnation,
+        now: MonotonicMillis,
+        now_unix_ms: u64,
+    ) {
+        let Some(at) = self.worker_position(&ended.id) else {
+            return;
+        };
+        let known = WorkerIncarnation::of(&self.workers[at]);
+        if known != *ended {
+            log::info!(
+                worker = known.id.as_str(), started_unix_ms = known.started_unix_ms,
+                ended_unix_ms = ended.started_unix_ms;
+                "an operation on the VM has ended an earlier incarnation of the worker; this one stays"
+            );
+            return;
+        }
         self.end_lost_runs(at, |_| true, now, now_unix_ms);
-        let worker = self.workers.remove(at);
+        self.workers.remove(at);
         self.workers_version += 1;
-        let started_unix_ms = worker.started_unix_ms();
-        let id = worker.entry.id;
-        self.forget_advice(&id);
+        let removed = known;
+        self.forget_advice(&removed.id);
         log::info!(
-            worker = id.as_str(), started_unix_ms = started_unix_ms;
-            "worker removed: an operation on its VM was confirmed"
+            worker = removed.id.as_str(), started_unix_ms = removed.started_unix_ms;
+            "worker removed: an operation on its VM has ended it"
         );
-        let removed = RemovedWorker {
-            id,
-            started_unix_ms,
-        };
         match self.removed_position(&removed.id) {
             Ok(at) => self.removed_workers[at] = removed,
             Err(at) => self.removed_workers.insert(at, removed),
@@ -302,6 +381,9 @@
                 pending.phase_since = now;
                 pending.phase = OperationPhase::Unanswered;
                 pending.unanswered = true;
+                if let Some(wave) = pending.wave {
+                    self.record_maintenance_unanswered(wave, vm);
+                }
             }
             // An earlier attempt may be the reason for the refusal: until the list of VMs shows
             // otherwise, the VM counts as out of service.
@@ -373,12 +455,30 @@
         for row in &mut self.pending_operations {
             let due = now.since(row.phase_since).get() >= VM_OPERATION_RETRY_MS;
             let found = self.vms.binary_search_by(|vm| vm.name.cmp(&row.vm));
-            let is_evacuated = found.is_ok_and(|at| self.evacuations.excludes(&self.vms[at]));
+            let vm = found.ok().map(|at| &self.vms[at]);
+            let is_evacuated = vm.is_some_and(|vm| self.evacuations.excludes(vm));
             // A move would bring the VM into service in a zone that is being evacuated.
             let is_barred = row.to_pool.is_some() && is_evacuated;
             if row.phase != OperationPhase::Unanswered || !due || is_barred {
                 continue;
             }
+            let worker = vm.and_then(|vm| vm.worker.as_ref());
+            let worker = worker.and_then(|id| {
+                let found = self
+                    .workers
+                    .binary_search_by(|worker| worker.entry.id.cmp(id));
+                found.ok().map(|at| &self.workers[at])
+            });
+            // The operation was issued for another incarnation, and the runs of this one were never
+            // considered. The list of VMs shows whether the operation was carried out.
+            let ends_other_runs = worker.is_some_and(|worker| {
+                !worker.runs.is_empty() && row.worker != Some(WorkerIncarnation::of(worker))
+            });
+            if ends_other_runs {
+                row.phase = OperationPhase::Done;
+                row.phase_since = now;
+                continue;
+            }
             row.phase = OperationPhase::Sent;
             self.vm_operations.push(match (&row.to_pool, row.wave) {
                 (Some(pool), _) => VmOperation::Move {
@@ -418,7 +518,8 @@
             self.workers[at].draining = true;
             self.workers[at].vm_operation_pending = true;
         }
-        let worker = worker.map(|at| self.workers[at].entry.id.clone());
+        let worker = worker.map(|at| WorkerIncarnation::of(&self.workers[at]));
+        let may_be_repetition = wave.is_some_and(|wave| self.may_be_maintained_before(wave, &vm));
         self.vm_operations.push(match &to_pool {
             Some(pool) => VmOperation::Move {
                 machine: vm.clone(),
@@ -438,6 +539,7 @@
             phase_since: now,
             phase: OperationPhase::Sent,
             unanswered: false,
+            may_be_repetition,
         };
         self.pending_operations.insert(at, pending);
     }
--- a/crates/vanillafold-jobs/src/shard/waves.rs
+++ b/crates/vanillafold-jobs/src/shard/waves.rs
@@ -42,8 +42,10 @@
     seen_at: MonotonicMillis,
     /// VMs whose maintenance has started, sorted.
     pub(super) started: Vec<String>,
-    /// VMs whose maintenance has not started, sorted.
+    /// VMs whose maintenance has not started as far as known, sorted.
     remaining: Vec<String>,
+    /// VMs for which an order of this owner got no answer and may have been carried out, sorted.
+    unanswered: Vec<String>,
     completed: bool,
     /// The value of `completed` that was last reported to the operator.
     reported_completed: Option<bool>,
@@ -89,6 +91,7 @@
             seen_at: now,
             started,
             remaining,
+            unanswered: Vec::new(),
             completed: false,
             reported_completed: None,
         });
@@ -134,6 +137,31 @@
         }
     }
 
+    /// Records that the order to maintain a VM got no answer.
+    pub(super) fn record_maintenance_unanswered(&mut self, wave: u64, vm: &str) {
+        let Some(state) = self.waves.iter_mut().find(|row| row.wave.number == wave) else {
+            return;
+        };
+        let unanswered = &mut state.unanswered;
+        if let Err(at) = unanswered.binary_search_by(|name| name.as_str().cmp(vm)) {
+            unanswered.insert(at, vm.to_owned());
+        }
+    }
+
+    /// Returns whether an order for the maintenance of a VM may have been carried out before, by this
+    /// or an earlier owner. The platform then confirms another one as done without repeating the
+    /// maintenance, so runs that have started on the VM since would continue.
+    pub(super) fn may_be_maintained_before(&self, wave: u64, vm: &str) -> bool {
+        let state = self.waves.iter().find(|row| row.wave.number == wave);
+        state.is_none_or(|state| !self.is_first_order(state, vm))
+    }
+
+    fn is_first_order(&self, state: &WaveState, vm: &str) -> bool {
+        let unanswered = &state.unanswered;
+        let found = unanswered.binary_search_by(|name| name.as_str().cmp(vm));
+        self.is_first_owner_of(state) && found.is_err()
+    }
+
     /// Updates the list of workers whose VMs are due for maintenance.
     pub(super) fn refresh_workers_due(&mut self) {
         let open = self.waves.iter().filter(|state| !state.completed);
@@ -356,9 +384,7 @@
         }
     }
 
-    /// Returns whether no earlier owner can have issued operations for a wave. If an earlier owner
-    /// has ordered the maintenance of a VM, the platform confirms a second order as done without
-    /// repeating the maintenance, so runs that have started on the VM since would continue.
+    /// Returns whether no earlier owner can have issued operations for a wave.
     fn is_first_owner_of(&self, state: &WaveState) -> bool {
         state.seen_at.since(self.taken_over_at).get() >= WAVE_PROPAGATION_MS
     }
@@ -406,7 +432,7 @@
         worker.runs.iter().any(|run| run.persistent)
             && worker.no_vm_operation_before <= now
             && !worker.unresponsive
-            && self.is_first_owner_of(&self.waves[wave])
+            && self.is_first_order(&self.waves[wave], &self.vms[vm].name)
             && self.may_all_be_unavailable(at, now)
     }
 
--- a/crates/vanillafold-jobs/tests/shard/vms.rs
+++ b/crates/vanillafold-jobs/tests/shard/vms.rs
@@ -1,10 +1,13 @@
 //! Moves and maintenance of VMs.
 
-use vanillafold_jobs::{Order, PollReport, Shard, StepSpec, Vm, VmOperation, Wave, WorkerEntry};
+use vanillafold_jobs::{
+    Order, PollReport, Resources, Shard, StepSpec, TaskId, Vm, VmOperation, VmState, Wave,
+    WorkerEntry,
+};
 
 use crate::fixture::{
-    at, job, job_id, listed_run, poll, report, schedule_starts, shard_after_takeover,
-    shard_with_workers, step, store_batches, unix, vm, worker_entry,
+    accept_start, at, job, job_id, listed_run, poll, report, schedule_starts, shard_after_takeover,
+    shard_with_workers, step, store_batches, task, unix, vm, worker_entry,
 };
 
 fn spare(name: &str) -> Vm {
@@ -504,3 +507,202 @@
     assert_eq!(started.len(), 8);
     assert_eq!(with_right, vec![operation]);
 }
+
+/// Returns a shard with an empty VM m1 of a wave, whose maintenance was ordered at 6,000 and got no
+/// answer. Of its two VMs, w2 has no room.
+fn unanswered_maintenance() -> (Shard, VmOperation) {
+    let mut shard = shard_with_workers(&["w1", "w2"]);
+    let full = StepSpec {
+        required_label: "full".to_owned(),
+        ..step(4)
+    };
+    let labelled = WorkerEntry {
+        labels: vec!["full".to_owned()],
+        ..worker_entry("w2")
+    };
+    shard.set_workers(vec![worker_entry("w1"), labelled], at(10));
+    shard.submit(job_id(9), job(vec![full]), at(900), unix(900));
+    store_batches(&mut shard);
+    for (task, run, name) in schedule_starts(&mut shard, 1_000) {
+        accept_start(&mut shard, &name, task, run, 1_010);
+    }
+    shard.add_wave(wave_over(vec!["m1".to_owned()]), at(5_900));
+    shard.set_vms(vec![vm("m1", "w1"), vm("m2", "w2")], at(5_900));
+    shard.schedule(at(6_000), unix(6_000));
+    let operation = shard.take_vm_operations().remove(0);
+    shard.vm_operation_failed(&operation, true, at(6_100));
+    (shard, operation)
+}
+
+/// Returns the entries of a worker on m1, of the incarnation that started at `started`, and of w2.
+fn entries_with(name: &str, started: u64) -> Vec<WorkerEntry> {
+    let first = WorkerEntry {
+        started_unix_ms: Some(started),
+        ..worker_entry(name)
+    };
+    vec![first, worker_entry("w2")]
+}
+
+/// Brings m1 back with a worker after its maintenance, and starts a persistent task there. Returns
+/// the task and its run.
+fn start_on_returned_vm(shard: &mut Shard, name: &str, ms: u64) -> (TaskId, u64) {
+    shard.set_workers(entries_with(name, 2), at(ms));
+    let answer = PollReport {
+        started_unix_ms: Some(2),
+        ..report(100)
+    };
+    poll(shard, name, &answer, ms + 10);
+    let persistent_step = StepSpec {
+        persistent: true,
+        max_unavailable: Some(1),
+        ..step(1)
+    };
+    shard.submit(job_id(1), job(vec![persistent_step]), at(ms), unix(ms));
+    store_batches(shard);
+    let (task, run, on) = schedule_starts(shard, ms + 20).remove(0);
+    assert_eq!(on, name);
+    let mut answer = PollReport {
+        started_unix_ms: Some(2),
+        ..report(200)
+    };
+    answer.running.push(listed_run(task, run));
+    poll(shard, name, &answer, ms + 200);
+    (task, run)
+}
+
+/// Gives w2 room, runs a scheduling pass and confirms all maintenance that it orders. Returns whether
+/// tasks were started.
+fn starts_after_confirmations(shard: &mut Shard, ms: u64) -> bool {
+    let roomy = WorkerEntry {
+        capacity: Resources {
+            cpu_millis: 64_000,
+            ..worker_entry("w2").capacity
+        },
+        ..worker_entry("w2")
+    };
+    shard.update_worker(roomy, at(ms));
+    let mut starts = schedule_starts(shard, ms);
+    for operation in shard.take_vm_operations() {
+        shard.vm_operation_done(&operation, at(ms + 10), unix(ms + 10));
+        starts.extend(schedule_starts(shard, ms + 20));
+    }
+    !starts.is_empty()
+}
+
+/// The maintenance was carried out, its answer was lost, and the repeat was refused for another reason.
+/// The VM was ordered out of service once more with a task on it, which the platform confirmed as already
+/// done: the task was started a second time while its run went on.
+#[test]
+fn a_second_order_of_a_maintenance_that_may_have_been_carried_out_ends_no_runs() {
+    let (mut shard, operation) = unanswered_maintenance();
+    schedule_starts(&mut shard, 6_600);
+    shard.take_vm_operations();
+    shard.vm_operation_failed(&operation, false, at(6_610));
+    start_on_returned_vm(&mut shard, "w1b", 8_500);
+    shard.set_vms(vec![vm("m1", "w1b"), vm("m2", "w2")], at(8_900));
+
+    let started = starts_after_confirmations(&mut shard, 9_000);
+
+    assert!(!started);
+    assert_eq!(shard.run_count(), 5);
+}
+
+/// The same with calls that stay without an answer until the worker is back under its id.
+#[test]
+fn a_confirmation_after_attempts_without_an_answer_ends_no_runs_of_a_later_incarnation() {
+    let (mut shard, operation) = unanswered_maintenance();
+    shard.set_workers(vec![worker_entry("w2")], at(6_200));
+    start_on_returned_vm(&mut shard, "w1", 8_500);
+
+    shard.vm_operation_done(&operation, at(9_000), unix(9_000));
+    let started = starts_after_confirmations(&mut shard, 9_010);
+
+    assert!(!started);
+    assert_eq!(shard.run_count(), 5);
+}
+
+/// The incarnation that an operation was issued for has ended, and its order reaches the next one or
+/// none. What the next one runs was never considered for the operation.
+#[test]
+fn an_operation_is_not_repeated_on_a_later_worker_with_runs() {
+    for (name, listed) in [("w1", "w1"), ("w1b", "w1b")] {
+        let (mut shard, _) = unanswered_maintenance();
+        shard.set_workers(vec![worker_entry("w2")], at(6_110));
+        start_on_returned_vm(&mut shard, name, 6_120);
+        shard.set_vms(vec![vm("m1", listed), vm("m2", "w2")], at(6_300));
+        schedule_starts(&mut shard, 6_600);
+
+        assert_eq!(shard.take_vm_operations(), vec![], "worker {name}");
+    }
+}
+
+/// Returns a shard whose maintenance of a VM with a persistent task was confirmed at 6,700 after an
+/// attempt without an answer, and the number of starts until 7,500.
+fn confirmed_after_an_unanswered_attempt() -> (Shard, usize) {
+    let mut shard = shard_with_workers(&["w1", "w2"]);
+    let persistent_step = StepSpec {
+        persistent: true,
+        max_unavailable: Some(1),
+        ..step(1)
+    };
+    shard.submit(job_id(1), job(vec![persistent_step]), at(900), unix(900));
+    store_batches(&mut shard);
+    let (task, run, on) = schedule_starts(&mut shard, 1_000).remove(0);
+    let mut poll_report = report(5_000);
+    poll_report.running.push(listed_run(task, run));
+    poll(&mut shard, &on, &poll_report, 5_000);
+    assert_eq!(on, "w1");
+    shard.add_wave(wave_over(vec!["w1".to_owned()]), at(5_900));
+    shard.schedule(at(6_000), unix(6_000));
+    let operation = shard.take_vm_operations().remove(0);
+    shard.vm_operation_failed(&operation, true, at(6_100));
+    schedule_starts(&mut shard, 6_600);
+    let repeated = shard.take_vm_operations();
+    assert_eq!(repeated, [operation]);
+    shard.vm_operation_done(&repeated[0], at(6_700), unix(6_700));
+    let starts = schedule_starts(&mut shard, 7_490).len();
+    (shard, starts)
+}
+
+/// The confirmation may speak of the attempt without an answer, and the task's worker may have started
+/// again since. The list of VMs shows what has become of it.
+#[test]
+fn the_list_of_vms_shows_whether_a_repeated_maintenance_has_ended_the_worker() {
+    let in_maintenance = Vm {
+        state: VmState::Maintenance,
+        worker: None,
+        ..vm("w1", "w1")
+    };
+    let cases = [
+        (in_maintenance, 1),
+        (vm("w1", "w1b"), 1),
+        (vm("w1", "w1"), 0),
+    ];
+    for (listed, expected) in cases {
+        let (mut shard, before) = confirmed_after_an_unanswered_attempt();
+
+        shard.set_vms(vec![listed.clone(), vm("w2", "w2")], at(7_490));
+        let too_early = schedule_starts(&mut shard, 7_495).len();
+        shard.set_vms(vec![listed.clone(), vm("w2", "w2")], at(7_510));
+        let shown = schedule_starts(&mut shard, 7_600).len();
+
+        assert_eq!((before, too_early, shown), (0, 0, expected), "{listed:?}");
+    }
+}
+
+/// An earlier owner has ordered the maintenance, and a task was started on the VM by a late order after
+/// this owner had found it empty.
+#[test]
+fn a_confirmation_to_an_owner_that_is_not_the_first_ends_no_runs() {
+    let mut shard = shard_with_workers(&["w1", "w2"]);
+    shard.add_wave(wave_over(vec!["w1".to_owned()]), at(0));
+    shard.schedule(at(4_000), unix(4_000));
+    let operation = shard.take_vm_operations().remove(0);
+    let mut late = report(4_005);
+    late.running.push(listed_run(task(job_id(1), 0), 7));
+    poll(&mut shard, "w1", &late, 4_005);
+
+    shard.vm_operation_done(&operation, at(4_010), unix(4_010));
+
+    assert_eq!(shard.run_count(), 1);
+}
