Log how often a task failed when its job fails for it

The job of review/14 was shown as failed, and the log did not tell whether its attempts were used up, its workers had crashed, or which limit was applied. The new line gives the failed runs, the limit, and whether the configuration has the queue.

--- a/crates/vanillafold-jobs/src/shard/ends.rs
+++ b/crates/vanillafold-jobs/src/shard/ends.rs
@@ -165,10 +165,16 @@
     ) {
         let Some(job) = self.job(id) else { return };
         let max_attempts = self.queue_of(&job.spec).max_attempts;
+        let is_configured = self.catalogue.queue(&job.spec.queue).is_some();
         if self.has_catalogue
             && failed >= max_attempts
             && let Some(job) = self.job_mut(id)
         {
+            log::info!(
+                job = id.to_string(), queue = job.spec.queue.as_str(), failed = failed,
+                max_attempts = max_attempts, is_configured = is_configured;
+                "a task has failed as often as its queue allows; its job is shown as failed"
+            );
             job.finish(JobOutcome::Failed, now_unix_ms);
             self.after_job_finished(id, now);
         }
