Store the limit of attempts of a queue with its jobs

With a limit of 2 a third run was started.

Cause: each daemon remembered the limits of queues that were removed while it ran. A daemon that started later had never seen the queue and took 3.

Change: the shard stores the limit of a queue, with the version of its configuration, together with the first job of the queue, and again when a configuration changes it while jobs are open. An owner whose configuration lacks the queue takes the limit of the latest version that it knows. The record is one of its own for each queue, and is deleted with the last job of a removed queue.

Tests: the six of removed_queues failed before. One check is replaced: the_description_of_a_completed_job_is_deleted_from_the_store expected no record but the job's progress, and now expects none but that and the queue's limit. The tests of Catalogue::max_attempts read the same figures from attempt_limit.

--- a/crates/vanillafold-jobs/src/lib.rs
+++ b/crates/vanillafold-jobs/src/lib.rs
@@ -22,8 +22,8 @@
 pub use id::{Epoch, IdError, JobId, RunNumber, TaskId, WorkerId};
 pub use job::JobState;
 pub use record::{
-    JobOutcome, JobProgress, OccurrenceProgress, Record, RecordError, StepProgress, SuspectRun,
-    SuspectState,
+    AttemptLimit, JobOutcome, JobProgress, OccurrenceProgress, Record, RecordError, StepProgress,
+    SuspectRun, SuspectState,
 };
 pub use shard::{
     Advice, AdviceQuery, Batch, CancelOutcome, Catalogue, EvacuationCounts, LossCounts,
--- a/crates/vanillafold-jobs/src/record/row.rs
+++ b/crates/vanillafold-jobs/src/record/row.rs
@@ -3,7 +3,7 @@
 use bincode::config::{Configuration, Limit, LittleEndian, Varint};
 use bincode::{Decode, Encode};
 
-use super::{JobProgress, SuspectRun};
+use super::{AttemptLimit, JobProgress, SuspectRun};
 use crate::id::JobId;
 use crate::spec::JobSpec;
 
@@ -24,6 +24,8 @@
 const SUSPECTS_TAG: char = 's';
 /// First character of the key of the pools in which a job may have been started.
 const START_POOLS_TAG: char = 'o';
+/// First character of the key of a queue's limit of attempts.
+const ATTEMPT_LIMIT_TAG: char = 'q';
 /// First character of the key of a wave's progress.
 const WAVE_TAG: char = 'w';
 
@@ -42,6 +44,10 @@
     StartPools(JobId, Vec<String>),
     /// Number of a maintenance wave and the names of the VMs whose maintenance has started, sorted.
     Wave(u64, Vec<String>),
+    /// Name of a queue and its limit of attempts. Stored at the latest with the first job of the queue.
+    AttemptLimit(String, AttemptLimit),
+    /// Deletes the limit of attempts of a queue.
+    DeleteAttemptLimit(String),
     /// Deletes the description of a finished job; its progress record keeps the outcome.
     DeleteSpec(JobId),
     /// Deletes all records of a job.
@@ -89,6 +95,12 @@
             Self::Wave(number, started) => {
                 vec![(format!("{WAVE_TAG}{number}"), encode_value(started))]
             }
+            Self::AttemptLimit(queue, limit) => {
+                vec![(format!("{ATTEMPT_LIMIT_TAG}{queue}"), encode_value(limit))]
+            }
+            Self::DeleteAttemptLimit(queue) => {
+                vec![(format!("{ATTEMPT_LIMIT_TAG}{queue}"), Vec::new())]
+            }
             Self::DeleteSpec(id) => vec![(format!("{SPEC_TAG}{id}"), Vec::new())],
             Self::DeleteJob(id) => vec![
                 (format!("{SPEC_TAG}{id}"), Vec::new()),
@@ -110,6 +122,10 @@
             let number = chars.as_str().parse().map_err(|_| invalid_key())?;
             return decode_value(key, bytes).map(|started| Self::Wave(number, started));
         }
+        if tag == Some(ATTEMPT_LIMIT_TAG) {
+            let queue = chars.as_str().to_owned();
+            return decode_value(key, bytes).map(|limit| Self::AttemptLimit(queue, limit));
+        }
         let id: JobId = chars.as_str().parse().map_err(|_| invalid_key())?;
         match tag {
             Some(SPEC_TAG) => decode_value(key, bytes).map(|spec| Self::Spec(id, Box::new(spec))),
--- a/crates/vanillafold-jobs/src/shard/catalogue.rs
+++ b/crates/vanillafold-jobs/src/shard/catalogue.rs
@@ -1,5 +1,6 @@
 //! The part of the operator's configuration that scheduling needs.
 
+use crate::record::AttemptLimit;
 use crate::spec::Resources;
 
 /// A queue of jobs.
@@ -50,8 +51,8 @@
 pub struct RemovedQueue {
     /// Name of the queue.
     pub name: String,
-    /// Number of failed runs of one task after which its job fails.
-    pub max_attempts: u32,
+    /// Limit of attempts in the last configuration that had the queue.
+    pub limit: AttemptLimit,
 }
 
 /// Queues, pools and organisations, each sorted by name.
@@ -79,16 +80,18 @@
         at.ok().map(|at| &self.queues[at])
     }
 
-    /// Returns the number of failed runs of one task after which a job of a queue fails, also if the
-    /// queue was removed; `None` if it is not known.
+    /// Returns the limit of attempts of a queue, also if it was removed; `None` if it is not known.
     #[must_use]
-    pub fn max_attempts(&self, queue: &str) -> Option<u32> {
+    pub fn attempt_limit(&self, queue: &str) -> Option<AttemptLimit> {
         let removed = self
             .removed_queues
             .binary_search_by(|row| row.name.as_str().cmp(queue));
         match (self.queue(queue), removed) {
-            (Some(queue), _) => Some(queue.max_attempts),
-            (None, Ok(at)) => Some(self.removed_queues[at].max_attempts),
+            (Some(queue), _) => Some(AttemptLimit {
+                config_version: self.version,
+                max_attempts: queue.max_attempts,
+            }),
+            (None, Ok(at)) => Some(self.removed_queues[at].limit),
             (None, Err(_)) => None,
         }
     }
@@ -97,7 +100,10 @@
     pub fn remember_removed(&mut self, before: &Self) {
         let of_queue = |queue: &QueueInfo| RemovedQueue {
             name: queue.name.clone(),
-            max_attempts: queue.max_attempts,
+            limit: AttemptLimit {
+                config_version: before.version,
+                max_attempts: queue.max_attempts,
+            },
         };
         let known = before.queues.iter().map(of_queue);
         let known = known.chain(before.removed_queues.iter().cloned());
--- a/crates/vanillafold-jobs/src/shard/mod.rs
+++ b/crates/vanillafold-jobs/src/shard/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod advice;
 mod arrivals;
+mod attempt_limits;
 mod backlog;
 mod catalogue;
 mod ends;
--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -8,6 +8,7 @@
 use super::admission::AdmissionState;
 use super::advice::{AdviceQuery, StepAdvice};
 use super::arrivals::Arrivals;
+use super::attempt_limits::AttemptLimits;
 use super::backlog::Backlog;
 use super::catalogue::Catalogue;
 use super::evacuation::ZoneEvacuations;
@@ -34,6 +35,7 @@
     pub(super) catalogue: Catalogue,
     /// Whether a configuration has been applied. Until then no limit is known.
     pub(super) has_catalogue: bool,
+    pub(super) attempt_limits: AttemptLimits,
     /// Sorted by id.
     pub(super) jobs: Vec<Job>,
     /// Ids of unfinished jobs, sorted.
@@ -146,6 +148,7 @@
             epoch,
             catalogue: Catalogue::default(),
             has_catalogue: false,
+            attempt_limits: AttemptLimits::default(),
             jobs: Vec::new(),
             open: Vec::new(),
             waiting_jobs: WaitingJobs::default(),
@@ -218,7 +221,8 @@
                     started.sort_unstable();
                     shard.stored_waves.push((number, started));
                 }
-                Record::DeleteSpec(_) | Record::DeleteJob(_) => {}
+                Record::AttemptLimit(queue, limit) => shard.attempt_limits.restore(queue, limit),
+                Record::DeleteAttemptLimit(_) | Record::DeleteSpec(_) | Record::DeleteJob(_) => {}
             }
         }
         for (id, row) in progress {
@@ -307,6 +311,7 @@
         if catalogue.version >= self.catalogue.version {
             self.catalogue = catalogue;
             self.has_catalogue = true;
+            self.remember_attempt_limits();
             // The pool of a queue may have changed.
             for id in &self.open {
                 self.waiting_jobs.mark_changed(*id);
--- a/crates/vanillafold-jobs/src/shard/schedule/pass.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule/pass.rs
@@ -18,6 +18,7 @@
         self.update_unaccounted_usage(now);
         self.evaluate_suspects(now, now_unix_ms);
         self.collect_deletable_jobs(now);
+        self.forget_unused_attempt_limits();
         self.drop_finished_advice();
         self.begin_near_waits(now);
         self.retry_stops(now);
--- a/crates/vanillafold-jobs/src/shard/schedule/start.rs
+++ b/crates/vanillafold-jobs/src/shard/schedule/start.rs
@@ -21,7 +21,7 @@
 /// tasks.
 const MAX_START_ORDERS: u32 = 3;
 /// Maximum number of failed runs of a task for jobs whose queue was removed from the configuration
-/// before this daemon had read it.
+/// before any owner had stored its limit.
 const REMOVED_QUEUE_MAX_ATTEMPTS: u32 = 3;
 
 impl Shard {
@@ -245,8 +245,7 @@
                 pool: spec.pool.clone(),
                 priority: 0,
                 max_attempts: self
-                    .catalogue
-                    .max_attempts(&spec.queue)
+                    .attempt_limit_of_removed(&spec.queue)
                     .unwrap_or(REMOVED_QUEUE_MAX_ATTEMPTS),
                 stretch_permille: 0,
                 target_latency_ms: 0,
--- a/crates/vanillafold-jobs/src/shard/storing.rs
+++ b/crates/vanillafold-jobs/src/shard/storing.rs
@@ -23,6 +23,8 @@
     /// Jobs whose description is deleted.
     spec_deleted: Vec<JobId>,
     waves: Vec<u64>,
+    /// Queues whose limit of attempts is in the batch.
+    limited_queues: Vec<String>,
 }
 
 impl Batch {
@@ -37,7 +39,10 @@
     /// Returns whether there are unstored changes.
     #[must_use]
     pub const fn has_records(&self) -> bool {
-        !self.dirty.is_empty() || !self.deletable_jobs.is_empty() || !self.dirty_waves.is_empty()
+        !self.dirty.is_empty()
+            || !self.deletable_jobs.is_empty()
+            || !self.dirty_waves.is_empty()
+            || self.attempt_limits.is_dirty()
     }
 
     /// Returns the next batch, if there are unstored changes. The result of the previous batch must
@@ -50,6 +55,7 @@
             deleted: std::mem::take(&mut self.deletable_jobs),
             spec_deleted: Vec::new(),
             waves: std::mem::take(&mut self.dirty_waves),
+            limited_queues: Vec::new(),
         };
         for state in &self.waves {
             if batch.waves.contains(&state.wave.number) {
@@ -97,6 +103,10 @@
             bytes += added.map(|row| row.1.len()).sum::<usize>();
         }
         self.dirty.drain(..taken);
+        // The limits of the jobs in this batch are in it or stored.
+        let (limited_queues, limits) = self.attempt_limits.take_dirty();
+        batch.limited_queues = limited_queues;
+        batch.records.extend(limits.iter().flat_map(Record::encode));
         if !batch.records.is_empty() {
             self.delete_finished_specs(&mut batch);
         }
@@ -183,6 +193,9 @@
         self.finished_with_spec
             .extend_from_slice(&batch.spec_deleted);
         self.dirty_waves.extend_from_slice(&batch.waves);
+        for queue in &batch.limited_queues {
+            self.attempt_limits.mark_dirty(queue);
+        }
         dropped
     }
 
--- a/crates/vanillafold-jobs/src/shard/submit.rs
+++ b/crates/vanillafold-jobs/src/shard/submit.rs
@@ -56,6 +56,7 @@
                 return SubmitOutcome::Refused { retry_after_ms };
             }
         };
+        self.remember_attempt_limit(&spec.queue);
         let mut job = Job::new(id, spec, now);
         job.submitted_at = submitted_at;
         job.plan = plan;
--- a/crates/vanillafold-jobs/tests/shard/fixture.rs
+++ b/crates/vanillafold-jobs/tests/shard/fixture.rs
@@ -252,6 +252,25 @@
     }
 }
 
+/// Stores all batches in `stored`, replacing earlier values of a key.
+pub(crate) fn store_in(stored: &mut Vec<(String, Vec<u8>)>, shard: &mut Shard) {
+    while let Some(batch) = shard.take_batch() {
+        for (key, value) in &batch.records {
+            stored.retain(|row| row.0 != *key);
+            if !value.is_empty() {
+                stored.push((key.clone(), value.clone()));
+            }
+        }
+        shard.batch_stored(&batch);
+    }
+}
+
+/// Returns the records with these keys and values.
+pub(crate) fn stored_records(stored: &[(String, Vec<u8>)]) -> Vec<Record> {
+    let decode = |row: &(String, Vec<u8>)| Record::decode(&row.0, &row.1).expect("a record");
+    stored.iter().map(decode).collect()
+}
+
 /// Answers the stop order of a run on a worker at `ms`, and a poll after it that no longer lists the
 /// run.
 pub(crate) fn stop_run(shard: &mut Shard, name: &str, task: TaskId, run: u64, ms: u64) {
--- a/crates/vanillafold-jobs/tests/shard/main.rs
+++ b/crates/vanillafold-jobs/tests/shard/main.rs
@@ -11,6 +11,7 @@
 mod placement;
 mod racks;
 mod records;
+mod removed_queues;
 mod repeats;
 mod storing;
 mod takeover;
--- a/crates/vanillafold-jobs/tests/shard/storing.rs
+++ b/crates/vanillafold-jobs/tests/shard/storing.rs
@@ -67,6 +67,7 @@
 
     let kinds: Vec<bool> = records(&rows)
         .iter()
+        .filter(|record| !matches!(record, Record::AttemptLimit(..)))
         .map(|record| matches!(record, Record::Progress(..)))
         .collect();
 
