Stop late start orders in each later incarnation of their worker

PROTOCOL.md: "It may also be executed seconds later, after newer calls."

Cause: what the owner knew of orders without an answer was kept with the worker. It went when the worker was dropped, or removed with an operation on its VM, and was used up by the first incarnation that answered.

Change: the shard keeps unanswered starts under the worker's id for as long as the platform may deliver them, and stops them in each incarnation of the worker that answers its first poll.

Tests: four of late_starts, three of them failed before.

--- a/crates/vanillafold-jobs/src/shard/mod.rs
+++ b/crates/vanillafold-jobs/src/shard/mod.rs
@@ -8,6 +8,7 @@
 mod catalogue;
 mod ends;
 mod evacuation;
+mod late_starts;
 mod losses;
 mod moves;
 mod near_waits;
--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -331,6 +331,9 @@
             );
             self.begin_incarnation(at, report, now, now_unix_ms);
         }
+        if !self.workers[at].has_answered() {
+            self.stop_late_starts(at, report, now);
+        }
         self.resolve_silence(id, report.started_unix_ms);
         let lease_ms = self.settings.lease_ms;
         let interval_ms = self
@@ -439,12 +442,6 @@
         // deadlines refer to another clock, and the worker caps them at its maximum lease.
         let deadline_ms = report.clock_ms.saturating_add(self.settings.max_lease_ms);
         worker.extend_lease(deadline_ms);
-        // Stops runs that an order to a previous incarnation may still start.
-        for mut run in worker.take_unanswered_starts(now) {
-            run.phase = RunPhase::Stopping { next_order_at: now };
-            self.add_usage(&run.organisation.clone(), run.needs);
-            self.workers[at].add_run(run);
-        }
         for run in lost {
             self.end_run(at, &run, EndKind::LeaseExpired, now, now_unix_ms);
         }
@@ -865,7 +862,8 @@
             OrderAnswer::Unknown | OrderAnswer::ConnectionLost if starting => {
                 worker.runs[position].phase = RunPhase::StartUnanswered;
                 worker.runs[position].connection_lost = answer == OrderAnswer::ConnectionLost;
-                worker.record_unanswered_start(position, now);
+                self.late_starts
+                    .record(&worker.entry.id, &worker.runs[position], now);
             }
             OrderAnswer::Accepted | OrderAnswer::Unknown | OrderAnswer::ConnectionLost => {}
             // An earlier order may still start the run, as if it had not been repeated.
