Release persistent tasks from lost workers once their leases have expired

Cause: a start without an answer was awaited for as long as the platform may deliver the order, in case the worker starts again under its id, even where the worker had left the list.

Change: persistent tasks on a silent worker that is no longer listed are released with its leases. The order is remembered and stopped if the worker comes back. Other tasks, and those on listed workers, wait as before.

Tests: three of late_starts, two of them failed before.

--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -292,13 +292,23 @@
 
     /// Ends the runs on unresponsive workers whose leases have certainly expired, and drops workers
     /// that are neither listed nor have runs.
+    ///
+    /// A run whose start order got no answer is awaited longer, as another incarnation of the worker may
+    /// carry the order out. A persistent task does not stand still for that once its worker has left the
+    /// list: should the worker come back under its id, the run is stopped when it first answers.
     pub(super) fn expire_leases(&mut self, now: MonotonicMillis, now_unix_ms: u64) {
         for at in 0..self.workers.len() {
             let worker = &self.workers[at];
             let leases_expired = worker.leases_expired_at().is_some_and(|end| end < now);
-            let is_lost = |run: &Run| !run.may_still_start(now);
+            let is_gone = !worker.listed;
+            let is_lost = |run: &Run| !run.may_still_start(now) || (run.persistent && is_gone);
             let lost_runs = worker.runs.iter().filter(|run| is_lost(run)).count();
             if worker.unresponsive && leases_expired && lost_runs > 0 {
+                let may_come_late = |run: &&Run| is_lost(run) && run.may_still_start(now);
+                for run in worker.runs.iter().filter(may_come_late) {
+                    self.late_starts
+                        .record(&worker.entry.id, run, run.ordered_at);
+                }
                 log::info!(
                     worker = worker.entry.id.as_str(), runs = lost_runs;
                     "leases of an unresponsive worker have expired; these runs are lost"
--- a/crates/vanillafold-jobs/tests/shard/late_starts.rs
+++ b/crates/vanillafold-jobs/tests/shard/late_starts.rs
@@ -2,7 +2,7 @@
 //! no longer deliver such an order.
 
 use vanillafold_jobs::{
-    EndKind, Order, OrderAnswer, PollReport, RunNumber, Shard, TaskId, VmOperation, Wave,
+    EndKind, Order, OrderAnswer, PollReport, RunNumber, Shard, StepSpec, TaskId, VmOperation, Wave,
     WorkerEntry,
 };
 
@@ -119,3 +119,71 @@
 
     assert_eq!((while_gone, stopped), (0, vec![(task, run)]));
 }
+
+/// Orders a task on w1 or w2, whose start gets no answer at 1,000; the worker answers nothing from then on.
+/// Returns what is started at 6,500, when its leases have expired, if it has left the list by then or not, and
+/// the worker and the run of the first order.
+fn starts_after_a_silent_loss(persistent: bool, is_listed: bool) -> (Shard, usize, (String, u64)) {
+    let mut shard = shard_with_workers(&["w1", "w2"]);
+    let spec = StepSpec {
+        persistent,
+        ..step(1)
+    };
+    shard.submit(job_id(1), job(vec![spec]), at(900), unix(900));
+    store_batches(&mut shard);
+    let (task, run, on) = schedule_starts(&mut shard, 990).remove(0);
+    answer_start(&mut shard, &on, (task, run), OrderAnswer::Unknown, 1_000);
+    for ms in [1_300, 1_600, 3_000, 5_000] {
+        shard.poll_failed(&worker(&on), OrderAnswer::Unknown, at(ms), unix(ms));
+    }
+    let names = ["w1", "w2"].into_iter();
+    let listed = names.filter(|name| is_listed || *name != on);
+    shard.set_workers(listed.map(worker_entry).collect(), at(5_600));
+    let started = schedule_starts(&mut shard, 6_500);
+    assert!(started.iter().all(|row| row.2 != on), "{started:?}");
+    (shard, started.len(), (on, run))
+}
+
+/// A persistent task stood still for 12 s on a worker that was lost for good, with room for it elsewhere.
+#[test]
+fn a_persistent_task_does_not_wait_for_a_late_order_on_a_worker_that_has_left_the_list() {
+    let (_, started, _) = starts_after_a_silent_loss(true, false);
+
+    assert_eq!(started, 1);
+}
+
+/// A worker that is still listed may be about to start again, and a task that ends by itself may be
+/// done by the time the late order comes.
+#[test]
+fn other_tasks_and_those_on_listed_workers_wait_until_no_late_order_can_come() {
+    for (persistent, is_listed) in [(true, true), (false, false), (false, true)] {
+        let (mut shard, started, _) = starts_after_a_silent_loss(persistent, is_listed);
+        let after_the_delay = schedule_starts(&mut shard, 13_100).len();
+
+        let case = format!("persistent {persistent}, listed {is_listed}");
+        assert_eq!((started, after_the_delay), (0, 1), "{case}");
+    }
+}
+
+/// The task runs elsewhere by then, so that the late order would bring a second run of it.
+#[test]
+fn a_late_order_for_a_persistent_task_that_was_started_elsewhere_is_stopped() {
+    let (mut shard, _, (on, run)) = starts_after_a_silent_loss(true, false);
+    let back = WorkerEntry {
+        started_unix_ms: Some(2),
+        ..worker_entry(&on)
+    };
+    shard.update_worker(back, at(8_000));
+    let answer = PollReport {
+        started_unix_ms: Some(2),
+        ..report(100)
+    };
+    poll(&mut shard, &on, &answer, 8_010);
+    shard.schedule(at(8_020), unix(8_020));
+
+    let orders = shard.take_orders();
+
+    let is_stopped =
+        |row: &(_, Order)| matches!(&row.1, Order::Stop { run: number, .. } if number.get() == run);
+    assert!(orders.iter().any(is_stopped), "{orders:?}");
+}
