Begin only the occurrences that the next owner expects

Cause: a new owner creates the first 512 occurrences that are not stored as completed. The earlier owner began a further one with each completion, stored or not, and so went beyond them. The new owner acknowledged the ends of the others and forgot them.

Change: an occurrence begins only while the open ones and those whose completion is not stored are together within what the next owner creates.

--- a/crates/vanillafold-jobs/src/job/live.rs
+++ b/crates/vanillafold-jobs/src/job/live.rs
@@ -122,6 +122,10 @@
     pub(crate) stored_outcome: JobOutcome,
     /// Outcome in the version that is being written.
     pub(crate) writing_outcome: JobOutcome,
+    /// Number of completed occurrences as stored.
+    pub(crate) stored_completed: usize,
+    /// Number of completed occurrences in the version that is being written.
+    pub(crate) writing_completed: usize,
     pub(crate) occurrences: Vec<Occurrence>,
     /// First occurrence that has not begun.
     pub(crate) next_occurrence: u32,
@@ -153,6 +157,8 @@
             writing_version: None,
             stored_outcome: JobOutcome::Open,
             writing_outcome: JobOutcome::Open,
+            stored_completed: 0,
+            writing_completed: 0,
             occurrences: Vec::new(),
             next_occurrence: 0,
             submitted_at: now,
@@ -372,14 +378,18 @@
     /// at once, and a caller may ask for more than fit into memory.
     ///
     /// After a takeover twice as many may be open, because the earlier owner may have begun further
-    /// ones after completions that it did not store.
+    /// ones after completions that it did not store. It may not have begun more: the new owner would not
+    /// know their runs, and would run again what has completed.
     pub(crate) fn may_begin_occurrence(&self) -> bool {
-        let open = self.occurrences.len();
         let tasks: usize = self.spec.steps.iter().map(|step| step.count as usize).sum();
-        let factor = 1 + usize::from(self.unaccounted);
-        let has_room =
-            open < factor * MAX_OPEN_OCCURRENCES && (open + 1) * tasks <= factor * MAX_OPEN_TASKS;
-        open == 0 || has_room
+        let has_room = |begun: usize, factor: usize| {
+            begun == 0
+                || (begun < factor * MAX_OPEN_OCCURRENCES
+                    && (begun + 1).saturating_mul(tasks) <= factor * MAX_OPEN_TASKS)
+        };
+        let open = self.occurrences.len();
+        let unstored = self.progress.completed.len() - self.stored_completed;
+        has_room(open, 1 + usize::from(self.unaccounted)) && has_room(open + unstored, 2)
     }
 
     /// Makes the unaccounted tasks wait for a worker, once they can't be running on any worker that
--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -269,6 +269,7 @@
         let mut open = Vec::new();
         for job in &mut self.jobs {
             job.stored_outcome = job.progress.outcome;
+            job.stored_completed = job.progress.completed.len();
             let age_ms = now_unix_ms.saturating_sub(job.spec.submitted_unix_ms);
             job.submitted_at = MonotonicMillis::new(now.get().saturating_sub(age_ms));
             match job.progress.outcome {
--- a/crates/vanillafold-jobs/src/shard/storing.rs
+++ b/crates/vanillafold-jobs/src/shard/storing.rs
@@ -98,6 +98,7 @@
             }
             job.writing_version = Some(job.version);
             job.writing_outcome = job.progress.outcome;
+            job.writing_completed = job.progress.completed.len();
             batch.jobs.push(id);
             let added = batch.records[first_record..].iter();
             bytes += added.map(|row| row.1.len()).sum::<usize>();
@@ -154,6 +155,7 @@
             if let Some(version) = job.writing_version.take() {
                 job.stored_version = version;
                 job.stored_outcome = job.writing_outcome;
+                job.stored_completed = job.writing_completed;
             }
             let still_dirty = job.is_dirty();
             if still_dirty {
