--- a/crates/vanillafold-jobs/src/shard/late_starts.rs
+++ b/crates/vanillafold-jobs/src/shard/late_starts.rs
@@ -12,7 +12,7 @@
 struct LateStart {
     worker: WorkerId,
     run: Run,
-    /// When the newest order for the run was recorded as unanswered.
+    /// When the newest order for the run was sent, or was found to have no answer.
     at: MonotonicMillis,
 }
 
@@ -24,17 +24,17 @@
 }
 
 impl LateStarts {
-    /// Records that the start order of a run got no answer.
-    pub(super) fn record(&mut self, worker: &WorkerId, run: &Run, now: MonotonicMillis) {
+    /// Records that the start order of a run, of this time, has no answer.
+    pub(super) fn record(&mut self, worker: &WorkerId, run: &Run, at: MonotonicMillis) {
         let is_same = |row: &LateStart| {
             row.worker == *worker && row.run.task == run.task && row.run.number == run.number
         };
         self.rows
-            .retain(|row| now.since(row.at).get() < MAX_ORDER_DELAY_MS && !is_same(row));
+            .retain(|row| at.since(row.at).get() < MAX_ORDER_DELAY_MS && !is_same(row));
         self.rows.push(LateStart {
             worker: worker.clone(),
             run: run.clone(),
-            at: now,
+            at,
         });
     }
 
--- a/crates/vanillafold-jobs/src/shard/mod.rs
+++ b/crates/vanillafold-jobs/src/shard/mod.rs
@@ -8,6 +8,7 @@
 mod catalogue;
 mod ends;
 mod evacuation;
+mod incarnation;
 mod late_starts;
 mod losses;
 mod moves;
--- a/crates/vanillafold-jobs/src/shard/vm_operations.rs
+++ b/crates/vanillafold-jobs/src/shard/vm_operations.rs
@@ -2,10 +2,11 @@
 
 use vanillafold_policy::MonotonicMillis;
 
+use super::incarnation::WorkerIncarnation;
 use super::root::Shard;
 use crate::id::WorkerId;
 use crate::spec::Resources;
-use crate::worker::{Worker, WorkerEntry};
+use crate::worker::WorkerEntry;
 
 /// State of a VM on the platform.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -90,32 +91,15 @@
     Done,
 }
 
-/// An incarnation of a worker. A later one with the same id is another worker.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) struct WorkerIncarnation {
-    pub(super) id: WorkerId,
-    /// When the incarnation started, in milliseconds since 1970.
-    started_unix_ms: Option<u64>,
-}
-
-impl WorkerIncarnation {
-    fn of(worker: &Worker) -> Self {
-        Self {
-            id: worker.entry.id.clone(),
-            started_unix_ms: worker.started_unix_ms(),
-        }
-    }
-}
-
 /// What the list of VMs tells of an operation that is done.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 enum ListedEffect {
     /// The operation has not taken full effect yet, or the list can't show it.
     Pending,
     /// The VM is in service with the worker that it had before.
     WorkerKept,
-    /// The VM has left service or has another worker. `back` tells whether it is in service as
-    /// ordered.
+    /// The VM has left service or has another worker, so that its former worker has ended. `back` tells
+    /// whether the VM is in service as ordered.
     WorkerEnded { back: bool },
     /// The VM is in service as ordered or no longer listed. Nothing is known of its former worker.
     Settled,
