--- a/crates/vanillafold-jobs/src/shard/mod.rs
+++ b/crates/vanillafold-jobs/src/shard/mod.rs
@@ -9,7 +9,6 @@
 mod ends;
 mod evacuation;
 mod incarnation;
-mod late_starts;
 mod losses;
 mod moves;
 mod near_waits;
--- a/crates/vanillafold-jobs/src/shard/root.rs
+++ b/crates/vanillafold-jobs/src/shard/root.rs
@@ -13,7 +13,6 @@
 use super::catalogue::Catalogue;
 use super::evacuation::ZoneEvacuations;
 use super::incarnation::WorkerIncarnation;
-use super::late_starts::LateStarts;
 use super::losses::{LossCounts, WorkerLoss};
 use super::near_waits::NearWaits;
 use super::orders::Order;
@@ -62,7 +61,6 @@
     pub(super) loss_counts: LossCounts,
     /// Tasks that wait for room near their data or their group.
     pub(super) near_waits: NearWaits,
-    pub(super) late_starts: LateStarts,
     /// Workers that were lost a short time ago.
     pub(super) recent_losses: Vec<WorkerLoss>,
     /// Open jobs with suspect runs, sorted.
@@ -165,7 +163,6 @@
             racks: RackIndex::default(),
             loss_counts: LossCounts::default(),
             near_waits: NearWaits::default(),
-            late_starts: LateStarts::default(),
             recent_losses: Vec::new(),
             suspect_jobs: Vec::new(),
             removed_workers: Vec::new(),
--- a/crates/vanillafold-jobs/src/shard/workers.rs
+++ b/crates/vanillafold-jobs/src/shard/workers.rs
@@ -292,23 +292,13 @@
 
     /// Ends the runs on unresponsive workers whose leases have certainly expired, and drops workers
     /// that are neither listed nor have runs.
-    ///
-    /// A run whose start order got no answer is awaited longer, as another incarnation of the worker may
-    /// carry the order out. A persistent task does not stand still for that once its worker has left the
-    /// list: should the worker come back under its id, the run is stopped when it first answers.
     pub(super) fn expire_leases(&mut self, now: MonotonicMillis, now_unix_ms: u64) {
         for at in 0..self.workers.len() {
             let worker = &self.workers[at];
             let leases_expired = worker.leases_expired_at().is_some_and(|end| end < now);
-            let is_gone = !worker.listed;
-            let is_lost = |run: &Run| !run.may_still_start(now) || (run.persistent && is_gone);
+            let is_lost = |run: &Run| !run.may_still_start(now);
             let lost_runs = worker.runs.iter().filter(|run| is_lost(run)).count();
             if worker.unresponsive && leases_expired && lost_runs > 0 {
-                let may_come_late = |run: &&Run| is_lost(run) && run.may_still_start(now);
-                for run in worker.runs.iter().filter(may_come_late) {
-                    self.late_starts
-                        .record(&worker.entry.id, run, run.ordered_at);
-                }
                 log::info!(
                     worker = worker.entry.id.as_str(), runs = lost_runs;
                     "leases of an unresponsive worker have expired; these runs are lost"
@@ -341,9 +331,6 @@
             );
             self.begin_incarnation(at, report, now, now_unix_ms);
         }
-        if !self.workers[at].has_answered() {
-            self.stop_late_starts(at, report, now);
-        }
         self.resolve_silence(id, report.started_unix_ms);
         let lease_ms = self.settings.lease_ms;
         let interval_ms = self
@@ -452,6 +439,12 @@
         // deadlines refer to another clock, and the worker caps them at its maximum lease.
         let deadline_ms = report.clock_ms.saturating_add(self.settings.max_lease_ms);
         worker.extend_lease(deadline_ms);
+        // Stops runs that an order to a previous incarnation may still start.
+        for mut run in worker.take_unanswered_starts(now) {
+            run.phase = RunPhase::Stopping { next_order_at: now };
+            self.add_usage(&run.organisation.clone(), run.needs);
+            self.workers[at].add_run(run);
+        }
         for run in lost {
             self.end_run(at, &run, EndKind::LeaseExpired, now, now_unix_ms);
         }
@@ -872,8 +865,7 @@
             OrderAnswer::Unknown | OrderAnswer::ConnectionLost if starting => {
                 worker.runs[position].phase = RunPhase::StartUnanswered;
                 worker.runs[position].connection_lost = answer == OrderAnswer::ConnectionLost;
-                self.late_starts
-                    .record(&worker.entry.id, &worker.runs[position], now);
+                worker.record_unanswered_start(position, now);
             }
             OrderAnswer::Accepted | OrderAnswer::Unknown | OrderAnswer::ConnectionLost => {}
             // An earlier order may still start the run, as if it had not been repeated.
--- a/crates/vanillafold-jobs/src/worker/mod.rs
+++ b/crates/vanillafold-jobs/src/worker/mod.rs
@@ -6,6 +6,4 @@
 
 pub(crate) use loss::LossEvidence;
 pub use report::{EndKind, ListedEnd, ListedRun, OrderAnswer, PollReport, WorkerEntry};
-pub(crate) use state::{
-    AckCondition, MAX_ORDER_DELAY_MS, Run, RunPhase, UnacknowledgedEnd, Worker,
-};
+pub(crate) use state::{AckCondition, Run, RunPhase, UnacknowledgedEnd, Worker};
--- a/crates/vanillafold-jobs/src/worker/state.rs
+++ b/crates/vanillafold-jobs/src/worker/state.rs
@@ -14,7 +14,7 @@
 
 /// How long after sending an unanswered order may still be carried out, in milliseconds. The
 /// platform guarantees this bound.
-pub(crate) const MAX_ORDER_DELAY_MS: u64 = 12_000;
+const MAX_ORDER_DELAY_MS: u64 = 12_000;
 /// How long a run counts as fresh, in milliseconds. A task that crashes its worker at the start does
 /// so in this time.
 const FRESH_RUN_MS: u64 = 1_000;
@@ -194,6 +194,10 @@
     pub(crate) used: Resources,
     /// Number of isolated runs.
     isolated_runs: usize,
+    /// Runs whose start order got no answer, with the time when that was recorded. The order may
+    /// still be carried out in another incarnation of the worker, where neither its deadline nor an
+    /// earlier stop order is effective.
+    unanswered_starts: Vec<(Run, MonotonicMillis)>,
     pub(crate) unacknowledged: Vec<UnacknowledgedEnd>,
     /// Highest sequence number of an end that was processed.
     pub(crate) processed_end: u64,
@@ -256,6 +260,7 @@
                 gpus: 0,
             },
             isolated_runs: 0,
+            unanswered_starts: Vec::new(),
             unacknowledged: Vec::new(),
             processed_end: 0,
             acknowledged_end: 0,
@@ -451,9 +456,25 @@
         }
     }
 
-    /// Returns whether the worker has answered a poll since it was added or has started again.
-    pub(crate) const fn has_answered(&self) -> bool {
-        self.clock.is_some()
+    /// Records that the start order of a run got no answer.
+    pub(crate) fn record_unanswered_start(&mut self, at: usize, now: MonotonicMillis) {
+        self.unanswered_starts
+            .retain(|row| now.since(row.1).get() < MAX_ORDER_DELAY_MS);
+        self.unanswered_starts.push((self.runs[at].clone(), now));
+    }
+
+    /// Removes and returns the untracked runs that an unanswered order may still start in a new
+    /// incarnation.
+    pub(crate) fn take_unanswered_starts(&mut self, now: MonotonicMillis) -> Vec<Run> {
+        let unanswered = std::mem::take(&mut self.unanswered_starts);
+        let may_still_start =
+            |row: &(Run, MonotonicMillis)| now.since(row.1).get() < MAX_ORDER_DELAY_MS;
+        let runs = unanswered
+            .into_iter()
+            .filter(may_still_start)
+            .map(|row| row.0);
+        runs.filter(|run| self.run_position(run.task, run.number).is_none())
+            .collect()
     }
 
     /// Resets the state for a new incarnation and returns the runs that ended with the previous
