Search for unused limits of attempts only when a job of a removed queue has finished

Found on reading the change again: each scheduling pass searched the open jobs while a removed queue had any.

No check changed: storing uses the fixture's reading of records, which is the same.

--- a/crates/vanillafold-jobs/src/shard/attempt_limits.rs
+++ b/crates/vanillafold-jobs/src/shard/attempt_limits.rs
@@ -10,6 +10,8 @@
     rows: Vec<(String, AttemptLimit)>,
     /// Names of the queues whose record differs from what is known.
     dirty: Vec<String>,
+    /// Whether the last job of a removed queue may have finished.
+    may_be_unused: bool,
 }
 
 impl AttemptLimits {
@@ -80,8 +82,10 @@
         }
     }
 
-    /// Stores the limits of attempts of the queues of all open jobs, as far as they have changed.
+    /// Stores the limits of attempts of the queues of all open jobs, as far as a new configuration has
+    /// changed them.
     pub(super) fn remember_attempt_limits(&mut self) {
+        self.attempt_limits.may_be_unused = true;
         let mut queues: Vec<String> = Vec::new();
         for id in &self.open {
             let Some(job) = self.job(*id) else { continue };
@@ -94,14 +98,25 @@
         }
     }
 
-    /// Deletes the stored limits of removed queues without open jobs.
+    /// Notes that a job of a queue is no longer open.
+    pub(super) fn note_finished_job(&mut self, queue: &str) {
+        self.attempt_limits.may_be_unused |= self.catalogue.queue(queue).is_none();
+    }
+
+    /// Deletes the stored limits of removed queues without open jobs. Searches the open jobs only if
+    /// that can have changed since the last call.
     pub(super) fn forget_unused_attempt_limits(&mut self) {
+        let is_due = self.has_catalogue && self.attempt_limits.may_be_unused;
+        if !is_due {
+            return;
+        }
+        self.attempt_limits.may_be_unused = false;
         let is_used = |name: &str| {
             let is_of_queue = |id: &_| self.job(*id).is_some_and(|job| job.spec.queue == name);
             self.catalogue.queue(name).is_some() || self.open.iter().any(is_of_queue)
         };
         let rows = self.attempt_limits.rows.iter();
-        let unused = rows.filter(|row| self.has_catalogue && !is_used(&row.0));
+        let unused = rows.filter(|row| !is_used(&row.0));
         let unused: Vec<String> = unused.map(|row| row.0.clone()).collect();
         for queue in &unused {
             self.attempt_limits.remove(queue);
--- a/crates/vanillafold-jobs/src/shard/submit.rs
+++ b/crates/vanillafold-jobs/src/shard/submit.rs
@@ -112,6 +112,8 @@
                 took_ms = now.since(job.submitted_at).get();
                 "job finished"
             );
+            let queue = job.spec.queue.clone();
+            self.note_finished_job(&queue);
         }
         for at in 0..self.workers.len() {
             for run in 0..self.workers[at].runs.len() {
--- a/crates/vanillafold-jobs/src/shard/vm_operations.rs
+++ b/crates/vanillafold-jobs/src/shard/vm_operations.rs
@@ -6,7 +6,7 @@
 use super::root::Shard;
 use crate::id::WorkerId;
 use crate::spec::Resources;
-use crate::worker::WorkerEntry;
+use crate::worker::{Worker, WorkerEntry};
 
 /// State of a VM on the platform.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -79,6 +79,19 @@
     may_be_repetition: bool,
 }
 
+impl PendingOperation {
+    /// Returns whether a repetition may end runs of another incarnation than the one that the operation
+    /// was issued for. These runs were not considered then.
+    fn ends_later_runs(&self, vm: &Vm, workers: &[Worker]) -> bool {
+        let Some(id) = &vm.worker else { return false };
+        let found = workers.binary_search_by(|worker| worker.entry.id.cmp(id));
+        found.is_ok_and(|at| {
+            let worker = &workers[at];
+            !worker.runs.is_empty() && self.worker != Some(WorkerIncarnation::of(worker))
+        })
+    }
+}
+
 /// Progress of an operation on a VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum OperationPhase {
@@ -313,10 +326,10 @@
             );
             return;
         }
+        let removed = known;
         self.end_lost_runs(at, |_| true, now, now_unix_ms);
         self.workers.remove(at);
         self.workers_version += 1;
-        let removed = known;
         self.forget_advice(&removed.id);
         log::info!(
             worker = removed.id.as_str(), started_unix_ms = removed.started_unix_ms;
@@ -446,19 +459,8 @@
             if row.phase != OperationPhase::Unanswered || !due || is_barred {
                 continue;
             }
-            let worker = vm.and_then(|vm| vm.worker.as_ref());
-            let worker = worker.and_then(|id| {
-                let found = self
-                    .workers
-                    .binary_search_by(|worker| worker.entry.id.cmp(id));
-                found.ok().map(|at| &self.workers[at])
-            });
-            // The operation was issued for another incarnation, and the runs of this one were never
-            // considered. The list of VMs shows whether the operation was carried out.
-            let ends_other_runs = worker.is_some_and(|worker| {
-                !worker.runs.is_empty() && row.worker != Some(WorkerIncarnation::of(worker))
-            });
-            if ends_other_runs {
+            // The list of VMs shows whether the operation was carried out.
+            if vm.is_some_and(|vm| row.ends_later_runs(vm, &self.workers)) {
                 row.phase = OperationPhase::Done;
                 row.phase_since = now;
                 continue;
--- a/crates/vanillafold-jobs/tests/shard/removed_queues.rs
+++ b/crates/vanillafold-jobs/tests/shard/removed_queues.rs
@@ -36,6 +36,15 @@
     shard
 }
 
+/// Returns what is stored after a job was submitted under a configuration.
+fn submitted_under(catalogue: Catalogue) -> Vec<(String, Vec<u8>)> {
+    let mut stored = Vec::new();
+    let mut shard = take_over(1, &stored, catalogue, 0);
+    shard.submit(job_id(1), job(vec![step(1)]), at(900), unix(900));
+    store_in(&mut stored, &mut shard);
+    stored
+}
+
 /// Lets each run of a job's only task fail, and returns how many were started.
 fn failed_runs(shard: &mut Shard, from_ms: u64) -> u64 {
     let mut ms = from_ms;
@@ -63,10 +72,7 @@
 #[test]
 fn an_owner_that_has_never_seen_a_removed_queue_keeps_its_limit_of_attempts() {
     for max_attempts in [1, 2, 4, 7] {
-        let mut stored = Vec::new();
-        let mut first = take_over(1, &stored, with_queue(1, max_attempts), 0);
-        first.submit(job_id(1), job(vec![step(1)]), at(900), unix(900));
-        store_in(&mut stored, &mut first);
+        let mut stored = submitted_under(with_queue(1, max_attempts));
 
         let mut second = take_over(3, &stored, without_queue(2), 2_000);
         let attempts = failed_runs(&mut second, 2_100);
@@ -82,10 +88,7 @@
 /// never changed the job.
 #[test]
 fn a_limit_that_changes_before_the_removal_is_stored_for_jobs_in_progress() {
-    let mut stored = Vec::new();
-    let mut first = take_over(1, &stored, with_queue(1, 2), 0);
-    first.submit(job_id(1), job(vec![step(1)]), at(900), unix(900));
-    store_in(&mut stored, &mut first);
+    let mut stored = submitted_under(with_queue(1, 2));
 
     let mut second = take_over(3, &stored, with_queue(2, 4), 2_000);
     store_in(&mut stored, &mut second);
@@ -97,10 +100,7 @@
 /// An owner may start with a configuration that is older than the one the job was accepted under.
 #[test]
 fn an_owner_with_an_older_configuration_does_not_replace_a_later_limit() {
-    let mut stored = Vec::new();
-    let mut first = take_over(1, &stored, with_queue(5, 4), 0);
-    first.submit(job_id(1), job(vec![step(1)]), at(900), unix(900));
-    store_in(&mut stored, &mut first);
+    let mut stored = submitted_under(with_queue(5, 4));
 
     let mut second = take_over(3, &stored, with_queue(4, 2), 2_000);
     store_in(&mut stored, &mut second);
--- a/crates/vanillafold-jobs/tests/shard/storing.rs
+++ b/crates/vanillafold-jobs/tests/shard/storing.rs
@@ -4,20 +4,12 @@
 
 use crate::fixture::{
     at, catalogue, job, job_id, listed_end, listed_run, poll, report, schedule_starts, settings,
-    shard_with_workers, step, task, unix, vm, worker_entry,
+    shard_with_workers, step, store_in, stored_records, task, unix, vm, worker_entry,
 };
 
 /// Applies all batches to the rows of a store and returns the resulting rows, sorted by key.
 fn stored_over(mut rows: Vec<(String, Vec<u8>)>, shard: &mut Shard) -> Vec<(String, Vec<u8>)> {
-    while let Some(batch) = shard.take_batch() {
-        for (key, value) in &batch.records {
-            rows.retain(|row| row.0 != *key);
-            if !value.is_empty() {
-                rows.push((key.clone(), value.clone()));
-            }
-        }
-        shard.batch_stored(&batch);
-    }
+    store_in(&mut rows, shard);
     rows.sort();
     rows
 }
@@ -26,11 +18,6 @@
     stored_over(Vec::new(), shard)
 }
 
-fn records(rows: &[(String, Vec<u8>)]) -> Vec<Record> {
-    let decode = |row: &(String, Vec<u8>)| Record::decode(&row.0, &row.1).expect("a record");
-    rows.iter().map(decode).collect()
-}
-
 /// Returns the stored rows after a job of one task was submitted, run and completed.
 fn rows_of_a_completed_job() -> Vec<(String, Vec<u8>)> {
     let mut shard = shard_with_workers(&["w1"]);
@@ -49,7 +36,7 @@
     let mut shard = Shard::load(
         settings(),
         Epoch::new(9),
-        records(rows),
+        stored_records(rows),
         at(3_000),
         unix(3_000),
     );
@@ -65,7 +52,7 @@
 fn the_description_of_a_completed_job_is_deleted_from_the_store() {
     let rows = rows_of_a_completed_job();
 
-    let kinds: Vec<bool> = records(&rows)
+    let kinds: Vec<bool> = stored_records(&rows)
         .iter()
         .filter(|record| !matches!(record, Record::AttemptLimit(..)))
         .map(|record| matches!(record, Record::Progress(..)))
--- a/crates/vanillafold-jobs/tests/shard/vms.rs
+++ b/crates/vanillafold-jobs/tests/shard/vms.rs
@@ -175,9 +175,8 @@
     assert!(late.contains(&maintenance), "found {late:?}");
 }
 
-/// Runs a persistent task on one of two VMs, adds a maintenance wave for that VM at `ms` after the
-/// takeover, and returns the number of orders to workers and whether the maintenance was issued.
-fn maintenance_under_a_persistent_task(ms: u64) -> (usize, bool) {
+/// Returns a shard in which a persistent task runs on one of two workers, and that worker.
+fn shard_with_a_persistent_task() -> (Shard, String) {
     let mut shard = shard_with_workers(&["w1", "w2"]);
     let persistent_step = StepSpec {
         persistent: true,
@@ -191,6 +190,13 @@
     let mut poll_report = report(5_000);
     poll_report.running.push(listed_run(task, run));
     poll(&mut shard, &on, &poll_report, 5_000);
+    (shard, on)
+}
+
+/// Runs a persistent task on one of two VMs, adds a maintenance wave for that VM at `ms` after the
+/// takeover, and returns the number of orders to workers and whether the maintenance was issued.
+fn maintenance_under_a_persistent_task(ms: u64) -> (usize, bool) {
+    let (mut shard, on) = shard_with_a_persistent_task();
     shard.add_wave(
         Wave {
             number: 1,
@@ -639,18 +645,7 @@
 /// Returns a shard whose maintenance of a VM with a persistent task was confirmed at 6,700 after an
 /// attempt without an answer, and the number of starts until 7,500.
 fn confirmed_after_an_unanswered_attempt() -> (Shard, usize) {
-    let mut shard = shard_with_workers(&["w1", "w2"]);
-    let persistent_step = StepSpec {
-        persistent: true,
-        max_unavailable: Some(1),
-        ..step(1)
-    };
-    shard.submit(job_id(1), job(vec![persistent_step]), at(900), unix(900));
-    store_batches(&mut shard);
-    let (task, run, on) = schedule_starts(&mut shard, 1_000).remove(0);
-    let mut poll_report = report(5_000);
-    poll_report.running.push(listed_run(task, run));
-    poll(&mut shard, &on, &poll_report, 5_000);
+    let (mut shard, on) = shard_with_a_persistent_task();
     assert_eq!(on, "w1");
     shard.add_wave(wave_over(vec!["w1".to_owned()]), at(5_900));
     shard.schedule(at(6_000), unix(6_000));
